--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core policy entry operator standins
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/hollyspan_$(p))
+SOURCES := packages integration benchmarks
+
+.PHONY: venv test lint format demo serve
+
+venv: $(VENV)/installed
+
+$(VENV)/installed: constraints.txt requirements-dev.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt -r requirements-dev.txt
+	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
+	touch $@
+
+test: venv
+	$(BIN)/python -m pytest
+
+lint: venv
+	$(BIN)/python -m black -q --check $(SOURCES)
+	$(BIN)/python -m isort -q --check $(SOURCES)
+	$(BIN)/python -m flake8 $(SOURCES)
+
+format: venv
+	$(BIN)/python -m isort -q $(SOURCES)
+	$(BIN)/python -m black -q $(SOURCES)
+
+demo: venv
+	$(BIN)/python -m hollyspan_standins.demo
+
+serve: venv
+	$(BIN)/python -m hollyspan_standins.serve
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/__init__.py
@@ -0,0 +1,1 @@
+"""Value types, errors, settings, configuration and messages."""
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon between callers and upstreams."""
--- /dev/null
+++ b/packages/hollyspan_operator/hollyspan_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the daemons."""
