--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/configuration/__init__.py
@@ -0,0 +1,7 @@
+"""The fleet's configuration document."""
+
+from .configuration import Configuration
+from .reader import parse_configuration
+from .scope import Scope
+
+__all__ = ["Configuration", "Scope", "parse_configuration"]
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/configuration/configuration.py
@@ -0,0 +1,63 @@
+"""The configuration in force on a daemon."""
+
+import datetime
+
+__all__ = ["Configuration"]
+
+
+class Configuration:
+    """One generation of the fleet's configuration.
+
+    Parameters
+    ----------
+    document : dict
+        A document that fits the schema.
+    """
+
+    __slots__ = ("document", "generation", "services", "workspaces")
+
+    def __init__(self, *, document):
+        self.document = document
+        self.generation = document["generation"]
+        self.services = document["services"]
+        self.workspaces = {
+            entry["digest"]: entry["workspace"] for entry in document["keys"]
+        }
+
+    def get(self, name, *, scope, now=None):
+        """Return the value in force for a scope.
+
+        Parameters
+        ----------
+        name : str
+            Section and name joined by a dot, as in ``batch.harm_weight``.
+        scope : Scope
+            Where the value is used.
+        now : float, optional
+            Seconds since the epoch; exceptions whose end lies before it are
+            passed over.
+
+        Returns
+        -------
+        object
+            The value of the last exception that fits, else the default.
+        """
+        section, key = name.split(".")
+        value = self.document["defaults"][section][key]
+        for exception in self.document["exceptions"]:
+            if name in exception["set"] and is_in_force(
+                exception, scope=scope, now=now
+            ):
+                value = exception["set"][name]
+        return value
+
+
+def is_in_force(exception, *, scope, now):
+    until = exception.get("until")
+    if until and now is not None:
+        if datetime.datetime.fromisoformat(until).timestamp() <= now:
+            return False
+    return all(
+        getattr(scope, field) == wanted
+        for field, wanted in exception["scope"].items()
+    )
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -0,0 +1,71 @@
+"""The exception tree of hollyspan."""
+
+from .base import HollyspanError
+from .base import Outcome
+from .configuration import ConfigurationConflictError
+from .configuration import ConfigurationInvalidError
+from .configuration import SettingsInvalidError
+from .peer import PeerAuthenticationError
+from .peer import PeerMessageError
+from .peer import PeerUnavailableError
+from .request import AuthenticationError
+from .request import BatchNotFoundError
+from .request import BodyTooLargeError
+from .request import DeadlineError
+from .request import DrainingError
+from .request import FileNotFoundInWorkspaceError
+from .request import IdempotencyKeyMissingError
+from .request import IdempotencyMismatchError
+from .request import InputLineError
+from .request import InvalidRequestError
+from .request import ModelNotFoundError
+from .request import OutcomeUnknownError
+from .request import OverloadedError
+from .request import RateLimitError
+from .request import ServiceNotFoundError
+from .store import LeaseLostError
+from .store import StoreConflictError
+from .store import StoreKeyExistsError
+from .store import StoreReplyLostError
+from .store import StoreUnavailableError
+from .store import StoreValueTooLargeError
+from .upstream import StreamLostError
+from .upstream import UpstreamAnswerError
+from .upstream import UpstreamLeavingError
+from .upstream import UpstreamUnavailableError
+
+__all__ = [
+    "AuthenticationError",
+    "BatchNotFoundError",
+    "BodyTooLargeError",
+    "ConfigurationConflictError",
+    "ConfigurationInvalidError",
+    "DeadlineError",
+    "DrainingError",
+    "FileNotFoundInWorkspaceError",
+    "HollyspanError",
+    "IdempotencyKeyMissingError",
+    "IdempotencyMismatchError",
+    "InputLineError",
+    "InvalidRequestError",
+    "LeaseLostError",
+    "ModelNotFoundError",
+    "Outcome",
+    "OutcomeUnknownError",
+    "OverloadedError",
+    "PeerAuthenticationError",
+    "PeerMessageError",
+    "PeerUnavailableError",
+    "RateLimitError",
+    "ServiceNotFoundError",
+    "SettingsInvalidError",
+    "StoreConflictError",
+    "StoreKeyExistsError",
+    "StoreReplyLostError",
+    "StoreUnavailableError",
+    "StoreValueTooLargeError",
+    "StreamLostError",
+    "UpstreamAnswerError",
+    "UpstreamLeavingError",
+    "UpstreamUnavailableError",
+]
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/errors/configuration.py
@@ -0,0 +1,37 @@
+"""Failures of settings and of the configuration document."""
+
+from .base import HollyspanError
+from .base import Outcome
+
+__all__ = [
+    "ConfigurationConflictError",
+    "ConfigurationInvalidError",
+    "SettingsInvalidError",
+]
+
+
+class SettingsInvalidError(HollyspanError):
+    """The settings file has faults."""
+
+    status = 500
+    kind = "server_error"
+    code = "settings_invalid"
+    default_outcome = Outcome.NOT_RUN
+
+
+class ConfigurationInvalidError(HollyspanError):
+    """A configuration document has faults."""
+
+    status = 400
+    kind = "invalid_request_error"
+    code = "configuration_invalid"
+    default_outcome = Outcome.NOT_RUN
+
+
+class ConfigurationConflictError(HollyspanError):
+    """Another writer's generation was accepted first."""
+
+    status = 409
+    kind = "conflict_error"
+    code = "configuration_conflict"
+    default_outcome = Outcome.NOT_RUN
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/errors/request.py
@@ -0,0 +1,155 @@
+"""Failures that a caller sees."""
+
+from .base import HollyspanError
+from .base import Outcome
+
+__all__ = [
+    "AuthenticationError",
+    "BatchNotFoundError",
+    "BodyTooLargeError",
+    "DeadlineError",
+    "DrainingError",
+    "FileNotFoundInWorkspaceError",
+    "IdempotencyKeyMissingError",
+    "IdempotencyMismatchError",
+    "InputLineError",
+    "InvalidRequestError",
+    "ModelNotFoundError",
+    "OutcomeUnknownError",
+    "OverloadedError",
+    "RateLimitError",
+    "ServiceNotFoundError",
+]
+
+
+class InvalidRequestError(HollyspanError):
+    """The request is malformed."""
+
+    status = 400
+    kind = "invalid_request_error"
+    code = "invalid_request"
+    default_outcome = Outcome.NOT_RUN
+
+
+class AuthenticationError(HollyspanError):
+    """The key is missing or unknown."""
+
+    status = 401
+    kind = "authentication_error"
+    code = "invalid_api_key"
+    default_outcome = Outcome.NOT_RUN
+
+
+class ModelNotFoundError(HollyspanError):
+    """No such model."""
+
+    status = 404
+    kind = "invalid_request_error"
+    code = "model_not_found"
+    default_outcome = Outcome.NOT_RUN
+
+
+class ServiceNotFoundError(HollyspanError):
+    """No such plain service."""
+
+    status = 404
+    kind = "invalid_request_error"
+    code = "service_not_found"
+    default_outcome = Outcome.NOT_RUN
+
+
+class FileNotFoundInWorkspaceError(HollyspanError):
+    """No such file in the caller's workspace."""
+
+    status = 404
+    kind = "invalid_request_error"
+    code = "file_not_found"
+    default_outcome = Outcome.NOT_RUN
+
+
+class BatchNotFoundError(HollyspanError):
+    """No such batch in the caller's workspace."""
+
+    status = 404
+    kind = "invalid_request_error"
+    code = "batch_not_found"
+    default_outcome = Outcome.NOT_RUN
+
+
+class BodyTooLargeError(HollyspanError):
+    """The body exceeds the limit."""
+
+    status = 413
+    kind = "invalid_request_error"
+    code = "body_too_large"
+    default_outcome = Outcome.NOT_RUN
+
+
+class InputLineError(InvalidRequestError):
+    """A line of an input file is invalid."""
+
+    status = 400
+    kind = "invalid_request_error"
+    code = "invalid_line"
+    default_outcome = Outcome.NOT_RUN
+
+
+class IdempotencyKeyMissingError(InvalidRequestError):
+    """A non-idempotent request has no Idempotency-Key."""
+
+    status = 400
+    kind = "invalid_request_error"
+    code = "idempotency_key_missing"
+    default_outcome = Outcome.NOT_RUN
+
+
+class IdempotencyMismatchError(HollyspanError):
+    """An Idempotency-Key was used with another body."""
+
+    status = 422
+    kind = "invalid_request_error"
+    code = "idempotency_mismatch"
+    default_outcome = Outcome.NOT_RUN
+
+
+class OutcomeUnknownError(HollyspanError):
+    """An earlier copy may have run; its answer is not known."""
+
+    status = 409
+    kind = "conflict_error"
+    code = "outcome_unknown"
+
+
+class RateLimitError(HollyspanError):
+    """The workspace exceeds its limits."""
+
+    status = 429
+    kind = "rate_limit_error"
+    code = "rate_limited"
+    default_outcome = Outcome.NOT_RUN
+
+
+class OverloadedError(HollyspanError):
+    """No upstream has room within the deadline."""
+
+    status = 503
+    kind = "overloaded_error"
+    code = "overloaded"
+    default_outcome = Outcome.NOT_RUN
+
+
+class DrainingError(HollyspanError):
+    """The instance is about to stop."""
+
+    status = 503
+    kind = "overloaded_error"
+    code = "draining"
+    default_outcome = Outcome.NOT_RUN
+
+
+class DeadlineError(HollyspanError):
+    """The request's deadline has passed."""
+
+    status = 504
+    kind = "timeout_error"
+    code = "deadline_exceeded"
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -0,0 +1,62 @@
+"""Failures of the platform's store."""
+
+from .base import HollyspanError
+from .base import Outcome
+
+__all__ = [
+    "LeaseLostError",
+    "StoreConflictError",
+    "StoreKeyExistsError",
+    "StoreReplyLostError",
+    "StoreUnavailableError",
+    "StoreValueTooLargeError",
+]
+
+
+class StoreUnavailableError(HollyspanError):
+    """The store did not answer in time."""
+
+    status = 503
+    kind = "server_error"
+    code = "store_unavailable"
+
+
+class StoreReplyLostError(StoreUnavailableError):
+    """A write may have taken effect; its reply was lost."""
+
+    status = 503
+    kind = "server_error"
+    code = "store_reply_lost"
+
+
+class StoreConflictError(HollyspanError):
+    """The key was changed by another writer."""
+
+    status = 409
+    kind = "conflict_error"
+    code = "store_conflict"
+
+
+class StoreKeyExistsError(StoreConflictError):
+    """The key to create is present already."""
+
+    status = 409
+    kind = "conflict_error"
+    code = "store_key_exists"
+
+
+class StoreValueTooLargeError(HollyspanError):
+    """The value is larger than the store takes."""
+
+    status = 413
+    kind = "invalid_request_error"
+    code = "store_value_too_large"
+    default_outcome = Outcome.NOT_RUN
+
+
+class LeaseLostError(HollyspanError):
+    """The lease can no longer be trusted."""
+
+    status = 503
+    kind = "server_error"
+    code = "lease_lost"
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/logs/destination.py
@@ -0,0 +1,35 @@
+"""Where log lines go."""
+
+import contextlib
+import sys
+
+import eliot
+
+__all__ = ["open_log"]
+
+
+@contextlib.contextmanager
+def open_log(*, path=None, instance=None):
+    """Write eliot's messages to a file or to standard output.
+
+    Parameters
+    ----------
+    path : str, optional
+        File to append to; standard output without one.
+    instance : str, optional
+        Name of the instance, added to each line.
+
+    Yields
+    ------
+    None
+    """
+    if instance is not None:
+        eliot.add_global_fields(instance=instance)
+    with contextlib.ExitStack() as stack:
+        stream = sys.stdout
+        if path is not None:
+            stream = stack.enter_context(open(path, "ab", buffering=0))
+        destination = eliot.FileDestination(file=stream)
+        eliot.add_destinations(destination)
+        stack.callback(eliot.remove_destination, destination)
+        yield
