Fix the interfaces between the packages

Thin policy functions with their views, the store client with writer's tokens, the configuration holder, the upstream registry, HTTP basics and the assembly of a daemon from parts. A daemon starts, answers /healthz and /readyz and stops on SIGTERM.

--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -30,12 +30,27 @@
 
 
 class StoreConflictError(HollyspanError):
-    """The key was changed by another writer."""
+    """The key was changed by another writer.
+
+    Parameters
+    ----------
+    message : str
+    entry : object, optional
+        What the store holds now, None when the key is absent.
+    ambiguous : bool, optional
+        True when an earlier copy of the same write had no answer, so that
+        it may have taken effect before the other writer's change.
+    """
 
     status = 409
     kind = "conflict_error"
     code = "store_conflict"
 
+    def __init__(self, message, *, entry=None, ambiguous=False, **details):
+        super().__init__(message, **details)
+        self.entry = entry
+        self.ambiguous = ambiguous
+
 
 class StoreKeyExistsError(StoreConflictError):
     """The key to create is present already."""
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/configurations/__init__.py
@@ -0,0 +1,5 @@
+"""The configuration in force on this daemon."""
+
+from .holder import ConfigurationHolder
+
+__all__ = ["ConfigurationHolder"]
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -0,0 +1,155 @@
+"""Assembly of one daemon."""
+
+import contextlib
+import os
+import signal
+import time
+
+import eliot
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import resource
+from twisted.web import server
+
+from hollyspan_policy.membership import MemberTable
+
+from .configurations import ConfigurationHolder
+from .http import AsyncResource
+from .http import write_json
+from .runtime import Runtime
+from .store import open_store
+from .upstreams import Upstreams
+
+__all__ = ["run_daemon"]
+
+MAX_CONNECTIONS_PER_UPSTREAM = 64
+MICROSECONDS = 1_000_000
+
+
+def create_token():
+    return os.urandom(16)
+
+
+@contextlib.contextmanager
+def open_agent(reactor, *, timeout):
+    pool = client.HTTPConnectionPool(reactor)
+    pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_UPSTREAM
+    try:
+        yield client.Agent(reactor, connectTimeout=timeout, pool=pool)
+    finally:
+        pool.closeCachedConnections()
+
+
+@contextlib.contextmanager
+def open_runtime(settings, *, reactor):
+    timing = settings.timing
+    with contextlib.ExitStack() as stack:
+        store = stack.enter_context(
+            open_store(
+                url=settings.store_url,
+                reactor=reactor,
+                timeout=timing.store_timeout,
+                create_token=create_token,
+            )
+        )
+        agent = stack.enter_context(
+            open_agent(reactor, timeout=timing.connect_timeout)
+        )
+        yield Runtime(
+            settings=settings,
+            reactor=reactor,
+            agent=agent,
+            store=store,
+            configurations=ConfigurationHolder(),
+            upstreams=Upstreams(),
+            members=MemberTable(timeout=timing.peer_timeout),
+            root=resource.Resource(),
+            incarnation=int(time.time() * MICROSECONDS),
+            create_token=create_token,
+        )
+
+
+def add_health(runtime):
+    async def answer_health(request, path):
+        write_json(request, {"status": "ok"})
+
+    async def answer_ready(request, path):
+        checks = {name: check() for name, check in runtime.checks.items()}
+        ready = not runtime.draining and all(checks.values())
+        status = 200 if ready else 503
+        write_json(request, {"ready": ready, "checks": checks}, status=status)
+
+    runtime.root.putChild(b"healthz", AsyncResource(handle=answer_health))
+    runtime.root.putChild(b"readyz", AsyncResource(handle=answer_ready))
+    runtime.checks["configuration"] = (
+        lambda: runtime.configurations.current is not None
+    )
+
+
+# The parts of the daemon, in the order in which they are opened; each is a
+# context manager that takes the runtime.
+PARTS = ()
+
+
+def run_daemon(settings):
+    """Run one daemon until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : Settings
+
+    Raises
+    ------
+    SystemExit
+        Code 0 after a planned stop, 1 after a failure.
+    """
+    from twisted.internet import reactor
+
+    stop = defer.Deferred()
+
+    async def run(reactor):
+        with contextlib.ExitStack() as stack:
+            runtime = stack.enter_context(
+                open_runtime(settings, reactor=reactor)
+            )
+            add_health(runtime)
+            for open_part in PARTS:
+                stack.enter_context(open_part(runtime))
+            site = server.Site(runtime.root)
+            port = reactor.listenTCP(
+                settings.http_port, site, interface=settings.http_address
+            )
+            eliot.log_message(message_type="daemon:start")
+            await stop
+            await drain(runtime, port)
+        eliot.log_message(message_type="daemon:stop")
+
+    def ask_to_stop(number, frame):
+        reactor.callFromThread(finish_waiting, stop)
+
+    def install_handlers():
+        signal.signal(signal.SIGTERM, ask_to_stop)
+        signal.signal(signal.SIGINT, ask_to_stop)
+
+    reactor.callWhenRunning(install_handlers)
+    task.react(lambda r: defer.ensureDeferred(run(r)), ())
+
+
+def finish_waiting(stop):
+    if not stop.called:
+        stop.callback(None)
+
+
+async def drain(runtime, port):
+    """Finish what runs, then stop listening.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    port : IListeningPort
+    """
+    runtime.draining = True
+    for hook in runtime.drain_hooks:
+        await hook()
+    await port.stopListening()
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/http/body.py
@@ -0,0 +1,59 @@
+"""Reading of request bodies."""
+
+import json
+
+from hollyspan_core.errors import BodyTooLargeError
+from hollyspan_core.errors import InvalidRequestError
+
+__all__ = ["read_body", "read_json"]
+
+MAX_BODY_BYTES = 8_000_000
+
+
+def read_body(request, *, limit=MAX_BODY_BYTES):
+    """Return the body of a request.
+
+    Parameters
+    ----------
+    request : twisted.web.http.Request
+    limit : int, optional
+        Bytes.
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    BodyTooLargeError
+        The body exceeds the limit.
+    """
+    body = request.content.read(limit + 1)
+    if len(body) > limit:
+        raise BodyTooLargeError(f"the body exceeds {limit} bytes")
+    return body
+
+
+def read_json(request):
+    """Return the JSON object in the body of a request.
+
+    Parameters
+    ----------
+    request : twisted.web.http.Request
+
+    Returns
+    -------
+    dict
+
+    Raises
+    ------
+    InvalidRequestError
+        The body is no JSON object.
+    """
+    try:
+        document = json.loads(read_body(request))
+    except ValueError as error:
+        raise InvalidRequestError(f"the body is no JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise InvalidRequestError("the body is no JSON object")
+    return document
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/http/resource.py
@@ -0,0 +1,67 @@
+"""A resource whose handlers are coroutines."""
+
+import eliot
+from twisted.internet import defer
+from twisted.web import resource
+from twisted.web import server
+
+from hollyspan_core.errors import HollyspanError
+
+from .answer import write_error
+
+__all__ = ["AsyncResource"]
+
+
+class AsyncResource(resource.Resource):
+    """Calls a coroutine for each request below its path.
+
+    Parameters
+    ----------
+    handle : callable
+        Coroutine function that takes the request and the rest of the path
+        as a list of str, and writes the answer. A HollyspanError that it
+        raises before the first byte becomes the answer.
+
+    Notes
+    -----
+    When the caller goes away, the coroutine is cancelled.
+    """
+
+    isLeaf = True
+
+    def __init__(self, *, handle):
+        super().__init__()
+        self.handle = handle
+
+    def render(self, request):
+        path = [part.decode("utf-8", "replace") for part in request.postpath]
+        work = defer.ensureDeferred(self.serve(request, path))
+        request.notifyFinish().addErrback(lambda _: work.cancel())
+        work.addErrback(lambda failure: failure.trap(defer.CancelledError))
+        return server.NOT_DONE_YET
+
+    async def serve(self, request, path):
+        """Run the handler and finish the request."""
+        try:
+            await self.handle(request, path)
+        except defer.CancelledError:
+            return
+        except Exception as error:
+            self.fail(request, error)
+            return
+        if not request._disconnected:
+            request.finish()
+
+    def fail(self, request, error):
+        """Answer with a failure, or cut the answer that has begun."""
+        if not isinstance(error, HollyspanError):
+            eliot.write_traceback()
+            error = HollyspanError("internal error")
+        if request._disconnected:
+            return
+        if request.startedWriting:
+            # A whole answer must not seem to end here.
+            request.channel.abortConnection()
+            return
+        write_error(request, error)
+        request.finish()
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -0,0 +1,78 @@
+"""Shared state of one daemon."""
+
+__all__ = ["Runtime"]
+
+
+class Runtime:
+    """What the parts of one daemon share.
+
+    Parameters
+    ----------
+    settings : Settings
+    reactor : twisted reactor
+    agent : IAgent
+        Client for upstreams, with persistent connections.
+    store : Store
+    configurations : ConfigurationHolder
+    upstreams : Upstreams
+    members : MemberTable
+    root : twisted.web.resource.Resource
+        Root of the HTTP interface; each part puts its resources there.
+    incarnation : int
+        Start time, microseconds since the epoch.
+    create_token : callable
+        Returns 16 new random bytes.
+
+    Attributes
+    ----------
+    draining : bool
+        True once the daemon is about to stop.
+    drain_hooks : list of callable
+        Coroutine functions that are run at a planned stop, in order.
+    checks : dict
+        Functions by name that return True when a part is ready.
+    """
+
+    __slots__ = (
+        "settings",
+        "reactor",
+        "agent",
+        "store",
+        "configurations",
+        "upstreams",
+        "members",
+        "root",
+        "incarnation",
+        "create_token",
+        "draining",
+        "drain_hooks",
+        "checks",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings,
+        reactor,
+        agent,
+        store,
+        configurations,
+        upstreams,
+        members,
+        root,
+        incarnation,
+        create_token,
+    ):
+        self.settings = settings
+        self.reactor = reactor
+        self.agent = agent
+        self.store = store
+        self.configurations = configurations
+        self.upstreams = upstreams
+        self.members = members
+        self.root = root
+        self.incarnation = incarnation
+        self.create_token = create_token
+        self.draining = False
+        self.drain_hooks = []
+        self.checks = {}
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/store/codec.py
@@ -0,0 +1,53 @@
+"""Encoding of keys and values in the store's JSON."""
+
+import base64
+
+from .entry import Entry
+
+__all__ = [
+    "TOKEN_BYTES",
+    "decode_entry",
+    "encode_bytes",
+    "encode_key",
+    "end_of_prefix",
+]
+
+TOKEN_BYTES = 16
+
+
+def encode_bytes(content):
+    """Return bytes as base64 text."""
+    return base64.b64encode(content).decode()
+
+
+def encode_key(key):
+    """Return a key as base64 text."""
+    return encode_bytes(key.encode())
+
+
+def end_of_prefix(prefix):
+    """Return the first key after all keys with a prefix."""
+    content = prefix.encode()
+    return content[:-1] + bytes([content[-1] + 1])
+
+
+def decode_entry(pair):
+    """Decode a key-value pair of an answer.
+
+    Parameters
+    ----------
+    pair : dict
+        Decoded JSON.
+
+    Returns
+    -------
+    Entry
+    """
+    value = base64.b64decode(pair.get("value", ""))
+    return Entry(
+        key=base64.b64decode(pair["key"]).decode(),
+        content=value[TOKEN_BYTES:],
+        token=value[:TOKEN_BYTES],
+        revision=int(pair.get("mod_revision", 0)),
+        lease=int(pair.get("lease", 0)),
+    )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/store/entry.py
@@ -0,0 +1,50 @@
+"""What the store answers."""
+
+__all__ = ["Entry", "Page"]
+
+
+class Entry:
+    """One key with its value.
+
+    Parameters
+    ----------
+    key : str
+    content : bytes
+        The value without the writer's token.
+    token : bytes
+        16 bytes, chosen by the writer.
+    revision : int
+        Revision of the last change; 0 in an event for a deleted key.
+    lease : int
+        Lease that the key is bound to, 0 for none.
+    """
+
+    __slots__ = ("key", "content", "token", "revision", "lease")
+
+    def __init__(self, *, key, content, token, revision, lease):
+        self.key = key
+        self.content = content
+        self.token = token
+        self.revision = revision
+        self.lease = lease
+
+
+class Page:
+    """Some keys of a range.
+
+    Parameters
+    ----------
+    entries : list of Entry
+        In order of their keys.
+    more : bool
+        True when the range holds more keys.
+    revision : int
+        Revision of the store at the time of the answer.
+    """
+
+    __slots__ = ("entries", "more", "revision")
+
+    def __init__(self, *, entries, more, revision):
+        self.entries = entries
+        self.more = more
+        self.revision = revision
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
@@ -0,0 +1,110 @@
+"""One upstream as this daemon knows it."""
+
+from hollyspan_policy.routing import UpstreamView
+
+__all__ = ["Upstream"]
+
+
+class Upstream:
+    """An engine or a plain service.
+
+    Parameters
+    ----------
+    name : str
+    kind : str
+        ``engine`` or ``service``.
+    service : str
+        Model or plain service that it serves.
+    data_centre : str
+    address : str
+    port : int
+    slots : int
+        Streams that it runs at once.
+
+    Attributes
+    ----------
+    leaving : bool
+        No new work may be sent.
+    reachable : bool
+        False after connections failed, until a health check succeeds.
+    online, batch : int
+        Requests in flight that this daemon sent.
+    peers : dict
+        PeerLoad by instance, from the peers' messages.
+    waiting : int
+        Queue length of the last load report.
+    reported : float or None
+        Monotonic seconds of the last load report.
+    """
+
+    __slots__ = (
+        "name",
+        "kind",
+        "service",
+        "data_centre",
+        "address",
+        "port",
+        "slots",
+        "leaving",
+        "reachable",
+        "online",
+        "batch",
+        "peers",
+        "waiting",
+        "reported",
+    )
+
+    def __init__(
+        self, *, name, kind, service, data_centre, address, port, slots
+    ):
+        self.name = name
+        self.kind = kind
+        self.service = service
+        self.data_centre = data_centre
+        self.address = address
+        self.port = port
+        self.slots = slots
+        self.leaving = False
+        self.reachable = True
+        self.online = 0
+        self.batch = 0
+        self.peers = {}
+        self.waiting = 0
+        self.reported = None
+
+    @property
+    def url(self):
+        """Base URL."""
+        return f"http://{self.address}:{self.port}"
+
+    def count_online(self):
+        """Count online requests in flight from all daemons heard."""
+        return self.online + sum(p.online for p in self.peers.values())
+
+    def count_batch(self):
+        """Count batch streams in flight from all daemons heard."""
+        return self.batch + sum(p.batch for p in self.peers.values())
+
+    def build_view(self, *, now):
+        """Return what the policy sees of this upstream.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        UpstreamView
+        """
+        age = None if self.reported is None else now - self.reported
+        return UpstreamView(
+            name=self.name,
+            data_centre=self.data_centre,
+            slots=self.slots,
+            online=self.count_online(),
+            batch=self.count_batch(),
+            waiting=self.waiting,
+            report_age=age,
+            serving=self.reachable and not self.leaving,
+        )
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/leases/__init__.py
@@ -0,0 +1,5 @@
+"""How long a lease can be trusted."""
+
+from .term import LeaseTerm
+
+__all__ = ["LeaseTerm"]
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/__init__.py
@@ -0,0 +1,6 @@
+"""Which daemons are live."""
+
+from .member import Member
+from .table import MemberTable
+
+__all__ = ["Member", "MemberTable"]
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/view.py
@@ -0,0 +1,57 @@
+"""What a daemon knows of an upstream when it decides."""
+
+__all__ = ["UpstreamView"]
+
+
+class UpstreamView:
+    """One upstream as seen by one daemon at one moment.
+
+    Parameters
+    ----------
+    name : str
+    data_centre : str
+    slots : int
+        Streams that the upstream runs at once.
+    online : int
+        Online requests in flight from all daemons, as far as known.
+    batch : int
+        Batch streams in flight from all daemons, as far as known.
+    waiting : int
+        Queue length of the last load report.
+    report_age : float or None
+        Age of the last load report, seconds; None without one.
+    serving : bool
+        False when the upstream is leaving or cannot be reached.
+    """
+
+    __slots__ = (
+        "name",
+        "data_centre",
+        "slots",
+        "online",
+        "batch",
+        "waiting",
+        "report_age",
+        "serving",
+    )
+
+    def __init__(
+        self,
+        *,
+        name,
+        data_centre,
+        slots,
+        online=0,
+        batch=0,
+        waiting=0,
+        report_age=None,
+        serving=True,
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.slots = slots
+        self.online = online
+        self.batch = batch
+        self.waiting = waiting
+        self.report_age = report_age
+        self.serving = serving
