--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/store/entry.py
@@ -0,0 +1,26 @@
+"""One key with its value."""
+
+__all__ = ["Entry"]
+
+
+class Entry:
+    """A key's value and revisions."""
+
+    __slots__ = (
+        "key",
+        "value",
+        "create_revision",
+        "mod_revision",
+        "version",
+        "lease",
+    )
+
+    def __init__(
+        self, *, key, value, create_revision, mod_revision, version, lease
+    ):
+        self.key = key
+        self.value = value
+        self.create_revision = create_revision
+        self.mod_revision = mod_revision
+        self.version = version
+        self.lease = lease
