Add the engine and plain service stand-ins

The engine batches continuously in slots with FIFO admission, a prefix cache, lagging reports, resume, cancel and fencing checks; its tokens follow from the request alone, so that a checker can compute the whole answer.

--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/engine/__init__.py
@@ -0,0 +1,13 @@
+"""Engine that batches continuously, with a prefix cache."""
+
+from .blocks import hash_blocks
+from .blocks import join_messages
+from .tokens import expected_text
+from .tokens import expected_tokens
+
+__all__ = [
+    "expected_text",
+    "expected_tokens",
+    "hash_blocks",
+    "join_messages",
+]
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/engine/requests.py
@@ -0,0 +1,90 @@
+"""Reading a completion request into a stream."""
+
+import time
+import uuid
+
+from ..common import AnswerError
+from ..common import read_header
+from .blocks import join_messages
+from .stream import Stream
+from .tokens import DEFAULT_MAX_TOKENS
+from .tokens import expected_tokens
+
+__all__ = ["read_stream"]
+
+MOST_TOKENS = 100_000
+
+
+def read_stream(request, body, *, is_chat, salt):
+    """Return the stream that a request asks for.
+
+    Parameters
+    ----------
+    request : IRequest
+    body : dict
+    is_chat : bool
+    salt : str
+        See :func:`~.tokens.expected_tokens`.
+
+    Raises
+    ------
+    AnswerError
+        If the body is wrong.
+    """
+    model = body.get("model")
+    if not isinstance(model, str):
+        raise refuse("model must be a string")
+    prompt = read_chat(body) if is_chat else read_prompt(body)
+    options = body.get("stream_options") or {}
+    return Stream(
+        number=read_header(request, "x-stream-id") or uuid.uuid4().hex,
+        key=read_header(request, "x-request-key"),
+        request_class=read_header(request, "x-request-class"),
+        model=model,
+        prompt=prompt,
+        tokens=expected_tokens(
+            model=model,
+            prompt=prompt,
+            max_tokens=read_max_tokens(body),
+            seed=body.get("seed") or 0,
+            salt=salt,
+        ),
+        is_chat=is_chat,
+        include_usage=bool(options.get("include_usage")),
+        created=int(time.time()),
+    )
+
+
+def read_chat(body):
+    """Return the prompt of a chat request."""
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise refuse("messages must be a list with at least one message")
+    if not all(isinstance(message, dict) for message in messages):
+        raise refuse("each message must be an object")
+    return join_messages(messages)
+
+
+def read_prompt(body):
+    """Return the prompt of a plain completion request."""
+    prompt = body.get("prompt")
+    if isinstance(prompt, list) and len(prompt) == 1:
+        prompt = prompt[0]
+    if not isinstance(prompt, str):
+        raise refuse("prompt must be a string")
+    return prompt
+
+
+def read_max_tokens(body):
+    """Return the number of tokens wanted."""
+    count = body.get("max_completion_tokens") or body.get("max_tokens")
+    if count is None:
+        return DEFAULT_MAX_TOKENS
+    if not isinstance(count, int) or not 1 <= count <= MOST_TOKENS:
+        raise refuse(f"max_tokens must be from 1 to {MOST_TOKENS}")
+    return count
+
+
+def refuse(message):
+    """Return the error for a wrong request."""
+    return AnswerError(status=400, code="invalid_request", message=message)
