Add the launcher of stand-ins and daemons

Every daemon can have its own proxied links to the store, the instance list, the upstreams and the other daemons: the instance list has a view for each, so that any pair can be cut off from each other.

--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
@@ -0,0 +1,33 @@
+"""Launcher of the stand-ins and daemons, for tests and local runs."""
+
+from .calls import fetch_json
+from .calls import post_json
+from .configuration import build_configuration
+from .configuration import CALLER_KEY
+from .configuration import write_configuration
+from .deployment import Deployment
+from .errors import CallError
+from .errors import NotReadyError
+from .errors import ProcessExitedError
+from .launch import open_deployment
+from .place import build_cooperative_places
+from .place import build_places
+from .place import build_trust_places
+from .place import Place
+
+__all__ = [
+    "CALLER_KEY",
+    "CallError",
+    "Deployment",
+    "NotReadyError",
+    "Place",
+    "ProcessExitedError",
+    "build_configuration",
+    "build_cooperative_places",
+    "build_places",
+    "build_trust_places",
+    "fetch_json",
+    "open_deployment",
+    "post_json",
+    "write_configuration",
+]
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/launch.py
@@ -0,0 +1,229 @@
+"""Starting a deployment."""
+
+from contextlib import contextmanager
+from contextlib import ExitStack
+import json
+from pathlib import Path
+import sys
+import tempfile
+
+from .configuration import build_configuration
+from .configuration import write_configuration
+from .deployment import Deployment
+from .links import build_entries
+from .links import build_links
+from .members import build_daemons
+from .members import build_upstreams
+from .place import build_places
+from .ports import pick_port
+from .process import Process
+from .settings import write_settings
+
+__all__ = ["open_deployment"]
+
+MODEL = "pips-lm"
+DAEMON = Path(sys.executable).parent / "hollyspand"
+
+
+@contextmanager
+def open_deployment(
+    *,
+    places=None,
+    model=MODEL,
+    proxied=(),
+    folder=None,
+    timing=None,
+    configuration=None,
+    slots=8,
+    engine_options=(),
+    service_options=(),
+    list_lag=1.0,
+    first_port=None,
+    seed=1,
+    start_daemons=True,
+):
+    """Start a deployment and stop it at the end.
+
+    Parameters
+    ----------
+    places : list of Place, optional
+        Three data centres with an engine and a daemon each by default.
+    model : str
+    proxied : iterable of str
+        Kinds of links that go through the fault proxy; see
+        :data:`~.links.LINK_KINDS`.
+    folder : path, optional
+        For settings, logs and records; a temporary one by default.
+    timing : dict, optional
+        The daemons' ``timing`` settings.
+    configuration : dict, optional
+        First configuration document.
+    slots : int
+        Slots of each engine.
+    engine_options, service_options : iterable of str
+        Further arguments of each engine or service.
+    list_lag : float
+        Lag of the instance list in seconds.
+    first_port : int, optional
+        HTTP port of the first daemon.
+    seed : int
+        Each process gets its own seed from it.
+    start_daemons : bool
+        Whether the daemons are started; tests may start them one by one
+        with :meth:`Deployment.start`.
+
+    Yields
+    ------
+    Deployment
+    """
+    places = places or build_places("attiki", "makedonia", "kriti")
+    with ExitStack() as stack:
+        if folder is None:
+            folder = stack.enter_context(
+                tempfile.TemporaryDirectory(prefix="hollyspan-")
+            )
+        folder = Path(folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        deployment = Deployment(
+            folder=folder,
+            daemons=build_daemons(places, folder, first_port),
+            upstreams=build_upstreams(places, model),
+        )
+        stack.callback(deployment.stop)
+        launcher = Launcher(deployment=deployment, seed=seed)
+        launcher.start_standin("store")
+        launcher.start_upstreams(model, slots, engine_options, service_options)
+        links = launcher.start_platform(set(proxied), list_lag)
+        if configuration is None:
+            configuration = build_configuration(
+                model=model,
+                services=sorted({s for p in places for s in p.services}),
+                slots=slots,
+            )
+        write_configuration(deployment.url("store"), configuration)
+        launcher.prepare_daemons(links, timing or {})
+        if start_daemons:
+            launcher.start_daemons()
+        yield deployment
+
+
+class Launcher:
+    """Starts the processes of a deployment, one group after the other."""
+
+    def __init__(self, *, deployment, seed):
+        self.deployment = deployment
+        self.seed = seed
+
+    def start_standin(self, name, *, module=None, options=()):
+        """Start a stand-in and wait until it listens."""
+        process = self.add_standin(name, module=module, options=options)
+        process.start()
+        self.note_ready(process)
+        return process
+
+    def add_standin(self, name, *, module=None, options=()):
+        """Prepare a stand-in without starting it."""
+        module = f"hollyspan_standins.{module or name}"
+        self.seed += 1
+        arguments = [sys.executable, "-m", module]
+        arguments += ["--seed", str(self.seed), *options]
+        return self.add(name, arguments, tells_ready=True)
+
+    def add(self, name, arguments, *, tells_ready):
+        """Prepare a process without starting it."""
+        process = Process(
+            name=name,
+            arguments=arguments,
+            log=self.deployment.folder / f"{name}.log",
+            tells_ready=tells_ready,
+        )
+        self.deployment.processes[name] = process
+        return process
+
+    def note_ready(self, process):
+        """Wait for the ready line of a stand-in and note its port."""
+        ready = process.read_ready()
+        self.deployment.ports[process.name] = ready["port"]
+
+    def start_upstreams(self, model, slots, engine_options, service_options):
+        """Start engines and plain services, all at once."""
+        started = []
+        for upstream in self.deployment.upstreams:
+            record = self.deployment.folder / f"{upstream.name}.records.jsonl"
+            options = ["--name", upstream.name, "--record", str(record)]
+            if upstream.kind == "engine":
+                options += ["--model", model, "--slots", str(slots)]
+                options += engine_options
+            else:
+                options += service_options
+            process = self.add_standin(
+                upstream.name, module=upstream.kind, options=options
+            )
+            process.start()
+            started.append(process)
+        for process in started:
+            self.note_ready(process)
+
+    def start_platform(self, kinds, list_lag):
+        """Start the proxy, if wanted, and the instance list.
+
+        Returns
+        -------
+        dict of str to int
+            Ports of the proxied links by name.
+        """
+        deployment = self.deployment
+        views = {name: pick_port() for name in deployment.daemon_names}
+        ports = dict(deployment.ports)
+        ports.update({f"view:{name}": p for name, p in views.items()})
+        links = self.start_proxy(
+            build_links(kinds, deployment.daemons, deployment.upstreams, ports)
+        )
+        entries = build_entries(
+            deployment.daemons, deployment.upstreams, ports, links
+        )
+        options = ["--lag", str(list_lag)]
+        options += ["--initial", self.write("instances.json", entries)]
+        options += ["--views", self.write("views.json", views)]
+        self.start_standin("instances", options=options)
+        return {**{f"instances:{n}": p for n, p in views.items()}, **links}
+
+    def start_proxy(self, links):
+        """Start the fault proxy, unless there is nothing for it to do."""
+        if not links:
+            return {}
+        options = ["--links", json.dumps(links)]
+        return self.start_standin("proxy", options=options).ready["links"]
+
+    def prepare_daemons(self, links, timing):
+        """Write the daemons' settings and prepare their processes."""
+        deployment = self.deployment
+        for daemon in deployment.daemons:
+            store = links.get(f"store:{daemon.name}")
+            instances = links[f"instances:{daemon.name}"]
+            path = deployment.folder / f"{daemon.name}.settings.json"
+            if daemon.data_folder is not None:
+                daemon.data_folder.mkdir(exist_ok=True)
+            write_settings(
+                path,
+                daemon=daemon,
+                store=f"http://127.0.0.1:{store or deployment.ports['store']}",
+                instances=f"http://127.0.0.1:{instances}",
+                log=deployment.folder / f"{daemon.name}.jsonl",
+                timing=timing,
+            )
+            arguments = [str(DAEMON), "--settings", str(path)]
+            self.add(daemon.name, arguments, tells_ready=False)
+
+    def start_daemons(self):
+        """Start all daemons at once and wait until each is ready."""
+        for name in self.deployment.daemon_names:
+            self.deployment.start(name, wait=False)
+        for name in self.deployment.daemon_names:
+            self.deployment.wait_ready(name)
+
+    def write(self, name, document):
+        """Write a JSON file and return its path as text."""
+        path = self.deployment.folder / name
+        path.write_text(json.dumps(document), encoding="utf-8")
+        return str(path)
--- a/packages/hollyspan_standins/hollyspan_standins/instances/__main__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/instances/__main__.py
@@ -1,13 +1,22 @@
 """Starts the instance list."""
 
+from functools import partial
 import json
 from pathlib import Path
 
 from twisted.internet import reactor
 
 from ..common import build_parser
+from ..common import build_site
 from ..common import run_site
-from .server import build_instances
+from .server import InstancesServer
+
+
+def read_json(path, default):
+    """Return the content of a JSON file, or a default without a path."""
+    if path is None:
+        return default
+    return json.loads(Path(path).read_text(encoding="utf-8"))
 
 
 def main():
@@ -17,13 +26,17 @@
     parser.add_argument(
         "--initial", help="JSON file with the entries listed at once"
     )
+    parser.add_argument("--views", help="JSON file with the port of each view")
     options = parser.parse_args()
-    entries = []
-    if options.initial:
-        text = Path(options.initial).read_text(encoding="utf-8")
-        entries = json.loads(text)
-    site = build_instances(reactor, lag_seconds=options.lag, entries=entries)
-    run_site(site, options)
+    server = InstancesServer(
+        clock=reactor,
+        lag_seconds=options.lag,
+        entries=read_json(options.initial, []),
+    )
+    for view, port in read_json(options.views, {}).items():
+        site = build_site(partial(server.handle, view=view))
+        reactor.listenTCP(port, site, interface=options.address)
+    run_site(build_site(server.handle), options)
 
 
 if __name__ == "__main__":
--- a/packages/hollyspan_standins/hollyspan_standins/instances/server.py
+++ b/packages/hollyspan_standins/hollyspan_standins/instances/server.py
@@ -1,7 +1,6 @@
 """The instance list's HTTP side."""
 
 from ..common import AnswerError
-from ..common import build_site
 from ..common import drop_connection
 from ..common import read_argument
 from ..common import read_json
@@ -10,7 +9,7 @@
 from .slice import build_slice_list
 from .slice import read_selector
 
-__all__ = ["InstancesServer", "build_instances"]
+__all__ = ["InstancesServer"]
 
 PATH = "/apis/discovery.k8s.io/v1/endpointslices"
 
@@ -38,19 +37,19 @@
             "/control/set": self._set,
         }
 
-    def handle(self, request):
-        """Answer one request."""
+    def handle(self, request, view=None):
+        """Answer one request, of a view where one is named."""
         path = request.path.decode()
         if path == "/control":
             self._control(request)
         elif path in self.changes:
             self._change_later(request, self.changes[path])
         elif path == PATH:
-            self._list(request)
+            self._list(request, view)
         else:
             raise AnswerError(status=404, code="not_found", message=path)
 
-    def _list(self, request):
+    def _list(self, request, view):
         if self.outage:
             drop_connection(request)
             return
@@ -60,7 +59,8 @@
             for entry in self.entries.values()
             if selector.items() <= build_labels(entry).items()
         ]
-        send_json(request, build_slice_list(entries, self.version))
+        document = build_slice_list(entries, self.version, view)
+        send_json(request, document)
 
     def _control(self, request):
         document = read_json(request)
@@ -96,11 +96,3 @@
         for name in ("ready", "serving", "terminating"):
             if name in document:
                 conditions[name] = document[name]
-
-
-def build_instances(clock, *, lag_seconds, entries=()):
-    """Return the site of an instance list."""
-    server = InstancesServer(
-        clock=clock, lag_seconds=lag_seconds, entries=entries
-    )
-    return build_site(server.handle)
--- a/packages/hollyspan_standins/hollyspan_standins/instances/slice.py
+++ b/packages/hollyspan_standins/hollyspan_standins/instances/slice.py
@@ -6,18 +6,22 @@
 API_VERSION = "discovery.k8s.io/v1"
 
 
-def build_slice(entry):
+def build_slice(entry, view=None):
     """Return the EndpointSlice of one instance.
 
     Parameters
     ----------
     entry : dict
         ``name``, ``service``, ``kind``, ``address``, ``ports`` (name to
-        number), ``zone``, and ``conditions``.
+        number), ``zone``, and ``conditions``; ``views`` holds other ports
+        for those readers that reach the instance through a proxy.
+    view : str, optional
+        The reader.
     """
+    numbers = entry.get("views", {}).get(view, entry["ports"])
     ports = [
         {"name": name, "port": number, "protocol": "TCP"}
-        for name, number in entry["ports"].items()
+        for name, number in numbers.items()
     ]
     conditions = {"ready": True, "serving": True, "terminating": False}
     conditions.update(entry.get("conditions", {}))
@@ -52,13 +56,13 @@
     }
 
 
-def build_slice_list(entries, version):
+def build_slice_list(entries, version, view=None):
     """Return an EndpointSliceList."""
     return {
         "kind": "EndpointSliceList",
         "apiVersion": API_VERSION,
         "metadata": {"resourceVersion": str(version)},
-        "items": [build_slice(entry) for entry in entries],
+        "items": [build_slice(entry, view) for entry in entries],
     }
 
 
