Add the operators' command line and the configuration's checks

Deeply nested JSON gave RecursionError instead of a typed error; a test that failed shows it mended.

--- a/packages/hollyspan_core/hollyspan_core/configuration/reader.py
+++ b/packages/hollyspan_core/hollyspan_core/configuration/reader.py
@@ -3,8 +3,8 @@
 import json
 
 from ..errors import ConfigurationInvalidError
-from ..schemas import find_faults
 from .configuration import Configuration
+from .faults import find_configuration_faults
 
 __all__ = ["parse_configuration"]
 
@@ -28,9 +28,9 @@
     """
     try:
         document = json.loads(content)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigurationInvalidError(f"no JSON: {error}") from error
-    faults = find_faults(document, schema="configuration")
+    faults = find_configuration_faults(document)
     if faults:
         raise ConfigurationInvalidError("; ".join(faults))
     return Configuration(document=document)
--- a/packages/hollyspan_core/hollyspan_core/schemas/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/schemas/__init__.py
@@ -1,5 +1,6 @@
 """JSON Schemas of settings and configuration, and their check."""
 
 from .check import find_faults
+from .check import find_value_faults
 
-__all__ = ["find_faults"]
+__all__ = ["find_faults", "find_value_faults"]
--- a/packages/hollyspan_core/hollyspan_core/schemas/check.py
+++ b/packages/hollyspan_core/hollyspan_core/schemas/check.py
@@ -6,14 +6,18 @@
 
 import jsonschema
 
-__all__ = ["find_faults"]
+__all__ = ["find_faults", "find_value_faults"]
 
 
 @functools.cache
-def load_validator(schema):
-    path = Path(__file__).with_name(f"{schema}.json")
-    document = json.loads(path.read_bytes())
-    return jsonschema.Draft202012Validator(document)
+def load_schema(name):
+    path = Path(__file__).with_name(f"{name}.json")
+    return json.loads(path.read_bytes())
+
+
+@functools.cache
+def load_validator(name):
+    return jsonschema.Draft202012Validator(load_schema(name))
 
 
 def find_faults(document, *, schema):
@@ -34,3 +38,26 @@
     validator = load_validator(schema)
     errors = sorted(validator.iter_errors(document), key=lambda e: e.json_path)
     return [f"{error.json_path}: {error.message}" for error in errors]
+
+
+def find_value_faults(name, value):
+    """Name the faults of a value that an exception sets.
+
+    Parameters
+    ----------
+    name : str
+        Section and name of a default joined by a dot.
+    value : object
+        Decoded JSON.
+
+    Returns
+    -------
+    list of str
+    """
+    section, _, key = name.partition(".")
+    sections = load_schema("configuration")["properties"]["defaults"]
+    values = sections["properties"].get(section, {}).get("properties", {})
+    if key not in values:
+        return ["no such default"]
+    validator = jsonschema.Draft202012Validator(values[key])
+    return [error.message for error in validator.iter_errors(value)]
--- a/packages/hollyspan_core/hollyspan_core/settings/reader.py
+++ b/packages/hollyspan_core/hollyspan_core/settings/reader.py
@@ -39,7 +39,7 @@
 def load_document(path):
     try:
         return json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsInvalidError(f"settings file {path}: {error}") from error
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/http/body.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/body.py
@@ -52,7 +52,7 @@
     """
     try:
         document = json.loads(read_body(request))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidRequestError(f"the body is no JSON: {error}") from error
     if not isinstance(document, dict):
         raise InvalidRequestError("the body is no JSON object")
--- /dev/null
+++ b/packages/hollyspan_operator/hollyspan_operator/main.py
@@ -0,0 +1,63 @@
+"""Start of the command line."""
+
+import json
+import sys
+
+import fire
+
+from . import commands
+from .errors import CommandError
+
+__all__ = ["main"]
+
+COMMANDS = {
+    "config": {
+        "show": commands.show_configuration,
+        "check": commands.check_configuration,
+        "apply": commands.apply_configuration,
+        "history": commands.show_history,
+    },
+    "exception": {
+        "add": commands.add_exception,
+        "list": commands.list_exceptions,
+        "retire": commands.retire_exception,
+    },
+    "job": {
+        "list": commands.list_jobs,
+        "show": commands.show_job,
+        "cancel": commands.cancel_job,
+    },
+    "report": {"burn": commands.report_burn},
+    "status": commands.show_status,
+}
+
+
+def main():
+    """Run one command.
+
+    Returns
+    -------
+    int
+        0 when done; 2 for wrong input, 3 when refused, 4 for a conflict
+        with another operator, 5 when no daemon or no store can be reached,
+        6 when a configuration is not in force everywhere in time.
+    """
+    try:
+        fire.Fire(COMMANDS, name="hollyspan")
+    except CommandError as error:
+        report_failure(error)
+        return error.exit_code
+    return 0
+
+
+def report_failure(error):
+    if "--json" in sys.argv:
+        content = {"code": error.code, "message": error.message}
+        content["advice"] = error.advice
+        print(json.dumps({"error": content}))
+    print(f"hollyspan: {error.message}", file=sys.stderr)
+    print(f"hollyspan: {error.advice}", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/hollyspan_operator/hollyspan_operator/output/__init__.py
@@ -0,0 +1,6 @@
+"""Output of the command line."""
+
+from .table import format_table
+from .text import print_result
+
+__all__ = ["format_table", "print_result"]
--- /dev/null
+++ b/packages/hollyspan_operator/hollyspan_operator/plots/__init__.py
@@ -0,0 +1,5 @@
+"""Plots of reports."""
+
+from .burn import plot_burn
+
+__all__ = ["plot_burn"]
