--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""One online request and one batch job against a local deployment."""
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/errors.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/errors.py
@@ -4,6 +4,8 @@
 
 __all__ = ["CallError", "NotReadyError", "ProcessExitedError"]
 
+TAIL_CHARACTERS = 2000
+
 
 class CallError(StandinError):
     """A call to a process of the deployment failed."""
@@ -16,12 +18,19 @@
     """A process was not ready within its time limit."""
 
     def __init__(self, *, name, seconds, log):
-        super().__init__(f"{name} not ready after {seconds} s, see {log}")
+        text = read_tail(log)
+        super().__init__(f"{name} not ready after {seconds} s: {text}")
 
 
 class ProcessExitedError(StandinError):
     """A process ended while it was being waited for."""
 
     def __init__(self, *, name, code, log):
-        text = log.read_text(errors="replace")[-2000:] if log else ""
-        super().__init__(f"{name} exited with {code}: {text}")
+        super().__init__(f"{name} exited with {code}: {read_tail(log)}")
+
+
+def read_tail(path):
+    """Return the end of a log file."""
+    if not path.exists():
+        return ""
+    return path.read_text(errors="replace")[-TAIL_CHARACTERS:]
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/process.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/process.py
@@ -77,9 +77,8 @@
     def check_running(self):
         """Raise ProcessExitedError if the process has ended."""
         if not self.is_running:
-            raise ProcessExitedError(
-                name=self.name, code=self.child.returncode, log=self.log
-            )
+            code = self.child.returncode if self.child else None
+            raise ProcessExitedError(name=self.name, code=code, log=self.log)
 
     def wait_until(self, test, seconds=READY_SECONDS):
         """Wait until a test holds while the process runs."""
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/serve/__init__.py
@@ -0,0 +1,1 @@
+"""A local deployment that stays up in the foreground."""
