--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/checker/__init__.py
@@ -0,0 +1,30 @@
+"""Checks of recorded histories against what must always hold.
+
+Records are those of engines and plain services: dicts with ``time``,
+``event``, ``key``, ``stream`` and so on. Each function returns the list of
+violations found; it is empty when all is well.
+"""
+
+from .answers import find_wrong_answers
+from .blocking import find_blocked_online
+from .dispatches import find_dispatches_after
+from .duplicates import find_duplicate_results
+from .generations import find_falling_generations
+from .losses import find_lost_results
+from .refusals import find_false_refusals
+from .repeats import find_repeat_runs
+from .unfinished import find_unfinished_items
+from .violation import Violation
+
+__all__ = [
+    "Violation",
+    "find_blocked_online",
+    "find_dispatches_after",
+    "find_duplicate_results",
+    "find_false_refusals",
+    "find_falling_generations",
+    "find_lost_results",
+    "find_repeat_runs",
+    "find_unfinished_items",
+    "find_wrong_answers",
+]
