--- a/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
@@ -10,15 +10,18 @@
 from .errors import NotReadyError
 from .errors import ProcessExitedError
 from .launch import open_deployment
+from .links import LINK_KINDS
 from .place import build_cooperative_places
 from .place import build_places
 from .place import build_trust_places
 from .place import Place
+from .ports import pick_port
 
 __all__ = [
     "CALLER_KEY",
     "CallError",
     "Deployment",
+    "LINK_KINDS",
     "NotReadyError",
     "Place",
     "ProcessExitedError",
@@ -28,6 +31,7 @@
     "build_trust_places",
     "fetch_json",
     "open_deployment",
+    "pick_port",
     "post_json",
     "write_configuration",
 ]
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/deployment.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/deployment.py
@@ -107,7 +107,7 @@
         url = f"{self.url(name)}/readyz"
         self.find(name).wait_until(lambda: is_answering(url), seconds)
 
-    def control(self, name, path="/control", **fields):
+    def control(self, name, path="/control", /, **fields):
         """Post to the control endpoint of a stand-in."""
         return post_json(f"{self.url(name)}{path}", fields)
 
