Let the batch gate follow how bursty online arrivals are

Cause: the gate kept a fixed reserve, whatever arrived, and started a batch stream in each slot the moment it was free. Change: headroom from a decaying distribution of the arrivals within one reaction time and from the present rate; hysteresis and limited growth; load report used when peers are silent, nothing started without both. Choice of the streams to preempt. Result: unit tests and properties only; no measurement on the path yet.

--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/preemption.py
@@ -0,0 +1,41 @@
+"""Choice of the batch streams to preempt."""
+
+__all__ = ["choose_preempted"]
+
+
+def choose_preempted(streams, *, count):
+    """Choose the batch streams whose preemption loses the least work.
+
+    Parameters
+    ----------
+    streams : iterable of StreamView
+        The streams that run at one upstream.
+    count : int
+        How many are to stop.
+
+    Returns
+    -------
+    list of StreamView
+        In the order in which to cancel them.
+
+    Notes
+    -----
+    Resumable streams go before the others, whose tokens would be generated
+    anew. Then the stream whose job is due latest goes first, and of one
+    job's streams the one with the fewest tokens, for these are lost when it
+    cannot be resumed in time.
+
+    Examples
+    --------
+    >>> from hollyspan_policy.batch import StreamView
+    >>> early = StreamView(stream="a", due=1, resumable=True, generated=0)
+    >>> late = StreamView(stream="b", due=9, resumable=True, generated=5)
+    >>> [view.stream for view in choose_preempted([early, late], count=1)]
+    ['b']
+    """
+    return sorted(streams, key=rank_loss)[: max(0, count)]
+
+
+def rank_loss(view):
+    lost = 0 if view.resumable else view.prompt + view.generated
+    return (lost, -view.due, view.generated, view.stream)
--- a/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
@@ -1,7 +1,19 @@
 """Slots of one upstream that batch work may use."""
 
+import math
+
+from .arrivals import ArrivalEstimator
+from .window import SlidingMinimum
+
 __all__ = ["BatchGate"]
 
+REACTION_SECONDS = 0.1
+HOLD_SECONDS = 0.3
+GROWTH_SECONDS_PER_SLOT = 0.025
+REPORT_STALE_SECONDS = 3.0
+LEAST_CERTAINTY = 0.3
+CERTAINTY_RANGE = 2.7
+
 
 class BatchGate:
     """Decides how many batch streams the owner of an upstream runs.
@@ -11,18 +23,73 @@
     slots : int
         Streams that the upstream runs at once.
     reserve : int
-        Slots kept free for online arrivals at least.
+        Slots kept free for online arrivals at a harm weight of one half or
+        more; below that its share falls to none.
     harm_weight : float
         Weight of harm to online latency against batch throughput, 0 to 1.
+    reaction : float, optional
+        Seconds from an online arrival until a cancelled batch stream has
+        freed its slot: delay of the notice and time of the cancel.
+
+    Attributes
+    ----------
+    online : int
+        Online requests in flight from all daemons heard.
+    hidden : int
+        Streams in the last load report that nobody heard has told of.
+    peers_heard : bool
+        False while daemons that the platform lists are silent.
+    reported : float or None
+        Monotonic seconds of the last load report.
+
+    Notes
+    -----
+    The headroom is a high quantile of the online arrivals within one
+    reaction time; its level rises with the harm weight from the median to
+    0.999. A slot must have been free for a while before a batch stream
+    starts in it (hysteresis), and the count grows by one slot at a time.
+    It falls at once.
+
+    Without word from the peers the load report takes their place. Without
+    both no stream starts, and a share of the slots given by the harm
+    weight is emptied.
+
+    Examples
+    --------
+    >>> gate = BatchGate(slots=8, reserve=1, harm_weight=0.5)
+    >>> gate.observe_online(3, now=0.0)
+    >>> gate.count_allowed(now=0.0, running=6)
+    5
     """
 
-    __slots__ = ("slots", "reserve", "harm_weight", "online")
+    __slots__ = (
+        "slots",
+        "reserve",
+        "harm_weight",
+        "online",
+        "hidden",
+        "peers_heard",
+        "reported",
+        "arrivals",
+        "least",
+        "granted",
+        "granted_at",
+    )
 
-    def __init__(self, *, slots, reserve, harm_weight):
+    def __init__(
+        self, *, slots, reserve, harm_weight, reaction=REACTION_SECONDS
+    ):
         self.slots = slots
         self.reserve = reserve
         self.harm_weight = harm_weight
         self.online = 0
+        self.hidden = 0
+        self.peers_heard = True
+        self.reported = None
+        self.arrivals = ArrivalEstimator(window=reaction)
+        self.least = SlidingMinimum(window=HOLD_SECONDS * harm_weight)
+        self.granted = None
+        self.granted_at = None
 
     def observe_online(self, online, *, now):
         """Note the online requests in flight from all daemons.
@@ -33,18 +100,168 @@
         now : float
             Monotonic seconds.
         """
+        self.settle(now=now)
+        self.arrivals.observe(max(0, online - self.online), now=now)
         self.online = online
+        self.least.observe(self.count_free(), now=now)
+
+    def observe_peers(self, heard, *, now):
+        """Note whether the peers that may send online work are heard.
+
+        Parameters
+        ----------
+        heard : bool
+        now : float
+            Monotonic seconds.
+        """
+        self.settle(now=now)
+        self.peers_heard = heard
+        self.least.observe(self.count_free(), now=now)
+
+    def observe_report(self, *, running, waiting, batch, now):
+        """Take in the upstream's load report.
+
+        Parameters
+        ----------
+        running, waiting : int
+            Streams of all kinds, as reported.
+        batch : int
+            Batch streams that the owner runs there.
+        now : float
+            Monotonic seconds.
+        """
+        self.settle(now=now)
+        self.reported = now
+        self.hidden = max(0, running + waiting - batch - self.online)
+        self.least.observe(self.count_free(), now=now)
+
+    def settle(self, *, now):
+        """Bring the granted count up to date before the free slots change.
+
+        Without it, time spent at the old ceiling would count as growth
+        towards the new one.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        self.grant(headroom=self.estimate_headroom(now=now), now=now)
+
+    def is_blind(self, *, now):
+        """Return whether neither peers nor the load report can be used.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+        """
+        if self.peers_heard:
+            return False
+        if self.reported is None:
+            return True
+        return now - self.reported > REPORT_STALE_SECONDS
 
-    def count_allowed(self, *, now):
+    def count_free(self):
+        """Count the slots that online work leaves, headroom included.
+
+        Returns
+        -------
+        int
+        """
+        # Told counts are fresher than a report, which is used only when
+        # there is no word from the peers.
+        hidden = 0 if self.peers_heard else self.hidden
+        return max(0, self.slots - self.online - hidden)
+
+    def estimate_headroom(self, *, now):
+        """Estimate the slots to keep free for arrivals.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        int
+        """
+        level = compute_certainty(self.harm_weight)
+        expected = self.arrivals.estimate_quantile(level, now=now)
+        floor = round(self.reserve * min(1.0, 2 * self.harm_weight))
+        return min(self.slots, max(expected, floor))
+
+    def count_allowed(self, *, now, running=None):
         """Return how many batch streams may run now.
 
         Parameters
         ----------
         now : float
             Monotonic seconds.
+        running : int, optional
+            Batch streams that run. When given, streams that run may use
+            part of the headroom, so that one arrival does not stop them.
 
         Returns
         -------
         int
+            Above ``running``: streams may start. Below: as many are to be
+            preempted.
         """
-        return max(0, self.slots - self.online - self.reserve)
+        if self.is_blind(now=now):
+            return self.count_blind(running=running)
+        headroom = self.estimate_headroom(now=now)
+        start = self.grant(headroom=headroom, now=now)
+        if running is None:
+            return start
+        kept = math.floor(headroom * self.harm_weight)
+        keep = max(0, self.count_free() - kept)
+        return min(max(running, start), keep)
+
+    def count_blind(self, *, running):
+        """Return how many streams may go on without any observation.
+
+        Parameters
+        ----------
+        running : int or None
+
+        Returns
+        -------
+        int
+        """
+        if running is None:
+            return 0
+        share = math.floor(self.slots * (1 - self.harm_weight))
+        return min(running, self.count_free(), share)
+
+    def grant(self, *, headroom, now):
+        """Return the count up to which streams may start.
+
+        Parameters
+        ----------
+        headroom : int
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        int
+        """
+        least = self.least.find(now=now)
+        free = self.count_free() if least is None else least
+        ceiling = max(0, min(free, self.count_free()) - headroom)
+        if self.granted is None:
+            self.granted = float(ceiling)
+        else:
+            growth = (now - self.granted_at) / GROWTH_SECONDS_PER_SLOT
+            self.granted = min(ceiling, self.granted + max(0.0, growth))
+        self.granted_at = now
+        return int(self.granted)
+
+
+def compute_certainty(harm_weight):
+    return 1 - 10 ** -(LEAST_CERTAINTY + CERTAINTY_RANGE * harm_weight)
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_preemption.py
@@ -0,0 +1,42 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollyspan_policy.batch import choose_preempted
+from hollyspan_policy.batch import StreamView
+
+
+def build_stream(stream, **fields):
+    values = {"due": 100.0, "resumable": True, "generated": 10}
+    return StreamView(stream=stream, **{**values, **fields})
+
+
+def list_names(streams, count):
+    return [view.stream for view in choose_preempted(streams, count=count)]
+
+
+def test_resumable_stream_goes_before_one_that_starts_anew():
+    streams = [
+        build_stream("anew", resumable=False, due=999.0),
+        build_stream("resumed", generated=500),
+    ]
+    assert list_names(streams, 1) == ["resumed"]
+
+
+def test_latest_due_goes_first_then_fewest_tokens():
+    streams = [
+        build_stream("early", due=1.0, generated=0),
+        build_stream("late-long", due=9.0, generated=50),
+        build_stream("late-short", due=9.0, generated=5),
+    ]
+    assert list_names(streams, 3) == ["late-short", "late-long", "early"]
+
+
+@given(st.lists(st.integers(0, 5), max_size=8), st.integers(-2, 10))
+def test_never_more_than_asked_for(lengths, count):
+    streams = [
+        build_stream(str(index), generated=tokens)
+        for index, tokens in enumerate(lengths)
+    ]
+    chosen = list_names(streams, count)
+    assert len(chosen) == min(max(0, count), len(streams))
+    assert len(set(chosen)) == len(chosen)
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_slots.py
@@ -0,0 +1,134 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollyspan_policy.batch import BatchGate
+
+
+def build_gate(harm_weight=0.5, reserve=1):
+    return BatchGate(slots=8, reserve=reserve, harm_weight=harm_weight)
+
+
+def settle(gate, *, until):
+    """Ask until the growth limit no longer holds the count down."""
+    steps = int(until * 20)
+    for step in range(steps):
+        gate.count_allowed(now=step / 20)
+    return gate.count_allowed(now=until)
+
+
+def test_reserve_stays_free_when_nothing_arrives():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    assert settle(gate, until=5.0) == 7
+
+
+def test_throughput_end_uses_every_free_slot():
+    gate = build_gate(harm_weight=0.0)
+    gate.observe_online(0, now=0.0)
+    assert settle(gate, until=5.0) == 8
+
+
+def test_falls_at_once():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    settle(gate, until=5.0)
+    gate.observe_online(6, now=5.001)
+    assert gate.count_allowed(now=5.001, running=7) <= 2
+
+
+def test_running_streams_may_use_part_of_the_headroom():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    assert settle(gate, until=5.0) == 7
+    gate.observe_online(1, now=5.1)
+    assert gate.count_allowed(now=5.1, running=7) == 7
+    assert gate.count_allowed(now=5.1, running=0) < 7
+
+
+def test_slot_must_be_free_for_a_while_before_batch_starts_in_it():
+    gate = build_gate()
+    gate.observe_online(4, now=0.0)
+    settle(gate, until=20.0)
+    before = gate.count_allowed(now=20.0)
+    gate.observe_online(3, now=20.0)
+    assert gate.count_allowed(now=20.05) == before
+    assert gate.count_allowed(now=20.5) == before + 1
+
+
+def test_count_grows_slot_by_slot_after_a_burst():
+    gate = build_gate(harm_weight=0.0)
+    gate.observe_online(8, now=0.0)
+    gate.count_allowed(now=0.0)
+    gate.observe_online(0, now=10.0)
+    counts = [gate.count_allowed(now=10 + step * 0.025) for step in range(3)]
+    assert counts[-1] < 8
+    assert gate.count_allowed(now=11.0) == 8
+
+
+def test_headroom_follows_a_burst_that_has_just_begun():
+    gate = build_gate(reserve=0)
+    gate.observe_online(0, now=0.0)
+    quiet = gate.estimate_headroom(now=30.0)
+    for step in range(8):
+        gate.observe_online(step % 4 + 1, now=30 + step * 0.05)
+    assert gate.estimate_headroom(now=30.4) > quiet
+
+
+def test_silent_peers_and_fresh_report_count_unknown_streams():
+    gate = build_gate()
+    gate.observe_online(1, now=0.0)
+    gate.observe_peers(False, now=0.0)
+    gate.observe_report(running=6, waiting=1, batch=2, now=0.1)
+    assert gate.count_allowed(now=0.1, running=2) <= 3
+
+
+def test_silent_peers_and_stale_report_start_nothing():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    gate.observe_report(running=0, waiting=0, batch=0, now=0.0)
+    gate.observe_peers(False, now=0.0)
+    assert gate.is_blind(now=60.0)
+    assert gate.count_allowed(now=60.0) == 0
+    assert gate.count_allowed(now=60.0, running=6) == 4
+
+
+def test_slots_used_again_once_peers_are_heard():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    gate.observe_peers(False, now=0.0)
+    gate.count_allowed(now=10.0)
+    gate.observe_peers(True, now=11.0)
+    gate.count_allowed(now=11.0)
+    assert gate.count_allowed(now=13.0) == 7
+
+
+observations = st.lists(
+    st.tuples(st.integers(0, 12), st.floats(0.001, 5.0)), max_size=40
+)
+weights = st.floats(0.0, 1.0)
+
+
+@given(observations, weights, st.integers(0, 8))
+def test_batch_never_gets_slots_that_online_work_holds(
+    steps, harm_weight, running
+):
+    gate = build_gate(harm_weight=harm_weight)
+    now = 0.0
+    for online, pause in steps:
+        gate.observe_online(online, now=now)
+        allowed = gate.count_allowed(now=now, running=running)
+        assert 0 <= allowed <= max(0, 8 - online)
+        now += pause
+
+
+@given(observations)
+def test_more_weight_on_harm_never_allows_more(steps):
+    gates = [build_gate(harm_weight=weight) for weight in (0.0, 0.5, 1.0)]
+    now = 0.0
+    for online, pause in steps:
+        counts = []
+        for gate in gates:
+            gate.observe_online(online, now=now)
+            counts.append(gate.count_allowed(now=now))
+        assert counts == sorted(counts, reverse=True)
+        now += pause
