Hash texts as bytes in rendezvous hashing and claims

Cause: the pinned xxhash takes no str, so choose_owner, rank_owners and choose_chunk raised TypeError on every call. Before: 'Strings must be encoded before hashing' (doctest of rank_owners).

--- a/packages/hollyspan_policy/hollyspan_policy/claims/choice.py
+++ b/packages/hollyspan_policy/hollyspan_policy/claims/choice.py
@@ -1,6 +1,6 @@
 """Choice of the next chunk to claim."""
 
-import xxhash
+from ..hashing import hash_parts
 
 __all__ = ["choose_chunk"]
 
@@ -27,6 +27,6 @@
     first = min(waiting, key=lambda job: (job.due, job.job))
 
     def weigh(chunk):
-        return xxhash.xxh3_64_intdigest(f"{first.job}/{chunk}\0{instance}")
+        return hash_parts(f"{first.job}/{chunk}", instance)
 
     return first.job, max(first.open_chunks, key=weigh)
--- a/packages/hollyspan_policy/hollyspan_policy/ownership/rendezvous.py
+++ b/packages/hollyspan_policy/hollyspan_policy/ownership/rendezvous.py
@@ -1,6 +1,6 @@
 """Rendezvous hashing of duties over daemons."""
 
-import xxhash
+from ..hashing import hash_parts
 
 __all__ = ["choose_owner", "rank_owners"]
 
@@ -37,7 +37,7 @@
     """
     return sorted(
         instances,
-        key=lambda name: (xxhash.xxh3_64_intdigest(f"{duty}\0{name}"), name),
+        key=lambda name: (hash_parts(duty, name), name),
         reverse=True,
     )
 
@@ -56,6 +56,6 @@
     """
     return max(
         instances,
-        key=lambda name: (xxhash.xxh3_64_intdigest(f"{duty}\0{name}"), name),
+        key=lambda name: (hash_parts(duty, name), name),
         default=None,
     )
