--- a/packages/hollyspan_policy/hollyspan_policy/routing/choice.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/choice.py
@@ -1,9 +1,24 @@
 """Choice of an upstream for one online request."""
 
+from ..hashing import hash_parts
+from .cost import estimate_cost
+from .cost import estimate_wait
+from .cost import SERVICE_SECONDS
+
 __all__ = ["choose_upstream"]
 
+SAMPLED_UPSTREAMS = 2
+
 
-def choose_upstream(views, *, blocks, affinity, excluded=()):
+def choose_upstream(
+    views,
+    *,
+    blocks,
+    affinity,
+    excluded=(),
+    seed=None,
+    service_seconds=SERVICE_SECONDS,
+):
     """Choose the upstream for an online request.
 
     Parameters
@@ -15,20 +30,61 @@
     affinity : AffinityTable
     excluded : collection of str, optional
         Upstreams tried already.
+    seed : str, optional
+        Key of the request. Without it all upstreams are compared.
+    service_seconds : float, optional
+        Mean time that an online request holds a slot, seconds.
 
     Returns
     -------
     UpstreamView or None
         None when no upstream can be used.
+
+    Notes
+    -----
+    Only upstreams with the shortest wait for a slot are compared. Of those,
+    a sample given by the request's key is compared by the expected time to
+    the first token [1]_, so that daemons with the same view do not all
+    choose the same upstream. Those that hold part of the prompt's prefix
+    are always in the sample.
+
+    References
+    ----------
+    .. [1] M. Mitzenmacher, "The power of two choices in randomized load
+       balancing", IEEE Transactions on Parallel and Distributed Systems
+       12(10), 2001.
     """
     usable = [
         view for view in views if view.serving and view.name not in excluded
     ]
+    if not usable:
+        return None
+
+    def wait(view):
+        return estimate_wait(view, service_seconds=service_seconds)
+
+    def count_uncached(view):
+        return len(blocks) - affinity.count_blocks(view.name, blocks)
 
     def rank(view):
-        load = view.online / view.slots
-        cached = affinity.count_blocks(view.name, blocks)
-        share = cached / len(blocks) if blocks else 0.0
-        return (load - 0.5 * share, view.name)
+        cost = estimate_cost(
+            view,
+            uncached=count_uncached(view),
+            service_seconds=service_seconds,
+        )
+        return (cost, weigh(view.name, seed))
+
+    shortest = min(wait(view) for view in usable)
+    ready = [view for view in usable if wait(view) <= shortest]
+    if seed is None:
+        return min(ready, key=rank)
+    sample = sorted(ready, key=lambda view: weigh(view.name, seed))
+    sample = sample[:SAMPLED_UPSTREAMS]
+    sample += [view for view in ready if count_uncached(view) < len(blocks)]
+    return min(sample, key=rank)
+
 
-    return min(usable, key=rank, default=None)
+def weigh(name, seed):
+    if seed is None:
+        return name
+    return hash_parts(seed, name)
