--- a/packages/hollyspan_policy/hollyspan_policy/admission/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/admission/__init__.py
@@ -1,6 +1,15 @@
 """Which requests are refused before work is begun."""
 
 from .deadline import estimate_first_token
+from .decision import decide_admission
 from .limits import WorkspaceLimiter
+from .shares import WorkspaceShares
+from .verdict import Admission
 
-__all__ = ["WorkspaceLimiter", "estimate_first_token"]
+__all__ = [
+    "Admission",
+    "WorkspaceLimiter",
+    "WorkspaceShares",
+    "decide_admission",
+    "estimate_first_token",
+]
--- a/packages/hollyspan_policy/hollyspan_policy/admission/deadline.py
+++ b/packages/hollyspan_policy/hollyspan_policy/admission/deadline.py
@@ -1,5 +1,7 @@
 """Estimate of when a request would get its first token."""
 
+from ..routing import estimate_wait
+
 __all__ = ["estimate_first_token"]
 
 
@@ -15,9 +17,6 @@
     Returns
     -------
     float
-        Seconds.
+        Seconds, without the time for the prompt itself.
     """
-    ahead = view.online - view.slots + 1
-    if ahead <= 0:
-        return 0.0
-    return ahead * service_seconds / view.slots
+    return estimate_wait(view, service_seconds=service_seconds)
--- a/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
@@ -35,6 +35,8 @@
     ----------
     online : int
         Online requests in flight from all daemons heard.
+    observed : bool
+        False before the first word of the online requests.
     hidden : int
         Streams in the last load report that nobody heard has told of.
     peers_heard : bool
@@ -67,6 +69,7 @@
         "reserve",
         "harm_weight",
         "online",
+        "observed",
         "hidden",
         "peers_heard",
         "reported",
@@ -83,6 +86,7 @@
         self.reserve = reserve
         self.harm_weight = harm_weight
         self.online = 0
+        self.observed = False
         self.hidden = 0
         self.peers_heard = True
         self.reported = None
@@ -101,8 +105,11 @@
             Monotonic seconds.
         """
         self.settle(now=now)
-        self.arrivals.observe(max(0, online - self.online), now=now)
+        # What an owner finds when it takes over has not arrived at once.
+        arrived = max(0, online - self.online) if self.observed else 0
+        self.arrivals.observe(arrived, now=now)
         self.online = online
+        self.observed = True
         self.least.observe(self.count_free(), now=now)
 
     def observe_peers(self, heard, *, now):
