Claim for jobs that can still make it; decide on retries

Cause: the job due first was claimed even when hopeless, daemons had nothing to keep them from the same chunk, and no rule said which failures may be retried. Change: Moore and Hodgson's order, own chunks by rendezvous hashing first, count of chunks to hold; decide_retry and backoff with seeded jitter.

--- a/packages/hollyspan_policy/hollyspan_policy/claims/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/claims/__init__.py
@@ -1,6 +1,8 @@
 """Which chunk of which job to claim next."""
 
 from .choice import choose_chunk
+from .feasibility import order_jobs
+from .holding import count_chunks_to_hold
 from .view import JobView
 
-__all__ = ["JobView", "choose_chunk"]
+__all__ = ["JobView", "choose_chunk", "count_chunks_to_hold", "order_jobs"]
--- a/packages/hollyspan_policy/hollyspan_policy/claims/choice.py
+++ b/packages/hollyspan_policy/hollyspan_policy/claims/choice.py
@@ -1,11 +1,13 @@
 """Choice of the next chunk to claim."""
 
 from ..hashing import hash_parts
+from ..ownership import choose_owner
+from .feasibility import order_jobs
 
 __all__ = ["choose_chunk"]
 
 
-def choose_chunk(jobs, *, instance, now):
+def choose_chunk(jobs, *, instance, now, instances=(), items_per_second=None):
     """Choose a job and a chunk of it.
 
     Parameters
@@ -15,18 +17,35 @@
         The claiming instance; spreads claims over chunks.
     now : float
         Seconds since the epoch.
+    instances : collection of str, optional
+        Live instances that claim too. Each then takes the chunks first
+        that rendezvous hashing gives to it.
+    items_per_second : float, optional
+        Expected rate of the fleet. Without it only the jobs past their
+        due time count as late.
 
     Returns
     -------
     tuple of (str, int) or None
-        Job and chunk; the job due first goes first.
+        Job and chunk; the job due first of those that can be finished in
+        time goes first.
+
+    Examples
+    --------
+    >>> from hollyspan_policy.claims import JobView
+    >>> job = JobView(job="j", due=60.0, items_left=9, open_chunks=[4])
+    >>> choose_chunk([job], instance="a", now=0.0)
+    ('j', 4)
     """
     waiting = [job for job in jobs if job.open_chunks]
     if not waiting:
         return None
-    first = min(waiting, key=lambda job: (job.due, job.job))
+    rate = items_per_second or float("inf")
+    first = order_jobs(waiting, items_per_second=rate, now=now)[0]
 
-    def weigh(chunk):
-        return hash_parts(f"{first.job}/{chunk}", instance)
+    def rank(chunk):
+        duty = f"{first.job}/{chunk}"
+        is_own = choose_owner(duty, instances) == instance
+        return is_own, hash_parts(duty, instance)
 
-    return first.job, max(first.open_chunks, key=weigh)
+    return first.job, max(first.open_chunks, key=rank)
--- a/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
@@ -1,5 +1,15 @@
-"""How much may be retried."""
+"""How much may be retried, and when."""
 
+from .backoff import compute_backoff
 from .budget import RetryBudget
+from .decision import decide_retry
+from .decision import is_safe_to_retry
+from .failure import AttemptFailure
 
-__all__ = ["RetryBudget"]
+__all__ = [
+    "AttemptFailure",
+    "RetryBudget",
+    "compute_backoff",
+    "decide_retry",
+    "is_safe_to_retry",
+]
