Keep a paused daemon from acting as owner; count suspended time

Cause: a woken daemon trusted its old view, and a monotonic clock that stands still in a suspend kept a lapsed lease alive.

--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/leases/tests/test_term.py
@@ -0,0 +1,50 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollyspan_policy.leases import compute_takeover_wait
+from hollyspan_policy.leases import LeaseTerm
+
+
+def build_term():
+    return LeaseTerm(ttl=10.0, margin=2.0, sent=100.0, wall=5000.0)
+
+
+def test_counted_from_the_sending_of_the_last_answered_renewal():
+    term = build_term()
+    assert term.count_seconds_left(now=103.0) == 5.0
+    term.renew(sent=104.0, wall=5004.0)
+    term.renew(sent=101.0, wall=5001.0)
+    assert term.count_seconds_left(now=104.0) == 8.0
+
+
+def test_suspended_machine_loses_its_lease():
+    term = build_term()
+    assert term.count_seconds_left(now=101.0, wall=5030.0) < 0
+
+
+def test_clock_set_back_does_not_lengthen_the_lease():
+    term = build_term()
+    assert term.count_seconds_left(now=107.0, wall=4000.0) == 1.0
+
+
+def test_order_must_end_within_the_lease():
+    term = build_term()
+    assert term.outlasts(2.0, now=105.0, wall=5005.0)
+    assert not term.outlasts(2.0, now=106.5, wall=5006.5)
+
+
+def test_new_holder_waits_only_where_fencing_is_ignored():
+    times = {"ttl": 10.0, "order_timeout": 2.0}
+    assert compute_takeover_wait(checks_fencing=True, **times) == 0
+    assert compute_takeover_wait(checks_fencing=False, **times) == 12.0
+
+
+@given(st.lists(st.floats(0, 1000)), st.floats(0, 1000), st.floats(0, 9000))
+def test_never_trusted_longer_than_the_ttl_less_the_margin(sent, now, wall):
+    term = LeaseTerm(ttl=10.0, margin=2.0, sent=0.0, wall=0.0)
+    for moment in sent:
+        term.renew(sent=moment, wall=moment)
+    last = max([0.0, *sent])
+    left = term.count_seconds_left(now=now, wall=wall)
+    assert left <= 8.0 - (now - last) + 1e-9
+    assert left <= 8.0 - (wall - last) + 1e-9
--- a/packages/hollyspan_policy/hollyspan_policy/membership/table.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/table.py
@@ -1,7 +1,11 @@
 """Table of the daemons that are heard."""
 
+from .state import MemberState
+
 __all__ = ["MemberTable"]
 
+SUSPECT_FRACTION = 0.6
+
 
 class MemberTable:
     """Daemons by name, from their heartbeats.
@@ -10,6 +14,13 @@
     ----------
     timeout : float
         Seconds of silence after which a daemon counts as failed.
+
+    Notes
+    -----
+    A daemon that was started again has a higher incarnation and replaces
+    the one before; heartbeats of the earlier incarnation that come late
+    are passed over. A daemon that has announced its stop stays leaving for
+    the rest of its incarnation, in whatever order its heartbeats come.
     """
 
     __slots__ = ("timeout", "members")
@@ -33,9 +44,37 @@
         known = self.members.get(member.instance)
         if known is not None and order(known) >= order(member):
             return False
+        if known is not None and known.incarnation == member.incarnation:
+            member.leaving = member.leaving or known.leaving
         self.members[member.instance] = member
         return True
 
+    def find_state(self, instance, *, now):
+        """Return the state of a daemon.
+
+        Parameters
+        ----------
+        instance : str
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        MemberState or None
+            None for a daemon that was never heard.
+        """
+        member = self.members.get(instance)
+        if member is None:
+            return None
+        silence = now - member.heard
+        if silence > self.timeout:
+            return MemberState.FAILED
+        if member.leaving:
+            return MemberState.LEAVING
+        if silence > self.timeout * SUSPECT_FRACTION:
+            return MemberState.SUSPECT
+        return MemberState.LIVE
+
     def list_live(self, *, now, data_centre=None, leaving=False):
         """List the daemons that are live.
 
@@ -51,6 +90,8 @@
         Returns
         -------
         list of Member
+            Suspects are among them: ownership would otherwise move at each
+            lost heartbeat.
         """
         return [
             member
@@ -60,6 +101,42 @@
             and data_centre in (None, member.data_centre)
         ]
 
+    def list_silent(self, expected, *, now):
+        """List the daemons that should be heard and are not.
+
+        Parameters
+        ----------
+        expected : iterable of str
+            Daemons that the platform lists as ready.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of str
+        """
+        lost = (None, MemberState.SUSPECT, MemberState.FAILED)
+        return [
+            instance
+            for instance in expected
+            if self.find_state(instance, now=now) in lost
+        ]
+
+    def forget_failed(self, *, now, keep_seconds):
+        """Drop daemons that have been silent for long.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        keep_seconds : float
+            Silence after which a daemon is dropped; longer than any
+            heartbeat can be late, since its incarnation is dropped too.
+        """
+        for instance, member in list(self.members.items()):
+            if now - member.heard > keep_seconds:
+                del self.members[instance]
+
 
 def order(member):
     return member.incarnation, member.sequence
