Let the configuration name the batch and routing policies

Change: batch.policy and online.routing, both optional; a value that is left out is the schema's default. Result: tests of core, policy and operator pass.

--- a/packages/hollyspan_core/hollyspan_core/configuration/configuration.py
+++ b/packages/hollyspan_core/hollyspan_core/configuration/configuration.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+from ..schemas import find_default
+
 __all__ = ["Configuration"]
 
 
@@ -40,10 +42,12 @@
         Returns
         -------
         object
-            The value of the last exception that fits, else the default.
+            The value of the last exception that fits, else the document's
+            default, else the schema's.
         """
         section, key = name.split(".")
-        value = self.document["defaults"][section][key]
+        values = self.document["defaults"][section]
+        value = values[key] if key in values else find_default(name)
         for exception in self.document["exceptions"]:
             if name in exception["set"] and is_in_force(
                 exception, scope=scope, now=now
--- a/packages/hollyspan_core/hollyspan_core/configuration/tests/test_faults.py
+++ b/packages/hollyspan_core/hollyspan_core/configuration/tests/test_faults.py
@@ -93,6 +93,15 @@
     assert configuration.get(name, scope=other, now=end - 1) == 0.5
 
 
+def test_value_that_is_left_out_is_the_default_of_the_schema():
+    configuration = parse_configuration(json.dumps(DOCUMENT).encode())
+    assert configuration.get("batch.policy", scope=Scope()) == "yielding"
+    document = change(set={"batch.policy": "fixed_cap"})
+    configuration = parse_configuration(json.dumps(document).encode())
+    scope = Scope(workspace="dev")
+    assert configuration.get("batch.policy", scope=scope) == "fixed_cap"
+
+
 def test_differences_name_who_is_concerned():
     after = change(set={"batch.harm_weight": 0.9})
     after["defaults"]["retry"]["attempts"] = 1
--- a/packages/hollyspan_core/hollyspan_core/schemas/check.py
+++ b/packages/hollyspan_core/hollyspan_core/schemas/check.py
@@ -6,7 +6,7 @@
 
 import jsonschema
 
-__all__ = ["find_faults", "find_value_faults"]
+__all__ = ["find_default", "find_faults", "find_value_faults"]
 
 
 @functools.cache
@@ -40,6 +40,23 @@
     return [f"{error.json_path}: {error.message}" for error in errors]
 
 
+def find_default(name):
+    """Return the schema's default of a value that may be left out.
+
+    Parameters
+    ----------
+    name : str
+        Section and name joined by a dot.
+
+    Returns
+    -------
+    object
+    """
+    section, _, key = name.partition(".")
+    sections = load_schema("configuration")["properties"]["defaults"]
+    return sections["properties"][section]["properties"][key]["default"]
+
+
 def find_value_faults(name, value):
     """Name the faults of a value that an exception sets.
 
