--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy on the stand-ins."""
--- /dev/null
+++ b/benchmarks/run.py
@@ -0,0 +1,163 @@
+"""One run of one variant."""
+
+import json
+from pathlib import Path
+import subprocess
+import sys
+import tempfile
+import time
+
+from hollyspan_standins.deployment import build_configuration
+from hollyspan_standins.deployment import open_deployment
+
+from .jobs import check_deadlines
+from .jobs import submit_jobs
+from .occupancy import measure_occupancy
+from .scenario import SLOTS
+from .usage import list_links
+from .usage import measure_usage
+
+__all__ = ["run_variant"]
+
+ENGINE_SPEED = 0.33
+DAEMONS_PER_DATA_CENTRE = 2
+LINK_DELAY_SECONDS = 0.03
+WARM_SECONDS = 4.0
+LOAD_LIMIT_SECONDS = 90.0
+CHUNK_ITEMS = 50
+
+
+def run_variant(scenario, variant, *, seed, seconds):
+    """Run a load against a fresh deployment and measure.
+
+    Parameters
+    ----------
+    scenario : Scenario
+    variant : Variant
+    seed : int
+        The same seed gives the same arrivals, prompts and items.
+    seconds : float
+        Length of the online load.
+
+    Returns
+    -------
+    dict
+    """
+    places = scenario.build_places(daemons=DAEMONS_PER_DATA_CENTRE)
+    with tempfile.TemporaryDirectory(prefix="hollyspan-") as folder:
+        with open_deployment(
+            places=places,
+            model=scenario.model,
+            proxied=("peers",),
+            folder=folder,
+            configuration=configure(scenario, variant, places),
+            slots=SLOTS,
+            engine_options=("--speed", str(ENGINE_SPEED)),
+            seed=seed,
+        ) as deployment:
+            prepare_links(deployment, variant)
+            figures = measure(
+                deployment, scenario, variant, seed=seed, seconds=seconds
+            )
+        records = deployment.read_records()
+    start, end = figures.pop("window")
+    figures["slots"] = measure_occupancy(
+        records,
+        slots=SLOTS * sum(place.engines for place in places),
+        start=start,
+        end=end,
+    )
+    return figures
+
+
+def configure(scenario, variant, places):
+    """Build the configuration of a variant."""
+    services = sorted({name for p in places for name in p.services})
+    return build_configuration(
+        model=scenario.model,
+        services=services,
+        slots=SLOTS,
+        batch={
+            "policy": variant.batch,
+            "harm_weight": variant.harm_weight,
+            "chunk_items": CHUNK_ITEMS,
+        },
+        online={"routing": variant.routing},
+        workspace={"requests_per_second": 2000, "concurrent_requests": 2000},
+    )
+
+
+def prepare_links(deployment, variant):
+    """Delay the links between data centres; cut the others when alone."""
+    between = list_links(deployment, between=True)
+    deployment.set_links(*between, delay_seconds=LINK_DELAY_SECONDS)
+    if variant.alone:
+        within = list_links(deployment, between=False)
+        deployment.set_links(*within, cut=True)
+
+
+def measure(deployment, scenario, variant, *, seed, seconds):
+    """Run the load and return the figures of one deployment."""
+    submitted = {}
+    if variant.batch != "none":
+        submitted = submit_jobs(deployment, scenario, seed=seed)
+    time.sleep(WARM_SECONDS)
+    before = measure_usage(deployment)
+    start = time.time()
+    samples = run_loads(deployment, scenario, seed=seed, seconds=seconds)
+    end = start + seconds
+    after = measure_usage(deployment)
+    met = {}
+    if submitted:
+        met = check_deadlines(deployment, scenario, submitted)
+    return {
+        "window": (start, end),
+        "samples": samples,
+        "deadlines_met": met,
+        "cpu_seconds": after.cpu_seconds - before.cpu_seconds,
+        "memory_megabytes": after.memory_megabytes,
+        "store_calls": dict(after.store_calls - before.store_calls),
+        "bytes_between": after.link_bytes - before.link_bytes,
+    }
+
+
+def run_loads(deployment, scenario, *, seed, seconds):
+    """Send half of the load with bursts at one daemon, half at all.
+
+    Returns
+    -------
+    list of dict
+        One entry a request.
+    """
+    rate = scenario.rate / 2 / len(deployment.daemon_names)
+    children = []
+    for index, together in enumerate((False, True)):
+        path = deployment.folder / f"load-{index}.jsonl"
+        arguments = build_arguments(
+            deployment, scenario, rate=rate, seconds=seconds, path=path
+        )
+        arguments += ["--seed", str(2 * seed + index)]
+        if together:
+            arguments.append("--together")
+        child = subprocess.Popen(arguments, stdout=subprocess.DEVNULL)
+        children.append((child, path))
+    samples = []
+    for child, path in children:
+        child.wait(seconds + LOAD_LIMIT_SECONDS)
+        samples += [json.loads(line) for line in read_lines(path)]
+    return samples
+
+
+def build_arguments(deployment, scenario, *, rate, seconds, path):
+    """Build the command line of the load tool."""
+    arguments = [sys.executable, "-m", "hollyspan_standins.load"]
+    for name in deployment.daemon_names:
+        arguments += ["--target", f"{name}={deployment.url(name)}"]
+    arguments += ["--mix", scenario.mix, "--rate", str(rate)]
+    arguments += ["--seconds", str(seconds), "--record", str(path)]
+    return arguments
+
+
+def read_lines(path):
+    """Read the lines of a file."""
+    return Path(path).read_text(encoding="utf-8").splitlines()
