--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -5,6 +5,7 @@
 from .configuration import ConfigurationConflictError
 from .configuration import ConfigurationInvalidError
 from .configuration import SettingsInvalidError
+from .instances import InstanceListError
 from .peer import PeerAuthenticationError
 from .peer import PeerMessageError
 from .peer import PeerUnavailableError
@@ -47,6 +48,7 @@
     "IdempotencyKeyMissingError",
     "IdempotencyMismatchError",
     "InputLineError",
+    "InstanceListError",
     "InvalidRequestError",
     "LeaseLostError",
     "ModelNotFoundError",
--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -15,8 +15,11 @@
 from hollyspan_policy.membership import MemberTable
 
 from .configurations import ConfigurationHolder
+from .configurations import open_configurations
 from .http import AsyncResource
 from .http import write_json
+from .instances import open_instances
+from .peers import open_peers
 from .runtime import Runtime
 from .store import open_store
 from .upstreams import Upstreams
@@ -89,7 +92,11 @@
 
 # The parts of the daemon, in the order in which they are opened; each is a
 # context manager that takes the runtime.
-PARTS = ()
+PARTS = (
+    open_configurations,
+    open_instances,
+    open_peers,
+)
 
 
 def run_daemon(settings):
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/instances/endpoint.py
@@ -0,0 +1,43 @@
+"""One entry of the instance list."""
+
+__all__ = ["Endpoint"]
+
+
+class Endpoint:
+    """An instance as the platform lists it.
+
+    Parameters
+    ----------
+    name : str
+    kind : str
+        ``engine``, ``service`` or ``daemon``.
+    service : str
+        Model or plain service; for daemons the name of the group.
+    data_centre : str
+    address : str
+    ports : dict
+        Port number by name.
+    serving : bool
+        Ready and not about to stop.
+    """
+
+    __slots__ = (
+        "name",
+        "kind",
+        "service",
+        "data_centre",
+        "address",
+        "ports",
+        "serving",
+    )
+
+    def __init__(
+        self, *, name, kind, service, data_centre, address, ports, serving
+    ):
+        self.name = name
+        self.kind = kind
+        self.service = service
+        self.data_centre = data_centre
+        self.address = address
+        self.ports = ports
+        self.serving = serving
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/instances/part.py
@@ -0,0 +1,102 @@
+"""Polling of the platform's instance list."""
+
+import contextlib
+import time
+
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.web import client
+
+from hollyspan_core.errors import InstanceListError
+
+from ..runtime import open_periodic
+from .reader import parse_slices
+from .registration import Registration
+
+__all__ = ["open_instances"]
+
+PATH = "/apis/discovery.k8s.io/v1/endpointslices"
+TIMEOUT_SECONDS = 5.0
+MAX_LIST_BYTES = 8_000_000
+# Share of a daemon's control traffic that the list may take.
+LIST_BYTES_PER_SECOND = 8_000
+
+
+@contextlib.contextmanager
+def open_instances(runtime):
+    """Keep the registry of upstreams in step with the instance list.
+
+    Parameters
+    ----------
+    runtime : Runtime
+
+    Yields
+    ------
+    Registration
+
+    Notes
+    -----
+    While the list is out of reach, what is known is kept. The interval grows
+    with the size of the list, so that its traffic stays bounded.
+    """
+    registration = Registration(runtime=runtime)
+    timing = runtime.settings.timing
+    runtime.upstreams.leaving_listeners.append(build_announcer(runtime))
+    runtime.configurations.subscribe(lambda _: registration.update_slots())
+
+    async def poll():
+        content = await fetch_list(runtime)
+        endpoints = parse_slices(content)
+        registration.apply(endpoints, now=time.monotonic())
+        return choose_interval(len(content), shortest=timing.instances_poll)
+
+    with open_periodic(
+        poll, seconds=timing.instances_poll, reactor=runtime.reactor
+    ):
+        yield registration
+
+
+def build_announcer(runtime):
+    def announce(upstream):
+        runtime.departures.announce(
+            upstream.name,
+            now=time.monotonic(),
+            endpoint=upstream.url,
+        )
+
+    return announce
+
+
+def choose_interval(size, *, shortest):
+    return max(shortest, size / LIST_BYTES_PER_SECOND)
+
+
+async def fetch_list(runtime):
+    url = runtime.settings.instances_url + PATH
+    work = defer.ensureDeferred(fetch(url, agent=runtime.agent))
+    work.addTimeout(TIMEOUT_SECONDS, runtime.reactor)
+    try:
+        return await work
+    except (
+        defer.TimeoutError,
+        error.ConnectError,
+        error.ConnectionLost,
+        error.ConnectionDone,
+        error.ConnectingCancelledError,
+        client.ResponseFailed,
+    ) as failure:
+        raise InstanceListError(
+            "the instance list cannot be reached"
+        ) from failure
+
+
+async def fetch(url, *, agent):
+    response = await treq.get(url, agent=agent)
+    content = await treq.content(response)
+    if response.code != 200 or len(content) > MAX_LIST_BYTES:
+        raise InstanceListError(
+            f"the instance list answered {response.code}, "
+            f"{len(content)} bytes"
+        )
+    return content
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/instances/seed.py
@@ -0,0 +1,23 @@
+"""Where another daemon is said to be."""
+
+__all__ = ["Seed"]
+
+
+class Seed:
+    """A daemon in the instance list.
+
+    Parameters
+    ----------
+    instance, data_centre : str
+    address : str
+    peer_port : int
+        UDP and TCP.
+    """
+
+    __slots__ = ("instance", "data_centre", "address", "peer_port")
+
+    def __init__(self, *, instance, data_centre, address, peer_port):
+        self.instance = instance
+        self.data_centre = data_centre
+        self.address = address
+        self.peer_port = peer_port
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/__init__.py
@@ -0,0 +1,5 @@
+"""Heartbeats and links between daemons."""
+
+from .part import open_peers
+
+__all__ = ["open_peers"]
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/periodic.py
@@ -0,0 +1,63 @@
+"""Work that is repeated at an interval."""
+
+import contextlib
+
+import eliot
+from twisted.internet import defer
+from twisted.internet import task
+
+from hollyspan_core.errors import HollyspanError
+
+__all__ = ["open_periodic"]
+
+
+@contextlib.contextmanager
+def open_periodic(function, *, seconds, reactor):
+    """Call a coroutine function at an interval, the first time at once.
+
+    Parameters
+    ----------
+    function : callable
+        Coroutine function without arguments. A number that it returns
+        becomes the interval. A failure is logged and does not end the
+        repetition; a call that takes long delays the next one.
+    seconds : float
+    reactor : twisted reactor
+
+    Yields
+    ------
+    None
+    """
+    running = []
+
+    def change_interval(result):
+        if result is not None:
+            loop.interval = result
+
+    def call():
+        running[:] = [defer.ensureDeferred(guard(function))]
+        return running[0].addCallback(change_interval)
+
+    loop = task.LoopingCall(call)
+    loop.clock = reactor
+    loop.start(seconds)
+    try:
+        yield
+    finally:
+        loop.stop()
+        running[0].cancel()
+
+
+async def guard(function):
+    try:
+        return await function()
+    except defer.CancelledError:
+        return None
+    except HollyspanError as error:
+        eliot.log_message(
+            message_type="periodic:failed", code=error.code, reason=str(error)
+        )
+        return None
+    except Exception:
+        eliot.write_traceback()
+        return None
--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -1,5 +1,8 @@
 """Shared state of one daemon."""
 
+from .announcements import Announcements
+from .departures import Departures
+
 __all__ = ["Runtime"]
 
 
@@ -31,6 +34,21 @@
         Coroutine functions that are run at a planned stop, in order.
     checks : dict
         Functions by name that return True when a part is ready.
+    seeds : dict
+        Seed by instance, from the instance list.
+    departures : Departures
+        Upstreams that were announced as leaving.
+    cancelled_jobs : Announcements
+        Jobs whose cancel is passed on between daemons.
+    links : Links or None
+        TCP links to other daemons.
+    forward : callable or None
+        Coroutine function that hands an online request to another data
+        centre.
+    serve_forward : callable or None
+        Coroutine function that runs a request of another data centre here.
+    burn : Burn or None
+        Service-level counters.
     """
 
     __slots__ = (
@@ -47,6 +65,13 @@
         "draining",
         "drain_hooks",
         "checks",
+        "seeds",
+        "departures",
+        "cancelled_jobs",
+        "links",
+        "forward",
+        "serve_forward",
+        "burn",
     )
 
     def __init__(
@@ -76,3 +101,10 @@
         self.draining = False
         self.drain_hooks = []
         self.checks = {}
+        self.seeds = {}
+        self.departures = Departures()
+        self.cancelled_jobs = Announcements()
+        self.links = None
+        self.forward = None
+        self.serve_forward = None
+        self.burn = None
--- a/packages/hollyspan_policy/hollyspan_policy/membership/member.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/member.py
@@ -22,6 +22,10 @@
         Online room over the upstreams of its data centre.
     heard : float
         Monotonic seconds of the last heartbeat.
+    timeout : float, optional
+        Seconds of silence after which it counts as failed, where it is heard
+        less often than the daemons of the own data centre.
+    region : str, optional
     """
 
     __slots__ = (
@@ -36,6 +40,8 @@
         "generation",
         "free_slots",
         "heard",
+        "timeout",
+        "region",
     )
 
     def __init__(
@@ -52,6 +58,8 @@
         generation,
         free_slots,
         heard,
+        timeout=None,
+        region="",
     ):
         self.instance = instance
         self.data_centre = data_centre
@@ -64,3 +72,5 @@
         self.generation = generation
         self.free_slots = free_slots
         self.heard = heard
+        self.timeout = timeout
+        self.region = region
--- a/packages/hollyspan_policy/hollyspan_policy/membership/table.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/table.py
@@ -10,13 +10,21 @@
     ----------
     timeout : float
         Seconds of silence after which a daemon counts as failed.
+
+    Attributes
+    ----------
+    members : dict
+        Member by instance, with those that have failed.
+    listeners : list of callable
+        Called with each Member that is news.
     """
 
-    __slots__ = ("timeout", "members")
+    __slots__ = ("timeout", "members", "listeners")
 
     def __init__(self, *, timeout):
         self.timeout = timeout
         self.members = {}
+        self.listeners = []
 
     def observe(self, member):
         """Take in a heartbeat; older ones are passed over.
@@ -34,6 +42,8 @@
         if known is not None and order(known) >= order(member):
             return False
         self.members[member.instance] = member
+        for listener in self.listeners:
+            listener(member)
         return True
 
     def list_live(self, *, now, data_centre=None, leaving=False):
@@ -55,7 +65,7 @@
         return [
             member
             for member in self.members.values()
-            if now - member.heard <= self.timeout
+            if now - member.heard <= (member.timeout or self.timeout)
             and (leaving or not member.leaving)
             and data_centre in (None, member.data_centre)
         ]
