--- a/packages/hollyspan_entry/hollyspan_entry/configurations/disk.py
+++ b/packages/hollyspan_entry/hollyspan_entry/configurations/disk.py
@@ -33,9 +33,7 @@
     try:
         return parse_configuration((Path(folder) / FILE_NAME).read_bytes())
     except (OSError, ConfigurationInvalidError) as error:
-        eliot.log_message(
-            message_type="configuration:disk", reason=str(error)
-        )
+        eliot.log_message(message_type="configuration:disk", reason=str(error))
         return None
 
 
@@ -51,9 +49,7 @@
         os.replace(partial, path)
     except OSError as error:
         # The copy is a fall-back; the daemon goes on without it.
-        eliot.log_message(
-            message_type="configuration:disk", reason=str(error)
-        )
+        eliot.log_message(message_type="configuration:disk", reason=str(error))
 
 
 @contextlib.contextmanager
--- a/packages/hollyspan_entry/hollyspan_entry/instances/reader.py
+++ b/packages/hollyspan_entry/hollyspan_entry/instances/reader.py
@@ -33,9 +33,7 @@
     """
     try:
         slices = json.loads(content)["items"]
-        return [
-            endpoint for item in slices for endpoint in parse_slice(item)
-        ]
+        return [endpoint for item in slices for endpoint in parse_slice(item)]
     except (
         AttributeError,
         IndexError,
