Hash names for rendezvous as bytes

xxhash refuses text, so each choice of an owner raised TypeError and no daemon took a duty. Names are encoded first. The two property tests failed before and pass now.

--- a/packages/hollyspan_policy/hollyspan_policy/ownership/rendezvous.py
+++ b/packages/hollyspan_policy/hollyspan_policy/ownership/rendezvous.py
@@ -37,7 +37,7 @@
     """
     return sorted(
         instances,
-        key=lambda name: (xxhash.xxh3_64_intdigest(f"{duty}\0{name}"), name),
+        key=lambda name: (weigh(duty, name), name),
         reverse=True,
     )
 
@@ -56,6 +56,12 @@
     """
     return max(
         instances,
-        key=lambda name: (xxhash.xxh3_64_intdigest(f"{duty}\0{name}"), name),
+        key=lambda name: (weigh(duty, name), name),
         default=None,
     )
+
+
+def weigh(duty, name):
+    # Names are text of any kind; what UTF-8 cannot hold is escaped.
+    content = f"{duty}\0{name}".encode("utf-8", "backslashreplace")
+    return xxhash.xxh3_64_intdigest(content)
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/ownership/tests/test_rendezvous.py
@@ -0,0 +1,28 @@
+"""Tests of rendezvous hashing."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from hollyspan_policy.ownership import choose_owner
+from hollyspan_policy.ownership import rank_owners
+
+NAMES = strategies.sets(strategies.text(min_size=1), min_size=1, max_size=9)
+
+
+@given(strategies.text(), NAMES)
+def test_the_first_of_the_rank_is_the_owner(duty, instances):
+    ranked = rank_owners(duty, instances)
+    assert choose_owner(duty, instances) == ranked[0]
+    assert set(ranked) == instances
+
+
+@given(strategies.text(), NAMES, strategies.data())
+def test_a_lost_instance_moves_only_its_own_duties(duty, instances, data):
+    lost = data.draw(strategies.sampled_from(sorted(instances)))
+    ranked = rank_owners(duty, instances)
+    ranked.remove(lost)
+    assert rank_owners(duty, instances - {lost}) == ranked
+
+
+def test_nobody_owns_a_duty_without_instances():
+    assert choose_owner("engine-1", []) is None
