Close a watch's connection at its stop

The transport of an answer in twisted.web's client has no abortConnection, so a daemon with a watch ended its planned stop with exit code 1. It now closes the connection; the test failed with AttributeError before.

--- a/packages/hollyspan_entry/hollyspan_entry/store/watch.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/watch.py
@@ -82,7 +82,7 @@
         """End the watch without a report."""
         self.stopped = True
         if self.connection is not None:
-            self.connection.abortConnection()
+            self.connection.loseConnection()
         elif self.request is not None:
             self.request.cancel()
 
