Give heartbeats, notices and greetings their own types

Damaged content is a PeerMessageError wherever it is read; properties over foreign, damaged and changed messages pass.

--- a/packages/hollyspan_core/hollyspan_core/messages/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/__init__.py
@@ -1,7 +1,37 @@
 """Messages between daemons: schema, encoding and digest."""
 
+from .codec import compute_digest
 from .codec import decode_message
 from .codec import encode_message
+from .codec import guard_reading
 from .codec import PeerMessage
+from .heartbeat import build_heartbeat
+from .heartbeat import Heartbeat
+from .heartbeat import read_heartbeat
+from .hello import build_hello
+from .hello import Hello
+from .hello import read_hello
+from .inflight import InFlight
+from .notice import build_notice
+from .notice import Notice
+from .notice import read_notice
+from .remote import Remote
 
-__all__ = ["PeerMessage", "decode_message", "encode_message"]
+__all__ = [
+    "Heartbeat",
+    "Hello",
+    "InFlight",
+    "Notice",
+    "PeerMessage",
+    "Remote",
+    "build_heartbeat",
+    "build_hello",
+    "build_notice",
+    "compute_digest",
+    "decode_message",
+    "encode_message",
+    "guard_reading",
+    "read_heartbeat",
+    "read_hello",
+    "read_notice",
+]
--- a/packages/hollyspan_core/hollyspan_core/messages/codec.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/codec.py
@@ -1,5 +1,6 @@
 """Encoding of peer messages, with a keyed digest in front."""
 
+import contextlib
 import hashlib
 import hmac
 from pathlib import Path
@@ -9,9 +10,16 @@
 from ..errors import PeerAuthenticationError
 from ..errors import PeerMessageError
 
-__all__ = ["PeerMessage", "decode_message", "encode_message"]
+__all__ = [
+    "PeerMessage",
+    "compute_digest",
+    "decode_message",
+    "encode_message",
+    "guard_reading",
+]
 
 DIGEST_BYTES = 16
+LENGTH_BYTES = 4
 
 # The import hook of pycapnp would search all of sys.path.
 capnp.remove_import_hook()
@@ -21,11 +29,26 @@
 ).PeerMessage
 
 
-def compute_digest(content, *, key):
-    return hmac.digest(key, content, hashlib.sha256)[:DIGEST_BYTES]
+def compute_digest(content, *, key, context=b""):
+    """Return the digest that goes in front of a message.
 
+    Parameters
+    ----------
+    content : bytes
+    key : bytes
+    context : bytes, optional
+        What the digest covers besides the message.
+
+    Returns
+    -------
+    bytes
+    """
+    # The length keeps context and content apart.
+    head = len(context).to_bytes(LENGTH_BYTES, "big") + context
+    return hmac.digest(key, head + content, hashlib.sha256)[:DIGEST_BYTES]
 
-def encode_message(message, *, key):
+
+def encode_message(message, *, key, context=b""):
     """Encode a peer message.
 
     Parameters
@@ -34,17 +57,19 @@
         The message.
     key : bytes
         The key that all daemons share.
+    context : bytes, optional
+        What the digest covers besides the message.
 
     Returns
     -------
     bytes
         Digest and message.
     """
-    content = message.to_bytes()
-    return compute_digest(content, key=key) + content
+    content = message.to_bytes_packed()
+    return compute_digest(content, key=key, context=context) + content
 
 
-def decode_message(datagram, *, key):
+def decode_message(datagram, *, key, context=b""):
     """Check the digest of a peer message and decode it.
 
     Parameters
@@ -53,6 +78,8 @@
         Digest and message.
     key : bytes
         The key that all daemons share.
+    context : bytes, optional
+        What the digest covers besides the message.
 
     Returns
     -------
@@ -67,11 +94,29 @@
     """
     digest = datagram[:DIGEST_BYTES]
     content = datagram[DIGEST_BYTES:]
-    if not hmac.compare_digest(digest, compute_digest(content, key=key)):
+    expected = compute_digest(content, key=key, context=context)
+    if not hmac.compare_digest(digest, expected):
         raise PeerAuthenticationError("digest of a peer message does not fit")
+    with guard_reading():
+        message = PeerMessage.from_bytes_packed(content)
+        message.which()
+        return message
+
+
+@contextlib.contextmanager
+def guard_reading():
+    """Turn the codec's failures into PeerMessageError.
+
+    Notes
+    -----
+    The codec reads lazily, so each function that takes a reader apart needs
+    this guard.
+
+    Yields
+    ------
+    None
+    """
     try:
-        with PeerMessage.from_bytes(content) as message:
-            message.which()
-            return message
+        yield
     except (capnp.KjException, ValueError) as error:
         raise PeerMessageError("peer message cannot be decoded") from error
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/messages/heartbeat.py
@@ -0,0 +1,105 @@
+"""Heartbeats of daemons."""
+
+from .codec import guard_reading
+from .codec import PeerMessage
+from .inflight import read_in_flight
+from .inflight import write_in_flight
+from .remote import read_remote
+from .remote import write_remote
+
+__all__ = ["Heartbeat", "build_heartbeat", "read_heartbeat"]
+
+
+class Heartbeat:
+    """What a daemon tells another one at an interval.
+
+    Parameters
+    ----------
+    sender : Remote
+        The state of the daemon that sends it.
+    in_flight : sequence of InFlight, optional
+        Its load on upstreams that the receiver owns.
+    leaving_upstreams, cancelled_jobs : sequence of str, optional
+        Names that are passed on.
+    remotes : sequence of Remote, optional
+        Daemons of other data centres that the sender hears.
+    """
+
+    __slots__ = (
+        "sender",
+        "in_flight",
+        "leaving_upstreams",
+        "cancelled_jobs",
+        "remotes",
+    )
+
+    def __init__(
+        self,
+        *,
+        sender,
+        in_flight=(),
+        leaving_upstreams=(),
+        cancelled_jobs=(),
+        remotes=(),
+    ):
+        self.sender = sender
+        self.in_flight = in_flight
+        self.leaving_upstreams = leaving_upstreams
+        self.cancelled_jobs = cancelled_jobs
+        self.remotes = remotes
+
+
+def build_heartbeat(heartbeat):
+    """Return a heartbeat as a message that can be encoded.
+
+    Parameters
+    ----------
+    heartbeat : Heartbeat
+
+    Returns
+    -------
+    PeerMessage builder
+    """
+    message = PeerMessage.new_message()
+    target = message.init("heartbeat")
+    write_remote(heartbeat.sender, target)
+    if heartbeat.in_flight:
+        entries = target.init("inFlight", len(heartbeat.in_flight))
+        write_in_flight(heartbeat.in_flight, entries)
+    if heartbeat.leaving_upstreams:
+        target.leavingUpstreams = list(heartbeat.leaving_upstreams)
+    if heartbeat.cancelled_jobs:
+        target.cancelledJobs = list(heartbeat.cancelled_jobs)
+    if heartbeat.remotes:
+        entries = target.init("remotes", len(heartbeat.remotes))
+        for remote, entry in zip(heartbeat.remotes, entries):
+            write_remote(remote, entry)
+    return message
+
+
+def read_heartbeat(message):
+    """Return the heartbeat in a decoded message.
+
+    Parameters
+    ----------
+    message : PeerMessage reader
+
+    Returns
+    -------
+    Heartbeat
+
+    Raises
+    ------
+    PeerMessageError
+        The message is damaged.
+    """
+    with guard_reading():
+        source = message.heartbeat
+        # Both kinds have the same fields for the state of a daemon.
+        return Heartbeat(
+            sender=read_remote(source),
+            in_flight=read_in_flight(source.inFlight),
+            leaving_upstreams=list(source.leavingUpstreams),
+            cancelled_jobs=list(source.cancelledJobs),
+            remotes=[read_remote(remote) for remote in source.remotes],
+        )
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/messages/notice.py
@@ -0,0 +1,75 @@
+"""Notices of online arrivals."""
+
+from .codec import guard_reading
+from .codec import PeerMessage
+from .inflight import read_in_flight
+from .inflight import write_in_flight
+
+__all__ = ["Notice", "build_notice", "read_notice"]
+
+
+class Notice:
+    """Load that has risen, sent to the owner of the upstream at once.
+
+    Parameters
+    ----------
+    instance : str
+    incarnation, sequence : int
+        Order among the heartbeats and notices of the sender.
+    in_flight : sequence of InFlight
+    """
+
+    __slots__ = ("instance", "incarnation", "sequence", "in_flight")
+
+    def __init__(self, *, instance, incarnation, sequence, in_flight):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.in_flight = in_flight
+
+
+def build_notice(notice):
+    """Return a notice as a message that can be encoded.
+
+    Parameters
+    ----------
+    notice : Notice
+
+    Returns
+    -------
+    PeerMessage builder
+    """
+    message = PeerMessage.new_message()
+    target = message.init("notice")
+    target.instance = notice.instance
+    target.incarnation = notice.incarnation
+    target.sequence = notice.sequence
+    entries = target.init("inFlight", len(notice.in_flight))
+    write_in_flight(notice.in_flight, entries)
+    return message
+
+
+def read_notice(message):
+    """Return the notice in a decoded message.
+
+    Parameters
+    ----------
+    message : PeerMessage reader
+
+    Returns
+    -------
+    Notice
+
+    Raises
+    ------
+    PeerMessageError
+        The message is damaged.
+    """
+    with guard_reading():
+        source = message.notice
+        return Notice(
+            instance=source.instance,
+            incarnation=source.incarnation,
+            sequence=source.sequence,
+            in_flight=read_in_flight(source.inFlight),
+        )
--- a/packages/hollyspan_core/hollyspan_core/messages/peer.capnp
+++ b/packages/hollyspan_core/hollyspan_core/messages/peer.capnp
@@ -7,6 +7,21 @@
   batch @2 :UInt32;       # batch streams in flight, sent by this daemon
 }
 
+# A daemon of another data centre, as its link partner heard it.
+struct Remote {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  dataCentre @3 :Text;
+  region @4 :Text;
+  leaving @5 :Bool;
+  generation @6 :UInt64;
+  peerAddress @7 :Text;
+  peerPort @8 :UInt16;
+  httpPort @9 :UInt16;
+  freeSlots @10 :UInt32;
+}
+
 struct Heartbeat {
   instance @0 :Text;
   incarnation @1 :UInt64;   # start time, microseconds since the epoch
@@ -21,6 +36,8 @@
   httpPort @10 :UInt16;
   freeSlots @11 :UInt32;    # online room over the upstreams of its data centre
   cancelledJobs @12 :List(Text);
+  region @13 :Text;
+  remotes @14 :List(Remote);
 }
 
 # Online arrivals towards an upstream, sent to its owner at once.
@@ -28,6 +45,7 @@
   instance @0 :Text;
   sequence @1 :UInt64;
   inFlight @2 :List(InFlight);
+  incarnation @3 :UInt64;
 }
 
 struct ConfigurationPull {
@@ -72,6 +90,19 @@
   document @0 :Data;        # JSON
 }
 
+# First message of each side of a link. The digests of the later ones cover
+# both nonces, the direction and the number of the frame.
+struct Hello {
+  instance @0 :Text;
+  dataCentre @1 :Text;
+  region @2 :Text;
+  nonce @3 :Data;
+}
+
+struct Failure {
+  error @0 :Data;           # JSON error object
+}
+
 struct PeerMessage {
   call @0 :UInt64;          # matches answers to calls on a link; 0 for none
   union {
@@ -86,5 +117,7 @@
     forwardCancel @9 :Void;
     statisticsPull @10 :StatisticsPull;
     statistics @11 :Statistics;
+    hello @12 :Hello;
+    failure @13 :Failure;
   }
 }
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/messages/tests/test_codec.py
@@ -0,0 +1,113 @@
+"""Tests of messages between daemons."""
+
+from hypothesis import example
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from hollyspan_core.errors import PeerAuthenticationError
+from hollyspan_core.errors import PeerMessageError
+from hollyspan_core.messages import build_heartbeat
+from hollyspan_core.messages import build_hello
+from hollyspan_core.messages import build_notice
+from hollyspan_core.messages import compute_digest
+from hollyspan_core.messages import decode_message
+from hollyspan_core.messages import encode_message
+from hollyspan_core.messages import Heartbeat
+from hollyspan_core.messages import Hello
+from hollyspan_core.messages import InFlight
+from hollyspan_core.messages import Notice
+from hollyspan_core.messages import read_heartbeat
+from hollyspan_core.messages import read_hello
+from hollyspan_core.messages import read_notice
+from hollyspan_core.messages import Remote
+
+KEY = b"key"
+READERS = (read_heartbeat, read_hello, read_notice)
+
+
+def build_remote(name):
+    return Remote(
+        instance=name,
+        data_centre="attiki-a",
+        region="attiki",
+        incarnation=2**60,
+        sequence=3,
+        leaving=False,
+        generation=7,
+        peer_address="127.0.0.1",
+        peer_port=7000,
+        http_port=8080,
+        free_slots=5,
+    )
+
+
+def build_full_heartbeat():
+    return Heartbeat(
+        sender=build_remote("a"),
+        in_flight=[InFlight(upstream="e1", online=2, batch=1)],
+        leaving_upstreams=["e2"],
+        cancelled_jobs=["batch_1"],
+        remotes=[build_remote("b")],
+    )
+
+
+def sign(content):
+    return compute_digest(content, key=KEY, context=b"") + content
+
+
+def test_a_heartbeat_comes_back_whole():
+    encoded = encode_message(build_heartbeat(build_full_heartbeat()), key=KEY)
+    heartbeat = read_heartbeat(decode_message(encoded, key=KEY))
+    assert heartbeat.sender.instance == "a"
+    assert heartbeat.sender.incarnation == 2**60
+    assert heartbeat.in_flight[0].online == 2
+    assert heartbeat.leaving_upstreams == ["e2"]
+    assert heartbeat.cancelled_jobs == ["batch_1"]
+    assert heartbeat.remotes[0].generation == 7
+
+
+def test_a_notice_comes_back_whole():
+    loads = [InFlight(upstream="e1", online=2, batch=0)]
+    notice = Notice(instance="a", incarnation=1, sequence=2, in_flight=loads)
+    encoded = encode_message(build_notice(notice), key=KEY)
+    assert read_notice(decode_message(encoded, key=KEY)).sequence == 2
+
+
+def test_the_digest_covers_the_context():
+    hello = Hello(instance="a", data_centre="x", region="y", nonce=b"n")
+    encoded = encode_message(build_hello(hello), key=KEY, context=b"1")
+    message = decode_message(encoded, key=KEY, context=b"1")
+    assert read_hello(message).nonce == b"n"
+    with pytest.raises(PeerAuthenticationError):
+        decode_message(encoded, key=KEY, context=b"2")
+
+
+@given(strategies.binary(max_size=200))
+def test_a_foreign_datagram_is_a_typed_error(datagram):
+    with pytest.raises(PeerMessageError):
+        decode_message(datagram, key=KEY)
+
+
+@given(strategies.binary(max_size=400))
+@example(b"")
+def test_damaged_content_is_a_typed_error(content):
+    read_or_fail(sign(content))
+
+
+@given(strategies.data())
+def test_a_changed_heartbeat_is_a_typed_error(data):
+    encoded = encode_message(build_heartbeat(build_full_heartbeat()), key=KEY)
+    content = bytearray(encoded[16:])
+    for _ in range(data.draw(strategies.integers(1, 4))):
+        index = data.draw(strategies.integers(0, len(content) - 1))
+        content[index] = data.draw(strategies.integers(0, 255))
+    read_or_fail(sign(bytes(content)))
+
+
+def read_or_fail(datagram):
+    for read in READERS:
+        try:
+            read(decode_message(datagram, key=KEY))
+        except PeerMessageError:
+            pass
