Send heartbeats and notices between daemons

Heartbeats go to every daemon of the data centre, and through two chosen daemons to two of each other data centre, whose state is passed on inside. A burst of online requests is told to the owner of the upstream in one notice a turn of the loop. Unit tests on a network in memory pass.

--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -157,6 +157,8 @@
     port : IListeningPort
     """
     runtime.draining = True
+    for listener in runtime.drain_listeners:
+        listener()
     for hook in runtime.drain_hooks:
         await hook()
     await port.stopListening()
--- a/packages/hollyspan_entry/hollyspan_entry/peers/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/part.py
@@ -1,11 +1,16 @@
 """Heartbeats and links of this daemon."""
 
 import contextlib
-import time
 
-from hollyspan_policy.membership import Member
+from hollyspan_policy.membership import Probes
 
 from ..runtime import open_periodic
+from .beats import Beats
+from .beats import FAR_BEATS
+from .counters import PeerCounters
+from .datagrams import Datagrams
+from .owners import Owners
+from .receipts import Receipts
 
 __all__ = ["open_peers"]
 
@@ -20,40 +25,61 @@
 
     Yields
     ------
-    None
+    Beats
     """
-    beats = Beats(runtime=runtime)
-    with open_periodic(
-        beats.beat,
-        seconds=runtime.settings.timing.heartbeat,
-        reactor=runtime.reactor,
-    ):
-        yield
-
-
-class Beats:
-
-    def __init__(self, *, runtime):
-        self.runtime = runtime
-        self.sequence = 0
-
-    async def beat(self):
-        self.sequence += 1
-        runtime = self.runtime
-        settings = runtime.settings
-        current = runtime.configurations.current
-        runtime.members.observe(
-            Member(
-                instance=settings.instance,
-                data_centre=settings.data_centre,
-                incarnation=runtime.incarnation,
-                sequence=self.sequence,
-                address=settings.peer_address,
-                peer_port=settings.peer_port,
-                http_port=settings.http_port,
-                leaving=runtime.draining,
-                generation=current.generation if current else 0,
-                free_slots=0,
-                heard=time.monotonic(),
+    with contextlib.ExitStack() as stack:
+        beats = stack.enter_context(open_beats(runtime))
+        subscribe(runtime, beats)
+        stack.enter_context(
+            open_periodic(
+                beats.beat,
+                seconds=runtime.settings.timing.heartbeat,
+                reactor=runtime.reactor,
             )
         )
+        yield beats
+
+
+@contextlib.contextmanager
+def open_beats(runtime):
+    settings = runtime.settings
+    remote_timeout = compute_remote_timeout(settings.timing)
+    probes = Probes(patience=remote_timeout)
+    receipts = Receipts(
+        runtime=runtime, probes=probes, remote_timeout=remote_timeout
+    )
+    runtime.peer_counters = PeerCounters()
+    datagrams = Datagrams(
+        key=settings.peer_key,
+        counters=runtime.peer_counters,
+        receive=receipts.receive,
+    )
+    beats = Beats(
+        runtime=runtime,
+        datagrams=datagrams,
+        receipts=receipts,
+        probes=probes,
+        owners=Owners(runtime=runtime),
+    )
+    port = runtime.reactor.listenUDP(
+        settings.peer_port, datagrams, interface=settings.peer_address
+    )
+    try:
+        yield beats
+    finally:
+        beats.stop()
+        port.stopListening()
+
+
+def compute_remote_timeout(timing):
+    # Two hops: between data centres, and from the partner to the others.
+    return timing.peer_timeout + 2 * FAR_BEATS * timing.heartbeat
+
+
+def subscribe(runtime, beats):
+    runtime.upstreams.load_listeners.append(beats.hear_load)
+    announcements = (runtime.departures.announcements, runtime.cancelled_jobs)
+    for names in announcements:
+        names.listeners.append(beats.beat_soon)
+    runtime.configurations.subscribe(beats.beat_soon)
+    runtime.drain_listeners.append(beats.beat_now)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
@@ -0,0 +1,182 @@
+"""Taking in of heartbeats and notices."""
+
+import time
+
+from hollyspan_core.messages import read_heartbeat
+from hollyspan_core.messages import read_notice
+
+from ..upstreams import PeerLoad
+from .states import build_member
+
+__all__ = ["Receipts"]
+
+
+class Receipts:
+    """Takes the messages of other daemons over into the runtime.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    probes : Probes
+    remote_timeout : float
+        Seconds of silence after which a daemon of another data centre counts
+        as failed.
+
+    Attributes
+    ----------
+    orders : dict
+        Incarnation and sequence of the last message by instance.
+    partners : dict
+        Monotonic seconds at which a daemon of another data centre was
+        heard, by instance.
+    """
+
+    __slots__ = ("runtime", "probes", "remote_timeout", "orders", "partners")
+
+    def __init__(self, *, runtime, probes, remote_timeout):
+        self.runtime = runtime
+        self.probes = probes
+        self.remote_timeout = remote_timeout
+        self.orders = {}
+        self.partners = {}
+
+    def receive(self, message):
+        """Take in a message; other kinds are passed over.
+
+        Parameters
+        ----------
+        message : PeerMessage reader
+
+        Raises
+        ------
+        PeerMessageError
+            The message is damaged.
+        """
+        kind = message.which()
+        if kind == "heartbeat":
+            self.take_heartbeat(read_heartbeat(message))
+        elif kind == "notice":
+            self.take_notice(read_notice(message))
+
+    def take_heartbeat(self, heartbeat):
+        """Take in a heartbeat."""
+        sender = heartbeat.sender
+        settings = self.runtime.settings
+        if sender.instance == settings.instance:
+            return
+        now = time.monotonic()
+        self.probes.hear(sender.instance)
+        if sender.data_centre != settings.data_centre:
+            self.partners[sender.instance] = now
+        self.observe(sender, now=now)
+        order = sender.incarnation, sender.sequence
+        self.take_loads(sender.instance, order, heartbeat.in_flight)
+        for remote in heartbeat.remotes:
+            if remote.data_centre != settings.data_centre:
+                self.observe(remote, now=now)
+        self.take_names(heartbeat, now=now)
+
+    def observe(self, remote, *, now):
+        """Note the state of a daemon in the member table."""
+        is_near = remote.data_centre == self.runtime.settings.data_centre
+        timeout = None if is_near else self.remote_timeout
+        self.runtime.members.observe(
+            build_member(remote, heard=now, timeout=timeout)
+        )
+
+    def take_names(self, heartbeat, *, now):
+        """Take in the names that are passed on."""
+        runtime = self.runtime
+        for name in heartbeat.leaving_upstreams:
+            if runtime.departures.announce(name, now=now):
+                runtime.upstreams.mark_leaving(name)
+        for job in heartbeat.cancelled_jobs:
+            runtime.cancelled_jobs.announce(job, now=now)
+
+    def take_notice(self, notice):
+        """Take in a notice."""
+        if notice.instance == self.runtime.settings.instance:
+            return
+        order = notice.incarnation, notice.sequence
+        self.take_loads(notice.instance, order, notice.in_flight)
+
+    def take_loads(self, instance, order, loads):
+        """Take in the loads of one daemon, unless newer ones are known."""
+        known = self.orders.get(instance, order)
+        if order < known:
+            return
+        if order[0] > known[0]:
+            self.drop_loads(instance)
+        self.orders[instance] = order
+        for load in loads:
+            self.take_load(instance, order[1], load)
+
+    def take_load(self, instance, sequence, load):
+        upstream = self.runtime.upstreams.by_name.get(load.upstream)
+        if upstream is None:
+            return
+        known = upstream.peers.get(instance)
+        online = known.online if known else 0
+        batch = known.batch if known else 0
+        if (online, batch) == (load.online, load.batch):
+            return
+        fresh = None
+        if load.online or load.batch:
+            fresh = PeerLoad(
+                online=load.online, batch=load.batch, sequence=sequence
+            )
+        self.runtime.upstreams.set_peer_load(upstream, instance, fresh)
+
+    def drop_loads(self, instance):
+        """Forget the load of a daemon on all upstreams."""
+        upstreams = self.runtime.upstreams
+        for upstream in list(upstreams.by_name.values()):
+            if instance in upstream.peers:
+                upstreams.set_peer_load(upstream, instance, None)
+
+    def drop_silent(self, *, now):
+        """Forget the load of daemons that have failed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        members = self.runtime.members.list_live(now=now, leaving=True)
+        live = {member.instance for member in members}
+        loaded = {
+            instance
+            for upstream in self.runtime.upstreams.by_name.values()
+            for instance in upstream.peers
+        }
+        for instance in loaded - live:
+            self.drop_loads(instance)
+
+    def list_partners(self, *, now):
+        """List the daemons of other data centres that speak with this one.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of str
+        """
+        self.partners = {
+            instance: heard
+            for instance, heard in self.partners.items()
+            if now - heard <= self.remote_timeout
+        }
+        return list(self.partners)
+
+    def forget(self, instances):
+        """Drop what is kept of daemons that are gone.
+
+        Parameters
+        ----------
+        instances : iterable of str
+        """
+        for instance in instances:
+            self.orders.pop(instance, None)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/split.py
@@ -0,0 +1,50 @@
+"""Splitting of heartbeats that would not fit one datagram."""
+
+from hollyspan_core.messages import Heartbeat
+
+__all__ = ["split_heartbeat"]
+
+MAX_DATAGRAM_BYTES = 1_400
+# Estimates of encoded sizes, above what the codec needs.
+BASE_BYTES = 300
+ITEM_BYTES = 24
+REMOTE_BYTES = 120
+FIELDS = ("in_flight", "leaving_upstreams", "cancelled_jobs", "remotes")
+
+
+def split_heartbeat(heartbeat):
+    """Split a heartbeat so that each part fits one datagram.
+
+    Parameters
+    ----------
+    heartbeat : Heartbeat
+
+    Returns
+    -------
+    list of Heartbeat
+        Each with the same sender; at least one.
+    """
+    parts = [Heartbeat(sender=heartbeat.sender)]
+    size = BASE_BYTES
+    for field in FIELDS:
+        for item in getattr(heartbeat, field):
+            size += estimate_size(item)
+            if size > MAX_DATAGRAM_BYTES:
+                parts.append(Heartbeat(sender=heartbeat.sender))
+                size = BASE_BYTES + estimate_size(item)
+            previous = getattr(parts[-1], field)
+            setattr(parts[-1], field, (*previous, item))
+    return parts
+
+
+def estimate_size(item):
+    if isinstance(item, str):
+        return ITEM_BYTES + count_bytes(item)
+    if hasattr(item, "upstream"):
+        return ITEM_BYTES + count_bytes(item.upstream)
+    texts = (item.instance, item.data_centre, item.region, item.peer_address)
+    return REMOTE_BYTES + sum(count_bytes(text) for text in texts)
+
+
+def count_bytes(text):
+    return len(text.encode())
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
@@ -0,0 +1,283 @@
+"""Tests of heartbeats and notices between two runtimes."""
+
+import time
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+from twisted.internet import task
+
+from hollyspan_core.messages import build_heartbeat
+from hollyspan_core.messages import decode_message
+from hollyspan_core.messages import encode_message
+from hollyspan_core.messages import Heartbeat
+from hollyspan_core.messages import InFlight
+from hollyspan_core.messages import Remote
+from hollyspan_core.settings.settings import Settings
+from hollyspan_core.settings.timing import Timing
+from hollyspan_entry.configurations import ConfigurationHolder
+from hollyspan_entry.instances import Seed
+from hollyspan_entry.peers.beats import Beats
+from hollyspan_entry.peers.counters import PeerCounters
+from hollyspan_entry.peers.datagrams import Datagrams
+from hollyspan_entry.peers.owners import Owners
+from hollyspan_entry.peers.receipts import Receipts
+from hollyspan_entry.peers.split import MAX_DATAGRAM_BYTES
+from hollyspan_entry.peers.split import split_heartbeat
+from hollyspan_entry.peers.told import ToldLoads
+from hollyspan_entry.peers.told import ZERO_BEATS
+from hollyspan_entry.runtime import Runtime
+from hollyspan_entry.upstreams import Upstream
+from hollyspan_entry.upstreams import Upstreams
+from hollyspan_policy.membership import MemberTable
+from hollyspan_policy.membership import Probes
+
+KEY = b"key"
+PORTS = {"a": 7001, "b": 7002}
+
+
+class Daemon:
+    """The peers part of one daemon on a network in memory."""
+
+    def __init__(self, *, name, network):
+        self.network = network
+        self.runtime = build_runtime(name, clock=network.clock)
+        probes = Probes(patience=6.0)
+        self.receipts = Receipts(
+            runtime=self.runtime, probes=probes, remote_timeout=6.0
+        )
+        self.counters = PeerCounters()
+        self.datagrams = Datagrams(
+            key=KEY, counters=self.counters, receive=self.receipts.receive
+        )
+        self.datagrams.transport = self
+        self.beats = Beats(
+            runtime=self.runtime,
+            datagrams=self.datagrams,
+            receipts=self.receipts,
+            probes=probes,
+            owners=Owners(runtime=self.runtime),
+        )
+        self.runtime.upstreams.load_listeners.append(self.beats.hear_load)
+
+    def write(self, datagram, address):
+        """Deliver a datagram, as a transport does."""
+        self.network.deliver(datagram, address[1])
+
+
+class Network:
+    """Daemons by port; counts what it carries."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.daemons = {}
+        self.delivered = 0
+
+    def add(self, name):
+        """Add a daemon that knows the others by the instance list."""
+        daemon = Daemon(name=name, network=self)
+        self.daemons[PORTS[name]] = daemon
+        return daemon
+
+    def deliver(self, datagram, port):
+        """Hand a datagram to the daemon at a port."""
+        self.delivered += 1
+        if port in self.daemons:
+            self.daemons[port].datagrams.datagramReceived(datagram, None)
+
+    def beat(self):
+        """Let all daemons send their heartbeats."""
+        for daemon in self.daemons.values():
+            daemon.beats.send_beats(far=True)
+
+
+def build_settings(name):
+    return Settings(
+        instance=name,
+        data_centre="attiki-a",
+        region="attiki",
+        http_address="127.0.0.1",
+        http_port=8080,
+        peer_address="127.0.0.1",
+        peer_port=PORTS[name],
+        peer_key=KEY,
+        store_url="http://127.0.0.1:1",
+        instances_url="http://127.0.0.1:1",
+        operator_key="operator",
+        signing_key=b"signing",
+        data_folder=None,
+        log_path=None,
+        timing=Timing(),
+    )
+
+
+def build_runtime(name, *, clock):
+    runtime = Runtime(
+        settings=build_settings(name),
+        reactor=clock,
+        agent=None,
+        store=None,
+        configurations=ConfigurationHolder(),
+        upstreams=Upstreams(),
+        members=MemberTable(timeout=2.0),
+        root=None,
+        incarnation=int(time.time()),
+        create_token=None,
+    )
+    for upstream in (f"e{number}" for number in range(1, 13)):
+        runtime.upstreams.add(build_upstream(upstream))
+    return runtime
+
+
+def build_upstream(name):
+    return Upstream(
+        name=name,
+        kind="engine",
+        service="pips-lm",
+        data_centre="attiki-a",
+        address="127.0.0.1",
+        port=1,
+        slots=8,
+    )
+
+
+def build_remote(name, *, sequence=1):
+    return Remote(
+        instance=name,
+        data_centre="attiki-a",
+        region="attiki",
+        incarnation=1,
+        sequence=sequence,
+        leaving=False,
+        generation=1,
+        peer_address="127.0.0.1",
+        peer_port=7001,
+        http_port=8080,
+        free_slots=0,
+    )
+
+
+@pytest.fixture(name="pair")
+def make_pair():
+    """Return a network, and two daemons on it that know each other."""
+    network = Network()
+    first = network.add("a")
+    second = network.add("b")
+    # One daemon knows the other; the other learns of it by a heartbeat.
+    first.runtime.seeds = {
+        "b": Seed(
+            instance="b",
+            data_centre="attiki-a",
+            address="127.0.0.1",
+            peer_port=PORTS["b"],
+        )
+    }
+    network.beat()
+    network.beat()
+    return network, first, second
+
+
+def find_owned(daemon, owner):
+    daemon.beats.owners.refresh()
+    for upstream in daemon.runtime.upstreams.by_name.values():
+        if daemon.beats.owners.find(upstream) == owner:
+            return upstream
+    raise LookupError(owner)
+
+
+def test_daemons_learn_of_each_other(pair):
+    _, first, second = pair
+    assert first.runtime.members.members.keys() == {"a", "b"}
+    assert second.runtime.members.members.keys() == {"a", "b"}
+
+
+def test_a_burst_is_told_to_the_owner_in_one_notice(pair):
+    network, first, second = pair
+    upstream = find_owned(first, "b")
+    before = network.delivered
+    for _ in range(5):
+        first.runtime.upstreams.change_online(upstream, 1)
+    network.clock.advance(0)
+    assert network.delivered == before + 1
+    there = second.runtime.upstreams.by_name[upstream.name]
+    assert there.count_online() == 5
+    # The owner's own listeners run; nothing is sent back.
+    network.clock.advance(0)
+    assert network.delivered == before + 1
+
+
+def test_the_end_of_a_load_is_told(pair):
+    network, first, second = pair
+    upstream = find_owned(first, "b")
+    first.runtime.upstreams.change_online(upstream, 1)
+    network.clock.advance(0)
+    first.runtime.upstreams.change_online(upstream, -1)
+    network.beat()
+    assert not second.runtime.upstreams.by_name[upstream.name].peers
+
+
+def test_the_load_of_a_silent_peer_is_dropped(pair):
+    network, first, second = pair
+    upstream = find_owned(first, "b")
+    first.runtime.upstreams.change_online(upstream, 1)
+    network.clock.advance(0)
+    second.receipts.drop_silent(now=time.monotonic() + 3.0)
+    assert not second.runtime.upstreams.by_name[upstream.name].peers
+
+
+def test_an_older_message_changes_no_load(pair):
+    _, first, second = pair
+    loads = [InFlight(upstream="e1", online=3, batch=0)]
+    second.receipts.take_loads("c", (1, 5), loads)
+    older = [InFlight(upstream="e1", online=0, batch=0)]
+    second.receipts.take_loads("c", (1, 4), older)
+    assert second.runtime.upstreams.by_name["e1"].peers["c"].online == 3
+
+
+def test_a_restarted_peer_has_no_load(pair):
+    _, _, second = pair
+    loads = [InFlight(upstream="e1", online=3, batch=0)]
+    second.receipts.take_loads("c", (1, 5), loads)
+    second.receipts.take_loads("c", (2, 1), [])
+    assert not second.runtime.upstreams.by_name["e1"].peers
+
+
+def test_a_leaving_upstream_is_passed_on(pair):
+    network, first, second = pair
+    now = time.monotonic()
+    first.runtime.departures.announce("e1", now=now)
+    first.runtime.upstreams.mark_leaving("e1")
+    network.beat()
+    assert second.runtime.upstreams.by_name["e1"].leaving
+    assert second.runtime.departures.holds("e1", endpoint="x", now=now)
+
+
+def test_a_foreign_datagram_is_counted(pair):
+    _, first, _ = pair
+    first.datagrams.datagramReceived(b"x" * 40, None)
+    assert first.counters.foreign == 1
+
+
+@given(strategies.lists(strategies.text(max_size=60), max_size=120))
+def test_parts_of_a_heartbeat_fit_a_datagram(names):
+    heartbeat = Heartbeat(
+        sender=build_remote("a"),
+        in_flight=[InFlight(upstream=n, online=1, batch=1) for n in names],
+        leaving_upstreams=names,
+        remotes=[build_remote(name) for name in names[:40]],
+    )
+    parts = split_heartbeat(heartbeat)
+    assert [x for p in parts for x in p.leaving_upstreams] == names
+    for part in parts:
+        encoded = encode_message(build_heartbeat(part), key=KEY)
+        assert len(encoded) <= MAX_DATAGRAM_BYTES
+        decode_message(encoded, key=KEY)
+
+
+def test_zeros_are_told_for_some_beats():
+    told = ToldLoads()
+    told.complete("b", [InFlight(upstream="e1", online=1, batch=0)])
+    for _ in range(ZERO_BEATS):
+        (load,) = told.complete("b", [])
+        assert load.online == 0
+    assert told.complete("b", []) == []
--- a/packages/hollyspan_entry/hollyspan_entry/runtime/departures.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/departures.py
@@ -46,7 +46,11 @@
             True when it is news.
         """
         if endpoint is not None:
-            self.endpoints.setdefault(name, endpoint)
+            known = self.endpoints.setdefault(name, endpoint)
+            if known != endpoint:
+                # Another upstream of that name.
+                self.endpoints[name] = endpoint
+                self.announcements.times.pop(name, None)
         return self.announcements.announce(name, now=now)
 
     def holds(self, name, *, endpoint, now):
--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -32,6 +32,8 @@
         True once the daemon is about to stop.
     drain_hooks : list of callable
         Coroutine functions that are run at a planned stop, in order.
+    drain_listeners : list of callable
+        Called without arguments as soon as a planned stop begins.
     checks : dict
         Functions by name that return True when a part is ready.
     seeds : dict
@@ -40,6 +42,8 @@
         Upstreams that were announced as leaving.
     cancelled_jobs : Announcements
         Jobs whose cancel is passed on between daemons.
+    peer_counters : PeerCounters or None
+        Traffic between daemons.
     links : Links or None
         TCP links to other daemons.
     forward : callable or None
@@ -64,10 +68,12 @@
         "create_token",
         "draining",
         "drain_hooks",
+        "drain_listeners",
         "checks",
         "seeds",
         "departures",
         "cancelled_jobs",
+        "peer_counters",
         "links",
         "forward",
         "serve_forward",
@@ -100,10 +106,12 @@
         self.create_token = create_token
         self.draining = False
         self.drain_hooks = []
+        self.drain_listeners = []
         self.checks = {}
         self.seeds = {}
         self.departures = Departures()
         self.cancelled_jobs = Announcements()
+        self.peer_counters = None
         self.links = None
         self.forward = None
         self.serve_forward = None
--- a/packages/hollyspan_policy/hollyspan_policy/membership/table.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/table.py
@@ -70,6 +70,28 @@
             and data_centre in (None, member.data_centre)
         ]
 
+    def forget(self, *, before):
+        """Drop the daemons that were not heard since a time.
+
+        Parameters
+        ----------
+        before : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of str
+            Their names.
+        """
+        gone = [
+            name
+            for name, member in self.members.items()
+            if member.heard < before
+        ]
+        for name in gone:
+            del self.members[name]
+        return gone
+
 
 def order(member):
     return member.incarnation, member.sequence
