--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -6,6 +6,7 @@
 from .configuration import ConfigurationInvalidError
 from .configuration import SettingsInvalidError
 from .instances import InstanceListError
+from .peer import PeerAnswerError
 from .peer import PeerAuthenticationError
 from .peer import PeerMessageError
 from .peer import PeerUnavailableError
@@ -55,6 +56,7 @@
     "Outcome",
     "OutcomeUnknownError",
     "OverloadedError",
+    "PeerAnswerError",
     "PeerAuthenticationError",
     "PeerMessageError",
     "PeerUnavailableError",
--- a/packages/hollyspan_core/hollyspan_core/errors/peer.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/peer.py
@@ -1,8 +1,10 @@
 """Failures between daemons."""
 
 from .base import HollyspanError
+from .base import Outcome
 
 __all__ = [
+    "PeerAnswerError",
     "PeerAuthenticationError",
     "PeerMessageError",
     "PeerUnavailableError",
@@ -31,3 +33,32 @@
     status = 503
     kind = "server_error"
     code = "peer_unavailable"
+
+
+class PeerAnswerError(HollyspanError):
+    """A peer answered a call with a failure.
+
+    Parameters
+    ----------
+    content : dict
+        Its error object.
+    status : int
+        HTTP status towards the caller.
+    """
+
+    def __init__(self, *, content, status):
+        super().__init__(
+            str(content.get("message", "a peer failed")),
+            outcome=find_outcome(content.get("outcome")),
+            param=content.get("param"),
+            retry_after=content.get("retry_after"),
+        )
+        self.status = status
+        self.kind = str(content.get("type", "server_error"))
+        self.code = str(content.get("code", "peer_failed"))
+
+
+def find_outcome(value):
+    if value == Outcome.NOT_RUN.value:
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
--- a/packages/hollyspan_core/hollyspan_core/messages/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/__init__.py
@@ -5,6 +5,11 @@
 from .codec import encode_message
 from .codec import guard_reading
 from .codec import PeerMessage
+from .forward import build_forward_request
+from .forward import ForwardHead
+from .forward import ForwardRequest
+from .forward import read_forward_head
+from .forward import read_forward_request
 from .heartbeat import build_heartbeat
 from .heartbeat import Heartbeat
 from .heartbeat import read_heartbeat
@@ -18,12 +23,15 @@
 from .remote import Remote
 
 __all__ = [
+    "ForwardHead",
+    "ForwardRequest",
     "Heartbeat",
     "Hello",
     "InFlight",
     "Notice",
     "PeerMessage",
     "Remote",
+    "build_forward_request",
     "build_heartbeat",
     "build_hello",
     "build_notice",
@@ -31,6 +39,8 @@
     "decode_message",
     "encode_message",
     "guard_reading",
+    "read_forward_head",
+    "read_forward_request",
     "read_heartbeat",
     "read_hello",
     "read_notice",
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/links/answers.py
@@ -0,0 +1,180 @@
+"""Answers to the calls of other daemons."""
+
+import json
+
+import eliot
+from twisted.internet import defer
+import zstandard
+
+from hollyspan_core.errors import HollyspanError
+from hollyspan_core.errors import InvalidRequestError
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import PeerUnavailableError
+from hollyspan_core.messages import guard_reading
+from hollyspan_core.messages import PeerMessage
+from hollyspan_core.messages import read_forward_request
+
+from ...configurations import encode_configuration
+from .failure import encode_failure
+
+__all__ = ["Answers"]
+
+
+class Answers:
+    """Serves the links that other daemons open.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    """
+
+    __slots__ = ("runtime", "links", "kinds")
+
+    def __init__(self, *, runtime):
+        self.runtime = runtime
+        self.links = set()
+        self.kinds = {
+            "configurationPull": self.answer_configuration,
+            "statisticsPull": self.answer_statistics,
+            "forwardRequest": self.start_forward,
+            "forwardCancel": self.cancel_forward,
+        }
+
+    def receive(self, link, message):
+        """Answer one call; kinds that are unknown get a failure.
+
+        Parameters
+        ----------
+        link : Link
+        message : PeerMessage reader
+
+        Raises
+        ------
+        PeerMessageError
+            The message is damaged.
+        """
+        answer = self.kinds.get(message.which())
+        try:
+            if answer is None:
+                raise InvalidRequestError("no such call between daemons")
+            answer(link, message)
+        except InvalidRequestError as error:
+            send_failure(link, message.call, error)
+
+    def answer_configuration(self, link, message):
+        """Send the configuration when it is higher than the peer's."""
+        with guard_reading():
+            above = message.configurationPull.above
+        current = self.runtime.configurations.current
+        answer = PeerMessage.new_message()
+        answer.call = message.call
+        document = answer.init("configurationDocument")
+        if current is not None and current.generation > above:
+            document.generation = current.generation
+            document.document = pack(encode_configuration(current))
+        link.send(answer)
+
+    def answer_statistics(self, link, message):
+        """Send the statistics of a kind."""
+        with guard_reading():
+            kind = message.statisticsPull.kind
+        provide = self.runtime.links.providers.get(kind)
+        if provide is None:
+            raise InvalidRequestError("no such kind of statistics")
+        answer = PeerMessage.new_message()
+        answer.call = message.call
+        content = json.dumps(provide()).encode()
+        answer.init("statistics").document = pack(content)
+        link.send(answer)
+
+    def start_forward(self, link, message):
+        """Run a request of another data centre as an own one."""
+        request = read_forward_request(message)
+        call = message.call
+        running = defer.ensureDeferred(self.serve(link, call, request))
+        link.calls[call] = running
+
+        def forget(result):
+            link.calls.pop(call, None)
+
+        running.addErrback(log_failure)
+        running.addBoth(forget)
+
+    async def serve(self, link, call, request):
+        """Run a request and send its answer."""
+        try:
+            await self.run(link, call, request)
+        except defer.CancelledError:
+            return
+        except Exception as error:
+            if not isinstance(error, HollyspanError):
+                eliot.write_traceback()
+            self.send_end(link, call, error=encode_failure(error))
+            return
+        self.send_end(link, call, error=b"")
+
+    async def run(self, link, call, request):
+        if self.runtime.serve_forward is None:
+            raise PeerUnavailableError(
+                "this daemon takes no requests", outcome=Outcome.NOT_RUN
+            )
+
+        def send_head(head):
+            answer = PeerMessage.new_message()
+            answer.call = call
+            target = answer.init("forwardHead")
+            target.status = head.status
+            target.contentType = head.content_type
+            link.send(answer)
+
+        def send_data(data):
+            answer = PeerMessage.new_message()
+            answer.call = call
+            answer.init("forwardBody").data = data
+            link.send(answer)
+
+        await self.runtime.serve_forward(
+            request=request, on_head=send_head, on_data=send_data
+        )
+
+    def send_end(self, link, call, *, error):
+        if link.is_ended:
+            return
+        answer = PeerMessage.new_message()
+        answer.call = call
+        answer.init("forwardEnd").error = error
+        link.send(answer)
+
+    def cancel_forward(self, link, message):
+        """Stop a request whose caller is gone."""
+        running = link.calls.get(message.call)
+        if running is not None:
+            running.cancel()
+
+    def end_link(self, link):
+        """Stop what runs for a link that has ended."""
+        self.links.discard(link)
+        for running in list(link.calls.values()):
+            running.cancel()
+
+    def close(self):
+        """End all links."""
+        for link in list(self.links):
+            link.transport.abortConnection()
+
+
+def send_failure(link, call, error):
+    answer = PeerMessage.new_message()
+    answer.call = call
+    answer.init("failure").error = encode_failure(error)
+    link.send(answer)
+
+
+def pack(content):
+    return zstandard.ZstdCompressor().compress(content)
+
+
+def log_failure(failure):
+    eliot.log_message(
+        message_type="link:failed", reason=failure.getTraceback()
+    )
--- a/packages/hollyspan_entry/hollyspan_entry/peers/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/part.py
@@ -9,6 +9,7 @@
 from .beats import FAR_BEATS
 from .counters import PeerCounters
 from .datagrams import Datagrams
+from .links import open_links
 from .owners import Owners
 from .receipts import Receipts
 
@@ -29,6 +30,7 @@
     """
     with contextlib.ExitStack() as stack:
         beats = stack.enter_context(open_beats(runtime))
+        stack.enter_context(open_links(runtime))
         subscribe(runtime, beats)
         stack.enter_context(
             open_periodic(
