Add streams from engines: run, cancel, assemble

The jobs and the online path need one way to start, resume and cancel a stream. A broken connection is resumed at the offset on the same upstream; a start without an answer is never sent twice but found by a resume. The parser takes an event of one id and one data line without decoding it.

UpstreamAnswerError gains upstream_status and body; StreamMalformedError is new. Watch.stop called abortConnection, which the body transport of twisted.web's client lacks; it calls loseConnection now.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -30,6 +30,7 @@
 from .store import StoreUnavailableError
 from .store import StoreValueTooLargeError
 from .upstream import StreamLostError
+from .upstream import StreamMalformedError
 from .upstream import UpstreamAnswerError
 from .upstream import UpstreamLeavingError
 from .upstream import UpstreamUnavailableError
@@ -65,6 +66,7 @@
     "StoreUnavailableError",
     "StoreValueTooLargeError",
     "StreamLostError",
+    "StreamMalformedError",
     "UpstreamAnswerError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
--- a/packages/hollyspan_core/hollyspan_core/errors/upstream.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/upstream.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "StreamLostError",
+    "StreamMalformedError",
     "UpstreamAnswerError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
@@ -36,9 +37,31 @@
     code = "stream_lost"
 
 
+class StreamMalformedError(HollyspanError):
+    """The bytes of a stream are no valid event stream."""
+
+    status = 502
+    kind = "server_error"
+    code = "stream_malformed"
+
+
 class UpstreamAnswerError(HollyspanError):
-    """The upstream answered with an error."""
+    """The upstream answered with an error.
+
+    Parameters
+    ----------
+    message : str
+    upstream_status : int, optional
+        HTTP status of the answer; 200 for an error in mid-stream.
+    body : bytes, optional
+        Body of the answer or the error event's data.
+    """
 
     status = 502
     kind = "server_error"
     code = "upstream_error"
+
+    def __init__(self, message, *, upstream_status=None, body=b"", **details):
+        super().__init__(message, **details)
+        self.upstream_status = upstream_status
+        self.body = body
--- a/packages/hollyspan_entry/hollyspan_entry/store/watch.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/watch.py
@@ -2,12 +2,10 @@
 
 import json
 
-from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.web import client
-from twisted.web import iweb
-from zope.interface import implementer
 
+from ..http.producer import BytesProducer
 from .codec import decode_entry
 from .codec import encode_bytes
 from .codec import end_of_prefix
@@ -82,7 +80,7 @@
         """End the watch without a report."""
         self.stopped = True
         if self.connection is not None:
-            self.connection.abortConnection()
+            self.connection.loseConnection()
         elif self.request is not None:
             self.request.cancel()
 
@@ -105,25 +103,3 @@
 
     def connectionLost(self, reason=client.ResponseDone):
         self.watch.end()
-
-
-@implementer(iweb.IBodyProducer)
-class BytesProducer:
-    """Body of a request that is held in memory."""
-
-    def __init__(self, *, content):
-        self.content = content
-        self.length = len(content)
-
-    def startProducing(self, consumer):
-        consumer.write(self.content)
-        return defer.succeed(None)
-
-    def pauseProducing(self):
-        pass
-
-    def resumeProducing(self):
-        pass
-
-    def stopProducing(self):
-        pass
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/call.py
@@ -0,0 +1,128 @@
+"""Single calls to an upstream."""
+
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.web import client
+from twisted.web import http_headers
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import UpstreamUnavailableError
+
+from ..http.producer import BytesProducer
+from ..upstreams.state import note_state
+from ..upstreams.state import note_unreachable
+
+__all__ = ["CONNECTION_FAILURES", "open_response", "read_content"]
+
+# Failures before the first byte was sent.
+NEVER_SENT = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    error.DNSLookupError,
+)
+# Failures after which the upstream may have had the request.
+CONNECTION_FAILURES = (
+    defer.TimeoutError,
+    error.ConnectionDone,
+    error.ConnectionLost,
+    client.RequestNotSent,
+    client.RequestTransmissionFailed,
+    client.ResponseFailed,
+)
+MAX_ANSWER_BYTES = 64_000_000
+
+
+async def open_response(
+    *, runtime, upstream, method, path, headers, body, timeout
+):
+    """Send a request and return its response when the head is there.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    upstream : Upstream
+    method : bytes
+    path : str
+        Path and query.
+    headers : dict
+        bytes by bytes.
+    body : bytes or None
+    timeout : float
+        Seconds until the head must be there.
+
+    Returns
+    -------
+    IResponse
+
+    Raises
+    ------
+    UpstreamUnavailableError
+        ``not_run`` when nothing can have reached the upstream.
+    """
+    producer = None if body is None else BytesProducer(content=body)
+    raw = {name: [value] for name, value in headers.items()}
+    work = runtime.agent.request(
+        method,
+        f"{upstream.url}{path}".encode(),
+        http_headers.Headers(raw),
+        producer,
+    )
+    work.addTimeout(timeout, runtime.reactor)
+    try:
+        response = await work
+    except NEVER_SENT as failure:
+        note_unreachable(upstream)
+        raise UpstreamUnavailableError(
+            f"no connection to {upstream.name}", outcome=Outcome.NOT_RUN
+        ) from failure
+    except CONNECTION_FAILURES as failure:
+        raise UpstreamUnavailableError(
+            f"no answer from {upstream.name}", outcome=Outcome.UNKNOWN
+        ) from failure
+    note_state(runtime, upstream, response)
+    return response
+
+
+async def read_content(response, *, runtime, upstream, timeout):
+    """Read the whole body of a response.
+
+    Parameters
+    ----------
+    response : IResponse
+    runtime : Runtime
+    upstream : Upstream
+    timeout : float
+        Seconds.
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    UpstreamUnavailableError
+        The connection broke, or the body is too large.
+    """
+    parts = []
+    count = 0
+
+    def collect(data):
+        nonlocal count
+        count += len(data)
+        if count <= MAX_ANSWER_BYTES:
+            parts.append(data)
+
+    work = treq.collect(response, collect)
+    work.addTimeout(timeout, runtime.reactor)
+    try:
+        await work
+    except CONNECTION_FAILURES as failure:
+        raise UpstreamUnavailableError(
+            f"the answer of {upstream.name} broke off"
+        ) from failure
+    if count > MAX_ANSWER_BYTES:
+        raise UpstreamUnavailableError(
+            f"the answer of {upstream.name} is too large"
+        )
+    return b"".join(parts)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/cancellation.py
@@ -0,0 +1,70 @@
+"""Cancellation of streams at engines."""
+
+import json
+
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.web import client
+
+__all__ = ["cancel_stream", "send_cancel"]
+
+CANCEL_TRIES = 3
+# What a call to an upstream can fail with, besides a faulty answer.
+CALL_FAILURES = (
+    defer.TimeoutError,
+    error.ConnectError,
+    error.ConnectionDone,
+    error.ConnectionLost,
+    client.ResponseFailed,
+    client.RequestTransmissionFailed,
+)
+
+
+async def cancel_stream(*, runtime, upstream, stream_id):
+    """Stop a stream at its engine and free its slot.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    upstream : Upstream
+    stream_id : str
+
+    Returns
+    -------
+    int or None
+        Events that the engine sent until the cancel; None when the engine
+        does not know the stream or cannot be reached.
+    """
+    for _ in range(CANCEL_TRIES):
+        work = defer.ensureDeferred(
+            post_cancel(runtime, upstream=upstream, stream_id=stream_id)
+        )
+        work.addTimeout(runtime.settings.timing.order_timeout, runtime.reactor)
+        try:
+            return await work
+        except CALL_FAILURES:
+            continue
+        except (ValueError, TypeError, KeyError):
+            return None
+    return None
+
+
+async def post_cancel(runtime, *, upstream, stream_id):
+    response = await treq.post(
+        f"{upstream.url}/v1/streams/{stream_id}/cancel",
+        data=b"{}",
+        headers={"content-type": "application/json"},
+        agent=runtime.agent,
+    )
+    content = await treq.content(response)
+    if response.code != 200:
+        return None
+    return int(json.loads(content)["offset"])
+
+
+def send_cancel(runtime, *, upstream, stream_id):
+    """Send a cancel without waiting for its answer."""
+    defer.ensureDeferred(
+        cancel_stream(runtime=runtime, upstream=upstream, stream_id=stream_id)
+    )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/parser.py
@@ -0,0 +1,102 @@
+"""Parsing of server-sent events."""
+
+from hollyspan_core.errors import StreamMalformedError
+
+__all__ = ["EventParser"]
+
+MAX_EVENT_BYTES = 1_000_000
+MAX_OFFSET_DIGITS = 12
+ERROR_PREFIXES = (b'{"error"', b'{ "error"')
+
+
+class EventParser:
+    """Splits the bytes of a stream into events.
+
+    Parameters
+    ----------
+    on_event : callable
+        Called with the offset of an event and its data. The offset is None
+        for an event without an ``id`` line.
+
+    Notes
+    -----
+    An event of one ``id`` line and one ``data`` line, which is what engines
+    send for each token, is split without looking at its other bytes; all
+    others go through the general rules of the format [1]_.
+
+    References
+    ----------
+    .. [1] WHATWG HTML, "Server-sent events",
+       https://html.spec.whatwg.org/multipage/server-sent-events.html
+    """
+
+    __slots__ = ("on_event", "rest")
+
+    def __init__(self, *, on_event):
+        self.on_event = on_event
+        self.rest = b""
+
+    def feed(self, data):
+        """Take in bytes and report the events that they complete.
+
+        Parameters
+        ----------
+        data : bytes
+
+        Raises
+        ------
+        StreamMalformedError
+            The bytes are no event stream, or an event is too large.
+        """
+        if self.rest:
+            data = self.rest + data
+        if b"\r" in data:
+            data = convert_line_ends(data)
+        *blocks, self.rest = data.split(b"\n\n")
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise StreamMalformedError(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes"
+            )
+        for block in blocks:
+            head, separator, content = block.partition(b"\ndata: ")
+            number = head[4:]
+            if (
+                separator
+                and head[:4] == b"id: "
+                and number.isdigit()
+                and len(number) <= MAX_OFFSET_DIGITS
+                and b"\n" not in content
+            ):
+                self.on_event(int(number), content)
+            elif block:
+                self.parse_block(block)
+
+    def parse_block(self, block):
+        """Parse one event by the general rules."""
+        offset = None
+        lines = []
+        for line in block.split(b"\n"):
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == b"data":
+                lines.append(value)
+            elif name == b"id":
+                offset = parse_offset(value)
+        if lines:
+            self.on_event(offset, b"\n".join(lines))
+
+
+def parse_offset(value):
+    if not value.isdigit() or len(value) > MAX_OFFSET_DIGITS:
+        raise StreamMalformedError("the id of an event is no number")
+    return int(value)
+
+
+def convert_line_ends(data):
+    """Replace CRLF and CR by LF; a CR at the end may be half of a CRLF."""
+    end = b""
+    if data.endswith(b"\r"):
+        data = data[:-1]
+        end = b"\r"
+    data = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+    return data + end
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/conftest.py
@@ -0,0 +1,114 @@
+"""A scripted engine on a real socket."""
+
+import json
+import types
+
+import pytest
+from twisted.internet import reactor
+from twisted.web import client
+from twisted.web import resource
+from twisted.web import server
+
+from hollyspan_core.settings.timing import Timing
+from hollyspan_entry.upstreams import Upstream
+from hollyspan_entry.upstreams import Upstreams
+
+
+class ScriptedEngine(resource.Resource):
+    """Sends given events; closes the connection after some of them."""
+
+    isLeaf = True
+
+    def __init__(self, *, events, cuts=(), refusal=None, silent=False):
+        super().__init__()
+        self.events = events
+        self.cuts = list(cuts)
+        self.refusal = refusal
+        self.silent = silent
+        self.calls = []
+        self.bodies = []
+
+    def render(self, request):
+        path = request.uri.decode()
+        self.calls.append((request.method.decode(), path))
+        if path.endswith("/cancel"):
+            return b'{"offset": 2}'
+        if self.refusal:
+            status, content, headers = self.refusal
+            request.setResponseCode(status)
+            for name, value in headers.items():
+                request.setHeader(name, value)
+            return content
+        self.bodies.append(request.content.read())
+        offset = int(request.args.get(b"offset", [b"0"])[0])
+        self.send(request, offset)
+        return server.NOT_DONE_YET
+
+    def send(self, request, offset):
+        cut = self.cuts.pop(0) if self.cuts else None
+        if cut == 0:
+            request.channel.transport.abortConnection()
+            return
+        end = len(self.events) if cut is None else cut
+        for number in range(offset, end):
+            data = self.events[number]
+            request.write(b"id: %d\ndata: %s\n\n" % (number + 1, data))
+        if cut is not None:
+            reactor.callLater(0.02, request.channel.transport.loseConnection)
+        elif not self.silent:
+            request.write(b"data: [DONE]\n\n")
+            request.finish()
+
+
+def build_events(count):
+    return [
+        json.dumps(
+            {
+                "id": "s",
+                "choices": [{"index": 0, "delta": {"content": f"t{n} "}}],
+            }
+        ).encode()
+        for n in range(count)
+    ]
+
+
+class EngineBench:
+    """Starts engines and a runtime that calls them."""
+
+    def __init__(self):
+        self.ports = []
+        self.pool = client.HTTPConnectionPool(reactor, persistent=False)
+        timing = Timing(connect_timeout=1.0, order_timeout=1.0)
+        self.runtime = types.SimpleNamespace(
+            reactor=reactor,
+            agent=client.Agent(reactor, pool=self.pool, connectTimeout=1.0),
+            upstreams=Upstreams(),
+            settings=types.SimpleNamespace(timing=timing),
+        )
+
+    def start(self, *, count=5, **script):
+        engine = ScriptedEngine(events=build_events(count), **script)
+        site = server.Site(engine)
+        port = reactor.listenTCP(0, site, interface="127.0.0.1")
+        self.ports.append(port)
+        upstream = Upstream(
+            name=f"engine-{len(self.ports)}",
+            kind="engine",
+            service="m",
+            data_centre="a",
+            address="127.0.0.1",
+            port=port.getHost().port,
+            slots=4,
+        )
+        self.runtime.upstreams.add(upstream)
+        return engine, upstream
+
+    async def close(self):
+        while self.ports:
+            await self.ports.pop().stopListening()
+
+
+@pytest.fixture(autouse=True)
+def add_bench(request):
+    if request.cls is not None:
+        request.cls.create_bench = staticmethod(EngineBench)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_parser.py
@@ -0,0 +1,59 @@
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from hollyspan_core.errors import StreamMalformedError
+from hollyspan_entry.streams import EventParser
+
+
+def parse(*parts):
+    events = []
+    parser = EventParser(on_event=lambda *event: events.append(event))
+    for part in parts:
+        parser.feed(part)
+    return events
+
+
+def test_plain_events():
+    content = b"id: 1\ndata: {}\n\nid: 2\ndata: x\n\ndata: [DONE]\n\n"
+    assert parse(content) == [(1, b"{}"), (2, b"x"), (None, b"[DONE]")]
+
+
+def test_general_rules():
+    content = b": note\r\n\r\nevent: e\r\nid:7\r\ndata: a\r\ndata:b\r\n\r\n"
+    assert parse(content) == [(7, b"a\nb")]
+
+
+def test_faulty_id():
+    with pytest.raises(StreamMalformedError):
+        parse(b"id: seven\ndata: x\n\n")
+
+
+def test_endless_event():
+    with pytest.raises(StreamMalformedError):
+        parse(b"data: " + b"x" * 1_000_001)
+
+
+@given(
+    st.lists(st.binary(max_size=30), max_size=8),
+    st.lists(st.integers(0, 300), max_size=6),
+    st.sampled_from([b"\n", b"\r\n"]),
+)
+def test_any_split_gives_the_same_events(datas, cuts, line_end):
+    datas = [d.replace(b"\n", b"").replace(b"\r", b"") for d in datas]
+    content = b"".join(
+        b"id: %d%sdata: %s%s" % (n, line_end, data, line_end * 2)
+        for n, data in enumerate(datas, 1)
+    )
+    places = [0, *sorted(min(c, len(content)) for c in cuts), len(content)]
+    parts = [content[a:b] for a, b in zip(places, places[1:])]
+    assert parse(*parts) == list(enumerate(datas, 1))
+
+
+@given(st.lists(st.binary(max_size=60), max_size=5))
+def test_any_bytes_give_events_or_a_typed_error(parts):
+    try:
+        events = parse(*parts)
+    except StreamMalformedError:
+        return
+    assert all(o is None or isinstance(o, int) for o, _ in events)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
@@ -0,0 +1,156 @@
+import json
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.trial import unittest
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamMalformedError
+from hollyspan_core.errors import UpstreamAnswerError
+from hollyspan_core.errors import UpstreamLeavingError
+from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_entry.streams import assemble_answer
+from hollyspan_entry.streams import cancel_stream
+from hollyspan_entry.streams import run_stream
+
+PATH = "/v1/chat/completions"
+
+
+class RunStreamTest(unittest.TestCase):
+    def setUp(self):
+        self.bench = self.create_bench()
+        self.addCleanup(self.close)
+        self.events = []
+
+    def close(self):
+        return defer.ensureDeferred(self.bench.close())
+
+    def run_one(self, upstream, **details):
+        return defer.ensureDeferred(
+            run_stream(
+                runtime=self.bench.runtime,
+                upstream=upstream,
+                path=PATH,
+                body={"model": "m"},
+                stream_id="s",
+                key="online/1",
+                request_class="online",
+                on_event=lambda *event: self.events.append(event),
+                **{"idle_timeout": 2.0, **details},
+            )
+        )
+
+    def get_offsets(self):
+        return [offset for offset, _ in self.events]
+
+    async def test_whole_stream(self):
+        engine, upstream = self.bench.start()
+        await self.run_one(upstream)
+        self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
+        answer = assemble_answer([d for _, d in self.events], path=PATH)
+        content = answer["choices"][0]["message"]["content"]
+        self.assertEqual(content, "t0 t1 t2 t3 t4 ")
+        self.assertTrue(json.loads(engine.bodies[0])["stream"])
+
+    async def test_breaks_are_resumed_at_the_offset(self):
+        engine, upstream = self.bench.start(cuts=[2, 4])
+        await self.run_one(upstream)
+        self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
+        self.assertEqual(
+            engine.calls,
+            [
+                ("POST", PATH),
+                ("GET", "/v1/streams/s?offset=2"),
+                ("GET", "/v1/streams/s?offset=4"),
+            ],
+        )
+
+    async def test_break_before_the_answer_is_never_a_second_start(self):
+        engine, upstream = self.bench.start(cuts=[0])
+        await self.run_one(upstream)
+        self.assertEqual([m for m, _ in engine.calls], ["POST", "GET"])
+        self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
+
+    async def test_resume_at_an_offset(self):
+        engine, upstream = self.bench.start()
+        await self.run_one(upstream, offset=3)
+        self.assertEqual(self.get_offsets(), [4, 5])
+        self.assertEqual([m for m, _ in engine.calls], ["GET"])
+
+    async def test_refused_connection(self):
+        _, upstream = self.bench.start()
+        await self.bench.close()
+        error = await self.assertFailure(
+            self.run_one(upstream), UpstreamUnavailableError
+        )
+        self.assertIs(error.outcome, Outcome.NOT_RUN)
+        self.assertFalse(upstream.reachable)
+
+    async def test_leaving(self):
+        headers = {b"x-upstream-state": b"leaving"}
+        _, upstream = self.bench.start(refusal=(503, b"{}", headers))
+        error = await self.assertFailure(
+            self.run_one(upstream), UpstreamLeavingError
+        )
+        self.assertIs(error.outcome, Outcome.NOT_RUN)
+        self.assertTrue(upstream.leaving)
+
+    async def test_error_answer(self):
+        _, upstream = self.bench.start(refusal=(400, b"{}", {}))
+        error = await self.assertFailure(
+            self.run_one(upstream), UpstreamAnswerError
+        )
+        self.assertEqual((error.upstream_status, error.body), (400, b"{}"))
+        self.assertIs(error.outcome, Outcome.UNKNOWN)
+
+    async def test_unknown_stream(self):
+        _, upstream = self.bench.start(refusal=(404, b"{}", {}))
+        await self.assertFailure(
+            self.run_one(upstream, offset=2), StreamLostError
+        )
+
+    async def test_error_in_mid_stream(self):
+        engine, upstream = self.bench.start()
+        engine.events[2] = b'{"error": {"message": "m"}}'
+        error = await self.assertFailure(
+            self.run_one(upstream), UpstreamAnswerError
+        )
+        self.assertEqual(error.upstream_status, 200)
+        self.assertEqual(self.get_offsets(), [1, 2])
+
+    async def test_missing_events(self):
+        engine, upstream = self.bench.start()
+        engine.send = lambda request, offset: request.write(
+            b"id: 1\ndata: a\n\nid: 3\ndata: b\n\n"
+        )
+        await self.assertFailure(self.run_one(upstream), StreamMalformedError)
+        self.assertEqual(self.get_offsets(), [1])
+        await task.deferLater(reactor, 0.1)
+        self.assertIn(("POST", "/v1/streams/s/cancel"), engine.calls)
+
+    async def test_cancelled_deferred_cancels_at_the_engine(self):
+        engine, upstream = self.bench.start(silent=True)
+        work = self.run_one(upstream)
+        await task.deferLater(reactor, 0.1)
+        work.cancel()
+        await self.assertFailure(work, defer.CancelledError)
+        await task.deferLater(reactor, 0.1)
+        self.assertIn(("POST", "/v1/streams/s/cancel"), engine.calls)
+
+    async def test_idle_connection_is_resumed(self):
+        engine, upstream = self.bench.start(silent=True)
+        work = self.run_one(upstream, idle_timeout=0.2)
+        await task.deferLater(reactor, 0.1)
+        engine.silent = False
+        await work
+        self.assertEqual(engine.calls[1], ("GET", "/v1/streams/s?offset=5"))
+        self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
+
+    async def test_cancel_stream(self):
+        _, upstream = self.bench.start()
+        offset = await cancel_stream(
+            runtime=self.bench.runtime, upstream=upstream, stream_id="s"
+        )
+        self.assertEqual(offset, 2)
