Poll the state of upstreams

Health, load and cache events of the own data centre, each upstream in parallel with a bounded call.

--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -1,5 +1,9 @@
 """Shared state of one daemon."""
 
+from opentelemetry.metrics import NoOpMeter
+
+from hollyspan_policy.routing import AffinityTable
+
 from .announcements import Announcements
 from .departures import Departures
 
@@ -49,6 +53,12 @@
         Coroutine function that runs a request of another data centre here.
     burn : Burn or None
         Service-level counters.
+    affinity : AffinityTable
+        Which upstream holds which prompt blocks.
+    meter : opentelemetry.metrics.Meter
+        Creates instruments.
+    request_listeners : list of callable
+        Called with a RequestRecord at the end of each online request.
     """
 
     __slots__ = (
@@ -72,6 +82,9 @@
         "forward",
         "serve_forward",
         "burn",
+        "affinity",
+        "meter",
+        "request_listeners",
     )
 
     def __init__(
@@ -108,3 +121,6 @@
         self.forward = None
         self.serve_forward = None
         self.burn = None
+        self.affinity = AffinityTable()
+        self.meter = NoOpMeter("hollyspan")
+        self.request_listeners = []
--- a/packages/hollyspan_entry/hollyspan_entry/streams/assembly.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/assembly.py
@@ -59,7 +59,7 @@
 def decode_chunk(event):
     try:
         chunk = json.loads(event)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StreamMalformedError("a chunk is no JSON") from error
     if not isinstance(chunk, dict):
         raise StreamMalformedError("a chunk is no JSON object")
--- a/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
@@ -1,5 +1,7 @@
 """Reading of one connection that carries a stream."""
 
+import time
+
 from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.web import client
@@ -36,13 +38,13 @@
         self.failed = False
         self.paused = False
         self.timer = None
-        self.active = clock.seconds()
+        self.active = time.monotonic()
 
     def connectionMade(self):
         self.timer = self.clock.callLater(self.idle_timeout, self.check_idle)
 
     def dataReceived(self, data):
-        self.active = self.clock.seconds()
+        self.active = time.monotonic()
         if self.failed:
             return
         try:
@@ -76,7 +78,7 @@
 
     def check_idle(self):
         """Close the connection when it was idle for too long."""
-        now = self.clock.seconds()
+        now = time.monotonic()
         if self.paused:
             self.active = now
         left = self.active + self.idle_timeout - now
@@ -93,7 +95,7 @@
     def resumeProducing(self):
         """Read on."""
         self.paused = False
-        self.active = self.clock.seconds()
+        self.active = time.monotonic()
         self.transport.resumeProducing()
 
     def stopProducing(self):
--- a/packages/hollyspan_entry/hollyspan_entry/streams/run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/run.py
@@ -9,6 +9,8 @@
 
 __all__ = ["run_stream"]
 
+FIRST_EVENT_TRIES = 5
+
 
 async def run_stream(
     *,
@@ -24,6 +26,7 @@
     idle_timeout,
     resume=False,
     on_connection=None,
+    first_event_tries=FIRST_EVENT_TRIES,
 ):
     """Run a stream on one upstream until it is whole.
 
@@ -85,6 +88,7 @@
         offset=offset,
         idle_timeout=idle_timeout,
         on_connection=on_connection,
+        first_event_tries=first_event_tries,
     )
     response = None
     try:
--- a/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
@@ -11,10 +11,10 @@
 from hollyspan_core.errors import UpstreamLeavingError
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..upstreams.call import open_response
+from ..upstreams.call import read_content
 from ..upstreams.state import is_leaving_answer
 from ..upstreams.state import read_code
-from .call import open_response
-from .call import read_content
 from .parser import ERROR_PREFIXES
 from .parser import EventParser
 from .reader import StreamReader
@@ -24,6 +24,8 @@
 # Seconds before each resume after a break without progress; their sum lies
 # within the resume window of the engines.
 RESUME_DELAYS = (0.02, 0.1, 0.3, 1.0, 2.0)
+# Time until the head of a resume's answer must be there.
+RESUME_TIMEOUT_SECONDS = 2.0
 DONE = b"[DONE]"
 
 
@@ -48,6 +50,7 @@
     offset : int
     idle_timeout : float
     on_connection : callable or None
+    first_event_tries : int
     """
 
     __slots__ = (
@@ -59,6 +62,7 @@
         "offset",
         "idle_timeout",
         "on_connection",
+        "first_event_tries",
         "done",
     )
 
@@ -74,6 +78,7 @@
         offset,
         idle_timeout,
         on_connection,
+        first_event_tries,
     ):
         self.runtime = runtime
         self.upstream = upstream
@@ -87,6 +92,7 @@
         self.offset = offset
         self.idle_timeout = idle_timeout
         self.on_connection = on_connection
+        self.first_event_tries = first_event_tries
         self.done = False
 
     def take_event(self, offset, data):
@@ -153,7 +159,7 @@
                 return
             if self.offset > before:
                 failures = 0
-            if failures == len(RESUME_DELAYS):
+            if failures >= self.count_tries():
                 raise StreamLostError(
                     f"no connection to {self.upstream.name} for a resume"
                 )
@@ -163,6 +169,11 @@
             failures += 1
             response = await self.open_resume()
 
+    def count_tries(self):
+        """Return how many resumes without progress are tried."""
+        tries = len(RESUME_DELAYS)
+        return tries if self.offset else min(tries, self.first_event_tries)
+
     async def read(self, response):
         """Read one connection to its end."""
         reader = StreamReader(
@@ -186,7 +197,7 @@
                 path=f"/v1/streams/{self.stream_id}?offset={self.offset}",
                 headers=self.headers,
                 body=None,
-                timeout=self.idle_timeout,
+                timeout=min(self.idle_timeout, RESUME_TIMEOUT_SECONDS),
             )
         except UpstreamUnavailableError:
             return None
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/__init__.py
@@ -1,7 +1,8 @@
 """The upstreams that this daemon knows."""
 
 from .peerload import PeerLoad
+from .polling import open_upstreams
 from .registry import Upstreams
 from .upstream import Upstream
 
-__all__ = ["PeerLoad", "Upstream", "Upstreams"]
+__all__ = ["PeerLoad", "Upstream", "Upstreams", "open_upstreams"]
--- a/packages/hollyspan_entry/hollyspan_entry/streams/call.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/call.py
@@ -1,5 +1,7 @@
 """Single calls to an upstream."""
 
+import json
+
 import treq
 from twisted.internet import defer
 from twisted.internet import error
@@ -10,10 +12,15 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 
 from ..http.producer import BytesProducer
-from ..upstreams.state import note_state
-from ..upstreams.state import note_unreachable
+from .state import note_state
+from .state import note_unreachable
 
-__all__ = ["CONNECTION_FAILURES", "open_response", "read_content"]
+__all__ = [
+    "CONNECTION_FAILURES",
+    "fetch_json",
+    "open_response",
+    "read_content",
+]
 
 # Failures before the first byte was sent.
 NEVER_SENT = (
@@ -126,3 +133,45 @@
             f"the answer of {upstream.name} is too large"
         )
     return b"".join(parts)
+
+
+async def fetch_json(*, runtime, upstream, path, timeout):
+    """Get a JSON object from an upstream.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    upstream : Upstream
+    path : str
+    timeout : float
+        Seconds for the head, and again for the body.
+
+    Returns
+    -------
+    dict
+        Empty when the upstream answers with anything else.
+
+    Raises
+    ------
+    UpstreamUnavailableError
+        There is no answer.
+    """
+    response = await open_response(
+        runtime=runtime,
+        upstream=upstream,
+        method=b"GET",
+        path=path,
+        headers={},
+        body=None,
+        timeout=timeout,
+    )
+    content = await read_content(
+        response, runtime=runtime, upstream=upstream, timeout=timeout
+    )
+    if response.code != 200:
+        return {}
+    try:
+        document = json.loads(content)
+    except (ValueError, RecursionError):
+        return {}
+    return document if isinstance(document, dict) else {}
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/state.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/state.py
@@ -55,7 +55,7 @@
     """Return the code of an error body, or None."""
     try:
         content = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     error = content.get("error") if isinstance(content, dict) else None
     return error.get("code") if isinstance(error, dict) else None
