Serve chat, completions and models, non-idempotent ones at most once

Requests are checked, held to limits and shares, admitted by deadline, routed by the policy and relayed from the engine's stream. A non-idempotent request creates its record in the store before its first byte; its answer is kept there and a resend gets the same bytes, through any daemon.

--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -19,9 +19,11 @@
 from .http import AsyncResource
 from .http import write_json
 from .instances import open_instances
+from .online import open_online
 from .peers import open_peers
 from .runtime import Runtime
 from .store import open_store
+from .upstreams import open_upstreams
 from .upstreams import Upstreams
 
 __all__ = ["run_daemon"]
@@ -96,6 +98,8 @@
     open_configurations,
     open_instances,
     open_peers,
+    open_upstreams,
+    open_online,
 )
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
@@ -1,16 +1,24 @@
 """Parts that all HTTP resources of the daemon share."""
 
+from .answer import encode_error
 from .answer import write_error
 from .answer import write_json
 from .auth import authenticate
 from .auth import sign_key
 from .body import read_body
 from .body import read_json
+from .caller import identify_caller
+from .producer import BytesProducer
 from .resource import AsyncResource
+from .tree import add_resource
 
 __all__ = [
     "AsyncResource",
+    "BytesProducer",
+    "add_resource",
     "authenticate",
+    "encode_error",
+    "identify_caller",
     "read_body",
     "read_json",
     "sign_key",
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/once/__init__.py
@@ -0,0 +1,17 @@
+"""Requests that run at most once."""
+
+from .answer import Answer
+from .names import build_once_key
+from .names import digest_body
+from .record import OnceRecord
+from .run import OnceRun
+from .wait import run_once
+
+__all__ = [
+    "Answer",
+    "OnceRecord",
+    "OnceRun",
+    "build_once_key",
+    "digest_body",
+    "run_once",
+]
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/once/names.py
@@ -0,0 +1,43 @@
+"""Names and digests of non-idempotent requests."""
+
+import hashlib
+
+__all__ = ["build_once_key", "digest_body"]
+
+
+def build_once_key(workspace, key):
+    """Return the store's key for a request.
+
+    Parameters
+    ----------
+    workspace : str
+    key : str
+        The caller's ``Idempotency-Key``.
+
+    Returns
+    -------
+    str
+
+    Examples
+    --------
+    >>> build_once_key("dev", "k")[:18]
+    'once/dev/8254c329a'
+    """
+    return f"once/{workspace}/{hashlib.sha256(key.encode()).hexdigest()}"
+
+
+def digest_body(method, path, body):
+    """Return a digest that tells whether a resend asks for the same.
+
+    Parameters
+    ----------
+    method, path : str
+    body : bytes
+
+    Returns
+    -------
+    str
+    """
+    digest = hashlib.sha256(f"{method} {path}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/online/choice.py
@@ -0,0 +1,62 @@
+"""Choice of the upstream for one attempt."""
+
+import time
+
+from hollyspan_core.errors import OverloadedError
+from hollyspan_policy.admission import decide_admission
+from hollyspan_policy.routing import choose_upstream
+
+__all__ = ["choose"]
+
+NO_UPSTREAM_RETRY_SECONDS = 2.0
+
+
+def choose(state, request, *, tried):
+    """Choose an upstream of the own data centre.
+
+    Parameters
+    ----------
+    state : OnlineState
+    request : OnlineRequest
+    tried : set of str
+        Upstreams that attempts of this request went to.
+
+    Returns
+    -------
+    tuple of (Upstream or None, Admission)
+        None when no upstream makes the deadline.
+    """
+    runtime = state.runtime
+    now = time.monotonic()
+    upstreams = runtime.upstreams.list_for(
+        request.service, data_centre=runtime.settings.data_centre
+    )
+    views = [
+        upstream.build_view(now=now)
+        for upstream in upstreams
+        if upstream.name not in tried
+    ]
+    seconds = state.get_service_seconds(request.service)
+    verdict = decide_admission(
+        views,
+        service_seconds=seconds,
+        deadline_seconds=max(0.0, request.deadline - now - seconds),
+    )
+    if not verdict.accepted:
+        return None, verdict
+    view = choose_upstream(
+        views,
+        blocks=request.blocks,
+        affinity=runtime.affinity,
+        seed=request.identifier,
+        service_seconds=seconds,
+    )
+    return runtime.upstreams.by_name[view.name], verdict
+
+
+def build_refusal(verdict):
+    """Return the error for a request that is not taken in."""
+    return OverloadedError(
+        "no upstream has room within the deadline",
+        retry_after=verdict.retry_after or NO_UPSTREAM_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/online/part.py
@@ -0,0 +1,68 @@
+"""The online path as a part of the daemon."""
+
+import contextlib
+
+from twisted.internet import task
+
+from ..http import add_resource
+from ..http import AsyncResource
+from .handler import build_handler
+from .models import build_models_handler
+from .reading import CHAT_PATH
+from .reading import COMPLETION_PATH
+from .state import OnlineState
+
+__all__ = ["open_online"]
+
+DRAIN_POLL_SECONDS = 0.05
+
+
+@contextlib.contextmanager
+def open_online(runtime):
+    """Serve requests for models.
+
+    Parameters
+    ----------
+    runtime : Runtime
+
+    Yields
+    ------
+    OnlineState
+    """
+    state = OnlineState(runtime=runtime)
+    runtime.online = state
+    runtime.configurations.subscribe(build_updater(state))
+    handlers = {
+        CHAT_PATH: build_handler(state, CHAT_PATH),
+        COMPLETION_PATH: build_handler(state, COMPLETION_PATH),
+        "/v1/models": build_models_handler(state),
+    }
+    for path, handle in handlers.items():
+        add_resource(
+            runtime.root, path.lstrip("/"), AsyncResource(handle=handle)
+        )
+    runtime.drain_hooks.append(build_drain_hook(state))
+    yield state
+
+
+def build_updater(state):
+    def update(configuration):
+        defaults = configuration.document["defaults"]
+        state.budget.ratio = defaults["retry"]["budget_ratio"]
+
+    return update
+
+
+def build_drain_hook(state):
+    """Return a hook that waits until all requests are answered."""
+    reactor = state.runtime.reactor
+
+    async def finish_requests():
+        limit = state.runtime.settings.timing.drain_limit
+        tries = int(limit / DRAIN_POLL_SECONDS)
+        for _ in range(tries):
+            if not state.in_flight and not state.runs:
+                return
+            await task.deferLater(reactor, DRAIN_POLL_SECONDS)
+
+    return finish_requests
--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -59,6 +59,8 @@
         Creates instruments.
     request_listeners : list of callable
         Called with a RequestRecord at the end of each online request.
+    online : OnlineState or None
+        Limits, retry budget and runs that online requests share.
     """
 
     __slots__ = (
@@ -85,6 +87,7 @@
         "affinity",
         "meter",
         "request_listeners",
+        "online",
     )
 
     def __init__(
@@ -124,3 +127,4 @@
         self.affinity = AffinityTable()
         self.meter = NoOpMeter("hollyspan")
         self.request_listeners = []
+        self.online = None
--- a/packages/hollyspan_entry/hollyspan_entry/store/watch.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/watch.py
@@ -5,7 +5,7 @@
 from twisted.internet import protocol
 from twisted.web import client
 
-from ..http.producer import BytesProducer
+from ..http import BytesProducer
 from .codec import decode_entry
 from .codec import encode_bytes
 from .codec import end_of_prefix
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/call.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/call.py
@@ -11,7 +11,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import UpstreamUnavailableError
 
-from ..http.producer import BytesProducer
+from ..http import BytesProducer
 from .state import note_state
 from .state import note_unreachable
 
