--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,138 @@
+"""Cost of the relay from engine to caller.
+
+Measures the processor time that a daemon takes for each token event, and
+the time that it adds to the first token, against a client that talks to
+the engine directly in the same run.
+"""
+
+import argparse
+import json
+from pathlib import Path
+import statistics
+import time
+
+import psutil
+from relay_client import run_streams
+
+from hollyspan_standins.deployment import build_configuration
+from hollyspan_standins.deployment import CALLER_KEY
+from hollyspan_standins.deployment import open_deployment
+from hollyspan_standins.deployment import Place
+
+MODEL = "pips-lm"
+SETTLE_SECONDS = 3.0
+MICROSECONDS = 1_000_000
+MILLISECONDS = 1_000
+
+
+def main():
+    """Run the measurement and write its result as JSON."""
+    options = read_options()
+    with open_deployment(
+        places=[Place(data_centre="attiki-a", region="attiki")],
+        model=MODEL,
+        slots=options.streams,
+        configuration=build_limits(options.streams),
+        engine_options=("--step-base", str(options.step)),
+        seed=options.seed,
+    ) as deployment:
+        time.sleep(SETTLE_SECONDS)
+        result = measure(deployment, options)
+    print(json.dumps(result, indent=2))
+    if options.output:
+        Path(options.output).write_text(json.dumps(result, indent=2) + "\n")
+
+
+def read_options():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", type=int, default=50)
+    parser.add_argument("--tokens", type=int, default=200)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--step", type=float, default=0.02, help="seconds")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--output", metavar="PATH")
+    return parser.parse_args()
+
+
+def build_limits(streams):
+    return build_configuration(
+        model=MODEL,
+        services=["clock"],
+        slots=streams,
+        workspace={
+            "requests_per_second": 10 * streams,
+            "concurrent_requests": 2 * streams,
+        },
+    )
+
+
+def measure(deployment, options):
+    """Alternate rounds against the engine and through the daemon."""
+    daemon = deployment.daemon_names[0]
+    engine = deployment.list_upstreams()[0]
+    process = psutil.Process(deployment.find(daemon).child.pid)
+    idle = measure_idle(process)
+    direct, relayed = [], []
+    busy = 0.0
+    for number in range(options.rounds):
+        direct += run_round(deployment.url(engine), options, number)
+        before = read_seconds(process)
+        started = time.monotonic()
+        relayed += run_round(deployment.url(daemon), options, number)
+        spent = read_seconds(process) - before
+        busy += spent - idle * (time.monotonic() - started)
+    return summarize(options, direct, relayed, busy=busy, idle=idle)
+
+
+def run_round(url, options, number):
+    return run_streams(
+        url=url,
+        key=CALLER_KEY,
+        model=MODEL,
+        streams=options.streams,
+        tokens=options.tokens,
+        seed=options.seed * 1000 + number,
+    )
+
+
+def measure_idle(process):
+    """Return the share of a processor that the daemon takes when idle."""
+    before = read_seconds(process)
+    time.sleep(SETTLE_SECONDS)
+    return (read_seconds(process) - before) / SETTLE_SECONDS
+
+
+def read_seconds(process):
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def summarize(options, direct, relayed, *, busy, idle):
+    """Build the result from the measures of all streams."""
+    events = sum(stream.events for stream in relayed)
+    first = {
+        "direct": [stream.first_token for stream in direct],
+        "relayed": [stream.first_token for stream in relayed],
+    }
+    medians = {name: statistics.median(v) for name, v in first.items()}
+    added = medians["relayed"] - medians["direct"]
+    return {
+        "streams": options.streams,
+        "tokens": options.tokens,
+        "rounds": options.rounds,
+        "seed": options.seed,
+        "events": events,
+        "whole": all(s.whole for s in [*direct, *relayed]),
+        "cpu_us_per_event": round(busy / events * MICROSECONDS, 1),
+        "idle_cpu_share": round(idle, 4),
+        "first_token_ms": {
+            name: round(value * MILLISECONDS, 2)
+            for name, value in medians.items()
+        },
+        "first_token_added_ms": round(added * MILLISECONDS, 2),
+        "first_token_ratio": round(medians["relayed"] / medians["direct"], 3),
+    }
+
+
+if __name__ == "__main__":
+    main()
