--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -1,5 +1,9 @@
 """Shared state of one daemon."""
 
+from opentelemetry.metrics import NoOpMeter
+
+from hollyspan_policy.routing import AffinityTable
+
 from .announcements import Announcements
 from .departures import Departures
 
@@ -53,6 +57,14 @@
         Coroutine function that runs a request of another data centre here.
     burn : Burn or None
         Service-level counters.
+    affinity : AffinityTable
+        Which upstream holds which prompt blocks.
+    meter : opentelemetry.metrics.Meter
+        Creates instruments.
+    request_listeners : list of callable
+        Called with a RequestRecord at the end of each online request.
+    online : OnlineState or None
+        Limits, retry budget and runs that online requests share.
     """
 
     __slots__ = (
@@ -78,6 +90,10 @@
         "forward",
         "serve_forward",
         "burn",
+        "affinity",
+        "meter",
+        "request_listeners",
+        "online",
     )
 
     def __init__(
@@ -116,3 +132,7 @@
         self.forward = None
         self.serve_forward = None
         self.burn = None
+        self.affinity = AffinityTable()
+        self.meter = NoOpMeter("hollyspan")
+        self.request_listeners = []
+        self.online = None
