--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -5,6 +5,8 @@
 from .configuration import ConfigurationConflictError
 from .configuration import ConfigurationInvalidError
 from .configuration import SettingsInvalidError
+from .instances import InstanceListError
+from .peer import PeerAnswerError
 from .peer import PeerAuthenticationError
 from .peer import PeerMessageError
 from .peer import PeerUnavailableError
@@ -30,6 +32,7 @@
 from .store import StoreUnavailableError
 from .store import StoreValueTooLargeError
 from .upstream import StreamLostError
+from .upstream import StreamMalformedError
 from .upstream import UpstreamAnswerError
 from .upstream import UpstreamLeavingError
 from .upstream import UpstreamUnavailableError
@@ -47,12 +50,14 @@
     "IdempotencyKeyMissingError",
     "IdempotencyMismatchError",
     "InputLineError",
+    "InstanceListError",
     "InvalidRequestError",
     "LeaseLostError",
     "ModelNotFoundError",
     "Outcome",
     "OutcomeUnknownError",
     "OverloadedError",
+    "PeerAnswerError",
     "PeerAuthenticationError",
     "PeerMessageError",
     "PeerUnavailableError",
@@ -65,6 +70,7 @@
     "StoreUnavailableError",
     "StoreValueTooLargeError",
     "StreamLostError",
+    "StreamMalformedError",
     "UpstreamAnswerError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
