Stop stand-ins whose launcher has ended

A launcher that dies leaves its stand-ins behind, as trials that raised did; those it starts now look each second whether it still runs.

--- a/packages/hollyspan_standins/hollyspan_standins/common/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/common/__init__.py
@@ -4,6 +4,7 @@
 from .errors import StandinError
 from .program import build_parser
 from .program import print_ready
+from .program import run_reactor
 from .program import run_site
 from .recorder import open_recorder
 from .web import build_site
@@ -24,6 +25,7 @@
     "read_argument",
     "read_header",
     "read_json",
+    "run_reactor",
     "run_site",
     "send_json",
 ]
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/launch.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/launch.py
@@ -126,7 +126,7 @@
         module = f"hollyspan_standins.{module or name}"
         self.seed += 1
         arguments = [sys.executable, "-m", module]
-        arguments += ["--seed", str(self.seed), *options]
+        arguments += ["--follow-parent", "--seed", str(self.seed), *options]
         return self.add(name, arguments, tells_ready=True)
 
     def add(self, name, arguments, *, tells_ready):
--- a/packages/hollyspan_standins/hollyspan_standins/proxy/__main__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/proxy/__main__.py
@@ -7,6 +7,7 @@
 from ..common import build_parser
 from ..common import build_site
 from ..common import print_ready
+from ..common import run_reactor
 from .link import Link
 from .ports import listen_link
 from .server import ProxyServer
@@ -42,7 +43,7 @@
     site = build_site(ProxyServer(links=links).handle)
     listener = reactor.listenTCP(options.port, site, interface=options.address)
     print_ready(listener.getHost().port, links=ports)
-    reactor.run()
+    run_reactor(options)
 
 
 if __name__ == "__main__":
