Add distances between regions, traffic counts and batch jobs to the load

Measurements need slow links between regions with their bytes counted, and jobs with different deadlines and a few impossible items.

--- a/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
@@ -16,6 +16,8 @@
 from .place import build_trust_places
 from .place import Place
 from .ports import pick_port
+from .regions import count_traffic
+from .regions import set_distances
 
 __all__ = [
     "CALLER_KEY",
@@ -29,9 +31,11 @@
     "build_cooperative_places",
     "build_places",
     "build_trust_places",
+    "count_traffic",
     "fetch_json",
     "open_deployment",
     "pick_port",
     "post_json",
+    "set_distances",
     "write_configuration",
 ]
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/tests/test_deployment.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/tests/test_deployment.py
@@ -8,11 +8,13 @@
 
 from hollyspan_standins.deployment import build_places
 from hollyspan_standins.deployment import CallError
+from hollyspan_standins.deployment import count_traffic
 from hollyspan_standins.deployment import fetch_json
 from hollyspan_standins.deployment import LINK_KINDS
 from hollyspan_standins.deployment import open_deployment
 from hollyspan_standins.deployment import post_json
 from hollyspan_standins.deployment import ProcessExitedError
+from hollyspan_standins.deployment import set_distances
 
 LIST = "/apis/discovery.k8s.io/v1/endpointslices"
 ENGINE = "attiki-a-engine-1"
@@ -79,6 +81,25 @@
     read_configuration(inside)
 
 
+def test_distances_delay_only_links_between_regions(deployment):
+    set_distances(deployment, between_regions=0.25)
+    links = deployment.count_links()
+    delays = {name: link["delay_seconds"] for name, link in links.items()}
+    assert delays[f"upstream:kriti-a-1>{ENGINE}"] == 0.25
+    assert delays["peer:kriti-a-1>attiki-a-1"] == 0.25
+    assert delays[f"upstream:attiki-a-1>{ENGINE}"] == 0
+    assert delays["store:attiki-a-1"] == 0
+
+
+def test_traffic_is_counted_by_regions(deployment):
+    far = find_engine_port(deployment, "kriti-a-1")
+    fetch_json(f"http://127.0.0.1:{far}/health")
+    traffic = count_traffic(deployment)
+    assert traffic["kriti", "attiki"] > 0
+    assert traffic["attiki", "kriti"] > 0
+    assert traffic["attiki", "attiki"] == 0
+
+
 def test_an_engine_is_killed_frozen_and_started_on_its_port(deployment):
     url = deployment.url(ENGINE)
     deployment.freeze(ENGINE)
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/load/tests/test_jobs.py
@@ -0,0 +1,42 @@
+"""Tests of planned batch jobs."""
+
+from random import Random
+
+from hollyspan_standins.load import build_trust_mix
+from hollyspan_standins.load import plan_jobs
+
+
+def plan(seed):
+    return plan_jobs(
+        Random(seed),
+        mix=build_trust_mix(),
+        jobs=4,
+        items=200,
+        seconds=10,
+        due_seconds=(5, 15),
+        impossible_share=0.05,
+    )
+
+
+def describe(jobs):
+    return [(job.submit_at, job.due_seconds, job.prompts) for job in jobs]
+
+
+def test_jobs_follow_from_their_seed():
+    assert describe(plan(1)) == describe(plan(1))
+    assert describe(plan(1)) != describe(plan(2))
+
+
+def test_one_job_is_due_far_later():
+    jobs = plan(1)
+    assert [len(job.prompts) for job in jobs] == [200] * 4
+    assert all(5 <= job.due_seconds <= 15 for job in jobs[:-1])
+    assert jobs[-1].due_seconds == 300
+    assert len({name for job in jobs for name in job.prompts}) == 800
+
+
+def test_impossible_items_are_named():
+    for job in plan(1):
+        marked = {name for name, text in job.prompts.items() if "[[" in text}
+        assert 0 < len(marked) < 40
+        assert marked == job.impossible
