--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/burn/part.py
@@ -0,0 +1,28 @@
+"""Service-level counters as a part of the daemon."""
+
+import contextlib
+import time
+
+from .burn import Burn
+
+__all__ = ["open_burn"]
+
+
+@contextlib.contextmanager
+def open_burn(runtime):
+    """Keep service-level counters and offer them to other daemons.
+
+    Parameters
+    ----------
+    runtime : Runtime
+
+    Yields
+    ------
+    Burn
+    """
+    burn = Burn(
+        data_centre=runtime.settings.data_centre, clock=time.monotonic
+    )
+    runtime.burn = burn
+    runtime.links.providers["burn"] = burn.summarise
+    yield burn
