--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -32,6 +32,7 @@
 from .store import StoreUnavailableError
 from .store import StoreValueTooLargeError
 from .upstream import StreamLostError
+from .upstream import StreamMalformedError
 from .upstream import UpstreamAnswerError
 from .upstream import UpstreamLeavingError
 from .upstream import UpstreamUnavailableError
@@ -69,6 +70,7 @@
     "StoreUnavailableError",
     "StoreValueTooLargeError",
     "StreamLostError",
+    "StreamMalformedError",
     "UpstreamAnswerError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
--- a/packages/hollyspan_policy/hollyspan_policy/membership/table.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/table.py
@@ -1,7 +1,11 @@
 """Table of the daemons that are heard."""
 
+from .state import MemberState
+
 __all__ = ["MemberTable"]
 
+SUSPECT_FRACTION = 0.6
+
 
 class MemberTable:
     """Daemons by name, from their heartbeats.
@@ -17,6 +21,13 @@
         Member by instance, with those that have failed.
     listeners : list of callable
         Called with each Member that is news.
+
+    Notes
+    -----
+    A daemon that was started again has a higher incarnation and replaces
+    the one before; heartbeats of the earlier incarnation that come late
+    are passed over. A daemon that has announced its stop stays leaving for
+    the rest of its incarnation, in whatever order its heartbeats come.
     """
 
     __slots__ = ("timeout", "members", "listeners")
@@ -41,11 +52,40 @@
         known = self.members.get(member.instance)
         if known is not None and order(known) >= order(member):
             return False
+        if known is not None and known.incarnation == member.incarnation:
+            member.leaving = member.leaving or known.leaving
         self.members[member.instance] = member
         for listener in self.listeners:
             listener(member)
         return True
 
+    def find_state(self, instance, *, now):
+        """Return the state of a daemon.
+
+        Parameters
+        ----------
+        instance : str
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        MemberState or None
+            None for a daemon that was never heard.
+        """
+        member = self.members.get(instance)
+        if member is None:
+            return None
+        silence = now - member.heard
+        timeout = member.timeout or self.timeout
+        if silence > timeout:
+            return MemberState.FAILED
+        if member.leaving:
+            return MemberState.LEAVING
+        if silence > timeout * SUSPECT_FRACTION:
+            return MemberState.SUSPECT
+        return MemberState.LIVE
+
     def list_live(self, *, now, data_centre=None, leaving=False):
         """List the daemons that are live.
 
@@ -61,6 +101,8 @@
         Returns
         -------
         list of Member
+            Suspects are among them: ownership would otherwise move at each
+            lost heartbeat.
         """
         return [
             member
@@ -70,6 +112,27 @@
             and data_centre in (None, member.data_centre)
         ]
 
+    def list_silent(self, expected, *, now):
+        """List the daemons that should be heard and are not.
+
+        Parameters
+        ----------
+        expected : iterable of str
+            Daemons that the platform lists as ready.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of str
+        """
+        lost = (None, MemberState.SUSPECT, MemberState.FAILED)
+        return [
+            instance
+            for instance in expected
+            if self.find_state(instance, now=now) in lost
+        ]
+
     def forget(self, *, before):
         """Drop the daemons that were not heard since a time.
 
--- a/packages/hollyspan_policy/hollyspan_policy/ownership/rendezvous.py
+++ b/packages/hollyspan_policy/hollyspan_policy/ownership/rendezvous.py
@@ -1,6 +1,6 @@
 """Rendezvous hashing of duties over daemons."""
 
-import xxhash
+from ..hashing import hash_parts
 
 __all__ = ["choose_owner", "rank_owners"]
 
@@ -37,7 +37,7 @@
     """
     return sorted(
         instances,
-        key=lambda name: (weigh(duty, name), name),
+        key=lambda name: (hash_parts(duty, name), name),
         reverse=True,
     )
 
@@ -56,12 +56,6 @@
     """
     return max(
         instances,
-        key=lambda name: (weigh(duty, name), name),
+        key=lambda name: (hash_parts(duty, name), name),
         default=None,
     )
-
-
-def weigh(duty, name):
-    # Names are text of any kind; what UTF-8 cannot hold is escaped.
-    content = f"{duty}\0{name}".encode("utf-8", "backslashreplace")
-    return xxhash.xxh3_64_intdigest(content)
