--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -4,6 +4,7 @@
 from .base import Outcome
 from .configuration import ConfigurationConflictError
 from .configuration import ConfigurationInvalidError
+from .configuration import ConfigurationMissingError
 from .configuration import SettingsInvalidError
 from .instances import InstanceListError
 from .peer import PeerAnswerError
@@ -43,6 +44,7 @@
     "BodyTooLargeError",
     "ConfigurationConflictError",
     "ConfigurationInvalidError",
+    "ConfigurationMissingError",
     "DeadlineError",
     "DrainingError",
     "FileNotFoundInWorkspaceError",
--- a/packages/hollyspan_core/hollyspan_core/errors/configuration.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/configuration.py
@@ -6,6 +6,7 @@
 __all__ = [
     "ConfigurationConflictError",
     "ConfigurationInvalidError",
+    "ConfigurationMissingError",
     "SettingsInvalidError",
 ]
 
@@ -35,3 +36,12 @@
     kind = "conflict_error"
     code = "configuration_conflict"
     default_outcome = Outcome.NOT_RUN
+
+
+class ConfigurationMissingError(HollyspanError):
+    """No configuration is in force yet."""
+
+    status = 503
+    kind = "server_error"
+    code = "configuration_missing"
+    default_outcome = Outcome.NOT_RUN
--- a/packages/hollyspan_entry/hollyspan_entry/burn/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/burn/part.py
@@ -20,9 +20,7 @@
     ------
     Burn
     """
-    burn = Burn(
-        data_centre=runtime.settings.data_centre, clock=time.monotonic
-    )
+    burn = Burn(data_centre=runtime.settings.data_centre, clock=time.monotonic)
     runtime.burn = burn
     runtime.links.providers["burn"] = burn.summarise
     yield burn
--- a/packages/hollyspan_entry/hollyspan_entry/configurations/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/configurations/__init__.py
@@ -8,6 +8,7 @@
 from .sources import encode_configuration
 from .sources import HISTORY_PREFIX
 from .sources import name_history_key
+from .sources import read_store
 
 __all__ = [
     "CURRENT_KEY",
@@ -18,4 +19,5 @@
     "name_history_key",
     "open_configurations",
     "open_disk",
+    "read_store",
 ]
--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -10,16 +10,19 @@
 from twisted.internet import task
 from twisted.web import client
 from twisted.web import resource
-from twisted.web import server
 
 from hollyspan_policy.membership import MemberTable
 
+from .burn import open_burn
 from .configurations import ConfigurationHolder
 from .configurations import open_configurations
+from .drain import drain
 from .http import AsyncResource
+from .http import DrainingSite
 from .http import write_json
 from .instances import open_instances
 from .online import open_online
+from .operators import open_operators
 from .peers import open_peers
 from .runtime import Runtime
 from .store import open_store
@@ -127,13 +130,13 @@
             add_health(runtime)
             for open_part in PARTS:
                 stack.enter_context(open_part(runtime))
-            site = server.Site(runtime.root)
+            site = DrainingSite(runtime.root)
             port = reactor.listenTCP(
                 settings.http_port, site, interface=settings.http_address
             )
             eliot.log_message(message_type="daemon:start")
             await stop
-            await drain(runtime, port)
+            await drain(runtime, site=site, port=port)
         eliot.log_message(message_type="daemon:stop")
 
     def ask_to_stop(number, frame):
@@ -150,19 +153,3 @@
 def finish_waiting(stop):
     if not stop.called:
         stop.callback(None)
-
-
-async def drain(runtime, port):
-    """Finish what runs, then stop listening.
-
-    Parameters
-    ----------
-    runtime : Runtime
-    port : IListeningPort
-    """
-    runtime.draining = True
-    for listener in runtime.drain_listeners:
-        listener()
-    for hook in runtime.drain_hooks:
-        await hook()
-    await port.stopListening()
--- a/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
@@ -10,12 +10,15 @@
 from .caller import identify_caller
 from .producer import BytesProducer
 from .resource import AsyncResource
+from .site import DrainingSite
 from .tree import add_resource
 
 __all__ = [
     "AsyncResource",
+    "DrainingSite",
     "BytesProducer",
     "add_resource",
+    "add_resource",
     "authenticate",
     "encode_error",
     "identify_caller",
--- a/packages/hollyspan_entry/hollyspan_entry/peers/links/answers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/links/answers.py
@@ -4,6 +4,7 @@
 
 import eliot
 from twisted.internet import defer
+from twisted.internet import task
 import zstandard
 
 from hollyspan_core.errors import HollyspanError
@@ -19,6 +20,8 @@
 
 __all__ = ["Answers"]
 
+POLL_SECONDS = 0.05
+
 
 class Answers:
     """Serves the links that other daemons open.
@@ -157,6 +160,11 @@
         for running in list(link.calls.values()):
             running.cancel()
 
+    async def finish(self):
+        """Wait until all requests of other data centres are answered."""
+        while any(link.calls for link in self.links):
+            await task.deferLater(self.runtime.reactor, POLL_SECONDS)
+
     def close(self):
         """End all links."""
         for link in list(self.links):
--- a/packages/hollyspan_entry/hollyspan_entry/peers/links/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/links/part.py
@@ -29,6 +29,7 @@
     links = Links(runtime=runtime)
     runtime.links = links
     runtime.forward = build_forward(runtime)
+    runtime.drain_hooks.append(answers.finish)
     port = runtime.reactor.listenTCP(
         settings.peer_port,
         build_factory(runtime, answers),
--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -35,7 +35,8 @@
     draining : bool
         True once the daemon is about to stop.
     drain_hooks : list of callable
-        Coroutine functions that are run at a planned stop, in order.
+        Coroutine functions that are run together at a planned stop, once
+        new requests are refused.
     drain_listeners : list of callable
         Called without arguments as soon as a planned stop begins.
     checks : dict
