--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -101,6 +101,8 @@
     open_configurations,
     open_instances,
     open_peers,
+    open_burn,
+    open_operators,
     open_upstreams,
     open_online,
 )
