--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/instances/__init__.py
@@ -0,0 +1,5 @@
+"""Instance list in the shape of Kubernetes EndpointSlices, with a lag."""
+
+from .server import InstancesServer
+
+__all__ = ["InstancesServer"]
