Add files: streamed upload, content, deletion

Callers need files of any length on instances without a disk. twisted.web spools bodies above 100 kB into a temporary file and then reads a multipart form into memory as a whole, so uploads get a request class of their own that parses the form while it arrives and holds the connection back.

Lines are checked and cut into compressed chunks of whole lines, which jobs claim later; the manifest is created if absent.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -11,14 +11,19 @@
 from .peer import PeerUnavailableError
 from .request import AuthenticationError
 from .request import BatchNotFoundError
+from .request import BatchStateError
 from .request import BodyTooLargeError
 from .request import DeadlineError
 from .request import DrainingError
+from .request import DuplicateItemError
+from .request import FileInUseError
 from .request import FileNotFoundInWorkspaceError
 from .request import IdempotencyKeyMissingError
 from .request import IdempotencyMismatchError
 from .request import InputLineError
 from .request import InvalidRequestError
+from .request import ItemAttemptsError
+from .request import ItemTimeoutError
 from .request import ModelNotFoundError
 from .request import OutcomeUnknownError
 from .request import OverloadedError
@@ -39,11 +44,14 @@
 __all__ = [
     "AuthenticationError",
     "BatchNotFoundError",
+    "BatchStateError",
     "BodyTooLargeError",
     "ConfigurationConflictError",
     "ConfigurationInvalidError",
     "DeadlineError",
     "DrainingError",
+    "DuplicateItemError",
+    "FileInUseError",
     "FileNotFoundInWorkspaceError",
     "HollyspanError",
     "IdempotencyKeyMissingError",
@@ -51,6 +59,8 @@
     "InputLineError",
     "InstanceListError",
     "InvalidRequestError",
+    "ItemAttemptsError",
+    "ItemTimeoutError",
     "LeaseLostError",
     "ModelNotFoundError",
     "Outcome",
--- a/packages/hollyspan_core/hollyspan_core/errors/request.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/request.py
@@ -6,14 +6,19 @@
 __all__ = [
     "AuthenticationError",
     "BatchNotFoundError",
+    "BatchStateError",
     "BodyTooLargeError",
     "DeadlineError",
     "DrainingError",
+    "DuplicateItemError",
+    "FileInUseError",
     "FileNotFoundInWorkspaceError",
     "IdempotencyKeyMissingError",
     "IdempotencyMismatchError",
     "InputLineError",
     "InvalidRequestError",
+    "ItemAttemptsError",
+    "ItemTimeoutError",
     "ModelNotFoundError",
     "OutcomeUnknownError",
     "OverloadedError",
@@ -94,6 +99,48 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class DuplicateItemError(InputLineError):
+    """Two lines of an input file have the same custom_id."""
+
+    status = 400
+    kind = "invalid_request_error"
+    code = "duplicate_custom_id"
+    default_outcome = Outcome.NOT_RUN
+
+
+class FileInUseError(HollyspanError):
+    """A job that is not finished needs the file."""
+
+    status = 409
+    kind = "conflict_error"
+    code = "file_in_use"
+    default_outcome = Outcome.NOT_RUN
+
+
+class BatchStateError(HollyspanError):
+    """The batch has ended; the change comes too late."""
+
+    status = 409
+    kind = "conflict_error"
+    code = "batch_ended"
+
+
+class ItemAttemptsError(HollyspanError):
+    """An item of a batch failed as often as it may be tried."""
+
+    status = 502
+    kind = "server_error"
+    code = "attempts_exhausted"
+
+
+class ItemTimeoutError(HollyspanError):
+    """An item of a batch ran longer than it may."""
+
+    status = 504
+    kind = "timeout_error"
+    code = "item_timeout"
+
+
 class IdempotencyKeyMissingError(InvalidRequestError):
     """A non-idempotent request has no Idempotency-Key."""
 
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/files/__init__.py
@@ -0,0 +1,19 @@
+"""Files of callers: upload, content, deletion."""
+
+from .answer import describe_file
+from .content import FileContent
+from .content import read_manifest
+from .data import read_chunk
+from .listing import read_limit
+from .part import build_upload_request
+from .part import open_files
+
+__all__ = [
+    "FileContent",
+    "build_upload_request",
+    "describe_file",
+    "open_files",
+    "read_chunk",
+    "read_limit",
+    "read_manifest",
+]
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/files/data.py
@@ -0,0 +1,61 @@
+"""Chunks of a file in the store."""
+
+import zstandard
+
+from hollyspan_core.errors import FileNotFoundInWorkspaceError
+from hollyspan_core.errors import StoreConflictError
+
+from .keys import build_chunk_key
+
+__all__ = ["delete_data", "read_chunk"]
+
+MAX_CONTENT_BYTES = 1_000_000
+
+
+async def read_chunk(store, data, chunk):
+    """Read one chunk of a file.
+
+    Parameters
+    ----------
+    store : Store
+    data : str
+        From the file's manifest.
+    chunk : int
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    FileNotFoundInWorkspaceError
+        The file was deleted.
+    """
+    entry = await store.get(build_chunk_key(data, chunk))
+    if entry is None:
+        raise FileNotFoundInWorkspaceError("the file was deleted")
+    decompressor = zstandard.ZstdDecompressor()
+    return decompressor.decompress(
+        entry.content, max_output_size=MAX_CONTENT_BYTES
+    )
+
+
+async def delete_data(store, data):
+    """Delete all chunks of a file.
+
+    Parameters
+    ----------
+    store : Store
+    data : str
+    """
+    after = None
+    while True:
+        page = await store.list(f"data/{data}/", after=after, keys_only=True)
+        for entry in page.entries:
+            try:
+                await store.delete(entry.key, revision=entry.revision)
+            except StoreConflictError:
+                continue
+        if not page.more:
+            return
+        after = page.entries[-1].key
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/files/request.py
@@ -0,0 +1,52 @@
+"""Requests whose upload is read while it arrives."""
+
+from twisted.internet import defer
+from twisted.web import server
+
+from .body import BodyStream
+
+__all__ = ["build_request_factory"]
+
+UPLOAD_PATH = b"/v1/files"
+
+
+def build_request_factory(receive):
+    """Build the request class of a site that takes uploads.
+
+    Parameters
+    ----------
+    receive : callable
+        Coroutine function that takes a request and its BodyStream; started
+        when the headers are there. Its Deferred becomes the request's
+        `upload`; it fires with the failure where there is one.
+
+    Returns
+    -------
+    type
+        Subclass of twisted.web.server.Request.
+    """
+
+    class UploadRequest(server.Request):
+        """A request whose body is a stream where it is an upload."""
+
+        upload = None
+
+        def gotLength(self, length):
+            if not is_upload(self.channel):
+                super().gotLength(length)
+                return
+            self.content = BodyStream(transport=self.channel.transport)
+            self.upload = defer.ensureDeferred(receive(self, self.content))
+            self.upload.addErrback(lambda failure: failure.value)
+
+        def requestReceived(self, command, path, version):
+            if isinstance(self.content, BodyStream):
+                self.content.finish()
+            super().requestReceived(command, path, version)
+
+    return UploadRequest
+
+
+def is_upload(channel):
+    path = channel._path.split(b"?", 1)[0].rstrip(b"/")
+    return channel._command == b"POST" and path == UPLOAD_PATH
--- a/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
@@ -8,6 +8,7 @@
 from .body import read_body
 from .body import read_json
 from .caller import identify_caller
+from .paced import PacedWriter
 from .producer import BytesProducer
 from .resource import AsyncResource
 from .tree import add_resource
@@ -15,6 +16,7 @@
 __all__ = [
     "AsyncResource",
     "BytesProducer",
+    "PacedWriter",
     "add_resource",
     "authenticate",
     "encode_error",
--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -44,6 +44,11 @@
         Upstreams that were announced as leaving.
     cancelled_jobs : Announcements
         Jobs whose cancel is passed on between daemons.
+    file_sources : list of callable
+        Coroutine functions that take a workspace and a file and return its
+        FileContent, or None for a file of another kind.
+    file_users : list of callable
+        Coroutine functions that tell of a file whether it is needed.
     links : Links or None
         TCP links to other daemons.
     forward : callable or None
@@ -80,6 +85,8 @@
         "seeds",
         "departures",
         "cancelled_jobs",
+        "file_sources",
+        "file_users",
         "links",
         "forward",
         "serve_forward",
@@ -120,6 +127,8 @@
         self.seeds = {}
         self.departures = Departures()
         self.cancelled_jobs = Announcements()
+        self.file_sources = []
+        self.file_users = []
         self.links = None
         self.forward = None
         self.serve_forward = None
