--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -16,9 +16,12 @@
 
 from .configurations import ConfigurationHolder
 from .configurations import open_configurations
+from .files import build_upload_request
+from .files import open_files
 from .http import AsyncResource
 from .http import write_json
 from .instances import open_instances
+from .jobs import open_jobs
 from .online import open_online
 from .peers import open_peers
 from .runtime import Runtime
@@ -100,6 +103,8 @@
     open_peers,
     open_upstreams,
     open_online,
+    open_files,
+    open_jobs,
 )
 
 
@@ -127,7 +132,11 @@
             add_health(runtime)
             for open_part in PARTS:
                 stack.enter_context(open_part(runtime))
-            site = server.Site(runtime.root)
+            site = server.Site(
+                runtime.root,
+                requestFactory=build_upload_request(runtime),
+                parsePOSTFormSubmission=False,
+            )
             port = reactor.listenTCP(
                 settings.http_port, site, interface=settings.http_address
             )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/cancellation.py
@@ -0,0 +1,48 @@
+"""Cancellation of jobs by callers."""
+
+import time
+
+from hollyspan_core.errors import BatchStateError
+
+from .change import change_record
+from .change import show_state
+from .status import JobStatus
+
+__all__ = ["cancel_job"]
+
+
+async def cancel_job(store, workspace, job):
+    """Ask for the end of a job.
+
+    Parameters
+    ----------
+    store : Store
+    workspace, job : str
+
+    Returns
+    -------
+    JobRecord
+        With the status ``cancelling`` or ``cancelled``.
+
+    Raises
+    ------
+    BatchNotFoundError
+    BatchStateError
+        The job has ended otherwise.
+    StoreUnavailableError
+        The cancel may have taken effect; it can be repeated.
+    """
+
+    def cancel(record):
+        if record.status is not JobStatus.IN_PROGRESS:
+            return False
+        record.status = JobStatus.CANCELLING
+        record.cancelling_at = int(time.time())
+        return True
+
+    record = await change_record(store, workspace, job, cancel)
+    if record.status is JobStatus.CANCELLING:
+        await show_state(store, record)
+    elif record.status is not JobStatus.CANCELLED:
+        raise BatchStateError(f"the batch is {record.status.value}")
+    return record
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/change.py
@@ -0,0 +1,141 @@
+"""Changes of a job's record under compare-and-swap."""
+
+from hollyspan_core.errors import BatchNotFoundError
+from hollyspan_core.errors import StoreConflictError
+
+from .keys import build_job_key
+from .keys import build_queue_key
+from .queue import build_queue_entry
+from .queue import encode_queue_entry
+from .record import decode_record
+from .record import encode_record
+
+__all__ = [
+    "change_record",
+    "read_record",
+    "remove_from_queue",
+    "show_state",
+    "touch_queue",
+]
+
+MAX_TRIES = 50
+
+
+async def read_record(store, workspace, job):
+    """Read the record of a job.
+
+    Parameters
+    ----------
+    store : Store
+    workspace, job : str
+
+    Returns
+    -------
+    JobRecord
+
+    Raises
+    ------
+    BatchNotFoundError
+    """
+    entry = await store.get(build_job_key(workspace, job))
+    if entry is None:
+        raise BatchNotFoundError("no such batch")
+    return decode_record(entry.content)
+
+
+async def change_record(store, workspace, job, change):
+    """Change the record of a job.
+
+    Parameters
+    ----------
+    store : Store
+    workspace, job : str
+    change : callable
+        Takes the JobRecord and changes it; returns False when there is
+        nothing to change. Called again after a conflict.
+
+    Returns
+    -------
+    JobRecord
+        As it is now.
+
+    Raises
+    ------
+    BatchNotFoundError
+    StoreConflictError
+        Other writers were faster each time.
+    """
+    key = build_job_key(workspace, job)
+    entry = await store.get(key)
+    for _ in range(MAX_TRIES):
+        if entry is None:
+            raise BatchNotFoundError("no such batch")
+        record = decode_record(entry.content)
+        if not change(record):
+            return record
+        try:
+            await store.replace(
+                key, encode_record(record), revision=entry.revision
+            )
+            return record
+        except StoreConflictError as conflict:
+            entry = conflict.entry
+    raise StoreConflictError(f"{MAX_TRIES} conflicts over key {key}")
+
+
+async def show_state(store, record):
+    """Tell the daemons of a job's state by its entry in the queue.
+
+    Parameters
+    ----------
+    store : Store
+    record : JobRecord
+        Its job has not ended.
+    """
+    key = build_queue_key(record.job)
+    content = encode_queue_entry(build_queue_entry(record))
+    entry = await store.get(key)
+    try:
+        if entry is None:
+            await store.create(key, content)
+        else:
+            await store.replace(key, content, revision=entry.revision)
+    except StoreConflictError:
+        # Another daemon wrote it; the watches report that one.
+        return
+
+
+async def touch_queue(store, job):
+    """Write a job's entry in the queue anew, so that the watches report it.
+
+    Parameters
+    ----------
+    store : Store
+    job : str
+    """
+    key = build_queue_key(job)
+    entry = await store.get(key)
+    if entry is None:
+        return
+    try:
+        await store.replace(key, entry.content, revision=entry.revision)
+    except StoreConflictError:
+        return
+
+
+async def remove_from_queue(store, job):
+    """Remove a job that has ended from the queue.
+
+    Parameters
+    ----------
+    store : Store
+    job : str
+    """
+    key = build_queue_key(job)
+    entry = await store.get(key)
+    while entry is not None:
+        try:
+            await store.delete(key, revision=entry.revision)
+            return
+        except StoreConflictError as conflict:
+            entry = conflict.entry
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/claim.py
@@ -0,0 +1,138 @@
+"""Claiming and giving back of chunks."""
+
+import json
+
+import eliot
+
+from hollyspan_core.errors import HollyspanError
+from hollyspan_core.errors import StoreConflictError
+from hollyspan_core.errors import StoreKeyExistsError
+
+from ..files import read_chunk
+from .attempts import open_notes
+from .change import read_record
+from .chunk import HeldChunk
+from .item import parse_items
+from .keys import build_claim_key
+from .keys import parse_chunk
+from .ledger import read_ledger
+from .status import JobStatus
+
+__all__ = ["claim_chunk", "delete_claim", "list_claims"]
+
+
+async def list_claims(store, job):
+    """List the claims of a job.
+
+    Parameters
+    ----------
+    store : Store
+    job : str
+
+    Returns
+    -------
+    dict
+        Entry without its value, by chunk.
+    """
+    claims = {}
+    after = None
+    while True:
+        page = await store.list(
+            f"claims/{job}/", after=after, limit=500, keys_only=True
+        )
+        for entry in page.entries:
+            claims[parse_chunk(entry.key)] = entry
+        if not page.more:
+            return claims
+        after = page.entries[-1].key
+
+
+async def claim_chunk(runtime, *, workspace, job, chunk, lease, now):
+    """Claim a chunk and read what is needed to run it.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    workspace, job : str
+    chunk : int
+    lease : int
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    HeldChunk or None
+        None when another daemon holds it or there is nothing to do.
+    """
+    store = runtime.store
+    key = build_claim_key(job, chunk)
+    holder = {
+        "instance": runtime.settings.instance,
+        "incarnation": runtime.incarnation,
+    }
+    try:
+        entry = await store.create(
+            key, json.dumps(holder).encode(), lease=lease
+        )
+    except StoreKeyExistsError as error:
+        if error.entry.lease != lease:
+            return None
+        # Left by a claim of this daemon whose reply was lost.
+        entry = error.entry
+    held = None
+    try:
+        held = await read_held_chunk(
+            store, workspace, job, chunk, entry.revision, now
+        )
+    finally:
+        if held is None:
+            await delete_claim(store, job, chunk, entry.revision)
+    return held
+
+
+async def read_held_chunk(store, workspace, job, chunk, revision, now):
+    """Read the state of a chunk after the claim was written.
+
+    The record is read behind the claim, so that a job whose cancel was
+    finished before the claim is not run.
+    """
+    record = await read_record(store, workspace, job)
+    if record.status is not JobStatus.IN_PROGRESS or chunk in record.closed:
+        return None
+    ledger = await read_ledger(
+        store, job=job, chunk=chunk, items=record.items[chunk]
+    )
+    content = await read_chunk(store, record.data, chunk)
+    notes = await open_notes(store, job, chunk)
+    return HeldChunk(
+        record=record,
+        chunk=chunk,
+        revision=revision,
+        notes=notes,
+        ledger=ledger,
+        items=parse_items(content, first=sum(record.items[:chunk])),
+        now=now,
+    )
+
+
+async def delete_claim(store, job, chunk, revision):
+    """Delete a claim of this daemon, as far as the store can be reached.
+
+    Parameters
+    ----------
+    store : Store
+    job : str
+    chunk : int
+    revision : int
+        Of the claim.
+    """
+    try:
+        await store.delete(build_claim_key(job, chunk), revision=revision)
+    except StoreConflictError:
+        # The lease has lapsed and another daemon holds the chunk.
+        return
+    except HollyspanError as error:
+        # The next listing of the claims finds it again.
+        eliot.log_message(
+            message_type="jobs:claim-left", job=job, reason=error.code
+        )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/claiming.py
@@ -0,0 +1,139 @@
+"""Claiming as much work as the upstreams have room for."""
+
+import time
+
+import eliot
+
+from hollyspan_core.errors import HollyspanError
+from hollyspan_policy.claims import choose_chunk
+from hollyspan_policy.claims import count_chunks_to_hold
+
+from .claim import claim_chunk
+from .preparation import admit_items
+from .status import JobStatus
+from .upkeep import release_chunk
+
+__all__ = ["claim_wanted"]
+
+RETRY_SECONDS = 1.0
+
+
+async def claim_wanted(runner, *, now):
+    """Claim chunks one by one while there is room for more.
+
+    Parameters
+    ----------
+    runner : JobRunner
+    now : float
+        Monotonic seconds.
+    """
+    while now >= runner.claim_after and runner.lease.check():
+        models = find_wanted(runner, now=now)
+        choice = choose(runner, models)
+        if choice is None:
+            return
+        try:
+            await claim(runner, *choice)
+        except HollyspanError as error:
+            runner.claim_after = now + RETRY_SECONDS
+            eliot.log_message(
+                message_type="jobs:claim-failed", reason=error.code
+            )
+
+
+def find_wanted(runner, *, now):
+    """Return the models whose upstreams here have room for more items."""
+    free = {}
+    for slots in runner.slots.values():
+        if slots.owned and slots.is_usable:
+            service = slots.upstream.service
+            count = slots.count_allowed(now=now) - len(slots.paused)
+            free[service] = free.get(service, 0) + count
+    return {
+        model
+        for model, count in free.items()
+        if count_chunks_to_hold(
+            free_slots=count,
+            items_per_second=runner.rate,
+            items_held=count_held(runner, model),
+            chunk_items=1,
+        )
+    }
+
+
+def count_held(runner, model):
+    return sum(
+        chunk.count_unfinished(model)
+        for chunk in runner.chunks.values()
+        if not chunk.stopped
+    )
+
+
+def choose(runner, models):
+    """Choose the next chunk of a job whose items can run here."""
+    runtime = runner.runtime
+    views = [
+        known.build_view(is_held=runner.is_held)
+        for known in runner.queue.jobs.values()
+        if known.record is not None
+        and known.record.status is JobStatus.IN_PROGRESS
+        and known.entry.state == JobStatus.IN_PROGRESS.value
+        and fits(runtime, known.record, models)
+    ]
+    live = runtime.members.list_live(now=time.monotonic())
+    return choose_chunk(
+        views,
+        instance=runtime.settings.instance,
+        now=time.time(),
+        instances=[member.instance for member in live],
+    )
+
+
+def fits(runtime, record, models):
+    """Tell whether there is room for items of a job."""
+    if not record.models:
+        return bool(models)
+    services = runtime.configurations.current.services
+    # Items of an unknown model need no upstream to fail.
+    return any(
+        model in models or model not in services for model in record.models
+    )
+
+
+async def claim(runner, job, chunk):
+    """Claim one chunk and take its items in."""
+    known = runner.queue.jobs[job]
+    known.claimed.add(chunk)
+    lease = runner.lease.lease
+    runner.claiming.add((job, chunk))
+    try:
+        held = await claim_chunk(
+            runner.runtime,
+            workspace=known.entry.workspace,
+            job=job,
+            chunk=chunk,
+            lease=lease,
+            now=time.monotonic(),
+        )
+        if held is not None:
+            runner.chunks[held.name] = held
+    finally:
+        runner.claiming.discard((job, chunk))
+    if held is None:
+        return
+    runner.counters.claimed += 1
+    eliot.log_message(
+        message_type="jobs:claimed",
+        job=job,
+        chunk=chunk,
+        takeover=held.notes.is_takeover,
+    )
+    if runner.stopping or lease != runner.lease.lease:
+        await release_chunk(runner, held)
+        return
+    admit_items(
+        held,
+        attempts_limit=runner.read_limit("batch.item_attempts", held),
+        services=runner.runtime.configurations.current.services,
+    )
+    runner.wake()
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/creation.py
@@ -0,0 +1,154 @@
+"""Creation of jobs."""
+
+import time
+
+from hollyspan_core.errors import FileNotFoundInWorkspaceError
+from hollyspan_core.errors import IdempotencyMismatchError
+from hollyspan_core.errors import InvalidRequestError
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StoreKeyExistsError
+from hollyspan_core.errors import StoreUnavailableError
+
+from ..files import read_manifest
+from .change import change_record
+from .change import remove_from_queue
+from .keys import build_job_key
+from .keys import build_queue_key
+from .keys import derive_job_id
+from .order import find_due
+from .queue import build_queue_entry
+from .queue import encode_queue_entry
+from .record import decode_record
+from .record import encode_record
+from .record import JobRecord
+from .status import JobStatus
+
+__all__ = ["create_job"]
+
+
+async def create_job(store, workspace, order, *, key, is_idempotent):
+    """Create a job, or find the one that an earlier copy created.
+
+    Parameters
+    ----------
+    store : Store
+    workspace : str
+    order : JobOrder
+    key : str or None
+        The caller's Idempotency-Key.
+    is_idempotent : callable
+        Tells of a list of models whether their items may run twice.
+
+    Returns
+    -------
+    JobRecord
+        When all that is needed to finish the job is in the store.
+
+    Raises
+    ------
+    FileNotFoundInWorkspaceError
+    InvalidRequestError
+        The items do not ask for the endpoint.
+    IdempotencyMismatchError
+    StoreUnavailableError
+        ``not_run`` where no copy of the request can have been accepted.
+    """
+    try:
+        manifest = await read_manifest(store, workspace, order.file)
+    except StoreUnavailableError as error:
+        # Without the store it is not known what an earlier copy has done.
+        error.outcome = Outcome.UNKNOWN if key else Outcome.NOT_RUN
+        raise
+    if manifest.urls != [order.endpoint]:
+        raise InvalidRequestError(
+            "items of the file have another url than the endpoint",
+            param="endpoint",
+        )
+    record = build_record(workspace, order, manifest, key=key)
+    record.idempotent = order.idempotent and is_idempotent(manifest.models)
+    try:
+        return await store_job(store, record)
+    except StoreUnavailableError as error:
+        if key:
+            error.outcome = Outcome.UNKNOWN
+        raise
+
+
+def build_record(workspace, order, manifest, *, key):
+    now = time.time()
+    return JobRecord(
+        job=derive_job_id(workspace, key=key, order=order),
+        workspace=workspace,
+        file=order.file,
+        data=manifest.data,
+        endpoint=order.endpoint,
+        completion_window=order.completion_window,
+        metadata=order.metadata,
+        due=find_due(order, now=now),
+        idempotent=True,
+        items=manifest.items,
+        models=manifest.models,
+        created_at=int(now),
+    )
+
+
+async def store_job(store, record):
+    """Write the record, then the entry in the queue."""
+    key = build_job_key(record.workspace, record.job)
+    try:
+        await store.create(key, encode_record(record))
+    except StoreKeyExistsError as error:
+        known = decode_record(error.entry.content)
+        check_same(known, record)
+        if known.status.ended:
+            return known
+        return await queue_again(store, known)
+    await queue_job(store, record)
+    return record
+
+
+async def queue_again(store, record):
+    """Queue a job whose first creation may have stopped half-way."""
+    try:
+        await queue_job(store, record)
+    except StoreUnavailableError as error:
+        error.outcome = Outcome.UNKNOWN
+        raise
+    return record
+
+
+async def queue_job(store, record):
+    content = encode_queue_entry(build_queue_entry(record))
+    try:
+        await store.create(build_queue_key(record.job), content)
+    except StoreKeyExistsError:
+        return
+    await check_file(store, record)
+
+
+async def check_file(store, record):
+    """Withdraw the job if its file was deleted in the meantime."""
+    try:
+        await read_manifest(store, record.workspace, record.file)
+    except FileNotFoundInWorkspaceError:
+        await change_record(
+            store, record.workspace, record.job, fail_without_file
+        )
+        await remove_from_queue(store, record.job)
+        raise
+
+
+def fail_without_file(record):
+    if record.status.ended:
+        return False
+    record.status = JobStatus.FAILED
+    record.ended_at = int(time.time())
+    return True
+
+
+def check_same(known, record):
+    fields = ("file", "endpoint", "completion_window", "metadata")
+    if any(getattr(known, f) != getattr(record, f) for f in fields):
+        raise IdempotencyMismatchError(
+            "the Idempotency-Key was used for another batch"
+        )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/draining.py
@@ -0,0 +1,71 @@
+"""Planned stop of the runner."""
+
+import time
+
+import eliot
+from twisted.internet import defer
+from twisted.internet import task
+
+from hollyspan_core.errors import HollyspanError
+
+from .change import touch_queue
+from .upkeep import release_chunk
+
+__all__ = ["drain_runner"]
+
+POLL_SECONDS = 0.05
+RELEASE_SECONDS = 10.0
+
+
+async def drain_runner(runner):
+    """Give all chunks back, so that other daemons go on at once.
+
+    Parameters
+    ----------
+    runner : JobRunner
+        Starts nothing any more.
+
+    Notes
+    -----
+    Items that are nearly done finish within the notice time; those that
+    must not run twice have until the drain limit.
+    """
+    timing = runner.runtime.settings.timing
+    await wait_for_runs(runner, seconds=timing.drain_notice)
+    await wait_for_runs(
+        runner, seconds=timing.drain_limit / 2, idempotent=False
+    )
+    jobs = {name[0] for name in runner.chunks}
+    releases = [
+        defer.ensureDeferred(release_chunk(runner, chunk))
+        for chunk in list(runner.chunks.values())
+        if not chunk.stopped
+    ]
+    work = defer.DeferredList(releases, consumeErrors=True)
+    work.addTimeout(RELEASE_SECONDS, runner.runtime.reactor)
+    try:
+        await work
+    except defer.TimeoutError:
+        eliot.log_message(message_type="jobs:release-timeout")
+    await runner.lease.revoke()
+    runner.queue.stop()
+    for job in jobs:
+        try:
+            await touch_queue(runner.store, job)
+        except HollyspanError as error:
+            eliot.log_message(
+                message_type="jobs:notice-failed", reason=error.code
+            )
+
+
+async def wait_for_runs(runner, *, seconds, idempotent=True):
+    """Wait until no run is left, or none that must not run twice."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if not any(
+            idempotent or not run.chunk.record.idempotent
+            for slots in runner.slots.values()
+            for run in slots.running
+        ):
+            return
+        await task.deferLater(runner.runtime.reactor, POLL_SECONDS)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/keys.py
@@ -0,0 +1,78 @@
+"""Keys and identifiers of jobs."""
+
+import hashlib
+import json
+
+__all__ = [
+    "JOB_PREFIX",
+    "build_attempts_key",
+    "build_claim_key",
+    "build_job_key",
+    "build_part_key",
+    "build_queue_key",
+    "derive_job_id",
+    "parse_chunk",
+]
+
+JOB_PREFIX = "batch_"
+ID_DIGITS = 32
+
+
+def build_job_key(workspace, job):
+    """Return the key of a job's record."""
+    return f"jobs/{workspace}/{job}"
+
+
+def build_queue_key(job):
+    """Return the key of a job's entry in the queue."""
+    return f"queue/{job}"
+
+
+def build_claim_key(job, chunk):
+    """Return the key of the claim of a chunk."""
+    return f"claims/{job}/{chunk:06}"
+
+
+def build_attempts_key(job, chunk):
+    """Return the key of the attempts of a chunk's items."""
+    return f"attempts/{job}/{chunk:06}"
+
+
+def build_part_key(job, chunk, part):
+    """Return the key of one part of a chunk's results."""
+    return f"results/{job}/{chunk:06}/{part:06}"
+
+
+def parse_chunk(key):
+    """Return the chunk that a key below a job names."""
+    return int(key.split("/")[2])
+
+
+def derive_job_id(workspace, *, key, order):
+    """Derive the identifier of a job, the same for each resend.
+
+    Parameters
+    ----------
+    workspace : str
+    key : str or None
+        The caller's Idempotency-Key.
+    order : JobOrder
+        Takes the key's place where there is none.
+
+    Returns
+    -------
+    str
+    """
+    name = key
+    if key is None:
+        name = json.dumps(
+            [
+                order.file,
+                order.endpoint,
+                order.completion_window,
+                sorted(order.metadata.items()),
+            ]
+        )
+    kind = "order" if key is None else "key"
+    digest = hashlib.sha256(f"job\0{kind}\0{workspace}\0{name}".encode())
+    return JOB_PREFIX + digest.hexdigest()[:ID_DIGITS]
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/lease.py
@@ -0,0 +1,119 @@
+"""The lease that this daemon's claims are bound to."""
+
+import time
+
+import eliot
+
+from hollyspan_core.errors import LeaseLostError
+from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_policy.leases import LeaseTerm
+
+__all__ = ["LeaseKeeper"]
+
+RENEWALS_PER_TERM = 5
+
+
+class LeaseKeeper:
+    """Holds one lease and renews it.
+
+    Parameters
+    ----------
+    store : Store
+    ttl, margin : float
+        Seconds.
+    on_lost : callable
+        Called without arguments when the lease can no longer be trusted.
+
+    Attributes
+    ----------
+    lease : int
+        Identifier, 0 while there is none.
+    """
+
+    __slots__ = (
+        "store",
+        "ttl",
+        "margin",
+        "on_lost",
+        "lease",
+        "term",
+        "stopped",
+    )
+
+    def __init__(self, *, store, ttl, margin, on_lost):
+        self.store = store
+        self.ttl = ttl
+        self.margin = margin
+        self.on_lost = on_lost
+        self.lease = 0
+        self.term = None
+        self.stopped = False
+
+    def check(self):
+        """Tell whether new work may be started; report a lapse once.
+
+        Returns
+        -------
+        bool
+        """
+        if self.term is None:
+            return False
+        left = self.term.count_seconds_left(
+            now=time.monotonic(), wall=time.time()
+        )
+        if left > 0:
+            return True
+        self.lose()
+        return False
+
+    def lose(self):
+        """Give the lease up; the next one is another."""
+        eliot.log_message(message_type="jobs:lease-lost", lease=self.lease)
+        self.lease = 0
+        self.term = None
+        self.on_lost()
+
+    @property
+    def interval(self):
+        """Seconds between two renewals."""
+        return self.ttl / RENEWALS_PER_TERM
+
+    async def keep(self):
+        """Renew the lease, or grant one; called at each interval."""
+        if self.stopped:
+            return
+        try:
+            await self.renew()
+        except StoreUnavailableError:
+            self.check()
+
+    async def renew(self):
+        """Renew the lease, or grant one where there is none."""
+        sent = time.monotonic()
+        wall = time.time()
+        if not self.check():
+            lease = await self.store.grant_lease(self.ttl)
+            self.lease = lease
+            self.term = LeaseTerm(
+                ttl=self.ttl, margin=self.margin, sent=sent, wall=wall
+            )
+            return
+        lease = self.lease
+        try:
+            await self.store.keep_lease(lease)
+        except LeaseLostError:
+            if self.lease == lease:
+                self.lose()
+            return
+        if self.lease == lease:
+            self.term.renew(sent=sent, wall=wall)
+
+    async def revoke(self):
+        """End the lease, so that its claims are free at once."""
+        self.stopped = True
+        lease, self.lease, self.term = self.lease, 0, None
+        if lease:
+            try:
+                await self.store.revoke_lease(lease)
+            except StoreUnavailableError:
+                return
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/order.py
@@ -0,0 +1,137 @@
+"""What a caller asks for when it creates a batch."""
+
+import datetime
+import re
+
+from hollyspan_core.errors import InvalidRequestError
+
+__all__ = ["JobOrder", "find_due", "parse_order"]
+
+ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
+DEFAULT_WINDOW = "24h"
+WINDOW_PATTERN = re.compile(r"(\d{1,6})([smhd])")
+UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
+MAX_METADATA = 16
+MAX_METADATA_CHARACTERS = 512
+
+
+class JobOrder:
+    """The checked body of a request for a batch.
+
+    Parameters
+    ----------
+    file, endpoint, completion_window : str
+    metadata : dict
+        str by str.
+    """
+
+    __slots__ = ("file", "endpoint", "completion_window", "metadata")
+
+    def __init__(self, *, file, endpoint, completion_window, metadata):
+        self.file = file
+        self.endpoint = endpoint
+        self.completion_window = completion_window
+        self.metadata = metadata
+
+    @property
+    def idempotent(self):
+        """False when the caller says that no item may run twice."""
+        return self.metadata.get("idempotent", "").lower() != "false"
+
+
+def parse_order(document):
+    """Check the body of a request for a batch.
+
+    Parameters
+    ----------
+    document : dict
+
+    Returns
+    -------
+    JobOrder
+
+    Raises
+    ------
+    InvalidRequestError
+        Its `param` names the member at fault.
+    """
+    file = document.get("input_file_id")
+    if not isinstance(file, str) or not file or "/" in file:
+        raise InvalidRequestError(
+            "input_file_id is missing or no file", param="input_file_id"
+        )
+    endpoint = document.get("endpoint")
+    if endpoint not in ENDPOINTS:
+        raise InvalidRequestError(
+            f"endpoint is none of {', '.join(ENDPOINTS)}", param="endpoint"
+        )
+    order = JobOrder(
+        file=file,
+        endpoint=endpoint,
+        completion_window=document.get("completion_window", DEFAULT_WINDOW),
+        metadata=check_metadata(document.get("metadata") or {}),
+    )
+    find_due(order, now=0.0)
+    return order
+
+
+def check_metadata(metadata):
+    valid = (
+        isinstance(metadata, dict)
+        and len(metadata) <= MAX_METADATA
+        and all(isinstance(value, str) for value in metadata.values())
+        and all(
+            len(text) <= MAX_METADATA_CHARACTERS
+            for pair in metadata.items()
+            for text in pair
+        )
+    )
+    if not valid:
+        raise InvalidRequestError(
+            "metadata is no object of few short strings", param="metadata"
+        )
+    return metadata
+
+
+def find_due(order, *, now):
+    """Return when a job must be finished.
+
+    Parameters
+    ----------
+    order : JobOrder
+    now : float
+        Seconds since the epoch.
+
+    Returns
+    -------
+    float
+        Seconds since the epoch: the metadata's `due` where it is given, else
+        the end of the completion window.
+
+    Raises
+    ------
+    InvalidRequestError
+    """
+    due = order.metadata.get("due")
+    if due is not None:
+        return parse_time(due)
+    window = order.completion_window
+    match = isinstance(window, str) and WINDOW_PATTERN.fullmatch(window)
+    if not match:
+        raise InvalidRequestError(
+            "completion_window is no time such as 24h or 30m",
+            param="completion_window",
+        )
+    return now + int(match[1]) * UNIT_SECONDS[match[2]]
+
+
+def parse_time(text):
+    try:
+        time = datetime.datetime.fromisoformat(text)
+        if time.tzinfo is None:
+            time = time.replace(tzinfo=datetime.UTC)
+        return time.timestamp()
+    except (ValueError, OverflowError) as error:
+        raise InvalidRequestError(
+            "due is no ISO 8601 time", param="metadata"
+        ) from error
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/output.py
@@ -0,0 +1,138 @@
+"""Output and error files, composed from the results when they are read."""
+
+import re
+
+from hollyspan_core.errors import FileNotFoundInWorkspaceError
+
+from ..files import describe_file
+from ..files import FileContent
+from .itemrecord import decode_part
+from .itemrecord import encode_line
+from .itemrecord import RecordKind
+from .keys import build_job_key
+from .keys import build_part_key
+from .keys import JOB_PREFIX
+from .ledger import ChunkLedger
+from .record import decode_record
+
+__all__ = ["JobOutput", "build_output_id", "open_output", "parse_output_id"]
+
+OUTPUT_PATTERN = re.compile(r"file-([0-9a-f]{32})-(output|errors)")
+KINDS = {"output": RecordKind.COMPLETED, "errors": RecordKind.FAILED}
+SIZES = {"output": "output_bytes", "errors": "error_bytes"}
+
+
+def build_output_id(job, name):
+    """Return the identifier of a job's output or error file.
+
+    Parameters
+    ----------
+    job : str
+    name : str
+        ``output`` or ``errors``.
+
+    Returns
+    -------
+    str
+    """
+    return f"file-{job.removeprefix(JOB_PREFIX)}-{name}"
+
+
+def parse_output_id(file):
+    """Return the job and the name in the identifier of an output file.
+
+    Parameters
+    ----------
+    file : str
+
+    Returns
+    -------
+    tuple of (str, str) or None
+        None when the identifier is not one of an output file.
+    """
+    match = OUTPUT_PATTERN.fullmatch(file)
+    return match and (JOB_PREFIX + match[1], match[2])
+
+
+class JobOutput:
+    """The output or error file of a job that has ended.
+
+    Parameters
+    ----------
+    store : Store
+    record : JobRecord
+    name : str
+        ``output`` or ``errors``.
+    """
+
+    __slots__ = ("store", "record", "name")
+
+    def __init__(self, *, store, record, name):
+        self.store = store
+        self.record = record
+        self.name = name
+
+    def describe(self):
+        """Return the file object.
+
+        Returns
+        -------
+        dict
+        """
+        return describe_file(
+            file=build_output_id(self.record.job, self.name),
+            size=self.record.count(SIZES[self.name]),
+            created_at=self.record.ended_at,
+            filename=f"{self.record.job}_{self.name}.jsonl",
+            purpose="batch_output",
+        )
+
+    async def read(self):
+        """Read the lines, one part of the results at a time.
+
+        Yields
+        ------
+        bytes
+        """
+        kind = KINDS[self.name]
+        for chunk in sorted(self.record.closed):
+            ledger = ChunkLedger(items=self.record.items[chunk])
+            for part in range(self.record.closed[chunk].parts):
+                key = build_part_key(self.record.job, chunk, part)
+                entry = await self.store.get(key)
+                results = ledger.apply(decode_part(entry.content))
+                yield b"".join(
+                    encode_line(result.line)
+                    for result in results
+                    if result.kind is kind
+                )
+
+
+async def open_output(store, workspace, file):
+    """Find the output or error file of a job that has ended.
+
+    Parameters
+    ----------
+    store : Store
+    workspace, file : str
+
+    Returns
+    -------
+    FileContent or None
+        None when the identifier is not one of an output file.
+
+    Raises
+    ------
+    FileNotFoundInWorkspaceError
+        No such job in the workspace, or it has not ended.
+    """
+    parsed = parse_output_id(file)
+    if parsed is None:
+        return None
+    job, name = parsed
+    entry = await store.get(build_job_key(workspace, job))
+    record = entry and decode_record(entry.content)
+    if record is None or not record.status.ended:
+        raise FileNotFoundInWorkspaceError("no such file")
+    output = JobOutput(store=store, record=record, name=name)
+    return FileContent(description=output.describe(), read=output.read)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
@@ -0,0 +1,60 @@
+"""The part of the daemon that serves and runs jobs."""
+
+import contextlib
+
+from ..http import add_resource
+from ..http import AsyncResource
+from ..runtime import open_periodic
+from .output import open_output
+from .queue import is_file_queued
+from .resource import build_handler
+from .runner import JobRunner
+from .runner import TICK_SECONDS
+
+__all__ = ["open_jobs"]
+
+
+@contextlib.contextmanager
+def open_jobs(runtime):
+    """Serve ``/v1/batches`` and run jobs on the upstreams owned here.
+
+    Parameters
+    ----------
+    runtime : Runtime
+
+    Yields
+    ------
+    JobRunner
+    """
+    handler = AsyncResource(handle=build_handler(runtime))
+    add_resource(runtime.root, "v1/batches", handler)
+    connect_files(runtime)
+    runner = JobRunner(runtime=runtime)
+    runtime.upstreams.load_listeners.append(runner.take_load)
+    runtime.cancelled_jobs.listeners.append(runner.stop_job)
+    runtime.drain_hooks.append(runner.drain)
+    reactor = runtime.reactor
+    with contextlib.ExitStack() as stack:
+        stack.callback(runner.queue.stop)
+        for function, seconds in (
+            (runner.lease.keep, runner.lease.interval),
+            (runner.queue.poll, runner.queue.poll_seconds),
+            (runner.tick, TICK_SECONDS),
+        ):
+            stack.enter_context(
+                open_periodic(function, seconds=seconds, reactor=reactor)
+            )
+        yield runner
+
+
+def connect_files(runtime):
+    """Tell the interface to files of results and of files in use."""
+
+    async def find_output(workspace, file):
+        return await open_output(runtime.store, workspace, file)
+
+    async def is_needed(file):
+        return await is_file_queued(runtime.store, file)
+
+    runtime.file_sources.append(find_output)
+    runtime.file_users.append(is_needed)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/preparation.py
@@ -0,0 +1,111 @@
+"""What the store must know before items run."""
+
+from hollyspan_core.errors import ItemAttemptsError
+from hollyspan_core.errors import ModelNotFoundError
+from hollyspan_core.errors import OutcomeUnknownError
+
+from .flush import flush_chunk
+from .itemrecord import ItemRecord
+from .itemrecord import RecordKind
+from .results import build_failure
+
+__all__ = ["admit_items", "prepare_items"]
+
+GROUP_ITEMS = 16
+
+
+def admit_items(chunk, *, attempts_limit, services):
+    """Sort the items of a chunk that was just claimed.
+
+    Parameters
+    ----------
+    chunk : HeldChunk
+    attempts_limit : int
+    services : dict
+        Services of the configuration by name.
+
+    Notes
+    -----
+    An item marked as started by an earlier holder never runs again; one
+    whose noted attempts reach the limit fails.
+    """
+    for item in chunk.items:
+        if item.index in chunk.ledger.done:
+            continue
+        item.attempts = chunk.notes.counts.get(item.index, 0)
+        error = find_obstacle(
+            chunk, item, attempts_limit=attempts_limit, services=services
+        )
+        if error is None:
+            chunk.add(item)
+        else:
+            chunk.buffer_record(build_failure(chunk.record.job, item, error))
+
+
+def find_obstacle(chunk, item, *, attempts_limit, services):
+    """Return why an item cannot run, or None."""
+    if item.index in chunk.ledger.started:
+        return OutcomeUnknownError("an earlier holder was lost")
+    if item.attempts >= attempts_limit:
+        return ItemAttemptsError(
+            f"{item.attempts} attempts ended with their holders"
+        )
+    if services.get(str(item.model), {}).get("kind") != "model":
+        return ModelNotFoundError("no such model", param="model")
+    return None
+
+
+def take_group(chunk):
+    """Take the items to prepare next: a group, or one suspect."""
+    if chunk.waiting:
+        count = min(GROUP_ITEMS, len(chunk.waiting))
+        return [chunk.waiting.popleft() for _ in range(count)]
+    if chunk.suspects and not chunk.running and not chunk.count_ready():
+        return [chunk.suspects.popleft()]
+    return []
+
+
+async def prepare_items(store, chunk):
+    """Note or mark the next items, so that they may run.
+
+    Parameters
+    ----------
+    store : Store
+    chunk : HeldChunk
+
+    Raises
+    ------
+    StoreConflictError
+        Another daemon holds the chunk.
+    StoreUnavailableError
+        Nothing may run.
+    """
+    group = take_group(chunk)
+    if not group:
+        return
+    try:
+        if chunk.record.idempotent:
+            await note_items(chunk, group)
+        else:
+            await mark_items(store, chunk, group)
+    except BaseException:
+        chunk.waiting.extendleft(reversed(group))
+        raise
+    if chunk.contested or chunk.stopped:
+        return
+    for item in group:
+        chunk.ready[item.model].append(item)
+
+
+async def note_items(chunk, group):
+    """Note the next attempt of each item."""
+    await chunk.notes.note({item.index: item.attempts + 1 for item in group})
+
+
+async def mark_items(store, chunk, group):
+    """Mark items as started, before any of them runs."""
+    for item in group:
+        chunk.buffer_record(
+            ItemRecord(item=item.index, kind=RecordKind.STARTED)
+        )
+    await flush_chunk(store, chunk)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/record.py
@@ -0,0 +1,165 @@
+"""Record of a job in the store."""
+
+import json
+
+from .closed import ClosedChunk
+from .status import JobStatus
+
+__all__ = ["JobRecord", "decode_record", "encode_record"]
+
+
+class JobRecord:
+    """All that the store keeps of a job beside its items and results.
+
+    Parameters
+    ----------
+    job, workspace : str
+    file : str
+        Input file towards callers.
+    data : str
+        Identifier in the keys of the input's chunks.
+    endpoint, completion_window : str
+    metadata : dict
+    due : float
+        Seconds since the epoch.
+    idempotent : bool
+        False when no item may run twice.
+    items : list of int
+        Items in each chunk.
+    models : list of str
+        Models that the items name; empty when there are too many.
+    created_at : int
+        Seconds since the epoch.
+    status : JobStatus, optional
+    ended_at, cancelling_at : int or None, optional
+        Seconds since the epoch.
+    closed : dict, optional
+        ClosedChunk by chunk.
+    """
+
+    __slots__ = (
+        "job",
+        "workspace",
+        "file",
+        "data",
+        "endpoint",
+        "completion_window",
+        "metadata",
+        "due",
+        "idempotent",
+        "items",
+        "models",
+        "created_at",
+        "status",
+        "ended_at",
+        "cancelling_at",
+        "closed",
+    )
+
+    def __init__(
+        self,
+        *,
+        job,
+        workspace,
+        file,
+        data,
+        endpoint,
+        completion_window,
+        metadata,
+        due,
+        idempotent,
+        items,
+        models,
+        created_at,
+        status=JobStatus.IN_PROGRESS,
+        ended_at=None,
+        cancelling_at=None,
+        closed=None,
+    ):
+        self.job = job
+        self.workspace = workspace
+        self.file = file
+        self.data = data
+        self.endpoint = endpoint
+        self.completion_window = completion_window
+        self.metadata = metadata
+        self.due = due
+        self.idempotent = idempotent
+        self.items = items
+        self.models = models
+        self.created_at = created_at
+        self.status = status
+        self.ended_at = ended_at
+        self.cancelling_at = cancelling_at
+        self.closed = closed or {}
+
+    @property
+    def is_complete(self):
+        """True when all chunks are closed."""
+        return len(self.closed) == len(self.items)
+
+    def list_open_chunks(self):
+        """List the chunks that are not closed.
+
+        Returns
+        -------
+        list of int
+        """
+        return [
+            chunk
+            for chunk in range(len(self.items))
+            if chunk not in self.closed
+        ]
+
+    def count(self, name):
+        """Sum one count over the closed chunks.
+
+        Parameters
+        ----------
+        name : str
+            A count of ClosedChunk.
+
+        Returns
+        -------
+        int
+        """
+        return sum(getattr(chunk, name) for chunk in self.closed.values())
+
+
+def encode_record(record):
+    """Return a record as JSON.
+
+    Parameters
+    ----------
+    record : JobRecord
+
+    Returns
+    -------
+    bytes
+    """
+    document = {name: getattr(record, name) for name in JobRecord.__slots__}
+    document["status"] = record.status.value
+    document["closed"] = {
+        str(chunk): closed.dump() for chunk, closed in record.closed.items()
+    }
+    return json.dumps(document).encode()
+
+
+def decode_record(content):
+    """Decode a record from JSON.
+
+    Parameters
+    ----------
+    content : bytes
+
+    Returns
+    -------
+    JobRecord
+    """
+    document = json.loads(content)
+    document["status"] = JobStatus(document["status"])
+    document["closed"] = {
+        int(chunk): ClosedChunk.load(values)
+        for chunk, values in document["closed"].items()
+    }
+    return JobRecord(**document)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -0,0 +1,148 @@
+"""Batch slots of one upstream that this daemon owns."""
+
+from hollyspan_core.configuration import Scope
+from hollyspan_policy.batch import BatchGate
+from hollyspan_policy.batch import choose_preempted
+from hollyspan_policy.batch import StreamView
+
+from .run import StopReason
+
+__all__ = ["UpstreamSlots"]
+
+
+class UpstreamSlots:
+    """Batch streams of one upstream within its gate.
+
+    Parameters
+    ----------
+    upstream : Upstream
+
+    Attributes
+    ----------
+    gate : BatchGate or None
+    running : set of Run
+    paused : list of (HeldChunk, Item, float)
+        Preempted items whose stream the engine may still know, with the
+        monotonic seconds of the preemption; the earliest first.
+    owned : bool
+        False when another daemon has become the owner.
+    """
+
+    __slots__ = ("upstream", "gate", "running", "paused", "owned", "peers")
+
+    def __init__(self, *, upstream):
+        self.upstream = upstream
+        self.gate = None
+        self.running = set()
+        self.paused = []
+        self.owned = True
+        self.peers = True
+
+    def configure(self, configuration, *, now, wall):
+        """Build the gate anew when what it depends on has changed.
+
+        Parameters
+        ----------
+        configuration : Configuration
+        now : float
+            Monotonic seconds.
+        wall : float
+            Seconds since the epoch.
+        """
+        scope = Scope(
+            service=self.upstream.service,
+            data_centre=self.upstream.data_centre,
+            upstream=self.upstream.name,
+        )
+
+        def read(name):
+            return configuration.get(name, scope=scope, now=wall)
+
+        wanted = (
+            self.upstream.slots,
+            read("batch.reserve_slots"),
+            read("batch.harm_weight"),
+        )
+        gate = self.gate
+        if gate and wanted == (gate.slots, gate.reserve, gate.harm_weight):
+            return
+        slots, reserve, harm_weight = wanted
+        self.gate = BatchGate(
+            slots=slots, reserve=reserve, harm_weight=harm_weight
+        )
+        self.observe(now=now)
+
+    def observe(self, *, now):
+        """Show the gate the online requests in flight."""
+        self.gate.observe_online(self.upstream.count_online(), now=now)
+
+    def observe_peers(self, heard, *, now):
+        """Show the gate whether all peers are heard."""
+        if heard != self.peers:
+            self.peers = heard
+            self.gate.observe_peers(heard, now=now)
+
+    def count_allowed(self, *, now):
+        """Count the batch streams that may run, those of peers included."""
+        return self.gate.count_allowed(
+            now=now, running=self.upstream.count_batch()
+        )
+
+    def count_free(self, *, now):
+        """Count the batch streams that may start now."""
+        if not self.owned or not self.is_usable:
+            return 0
+        return self.count_allowed(now=now) - self.upstream.count_batch()
+
+    @property
+    def is_usable(self):
+        """True when new work may be sent."""
+        return self.upstream.reachable and not self.upstream.leaving
+
+    def preempt(self, *, now):
+        """Cancel the streams that online work has no room for.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        int
+            Streams cancelled.
+        """
+        running = [run for run in self.running if run.reason is None]
+        stopping = len(self.running) - len(running)
+        active = [run for run in running if not run.item.pinned]
+        surplus = self.upstream.count_batch() - self.count_allowed(now=now)
+        by_stream = {run.item.stream_id: run for run in active}
+        chosen = choose_preempted(
+            [build_view(run) for run in active], count=surplus - stopping
+        )
+        for view in chosen:
+            by_stream[view.stream].cancel(StopReason.PREEMPTED)
+        return len(chosen)
+
+    def take_paused(self):
+        """Take the item that was preempted first, or None.
+
+        Returns
+        -------
+        tuple of (HeldChunk, Item) or None
+        """
+        while self.paused:
+            chunk, item, _ = self.paused.pop(0)
+            if not chunk.stopped:
+                return chunk, item
+        return None
+
+
+def build_view(run):
+    return StreamView(
+        stream=run.item.stream_id,
+        due=run.chunk.record.due,
+        # A lost stream of a non-idempotent item cannot be run again.
+        resumable=run.chunk.record.idempotent,
+        generated=len(run.item.events),
+    )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/status.py
@@ -0,0 +1,20 @@
+"""States of a job."""
+
+import enum
+
+__all__ = ["JobStatus"]
+
+
+class JobStatus(enum.Enum):
+    """Status of a job, in the words of OpenAI's batch object."""
+
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLING = "cancelling"
+    CANCELLED = "cancelled"
+
+    @property
+    def ended(self):
+        """True when the job does not change any more."""
+        return self not in (JobStatus.IN_PROGRESS, JobStatus.CANCELLING)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
@@ -0,0 +1,147 @@
+"""Care for the chunks that are held."""
+
+import eliot
+from twisted.internet import defer
+from twisted.internet import task
+
+from hollyspan_core.errors import HollyspanError
+from hollyspan_core.errors import StoreConflictError
+from hollyspan_core.errors import StoreUnavailableError
+
+from .claim import delete_claim
+from .closing import close_chunk
+from .flush import flush_chunk
+from .preparation import GROUP_ITEMS
+from .preparation import prepare_items
+from .run import StopReason
+
+__all__ = ["maintain_chunk", "release_chunk"]
+
+RETRY_SECONDS = 1.0
+# A chunk without room for so long is left to other daemons.
+IDLE_SECONDS = 10.0
+# Results are kept for a store that is out of reach for so long.
+KEEP_RESULTS_SECONDS = 600.0
+
+
+def maintain_chunk(runner, chunk, *, now):
+    """Start what a chunk needs from the store, one thing at a time.
+
+    Parameters
+    ----------
+    runner : JobRunner
+    chunk : HeldChunk
+    now : float
+        Monotonic seconds.
+    """
+    if chunk.stopped or chunk.closing or now < chunk.retry_at:
+        return
+    if chunk.contested or is_idle(chunk, now=now):
+        runner.spawn(release_chunk(runner, chunk))
+    elif runner.is_flush_due(chunk, now=now):
+        chunk.flushed = now
+        runner.spawn(write(runner, chunk, now=now))
+    elif chunk.ledger.is_complete:
+        runner.spawn(write(runner, chunk, now=now))
+    elif needs_preparing(chunk):
+        chunk.preparing = True
+        runner.spawn(prepare(runner, chunk, now=now))
+
+
+def is_idle(chunk, *, now):
+    if chunk.running or chunk.preparing:
+        chunk.active = now
+    return chunk.count_left() > 0 and now - chunk.active > IDLE_SECONDS
+
+
+def needs_preparing(chunk):
+    if chunk.preparing or chunk.count_ready() >= GROUP_ITEMS:
+        return False
+    if chunk.waiting:
+        return True
+    alone = not chunk.running and not chunk.count_ready()
+    return bool(chunk.suspects) and alone
+
+
+async def write(runner, chunk, *, now):
+    """Write the results, and close the chunk with its last one."""
+    try:
+        await flush_chunk(runner.store, chunk)
+        if not chunk.ledger.is_complete or chunk.stopped or chunk.closing:
+            return
+        chunk.closing = True
+        await close_chunk(runner.store, chunk)
+    except StoreUnavailableError:
+        chunk.closing = False
+        chunk.retry_at = now + RETRY_SECONDS
+        return
+    runner.counters.closed += 1
+    eliot.log_message(
+        message_type="jobs:chunk-closed",
+        job=chunk.record.job,
+        chunk=chunk.chunk,
+    )
+    await chunk.notes.remove()
+    await let_go(runner, chunk)
+
+
+async def prepare(runner, chunk, *, now):
+    """Prepare the next items."""
+    try:
+        await prepare_items(runner.store, chunk)
+    except StoreUnavailableError:
+        chunk.retry_at = now + RETRY_SECONDS
+    except StoreConflictError:
+        chunk.contested = True
+    finally:
+        chunk.preparing = False
+    runner.wake()
+
+
+async def release_chunk(runner, chunk):
+    """Stop the items of a chunk, keep their results and give it back.
+
+    Parameters
+    ----------
+    runner : JobRunner
+    chunk : HeldChunk
+
+    Notes
+    -----
+    Results of a chunk whose lease has lapsed are written, too: a part is
+    created if absent, so that they count only where no other holder's do.
+    """
+    chunk.stop()
+    for run in list(chunk.running):
+        run.cancel(StopReason.STOPPED)
+    works = [run.work for run in chunk.running]
+    await defer.DeferredList(works, consumeErrors=True)
+    chunk.withdraw()
+    await flush_patiently(runner, chunk)
+    try:
+        await chunk.notes.release(chunk.list_attempts())
+    except HollyspanError as error:
+        eliot.log_message(message_type="jobs:notes-left", reason=error.code)
+    runner.counters.released += 1
+    await let_go(runner, chunk)
+
+
+async def flush_patiently(runner, chunk):
+    """Write the results, waiting for a store that is out of reach."""
+    for _ in range(int(KEEP_RESULTS_SECONDS / RETRY_SECONDS)):
+        try:
+            await flush_chunk(runner.store, chunk)
+            return
+        except StoreUnavailableError:
+            await task.deferLater(runner.runtime.reactor, RETRY_SECONDS)
+
+
+async def let_go(runner, chunk):
+    """Forget a chunk and delete its claim."""
+    chunk.stop()
+    if runner.chunks.get(chunk.name) is chunk:
+        del runner.chunks[chunk.name]
+    await delete_claim(
+        runner.store, chunk.record.job, chunk.chunk, chunk.revision
+    )
+    runner.wake()
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/watcher.py
@@ -0,0 +1,205 @@
+"""Following the queue of unfinished jobs."""
+
+import time
+
+import eliot
+from twisted.internet import defer
+
+from hollyspan_core.errors import BatchNotFoundError
+from hollyspan_core.errors import HollyspanError
+
+from .change import read_record
+from .change import remove_from_queue
+from .claim import delete_claim
+from .claim import list_claims
+from .closing import end_cancelled
+from .keys import build_queue_key
+from .knownjob import KnownJob
+from .queue import decode_queue_entry
+from .status import JobStatus
+
+__all__ = ["QueueWatcher"]
+
+QUEUE_PREFIX = build_queue_key("")
+STALE_SECONDS = 20.0
+# Polls in a time of `watch_refresh`; the watch may be silent.
+POLLS_PER_REFRESH = 2
+
+
+class QueueWatcher:
+    """Keeps the unfinished jobs by a watch and by polling.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    is_held : callable
+        Tells of a job and a chunk whether this daemon holds or claims it.
+    is_wanted : callable
+        Tells of a job whether its state must be fresh.
+    read_lease : callable
+        Returns the lease of this daemon.
+    on_stopped : callable
+        Called with each job that is cancelled or has ended.
+    on_change : callable
+        Called without arguments when there may be chunks to claim.
+
+    Attributes
+    ----------
+    jobs : dict
+        KnownJob by job.
+    """
+
+    def __init__(
+        self,
+        *,
+        runtime,
+        is_held,
+        is_wanted,
+        read_lease,
+        on_stopped,
+        on_change,
+    ):
+        self.runtime = runtime
+        self.store = runtime.store
+        self.is_held = is_held
+        self.is_wanted = is_wanted
+        self.read_lease = read_lease
+        self.on_stopped = on_stopped
+        self.on_change = on_change
+        self.jobs = {}
+        self.watch = None
+        self.watched_at = None
+
+    @property
+    def poll_seconds(self):
+        """Seconds between two polls."""
+        refresh = self.runtime.settings.timing.watch_refresh
+        return refresh / POLLS_PER_REFRESH
+
+    async def poll(self):
+        """List the queue and read the jobs whose state matters here."""
+        entries = []
+        after = None
+        while True:
+            page = await self.store.list(QUEUE_PREFIX, after=after)
+            entries.extend(page.entries)
+            if not page.more:
+                break
+            after = page.entries[-1].key
+        self.open_watch(page.revision + 1)
+        for entry in entries:
+            self.take_entry(entry)
+        listed = {entry.key.removeprefix(QUEUE_PREFIX) for entry in entries}
+        for job in set(self.jobs) - listed:
+            self.forget(job)
+        for known in list(self.jobs.values()):
+            if self.must_read(known):
+                await self.read(known)
+
+    def must_read(self, known):
+        if known.read_at is None or self.is_wanted(known):
+            return True
+        if known.entry.state == JobStatus.CANCELLING.value:
+            return True
+        return time.monotonic() - known.read_at > STALE_SECONDS
+
+    def open_watch(self, revision):
+        """Open the watch unless there is one."""
+        if self.watch is not None:
+            return
+        self.watch = self.store.watch(
+            QUEUE_PREFIX,
+            on_event=self.take_event,
+            on_lost=self.lose_watch,
+            revision=revision,
+        )
+
+    def lose_watch(self):
+        self.watch = None
+
+    def stop(self):
+        """End the watch."""
+        watch, self.watch = self.watch, None
+        if watch is not None:
+            watch.stop()
+
+    def take_event(self, entry):
+        """Take in what the watch reports."""
+        if not entry.revision:
+            self.forget(entry.key.removeprefix(QUEUE_PREFIX))
+        elif self.take_entry(entry):
+            known = self.jobs[entry.key.removeprefix(QUEUE_PREFIX)]
+            self.spawn(self.read(known))
+
+    def take_entry(self, entry):
+        """Take in an entry; tell whether it is news."""
+        queued = decode_queue_entry(entry.content)
+        known = self.jobs.get(queued.job)
+        if known is None:
+            known = KnownJob(entry=queued, revision=entry.revision)
+            self.jobs[queued.job] = known
+        elif known.revision >= entry.revision:
+            return False
+        known.entry = queued
+        known.revision = entry.revision
+        if queued.state != JobStatus.IN_PROGRESS.value:
+            self.on_stopped(queued.job)
+        return True
+
+    def forget(self, job):
+        """Drop a job that is not in the queue any more."""
+        if self.jobs.pop(job, None) is not None:
+            self.on_stopped(job)
+
+    async def read(self, known):
+        """Read the record and the claims of a job."""
+        entry = known.entry
+        try:
+            record = await read_record(self.store, entry.workspace, entry.job)
+        except BatchNotFoundError:
+            return
+        if record.status.ended:
+            await remove_from_queue(self.store, entry.job)
+            self.forget(entry.job)
+            return
+        if record.status is JobStatus.CANCELLING:
+            known.record = record
+            self.on_stopped(entry.job)
+            if await end_cancelled(self.store, record):
+                self.forget(entry.job)
+            return
+        claims = await list_claims(self.store, entry.job)
+        known.record = record
+        known.claimed = set(claims)
+        known.read_at = time.monotonic()
+        self.on_change()
+        await self.sweep(entry.job, claims)
+
+    async def sweep(self, job, claims):
+        """Delete claims under the own lease that nobody knows of here."""
+        lease = self.read_lease()
+        for chunk, entry in claims.items():
+            if lease and entry.lease == lease:
+                if not self.is_held(job, chunk):
+                    await delete_claim(self.store, job, chunk, entry.revision)
+
+    async def end_if_cancelled(self, job):
+        """Bring a cancelled job to its end, if it is known and free."""
+        known = self.jobs.get(job)
+        if known is not None:
+            await self.read(known)
+
+    def spawn(self, work):
+        """Run a coroutine; its failure is logged."""
+        defer.ensureDeferred(work).addErrback(log_failure)
+
+
+def log_failure(failure):
+    if failure.check(defer.CancelledError):
+        return
+    if failure.check(HollyspanError):
+        eliot.log_message(
+            message_type="jobs:failed", reason=failure.value.code
+        )
+        return
+    eliot.write_failure(failure)
