--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -17,10 +17,13 @@
 from .configurations import ConfigurationHolder
 from .configurations import open_configurations
 from .drain import drain
+from .files import build_upload_request
+from .files import open_files
 from .http import AsyncResource
 from .http import DrainingSite
 from .http import write_json
 from .instances import open_instances
+from .jobs import open_jobs
 from .online import open_online
 from .operators import open_operators
 from .peers import open_peers
@@ -105,6 +108,8 @@
     open_operators,
     open_upstreams,
     open_online,
+    open_files,
+    open_jobs,
 )
 
 
@@ -132,7 +137,11 @@
             add_health(runtime)
             for open_part in PARTS:
                 stack.enter_context(open_part(runtime))
-            site = DrainingSite(runtime.root)
+            site = DrainingSite(
+                runtime.root,
+                requestFactory=build_upload_request(runtime),
+                parsePOSTFormSubmission=False,
+            )
             port = reactor.listenTCP(
                 settings.http_port, site, interface=settings.http_address
             )
