--- /dev/null
+++ b/integration/tests/test_configuration_spread.py
@@ -0,0 +1,174 @@
+"""An accepted configuration is in force everywhere and never reverts."""
+
+from concurrent import futures
+import json
+
+import pytest
+
+from hollyspan_standins.caller import Operator
+from hollyspan_standins.caller import RefusedError
+from hollyspan_standins.checker import find_falling_generations
+from hollyspan_standins.deployment import build_places
+from hollyspan_standins.deployment import open_deployment
+
+IN_FORCE_SECONDS = 12.0
+ROUNDS = 3
+
+
+@pytest.fixture(name="start")
+def start_deployments():
+    """Return a function that opens a deployment for its context."""
+
+    def start(*regions, daemons=1, disks=0, **options):
+        places = build_places(*regions, daemons=daemons, services=())
+        for place in places:
+            place.disks = disks
+        return open_deployment(places=places, **options)
+
+    return start
+
+
+def check_rising(operator):
+    seen = operator.observations + operator.read_applied()
+    assert not find_falling_generations(seen)
+
+
+def submit(operator, daemon, document):
+    try:
+        return operator.post(daemon, "configuration", document)
+    except RefusedError as error:
+        return error
+
+
+def test_racing_operators_end_in_one_winner(start):
+    with start("attiki", "kriti", daemons=2) as deployment:
+        operator = Operator(deployment=deployment)
+        daemons = deployment.daemon_names
+        for _ in range(ROUNDS):
+            base = operator.get(daemons[0], "configuration")
+            with futures.ThreadPoolExecutor(len(daemons)) as pool:
+                answers = list(
+                    pool.map(
+                        lambda name: submit(operator, name, base), daemons
+                    )
+                )
+            winner = base["generation"] + 1
+            won = [a for a in answers if isinstance(a, dict)]
+            lost = [a for a in answers if isinstance(a, RefusedError)]
+            assert won == [{"generation": winner}]
+            for error in lost:
+                assert error.status == 409
+                assert f"generation {winner} is accepted" in str(error.body)
+            operator.wait_in_force(
+                winner, daemons=daemons, seconds=IN_FORCE_SECONDS
+            )
+        history = operator.get(daemons[0], "configuration/history")
+        kept = [d["generation"] for d in history["documents"]]
+        assert kept == list(range(ROUNDS + 1, 0, -1))
+        check_rising(operator)
+
+
+def test_a_lost_reply_is_resolved(start):
+    with start("attiki", daemons=2) as deployment:
+        operator = Operator(deployment=deployment)
+        first, second = deployment.daemon_names
+        deployment.control(
+            "store", lose_replies=2, lose_matching="configuration/current"
+        )
+        assert operator.change(first, reason="a lost reply") == 2
+        operator.wait_in_force(2, daemons=[second], seconds=IN_FORCE_SECONDS)
+        assert operator.change(second, reason="the next one") == 3
+        operator.wait_in_force(
+            3, daemons=[first, second], seconds=IN_FORCE_SECONDS
+        )
+        check_rising(operator)
+
+
+def test_a_silent_watch_is_made_up_for(start):
+    with start("attiki", "kriti") as deployment:
+        operator = Operator(deployment=deployment)
+        first, second = deployment.daemon_names
+        deployment.control("store", silent_watches=True)
+        generation = operator.change(first, reason="silent watch")
+        operator.wait_in_force(
+            generation, daemons=[first, second], seconds=IN_FORCE_SECONDS
+        )
+        check_rising(operator)
+
+
+def test_a_silent_watch_without_peers_is_made_up_for(start):
+    options = {"proxied": ["peers"]}
+    with start("attiki", "kriti", **options) as deployment:
+        operator = Operator(deployment=deployment)
+        first, second = deployment.daemon_names
+        deployment.control("store", silent_watches=True)
+        deployment.set_links("peer:*", cut=True)
+        generation = operator.change(first, reason="silent, no peers")
+        operator.wait_in_force(
+            generation, daemons=[second], seconds=IN_FORCE_SECONDS
+        )
+        check_rising(operator)
+
+
+def test_a_data_centre_without_the_store_learns_from_peers(start):
+    options = {"daemons": 2, "proxied": ["store"]}
+    with start("attiki", "kriti", **options) as deployment:
+        operator = Operator(deployment=deployment)
+        daemons = deployment.daemon_names
+        deployment.set_links("store:kriti-a-*", cut=True)
+        generation = operator.change(daemons[0], reason="cut off")
+        operator.wait_in_force(
+            generation, daemons=daemons, seconds=IN_FORCE_SECONDS
+        )
+        check_rising(operator)
+
+
+def test_a_restart_without_the_store_does_not_fall_back(start):
+    options = {"daemons": 2, "disks": 1, "proxied": ["peers"]}
+    with start("attiki", "kriti", **options) as deployment:
+        operator = Operator(deployment=deployment)
+        daemons = deployment.daemon_names
+        with_disk = daemons[0]
+        deployment.kill(with_disk)
+        generation = operator.change(daemons[1], reason="while it is down")
+        operator.wait_in_force(
+            generation, daemons=daemons[1:], seconds=IN_FORCE_SECONDS
+        )
+        deployment.control("store", outage=True)
+        path = deployment.folder / f"{with_disk}.data/configuration.json"
+        assert json.loads(path.read_bytes())["generation"] == 1
+        deployment.start(with_disk)
+        # The disk's older document is never in force.
+        assert operator.observe(with_disk) == generation
+        check_rising(operator)
+
+
+def test_a_restart_with_only_the_disk_serves(start):
+    options = {"disks": 1}
+    with start("attiki", **options) as deployment:
+        operator = Operator(deployment=deployment)
+        (daemon,) = deployment.daemon_names
+        generation = operator.change(daemon, reason="kept on disk")
+        deployment.control("store", outage=True)
+        deployment.kill(daemon)
+        deployment.start(daemon)
+        assert operator.observe(daemon) == generation
+
+
+def test_a_stale_peer_brings_nothing_back(start):
+    with start("attiki", daemons=3) as deployment:
+        operator = Operator(deployment=deployment)
+        stale, *others = deployment.daemon_names
+        deployment.freeze(stale)
+        generation = operator.change(others[0], reason="one is frozen")
+        operator.wait_in_force(
+            generation, daemons=others, seconds=IN_FORCE_SECONDS
+        )
+        deployment.control("store", outage=True)
+        deployment.thaw(stale)
+        operator.wait_in_force(
+            generation, daemons=[stale], seconds=IN_FORCE_SECONDS
+        )
+        for daemon in deployment.daemon_names:
+            assert operator.observe(daemon) == generation
+        check_rising(operator)
--- a/packages/hollyspan_standins/hollyspan_standins/caller/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/caller/__init__.py
@@ -7,9 +7,11 @@
 from .client import Caller
 from .errors import RefusedError
 from .errors import StreamCutError
+from .operators import Operator
 
 __all__ = [
     "Caller",
+    "Operator",
     "RefusedError",
     "StreamCutError",
     "build_items",
