--- a/packages/hollyspan_entry/hollyspan_entry/operators/acceptance.py
+++ b/packages/hollyspan_entry/hollyspan_entry/operators/acceptance.py
@@ -67,7 +67,7 @@
 
 def raise_generation(document):
     based_on = document.get("generation")
-    if not isinstance(based_on, int) or based_on < 0:
+    if type(based_on) is not int or based_on < 0:
         raise ConfigurationInvalidError(
             "$.generation: must be the generation the document is based on"
         )
