Test files and jobs; name the claim in marks of started items

Two holders that marked the same item at the same moment wrote equal parts, and the one that lost took the other's part for its own: both would have run a non-idempotent item. Found by a unit test with two holders. Marks name the claim now, so that parts of two holders differ.

--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/files/tests/test_body.py
@@ -0,0 +1,50 @@
+from twisted.internet import defer
+
+from hollyspan_entry.files.body import BodyStream
+from hollyspan_entry.files.body import HIGH_WATER_BYTES
+
+
+class RecordingTransport:
+    def __init__(self):
+        self.calls = []
+
+    def pauseProducing(self):
+        self.calls.append("pause")
+
+    def resumeProducing(self):
+        self.calls.append("resume")
+
+
+def read(body):
+    results = []
+    defer.ensureDeferred(body.read()).addBoth(results.append)
+    return results
+
+
+def test_connection_is_held_back_while_much_waits():
+    transport = RecordingTransport()
+    body = BodyStream(transport=transport)
+    body.write(b"a" * HIGH_WATER_BYTES)
+    body.write(b"b")
+    assert transport.calls == ["pause"]
+    read(body)
+    assert transport.calls == ["pause"]
+    read(body)
+    assert transport.calls == ["pause", "resume"]
+
+
+def test_reader_waits_for_bytes_and_sees_the_end():
+    body = BodyStream(transport=RecordingTransport())
+    waiting = read(body)
+    assert waiting == []
+    body.write(b"a")
+    assert waiting == [b"a"]
+    body.finish()
+    assert read(body) == [b""]
+
+
+def test_lost_connection_fails_the_reader():
+    body = BodyStream(transport=RecordingTransport())
+    waiting = read(body)
+    body.close()
+    assert waiting[0].type.__name__ == "InvalidRequestError"
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/chunk.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/chunk.py
@@ -168,6 +168,20 @@
         """Keep a record for the next part."""
         self.buffer.append(record)
 
+    def mark_started(self, item):
+        """Keep the mark that an item is about to run.
+
+        The mark names the claim, so that two holders' marks of the same
+        item differ and only one of them can win.
+        """
+        self.buffer_record(
+            ItemRecord(
+                item=item.index,
+                kind=RecordKind.STARTED,
+                line={"claim": self.revision},
+            )
+        )
+
     def stop(self):
         """Run nothing more."""
         self.stopped = True
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/itemrecord.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/itemrecord.py
@@ -35,7 +35,8 @@
         Index of the item in its chunk.
     kind : RecordKind
     line : dict or None, optional
-        Line of the output or error file, where the record is a result.
+        Line of the output or error file, where the record is a result;
+        where it marks a start, what names the holder.
     """
 
     __slots__ = ("item", "kind", "line")
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/preparation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/preparation.py
@@ -5,8 +5,6 @@
 from hollyspan_core.errors import OutcomeUnknownError
 
 from .flush import flush_chunk
-from .itemrecord import ItemRecord
-from .itemrecord import RecordKind
 from .results import build_failure
 
 __all__ = ["admit_items", "prepare_items"]
@@ -105,7 +103,5 @@
 async def mark_items(store, chunk, group):
     """Mark items as started, before any of them runs."""
     for item in group:
-        chunk.buffer_record(
-            ItemRecord(item=item.index, kind=RecordKind.STARTED)
-        )
+        chunk.mark_started(item)
     await flush_chunk(store, chunk)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/tests/conftest.py
@@ -0,0 +1,103 @@
+"""Jobs in a store in memory."""
+
+import itertools
+
+import pytest
+
+from hollyspan_entry.files.keys import build_manifest_key
+from hollyspan_entry.files.manifest import encode_manifest
+from hollyspan_entry.files.manifest import FileManifest
+from hollyspan_entry.jobs.attempts import open_notes
+from hollyspan_entry.jobs.chunk import HeldChunk
+from hollyspan_entry.jobs.creation import create_job
+from hollyspan_entry.jobs.item import Item
+from hollyspan_entry.jobs.itemrecord import ItemRecord
+from hollyspan_entry.jobs.itemrecord import RecordKind
+from hollyspan_entry.jobs.ledger import read_ledger
+from hollyspan_entry.jobs.order import parse_order
+
+FILE = "file-1"
+ORDER = {"input_file_id": FILE, "endpoint": "/v1/completions"}
+
+
+@pytest.fixture
+def manifest(store, run):
+    """Store a file with chunks of two and one items."""
+    manifest = FileManifest(
+        file=FILE,
+        data="d",
+        filename="a.jsonl",
+        purpose="batch",
+        size=10,
+        digest="",
+        created_at=1,
+        items=[2, 1],
+        urls=["/v1/completions"],
+        models=["m"],
+    )
+    run(store.create(build_manifest_key("w", FILE), encode_manifest(manifest)))
+    return manifest
+
+
+@pytest.fixture
+def create(store, run, manifest):
+    """Return a function that creates a job."""
+
+    def create(*, workspace="w", key=None, **changes):
+        order = parse_order({**ORDER, **changes})
+        return run(
+            create_job(
+                store,
+                workspace,
+                order,
+                key=key,
+                is_idempotent=lambda models: True,
+            )
+        )
+
+    return create
+
+
+@pytest.fixture
+def hold(store, run):
+    """Return a function that holds a chunk, as after a claim."""
+
+    claims = itertools.count(1)
+
+    def hold(record, *, chunk=0):
+        items = [
+            Item(
+                index=index,
+                number=index,
+                custom_id=f"i{index}",
+                url="/v1/completions",
+                body={"model": "m"},
+            )
+            for index in range(record.items[chunk])
+        ]
+        return HeldChunk(
+            record=record,
+            chunk=chunk,
+            revision=next(claims),
+            notes=run(open_notes(store, record.job, chunk)),
+            ledger=run(
+                read_ledger(
+                    store, job=record.job, chunk=chunk, items=len(items)
+                )
+            ),
+            items=items,
+            now=0.0,
+        )
+
+    return hold
+
+
+@pytest.fixture
+def result():
+    """Return a function that builds the result of an item."""
+
+    def build(item, *, kind=RecordKind.COMPLETED, text=""):
+        line = {"custom_id": f"i{item}", "text": text}
+        return ItemRecord(item=item, kind=kind, line=line)
+
+    return build
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_cancellation.py
@@ -0,0 +1,78 @@
+import pytest
+
+from hollyspan_core.errors import BatchNotFoundError
+from hollyspan_core.errors import BatchStateError
+from hollyspan_core.errors import StoreReplyLostError
+from hollyspan_entry.jobs.cancellation import cancel_job
+from hollyspan_entry.jobs.change import read_record
+from hollyspan_entry.jobs.closing import close_chunk
+from hollyspan_entry.jobs.closing import end_cancelled
+from hollyspan_entry.jobs.flush import flush_chunk
+from hollyspan_entry.jobs.keys import build_claim_key
+from hollyspan_entry.jobs.keys import build_queue_key
+from hollyspan_entry.jobs.output import build_output_id
+from hollyspan_entry.jobs.output import open_output
+from hollyspan_entry.jobs.queue import decode_queue_entry
+from hollyspan_entry.jobs.status import JobStatus
+
+
+async def read_all(content):
+    return b"".join([piece async for piece in content.read()])
+
+
+def test_lost_reply_of_a_cancel_is_repeated(create, store, run):
+    job = create().job
+    store.lose = "jobs/"
+    with pytest.raises(StoreReplyLostError):
+        run(cancel_job(store, "w", job))
+    store.lose = None
+    assert run(cancel_job(store, "w", job)).status is JobStatus.CANCELLING
+    queued = decode_queue_entry(store.entries[build_queue_key(job)].content)
+    assert queued.state == "cancelling"
+
+
+def test_cancel_ends_when_no_chunk_is_held(create, store, run, hold, result):
+    record = create()
+    run(store.create(build_claim_key(record.job, 0), b""))
+    chunk = hold(record)
+    chunk.buffer_record(result(1))
+    run(flush_chunk(store, chunk))
+    record = run(cancel_job(store, "w", record.job))
+    assert not run(end_cancelled(store, record))
+    claim = store.entries[build_claim_key(record.job, 0)]
+    run(store.delete(claim.key, revision=claim.revision))
+    assert run(end_cancelled(store, record))
+    record = run(read_record(store, "w", record.job))
+    assert record.status is JobStatus.CANCELLED
+    assert (record.count("completed"), record.count("failed")) == (1, 0)
+    assert build_queue_key(record.job) not in store.entries
+    assert run(cancel_job(store, "w", record.job)).job == record.job
+
+    # A holder that was frozen writes its last part; it does not count.
+    chunk.buffer_record(result(0))
+    run(flush_chunk(store, chunk))
+    file = build_output_id(record.job, "output")
+    output = run(open_output(store, "w", file))
+    content = run(read_all(output))
+    assert content.count(b"\n") == 1
+    assert len(content) == output.description["bytes"]
+
+
+def test_completed_job_is_not_cancelled(create, store, run, hold, result):
+    record = create()
+    for number, items in enumerate(record.items):
+        chunk = hold(record, chunk=number)
+        for item in range(items):
+            chunk.buffer_record(result(item))
+        run(flush_chunk(store, chunk))
+        record = run(close_chunk(store, chunk))
+    assert record.status is JobStatus.COMPLETED
+    assert build_queue_key(record.job) not in store.entries
+    with pytest.raises(BatchStateError):
+        run(cancel_job(store, "w", record.job))
+
+
+def test_other_workspace_does_not_find_the_job(create, store, run):
+    job = create().job
+    with pytest.raises(BatchNotFoundError):
+        run(cancel_job(store, "other", job))
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_lease.py
@@ -0,0 +1,83 @@
+import pytest
+
+from hollyspan_entry.jobs import lease as module
+from hollyspan_entry.jobs.lease import LeaseKeeper
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+    def time(self):
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = Clock()
+    monkeypatch.setattr(module, "time", clock)
+    return clock
+
+
+@pytest.fixture
+def lost():
+    return []
+
+
+@pytest.fixture
+def keeper(store, lost):
+    return LeaseKeeper(
+        store=store, ttl=10.0, margin=2.0, on_lost=lambda: lost.append(1)
+    )
+
+
+def test_lease_is_trusted_until_the_margin(keeper, run, clock, lost):
+    assert not keeper.check()
+    run(keeper.keep())
+    clock.now += 7.9
+    assert keeper.check()
+    clock.now += 0.1
+    assert not keeper.check()
+    assert not keeper.check()
+    assert lost == [1]
+
+
+def test_outage_does_not_lengthen_the_term(keeper, run, clock, store, lost):
+    run(keeper.keep())
+    store.outage = True
+    clock.now += 5.0
+    run(keeper.keep())
+    assert keeper.check()
+    clock.now += 3.0
+    run(keeper.keep())
+    assert lost == [1]
+
+
+def test_frozen_holder_takes_another_lease(keeper, run, clock, store, lost):
+    run(keeper.keep())
+    first = keeper.lease
+    clock.now += 60.0
+    run(keeper.keep())
+    assert lost == [1]
+    assert keeper.lease not in (0, first)
+    assert keeper.check()
+
+
+def test_lapsed_lease_is_given_up(keeper, run, clock, store, lost):
+    run(keeper.keep())
+    store.expire(keeper.lease)
+    run(keeper.keep())
+    assert lost == [1]
+    assert not keeper.check()
+
+
+def test_revoke_frees_the_claims(keeper, run, store, clock):
+    run(keeper.keep())
+    run(store.create("claims/j/000000", b"", lease=keeper.lease))
+    run(keeper.revoke())
+    assert store.entries == {}
+    run(keeper.keep())
+    assert keeper.lease == 0
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_preparation.py
@@ -0,0 +1,127 @@
+import pytest
+
+from hollyspan_core.errors import StoreConflictError
+from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_entry.jobs.attempts import open_notes
+from hollyspan_entry.jobs.flush import flush_chunk
+from hollyspan_entry.jobs.preparation import admit_items
+from hollyspan_entry.jobs.preparation import prepare_items
+
+SERVICES = {"m": {"kind": "model"}}
+
+
+def admit(chunk, *, services=SERVICES):
+    admit_items(chunk, attempts_limit=3, services=services)
+
+
+def test_fresh_idempotent_items_run_at_once(create, hold):
+    chunk = hold(create())
+    admit(chunk)
+    assert chunk.count_ready("m") == 2
+
+
+def test_items_of_an_unknown_model_fail(create, hold):
+    chunk = hold(create())
+    admit(chunk, services={})
+    assert [r.line["error"]["code"] for r in chunk.buffer] == [
+        "model_not_found",
+        "model_not_found",
+    ]
+    assert chunk.count_left() == 0
+
+
+def test_items_after_a_takeover_are_noted_first(create, store, run, hold):
+    record = create()
+    hold(record)
+    chunk = hold(record)
+    assert chunk.notes.is_takeover
+    admit(chunk)
+    assert chunk.count_ready() == 0
+    run(prepare_items(store, chunk))
+    assert chunk.count_ready() == 2
+    assert run(open_notes(store, record.job, 0)).counts == {0: 1, 1: 1}
+
+
+def test_item_that_ends_its_holders_fails_at_the_limit(
+    create, store, run, hold
+):
+    record = create()
+    chunk = hold(record)
+    for attempts in (1, 2, 3):
+        chunk = hold(record)
+        admit(chunk)
+        while not chunk.count_ready():
+            run(prepare_items(store, chunk))
+        alone = 2 if attempts == 1 else 1
+        assert chunk.count_ready() == alone
+        if attempts > 1:
+            # The first suspect alone takes its holder with it again.
+            assert chunk.take("m").index == 0
+    chunk = hold(record)
+    admit(chunk)
+    (failure,) = chunk.buffer
+    assert failure.item == 0
+    assert failure.line["error"]["code"] == "attempts_exhausted"
+    assert [item.index for item in chunk.suspects] == [1]
+
+
+def test_released_chunk_is_no_takeover(create, run, hold):
+    record = create()
+    chunk = hold(record)
+    run(chunk.notes.release(chunk.list_attempts()))
+    assert not hold(record).notes.is_takeover
+
+
+def test_former_holder_cannot_note(create, store, run, hold):
+    record = create()
+    former = hold(record)
+    hold(record)
+    former.notes.counts[0] = 0
+    with pytest.raises(StoreConflictError):
+        run(former.notes.note({0: 1}))
+
+
+def test_non_idempotent_items_are_marked_before_they_run(
+    create, store, run, hold
+):
+    record = create()
+    record.idempotent = False
+    chunk = hold(record)
+    admit(chunk)
+    store.outage = True
+    with pytest.raises(StoreUnavailableError):
+        run(prepare_items(store, chunk))
+    assert chunk.count_ready() == 0
+    store.outage = False
+    run(prepare_items(store, chunk))
+    assert chunk.count_ready() == 2
+    assert chunk.ledger.started == {0, 1}
+
+
+def test_started_item_of_a_lost_holder_never_runs_again(
+    create, store, run, hold
+):
+    record = create()
+    record.idempotent = False
+    former = hold(record)
+    former.mark_started(former.items[1])
+    run(flush_chunk(store, former))
+    chunk = hold(record)
+    admit(chunk)
+    assert [item.index for item in chunk.waiting] == [0]
+    (failure,) = chunk.buffer
+    assert failure.item == 1
+    assert failure.line["error"]["outcome"] == "unknown"
+
+
+def test_mark_that_another_holder_won_is_not_run(create, store, run, hold):
+    record = create()
+    record.idempotent = False
+    former, present = hold(record), hold(record)
+    admit(former)
+    admit(present)
+    run(prepare_items(store, present))
+    run(prepare_items(store, former))
+    assert former.contested
+    assert former.count_ready() == 0
+    assert present.count_ready() == 2
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/watcher.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/watcher.py
@@ -88,7 +88,9 @@
             after = page.entries[-1].key
         self.open_watch(page.revision + 1)
         for entry in entries:
-            self.take_entry(entry)
+            if self.take_entry(entry):
+                job = entry.key.removeprefix(QUEUE_PREFIX)
+                self.jobs[job].read_at = None
         listed = {entry.key.removeprefix(QUEUE_PREFIX) for entry in entries}
         for job in set(self.jobs) - listed:
             self.forget(job)
