--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -5,6 +5,8 @@
 from .configuration import ConfigurationConflictError
 from .configuration import ConfigurationInvalidError
 from .configuration import SettingsInvalidError
+from .instances import InstanceListError
+from .peer import PeerAnswerError
 from .peer import PeerAuthenticationError
 from .peer import PeerMessageError
 from .peer import PeerUnavailableError
@@ -47,12 +49,14 @@
     "IdempotencyKeyMissingError",
     "IdempotencyMismatchError",
     "InputLineError",
+    "InstanceListError",
     "InvalidRequestError",
     "LeaseLostError",
     "ModelNotFoundError",
     "Outcome",
     "OutcomeUnknownError",
     "OverloadedError",
+    "PeerAnswerError",
     "PeerAuthenticationError",
     "PeerMessageError",
     "PeerUnavailableError",
--- a/packages/hollyspan_core/hollyspan_core/messages/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/__init__.py
@@ -1,7 +1,47 @@
 """Messages between daemons: schema, encoding and digest."""
 
+from .codec import compute_digest
 from .codec import decode_message
 from .codec import encode_message
+from .codec import guard_reading
 from .codec import PeerMessage
+from .forward import build_forward_request
+from .forward import ForwardHead
+from .forward import ForwardRequest
+from .forward import read_forward_head
+from .forward import read_forward_request
+from .heartbeat import build_heartbeat
+from .heartbeat import Heartbeat
+from .heartbeat import read_heartbeat
+from .hello import build_hello
+from .hello import Hello
+from .hello import read_hello
+from .inflight import InFlight
+from .notice import build_notice
+from .notice import Notice
+from .notice import read_notice
+from .remote import Remote
 
-__all__ = ["PeerMessage", "decode_message", "encode_message"]
+__all__ = [
+    "ForwardHead",
+    "ForwardRequest",
+    "Heartbeat",
+    "Hello",
+    "InFlight",
+    "Notice",
+    "PeerMessage",
+    "Remote",
+    "build_forward_request",
+    "build_heartbeat",
+    "build_hello",
+    "build_notice",
+    "compute_digest",
+    "decode_message",
+    "encode_message",
+    "guard_reading",
+    "read_forward_head",
+    "read_forward_request",
+    "read_heartbeat",
+    "read_hello",
+    "read_notice",
+]
