--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -48,6 +48,11 @@
         Jobs whose cancel is passed on between daemons.
     peer_counters : PeerCounters or None
         Traffic between daemons.
+    file_sources : list of callable
+        Coroutine functions that take a workspace and a file and return its
+        FileContent, or None for a file of another kind.
+    file_users : list of callable
+        Coroutine functions that tell of a file whether it is needed.
     links : Links or None
         TCP links to other daemons.
     forward : callable or None
@@ -86,6 +91,8 @@
         "departures",
         "cancelled_jobs",
         "peer_counters",
+        "file_sources",
+        "file_users",
         "links",
         "forward",
         "serve_forward",
@@ -128,6 +135,8 @@
         self.departures = Departures()
         self.cancelled_jobs = Announcements()
         self.peer_counters = None
+        self.file_sources = []
+        self.file_users = []
         self.links = None
         self.forward = None
         self.serve_forward = None
