Follow batch.policy and online.routing on the path

Change: the slots of an upstream ask count_batch_slots, the choice of an upstream asks online.routing; figures of the report are plain numbers.

--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -64,7 +64,9 @@
 
 def add_percentiles(summary, name, times):
     for percentile in PERCENTILES:
-        value = numpy.percentile(times, percentile) if times else float("nan")
+        value = float("nan")
+        if times:
+            value = float(numpy.percentile(times, percentile))
         summary[f"{name}_p{percentile}"] = round(value * MILLISECONDS, 2)
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -3,6 +3,7 @@
 from hollyspan_core.configuration import Scope
 from hollyspan_policy.batch import BatchGate
 from hollyspan_policy.batch import choose_preempted
+from hollyspan_policy.batch import count_batch_slots
 from hollyspan_policy.batch import StreamView
 
 from .run import StopReason
@@ -20,6 +21,8 @@
     Attributes
     ----------
     gate : BatchGate or None
+    policy : str
+        Batch policy in force.
     running : set of Run
     paused : list of (HeldChunk, Item, float)
         Preempted items whose stream the engine may still know, with the
@@ -28,11 +31,20 @@
         False when another daemon has become the owner.
     """
 
-    __slots__ = ("upstream", "gate", "running", "paused", "owned", "peers")
+    __slots__ = (
+        "upstream",
+        "gate",
+        "policy",
+        "running",
+        "paused",
+        "owned",
+        "peers",
+    )
 
     def __init__(self, *, upstream):
         self.upstream = upstream
         self.gate = None
+        self.policy = None
         self.running = set()
         self.paused = []
         self.owned = True
@@ -58,6 +70,7 @@
         def read(name):
             return configuration.get(name, scope=scope, now=wall)
 
+        self.policy = read("batch.policy")
         wanted = (
             self.upstream.slots,
             read("batch.reserve_slots"),
@@ -84,8 +97,11 @@
 
     def count_allowed(self, *, now):
         """Count the batch streams that may run, those of peers included."""
-        return self.gate.count_allowed(
-            now=now, running=self.upstream.count_batch()
+        return count_batch_slots(
+            self.policy,
+            self.gate,
+            now=now,
+            running=self.upstream.count_batch(),
         )
 
     def count_free(self, *, now):
--- a/packages/hollyspan_entry/hollyspan_entry/online/choice.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/choice.py
@@ -2,8 +2,10 @@
 
 import time
 
+from hollyspan_core.configuration import Scope
 from hollyspan_core.errors import OverloadedError
 from hollyspan_policy.admission import decide_admission
+from hollyspan_policy.routing import choose_least_loaded
 from hollyspan_policy.routing import choose_upstream
 
 __all__ = ["choose"]
@@ -44,16 +46,30 @@
     )
     if not verdict.accepted:
         return None, verdict
-    view = choose_upstream(
-        views,
-        blocks=request.blocks,
-        affinity=runtime.affinity,
-        seed=request.identifier,
-        service_seconds=seconds,
-    )
+    if read_routing(runtime, request) == "least_load":
+        view = choose_least_loaded(views)
+    else:
+        view = choose_upstream(
+            views,
+            blocks=request.blocks,
+            affinity=runtime.affinity,
+            seed=request.identifier,
+            service_seconds=seconds,
+        )
     return runtime.upstreams.by_name[view.name], verdict
 
 
+def read_routing(runtime, request):
+    return runtime.configurations.current.get(
+        "online.routing",
+        scope=Scope(
+            service=request.service,
+            data_centre=runtime.settings.data_centre,
+        ),
+        now=time.time(),
+    )
+
+
 def build_refusal(verdict):
     """Return the error for a request that is not taken in."""
     return OverloadedError(
