Limit the store's rates on demand and count its busiest second

The platform's store handles several hundred writes and about two thousand reads a second; contention can only be measured on a store that is as slow. Without the options there is no limit.

Store and launcher tests passed.

--- a/packages/hollyspan_standins/hollyspan_standins/deployment/launch.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/launch.py
@@ -37,6 +37,7 @@
     slots=8,
     engine_options=(),
     service_options=(),
+    store_options=(),
     list_lag=1.0,
     first_port=None,
     seed=1,
@@ -60,8 +61,8 @@
         First configuration document.
     slots : int
         Slots of each engine.
-    engine_options, service_options : iterable of str
-        Further arguments of each engine or service.
+    engine_options, service_options, store_options : iterable of str
+        Further arguments of each engine or service, and of the store.
     list_lag : float
         Lag of the instance list in seconds.
     first_port : int, optional
@@ -91,7 +92,7 @@
         )
         stack.callback(deployment.stop)
         launcher = Launcher(deployment=deployment, seed=seed)
-        launcher.start_standin("store")
+        launcher.start_standin("store", options=store_options)
         launcher.start_upstreams(model, slots, engine_options, service_options)
         links = launcher.start_platform(set(proxied), list_lag)
         if configuration is None:
--- a/packages/hollyspan_standins/hollyspan_standins/store/server.py
+++ b/packages/hollyspan_standins/hollyspan_standins/store/server.py
@@ -13,6 +13,7 @@
 from .keyspace import Keyspace
 from .leases import Leases
 from .operations import Operations
+from .pacing import Pacer
 from .watches import Watches
 from .wire import read_bytes
 from .wire import read_number
@@ -28,12 +29,15 @@
     ----------
     clock : IReactorTime
         Runs delays and the expiry of leases.
+    **rates : float
+        See :class:`~.pacing.Pacer`.
     """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, **rates):
         self.clock = clock
         self.faults = Faults()
-        self.calls = Calls()
+        self.calls = Calls(clock=clock)
+        self.pacer = Pacer(clock=clock, **rates)
         self.keyspace = Keyspace(on_change=self._tell_watches)
         self.leases = Leases(clock=clock, delete_keys=self.keyspace.delete)
         self.operations = Operations(
@@ -65,7 +69,8 @@
             self.calls.count("refused_by_outage", size)
             drop_connection(request)
             return
-        delay = self.faults.delay_seconds
+        self.calls.note_arrival(path)
+        delay = self.faults.delay_seconds + self.pacer.take(path)
         if delay:
             self.clock.callLater(
                 delay, self._answer, request, path, document, size
@@ -92,7 +97,7 @@
             answer = error.to_document()
         self.calls.count(kind, size)
         if written is not None and self.faults.take_lost_reply(written):
-            self.calls.count("lost_reply", 0)
+            self.calls.count("lost_reply")
             drop_connection(request)
             return
         delay = self.faults.reply_delay_seconds
@@ -120,7 +125,7 @@
         answer = self.operations.run_transaction(document)
         kind = name_transaction(document)
         if not answer.get("succeeded"):
-            self.calls.count("txn_compare_failed", 0)
+            self.calls.count("txn_compare_failed")
             return kind, answer, None
         if kind == "txn_read":
             return kind, answer, None
@@ -174,6 +179,6 @@
         self.watches.tell_all()
 
 
-def build_store(clock):
+def build_store(clock, **rates):
     """Return the site of a new, empty store."""
-    return build_site(StoreServer(clock=clock).handle)
+    return build_site(StoreServer(clock=clock, **rates).handle)
