--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -10,16 +10,22 @@
 from twisted.internet import task
 from twisted.web import client
 from twisted.web import resource
-from twisted.web import server
 
 from hollyspan_policy.membership import MemberTable
 
+from .burn import open_burn
 from .configurations import ConfigurationHolder
 from .configurations import open_configurations
+from .drain import drain
+from .files import build_upload_request
+from .files import open_files
 from .http import AsyncResource
+from .http import DrainingSite
 from .http import write_json
 from .instances import open_instances
+from .jobs import open_jobs
 from .online import open_online
+from .operators import open_operators
 from .peers import open_peers
 from .runtime import Runtime
 from .store import open_store
@@ -98,8 +104,12 @@
     open_configurations,
     open_instances,
     open_peers,
+    open_burn,
+    open_operators,
     open_upstreams,
     open_online,
+    open_files,
+    open_jobs,
 )
 
 
@@ -127,13 +137,17 @@
             add_health(runtime)
             for open_part in PARTS:
                 stack.enter_context(open_part(runtime))
-            site = server.Site(runtime.root)
+            site = DrainingSite(
+                runtime.root,
+                requestFactory=build_upload_request(runtime),
+                parsePOSTFormSubmission=False,
+            )
             port = reactor.listenTCP(
                 settings.http_port, site, interface=settings.http_address
             )
             eliot.log_message(message_type="daemon:start")
             await stop
-            await drain(runtime, port)
+            await drain(runtime, site=site, port=port)
         eliot.log_message(message_type="daemon:stop")
 
     def ask_to_stop(number, frame):
@@ -150,19 +164,3 @@
 def finish_waiting(stop):
     if not stop.called:
         stop.callback(None)
-
-
-async def drain(runtime, port):
-    """Finish what runs, then stop listening.
-
-    Parameters
-    ----------
-    runtime : Runtime
-    port : IListeningPort
-    """
-    runtime.draining = True
-    for listener in runtime.drain_listeners:
-        listener()
-    for hook in runtime.drain_hooks:
-        await hook()
-    await port.stopListening()
--- a/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
@@ -8,13 +8,18 @@
 from .body import read_body
 from .body import read_json
 from .caller import identify_caller
+from .paced import PacedWriter
 from .producer import BytesProducer
 from .resource import AsyncResource
+from .site import DrainingSite
 from .tree import add_resource
 
 __all__ = [
     "AsyncResource",
+    "DrainingSite",
     "BytesProducer",
+    "PacedWriter",
+    "add_resource",
     "add_resource",
     "authenticate",
     "encode_error",
--- a/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
+++ b/packages/hollyspan_entry/hollyspan_entry/runtime/runtime.py
@@ -35,7 +35,8 @@
     draining : bool
         True once the daemon is about to stop.
     drain_hooks : list of callable
-        Coroutine functions that are run at a planned stop, in order.
+        Coroutine functions that are run together at a planned stop, once
+        new requests are refused.
     drain_listeners : list of callable
         Called without arguments as soon as a planned stop begins.
     checks : dict
@@ -48,6 +49,11 @@
         Jobs whose cancel is passed on between daemons.
     peer_counters : PeerCounters or None
         Traffic between daemons.
+    file_sources : list of callable
+        Coroutine functions that take a workspace and a file and return its
+        FileContent, or None for a file of another kind.
+    file_users : list of callable
+        Coroutine functions that tell of a file whether it is needed.
     links : Links or None
         TCP links to other daemons.
     forward : callable or None
@@ -86,6 +92,8 @@
         "departures",
         "cancelled_jobs",
         "peer_counters",
+        "file_sources",
+        "file_users",
         "links",
         "forward",
         "serve_forward",
@@ -128,6 +136,8 @@
         self.departures = Departures()
         self.cancelled_jobs = Announcements()
         self.peer_counters = None
+        self.file_sources = []
+        self.file_users = []
         self.links = None
         self.forward = None
         self.serve_forward = None
