--- a/packages/hollyspan_entry/hollyspan_entry/store/client.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/client.py
@@ -1,40 +1,26 @@
 """Client of the platform's store."""
 
 import contextlib
-import json
 
-import treq
-from twisted.internet import defer
-from twisted.internet import error
 from twisted.web import client
 
 from hollyspan_core.errors import LeaseLostError
-from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreKeyExistsError
-from hollyspan_core.errors import StoreReplyLostError
-from hollyspan_core.errors import StoreUnavailableError
-from hollyspan_core.errors import StoreValueTooLargeError
 
 from .codec import decode_entry
 from .codec import encode_bytes
 from .codec import encode_key
 from .codec import end_of_prefix
-from .codec import TOKEN_BYTES
-from .entry import Entry
 from .entry import Page
+from .transport import Transport
 from .watch import Watch
+from .writing import delete_key
+from .writing import put_value
 
 __all__ = ["Store", "open_store"]
 
-MAX_VALUE_BYTES = 1_000_000
 MAX_CONNECTIONS = 8
-WRITE_TRIES = 4
-NEVER_SENT = (
-    error.ConnectError,
-    error.ConnectingCancelledError,
-    error.DNSLookupError,
-)
 
 
 @contextlib.contextmanager
@@ -58,15 +44,11 @@
     pool = client.HTTPConnectionPool(reactor)
     pool.maxPersistentPerHost = MAX_CONNECTIONS
     agent = client.Agent(reactor, connectTimeout=timeout, pool=pool)
-    store = Store(
-        url=url,
-        reactor=reactor,
-        agent=agent,
-        timeout=timeout,
-        create_token=create_token,
+    transport = Transport(
+        url=url, reactor=reactor, agent=agent, timeout=timeout
     )
     try:
-        yield store
+        yield Store(transport=transport, create_token=create_token)
     finally:
         pool.closeCachedConnections()
 
@@ -76,11 +58,7 @@
 
     Parameters
     ----------
-    url : str
-    reactor : twisted reactor
-    agent : IAgent
-    timeout : float
-        Seconds for one call.
+    transport : Transport
     create_token : callable
         Returns 16 new random bytes.
 
@@ -93,22 +71,16 @@
     `StoreUnavailableError` with the outcome ``not_run``.
     """
 
-    __slots__ = (
-        "url",
-        "reactor",
-        "agent",
-        "timeout",
-        "create_token",
-        "calls",
-    )
+    __slots__ = ("transport", "create_token")
 
-    def __init__(self, *, url, reactor, agent, timeout, create_token):
-        self.url = url
-        self.reactor = reactor
-        self.agent = agent
-        self.timeout = timeout
+    def __init__(self, *, transport, create_token):
+        self.transport = transport
         self.create_token = create_token
-        self.calls = {}
+
+    @property
+    def calls(self):
+        """Count of calls by kind."""
+        return self.transport.calls
 
     async def get(self, key):
         """Return the entry of a key, or None.
@@ -121,7 +93,9 @@
         -------
         Entry or None
         """
-        answer = await self.call("kv/range", {"key": encode_key(key)})
+        answer = await self.transport.call(
+            "kv/range", {"key": encode_key(key)}
+        )
         pairs = answer.get("kvs", [])
         return decode_entry(pairs[0]) if pairs else None
 
@@ -143,7 +117,7 @@
         Page
         """
         start = prefix.encode() if after is None else after.encode() + b"\0"
-        answer = await self.call(
+        answer = await self.transport.call(
             "kv/range",
             {
                 "key": encode_bytes(start),
@@ -178,9 +152,11 @@
             Another writer created it; `entry` holds what is there.
         """
         compare = {"target": "CREATE", "create_revision": "0"}
-        return await self.put(
-            key,
-            content,
+        return await put_value(
+            self.transport,
+            key=key,
+            content=content,
+            token=self.create_token(),
             lease=lease,
             compare=compare,
             failure=StoreKeyExistsError,
@@ -207,9 +183,11 @@
             The key has changed; `entry` holds what is there, or None.
         """
         compare = {"target": "MOD", "mod_revision": str(revision)}
-        return await self.put(
-            key,
-            content,
+        return await put_value(
+            self.transport,
+            key=key,
+            content=content,
+            token=self.create_token(),
             lease=lease,
             compare=compare,
             failure=StoreConflictError,
@@ -229,85 +207,7 @@
         StoreConflictError
             The key has changed; `entry` holds what is there.
         """
-        encoded = encode_key(key)
-        body = {
-            "compare": [
-                {
-                    "key": encoded,
-                    "target": "MOD",
-                    "result": "EQUAL",
-                    "mod_revision": str(revision),
-                }
-            ],
-            "success": [{"request_delete_range": {"key": encoded}}],
-            "failure": [{"request_range": {"key": encoded}}],
-        }
-        answer, ambiguous = await self.write(body)
-        found = None if answer.get("succeeded") else read_failure(answer)
-        if found is not None:
-            raise StoreConflictError(
-                f"key {key} was changed by another writer",
-                entry=found,
-                ambiguous=ambiguous,
-            )
-
-    async def put(self, key, content, *, lease, compare, failure):
-        """Put a value under a comparison; see `create` and `replace`."""
-        if len(content) + TOKEN_BYTES > MAX_VALUE_BYTES:
-            raise StoreValueTooLargeError(
-                f"{len(content)} bytes for key {key}"
-            )
-        token = self.create_token()
-        encoded = encode_key(key)
-        put = {"key": encoded, "value": encode_bytes(token + content)}
-        if lease:
-            put["lease"] = str(lease)
-        body = {
-            "compare": [{"key": encoded, "result": "EQUAL", **compare}],
-            "success": [{"request_put": put}],
-            "failure": [{"request_range": {"key": encoded}}],
-        }
-        answer, ambiguous = await self.write(body)
-        if answer.get("succeeded"):
-            return Entry(
-                key=key,
-                content=content,
-                token=token,
-                revision=int(answer["header"]["revision"]),
-                lease=lease,
-            )
-        found = read_failure(answer)
-        # An earlier copy of this write, whose reply was lost, took effect.
-        if found is not None and found.token == token:
-            return found
-        raise failure(
-            f"key {key} was changed by another writer",
-            entry=found,
-            ambiguous=ambiguous,
-        )
-
-    async def write(self, body):
-        """Send a transaction until its answer is certain.
-
-        Parameters
-        ----------
-        body : dict
-
-        Returns
-        -------
-        tuple of (dict, bool)
-            The answer, and whether an earlier copy had no certain answer.
-        """
-        ambiguous = False
-        for _ in range(WRITE_TRIES):
-            try:
-                return await self.call("kv/txn", body), ambiguous
-            except StoreReplyLostError:
-                ambiguous = True
-            except StoreUnavailableError:
-                if not ambiguous:
-                    raise
-        raise StoreReplyLostError("no certain answer to a write")
+        await delete_key(self.transport, key=key, revision=revision)
 
     async def grant_lease(self, ttl):
         """Create a lease.
@@ -323,7 +223,7 @@
             Its identifier.
         """
         seconds = str(max(1, int(-(-ttl // 1))))
-        answer = await self.call("lease/grant", {"TTL": seconds})
+        answer = await self.transport.call("lease/grant", {"TTL": seconds})
         return int(answer["ID"])
 
     async def keep_lease(self, lease):
@@ -338,7 +238,9 @@
         LeaseLostError
             The store no longer knows the lease.
         """
-        answer = await self.call("lease/keepalive", {"ID": str(lease)})
+        answer = await self.transport.call(
+            "lease/keepalive", {"ID": str(lease)}
+        )
         if int(answer.get("result", {}).get("TTL", 0)) <= 0:
             raise LeaseLostError(f"lease {lease:x} has lapsed")
 
@@ -349,7 +251,7 @@
         ----------
         lease : int
         """
-        await self.call("lease/revoke", {"ID": str(lease)})
+        await self.transport.call("lease/revoke", {"ID": str(lease)})
 
     def watch(self, prefix, *, on_event, on_lost, revision=0):
         """Watch the keys below a prefix.
@@ -370,75 +272,12 @@
         Watch
             `stop` ends it.
         """
-        self.count("watch")
+        self.transport.count("watch")
         watch = Watch(on_event=on_event, on_lost=on_lost)
         watch.start(
-            agent=self.agent, url=self.url, prefix=prefix, revision=revision
+            agent=self.transport.agent,
+            url=self.transport.url,
+            prefix=prefix,
+            revision=revision,
         )
         return watch
-
-    def count(self, kind):
-        """Count a call by its kind."""
-        self.calls[kind] = self.calls.get(kind, 0) + 1
-
-    async def call(self, path, body):
-        """Post one call and decode its answer.
-
-        Parameters
-        ----------
-        path : str
-        body : dict
-
-        Returns
-        -------
-        dict
-
-        Raises
-        ------
-        StoreReplyLostError
-            The call was sent and may have taken effect.
-        StoreUnavailableError
-            The call was never sent, or was refused before it took effect.
-        """
-        self.count(path)
-        work = defer.ensureDeferred(self.post(path, body))
-        work.addTimeout(self.timeout, self.reactor)
-        try:
-            return await work
-        except NEVER_SENT as failure:
-            raise StoreUnavailableError(
-                "the store cannot be reached", outcome=Outcome.NOT_RUN
-            ) from failure
-        except (
-            defer.TimeoutError,
-            error.ConnectionLost,
-            error.ConnectionDone,
-            client.ResponseFailed,
-            ValueError,
-        ) as failure:
-            raise StoreReplyLostError(
-                f"no answer from the store to {path}"
-            ) from failure
-
-    async def post(self, path, body):
-        response = await treq.post(
-            f"{self.url}/v3/{path}",
-            data=json.dumps(body).encode(),
-            agent=self.agent,
-        )
-        content = await treq.content(response)
-        if response.code == 503:
-            raise StoreUnavailableError(
-                "the store is out of service", outcome=Outcome.NOT_RUN
-            )
-        if response.code != 200:
-            raise StoreUnavailableError(
-                f"the store answered {response.code} to {path}"
-            )
-        return json.loads(content)
-
-
-def read_failure(answer):
-    ranges = answer["responses"][0]["response_range"]
-    pairs = ranges.get("kvs", [])
-    return decode_entry(pairs[0]) if pairs else None
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/store/transport.py
@@ -0,0 +1,109 @@
+"""Calls of the store over HTTP."""
+
+import json
+
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.web import client
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StoreReplyLostError
+from hollyspan_core.errors import StoreUnavailableError
+
+__all__ = ["Transport"]
+
+NEVER_SENT = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    error.DNSLookupError,
+)
+NO_ANSWER = (
+    defer.TimeoutError,
+    error.ConnectionLost,
+    error.ConnectionDone,
+    client.ResponseFailed,
+    ValueError,
+)
+
+
+class Transport:
+    """Posts calls to the store and counts them by kind.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the store.
+    reactor : twisted reactor
+    agent : IAgent
+    timeout : float
+        Seconds for one call.
+
+    Attributes
+    ----------
+    calls : dict
+        Count of calls by path; watches as ``watch``.
+    """
+
+    __slots__ = ("url", "reactor", "agent", "timeout", "calls")
+
+    def __init__(self, *, url, reactor, agent, timeout):
+        self.url = url
+        self.reactor = reactor
+        self.agent = agent
+        self.timeout = timeout
+        self.calls = {}
+
+    def count(self, kind):
+        """Count a call by its kind."""
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+
+    async def call(self, path, body):
+        """Post one call and decode its answer.
+
+        Parameters
+        ----------
+        path : str
+        body : dict
+
+        Returns
+        -------
+        dict
+
+        Raises
+        ------
+        StoreReplyLostError
+            The call was sent and may have taken effect.
+        StoreUnavailableError
+            The call was never sent, or was refused before it took effect.
+        """
+        self.count(path)
+        work = defer.ensureDeferred(self.post(path, body))
+        work.addTimeout(self.timeout, self.reactor)
+        try:
+            return await work
+        except NEVER_SENT as failure:
+            raise StoreUnavailableError(
+                "the store cannot be reached", outcome=Outcome.NOT_RUN
+            ) from failure
+        except NO_ANSWER as failure:
+            raise StoreReplyLostError(
+                f"no answer from the store to {path}"
+            ) from failure
+
+    async def post(self, path, body):
+        response = await treq.post(
+            f"{self.url}/v3/{path}",
+            data=json.dumps(body).encode(),
+            agent=self.agent,
+        )
+        content = await treq.content(response)
+        if response.code == 503:
+            raise StoreUnavailableError(
+                "the store is out of service", outcome=Outcome.NOT_RUN
+            )
+        if response.code != 200:
+            raise StoreUnavailableError(
+                f"the store answered {response.code} to {path}"
+            )
+        return json.loads(content)
