--- a/packages/hollyspan_policy/hollyspan_policy/membership/table.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/table.py
@@ -139,7 +139,8 @@
         Parameters
         ----------
         before : float
-            Monotonic seconds.
+            Monotonic seconds; longer ago than any heartbeat can be late,
+            for the incarnation is forgotten too.
 
         Returns
         -------
--- a/packages/hollyspan_policy/hollyspan_policy/membership/tests/test_table.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/tests/test_table.py
@@ -55,7 +55,7 @@
     table.observe(build_member("a"))
     table.observe(build_member("b", heard=10.0))
     assert table.list_silent(["a", "b", "c"], now=10.0) == ["a", "c"]
-    assert table.forget(before=5.0)
+    assert table.forget(before=5.0) == ["a"]
     assert set(table.members) == {"b"}
 
 
--- a/packages/hollyspan_policy/hollyspan_policy/ownership/tests/test_rendezvous.py
+++ b/packages/hollyspan_policy/hollyspan_policy/ownership/tests/test_rendezvous.py
@@ -14,6 +14,7 @@
     ranked = rank_owners(duty, instances)
     assert choose_owner(duty, instances) == ranked[0]
     assert set(ranked) == instances
+    assert rank_owners(duty, sorted(instances)) == ranked
 
 
 @given(strategies.text(), NAMES, strategies.data())
