--- a/packages/hollyspan_entry/hollyspan_entry/instances/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/instances/part.py
@@ -20,7 +20,7 @@
 TIMEOUT_SECONDS = 5.0
 MAX_LIST_BYTES = 8_000_000
 # Share of a daemon's control traffic that the list may take.
-LIST_BYTES_PER_SECOND = 8_000
+LIST_BYTES_PER_SECOND = 4_000
 
 
 @contextlib.contextmanager
--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -22,6 +22,7 @@
 # every fourth one.
 FAR_BEATS = 4
 SOON_SECONDS = 0.05
+FULL_RATE_DAEMONS = 8
 FORGET_SECONDS = 600.0
 
 
@@ -65,9 +66,16 @@
         self.risen = {}
 
     async def beat(self):
-        """Send the heartbeats that are due."""
+        """Send the heartbeats that are due.
+
+        Returns
+        -------
+        float
+            Seconds until the next ones.
+        """
         self.send_beats(far=self.turns % FAR_BEATS == 0)
         self.turns += 1
+        return self.receipts.interval
 
     def beat_soon(self, *details):
         """Send heartbeats to all within a moment, outside the interval.
@@ -127,8 +135,12 @@
     def send_near(self, base, *, far, now):
         remotes = self.list_remotes(now=now) if far else ()
         loads = self.list_loads()
+        near = list_near(self.runtime, now=now)
+        self.receipts.interval = choose_interval(
+            self.runtime.settings.timing, near=len(near)
+        )
         plain = self.encode(base, remotes=remotes)
-        for seed in list_near(self.runtime, now=now):
+        for seed in near:
             told = self.told.complete(
                 seed.instance, loads.get(seed.instance, [])
             )
@@ -234,6 +246,27 @@
         )
 
 
+def choose_interval(timing, *, near):
+    """Return the seconds between heartbeats.
+
+    Parameters
+    ----------
+    timing : Timing
+    near : int
+        Other daemons of the data centre.
+
+    Returns
+    -------
+    float
+
+    Notes
+    -----
+    Each daemon hears all others, so that the interval grows with their
+    number to keep the traffic bounded. Bursts do not wait for it.
+    """
+    return timing.heartbeat * max(1.0, near / FULL_RATE_DAEMONS)
+
+
 def describe_load(upstream):
     return InFlight(
         upstream=upstream.name, online=upstream.online, batch=upstream.batch
--- a/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
@@ -10,6 +10,8 @@
 
 __all__ = ["Receipts"]
 
+MISSED_BEATS = 3
+
 
 class Receipts:
     """Takes the messages of other daemons over into the runtime.
@@ -24,6 +26,8 @@
 
     Attributes
     ----------
+    interval : float
+        Seconds between the heartbeats of a daemon of the data centre.
     orders : dict
         Incarnation and sequence of the last message by instance.
     partners : dict
@@ -31,12 +35,20 @@
         heard, by instance.
     """
 
-    __slots__ = ("runtime", "probes", "remote_timeout", "orders", "partners")
+    __slots__ = (
+        "runtime",
+        "probes",
+        "remote_timeout",
+        "interval",
+        "orders",
+        "partners",
+    )
 
     def __init__(self, *, runtime, probes, remote_timeout):
         self.runtime = runtime
         self.probes = probes
         self.remote_timeout = remote_timeout
+        self.interval = runtime.settings.timing.heartbeat
         self.orders = {}
         self.partners = {}
 
@@ -79,11 +91,16 @@
     def observe(self, remote, *, now):
         """Note the state of a daemon in the member table."""
         is_near = remote.data_centre == self.runtime.settings.data_centre
-        timeout = None if is_near else self.remote_timeout
+        timeout = self.get_near_timeout() if is_near else self.remote_timeout
         self.runtime.members.observe(
             build_member(remote, heard=now, timeout=timeout)
         )
 
+    def get_near_timeout(self):
+        """Return the seconds of silence that a near daemon may have."""
+        timeout = self.runtime.settings.timing.peer_timeout
+        return max(timeout, MISSED_BEATS * self.interval)
+
     def take_names(self, heartbeat, *, now):
         """Take in the names that are passed on."""
         runtime = self.runtime
