Serve plain services and metrics; hand full requests on

Plain services share limits, retries, leaving and at-most-once with the models. Online requests that would wait are handed to the data centre that the policy chooses.

Tried by hand over three daemons: calls, resends and refusals.

--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -24,10 +24,12 @@
 from .http import write_json
 from .instances import open_instances
 from .jobs import open_jobs
+from .metrics import open_metrics
 from .online import open_online
 from .operators import open_operators
 from .peers import open_peers
 from .runtime import Runtime
+from .services import open_services
 from .store import open_store
 from .upstreams import open_upstreams
 from .upstreams import Upstreams
@@ -101,6 +103,7 @@
 # The parts of the daemon, in the order in which they are opened; each is a
 # context manager that takes the runtime.
 PARTS = (
+    open_metrics,
     open_configurations,
     open_instances,
     open_peers,
@@ -108,6 +111,7 @@
     open_operators,
     open_upstreams,
     open_online,
+    open_services,
     open_files,
     open_jobs,
 )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Metrics of the daemon."""
+
+from .part import open_metrics
+
+__all__ = ["open_metrics"]
--- a/packages/hollyspan_entry/hollyspan_entry/once/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/once/__init__.py
@@ -2,6 +2,7 @@
 
 from .answer import Answer
 from .names import build_once_key
+from .names import build_request_key
 from .names import digest_body
 from .record import OnceRecord
 from .run import OnceRun
@@ -12,6 +13,7 @@
     "OnceRecord",
     "OnceRun",
     "build_once_key",
+    "build_request_key",
     "digest_body",
     "run_once",
 ]
--- a/packages/hollyspan_entry/hollyspan_entry/once/names.py
+++ b/packages/hollyspan_entry/hollyspan_entry/once/names.py
@@ -2,7 +2,9 @@
 
 import hashlib
 
-__all__ = ["build_once_key", "digest_body"]
+__all__ = ["build_once_key", "build_request_key", "digest_body"]
+
+REQUEST_KEY_DIGITS = 32
 
 
 def build_once_key(workspace, key):
@@ -41,3 +43,24 @@
     digest = hashlib.sha256(f"{method} {path}\0".encode())
     digest.update(body)
     return digest.hexdigest()
+
+
+def build_request_key(workspace, key, *, identifier):
+    """Return the name that all attempts of a request share.
+
+    Parameters
+    ----------
+    workspace : str
+    key : str or None
+        The caller's ``Idempotency-Key``; its resends share the name too.
+    identifier : str
+        Name of a request without a key.
+
+    Returns
+    -------
+    str
+    """
+    if key is None:
+        return f"online/{identifier}"
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return f"online/{workspace}/{digest[:REQUEST_KEY_DIGITS]}"
--- a/packages/hollyspan_entry/hollyspan_entry/online/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/__init__.py
@@ -1,6 +1,21 @@
 """Online requests for models."""
 
+from .actions import SERVICE_REQUEST
+from .attempts import run_attempts
+from .deadline import run_until
+from .handler import withhold_outcome
 from .part import open_online
+from .reading import read_options
 from .record import RequestRecord
+from .sink import HttpSink
 
-__all__ = ["RequestRecord", "open_online"]
+__all__ = [
+    "HttpSink",
+    "RequestRecord",
+    "SERVICE_REQUEST",
+    "open_online",
+    "read_options",
+    "run_attempts",
+    "run_until",
+    "withhold_outcome",
+]
--- a/packages/hollyspan_entry/hollyspan_entry/online/actions.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/actions.py
@@ -12,7 +12,7 @@
 )
 SERVICE_REQUEST = eliot.ActionType(
     "services:request",
-    eliot.fields(request=str, service=str),
+    eliot.fields(request=str),
     [eliot.Field("code", lambda code: code, "Code of the error, if any")],
     "One request for a plain service",
 )
--- a/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
@@ -21,7 +21,9 @@
 FIRST_EVENT_TRIES = 1
 
 
-async def run_attempts(state, request, receiver, *, begin=None):
+async def run_attempts(
+    state, request, receiver, *, begin=None, pick=None, attempt=None
+):
     """Run a request until one attempt gives the whole answer.
 
     Parameters
@@ -32,18 +34,24 @@
     begin : callable, optional
         Coroutine function that is called with the upstream and the stream
         identifier before anything of an attempt is sent.
+    pick : callable, optional
+        Chooses the upstream of an attempt; `choose` by default.
+    attempt : callable, optional
+        Coroutine function that runs one attempt; a stream by default.
 
     Raises
     ------
     HollyspanError
         ``not_run`` only when no attempt can have reached an upstream.
     """
+    pick = pick or choose
+    attempt = attempt or run_attempt
     tried = set()
     may_have_run = False
     attempts_left = get_attempts(state, request)
     state.budget.deposit()
     while True:
-        upstream, verdict = choose(state, request, tried=tried)
+        upstream, verdict = pick(state, request, tried=tried)
         if upstream is None:
             raise refuse(verdict, may_have_run=may_have_run)
         stream_id = f"{request.identifier}-{len(tried)}"
@@ -51,7 +59,7 @@
         if begin is not None:
             await begin(upstream, stream_id)
         try:
-            await run_attempt(state, request, receiver, upstream, stream_id)
+            await attempt(state, request, receiver, upstream, stream_id)
             return
         except HollyspanError as error:
             failure = error
--- a/packages/hollyspan_entry/hollyspan_entry/online/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/part.py
@@ -6,7 +6,9 @@
 
 from ..http import add_resource
 from ..http import AsyncResource
+from .forwarded import build_forward_server
 from .handler import build_handler
+from .instruments import add_instruments
 from .models import build_models_handler
 from .reading import CHAT_PATH
 from .reading import COMPLETION_PATH
@@ -32,6 +34,7 @@
     state = OnlineState(runtime=runtime)
     runtime.online = state
     runtime.configurations.subscribe(build_updater(state))
+    add_instruments(state)
     handlers = {
         CHAT_PATH: build_handler(state, CHAT_PATH),
         COMPLETION_PATH: build_handler(state, COMPLETION_PATH),
@@ -41,6 +44,7 @@
         add_resource(
             runtime.root, path.lstrip("/"), AsyncResource(handle=handle)
         )
+    runtime.serve_forward = build_forward_server(state)
     runtime.drain_hooks.append(build_drain_hook(state))
     yield state
 
--- a/packages/hollyspan_entry/hollyspan_entry/online/request.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/request.py
@@ -1,11 +1,9 @@
 """One request for an answer of a model."""
 
-import hashlib
+from ..once import build_request_key
 
 __all__ = ["OnlineRequest"]
 
-KEY_DIGITS = 32
-
 
 class OnlineRequest:
     """What a caller asks of a model.
@@ -81,7 +79,6 @@
     @property
     def stable_key(self):
         """Name that all attempts and resends of this request share."""
-        if self.key is None:
-            return f"online/{self.identifier}"
-        digest = hashlib.sha256(self.key.encode()).hexdigest()
-        return f"online/{self.workspace}/{digest[:KEY_DIGITS]}"
+        return build_request_key(
+            self.workspace, self.key, identifier=self.identifier
+        )
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/services/__init__.py
@@ -0,0 +1,5 @@
+"""Requests for plain services."""
+
+from .part import open_services
+
+__all__ = ["open_services"]
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
@@ -19,6 +19,8 @@
 def open_upstreams(runtime):
     """Poll health, load and cache events of the own data centre.
 
+    Upstreams of other data centres are polled while they are unreachable.
+
     Parameters
     ----------
     runtime : Runtime
@@ -54,14 +56,23 @@
             [
                 defer.ensureDeferred(guard(poll, runtime, upstream))
                 for upstream in list(runtime.upstreams.by_name.values())
-                if upstream.kind in kinds
-                and upstream.data_centre == runtime.settings.data_centre
+                if upstream.kind in kinds and is_polled(runtime, upstream)
             ]
         )
 
     return run_round
 
 
+def is_polled(runtime, upstream):
+    """Return whether an upstream is of the own data centre, or failed.
+
+    A plain service of another data centre may be called from here; once a
+    call has failed, polls find out when it is back.
+    """
+    is_own = upstream.data_centre == runtime.settings.data_centre
+    return is_own or not upstream.reachable
+
+
 async def guard(poll, runtime, upstream):
     """Pass over an upstream that gives no proper answer."""
     try:
