--- a/packages/hollyspan_standins/hollyspan_standins/caller/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/caller/__init__.py
@@ -7,8 +7,14 @@
 from .client import Caller
 from .errors import RefusedError
 from .errors import StreamCutError
+from .exchange import exchange
+from .exchange import hash_key
+from .reply import Reply
 
 __all__ = [
+    "Reply",
+    "exchange",
+    "hash_key",
     "Caller",
     "RefusedError",
     "StreamCutError",
