--- /dev/null
+++ b/integration/tests/test_jobs_outage.py
@@ -0,0 +1,108 @@
+"""The store is down or slow for long."""
+
+import json
+import time
+
+import pytest
+
+from hollyspan_standins.caller import build_items
+from hollyspan_standins.caller import RefusedError
+from hollyspan_standins.checker import find_dispatches_after
+from hollyspan_standins.checker import find_false_refusals
+from hollyspan_standins.deployment import build_places
+from hollyspan_standins.deployment import open_deployment
+
+TIMING = {
+    "heartbeat": 0.2,
+    "peer_timeout": 1.0,
+    "lease": 3.0,
+    "lease_margin": 1.0,
+    "watch_refresh": 2.0,
+    "part_flush": 0.4,
+    "store_timeout": 1.0,
+}
+PROMPTS = {f"i{number}": f"tide {number}" for number in range(120)}
+
+
+@pytest.fixture
+def deployment():
+    with open_deployment(
+        places=build_places("attiki", "kriti"), timing=TIMING
+    ) as deployment:
+        yield deployment
+
+
+@pytest.fixture
+def tester(deployment, open_tester):
+    return open_tester(deployment=deployment)
+
+
+def refuse(tester, file, **headers):
+    """Create a batch that is refused; return the error."""
+    request = {
+        "input_file_id": file["id"],
+        "endpoint": "/v1/chat/completions",
+        "completion_window": "24h",
+        "metadata": {"copy": "new"},
+    }
+    with pytest.raises(RefusedError) as failure:
+        tester.open_caller().post("/v1/batches", request, **headers)
+    assert failure.value.status == 503
+    return json.loads(failure.value.body)["error"]
+
+
+def test_outage_longer_than_the_lease(deployment, tester):
+    caller = tester.open_caller()
+    file = caller.upload(build_items(PROMPTS, model="pips-lm"))
+    batch = tester.submit(PROMPTS, max_tokens=40)
+    tester.wait_until(
+        lambda: tester.count_events("admitted", batch=batch) >= 20
+    )
+    deployment.control("store", outage=True)
+    began = time.time()
+    assert refuse(tester, file)["outcome"] == "not_run"
+    refused = time.time()
+    keyed = refuse(tester, file, **{"idempotency-key": "k"})
+    assert keyed["outcome"] == "unknown"
+    time.sleep(TIMING["lease"] + 2.0)
+    until = time.time()
+    deployment.control("store", outage=False)
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch)
+    assert [line for line in lines if line["error"]] == []
+    records = [
+        record
+        for record in deployment.read_records()
+        if record["time"] < until
+    ]
+    end = began + TIMING["lease"]
+    assert find_dispatches_after(records, end) == []
+    assert find_false_refusals([(file["id"], refused)], records) == []
+
+
+def test_slow_store(deployment, tester):
+    deployment.control("store", delay_seconds=0.3)
+    batch = tester.wait(tester.submit(PROMPTS))
+    tester.check_whole(PROMPTS, batch)
+    deployment.control("store", delay_seconds=0.0)
+
+
+def test_outage_and_holder_killed(deployment, tester):
+    batch = tester.submit(PROMPTS, max_tokens=40)
+    tester.wait_until(
+        lambda: tester.count_events("admitted", batch=batch) >= 20
+    )
+    deployment.control("store", outage=True)
+    time.sleep(0.5)
+    deployment.kill(deployment.daemon_names[1])
+    time.sleep(1.0)
+    deployment.control("store", outage=False)
+    deployment.start(deployment.daemon_names[1])
+    batch = tester.wait(batch)
+    tester.check_whole(PROMPTS, batch)
+
+
+def test_watch_that_is_silent_from_the_start(deployment, tester):
+    deployment.control("store", silent_watches=True)
+    batch = tester.wait(tester.submit(PROMPTS))
+    tester.check_whole(PROMPTS, batch)
--- /dev/null
+++ b/integration/tests/test_jobs_results.py
@@ -0,0 +1,209 @@
+"""Each accepted item has one readable result, whatever fails."""
+
+from concurrent.futures import ThreadPoolExecutor
+import random
+import time
+
+import pytest
+
+from hollyspan_standins.caller import build_items
+from hollyspan_standins.checker import find_lost_results
+from hollyspan_standins.checker import find_repeat_runs
+from hollyspan_standins.deployment import build_configuration
+from hollyspan_standins.deployment import build_places
+from hollyspan_standins.deployment import open_deployment
+
+TIMING = {
+    "heartbeat": 0.2,
+    "peer_timeout": 1.0,
+    "lease": 3.0,
+    "lease_margin": 1.0,
+    "watch_refresh": 2.0,
+    "part_flush": 0.4,
+    "store_timeout": 1.0,
+    "drain_notice": 0.5,
+}
+PROMPTS = {f"i{number}": f"tide {number}" for number in range(90)}
+
+
+@pytest.fixture
+def deployment():
+    with open_deployment(
+        places=build_places("attiki", "kriti"), timing=TIMING
+    ) as deployment:
+        yield deployment
+
+
+@pytest.fixture
+def tester(deployment, open_tester):
+    return open_tester(deployment=deployment)
+
+
+def wait_for_dispatch(tester, batch, count=1):
+    tester.wait_until(
+        lambda: tester.count_events("admitted", batch=batch) >= count
+    )
+
+
+def test_daemon_killed_right_after_the_acknowledgement(deployment, tester):
+    batch = tester.submit(PROMPTS)
+    deployment.kill(deployment.daemon_names[0])
+    batch = tester.wait(batch, daemon=1)
+    before = tester.check_whole(PROMPTS, batch, daemon=1)
+    for name in deployment.daemon_names:
+        if deployment.find(name).child is None or name.startswith("attiki"):
+            deployment.start(name)
+        else:
+            assert deployment.restart(name) == 0
+    after = tester.check_whole(PROMPTS, batch)
+    assert find_lost_results(before, after) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_daemons_killed_mid_chunk(deployment, tester, seed):
+    chance = random.Random(seed)
+    batch = tester.submit(PROMPTS, max_tokens=24)
+    for name in chance.sample(deployment.daemon_names, 2):
+        wait_for_dispatch(tester, batch, count=chance.randint(1, 40))
+        time.sleep(chance.uniform(0.0, 0.3))
+        deployment.kill(name)
+        deployment.start(name)
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch)
+    assert [line for line in lines if line["error"]] == []
+
+
+def test_daemon_killed_between_a_part_and_its_reply(deployment, tester):
+    deployment.control("store", lose_replies=True, lose_matching="results/")
+    batch = tester.submit(PROMPTS)
+    wait_for_dispatch(tester, batch, count=30)
+    time.sleep(0.6)
+    deployment.kill(deployment.daemon_names[0])
+    deployment.control("store", lose_replies=0)
+    deployment.start(deployment.daemon_names[0])
+    batch = tester.wait(batch, daemon=1)
+    tester.check_whole(PROMPTS, batch, daemon=1)
+
+
+@pytest.mark.parametrize(
+    "matching", ["claims/", "attempts/", "jobs/", "results/", "queue/"]
+)
+def test_replies_of_the_store_are_lost(deployment, tester, matching):
+    batch = tester.submit(PROMPTS)
+    deployment.control("store", lose_replies=6, lose_matching=matching)
+    batch = tester.wait(batch, daemon=1)
+    tester.check_whole(PROMPTS, batch, daemon=1)
+
+
+def test_holder_frozen_past_its_lease_and_woken(deployment, tester):
+    batch = tester.submit(PROMPTS, max_tokens=40)
+    wait_for_dispatch(tester, batch, count=12)
+    frozen = deployment.daemon_names[0]
+    assert frozen in tester.find_holders(batch)
+    deployment.freeze(frozen)
+    time.sleep(TIMING["lease"] + 2.0)
+    deployment.thaw(frozen)
+    batch = tester.wait(batch, daemon=1)
+    before = tester.check_whole(PROMPTS, batch, daemon=1)
+    time.sleep(1.0)
+    after = tester.check_whole(PROMPTS, batch, daemon=0)
+    assert find_lost_results(before, after) == []
+
+
+def test_all_daemons_are_replaced_while_a_job_runs(deployment, tester):
+    batch = tester.submit(PROMPTS, max_tokens=24)
+    for name in deployment.daemon_names:
+        wait_for_dispatch(tester, batch, count=5)
+        assert deployment.restart(name) == 0
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch)
+    assert [line for line in lines if line["error"]] == []
+
+
+def test_released_chunks_go_on_before_the_lease_ends(open_tester):
+    timing = {**TIMING, "lease": 60.0, "lease_margin": 5.0}
+    with open_deployment(
+        places=build_places("attiki", "kriti"), timing=timing
+    ) as deployment:
+        tester = open_tester(deployment=deployment)
+        batch = tester.submit(PROMPTS, max_tokens=24)
+        wait_for_dispatch(tester, batch, count=12)
+        name = deployment.daemon_names[0]
+        deployment.terminate(name)
+        assert deployment.wait(name) == 0
+        batch = tester.wait(batch, daemon=1)
+        tester.check_whole(PROMPTS, batch, daemon=1)
+
+
+def test_job_resent_to_another_daemon_at_the_same_moment(tester):
+    caller = tester.open_caller()
+    file = caller.upload(build_items(PROMPTS, model="pips-lm"))
+    request = {
+        "input_file_id": file["id"],
+        "endpoint": "/v1/chat/completions",
+        "completion_window": "24h",
+    }
+
+    def create(daemon):
+        return tester.open_caller(daemon).post("/v1/batches", request)
+
+    with ThreadPoolExecutor() as pool:
+        batches = list(pool.map(create, [0, 1, 0, 1]))
+    assert len({batch["id"] for batch in batches}) == 1
+    batch = tester.wait(batches[0])
+    tester.check_whole(PROMPTS, batch)
+
+
+def test_items_that_can_never_be_done(open_tester):
+    configuration = build_configuration(
+        model="pips-lm",
+        services=["clock"],
+        slots=8,
+        batch={"item_timeout_seconds": 2},
+    )
+    prompts = {**PROMPTS, "never": "[[fail]]", "slow": "[[slow]]"}
+    prompts.update({f"break{n}": f"[[break]] {n}" for n in range(3)})
+    with open_deployment(
+        places=build_places("attiki", "kriti"),
+        timing=TIMING,
+        configuration=configuration,
+    ) as deployment:
+        tester = open_tester(deployment=deployment)
+        batch = tester.wait(tester.submit(prompts))
+        lines = tester.check_whole(prompts, batch)
+    codes = {
+        line["custom_id"]: line["error"]["code"]
+        for line in lines
+        if line["error"]
+    }
+    assert codes == {
+        "never": "upstream_error",
+        "slow": "item_timeout",
+        "break0": "attempts_exhausted",
+        "break1": "attempts_exhausted",
+        "break2": "attempts_exhausted",
+    }
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_non_idempotent_items_run_at_most_once(deployment, tester, seed):
+    chance = random.Random(seed)
+    batch = tester.submit(
+        PROMPTS, max_tokens=24, metadata={"idempotent": "false"}
+    )
+    for name in chance.sample(deployment.daemon_names, 2):
+        wait_for_dispatch(tester, batch, count=chance.randint(1, 30))
+        if chance.random() < 0.5:
+            deployment.kill(name)
+            deployment.start(name)
+        else:
+            deployment.freeze(name)
+            time.sleep(TIMING["lease"] + 1.0)
+            deployment.thaw(name)
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch)
+    keys = {f"{batch['id']}/{number}" for number in range(len(PROMPTS))}
+    assert find_repeat_runs(deployment.read_records(), keys=keys) == []
+    assert {line["error"]["outcome"] for line in lines if line["error"]} <= {
+        "unknown"
+    }
