--- a/benchmarks/scenario.py
+++ b/benchmarks/scenario.py
@@ -60,7 +60,7 @@
         mix="trust",
         model="pips-lm",
         build_places=build_trust_places,
-        rate=8.0,
+        rate=12.0,
         jobs=[
             JobPlan(name="far", items=6000, impossible=3, due_seconds=86400),
             JobPlan(name="near", items=200, impossible=3, due_seconds=25),
@@ -71,7 +71,7 @@
         mix="cooperative",
         model="merch-lm",
         build_places=build_cooperative_places,
-        rate=5.0,
+        rate=7.0,
         jobs=[
             JobPlan(name="far", items=4000, impossible=3, due_seconds=86400),
             JobPlan(name="near", items=100, impossible=3, due_seconds=25),
