--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
@@ -94,8 +94,10 @@
     """Take in the load report of an engine."""
     content = await fetch(runtime, upstream, "/v1/load")
     waiting = content.get("waiting")
-    if isinstance(waiting, int):
+    running = content.get("running")
+    if isinstance(waiting, int) and isinstance(running, int):
         upstream.waiting = waiting
+        upstream.running = running
         upstream.reported = time.monotonic()
 
 
--- a/packages/hollyspan_policy/hollyspan_policy/routing/view.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/view.py
@@ -18,6 +18,8 @@
         Batch streams in flight from all daemons, as far as known.
     waiting : int
         Queue length of the last load report.
+    running : int
+        Streams of all kinds in the last load report.
     report_age : float or None
         Age of the last load report, seconds; None without one.
     serving : bool
@@ -31,6 +33,7 @@
         "online",
         "batch",
         "waiting",
+        "running",
         "report_age",
         "serving",
     )
@@ -44,6 +47,7 @@
         online=0,
         batch=0,
         waiting=0,
+        running=0,
         report_age=None,
         serving=True,
     ):
@@ -53,5 +57,6 @@
         self.online = online
         self.batch = batch
         self.waiting = waiting
+        self.running = running
         self.report_age = report_age
         self.serving = serving
