--- /dev/null
+++ b/integration/tests/test_batch_blocking.py
@@ -0,0 +1,144 @@
+"""Online requests never wait in an engine's queue behind batch work."""
+
+import concurrent.futures
+import time
+
+import pytest
+
+from hollyspan_policy.ownership import choose_owner
+from hollyspan_standins.caller import Caller
+from hollyspan_standins.checker import find_blocked_online
+from hollyspan_standins.deployment import build_configuration
+from hollyspan_standins.deployment import build_places
+from hollyspan_standins.deployment import open_deployment
+
+MODEL = "pips-lm"
+KEY = "dev-key"
+SLOTS = 8
+ITEMS = 300
+ITEM_TOKENS = 60
+# Items that outlast the takeover by far.
+LONG_ITEM_TOKENS = 1500
+ONLINE_TOKENS = 20
+BURST = 10
+PAUSE_SECONDS = 0.5
+BUSY_SECONDS = 20.0
+# Notice to the owner, cancel at the engine, and the loops between them.
+NOTICE_SECONDS = 0.25
+
+
+def build_prompts():
+    return {f"item-{i}": f"reorder note {i}" for i in range(ITEMS)}
+
+
+def wait_busy(deployment, *, streams):
+    """Wait until batch has filled each engine to a number of streams."""
+    end = time.monotonic() + BUSY_SECONDS
+    names = set(deployment.list_upstreams())
+    while time.monotonic() < end:
+        busy = set()
+        for record in deployment.read_records(*names):
+            running = record["running_classes"].get("batch", 0)
+            if running >= streams:
+                busy.add(record["engine"])
+        if busy == names:
+            return
+        time.sleep(0.1)
+    pytest.fail("batch did not fill the engines")
+
+
+def send_online(url, number):
+    """Send one online request."""
+    caller = Caller(url=url, key=KEY)
+    caller.post(
+        "/v1/completions",
+        {
+            "model": MODEL,
+            "prompt": f"stall question {number}",
+            "max_tokens": ONLINE_TOKENS,
+        },
+    )
+
+
+def send_burst(deployment, daemons, *, rounds=2):
+    """Send bursts of online requests, all at once, over daemons."""
+    with concurrent.futures.ThreadPoolExecutor(BURST) as pool:
+        for turn in range(rounds):
+            waiting = [
+                pool.submit(
+                    send_online,
+                    deployment.url(daemons[i % len(daemons)]),
+                    f"{turn}-{i}",
+                )
+                for i in range(BURST)
+            ]
+            for work in waiting:
+                work.result()
+            time.sleep(PAUSE_SECONDS)
+
+
+def read_engines(deployment):
+    return deployment.read_records(*deployment.list_upstreams())
+
+
+def describe(violations):
+    return [f"{v.subject}: {v.detail}" for v in violations]
+
+
+@pytest.mark.parametrize("bursting", ["one", "all"])
+def test_burst_does_not_wait_behind_batch(open_tester, bursting):
+    places = build_places("attiki", "makedonia", "kriti", daemons=2)
+    with open_deployment(places=places, slots=SLOTS) as deployment:
+        open_tester(deployment=deployment).submit(
+            build_prompts(), max_tokens=ITEM_TOKENS
+        )
+        wait_busy(deployment, streams=SLOTS // 2)
+        daemons = deployment.daemon_names
+        if bursting == "one":
+            daemons = daemons[:2]
+        send_burst(deployment, daemons)
+        violations = find_blocked_online(
+            read_engines(deployment), notice_seconds=NOTICE_SECONDS
+        )
+    assert describe(violations) == []
+
+
+def test_without_yielding_online_waits(open_tester):
+    configuration = build_configuration(
+        model=MODEL, services=(), slots=SLOTS, batch={"policy": "as_online"}
+    )
+    places = build_places("attiki", daemons=2)
+    with open_deployment(
+        places=places, slots=SLOTS, configuration=configuration
+    ) as deployment:
+        open_tester(deployment=deployment).submit(
+            build_prompts(), max_tokens=ITEM_TOKENS
+        )
+        wait_busy(deployment, streams=SLOTS)
+        send_burst(deployment, deployment.daemon_names)
+        violations = find_blocked_online(
+            read_engines(deployment), notice_seconds=NOTICE_SECONDS
+        )
+    assert violations
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_loss_of_the_owner_in_a_burst(open_tester, fault):
+    places = build_places("attiki", engines=2, daemons=3)
+    with open_deployment(places=places, slots=SLOTS) as deployment:
+        open_tester(deployment=deployment).submit(
+            build_prompts(), max_tokens=LONG_ITEM_TOKENS
+        )
+        wait_busy(deployment, streams=SLOTS // 2)
+        daemons = deployment.daemon_names
+        engine = deployment.list_upstreams()[0]
+        owner = choose_owner(engine, daemons)
+        others = [name for name in daemons if name != owner]
+        getattr(deployment, fault)(owner)
+        send_burst(deployment, others, rounds=4)
+        violations = find_blocked_online(
+            read_engines(deployment), notice_seconds=NOTICE_SECONDS
+        )
+        if fault == "freeze":
+            deployment.thaw(owner)
+    assert describe(violations) == []
