--- a/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
@@ -47,13 +47,14 @@
     pick = pick or choose
     attempt = attempt or run_attempt
     tried = set()
+    failure = None
     may_have_run = False
     attempts_left = get_attempts(state, request)
     state.budget.deposit()
     while True:
         upstream, verdict = pick(state, request, tried=tried)
         if upstream is None:
-            raise refuse(verdict, may_have_run=may_have_run)
+            raise failure if may_have_run else build_refusal(verdict)
         stream_id = f"{request.identifier}-{len(tried)}"
         tried.add(upstream.name)
         if begin is not None:
@@ -64,6 +65,8 @@
         except HollyspanError as error:
             failure = error
         may_have_run |= failure.outcome is not Outcome.NOT_RUN
+        if may_have_run:
+            failure.outcome = Outcome.UNKNOWN
         if not may_retry(
             failure,
             idempotent=request.idempotent,
@@ -71,8 +74,6 @@
             attempts_left=attempts_left,
             budget=state.budget,
         ):
-            if may_have_run:
-                failure.outcome = Outcome.UNKNOWN
             raise failure
         attempts_left -= 1
         receiver.reset()
@@ -118,13 +119,6 @@
     )
 
 
-def refuse(verdict, *, may_have_run):
-    error = build_refusal(verdict)
-    if may_have_run:
-        error.outcome = Outcome.UNKNOWN
-    return error
-
-
 def cancel_lost(runtime, upstream, stream_id, failure):
     """Free the slot of a stream that may still run."""
     if failure.outcome is not Outcome.NOT_RUN and isinstance(
