Let items of cancel and outage tests outlast the lease

With short items the tests passed with the lease's lapse switched off: the chunks held were done before it.

--- a/integration/tests/test_jobs_cancel.py
+++ b/integration/tests/test_jobs_cancel.py
@@ -22,6 +22,8 @@
     "store_timeout": 1.0,
 }
 PROMPTS = {f"i{number}": f"tide {number}" for number in range(200)}
+# A chunk of such items runs for much longer than any limit below.
+LONG_TOKENS = 400
 LIMIT_SECONDS = 5.0
 
 
@@ -77,7 +79,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_cancel_while_chunks_are_claimed_and_run(deployment, tester, seed):
     delay = random.Random(seed).uniform(0.0, 1.2)
-    batch = tester.submit(PROMPTS, max_tokens=60)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     time.sleep(delay)
     cancel(tester, batch, daemon=1)
     check_stopped(tester, batch, since=time.time() + 1.0)
@@ -99,7 +101,7 @@
 
 
 def test_cancel_while_streams_are_preempted(deployment, tester):
-    batch = tester.submit(PROMPTS, max_tokens=60)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     tester.wait_until(
         lambda: tester.count_events("admitted", batch=batch) >= 12
     )
@@ -124,7 +126,7 @@
 
 
 def test_lost_reply_to_the_cancel(deployment, tester):
-    batch = tester.submit(PROMPTS, max_tokens=60)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     deployment.control("store", lose_replies=True, lose_matching="jobs/")
     assert cancel(tester, batch)["status"] == "cancelling"
     since = time.time() + LIMIT_SECONDS
@@ -133,7 +135,7 @@
 
 
 def test_no_reply_to_the_cancel_at_all(deployment, tester):
-    batch = tester.submit(PROMPTS, max_tokens=60)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     link = f"store:{deployment.daemon_names[0]}"
     deployment.set_links(link, drop_replies=True)
     with pytest.raises(RefusedError) as failure:
@@ -146,7 +148,7 @@
 
 def test_cancel_without_the_watch(deployment, tester):
     deployment.control("store", silent_watches=True)
-    batch = tester.submit(PROMPTS, max_tokens=60)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     tester.wait_until(
         lambda: tester.count_events("admitted", batch=batch) >= 12
     )
@@ -155,7 +157,7 @@
 
 
 def test_holder_cut_off_from_the_store(deployment, tester):
-    batch = tester.submit(PROMPTS, max_tokens=60)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     tester.wait_until(
         lambda: tester.count_events("admitted", batch=batch) >= 12
     )
@@ -168,10 +170,11 @@
 
 
 def test_holder_frozen_during_the_cancel(deployment, tester):
-    batch = tester.submit(PROMPTS, max_tokens=60)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     tester.wait_until(
         lambda: tester.count_events("admitted", batch=batch) >= 12
     )
+    assert deployment.daemon_names[0] in tester.find_holders(batch)
     deployment.freeze(deployment.daemon_names[0])
     cancel(tester, batch, daemon=1)
     time.sleep(TIMING["lease"] + 1.0)
--- a/integration/tests/test_jobs_outage.py
+++ b/integration/tests/test_jobs_outage.py
@@ -21,7 +21,9 @@
     "part_flush": 0.4,
     "store_timeout": 1.0,
 }
-PROMPTS = {f"i{number}": f"tide {number}" for number in range(120)}
+PROMPTS = {f"i{number}": f"tide {number}" for number in range(50)}
+# A chunk of such items runs for much longer than a lease.
+LONG_TOKENS = 200
 
 
 @pytest.fixture
@@ -54,9 +56,9 @@
 def test_outage_longer_than_the_lease(deployment, tester):
     caller = tester.open_caller()
     file = caller.upload(build_items(PROMPTS, model="pips-lm"))
-    batch = tester.submit(PROMPTS, max_tokens=40)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     tester.wait_until(
-        lambda: tester.count_events("admitted", batch=batch) >= 20
+        lambda: tester.count_events("admitted", batch=batch) >= 12
     )
     deployment.control("store", outage=True)
     began = time.time()
@@ -88,9 +90,9 @@
 
 
 def test_outage_and_holder_killed(deployment, tester):
-    batch = tester.submit(PROMPTS, max_tokens=40)
+    batch = tester.submit(PROMPTS, max_tokens=LONG_TOKENS)
     tester.wait_until(
-        lambda: tester.count_events("admitted", batch=batch) >= 20
+        lambda: tester.count_events("admitted", batch=batch) >= 12
     )
     deployment.control("store", outage=True)
     time.sleep(0.5)
