--- a/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
@@ -21,7 +21,9 @@
 FIRST_EVENT_TRIES = 1
 
 
-async def run_attempts(state, request, receiver, *, begin=None):
+async def run_attempts(
+    state, request, receiver, *, begin=None, pick=None, attempt=None
+):
     """Run a request until one attempt gives the whole answer.
 
     Parameters
@@ -32,30 +34,39 @@
     begin : callable, optional
         Coroutine function that is called with the upstream and the stream
         identifier before anything of an attempt is sent.
+    pick : callable, optional
+        Chooses the upstream of an attempt; `choose` by default.
+    attempt : callable, optional
+        Coroutine function that runs one attempt; a stream by default.
 
     Raises
     ------
     HollyspanError
         ``not_run`` only when no attempt can have reached an upstream.
     """
+    pick = pick or choose
+    attempt = attempt or run_attempt
     tried = set()
+    failure = None
     may_have_run = False
     attempts_left = get_attempts(state, request)
     state.budget.deposit()
     while True:
-        upstream, verdict = choose(state, request, tried=tried)
+        upstream, verdict = pick(state, request, tried=tried)
         if upstream is None:
-            raise refuse(verdict, may_have_run=may_have_run)
+            raise failure if may_have_run else build_refusal(verdict)
         stream_id = f"{request.identifier}-{len(tried)}"
         tried.add(upstream.name)
         if begin is not None:
             await begin(upstream, stream_id)
         try:
-            await run_attempt(state, request, receiver, upstream, stream_id)
+            await attempt(state, request, receiver, upstream, stream_id)
             return
         except HollyspanError as error:
             failure = error
         may_have_run |= failure.outcome is not Outcome.NOT_RUN
+        if may_have_run:
+            failure.outcome = Outcome.UNKNOWN
         if not may_retry(
             failure,
             idempotent=request.idempotent,
@@ -63,8 +74,6 @@
             attempts_left=attempts_left,
             budget=state.budget,
         ):
-            if may_have_run:
-                failure.outcome = Outcome.UNKNOWN
             raise failure
         attempts_left -= 1
         receiver.reset()
@@ -110,13 +119,6 @@
     )
 
 
-def refuse(verdict, *, may_have_run):
-    error = build_refusal(verdict)
-    if may_have_run:
-        error.outcome = Outcome.UNKNOWN
-    return error
-
-
 def cancel_lost(runtime, upstream, stream_id, failure):
     """Free the slot of a stream that may still run."""
     if failure.outcome is not Outcome.NOT_RUN and isinstance(
