--- /dev/null
+++ b/integration/tests/test_configuration_operators.py
@@ -0,0 +1,85 @@
+"""The operators' interface across daemons and workspaces."""
+
+import json
+
+import pytest
+
+from hollyspan_standins.caller import build_items
+from hollyspan_standins.caller import Caller
+from hollyspan_standins.caller import Operator
+from hollyspan_standins.caller import RefusedError
+from hollyspan_standins.caller import submit_batch
+from hollyspan_standins.caller import wait_batch
+from hollyspan_standins.deployment import build_places
+from hollyspan_standins.deployment import CALLER_KEY
+from hollyspan_standins.deployment import open_deployment
+
+MODEL = "pips-lm"
+END_SECONDS = 30.0
+
+
+@pytest.fixture(name="deployment")
+def start_deployment():
+    """Return two data centres with two daemons each."""
+    places = build_places("attiki", "kriti", daemons=2, services=())
+    with open_deployment(places=places) as deployment:
+        yield deployment
+
+
+def test_status_and_sums_cover_the_fleet(deployment):
+    operator = Operator(deployment=deployment)
+    first, *_, last = deployment.daemon_names
+    status = operator.get(first, "status")
+    shown = {m["instance"]: m["state"] for m in status["members"]}
+    assert shown == dict.fromkeys(deployment.daemon_names, "serving")
+    assert operator.get(first, "statistics")["daemons"] == len(shown)
+    deployment.kill(last)
+    assert operator.get(first, "burn")["missing"] == [last]
+
+
+def test_a_dry_run_changes_nothing(deployment):
+    operator = Operator(deployment=deployment)
+    daemon = deployment.daemon_names[0]
+    document = operator.get(daemon, "configuration")
+    document["objectives"] = []
+    answer = operator.post(daemon, "configuration?dry_run=1", document)
+    assert [d["path"] for d in answer["differences"]] == [
+        "objectives.first-token"
+    ]
+    document["keys"] = 3
+    document["services"] = 4
+    with pytest.raises(RefusedError) as caught:
+        operator.post(daemon, "configuration?dry_run=1", document)
+    text = json.loads(caught.value.body)["error"]["message"]
+    assert "$.keys" in text
+    assert "$.services" in text
+    assert operator.get(daemon, "configuration")["generation"] == 1
+
+
+def test_another_key_is_refused(deployment):
+    caller = Caller(
+        url=deployment.url(deployment.daemon_names[0]), key=CALLER_KEY
+    )
+    for path in ("status", "configuration", "jobs", "burn", "none"):
+        with pytest.raises(RefusedError) as caught:
+            caller.get(f"/operator/v1/{path}")
+        assert caught.value.status == 401
+
+
+def test_a_job_is_listed_and_cancelled(deployment):
+    operator = Operator(deployment=deployment)
+    first, *_, last = deployment.daemon_names
+    caller = Caller(url=deployment.url(first), key=CALLER_KEY)
+    prompts = {f"i{number}": "pip" for number in range(400)}
+    items = build_items(prompts, model=MODEL, max_tokens=50)
+    job = submit_batch(caller, items)["id"]
+    listed = operator.get(last, "jobs?workspace=dev")["jobs"]
+    assert [entry["id"] for entry in listed] == [job]
+    assert operator.get(last, f"jobs/{job}")["workspace"] == "dev"
+    answer = operator.post(last, f"jobs/{job}/cancel", {})
+    assert answer["status"] in ("cancelling", "cancelled")
+    ended = wait_batch(caller, job, seconds=END_SECONDS)
+    assert ended["status"] == "cancelled"
+    with pytest.raises(RefusedError) as caught:
+        operator.get(last, "jobs/none")
+    assert caught.value.status == 404
--- a/packages/hollyspan_entry/hollyspan_entry/operators/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/operators/part.py
@@ -9,6 +9,7 @@
 from ..http import write_json
 from .auth import check_operator
 from .configuration import build_configuration_handler
+from .jobs import build_jobs_handler
 from .query import read_number
 from .reports import count_statistics
 from .reports import describe_statistics
@@ -67,6 +68,7 @@
     return {
         "burn": show_burn,
         "configuration": build_configuration_handler(runtime),
+        "jobs": build_jobs_handler(runtime),
         "statistics": show_statistics,
         "status": show_status,
     }
