Take no second signal once a planned stop has begun

A SIGTERM that came after the loop had stopped, before the process was gone, ended it with code -15.

--- a/integration/tests/test_stop_planned.py
+++ b/integration/tests/test_stop_planned.py
@@ -192,3 +192,15 @@
     answer.read()
     connection.close()
     assert deployment.wait(daemon) == 0
+
+
+def test_repeated_signals_do_no_harm():
+    places = build_places("attiki", engines=0, services=())
+    timing = {"drain_notice": 0.1}
+    with open_deployment(places=places, timing=timing) as deployment:
+        (daemon,) = deployment.daemon_names
+        process = deployment.find(daemon)
+        while process.is_running:
+            deployment.terminate(daemon)
+            time.sleep(0.002)
+        assert deployment.wait(daemon) == 0
--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -38,6 +38,7 @@
 
 MAX_CONNECTIONS_PER_UPSTREAM = 64
 MICROSECONDS = 1_000_000
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def create_token():
@@ -155,11 +156,13 @@
         eliot.log_message(message_type="daemon:stop")
 
     def ask_to_stop(number, frame):
+        # Further signals would end the process once the loop has stopped.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
         reactor.callFromThread(finish_waiting, stop)
 
     def install_handlers():
-        signal.signal(signal.SIGTERM, ask_to_stop)
-        signal.signal(signal.SIGINT, ask_to_stop)
+        for number in STOP_SIGNALS:
+            signal.signal(number, ask_to_stop)
 
     reactor.callWhenRunning(install_handlers)
     task.react(lambda r: defer.ensureDeferred(run(r)), ())
