--- a/integration/tests/test_stop_planned.py
+++ b/integration/tests/test_stop_planned.py
@@ -7,10 +7,15 @@
 
 import pytest
 
+from hollyspan_standins.caller import build_items
 from hollyspan_standins.caller import Caller
+from hollyspan_standins.caller import fetch_results
 from hollyspan_standins.caller import Operator
 from hollyspan_standins.caller import RefusedError
 from hollyspan_standins.caller import StreamCutError
+from hollyspan_standins.caller import submit_batch
+from hollyspan_standins.caller import wait_batch
+from hollyspan_standins.checker import find_duplicate_results
 from hollyspan_standins.deployment import build_places
 from hollyspan_standins.deployment import CALLER_KEY
 from hollyspan_standins.deployment import CallError
@@ -20,6 +25,8 @@
 MODEL = "pips-lm"
 TOKENS = 40
 STREAMS = 6
+ITEMS = 200
+JOB_SECONDS = 60.0
 NOTICE_SECONDS = 1.5
 # The balancer asks for readiness at this interval.
 BALANCER_SECONDS = 0.5
@@ -151,6 +158,24 @@
     callers.check()
 
 
+def test_a_rolling_restart_keeps_the_items_of_a_job(deployment, callers):
+    caller = Caller(
+        url=deployment.url(deployment.daemon_names[0]), key=CALLER_KEY
+    )
+    prompts = {f"i{number}": f"pip {number}" for number in range(ITEMS)}
+    items = build_items(prompts, model=MODEL, max_tokens=TOKENS)
+    job = submit_batch(caller, items)["id"]
+    for daemon in deployment.daemon_names:
+        assert deployment.restart(daemon) == 0
+        time.sleep(2 * BALANCER_SECONDS)
+    callers.stop()
+    callers.check()
+    batch = wait_batch(caller, job, seconds=JOB_SECONDS)
+    output, errors = fetch_results(caller, batch)
+    assert not find_duplicate_results(output + errors)
+    assert {line["custom_id"] for line in output} == set(prompts)
+
+
 def test_a_stop_in_a_store_outage_cuts_nothing(deployment, callers):
     deployment.control("store", outage=True)
     daemon = deployment.daemon_names[0]
