Revert the use of the report's running streams in routing

Cause for trying it: only the owner of an upstream hears of all requests there, so other daemons route to full ones. Conclusion: the report is about a second old, so all daemons turn to the one upstream that it shows as free. Reverted; fresher word is needed.

--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
@@ -105,10 +105,8 @@
     """Take in the load report of an engine."""
     content = await fetch(runtime, upstream, "/v1/load")
     waiting = content.get("waiting")
-    running = content.get("running")
-    if isinstance(waiting, int) and isinstance(running, int):
+    if isinstance(waiting, int):
         upstream.waiting = waiting
-        upstream.running = running
         upstream.reported = time.monotonic()
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
@@ -31,8 +31,8 @@
         Requests in flight that this daemon sent.
     peers : dict
         PeerLoad by instance, from the peers' messages.
-    waiting, running : int
-        Streams of the last load report.
+    waiting : int
+        Queue length of the last load report.
     reported : float or None
         Monotonic seconds of the last load report.
     """
@@ -51,7 +51,6 @@
         "batch",
         "peers",
         "waiting",
-        "running",
         "reported",
     )
 
@@ -71,7 +70,6 @@
         self.batch = 0
         self.peers = {}
         self.waiting = 0
-        self.running = 0
         self.reported = None
 
     @property
@@ -107,7 +105,6 @@
             online=self.count_online(),
             batch=self.count_batch(),
             waiting=self.waiting,
-            running=self.running,
             report_age=age,
             serving=self.reachable and not self.leaving,
         )
--- a/packages/hollyspan_policy/hollyspan_policy/routing/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/__init__.py
@@ -7,7 +7,6 @@
 from .choice import choose_upstream
 from .cost import estimate_cost
 from .cost import estimate_queue
-from .cost import estimate_streams
 from .cost import estimate_wait
 from .place import DataCentreView
 from .spill import choose_data_centre
@@ -25,7 +24,6 @@
     "estimate_cost",
     "estimate_queue",
     "estimate_room",
-    "estimate_streams",
     "estimate_wait",
     "hash_blocks",
 ]
--- a/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
@@ -2,12 +2,7 @@
 
 import math
 
-__all__ = [
-    "estimate_cost",
-    "estimate_queue",
-    "estimate_streams",
-    "estimate_wait",
-]
+__all__ = ["estimate_cost", "estimate_queue", "estimate_wait"]
 
 REACTION_SECONDS = 0.05
 REPORT_DECAY_SECONDS = 2.0
@@ -33,37 +28,12 @@
     load report counts as far as those counts do not explain it, and fades
     as the report ages.
     """
+    if view.report_age is None:
+        return float(view.online)
     explained = max(0, view.online + view.batch - view.slots)
     unexplained = max(0, view.waiting - explained)
-    return view.online + unexplained * compute_fading(view)
-
-
-def estimate_streams(view):
-    """Estimate the streams of all kinds that hold or wait for a slot.
-
-    Parameters
-    ----------
-    view : UpstreamView
-
-    Returns
-    -------
-    float
-
-    Notes
-    -----
-    Only the owner of an upstream hears of all requests there. The load
-    report shows the others that slots are taken; a stale one is left out.
-    """
-    told = estimate_queue(view) + view.batch
-    if view.report_age is None or view.report_age > REPORT_DECAY_SECONDS:
-        return told
-    return max(told, view.running)
-
-
-def compute_fading(view):
-    if view.report_age is None:
-        return 0.0
-    return math.exp(-view.report_age / REPORT_DECAY_SECONDS)
+    fading = math.exp(-view.report_age / REPORT_DECAY_SECONDS)
+    return view.online + unexplained * fading
 
 
 def estimate_wait(view, *, service_seconds=SERVICE_SECONDS):
@@ -85,7 +55,7 @@
     if queue + 1 > view.slots:
         ahead = queue + 1 - view.slots
         return REACTION_SECONDS + ahead * service_seconds / view.slots
-    if estimate_streams(view) + 1 > view.slots:
+    if queue + view.batch + 1 > view.slots:
         return REACTION_SECONDS
     return 0.0
 
@@ -106,7 +76,7 @@
     float
         Seconds.
     """
-    busy = min(1.0, estimate_streams(view) / view.slots)
+    busy = min(1.0, (estimate_queue(view) + view.batch) / view.slots)
     return (
         estimate_wait(view, service_seconds=service_seconds)
         + uncached * PREFILL_SECONDS_PER_BLOCK
--- a/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
@@ -57,14 +57,6 @@
     assert choose(stale, seed="r") == "a"
 
 
-def test_slots_that_only_the_report_shows_count_as_taken():
-    views = [build_view("a", running=8, report_age=0.5)]
-    views.append(build_view("b", online=5))
-    assert choose(views, seed="r") == "b"
-    views[0].report_age = 30.0
-    assert choose(views, seed="r") == "a"
-
-
 def test_same_view_does_not_lead_all_requests_to_one_upstream():
     views = [build_view(name, online=2) for name in "abcd"]
     views.append(build_view("e", online=1))
--- a/packages/hollyspan_policy/hollyspan_policy/routing/view.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/view.py
@@ -18,8 +18,6 @@
         Batch streams in flight from all daemons, as far as known.
     waiting : int
         Queue length of the last load report.
-    running : int
-        Streams of all kinds in the last load report.
     report_age : float or None
         Age of the last load report, seconds; None without one.
     serving : bool
@@ -33,7 +31,6 @@
         "online",
         "batch",
         "waiting",
-        "running",
         "report_age",
         "serving",
     )
@@ -47,7 +44,6 @@
         online=0,
         batch=0,
         waiting=0,
-        running=0,
         report_age=None,
         serving=True,
     ):
@@ -57,6 +53,5 @@
         self.online = online
         self.batch = batch
         self.waiting = waiting
-        self.running = running
         self.report_age = report_age
         self.serving = serving
