--- a/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
@@ -1,5 +1,6 @@
 """Free ports for processes that are told theirs."""
 
+import secrets
 import socket
 
 __all__ = ["pick_port"]
@@ -7,6 +8,11 @@
 ADDRESS = "127.0.0.1"
 
 
+# Below the range from which the system takes ports for connections, so
+# that none is lost between the choice and its use.
+PORTS = range(15_000, 32_000)
+
+
 def pick_port():
     """Return a port that is free for TCP and for UDP.
 
@@ -15,11 +21,19 @@
     The port is only free at the moment of the call.
     """
     while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
-            stream.bind((ADDRESS, 0))
-            port = stream.getsockname()[1]
-            if is_free_for_datagrams(port):
-                return port
+        port = secrets.choice(PORTS)
+        if is_free_for_connections(port) and is_free_for_datagrams(port):
+            return port
+
+
+def is_free_for_connections(port):
+    """Return whether a TCP port is free."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
+        try:
+            stream.bind((ADDRESS, port))
+        except OSError:
+            return False
+    return True
 
 
 def is_free_for_datagrams(port):
