Own no upstream right after a pause or a start

Cause: a daemon that was stopped and woken still counted itself as the owner of its upstreams and started batch items there beside the new owner. Change: the runner asks PauseGuard; without a heartbeat of a listed peer since the pause it owns nothing until peer_timeout has passed. A daemon without listed peers owns at once. Before: with the guard bypassed the new test fails, the fresh daemon owns the engine.

--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
@@ -2,11 +2,36 @@
 
 import time
 
+from hollyspan_policy.membership import PauseGuard
 from hollyspan_policy.ownership import choose_owner
 
 from .slots import UpstreamSlots
 
-__all__ = ["refresh_slots"]
+__all__ = ["build_guard", "build_member_listener", "refresh_slots"]
+
+PAUSE_LIMIT_SECONDS = 1.0
+
+
+def build_guard(timing):
+    """Build the guard against acting on an old view after a pause."""
+    return PauseGuard(
+        limit=PAUSE_LIMIT_SECONDS,
+        grace=timing.peer_timeout,
+        now=time.monotonic(),
+    )
+
+
+def build_member_listener(runner):
+    """Build what shows the guard the heartbeats of the data centre."""
+    settings = runner.runtime.settings
+
+    def hear_member(member):
+        if member.instance == settings.instance:
+            return
+        if member.data_centre == settings.data_centre:
+            runner.guard.observe_peer(now=time.monotonic())
+
+    return hear_member
 
 
 def refresh_slots(runner, *, now):
@@ -18,7 +43,10 @@
     now : float
         Monotonic seconds.
     """
-    owned = list_owned(runner.runtime, now=now)
+    runner.guard.observe_tick(now=now)
+    owned = {}
+    if runner.guard.may_own(now=now) or not list_expected(runner.runtime):
+        owned = list_owned(runner.runtime, now=now)
     heard = are_peers_heard(runner.runtime, now=now)
     for name, slots in list(runner.slots.items()):
         if owned.get(name) is not slots.upstream:
@@ -65,12 +93,18 @@
 
 def are_peers_heard(runtime, *, now):
     """Tell whether all listed daemons of the data centre are heard."""
-    expected = [
+    return not runtime.members.list_silent(list_expected(runtime), now=now)
+
+
+def list_expected(runtime):
+    """List the other daemons that should be heard in the data centre."""
+    settings = runtime.settings
+    return [
         seed.instance
         for seed in runtime.seeds.values()
-        if seed.data_centre == runtime.settings.data_centre
+        if seed.data_centre == settings.data_centre
+        and seed.instance != settings.instance
     ]
-    return not runtime.members.list_silent(expected, now=now)
 
 
 def retire(runner, name, slots):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
@@ -6,6 +6,7 @@
 from ..http import AsyncResource
 from ..runtime import open_periodic
 from .output import open_output
+from .ownership import build_member_listener
 from .queue import is_file_queued
 from .resource import build_handler
 from .runner import JobRunner
@@ -31,6 +32,7 @@
     connect_files(runtime)
     runner = JobRunner(runtime=runtime)
     runtime.upstreams.load_listeners.append(runner.take_load)
+    runtime.members.listeners.append(build_member_listener(runner))
     runtime.cancelled_jobs.listeners.append(runner.stop_job)
     runtime.drain_hooks.append(runner.drain)
     reactor = runtime.reactor
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -13,6 +13,7 @@
 from .flush import RECORDS_PER_PART
 from .itemrecord import RecordKind
 from .lease import LeaseKeeper
+from .ownership import build_guard
 from .ownership import refresh_slots
 from .run import Run
 from .run import StopReason
@@ -46,6 +47,8 @@
         UpstreamSlots by upstream.
     rate : float
         Items finished here a second, smoothed.
+    guard : PauseGuard
+        Keeps the daemon from owning upstreams right after a pause.
     """
 
     def __init__(self, *, runtime):
@@ -57,6 +60,7 @@
         self.slots = {}
         self.counters = JobCounters()
         self.rate = 0.0
+        self.guard = build_guard(timing)
         self.stopping = False
         self.drained = defer.Deferred()
         self.woken = None
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_ownership.py
@@ -0,0 +1,92 @@
+"""Tests of which upstreams a daemon runs batch items on."""
+
+from types import SimpleNamespace
+
+from hollyspan_entry.jobs.ownership import refresh_slots
+from hollyspan_entry.upstreams import Upstream
+from hollyspan_entry.upstreams import Upstreams
+from hollyspan_policy.membership import MemberTable
+from hollyspan_policy.membership import PauseGuard
+
+
+class FakeConfiguration:
+    """Values that the slots of an upstream read."""
+
+    VALUES = {
+        "batch.policy": "yielding",
+        "batch.reserve_slots": 1,
+        "batch.harm_weight": 0.5,
+    }
+
+    def get(self, name, *, scope, now=None):
+        """Return a value."""
+        return self.VALUES[name]
+
+
+def build_member(instance, *, heard):
+    return SimpleNamespace(
+        instance=instance,
+        data_centre="kriti-a",
+        incarnation=1,
+        sequence=1,
+        heard=heard,
+        leaving=False,
+        timeout=None,
+    )
+
+
+def build_runner(*, others):
+    """Return a runner's state for one engine, owned whoever is live."""
+    upstreams = Upstreams()
+    upstreams.add(
+        Upstream(
+            name="engine-1",
+            kind="engine",
+            service="pips-lm",
+            data_centre="kriti-a",
+            address="127.0.0.1",
+            port=1,
+            slots=8,
+        )
+    )
+    members = MemberTable(timeout=2.0)
+    members.observe(build_member("kriti-a-1", heard=0.0))
+    seeds = {
+        name: SimpleNamespace(instance=name, data_centre="kriti-a")
+        for name in ("kriti-a-1", *others)
+    }
+    runtime = SimpleNamespace(
+        settings=SimpleNamespace(instance="kriti-a-1", data_centre="kriti-a"),
+        upstreams=upstreams,
+        members=members,
+        seeds=seeds,
+        configurations=SimpleNamespace(current=FakeConfiguration()),
+    )
+    return SimpleNamespace(
+        runtime=runtime,
+        slots={},
+        guard=PauseGuard(limit=1.0, grace=5.0, now=0.0),
+        put_back_long_paused=lambda slots, now: None,
+    )
+
+
+def test_only_daemon_owns_at_once():
+    runner = build_runner(others=())
+    refresh_slots(runner, now=0.0)
+    assert set(runner.slots) == {"engine-1"}
+
+
+def test_fresh_or_woken_daemon_owns_nothing_before_a_peer_is_heard():
+    runner = build_runner(others=("kriti-a-2",))
+    refresh_slots(runner, now=0.5)
+    assert not runner.slots
+    runner.guard.observe_peer(now=0.6)
+    refresh_slots(runner, now=0.7)
+    assert set(runner.slots) == {"engine-1"}
+    # The process was stopped for a while.
+    runner.runtime.members.members["kriti-a-1"].heard = 30.0
+    refresh_slots(runner, now=30.0)
+    assert not runner.slots
+    runner.guard.observe_peer(now=30.3)
+    refresh_slots(runner, now=30.4)
+    assert set(runner.slots) == {"engine-1"}
