Share the headroom out over the upstreams of a service

A request needs a free slot at one upstream only. Change: the reserve is shared out over the upstreams of a service in the data centre by rank, and the quantile that each covers falls with their number.

--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
@@ -4,6 +4,7 @@
 
 from hollyspan_policy.membership import PauseGuard
 from hollyspan_policy.ownership import choose_owner
+from hollyspan_policy.ownership import rank_owners
 
 from .slots import UpstreamSlots
 
@@ -59,6 +60,28 @@
         )
         slots.observe(now=now)
         slots.observe_peers(heard, now=now)
+        names = list_alternatives(runner.runtime, upstream)
+        slots.observe_upstreams(names, now=now)
+
+
+def list_alternatives(runtime, upstream):
+    """List the upstreams that can stand in for one, itself included.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    upstream : Upstream
+
+    Returns
+    -------
+    list of str
+        In an order that all daemons agree on.
+    """
+    found = runtime.upstreams.list_for(
+        upstream.service, data_centre=upstream.data_centre
+    )
+    usable = {u.name for u in found if u.reachable and not u.leaving}
+    return rank_owners(upstream.service, usable | {upstream.name})
 
 
 def list_owned(runtime, *, now):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -95,6 +95,12 @@
             self.peers = heard
             self.gate.observe_peers(heard, now=now)
 
+    def observe_upstreams(self, names, *, now):
+        """Show the gate which upstreams online work can choose from."""
+        rank = names.index(self.upstream.name)
+        if (len(names), rank) != (self.gate.upstreams, self.gate.rank):
+            self.gate.observe_upstreams(len(names), rank=rank, now=now)
+
     def count_allowed(self, *, now):
         """Count the batch streams that may run, those of peers included."""
         return count_batch_slots(
--- a/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
@@ -3,6 +3,8 @@
 import math
 
 from .arrivals import ArrivalEstimator
+from .headroom import compute_level
+from .headroom import share_reserve
 from .window import SlidingMinimum
 
 __all__ = ["BatchGate"]
@@ -11,8 +13,6 @@
 HOLD_SECONDS = 0.3
 GROWTH_SECONDS_PER_SLOT = 0.025
 REPORT_STALE_SECONDS = 3.0
-LEAST_CERTAINTY = 0.3
-CERTAINTY_RANGE = 2.7
 
 
 class BatchGate:
@@ -23,8 +23,8 @@
     slots : int
         Streams that the upstream runs at once.
     reserve : int
-        Slots kept free for online arrivals at a harm weight of one half or
-        more; below that its share falls to none.
+        Slots that the service keeps free in the data centre at a harm
+        weight of one half or more; below that its share falls to none.
     harm_weight : float
         Weight of harm to online latency against batch throughput, 0 to 1.
     reaction : float, optional
@@ -37,6 +37,9 @@
         Online requests in flight from all daemons heard.
     observed : bool
         False before the first word of the online requests.
+    upstreams, rank : int
+        Upstreams of the service in the data centre, and the place of this
+        one among them.
     hidden : int
         Streams in the last load report that nobody heard has told of.
     peers_heard : bool
@@ -47,10 +50,10 @@
     Notes
     -----
     The headroom is a high quantile of the online arrivals within one
-    reaction time; its level rises with the harm weight from the median to
-    0.999. A slot must have been free for a while before a batch stream
-    starts in it (hysteresis), and the count grows by one slot at a time.
-    It falls at once.
+    reaction time; its level rises with the harm weight, and falls with the
+    number of upstreams that online work can turn to. A slot must have been
+    free for a while before a batch stream starts in it (hysteresis), and
+    the count grows by one slot at a time. It falls at once.
 
     Without word from the peers the load report takes their place. Without
     both no stream starts, and a share of the slots given by the harm
@@ -70,6 +73,8 @@
         "harm_weight",
         "online",
         "observed",
+        "upstreams",
+        "rank",
         "hidden",
         "peers_heard",
         "reported",
@@ -87,6 +92,8 @@
         self.harm_weight = harm_weight
         self.online = 0
         self.observed = False
+        self.upstreams = 1
+        self.rank = 0
         self.hidden = 0
         self.peers_heard = True
         self.reported = None
@@ -112,6 +119,22 @@
         self.observed = True
         self.least.observe(self.count_free(), now=now)
 
+    def observe_upstreams(self, count, *, rank, now):
+        """Note among how many upstreams online work can choose.
+
+        Parameters
+        ----------
+        count : int
+            Usable upstreams of the service in the data centre.
+        rank : int
+            Place of this one among them, from 0.
+        now : float
+            Monotonic seconds.
+        """
+        self.settle(now=now)
+        self.upstreams = max(1, count)
+        self.rank = rank
+
     def observe_peers(self, heard, *, now):
         """Note whether the peers that may send online work are heard.
 
@@ -197,9 +220,14 @@
         -------
         int
         """
-        level = compute_certainty(self.harm_weight)
+        level = compute_level(self.harm_weight, upstreams=self.upstreams)
         expected = self.arrivals.estimate_quantile(level, now=now)
-        floor = round(self.reserve * min(1.0, 2 * self.harm_weight))
+        floor = share_reserve(
+            self.reserve,
+            harm_weight=self.harm_weight,
+            upstreams=self.upstreams,
+            rank=self.rank,
+        )
         return min(self.slots, max(expected, floor))
 
     def count_allowed(self, *, now, running=None):
@@ -268,7 +296,3 @@
             self.granted = min(ceiling, self.granted + max(0.0, growth))
         self.granted_at = now
         return int(self.granted)
-
-
-def compute_certainty(harm_weight):
-    return 1 - 10 ** -(LEAST_CERTAINTY + CERTAINTY_RANGE * harm_weight)
--- a/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_slots.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_slots.py
@@ -28,6 +28,16 @@
     assert settle(gate, until=5.0) == 8
 
 
+def test_reserve_is_shared_out_over_the_upstreams():
+    counts = []
+    for rank in range(3):
+        gate = build_gate()
+        gate.observe_online(0, now=0.0)
+        gate.observe_upstreams(3, rank=rank, now=0.0)
+        counts.append(settle(gate, until=5.0))
+    assert counts == [7, 8, 8]
+
+
 def test_falls_at_once():
     gate = build_gate()
     gate.observe_online(0, now=0.0)
