Tell online load to all daemons of the data centre, falls too

Cause: only the owner of an upstream heard of the others' requests there, at once on a rise and with the next heartbeat on a fall. The others routed to upstreams that were full, and slots that online work had left stayed empty for up to half a second. Change: notices and the loads in heartbeats go to all daemons of the data centre; falls are told within 50 ms, together. Cost: one datagram to each daemon of the data centre for each arrival and end, in place of one to the owner for an arrival.

--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -22,6 +22,8 @@
 # every fourth one.
 FAR_BEATS = 4
 SOON_SECONDS = 0.05
+# Falls of the online load are told together; rises at once.
+FALL_SECONDS = 0.05
 FORGET_SECONDS = 600.0
 
 
@@ -48,7 +50,8 @@
         "turns",
         "soon",
         "online",
-        "risen",
+        "changed",
+        "notice",
     )
 
     def __init__(self, *, runtime, datagrams, receipts, probes, owners):
@@ -62,7 +65,8 @@
         self.turns = 0
         self.soon = None
         self.online = {}
-        self.risen = {}
+        self.changed = {}
+        self.notice = None
 
     async def beat(self):
         """Send the heartbeats that are due."""
@@ -88,10 +92,14 @@
         self.send_beats(far=True)
 
     def stop(self):
-        """Forget the heartbeat that is due soon."""
-        if self.soon is not None and self.soon.active():
-            self.soon.cancel()
+        """Forget the heartbeat and the notices that are due soon."""
+        for call in (self.soon, self.notice):
+            if call is not None and call.active():
+                call.cancel()
         self.soon = None
+        self.notice = None
+        # The next heartbeat tells all loads.
+        self.changed = {}
 
     def send_beats(self, *, far):
         """Send heartbeats to the own data centre, and to others if asked."""
@@ -129,9 +137,7 @@
         loads = self.list_loads()
         plain = self.encode(base, remotes=remotes)
         for seed in list_near(self.runtime, now=now):
-            told = self.told.complete(
-                seed.instance, loads.get(seed.instance, [])
-            )
+            told = self.told.complete(seed.instance, loads)
             datagrams = plain
             if told:
                 datagrams = self.encode(base, in_flight=told, remotes=remotes)
@@ -176,16 +182,17 @@
         ]
 
     def list_loads(self):
-        """List the own loads above zero by owner of the upstream."""
-        loads = {}
-        for upstream in self.runtime.upstreams.by_name.values():
-            if upstream.online or upstream.batch:
-                owner = self.owners.find(upstream)
-                loads.setdefault(owner, []).append(describe_load(upstream))
-        return loads
+        """List the own loads above zero in the own data centre."""
+        data_centre = self.runtime.settings.data_centre
+        return [
+            describe_load(upstream)
+            for upstream in self.runtime.upstreams.by_name.values()
+            if upstream.data_centre == data_centre
+            and (upstream.online or upstream.batch)
+        ]
 
     def hear_load(self, upstream):
-        """Prepare a notice when the own online load has risen.
+        """Prepare a notice when the own online load has changed.
 
         Parameters
         ----------
@@ -195,42 +202,43 @@
         if upstream.online == before:
             return
         self.online[upstream.name] = upstream.online
-        if upstream.online < before:
-            return
-        if not self.risen:
+        self.changed[upstream.name] = upstream
+        if upstream.online > before:
             # One notice for all that arrives within a turn of the loop.
-            self.runtime.reactor.callLater(0, self.send_notices)
-        self.risen[upstream.name] = upstream
+            self.notify_within(0)
+        else:
+            self.notify_within(FALL_SECONDS)
+
+    def notify_within(self, seconds):
+        """Send notices after some seconds, or sooner if they are due."""
+        notice = self.notice
+        if notice is None or not notice.active():
+            self.notice = self.runtime.reactor.callLater(
+                seconds, self.send_notices
+            )
+        elif notice.getTime() > self.runtime.reactor.seconds() + seconds:
+            notice.reset(seconds)
 
     def send_notices(self):
-        """Tell the owners of the loads that have risen."""
-        risen, self.risen = self.risen, {}
-        by_owner = {}
-        for upstream in risen.values():
-            owner = self.owners.find(upstream)
-            by_owner.setdefault(owner, []).append(upstream)
-        for owner, upstreams in by_owner.items():
-            self.send_notice(owner, upstreams)
-
-    def send_notice(self, owner, upstreams):
-        member = self.runtime.members.members.get(owner)
-        own = self.runtime.settings.instance
-        if member is None or owner == own:
-            return
+        """Tell the daemons of the data centre the loads that changed."""
+        changed, self.changed = self.changed, {}
+        for seed in list_near(self.runtime, now=time.monotonic()):
+            self.send_notice(seed, changed.values())
+
+    def send_notice(self, seed, upstreams):
         self.sequence += 1
         for upstream in upstreams:
-            self.told.note(owner, upstream.name)
+            self.told.note(seed.instance, upstream.name)
         notice = Notice(
-            instance=own,
+            instance=self.runtime.settings.instance,
             incarnation=self.runtime.incarnation,
             sequence=self.sequence,
             in_flight=[describe_load(upstream) for upstream in upstreams],
         )
-        seed = self.runtime.seeds.get(owner)
         self.datagrams.send(
             self.datagrams.encode(build_notice(notice)),
-            address=seed.address if seed else member.address,
-            port=seed.peer_port if seed else member.peer_port,
+            address=seed.address,
+            port=seed.peer_port,
         )
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
@@ -216,6 +216,19 @@
     assert not second.runtime.upstreams.by_name[upstream.name].peers
 
 
+def test_a_change_is_told_whoever_owns_the_upstream(pair):
+    network, first, second = pair
+    upstream = find_owned(first, "a")
+    there = second.runtime.upstreams.by_name[upstream.name]
+    for _ in range(2):
+        first.runtime.upstreams.change_online(upstream, 1)
+    network.clock.advance(0)
+    assert there.count_online() == 2
+    first.runtime.upstreams.change_online(upstream, -1)
+    network.clock.advance(0.05)
+    assert there.count_online() == 1
+
+
 def test_the_load_of_a_silent_peer_is_dropped(pair):
     network, first, second = pair
     upstream = find_owned(first, "b")
