--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -5,9 +5,11 @@
 from hollyspan_core.messages import build_heartbeat
 from hollyspan_core.messages import build_notice
 from hollyspan_core.messages import Heartbeat
-from hollyspan_core.messages import InFlight
 from hollyspan_core.messages import Notice
 
+from .loads import describe_load
+from .loads import list_loads
+from .loads import list_reports
 from .split import split_heartbeat
 from .states import build_member
 from .states import build_remote
@@ -24,6 +26,7 @@
 SOON_SECONDS = 0.05
 # Falls of the online load are told together; rises at once.
 FALL_SECONDS = 0.05
+FULL_RATE_DAEMONS = 8
 FORGET_SECONDS = 600.0
 
 
@@ -36,7 +39,6 @@
     datagrams : Datagrams
     receipts : Receipts
     probes : Probes
-    owners : Owners
     """
 
     __slots__ = (
@@ -44,7 +46,6 @@
         "datagrams",
         "receipts",
         "probes",
-        "owners",
         "told",
         "sequence",
         "turns",
@@ -54,12 +55,11 @@
         "notice",
     )
 
-    def __init__(self, *, runtime, datagrams, receipts, probes, owners):
+    def __init__(self, *, runtime, datagrams, receipts, probes):
         self.runtime = runtime
         self.datagrams = datagrams
         self.receipts = receipts
         self.probes = probes
-        self.owners = owners
         self.told = ToldLoads()
         self.sequence = 0
         self.turns = 0
@@ -69,9 +69,16 @@
         self.notice = None
 
     async def beat(self):
-        """Send the heartbeats that are due."""
+        """Send the heartbeats that are due.
+
+        Returns
+        -------
+        float
+            Seconds until the next ones.
+        """
         self.send_beats(far=self.turns % FAR_BEATS == 0)
         self.turns += 1
+        return self.receipts.interval
 
     def beat_soon(self, *details):
         """Send heartbeats to all within a moment, outside the interval.
@@ -110,7 +117,7 @@
             build_member(sender, heard=now, timeout=None)
         )
         self.forget_gone(now=now)
-        self.owners.refresh()
+        self.runtime.owners.refresh()
         base = self.build_base(sender, now=now)
         self.send_near(base, far=far, now=now)
         if far:
@@ -130,17 +137,23 @@
                 now=now
             ),
             cancelled_jobs=runtime.cancelled_jobs.list_names(now=now),
+            reports=list_reports(runtime),
         )
 
     def send_near(self, base, *, far, now):
         remotes = self.list_remotes(now=now) if far else ()
-        loads = self.list_loads()
-        plain = self.encode(base, remotes=remotes)
-        for seed in list_near(self.runtime, now=now):
+        loads = list_loads(self.runtime)
+        near = list_near(self.runtime, now=now)
+        self.receipts.interval = choose_interval(
+            self.runtime.settings.timing, near=len(near)
+        )
+        more = {"remotes": remotes, "reports": base.reports}
+        plain = self.encode(base, **more)
+        for seed in near:
             told = self.told.complete(seed.instance, loads)
             datagrams = plain
             if told:
-                datagrams = self.encode(base, in_flight=told, remotes=remotes)
+                datagrams = self.encode(base, in_flight=told, **more)
             self.send_all(datagrams, seed)
 
     def send_far(self, base, *, now):
@@ -153,13 +166,14 @@
             self.probes.send(seed.instance, now=now)
             self.send_all(datagrams, seed)
 
-    def encode(self, base, *, in_flight=(), remotes=()):
+    def encode(self, base, *, in_flight=(), remotes=(), reports=()):
         whole = Heartbeat(
             sender=base.sender,
             in_flight=in_flight,
             leaving_upstreams=base.leaving_upstreams,
             cancelled_jobs=base.cancelled_jobs,
             remotes=remotes,
+            reports=reports,
         )
         return [
             self.datagrams.encode(build_heartbeat(part))
@@ -181,16 +195,6 @@
             if name in members
         ]
 
-    def list_loads(self):
-        """List the own loads above zero in the own data centre."""
-        data_centre = self.runtime.settings.data_centre
-        return [
-            describe_load(upstream)
-            for upstream in self.runtime.upstreams.by_name.values()
-            if upstream.data_centre == data_centre
-            and (upstream.online or upstream.batch)
-        ]
-
     def hear_load(self, upstream):
         """Prepare a notice when the own online load has changed.
 
@@ -222,7 +226,12 @@
     def send_notices(self):
         """Tell the daemons of the data centre the loads that changed."""
         changed, self.changed = self.changed, {}
-        for seed in list_near(self.runtime, now=time.monotonic()):
+        near = list_near(self.runtime, now=time.monotonic())
+        if len(near) > FULL_RATE_DAEMONS:
+            # Heartbeats tell the others; datagrams would grow too many.
+            owners = {self.runtime.owners.find(u) for u in changed.values()}
+            near = [seed for seed in near if seed.instance in owners]
+        for seed in near:
             self.send_notice(seed, changed.values())
 
     def send_notice(self, seed, upstreams):
@@ -242,7 +251,22 @@
         )
 
 
-def describe_load(upstream):
-    return InFlight(
-        upstream=upstream.name, online=upstream.online, batch=upstream.batch
-    )
+def choose_interval(timing, *, near):
+    """Return the seconds between heartbeats.
+
+    Parameters
+    ----------
+    timing : Timing
+    near : int
+        Other daemons of the data centre.
+
+    Returns
+    -------
+    float
+
+    Notes
+    -----
+    Each daemon hears all others, so that the interval grows with their
+    number to keep the traffic bounded. Bursts do not wait for it.
+    """
+    return timing.heartbeat * max(1.0, near / FULL_RATE_DAEMONS)
--- a/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
@@ -10,6 +10,8 @@
 
 __all__ = ["Receipts"]
 
+MISSED_BEATS = 3
+
 
 class Receipts:
     """Takes the messages of other daemons over into the runtime.
@@ -24,21 +26,35 @@
 
     Attributes
     ----------
+    interval : float
+        Seconds between the heartbeats of a daemon of the data centre.
     orders : dict
         Incarnation and sequence of the last message by instance.
+    failed : set of str
+        Upstreams that their owners report as unreachable.
     partners : dict
         Monotonic seconds at which a daemon of another data centre was
         heard, by instance.
     """
 
-    __slots__ = ("runtime", "probes", "remote_timeout", "orders", "partners")
+    __slots__ = (
+        "runtime",
+        "probes",
+        "remote_timeout",
+        "interval",
+        "orders",
+        "partners",
+        "failed",
+    )
 
     def __init__(self, *, runtime, probes, remote_timeout):
         self.runtime = runtime
         self.probes = probes
         self.remote_timeout = remote_timeout
+        self.interval = runtime.settings.timing.heartbeat
         self.orders = {}
         self.partners = {}
+        self.failed = set()
 
     def receive(self, message):
         """Take in a message; other kinds are passed over.
@@ -75,15 +91,21 @@
             if remote.data_centre != settings.data_centre:
                 self.observe(remote, now=now)
         self.take_names(heartbeat, now=now)
+        self.take_reports(sender.instance, heartbeat.reports, now=now)
 
     def observe(self, remote, *, now):
         """Note the state of a daemon in the member table."""
         is_near = remote.data_centre == self.runtime.settings.data_centre
-        timeout = None if is_near else self.remote_timeout
+        timeout = self.get_near_timeout() if is_near else self.remote_timeout
         self.runtime.members.observe(
             build_member(remote, heard=now, timeout=timeout)
         )
 
+    def get_near_timeout(self):
+        """Return the seconds of silence that a near daemon may have."""
+        timeout = self.runtime.settings.timing.peer_timeout
+        return max(timeout, MISSED_BEATS * self.interval)
+
     def take_names(self, heartbeat, *, now):
         """Take in the names that are passed on."""
         runtime = self.runtime
@@ -93,6 +115,31 @@
         for job in heartbeat.cancelled_jobs:
             runtime.cancelled_jobs.announce(job, now=now)
 
+    def take_reports(self, instance, reports, *, now):
+        """Take in what the owner of upstreams has polled."""
+        for report in reports:
+            upstream = self.runtime.upstreams.by_name.get(report.upstream)
+            if upstream is None:
+                continue
+            if self.runtime.owners.find(upstream) != instance:
+                continue
+            upstream.waiting = report.waiting
+            upstream.running = report.running
+            upstream.reported = now
+            self.take_reachable(upstream, report)
+
+    def take_reachable(self, upstream, report):
+        """Believe the owner once that an upstream does not answer.
+
+        Own polls find out when it is back, so that a link that is broken
+        for the owner alone keeps no other daemon from the upstream.
+        """
+        if report.reachable:
+            self.failed.discard(upstream.name)
+        elif upstream.name not in self.failed:
+            self.failed.add(upstream.name)
+            upstream.reachable = False
+
     def take_notice(self, notice):
         """Take in a notice."""
         if notice.instance == self.runtime.settings.instance:
