--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/hollyspan_$(p))
 SOURCES := packages integration benchmarks
 
-.PHONY: venv test lint format demo serve
+.PHONY: venv test lint format demo serve yielding
 
 venv: $(VENV)/installed
 
@@ -32,3 +32,7 @@
 
 serve: venv
 	$(BIN)/python -m hollyspan_standins.serve
+
+yielding: venv
+	$(BIN)/python -m benchmarks.yielding --scenario trust
+	$(BIN)/python -m benchmarks.yielding --scenario cooperative
