--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
@@ -107,7 +107,6 @@
             online=self.count_online(),
             batch=self.count_batch(),
             waiting=self.waiting,
-            running=self.running,
             report_age=age,
             serving=self.reachable and not self.leaving,
         )
