--- a/packages/hollyspan_entry/hollyspan_entry/jobs/closing.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/closing.py
@@ -24,18 +24,22 @@
 
     Returns
     -------
-    JobRecord
-        Completed, when this was the last chunk.
+    JobRecord or None
+        The job's, when this was the last chunk.
     """
     closed = chunk.ledger.close()
+    completed = False
 
     def change(record):
+        nonlocal completed
+        completed = False
         if record.status is not JobStatus.IN_PROGRESS:
             return False
         if chunk.chunk in record.closed:
             return False
         record.closed[chunk.chunk] = closed
         if record.is_complete:
+            completed = True
             record.status = JobStatus.COMPLETED
             record.ended_at = int(time.time())
         return True
@@ -49,7 +53,7 @@
             job=record.job,
             status=record.status.value,
         )
-    return record
+    return record if completed else None
 
 
 async def end_cancelled(store, record):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
@@ -2,6 +2,8 @@
 
 import contextlib
 
+from opentelemetry.metrics import Observation
+
 from ..http import add_resource
 from ..http import AsyncResource
 from ..runtime import open_periodic
@@ -30,6 +32,7 @@
     add_resource(runtime.root, "v1/batches", handler)
     connect_files(runtime)
     runner = JobRunner(runtime=runtime)
+    add_counters(runtime, runner.counters)
     runtime.upstreams.load_listeners.append(runner.take_load)
     runtime.cancelled_jobs.listeners.append(runner.stop_job)
     runtime.drain_hooks.append(runner.drain)
@@ -58,3 +61,15 @@
 
     runtime.file_sources.append(find_output)
     runtime.file_users.append(is_needed)
+
+
+def add_counters(runtime, counters):
+    """Show what the runner did among the daemon's metrics."""
+
+    def observe(options):
+        for name in counters.__slots__:
+            yield Observation(getattr(counters, name), {"event": name})
+
+    runtime.meter.create_observable_counter(
+        "hollyspan.jobs.events", [observe], unit="{event}"
+    )
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_cancellation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_cancellation.py
@@ -65,7 +65,9 @@
         for item in range(items):
             chunk.buffer_record(result(item))
         run(flush_chunk(store, chunk))
-        record = run(close_chunk(store, chunk))
+        ended = run(close_chunk(store, chunk))
+        assert (ended is not None) == (number + 1 == len(record.items))
+    record = run(read_record(store, "w", record.job))
     assert record.status is JobStatus.COMPLETED
     assert build_queue_key(record.job) not in store.entries
     with pytest.raises(BatchStateError):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
@@ -8,6 +8,7 @@
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreUnavailableError
 
+from ..burn import record_job_deadline
 from .claim import delete_claim
 from .closing import close_chunk
 from .flush import flush_chunk
@@ -70,11 +71,13 @@
         if not chunk.ledger.is_complete or chunk.stopped or chunk.closing:
             return
         chunk.closing = True
-        await close_chunk(runner.store, chunk)
+        ended = await close_chunk(runner.store, chunk)
     except StoreUnavailableError:
         chunk.closing = False
         chunk.retry_at = now + RETRY_SECONDS
         return
+    if ended is not None:
+        record_end(runner.runtime, ended)
     runner.counters.closed += 1
     eliot.log_message(
         message_type="jobs:chunk-closed",
@@ -85,6 +88,14 @@
     await let_go(runner, chunk)
 
 
+def record_end(runtime, record):
+    """Count whether a job was finished by its deadline."""
+    for model in record.models:
+        record_job_deadline(
+            runtime, service=model, met=record.ended_at <= record.due
+        )
+
+
 async def prepare(runner, chunk, *, now):
     """Prepare the next items."""
     try:
