Keep bodies out of temporary files and claims short

Instances mostly have no disk, and twisted.web spools bodies above 100 kB. Bodies other than uploads are kept in memory up to their limit now.

An upstream that was replaced under its name gets no new items.

--- a/integration/tests/test_jobs_results.py
+++ b/integration/tests/test_jobs_results.py
@@ -73,6 +73,18 @@
     assert [line for line in lines if line["error"]] == []
 
 
+def test_engine_killed_with_items_in_flight(deployment, tester):
+    batch = tester.submit(PROMPTS, max_tokens=24)
+    wait_for_dispatch(tester, batch, count=20)
+    engine = deployment.list_upstreams()[0]
+    deployment.kill(engine)
+    time.sleep(1.0)
+    deployment.start(engine)
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch)
+    assert [line for line in lines if line["error"]] == []
+
+
 def test_daemon_killed_between_a_part_and_its_reply(deployment, tester):
     deployment.control("store", lose_replies=True, lose_matching="results/")
     batch = tester.submit(PROMPTS)
--- a/integration/tests/test_openai_client_batches.py
+++ b/integration/tests/test_openai_client_batches.py
@@ -6,6 +6,7 @@
 import openai
 import pytest
 
+from hollyspan_entry.http import sign_key
 from hollyspan_standins.deployment import open_deployment
 
 MODEL = "pips-lm"
@@ -188,3 +189,40 @@
         client.batches.retrieve("batch_none")
     with pytest.raises(openai.NotFoundError):
         client.files.content("file-none")
+
+
+def test_other_workspace_reaches_nothing(client, deployment):
+    batch = create(client, upload(client, [build_line("a")]))
+    batch = wait(client, batch)
+    name = deployment.daemon_names[0]
+    settings = json.loads(
+        (deployment.folder / f"{name}.settings.json").read_text()
+    )
+    signing_key = settings["callers"]["signing_key"].encode()
+    other = client.with_options(
+        api_key=sign_key("other", signing_key=signing_key)
+    )
+    assert other.files.list().data == []
+    assert other.batches.list().data == []
+    for call in (
+        lambda: other.files.retrieve(batch.input_file_id),
+        lambda: other.files.content(batch.input_file_id),
+        lambda: other.files.delete(batch.input_file_id),
+        lambda: other.files.content(batch.output_file_id),
+        lambda: other.batches.retrieve(batch.id),
+        lambda: other.batches.cancel(batch.id),
+        lambda: create(other, client.files.retrieve(batch.input_file_id)),
+    ):
+        with pytest.raises(openai.NotFoundError):
+            call()
+    assert read_lines(client, batch.output_file_id).keys() == {"a"}
+
+
+def test_oversized_body_is_refused(client):
+    with pytest.raises(openai.APIStatusError) as failure:
+        client.batches.create(
+            input_file_id="x" * 9_000_000,
+            endpoint=ENDPOINT,
+            completion_window="24h",
+        )
+    assert failure.value.status_code == 413
--- a/packages/hollyspan_entry/hollyspan_entry/files/request.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/request.py
@@ -3,7 +3,9 @@
 from twisted.internet import defer
 from twisted.web import server
 
+from ..http import MAX_BODY_BYTES
 from .body import BodyStream
+from .bounded import BoundedBody
 
 __all__ = ["build_request_factory"]
 
@@ -13,6 +15,9 @@
 def build_request_factory(receive):
     """Build the request class of a site that takes uploads.
 
+    No body goes into a temporary file: uploads are read while they arrive,
+    all others are short.
+
     Parameters
     ----------
     receive : callable
@@ -33,7 +38,7 @@
 
         def gotLength(self, length):
             if not is_upload(self.channel):
-                super().gotLength(length)
+                self.content = BoundedBody(limit=MAX_BODY_BYTES)
                 return
             self.content = BodyStream(transport=self.channel.transport)
             self.upload = defer.ensureDeferred(receive(self, self.content))
--- a/packages/hollyspan_entry/hollyspan_entry/files/tests/test_body.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/tests/test_body.py
@@ -2,6 +2,7 @@
 
 from hollyspan_entry.files.body import BodyStream
 from hollyspan_entry.files.body import HIGH_WATER_BYTES
+from hollyspan_entry.files.bounded import BoundedBody
 
 
 class RecordingTransport:
@@ -48,3 +49,11 @@
     waiting = read(body)
     body.close()
     assert waiting[0].type.__name__ == "InvalidRequestError"
+
+
+def test_other_body_is_kept_up_to_its_limit():
+    body = BoundedBody(limit=4)
+    for data in (b"abc", b"def", b"ghi"):
+        body.write(data)
+    body.seek(0)
+    assert body.read() == b"abcde"
--- a/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
@@ -5,6 +5,7 @@
 from .answer import write_json
 from .auth import authenticate
 from .auth import sign_key
+from .body import MAX_BODY_BYTES
 from .body import read_body
 from .body import read_json
 from .caller import identify_caller
@@ -18,6 +19,7 @@
     "AsyncResource",
     "DrainingSite",
     "BytesProducer",
+    "MAX_BODY_BYTES",
     "PacedWriter",
     "add_resource",
     "add_resource",
--- a/packages/hollyspan_entry/hollyspan_entry/http/body.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/body.py
@@ -5,7 +5,7 @@
 from hollyspan_core.errors import BodyTooLargeError
 from hollyspan_core.errors import InvalidRequestError
 
-__all__ = ["read_body", "read_json"]
+__all__ = ["MAX_BODY_BYTES", "read_body", "read_json"]
 
 MAX_BODY_BYTES = 8_000_000
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/claiming.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/claiming.py
@@ -72,20 +72,20 @@
 def choose(runner, models):
     """Choose the next chunk of a job whose items can run here."""
     runtime = runner.runtime
+    instance = runtime.settings.instance
+    live = runtime.members.list_live(now=time.monotonic())
+    instances = sorted({member.instance for member in live} | {instance})
+    share = instances.index(instance) / len(instances)
     views = [
-        known.build_view(is_held=runner.is_held)
+        known.build_view(is_held=runner.is_held, share=share)
         for known in runner.queue.jobs.values()
         if known.record is not None
         and known.record.status is JobStatus.IN_PROGRESS
         and known.entry.state == JobStatus.IN_PROGRESS.value
         and fits(runtime, known.record, models)
     ]
-    live = runtime.members.list_live(now=time.monotonic())
     return choose_chunk(
-        views,
-        instance=runtime.settings.instance,
-        now=time.time(),
-        instances=[member.instance for member in live],
+        views, instance=instance, now=time.time(), instances=instances
     )
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
@@ -25,7 +25,7 @@
             retire(runner, name, slots)
     for name, upstream in owned.items():
         slots = runner.slots.setdefault(name, UpstreamSlots(upstream=upstream))
-        slots.owned = True
+        slots.owned = slots.upstream is upstream
         slots.configure(
             runner.runtime.configurations.current, now=now, wall=time.time()
         )
