Order observations of generations by begin and end; pick fixed ports

Cause 1: the checker ordered what an operator saw by the end of its call and mixed it with moments of the daemons' logs. Ruled out: a daemon going back; the logs alone show rising generations only. An observation now has begin and end, and a fall is a lower generation in a call that began after one with a higher had ended, which is as strict on real falls; a unit test shows both sides.

Ports now come from below the range of outgoing connections, none twice.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -12,13 +12,14 @@
 import time
 
 import psutil
-from relay_client import run_streams
 
 from hollyspan_standins.deployment import build_configuration
 from hollyspan_standins.deployment import CALLER_KEY
 from hollyspan_standins.deployment import open_deployment
 from hollyspan_standins.deployment import Place
 
+from .relay_client import run_streams
+
 MODEL = "pips-lm"
 SETTLE_SECONDS = 3.0
 MICROSECONDS = 1_000_000
@@ -37,7 +38,10 @@
         seed=options.seed,
     ) as deployment:
         time.sleep(SETTLE_SECONDS)
-        result = measure(deployment, options)
+        result = {
+            "together": measure(deployment, options, spread=0.0),
+            "spread": measure(deployment, options, spread=options.spread),
+        }
     print(json.dumps(result, indent=2))
     if options.output:
         Path(options.output).write_text(json.dumps(result, indent=2) + "\n")
@@ -48,6 +52,7 @@
     parser.add_argument("--streams", type=int, default=50)
     parser.add_argument("--tokens", type=int, default=200)
     parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--spread", type=float, default=2.0, help="seconds")
     parser.add_argument("--step", type=float, default=0.02, help="seconds")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--output", metavar="PATH")
@@ -66,7 +71,7 @@
     )
 
 
-def measure(deployment, options):
+def measure(deployment, options, *, spread):
     """Alternate rounds against the engine and through the daemon."""
     daemon = deployment.daemon_names[0]
     engine = deployment.list_upstreams()[0]
@@ -75,16 +80,16 @@
     direct, relayed = [], []
     busy = 0.0
     for number in range(options.rounds):
-        direct += run_round(deployment.url(engine), options, number)
+        direct += run_round(deployment.url(engine), options, number, spread)
         before = read_seconds(process)
         started = time.monotonic()
-        relayed += run_round(deployment.url(daemon), options, number)
+        relayed += run_round(deployment.url(daemon), options, number, spread)
         spent = read_seconds(process) - before
         busy += spent - idle * (time.monotonic() - started)
     return summarize(options, direct, relayed, busy=busy, idle=idle)
 
 
-def run_round(url, options, number):
+def run_round(url, options, number, spread):
     return run_streams(
         url=url,
         key=CALLER_KEY,
@@ -92,6 +97,7 @@
         streams=options.streams,
         tokens=options.tokens,
         seed=options.seed * 1000 + number,
+        spread=spread,
     )
 
 
--- a/benchmarks/relay_client.py
+++ b/benchmarks/relay_client.py
@@ -57,13 +57,15 @@
         return bool(data) and b"[DONE]" not in self.tail
 
 
-def run_streams(*, url, key, model, streams, tokens, seed):
-    """Open streams at the same time and read them to their ends.
+def run_streams(*, url, key, model, streams, tokens, seed, spread):
+    """Start streams at a steady rate and read them to their ends.
 
     Parameters
     ----------
     url, key, model : str
     streams, tokens, seed : int
+    spread : float
+        Seconds over which the starts are spread; 0 for all at once.
 
     Returns
     -------
@@ -80,11 +82,13 @@
             selector.register(
                 connection.socket, selectors.EVENT_READ, connection
             )
-        for connection in connections:
+        begin = time.monotonic()
+        for number, connection in enumerate(connections):
+            read_until(selector, begin + number * spread / streams)
             request = build_request(key, model, tokens, generator)
             connection.sent = time.monotonic()
             connection.socket.sendall(request)
-        read_all(selector)
+        read_until(selector, time.monotonic() + TIMEOUT_SECONDS)
     return [measure(connection) for connection in connections]
 
 
@@ -105,11 +109,13 @@
     ).encode()
 
 
-def read_all(selector):
-    """Read all connections until their streams have ended."""
-    limit = time.monotonic() + TIMEOUT_SECONDS
-    while selector.get_map() and time.monotonic() < limit:
-        for key, _ in selector.select(timeout=1.0):
+def read_until(selector, limit):
+    """Read the connections until a time, or until all have ended."""
+    while selector.get_map():
+        left = limit - time.monotonic()
+        if left <= 0:
+            return
+        for key, _ in selector.select(timeout=left):
             if not key.data.receive():
                 selector.unregister(key.fileobj)
 
--- a/packages/hollyspan_standins/hollyspan_standins/caller/operators.py
+++ b/packages/hollyspan_standins/hollyspan_standins/caller/operators.py
@@ -27,8 +27,9 @@
 
     Attributes
     ----------
-    observations : list of tuple of str, float and int
-        Daemon, time and the generation that it showed.
+    observations : list of tuple of str, float, float and int
+        Daemon, begin and end of the call, and the generation that it
+        showed.
     """
 
     def __init__(self, *, deployment):
@@ -72,11 +73,13 @@
 
     def observe(self, daemon):
         """Return the generation that a daemon shows, or 0 without one."""
+        began = time.time()
         try:
             generation = self.get(daemon, "configuration")["generation"]
         except (OSError, RefusedError):
             return 0
-        self.observations.append((daemon, time.time(), generation))
+        ended = time.time()
+        self.observations.append((daemon, began, ended, generation))
         return generation
 
     def wait_in_force(self, generation, *, daemons, seconds):
@@ -107,7 +110,6 @@
             for line in path.read_text().splitlines():
                 if '"configuration:applied"' in line:
                     entry = json.loads(line)
-                    found.append(
-                        (daemon, entry["timestamp"], entry["generation"])
-                    )
+                    moment = entry["timestamp"]
+                    found.append((daemon, moment, moment, entry["generation"]))
         return found
--- a/packages/hollyspan_standins/hollyspan_standins/checker/tests/test_checker.py
+++ b/packages/hollyspan_standins/hollyspan_standins/checker/tests/test_checker.py
@@ -146,12 +146,18 @@
 
 
 def test_falling_generations():
-    rising = [("a", 1, 1), ("a", 2, 1), ("b", 2, 1), ("a", 3, 2)]
+    rising = [("a", 1, 1, 1), ("a", 2, 2, 1), ("b", 2, 2, 1), ("a", 3, 3, 2)]
     assert find_falling_generations(rising) == []
-    fallen = find_falling_generations([*rising, ("a", 4, 1)])
+    fallen = find_falling_generations([*rising, ("a", 4, 4, 1)])
     assert list_subjects(fallen) == ["a"]
 
 
+def test_observations_that_overlap_have_no_order():
+    seen = [("a", 1, 3, 2), ("a", 2, 4, 1)]
+    assert find_falling_generations(seen) == []
+    assert find_falling_generations([*seen, ("a", 3.5, 4, 1)])
+
+
 def test_wrong_answers():
     assert find_wrong_answers([("a", "text", "text")]) == []
     answers = [("a", "tent", "text"), ("b", "te", "text")]
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
@@ -1,11 +1,17 @@
 """Free ports for processes that are told theirs."""
 
+import random
 import secrets
 import socket
 
 __all__ = ["pick_port"]
 
 ADDRESS = "127.0.0.1"
+# Below the ports that the system gives to outgoing connections, any of which
+# may take a port between its choice and its use.
+PORTS = range(12000, 32000)
+
+picked = set()
 
 
 # Below the range from which the system takes ports for connections, so
@@ -18,29 +24,25 @@
 
     Notes
     -----
-    The port is only free at the moment of the call.
+    No port is returned twice by one process.
     """
+    generator = random.SystemRandom()
     while True:
-        port = secrets.choice(PORTS)
-        if is_free_for_connections(port) and is_free_for_datagrams(port):
+        port = generator.choice(PORTS)
+        if port in picked:
+            continue
+        if is_free(port, socket.SOCK_STREAM) and is_free(
+            port, socket.SOCK_DGRAM
+        ):
+            picked.add(port)
             return port
 
 
-def is_free_for_connections(port):
-    """Return whether a TCP port is free."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
-        try:
-            stream.bind((ADDRESS, port))
-        except OSError:
-            return False
-    return True
-
-
-def is_free_for_datagrams(port):
-    """Return whether a UDP port is free."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+def is_free(port, kind):
+    """Return whether a port is free for sockets of a kind."""
+    with socket.socket(socket.AF_INET, kind) as probe:
         try:
-            datagrams.bind((ADDRESS, port))
+            probe.bind((ADDRESS, port))
         except OSError:
             return False
     return True
