--- a/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
@@ -1,23 +1,17 @@
 """Free ports for processes that are told theirs."""
 
-import random
 import secrets
 import socket
 
 __all__ = ["pick_port"]
 
 ADDRESS = "127.0.0.1"
-# Below the ports that the system gives to outgoing connections, any of which
-# may take a port between its choice and its use.
-PORTS = range(12000, 32000)
-
-picked = set()
-
-
 # Below the range from which the system takes ports for connections, so
 # that none is lost between the choice and its use.
 PORTS = range(15_000, 32_000)
 
+picked = set()
+
 
 def pick_port():
     """Return a port that is free for TCP and for UDP.
@@ -26,9 +20,8 @@
     -----
     No port is returned twice by one process.
     """
-    generator = random.SystemRandom()
     while True:
-        port = generator.choice(PORTS)
+        port = secrets.choice(PORTS)
         if port in picked:
             continue
         if is_free(port, socket.SOCK_STREAM) and is_free(
