--- a/packages/hollyspan_standins/hollyspan_standins/caller/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/caller/__init__.py
@@ -9,6 +9,7 @@
 from .errors import StreamCutError
 from .exchange import exchange
 from .exchange import hash_key
+from .operators import Operator
 from .reply import Reply
 
 __all__ = [
@@ -16,6 +17,7 @@
     "exchange",
     "hash_key",
     "Caller",
+    "Operator",
     "RefusedError",
     "StreamCutError",
     "build_items",
