--- a/packages/hollyspan_policy/hollyspan_policy/admission/limits.py
+++ b/packages/hollyspan_policy/hollyspan_policy/admission/limits.py
@@ -21,7 +21,7 @@
     def __init__(self, *, rate, concurrent, now):
         self.rate = rate
         self.concurrent = concurrent
-        self.tokens = rate
+        self.tokens = max(1.0, rate)
         self.updated = now
         self.running = 0
 
@@ -38,9 +38,9 @@
         float
             0.0 when taken in, else seconds until the next try can succeed.
         """
-        self.tokens = min(
-            self.rate, self.tokens + (now - self.updated) * self.rate
-        )
+        # A rate below 1 would never fill a bucket of its own size.
+        size = max(1.0, self.rate)
+        self.tokens = min(size, self.tokens + (now - self.updated) * self.rate)
         self.updated = now
         if self.tokens < 1:
             return (1 - self.tokens) / self.rate
--- a/packages/hollyspan_policy/hollyspan_policy/admission/tests/test_limits.py
+++ b/packages/hollyspan_policy/hollyspan_policy/admission/tests/test_limits.py
@@ -23,3 +23,10 @@
         now += pause
         entered += limiter.enter(now=now) == 0.0
     assert entered <= 5.0 * now + 5.0 + 1e-6
+
+
+def test_a_rate_below_one_lets_requests_in():
+    limiter = WorkspaceLimiter(rate=0.1, concurrent=5, now=0.0)
+    assert limiter.enter(now=0.0) == 0.0
+    assert limiter.enter(now=0.0) == 10.0
+    assert limiter.enter(now=10.0) == 0.0
