--- /dev/null
+++ b/integration/tests/test_online_leaving.py
@@ -0,0 +1,181 @@
+"""An upstream that is leaving gets nothing new."""
+
+import threading
+import time
+
+import pytest
+
+from hollyspan_standins.caller import exchange
+from hollyspan_standins.checker import find_dispatches_after
+from hollyspan_standins.deployment import open_deployment
+from hollyspan_standins.deployment import Place
+
+MODEL = "pips-lm"
+CHAT = "/v1/chat/completions"
+STATUS = "/services/clock/status"
+# Time after the first announcement in which work may still arrive.
+NOTICE_SECONDS = 3.0
+SETTLE_SECONDS = 2.0
+LOAD_SECONDS = 7.0
+PAUSE_SECONDS = 0.02
+TOKENS = 10
+
+
+@pytest.fixture
+def deployment():
+    places = [
+        Place(
+            data_centre="attiki-a",
+            region="attiki",
+            engines=2,
+            services=("clock",),
+            daemons=2,
+        )
+    ]
+    with open_deployment(places=places, proxied=["upstreams"]) as deployment:
+        time.sleep(SETTLE_SECONDS)
+        yield deployment
+
+
+class Load:
+    """Sends requests through all daemons until it is stopped."""
+
+    def __init__(self, deployment, *, paths):
+        self.deployment = deployment
+        self.stopped = threading.Event()
+        self.replies = []
+        self.senders = [
+            threading.Thread(target=self.send, args=(name, path))
+            for name in deployment.daemon_names
+            for path in paths
+        ]
+
+    def send(self, name, path):
+        count = 0
+        while not self.stopped.is_set():
+            count += 1
+            document = {
+                "model": MODEL,
+                "messages": [{"role": "user", "content": f"{name} {count}"}],
+                "max_tokens": TOKENS,
+                "stream": True,
+            }
+            url = self.deployment.url(name)
+            self.replies.append(exchange(url, path, document=document))
+            time.sleep(PAUSE_SECONDS)
+
+    def __enter__(self):
+        for sender in self.senders:
+            sender.start()
+        return self
+
+    def __exit__(self, *details):
+        self.stopped.set()
+        for sender in self.senders:
+            sender.join()
+
+
+def announce_by_itself(deployment, upstream):
+    deployment.set_leaving(upstream, by_list=False)
+
+
+def announce_by_list(deployment, upstream):
+    """By the lagging list only; the engine goes on taking work."""
+    deployment.set_leaving(upstream, by_itself=False)
+
+
+def announce_to_one_daemon(deployment, upstream):
+    """One daemon alone can reach the upstream and sees that it leaves."""
+    deployment.set_links(f"upstream:*-2>{upstream}", freeze=True)
+    deployment.set_leaving(upstream, by_list=False)
+    time.sleep(NOTICE_SECONDS)
+    deployment.set_links(f"upstream:*-2>{upstream}", freeze=False)
+
+
+def announce_and_cut(deployment, upstream):
+    """Resumes and retries after cuts add no new work."""
+    deployment.set_leaving(upstream)
+    for _ in range(10):
+        time.sleep(0.4)
+        deployment.set_links(f"upstream:*>{upstream}", cut=True)
+        deployment.set_links(f"upstream:*>{upstream}", cut=False)
+
+
+WAYS = (
+    announce_by_itself,
+    announce_by_list,
+    announce_to_one_daemon,
+    announce_and_cut,
+)
+
+
+@pytest.mark.parametrize("announce", WAYS)
+def test_leaving_engine_gets_nothing_new(deployment, announce):
+    leaving, staying = deployment.list_upstreams()
+    with Load(deployment, paths=[CHAT, CHAT]) as load:
+        time.sleep(1.0)
+        announced = time.time()
+        announce(deployment, leaving)
+        time.sleep(max(0.0, announced + LOAD_SECONDS - time.time()))
+    records = deployment.read_records()
+    assert find_dispatches_after(records, announced, upstream=staying)
+    assert (
+        find_dispatches_after(
+            records, announced + NOTICE_SECONDS, upstream=leaving
+        )
+        == []
+    )
+    failed = [r for r in load.replies if not r.is_whole]
+    if announce in (announce_by_itself, announce_by_list):
+        assert failed == []
+
+
+def test_stream_of_a_leaving_engine_is_finished(deployment):
+    """Work that it has begun is resumed there after a cut."""
+    leaving, _ = deployment.list_upstreams()
+    replies = []
+
+    def send(number):
+        document = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": f"long {number}"}],
+            "max_tokens": 150,
+            "stream": True,
+        }
+        url = deployment.url(deployment.daemon_names[0])
+        replies.append(exchange(url, CHAT, document=document))
+
+    senders = [threading.Thread(target=send, args=(n,)) for n in range(8)]
+    for sender in senders:
+        sender.start()
+    time.sleep(0.4)
+    deployment.set_leaving(leaving)
+    time.sleep(0.2)
+    deployment.set_links(f"upstream:*>{leaving}", cut=True)
+    deployment.set_links(f"upstream:*>{leaving}", cut=False)
+    for sender in senders:
+        sender.join()
+    assert all(reply.is_whole for reply in replies)
+    resumed = [
+        record
+        for record in deployment.read_records(leaving)
+        if record["event"] == "resumed"
+    ]
+    assert resumed
+
+
+def test_leaving_plain_service_gets_nothing_new(deployment):
+    (service,) = deployment.list_upstreams(kind="service")
+    with Load(deployment, paths=[STATUS]) as load:
+        time.sleep(1.0)
+        announced = time.time()
+        deployment.set_leaving(service, by_list=False)
+        time.sleep(LOAD_SECONDS)
+    records = deployment.read_records()
+    late = find_dispatches_after(
+        records, announced + NOTICE_SECONDS, upstream=service
+    )
+    assert late == []
+    refused = [r for r in load.replies if not r.is_whole]
+    assert {reply.status for reply in refused} == {503}
+    assert {reply.outcome for reply in refused} == {"not_run"}
