--- a/packages/hollyspan_entry/hollyspan_entry/jobs/preparation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/preparation.py
@@ -7,9 +7,11 @@
 from .flush import flush_chunk
 from .results import build_failure
 
-__all__ = ["admit_items", "prepare_items"]
+__all__ = ["REFILL_ITEMS", "admit_items", "prepare_items"]
 
-GROUP_ITEMS = 16
+# Marks of items that did not run are results lost when their holder is.
+GROUP_ITEMS = 8
+REFILL_ITEMS = 4
 
 
 def admit_items(chunk, *, attempts_limit, services):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
@@ -12,8 +12,8 @@
 from .claim import delete_claim
 from .closing import close_chunk
 from .flush import flush_chunk
-from .preparation import GROUP_ITEMS
 from .preparation import prepare_items
+from .preparation import REFILL_ITEMS
 from .run import StopReason
 
 __all__ = ["maintain_chunk", "release_chunk"]
@@ -56,7 +56,7 @@
 
 
 def needs_preparing(chunk):
-    if chunk.preparing or chunk.count_ready() >= GROUP_ITEMS:
+    if chunk.preparing or chunk.count_ready() >= REFILL_ITEMS:
         return False
     if chunk.waiting:
         return True
