Run a request here when the link broke before its answer

A link to another data centre that broke before the first byte ended an idempotent request with outcome unknown (12 of 16 in a burst with the links cut). It runs in its own data centre now, within the retry budget. Tests share a burst between two data centres and cut the links in it.

--- a/packages/hollyspan_entry/hollyspan_entry/online/forwarding.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/forwarding.py
@@ -4,6 +4,7 @@
 
 from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import PeerUnavailableError
 from hollyspan_core.messages import ForwardHead
 from hollyspan_core.messages import ForwardRequest
 from hollyspan_policy.routing import choose_data_centre
@@ -62,12 +63,23 @@
     try:
         await send(runtime, request, sink, receiver, place.data_centre)
     except HollyspanError as error:
-        if sink.started or error.outcome is not Outcome.NOT_RUN:
+        if sink.started or not may_run_here(state, error):
             raise
         return False
     return True
 
 
+def may_run_here(state, error):
+    """Tell whether a request whose answer has not begun may run here.
+
+    Only idempotent requests are handed on, so that one lost with its link
+    may run again; that counts as a retry.
+    """
+    if error.outcome is Outcome.NOT_RUN:
+        return True
+    return isinstance(error, PeerUnavailableError) and state.budget.withdraw()
+
+
 async def send(runtime, request, sink, receiver, data_centre):
     def start(head):
         receiver.first = time.monotonic()
