--- a/packages/hollyspan_core/hollyspan_core/configuration/configuration.py
+++ b/packages/hollyspan_core/hollyspan_core/configuration/configuration.py
@@ -26,7 +26,7 @@
             entry["digest"]: entry["workspace"] for entry in document["keys"]
         }
 
-    def get(self, name, *, scope, now=None):
+    def get(self, name, *, scope, now):
         """Return the value in force for a scope.
 
         Parameters
@@ -35,7 +35,7 @@
             Section and name joined by a dot, as in ``batch.harm_weight``.
         scope : Scope
             Where the value is used.
-        now : float, optional
+        now : float
             Seconds since the epoch; exceptions whose end lies before it are
             passed over.
 
@@ -58,9 +58,8 @@
 
 def is_in_force(exception, *, scope, now):
     until = exception.get("until")
-    if until and now is not None:
-        if datetime.datetime.fromisoformat(until).timestamp() <= now:
-            return False
+    if until and datetime.datetime.fromisoformat(until).timestamp() <= now:
+        return False
     return all(
         getattr(scope, field) == wanted
         for field, wanted in exception["scope"].items()
--- a/packages/hollyspan_core/hollyspan_core/configuration/tests/test_faults.py
+++ b/packages/hollyspan_core/hollyspan_core/configuration/tests/test_faults.py
@@ -95,11 +95,15 @@
 
 def test_value_that_is_left_out_is_the_default_of_the_schema():
     configuration = parse_configuration(json.dumps(DOCUMENT).encode())
-    assert configuration.get("batch.policy", scope=Scope()) == "yielding"
+    assert (
+        configuration.get("batch.policy", scope=Scope(), now=0.0) == "yielding"
+    )
     document = change(set={"batch.policy": "fixed_cap"})
     configuration = parse_configuration(json.dumps(document).encode())
     scope = Scope(workspace="dev")
-    assert configuration.get("batch.policy", scope=scope) == "fixed_cap"
+    assert (
+        configuration.get("batch.policy", scope=scope, now=0.0) == "fixed_cap"
+    )
 
 
 def test_differences_name_who_is_concerned():
--- a/packages/hollyspan_entry/hollyspan_entry/burn/records.py
+++ b/packages/hollyspan_entry/hollyspan_entry/burn/records.py
@@ -1,5 +1,7 @@
 """Recording of events against their objectives."""
 
+import time
+
 from hollyspan_core.configuration import Scope
 
 __all__ = [
@@ -77,4 +79,6 @@
         workspace=workspace,
         data_centre=runtime.settings.data_centre,
     )
-    return runtime.configurations.current.get(name, scope=scope)
+    return runtime.configurations.current.get(
+        name, scope=scope, now=time.time()
+    )
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/configuration.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/configuration.py
@@ -45,7 +45,10 @@
         "services": kinds,
         "keys": build_keys(keys or {CALLER_KEY: WORKSPACE}),
         "objectives": [
-            {"name": "first-token", "kind": "first_token", "target": 0.95}
+            {"name": "first-token", "kind": "first_token", "target": 0.95},
+            {"name": "tokens", "kind": "between_tokens", "target": 0.95},
+            {"name": "whole", "kind": "whole_answers", "target": 0.999},
+            {"name": "deadlines", "kind": "job_deadlines", "target": 0.99},
         ],
         "exceptions": [],
     }
