--- a/packages/hollyspan_standins/hollyspan_standins/demo/__main__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/demo/__main__.py
@@ -9,9 +9,11 @@
 from ..deployment import open_deployment
 from .batch import run_batch
 from .errors import WrongResultError
+from .online import call_service
 from .online import run_online
 
 MODEL = "pips-lm"
+SERVICE = "clock"
 
 
 def run_demo(folder):
@@ -23,6 +25,7 @@
         entry = deployment.daemon_names[0]
         caller = Caller(url=deployment.url(entry), key=CALLER_KEY)
         run_online(caller, MODEL)
+        call_service(caller, SERVICE)
         run_batch(caller, MODEL)
         print("stopping all")
     check_stop(deployment)
--- a/packages/hollyspan_standins/hollyspan_standins/demo/online.py
+++ b/packages/hollyspan_standins/hollyspan_standins/demo/online.py
@@ -31,3 +31,9 @@
         raise WrongResultError(f"answer {text!r} in place of {expected!r}")
     total = time.monotonic() - started
     print(f"  first token after {first:.3f} s, whole after {total:.3f} s")
+
+
+def call_service(caller, service):
+    """Read the status of a plain service and print it."""
+    answer = caller.get(f"/services/{service}/status")
+    print(f"plain service {service}: {answer['status']}")
