--- a/integration/tests/conftest.py
+++ b/integration/tests/conftest.py
@@ -11,6 +11,9 @@
 from hollyspan_standins.caller import wait_batch
 from hollyspan_standins.checker import find_duplicate_results
 from hollyspan_standins.checker import find_unfinished_items
+from hollyspan_standins.checker import find_wrong_answers
+from hollyspan_standins.engine import expected_text
+from hollyspan_standins.engine import join_messages
 
 MODEL = "pips-lm"
 KEY = "dev-key"
@@ -27,6 +30,7 @@
 
     def __init__(self, *, deployment):
         self.deployment = deployment
+        self.max_tokens = None
 
     def open_caller(self, daemon=0):
         """Return a caller of a daemon by its index."""
@@ -35,6 +39,7 @@
 
     def submit(self, prompts, *, daemon=0, max_tokens=16, **more):
         """Upload items and create a batch."""
+        self.max_tokens = max_tokens
         items = build_items(prompts, model=MODEL, max_tokens=max_tokens)
         return submit_batch(self.open_caller(daemon), items, **more)
 
@@ -56,8 +61,29 @@
         counts = batch["request_counts"]
         assert counts["total"] == len(prompts)
         assert counts["completed"] + counts["failed"] == len(lines)
+        self.check_answers(prompts, lines)
         return lines
 
+    def check_answers(self, prompts, lines):
+        """Check that each answer is the engine's for its own item."""
+        answers = []
+        for line in lines:
+            if line["error"] is None:
+                name = line["custom_id"]
+                choice = line["response"]["body"]["choices"][0]
+                text = choice["message"]["content"]
+                answers.append((name, text, self.expect(prompts[name])))
+        assert find_wrong_answers(answers) == []
+
+    def expect(self, prompt):
+        """Return what an engine answers to a prompt."""
+        messages = [{"role": "user", "content": prompt}]
+        return expected_text(
+            model=MODEL,
+            prompt=join_messages(messages),
+            max_tokens=self.max_tokens,
+        )
+
     def wait_until(self, check, *, seconds=20.0):
         """Wait until a function returns something true; return it."""
         limit = time.monotonic() + seconds
--- a/integration/tests/test_jobs_results.py
+++ b/integration/tests/test_jobs_results.py
@@ -149,6 +149,7 @@
 
 def test_job_resent_to_another_daemon_at_the_same_moment(tester):
     caller = tester.open_caller()
+    tester.max_tokens = 16
     file = caller.upload(build_items(PROMPTS, model="pips-lm"))
     request = {
         "input_file_id": file["id"],
@@ -219,3 +220,34 @@
     assert {line["error"]["outcome"] for line in lines if line["error"]} <= {
         "unknown"
     }
+
+
+@pytest.mark.parametrize("idempotent", ["true", "false"])
+def test_preempted_items_are_resumed(deployment, tester, idempotent):
+    batch = tester.submit(
+        PROMPTS, max_tokens=60, metadata={"idempotent": idempotent}
+    )
+    request = {
+        "model": "pips-lm",
+        "max_tokens": 20,
+        "messages": [{"role": "user", "content": "drift"}],
+    }
+
+    def ask(number):
+        caller = tester.open_caller(number % 2)
+        return "".join(caller.stream("/v1/chat/completions", request))
+
+    with ThreadPoolExecutor(max_workers=14) as pool:
+        for _ in range(3):
+            wait_for_dispatch(tester, batch, count=8)
+            answers = set(pool.map(ask, range(14)))
+            assert len(answers) == 1
+            time.sleep(0.5)
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch)
+    assert [line for line in lines if line["error"]] == []
+    assert tester.count_events("cancelled", batch=batch) > 0
+    assert tester.count_events("resumed", batch=batch) > 0
+    keys = {f"{batch['id']}/{number}" for number in range(len(PROMPTS))}
+    repeats = find_repeat_runs(deployment.read_records(), keys=keys)
+    assert idempotent == "true" or repeats == []
