Preempt streams that have begun, the one with most tokens first

Of one job's streams the one with fewest tokens went first, often one whose start was still on its way; its cancel found no stream and stopped nothing, so that it held a slot for its whole length. Change: streams without a token go last, then the one with most tokens of the job due latest goes first.

--- a/packages/hollyspan_policy/hollyspan_policy/batch/preemption.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/preemption.py
@@ -21,14 +21,15 @@
     Notes
     -----
     Resumable streams go before the others, whose tokens would be generated
-    anew. Then the stream whose job is due latest goes first, and of one
-    job's streams the one with the fewest tokens, for these are lost when it
-    cannot be resumed in time.
+    anew. Streams without a token go last: their start may still be on its
+    way, and a cancel that overtakes it stops nothing. Then the stream whose
+    job is due latest goes first, and of one job's streams the one with the
+    most tokens, which needs a slot for the shortest time later.
 
     Examples
     --------
     >>> from hollyspan_policy.batch import StreamView
-    >>> early = StreamView(stream="a", due=1, resumable=True, generated=0)
+    >>> early = StreamView(stream="a", due=1, resumable=True, generated=5)
     >>> late = StreamView(stream="b", due=9, resumable=True, generated=5)
     >>> [view.stream for view in choose_preempted([early, late], count=1)]
     ['b']
@@ -38,4 +39,5 @@
 
 def rank_loss(view):
     lost = 0 if view.resumable else view.prompt + view.generated
-    return (lost, -view.due, view.generated, view.stream)
+    started = view.generated > 0
+    return (lost, not started, -view.due, -view.generated, view.stream)
