Use load reports for streams that nobody tells of

And a new owner counted the slots as free that streams of the lost owner still held, as did routing. Change: the gate gets the load report. With peers silent it counts what the report shows beyond the told, grows slowly and stays below half of the slots times one less the weight. With peers heard, what three reports in a row show holds its slots. Routing passes over an upstream whose owner is silent when batch fills it, and counts such streams as well.

--- a/benchmarks/occupancy.py
+++ b/benchmarks/occupancy.py
@@ -111,7 +111,8 @@
     -------
     dict
         Count of online requests, of those that waited in a queue, and the
-        longest wait while batch streams held slots, seconds.
+        longest wait, seconds; the same for waits that ended while batch
+        streams held slots.
     """
     admitted = [
         record
@@ -129,6 +130,9 @@
     return {
         "admitted": len(admitted),
         "waited": sum(record["waited_steps"] > 0 for record in admitted),
+        "longest_wait": max(
+            (record["waited_seconds"] for record in admitted), default=0.0
+        ),
         "waited_behind_batch": len(behind),
         "longest_behind_batch": max(behind, default=0.0),
     }
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
@@ -60,6 +60,7 @@
         )
         slots.observe(now=now)
         slots.observe_peers(heard, now=now)
+        slots.observe_report(now=now)
         names = list_alternatives(runner.runtime, upstream)
         slots.observe_upstreams(names, now=now)
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -39,6 +39,7 @@
         "paused",
         "owned",
         "peers",
+        "reported",
     )
 
     def __init__(self, *, upstream):
@@ -49,6 +50,7 @@
         self.paused = []
         self.owned = True
         self.peers = True
+        self.reported = None
 
     def configure(self, configuration, *, now, wall):
         """Build the gate anew when what it depends on has changed.
@@ -95,6 +97,19 @@
             self.peers = heard
             self.gate.observe_peers(heard, now=now)
 
+    def observe_report(self, *, now):
+        """Show the gate the upstream's load report, once."""
+        upstream = self.upstream
+        if upstream.reported is None or upstream.reported == self.reported:
+            return
+        self.reported = upstream.reported
+        self.gate.observe_report(
+            running=upstream.running,
+            waiting=upstream.waiting,
+            batch=upstream.count_batch(),
+            now=now,
+        )
+
     def observe_upstreams(self, names, *, now):
         """Show the gate which upstreams online work can choose from."""
         rank = names.index(self.upstream.name)
--- a/packages/hollyspan_entry/hollyspan_entry/online/choice.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/choice.py
@@ -5,12 +5,14 @@
 from hollyspan_core.configuration import Scope
 from hollyspan_core.errors import OverloadedError
 from hollyspan_policy.admission import decide_admission
+from hollyspan_policy.membership import MemberState
 from hollyspan_policy.routing import choose_least_loaded
 from hollyspan_policy.routing import choose_upstream
 
 __all__ = ["choose"]
 
 NO_UPSTREAM_RETRY_SECONDS = 2.0
+REACTING_STATES = (MemberState.LIVE, MemberState.LEAVING)
 
 
 def choose(state, request, *, tried):
@@ -34,7 +36,9 @@
         request.service, data_centre=runtime.settings.data_centre
     )
     views = [
-        upstream.build_view(now=now)
+        upstream.build_view(
+            now=now, yields=is_yielding(runtime, upstream, now=now)
+        )
         for upstream in upstreams
         if upstream.name not in tried
     ]
@@ -59,6 +63,14 @@
     return runtime.upstreams.by_name[view.name], verdict
 
 
+def is_yielding(runtime, upstream, *, now):
+    """Tell whether the owner of an upstream can be counted on."""
+    owner = runtime.owners.find(upstream)
+    if owner in (None, runtime.settings.instance):
+        return True
+    return runtime.members.find_state(owner, now=now) in REACTING_STATES
+
+
 def read_routing(runtime, request):
     return runtime.configurations.current.get(
         "online.routing",
--- a/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
@@ -123,9 +123,9 @@
                 continue
             if self.runtime.owners.find(upstream) != instance:
                 continue
-            upstream.waiting = report.waiting
-            upstream.running = report.running
-            upstream.reported = now
+            upstream.observe_report(
+                waiting=report.waiting, running=report.running, now=now
+            )
             self.take_reachable(upstream, report)
 
     def take_reachable(self, upstream, report):
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
@@ -129,9 +129,9 @@
     waiting = content.get("waiting")
     running = content.get("running")
     if isinstance(waiting, int) and isinstance(running, int):
-        upstream.waiting = waiting
-        upstream.running = running
-        upstream.reported = time.monotonic()
+        upstream.observe_report(
+            waiting=waiting, running=running, now=time.monotonic()
+        )
 
 
 def build_event_poll(cursors):
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
@@ -1,5 +1,6 @@
 """One upstream as this daemon knows it."""
 
+from hollyspan_policy.hidden import HiddenStreams
 from hollyspan_policy.routing import UpstreamView
 
 __all__ = ["Upstream"]
@@ -35,6 +36,8 @@
         Streams of the last load report.
     reported : float or None
         Monotonic seconds of the last load report.
+    hidden : HiddenStreams
+        Streams in the reports that no daemon tells of.
     """
 
     __slots__ = (
@@ -52,6 +55,7 @@
         "peers",
         "waiting",
         "running",
+        "hidden",
         "reported",
     )
 
@@ -72,6 +76,7 @@
         self.peers = {}
         self.waiting = 0
         self.running = 0
+        self.hidden = HiddenStreams()
         self.reported = None
 
     @property
@@ -87,13 +92,30 @@
         """Count batch streams in flight from all daemons heard."""
         return self.batch + sum(p.batch for p in self.peers.values())
 
-    def build_view(self, *, now):
+    def observe_report(self, *, waiting, running, now):
+        """Take in a load report.
+
+        Parameters
+        ----------
+        waiting, running : int
+        now : float
+            Monotonic seconds.
+        """
+        self.waiting = waiting
+        self.running = running
+        self.reported = now
+        told = self.count_online() + self.count_batch()
+        self.hidden.observe(waiting + running - told)
+
+    def build_view(self, *, now, yields=True):
         """Return what the policy sees of this upstream.
 
         Parameters
         ----------
         now : float
             Monotonic seconds.
+        yields : bool, optional
+            Whether an owner is heard that makes batch streams give way.
 
         Returns
         -------
@@ -108,5 +130,7 @@
             batch=self.count_batch(),
             waiting=self.waiting,
             report_age=age,
+            hidden=self.hidden.count(),
+            yields=yields,
             serving=self.reachable and not self.leaving,
         )
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -5,6 +5,7 @@
 from .baselines import allow_fixed
 from .baselines import allow_none
 from .baselines import BATCH_POLICIES
+from .onlineload import OnlineLoad
 from .policy import count_batch_slots
 from .preemption import choose_preempted
 from .slots import BatchGate
@@ -15,6 +16,7 @@
     "ArrivalEstimator",
     "BATCH_POLICIES",
     "BatchGate",
+    "OnlineLoad",
     "SlidingMinimum",
     "StreamView",
     "allow_as_online",
--- a/packages/hollyspan_policy/hollyspan_policy/batch/policy.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/policy.py
@@ -33,4 +33,4 @@
     baseline = BASELINES.get(policy)
     if baseline is None:
         return gate.count_allowed(now=now, running=running)
-    return baseline(slots=gate.slots, online=gate.online)
+    return baseline(slots=gate.slots, online=gate.load.told)
--- a/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/slots.py
@@ -5,6 +5,7 @@
 from .arrivals import ArrivalEstimator
 from .headroom import compute_level
 from .headroom import share_reserve
+from .onlineload import OnlineLoad
 from .window import SlidingMinimum
 
 __all__ = ["BatchGate"]
@@ -12,7 +13,11 @@
 REACTION_SECONDS = 0.1
 HOLD_SECONDS = 0.3
 GROWTH_SECONDS_PER_SLOT = 0.025
-REPORT_STALE_SECONDS = 3.0
+# Share of the slots that batch work gets at most without word from peers,
+# at a harm weight of 0.
+UNHEARD_SHARE = 0.5
+# Longer than a load report takes to show what others have started.
+REPORT_GROWTH_SECONDS_PER_SLOT = 1.5
 
 
 class BatchGate:
@@ -24,7 +29,7 @@
         Streams that the upstream runs at once.
     reserve : int
         Slots that the service keeps free in the data centre at a harm
-        weight of one half or more; below that its share falls to none.
+        weight of one half; see share_reserve.
     harm_weight : float
         Weight of harm to online latency against batch throughput, 0 to 1.
     reaction : float, optional
@@ -33,19 +38,12 @@
 
     Attributes
     ----------
-    online : int
-        Online requests in flight from all daemons heard.
+    load : OnlineLoad
     observed : bool
         False before the first word of the online requests.
     upstreams, rank : int
         Upstreams of the service in the data centre, and the place of this
         one among them.
-    hidden : int
-        Streams in the last load report that nobody heard has told of.
-    peers_heard : bool
-        False while daemons that the platform lists are silent.
-    reported : float or None
-        Monotonic seconds of the last load report.
 
     Notes
     -----
@@ -55,9 +53,10 @@
     free for a while before a batch stream starts in it (hysteresis), and
     the count grows by one slot at a time. It falls at once.
 
-    Without word from the peers the load report takes their place. Without
-    both no stream starts, and a share of the slots given by the harm
-    weight is emptied.
+    Without word from the peers the load report takes their place. It comes
+    too late for bursts, so the count grows slowly, to a small share.
+    Without both no stream starts, and a share of the slots given by the
+    harm weight is emptied.
 
     Examples
     --------
@@ -71,13 +70,10 @@
         "slots",
         "reserve",
         "harm_weight",
-        "online",
+        "load",
         "observed",
         "upstreams",
         "rank",
-        "hidden",
-        "peers_heard",
-        "reported",
         "arrivals",
         "least",
         "granted",
@@ -90,13 +86,10 @@
         self.slots = slots
         self.reserve = reserve
         self.harm_weight = harm_weight
-        self.online = 0
+        self.load = OnlineLoad()
         self.observed = False
         self.upstreams = 1
         self.rank = 0
-        self.hidden = 0
-        self.peers_heard = True
-        self.reported = None
         self.arrivals = ArrivalEstimator(window=reaction)
         self.least = SlidingMinimum(window=HOLD_SECONDS * harm_weight)
         self.granted = None
@@ -113,9 +106,9 @@
         """
         self.settle(now=now)
         # What an owner finds when it takes over has not arrived at once.
-        arrived = max(0, online - self.online) if self.observed else 0
+        arrived = max(0, online - self.load.told) if self.observed else 0
         self.arrivals.observe(arrived, now=now)
-        self.online = online
+        self.load.told = online
         self.observed = True
         self.least.observe(self.count_free(), now=now)
 
@@ -145,7 +138,7 @@
             Monotonic seconds.
         """
         self.settle(now=now)
-        self.peers_heard = heard
+        self.load.peers_heard = heard
         self.least.observe(self.count_free(), now=now)
 
     def observe_report(self, *, running, waiting, batch, now):
@@ -161,8 +154,9 @@
             Monotonic seconds.
         """
         self.settle(now=now)
-        self.reported = now
-        self.hidden = max(0, running + waiting - batch - self.online)
+        self.load.observe_report(
+            running=running, waiting=waiting, batch=batch, now=now
+        )
         self.least.observe(self.count_free(), now=now)
 
     def settle(self, *, now):
@@ -178,24 +172,6 @@
         """
         self.grant(headroom=self.estimate_headroom(now=now), now=now)
 
-    def is_blind(self, *, now):
-        """Return whether neither peers nor the load report can be used.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic seconds.
-
-        Returns
-        -------
-        bool
-        """
-        if self.peers_heard:
-            return False
-        if self.reported is None:
-            return True
-        return now - self.reported > REPORT_STALE_SECONDS
-
     def count_free(self):
         """Count the slots that online work leaves, headroom included.
 
@@ -203,10 +179,7 @@
         -------
         int
         """
-        # Told counts are fresher than a report, which is used only when
-        # there is no word from the peers.
-        hidden = 0 if self.peers_heard else self.hidden
-        return max(0, self.slots - self.online - hidden)
+        return max(0, self.slots - self.load.count())
 
     def estimate_headroom(self, *, now):
         """Estimate the slots to keep free for arrivals.
@@ -247,17 +220,29 @@
             Above ``running``: streams may start. Below: as many are to be
             preempted.
         """
-        if self.is_blind(now=now):
-            return self.count_blind(running=running)
+        if self.load.is_unknown(now=now):
+            return self.count_unseen(running=running)
         headroom = self.estimate_headroom(now=now)
         start = self.grant(headroom=headroom, now=now)
+        if not self.load.peers_heard:
+            return min(start, self.count_unheard())
         if running is None:
             return start
         kept = math.floor(headroom * self.harm_weight)
         keep = max(0, self.count_free() - kept)
         return min(max(running, start), keep)
 
-    def count_blind(self, *, running):
+    def count_unheard(self):
+        """Return how many streams may run on the load report's word.
+
+        Returns
+        -------
+        int
+        """
+        share = (1 - self.harm_weight) * UNHEARD_SHARE
+        return math.floor(self.slots * share)
+
+    def count_unseen(self, *, running):
         """Return how many streams may go on without any observation.
 
         Parameters
@@ -292,7 +277,10 @@
         if self.granted is None:
             self.granted = float(ceiling)
         else:
-            growth = (now - self.granted_at) / GROWTH_SECONDS_PER_SLOT
-            self.granted = min(ceiling, self.granted + max(0.0, growth))
+            pace = GROWTH_SECONDS_PER_SLOT
+            if not self.load.peers_heard:
+                pace = REPORT_GROWTH_SECONDS_PER_SLOT
+            growth = max(0.0, now - self.granted_at) / pace
+            self.granted = min(ceiling, self.granted + growth)
         self.granted_at = now
         return int(self.granted)
--- a/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_slots.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_slots.py
@@ -3,6 +3,8 @@
 
 from hollyspan_policy.batch import BatchGate
 
+weights = st.floats(0.0, 1.0)
+
 
 def build_gate(harm_weight=0.5, reserve=1):
     return BatchGate(slots=8, reserve=reserve, harm_weight=harm_weight)
@@ -92,12 +94,42 @@
     assert gate.count_allowed(now=0.1, running=2) <= 3
 
 
+def test_streams_of_a_lost_owner_hold_their_slots():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    for step in range(3):
+        gate.observe_report(running=6, waiting=0, batch=0, now=step * 0.5)
+    assert gate.count_allowed(now=1.0, running=0) <= 2
+
+
+def test_silent_peers_let_the_count_grow_only_slowly():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    gate.observe_peers(False, now=0.0)
+    gate.observe_report(running=8, waiting=0, batch=0, now=0.0)
+    gate.count_allowed(now=0.0, running=0)
+    for step in range(1, 6):
+        gate.observe_report(running=0, waiting=0, batch=0, now=step * 0.5)
+        allowed = gate.count_allowed(now=step * 0.5, running=0)
+    assert allowed == 1
+
+
+def test_silent_peers_leave_batch_a_small_share():
+    gate = build_gate()
+    gate.observe_online(0, now=0.0)
+    gate.observe_peers(False, now=0.0)
+    for step in range(100):
+        gate.observe_report(running=0, waiting=0, batch=0, now=step * 0.5)
+        allowed = gate.count_allowed(now=step * 0.5, running=8)
+    assert allowed == 2
+
+
 def test_silent_peers_and_stale_report_start_nothing():
     gate = build_gate()
     gate.observe_online(0, now=0.0)
     gate.observe_report(running=0, waiting=0, batch=0, now=0.0)
     gate.observe_peers(False, now=0.0)
-    assert gate.is_blind(now=60.0)
+    assert gate.load.is_unknown(now=60.0)
     assert gate.count_allowed(now=60.0) == 0
     assert gate.count_allowed(now=60.0, running=6) == 4
 
@@ -115,7 +147,6 @@
 observations = st.lists(
     st.tuples(st.integers(0, 12), st.floats(0.001, 5.0)), max_size=40
 )
-weights = st.floats(0.0, 1.0)
 
 
 @given(observations, weights, st.integers(0, 8))
--- a/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
@@ -12,7 +12,7 @@
 
 
 def estimate_queue(view):
-    """Estimate the online requests that hold or wait for a slot.
+    """Estimate the streams that keep a slot from a new request.
 
     Parameters
     ----------
@@ -26,14 +26,18 @@
     -----
     The counts of this daemon and its peers come first. The queue in the
     load report counts as far as those counts do not explain it, and fades
-    as the report ages.
+    as the report ages. Batch streams count when nobody makes them yield,
+    and so do streams that no daemon tells of.
     """
+    held = view.online + view.hidden
+    if not view.yields:
+        held += view.batch
     if view.report_age is None:
-        return float(view.online)
+        return float(held)
     explained = max(0, view.online + view.batch - view.slots)
     unexplained = max(0, view.waiting - explained)
     fading = math.exp(-view.report_age / REPORT_DECAY_SECONDS)
-    return view.online + unexplained * fading
+    return held + unexplained * fading
 
 
 def estimate_wait(view, *, service_seconds=SERVICE_SECONDS):
@@ -55,7 +59,7 @@
     if queue + 1 > view.slots:
         ahead = queue + 1 - view.slots
         return REACTION_SECONDS + ahead * service_seconds / view.slots
-    if queue + view.batch + 1 > view.slots:
+    if view.yields and queue + view.batch + 1 > view.slots:
         return REACTION_SECONDS
     return 0.0
 
--- a/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
@@ -57,6 +57,17 @@
     assert choose(stale, seed="r") == "a"
 
 
+def test_upstream_whose_batch_does_not_yield_is_passed_over():
+    views = [build_view("a", batch=8, yields=False)]
+    views.append(build_view("b", online=4, batch=4))
+    assert choose(views, seed="r") == "b"
+
+
+def test_streams_that_no_daemon_tells_of_hold_slots():
+    views = [build_view("a", hidden=8), build_view("b", online=4, batch=4)]
+    assert choose(views, seed="r") == "b"
+
+
 def test_same_view_does_not_lead_all_requests_to_one_upstream():
     views = [build_view(name, online=2) for name in "abcd"]
     views.append(build_view("e", online=1))
--- a/packages/hollyspan_policy/hollyspan_policy/routing/view.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/view.py
@@ -20,6 +20,10 @@
         Queue length of the last load report.
     report_age : float or None
         Age of the last load report, seconds; None without one.
+    hidden : int
+        Streams that the load reports show and no daemon tells of.
+    yields : bool
+        False when no owner is heard that makes batch streams give way.
     serving : bool
         False when the upstream is leaving or cannot be reached.
     """
@@ -32,6 +36,8 @@
         "batch",
         "waiting",
         "report_age",
+        "hidden",
+        "yields",
         "serving",
     )
 
@@ -45,6 +51,8 @@
         batch=0,
         waiting=0,
         report_age=None,
+        hidden=0,
+        yields=True,
         serving=True,
     ):
         self.name = name
@@ -54,4 +62,6 @@
         self.batch = batch
         self.waiting = waiting
         self.report_age = report_age
+        self.hidden = hidden
+        self.yields = yields
         self.serving = serving
