Weigh online load more and batch streams less in routing

Cause: batch fills all slots, so the load term was the same at each upstream, and requests with a common prefix gathered at one until its slots were all online. Change: a batch stream counts a quarter of an online request, and the cost grows with the square of the load.

--- a/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
@@ -8,7 +8,9 @@
 REPORT_DECAY_SECONDS = 2.0
 SERVICE_SECONDS = 1.0
 PREFILL_SECONDS_PER_BLOCK = 0.003
-CONTENTION_SECONDS = 0.1
+CONTENTION_SECONDS = 0.4
+# Weight of a batch stream, which can yield, against an online request.
+BATCH_WEIGHT = 0.25
 
 
 def estimate_queue(view):
@@ -80,7 +82,9 @@
     float
         Seconds.
     """
-    busy = min(1.0, (estimate_queue(view) + view.batch) / view.slots)
+    load = estimate_queue(view) + BATCH_WEIGHT * view.batch
+    # Grows faster near the end, where the next burst would find no slot.
+    busy = min(1.0, load / view.slots) ** 2
     return (
         estimate_wait(view, service_seconds=service_seconds)
         + uncached * PREFILL_SECONDS_PER_BLOCK
--- a/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
@@ -68,6 +68,15 @@
     assert choose(views, seed="r") == "b"
 
 
+def test_online_load_is_spread_while_batch_fills_all_slots():
+    affinity = AffinityTable()
+    blocks = hash_blocks("x" * 1280)
+    affinity.add("a", blocks)
+    views = [build_view("a", online=6, batch=2)]
+    views.append(build_view("b", online=1, batch=7))
+    assert choose(views, blocks=blocks, affinity=affinity, seed="r") == "b"
+
+
 def test_same_view_does_not_lead_all_requests_to_one_upstream():
     views = [build_view(name, online=2) for name in "abcd"]
     views.append(build_view("e", online=1))
