--- a/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/cost.py
@@ -8,11 +8,13 @@
 REPORT_DECAY_SECONDS = 2.0
 SERVICE_SECONDS = 1.0
 PREFILL_SECONDS_PER_BLOCK = 0.003
-CONTENTION_SECONDS = 0.1
+CONTENTION_SECONDS = 0.4
+# Weight of a batch stream, which can yield, against an online request.
+BATCH_WEIGHT = 0.25
 
 
 def estimate_queue(view):
-    """Estimate the online requests that hold or wait for a slot.
+    """Estimate the streams that keep a slot from a new request.
 
     Parameters
     ----------
@@ -26,14 +28,18 @@
     -----
     The counts of this daemon and its peers come first. The queue in the
     load report counts as far as those counts do not explain it, and fades
-    as the report ages.
+    as the report ages. Batch streams count when nobody makes them yield,
+    and so do streams that no daemon tells of.
     """
+    held = view.online + view.hidden
+    if not view.yields:
+        held += view.batch
     if view.report_age is None:
-        return float(view.online)
+        return float(held)
     explained = max(0, view.online + view.batch - view.slots)
     unexplained = max(0, view.waiting - explained)
     fading = math.exp(-view.report_age / REPORT_DECAY_SECONDS)
-    return view.online + unexplained * fading
+    return held + unexplained * fading
 
 
 def estimate_wait(view, *, service_seconds=SERVICE_SECONDS):
@@ -55,7 +61,7 @@
     if queue + 1 > view.slots:
         ahead = queue + 1 - view.slots
         return REACTION_SECONDS + ahead * service_seconds / view.slots
-    if queue + view.batch + 1 > view.slots:
+    if view.yields and queue + view.batch + 1 > view.slots:
         return REACTION_SECONDS
     return 0.0
 
@@ -76,7 +82,9 @@
     float
         Seconds.
     """
-    busy = min(1.0, (estimate_queue(view) + view.batch) / view.slots)
+    load = estimate_queue(view) + BATCH_WEIGHT * view.batch
+    # Grows faster near the end, where the next burst would find no slot.
+    busy = min(1.0, load / view.slots) ** 2
     return (
         estimate_wait(view, service_seconds=service_seconds)
         + uncached * PREFILL_SECONDS_PER_BLOCK
