--- a/packages/hollyspan_entry/hollyspan_entry/once/run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/once/run.py
@@ -104,10 +104,11 @@
             await self.fail(HollyspanError("internal error"))
             return
         kept = defer.ensureDeferred(self.keep(answer))
+        limit = task.deferLater(self.runtime.reactor, KEEP_SECONDS)
         await defer.DeferredList(
-            [kept, task.deferLater(self.runtime.reactor, KEEP_SECONDS)],
-            fireOnOneCallback=True,
+            [kept, limit], fireOnOneCallback=True, consumeErrors=True
         )
+        limit.cancel()
         self.settle(defer.succeed, answer)
         await kept
 
