Pick ports in turn from a random one

Taking ports in turn keeps the picks of one process together; those of two overlap only where their starts lie close.

--- a/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
@@ -1,5 +1,6 @@
 """Free ports for processes that are told theirs."""
 
+import itertools
 import secrets
 import socket
 
@@ -8,9 +9,12 @@
 ADDRESS = "127.0.0.1"
 # Below the range from which the system takes ports for connections, so
 # that none is lost between the choice and its use.
-PORTS = range(15_000, 32_000)
+FIRST_PORT = 15_000
+PORTS = 17_000
 
-picked = set()
+# Ports in turn from a random one: deployments that start side by side
+# seldom look at the same ports.
+candidates = itertools.count(secrets.randbelow(PORTS))
 
 
 def pick_port():
@@ -18,16 +22,13 @@
 
     Notes
     -----
-    No port is returned twice by one process.
+    A process gets no port twice before it has seen all others.
     """
-    while True:
-        port = secrets.choice(PORTS)
-        if port in picked:
-            continue
+    for candidate in candidates:
+        port = FIRST_PORT + candidate % PORTS
         if is_free(port, socket.SOCK_STREAM) and is_free(
             port, socket.SOCK_DGRAM
         ):
-            picked.add(port)
             return port
 
 
