Wait for a queued stream as long as its engine answers

Cause: an idle connection counted as a break without progress, and an idempotent request was given up at the second one; an answer that queues at the engine for more than about ten seconds failed within its deadline. Seen in review. Change: only resumes without an answer count towards giving up. Ruled out: a longer idle timeout, which would find a frozen engine later.

--- a/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
@@ -150,27 +150,30 @@
 
     async def follow(self, response):
         """Read until the stream is whole, over breaks of the connection."""
-        failures = 0
+        breaks = 0
+        unanswered = 0
         while True:
             before = self.offset
             if response is not None:
+                # The engine knows the stream, however long it queues.
+                unanswered = 0
                 await self.read(response)
             if self.done:
                 return
             if self.offset > before:
-                failures = 0
-            if failures >= self.count_tries():
+                breaks = 0
+            if unanswered >= self.count_tries():
                 raise StreamLostError(
                     f"no connection to {self.upstream.name} for a resume"
                 )
-            await task.deferLater(
-                self.runtime.reactor, RESUME_DELAYS[failures]
-            )
-            failures += 1
+            delay = RESUME_DELAYS[min(breaks, len(RESUME_DELAYS) - 1)]
+            await task.deferLater(self.runtime.reactor, delay)
+            breaks += 1
+            unanswered += 1
             response = await self.open_resume()
 
     def count_tries(self):
-        """Return how many resumes without progress are tried."""
+        """Return how many resumes without an answer are tried."""
         tries = len(RESUME_DELAYS)
         return tries if self.offset else min(tries, self.first_event_tries)
 
--- a/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
@@ -148,6 +148,27 @@
         self.assertEqual(engine.calls[1], ("GET", "/v1/streams/s?offset=5"))
         self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
 
+    async def test_long_queue_is_waited_for(self):
+        """The engine answers each resume, but has no event yet."""
+        engine, upstream = self.bench.start(silent=True)
+        send = engine.send
+        engine.send = lambda request, offset: request.write(b"")
+        work = self.run_one(upstream, idle_timeout=0.2, first_event_tries=1)
+        await task.deferLater(reactor, 0.9)
+        engine.silent = False
+        engine.send = send
+        await work
+        self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
+
+    async def test_lost_connection_is_given_up(self):
+        engine, upstream = self.bench.start(cuts=[2] + [0] * 9)
+        error = await self.assertFailure(
+            self.run_one(upstream), StreamLostError
+        )
+        self.assertIs(error.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.get_offsets(), [1, 2])
+        self.assertEqual([m for m, _ in engine.calls], ["POST"] + ["GET"] * 5)
+
     async def test_cancel_stream(self):
         _, upstream = self.bench.start()
         offset = await cancel_stream(
