--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -12,13 +12,14 @@
 import time
 
 import psutil
-from relay_client import run_streams
 
 from hollyspan_standins.deployment import build_configuration
 from hollyspan_standins.deployment import CALLER_KEY
 from hollyspan_standins.deployment import open_deployment
 from hollyspan_standins.deployment import Place
 
+from .relay_client import run_streams
+
 MODEL = "pips-lm"
 SETTLE_SECONDS = 3.0
 # Streams of the steady load for each stream in flight.
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
@@ -2,11 +2,37 @@
 
 import time
 
+from hollyspan_policy.membership import PauseGuard
 from hollyspan_policy.ownership import choose_owner
+from hollyspan_policy.ownership import rank_owners
 
 from .slots import UpstreamSlots
 
-__all__ = ["refresh_slots"]
+__all__ = ["build_guard", "build_member_listener", "refresh_slots"]
+
+PAUSE_LIMIT_SECONDS = 1.0
+
+
+def build_guard(timing):
+    """Build the guard against acting on an old view after a pause."""
+    return PauseGuard(
+        limit=PAUSE_LIMIT_SECONDS,
+        grace=timing.peer_timeout,
+        now=time.monotonic(),
+    )
+
+
+def build_member_listener(runner):
+    """Build what shows the guard the heartbeats of the data centre."""
+    settings = runner.runtime.settings
+
+    def hear_member(member):
+        if member.instance == settings.instance:
+            return
+        if member.data_centre == settings.data_centre:
+            runner.guard.observe_peer(now=time.monotonic())
+
+    return hear_member
 
 
 def refresh_slots(runner, *, now):
@@ -18,19 +44,45 @@
     now : float
         Monotonic seconds.
     """
-    owned = list_owned(runner.runtime, now=now)
+    runner.guard.observe_tick(now=now)
+    owned = {}
+    if runner.guard.may_own(now=now) or not list_expected(runner.runtime):
+        owned = list_owned(runner.runtime, now=now)
     heard = are_peers_heard(runner.runtime, now=now)
     for name, slots in list(runner.slots.items()):
         if owned.get(name) is not slots.upstream:
             retire(runner, name, slots)
     for name, upstream in owned.items():
         slots = runner.slots.setdefault(name, UpstreamSlots(upstream=upstream))
-        slots.owned = True
+        slots.owned = slots.upstream is upstream
         slots.configure(
             runner.runtime.configurations.current, now=now, wall=time.time()
         )
         slots.observe(now=now)
         slots.observe_peers(heard, now=now)
+        slots.observe_report(now=now)
+        names = list_alternatives(runner.runtime, upstream)
+        slots.observe_upstreams(names, now=now)
+
+
+def list_alternatives(runtime, upstream):
+    """List the upstreams that can stand in for one, itself included.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    upstream : Upstream
+
+    Returns
+    -------
+    list of str
+        In an order that all daemons agree on.
+    """
+    found = runtime.upstreams.list_for(
+        upstream.service, data_centre=upstream.data_centre
+    )
+    usable = {u.name for u in found if u.reachable and not u.leaving}
+    return rank_owners(upstream.service, usable | {upstream.name})
 
 
 def list_owned(runtime, *, now):
@@ -65,12 +117,18 @@
 
 def are_peers_heard(runtime, *, now):
     """Tell whether all listed daemons of the data centre are heard."""
-    expected = [
+    return not runtime.members.list_silent(list_expected(runtime), now=now)
+
+
+def list_expected(runtime):
+    """List the other daemons that should be heard in the data centre."""
+    settings = runtime.settings
+    return [
         seed.instance
         for seed in runtime.seeds.values()
-        if seed.data_centre == runtime.settings.data_centre
+        if seed.data_centre == settings.data_centre
+        and seed.instance != settings.instance
     ]
-    return not runtime.members.list_silent(expected, now=now)
 
 
 def retire(runner, name, slots):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
@@ -2,10 +2,13 @@
 
 import contextlib
 
+from opentelemetry.metrics import Observation
+
 from ..http import add_resource
 from ..http import AsyncResource
 from ..runtime import open_periodic
 from .output import open_output
+from .ownership import build_member_listener
 from .queue import is_file_queued
 from .resource import build_handler
 from .runner import JobRunner
@@ -30,7 +33,9 @@
     add_resource(runtime.root, "v1/batches", handler)
     connect_files(runtime)
     runner = JobRunner(runtime=runtime)
+    add_counters(runtime, runner.counters)
     runtime.upstreams.load_listeners.append(runner.take_load)
+    runtime.members.listeners.append(build_member_listener(runner))
     runtime.cancelled_jobs.listeners.append(runner.stop_job)
     runtime.drain_hooks.append(runner.drain)
     reactor = runtime.reactor
@@ -58,3 +63,15 @@
 
     runtime.file_sources.append(find_output)
     runtime.file_users.append(is_needed)
+
+
+def add_counters(runtime, counters):
+    """Show what the runner did among the daemon's metrics."""
+
+    def observe(options):
+        for name in counters.__slots__:
+            yield Observation(getattr(counters, name), {"event": name})
+
+    runtime.meter.create_observable_counter(
+        "hollyspan.jobs.events", [observe], unit="{event}"
+    )
--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -5,9 +5,11 @@
 from hollyspan_core.messages import build_heartbeat
 from hollyspan_core.messages import build_notice
 from hollyspan_core.messages import Heartbeat
-from hollyspan_core.messages import InFlight
 from hollyspan_core.messages import Notice
 
+from .loads import describe_load
+from .loads import list_loads
+from .loads import list_reports
 from .split import split_heartbeat
 from .states import build_member
 from .states import build_remote
@@ -22,6 +24,9 @@
 # every fourth one.
 FAR_BEATS = 4
 SOON_SECONDS = 0.05
+# Falls of the online load are told together; rises at once.
+FALL_SECONDS = 0.05
+FULL_RATE_DAEMONS = 8
 FORGET_SECONDS = 600.0
 
 
@@ -34,7 +39,6 @@
     datagrams : Datagrams
     receipts : Receipts
     probes : Probes
-    owners : Owners
     """
 
     __slots__ = (
@@ -42,32 +46,39 @@
         "datagrams",
         "receipts",
         "probes",
-        "owners",
         "told",
         "sequence",
         "turns",
         "soon",
         "online",
-        "risen",
+        "changed",
+        "notice",
     )
 
-    def __init__(self, *, runtime, datagrams, receipts, probes, owners):
+    def __init__(self, *, runtime, datagrams, receipts, probes):
         self.runtime = runtime
         self.datagrams = datagrams
         self.receipts = receipts
         self.probes = probes
-        self.owners = owners
         self.told = ToldLoads()
         self.sequence = 0
         self.turns = 0
         self.soon = None
         self.online = {}
-        self.risen = {}
+        self.changed = {}
+        self.notice = None
 
     async def beat(self):
-        """Send the heartbeats that are due."""
+        """Send the heartbeats that are due.
+
+        Returns
+        -------
+        float
+            Seconds until the next ones.
+        """
         self.send_beats(far=self.turns % FAR_BEATS == 0)
         self.turns += 1
+        return self.receipts.interval
 
     def beat_soon(self, *details):
         """Send heartbeats to all within a moment, outside the interval.
@@ -88,10 +99,14 @@
         self.send_beats(far=True)
 
     def stop(self):
-        """Forget the heartbeat that is due soon."""
-        if self.soon is not None and self.soon.active():
-            self.soon.cancel()
+        """Forget the heartbeat and the notices that are due soon."""
+        for call in (self.soon, self.notice):
+            if call is not None and call.active():
+                call.cancel()
         self.soon = None
+        self.notice = None
+        # The next heartbeat tells all loads.
+        self.changed = {}
 
     def send_beats(self, *, far):
         """Send heartbeats to the own data centre, and to others if asked."""
@@ -102,7 +117,7 @@
             build_member(sender, heard=now, timeout=None)
         )
         self.forget_gone(now=now)
-        self.owners.refresh()
+        self.runtime.owners.refresh()
         base = self.build_base(sender, now=now)
         self.send_near(base, far=far, now=now)
         if far:
@@ -122,19 +137,23 @@
                 now=now
             ),
             cancelled_jobs=runtime.cancelled_jobs.list_names(now=now),
+            reports=list_reports(runtime),
         )
 
     def send_near(self, base, *, far, now):
         remotes = self.list_remotes(now=now) if far else ()
-        loads = self.list_loads()
-        plain = self.encode(base, remotes=remotes)
-        for seed in list_near(self.runtime, now=now):
-            told = self.told.complete(
-                seed.instance, loads.get(seed.instance, [])
-            )
+        loads = list_loads(self.runtime)
+        near = list_near(self.runtime, now=now)
+        self.receipts.interval = choose_interval(
+            self.runtime.settings.timing, near=len(near)
+        )
+        more = {"remotes": remotes, "reports": base.reports}
+        plain = self.encode(base, **more)
+        for seed in near:
+            told = self.told.complete(seed.instance, loads)
             datagrams = plain
             if told:
-                datagrams = self.encode(base, in_flight=told, remotes=remotes)
+                datagrams = self.encode(base, in_flight=told, **more)
             self.send_all(datagrams, seed)
 
     def send_far(self, base, *, now):
@@ -147,13 +166,14 @@
             self.probes.send(seed.instance, now=now)
             self.send_all(datagrams, seed)
 
-    def encode(self, base, *, in_flight=(), remotes=()):
+    def encode(self, base, *, in_flight=(), remotes=(), reports=()):
         whole = Heartbeat(
             sender=base.sender,
             in_flight=in_flight,
             leaving_upstreams=base.leaving_upstreams,
             cancelled_jobs=base.cancelled_jobs,
             remotes=remotes,
+            reports=reports,
         )
         return [
             self.datagrams.encode(build_heartbeat(part))
@@ -175,17 +195,8 @@
             if name in members
         ]
 
-    def list_loads(self):
-        """List the own loads above zero by owner of the upstream."""
-        loads = {}
-        for upstream in self.runtime.upstreams.by_name.values():
-            if upstream.online or upstream.batch:
-                owner = self.owners.find(upstream)
-                loads.setdefault(owner, []).append(describe_load(upstream))
-        return loads
-
     def hear_load(self, upstream):
-        """Prepare a notice when the own online load has risen.
+        """Prepare a notice when the own online load has changed.
 
         Parameters
         ----------
@@ -195,46 +206,67 @@
         if upstream.online == before:
             return
         self.online[upstream.name] = upstream.online
-        if upstream.online < before:
-            return
-        if not self.risen:
+        self.changed[upstream.name] = upstream
+        if upstream.online > before:
             # One notice for all that arrives within a turn of the loop.
-            self.runtime.reactor.callLater(0, self.send_notices)
-        self.risen[upstream.name] = upstream
+            self.notify_within(0)
+        else:
+            self.notify_within(FALL_SECONDS)
+
+    def notify_within(self, seconds):
+        """Send notices after some seconds, or sooner if they are due."""
+        notice = self.notice
+        if notice is None or not notice.active():
+            self.notice = self.runtime.reactor.callLater(
+                seconds, self.send_notices
+            )
+        elif notice.getTime() > self.runtime.reactor.seconds() + seconds:
+            notice.reset(seconds)
 
     def send_notices(self):
-        """Tell the owners of the loads that have risen."""
-        risen, self.risen = self.risen, {}
-        by_owner = {}
-        for upstream in risen.values():
-            owner = self.owners.find(upstream)
-            by_owner.setdefault(owner, []).append(upstream)
-        for owner, upstreams in by_owner.items():
-            self.send_notice(owner, upstreams)
-
-    def send_notice(self, owner, upstreams):
-        member = self.runtime.members.members.get(owner)
-        own = self.runtime.settings.instance
-        if member is None or owner == own:
-            return
+        """Tell the daemons of the data centre the loads that changed."""
+        changed, self.changed = self.changed, {}
+        near = list_near(self.runtime, now=time.monotonic())
+        if len(near) > FULL_RATE_DAEMONS:
+            # Heartbeats tell the others; datagrams would grow too many.
+            owners = {self.runtime.owners.find(u) for u in changed.values()}
+            near = [seed for seed in near if seed.instance in owners]
+        for seed in near:
+            self.send_notice(seed, changed.values())
+
+    def send_notice(self, seed, upstreams):
         self.sequence += 1
         for upstream in upstreams:
-            self.told.note(owner, upstream.name)
+            self.told.note(seed.instance, upstream.name)
         notice = Notice(
-            instance=own,
+            instance=self.runtime.settings.instance,
             incarnation=self.runtime.incarnation,
             sequence=self.sequence,
             in_flight=[describe_load(upstream) for upstream in upstreams],
         )
-        seed = self.runtime.seeds.get(owner)
         self.datagrams.send(
             self.datagrams.encode(build_notice(notice)),
-            address=seed.address if seed else member.address,
-            port=seed.peer_port if seed else member.peer_port,
+            address=seed.address,
+            port=seed.peer_port,
         )
 
 
-def describe_load(upstream):
-    return InFlight(
-        upstream=upstream.name, online=upstream.online, batch=upstream.batch
-    )
+def choose_interval(timing, *, near):
+    """Return the seconds between heartbeats.
+
+    Parameters
+    ----------
+    timing : Timing
+    near : int
+        Other daemons of the data centre.
+
+    Returns
+    -------
+    float
+
+    Notes
+    -----
+    Each daemon hears all others, so that the interval grows with their
+    number to keep the traffic bounded. Bursts do not wait for it.
+    """
+    return timing.heartbeat * max(1.0, near / FULL_RATE_DAEMONS)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/loads.py
@@ -0,0 +1,38 @@
+"""What this daemon tells of the load on upstreams."""
+
+from hollyspan_core.messages import InFlight
+from hollyspan_core.messages import Report
+
+__all__ = ["describe_load", "list_loads", "list_reports"]
+
+
+def list_loads(runtime):
+    """List the own loads above zero in the own data centre."""
+    data_centre = runtime.settings.data_centre
+    return [
+        describe_load(upstream)
+        for upstream in runtime.upstreams.by_name.values()
+        if upstream.data_centre == data_centre
+        and (upstream.online or upstream.batch)
+    ]
+
+
+def list_reports(runtime):
+    """List the reports of the upstreams that this daemon owns."""
+    return [
+        Report(
+            upstream=upstream.name,
+            waiting=upstream.waiting,
+            running=upstream.running,
+            reachable=upstream.reachable,
+        )
+        for upstream in runtime.upstreams.by_name.values()
+        if runtime.owners.find(upstream) == runtime.settings.instance
+        and (upstream.reported is not None or not upstream.reachable)
+    ]
+
+
+def describe_load(upstream):
+    return InFlight(
+        upstream=upstream.name, online=upstream.online, batch=upstream.batch
+    )
--- a/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_choice.py
@@ -57,12 +57,24 @@
     assert choose(stale, seed="r") == "a"
 
 
-def test_slots_that_only_the_report_shows_count_as_taken():
-    views = [build_view("a", running=8, report_age=0.5)]
-    views.append(build_view("b", online=5))
+def test_upstream_whose_batch_does_not_yield_is_passed_over():
+    views = [build_view("a", batch=8, yields=False)]
+    views.append(build_view("b", online=4, batch=4))
     assert choose(views, seed="r") == "b"
-    views[0].report_age = 30.0
-    assert choose(views, seed="r") == "a"
+
+
+def test_streams_that_no_daemon_tells_of_hold_slots():
+    views = [build_view("a", hidden=8), build_view("b", online=4, batch=4)]
+    assert choose(views, seed="r") == "b"
+
+
+def test_online_load_is_spread_while_batch_fills_all_slots():
+    affinity = AffinityTable()
+    blocks = hash_blocks("x" * 1280)
+    affinity.add("a", blocks)
+    views = [build_view("a", online=6, batch=2)]
+    views.append(build_view("b", online=1, batch=7))
+    assert choose(views, blocks=blocks, affinity=affinity, seed="r") == "b"
 
 
 def test_same_view_does_not_lead_all_requests_to_one_upstream():
