--- /dev/null
+++ b/integration/tests/test_online_spill.py
@@ -0,0 +1,74 @@
+"""Requests that the own data centre has no room for."""
+
+from concurrent.futures import ThreadPoolExecutor
+import time
+
+import pytest
+
+from hollyspan_standins.caller import exchange
+from hollyspan_standins.checker import find_wrong_answers
+from hollyspan_standins.deployment import open_deployment
+from hollyspan_standins.deployment import Place
+from hollyspan_standins.engine import expected_text
+
+MODEL = "pips-lm"
+CHAT = "/v1/chat/completions"
+SLOTS = 2
+REQUESTS = 12
+TOKENS = 80
+SETTLE_SECONDS = 3.0
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    places = [
+        Place(data_centre="attiki-a", region="attiki"),
+        Place(data_centre="kriti-a", region="kriti", engines=4),
+    ]
+    with open_deployment(
+        places=places, slots=SLOTS, engine_options=["--speed", "0.5"]
+    ) as deployment:
+        time.sleep(SETTLE_SECONDS)
+        yield deployment
+
+
+def ask(deployment, prompt, *, stream):
+    document = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": TOKENS,
+        "stream": stream,
+    }
+    url = deployment.url(deployment.daemon_names[0])
+    return exchange(url, CHAT, document=document)
+
+
+def test_requests_run_where_there_is_room(deployment):
+    prompts = [f"spill {number}" for number in range(REQUESTS)]
+    with ThreadPoolExecutor(REQUESTS) as pool:
+        replies = list(
+            pool.map(
+                lambda n: ask(deployment, prompts[n], stream=n % 2 > 0),
+                range(REQUESTS),
+            )
+        )
+    assert [r.error for r in replies if not r.is_whole] == []
+    answers = [
+        (
+            prompt,
+            reply.text,
+            expected_text(
+                model=MODEL, prompt=f"user:{prompt}", max_tokens=TOKENS
+            ),
+        )
+        for prompt, reply in zip(prompts, replies)
+    ]
+    assert find_wrong_answers(answers) == []
+    elsewhere = deployment.list_upstreams(data_centre="kriti-a")
+    runs = [
+        record
+        for record in deployment.read_records(*elsewhere)
+        if record["event"] == "received"
+    ]
+    assert runs
+    assert len({record["key"] for record in runs}) == len(runs)
