Keep a failing upstream from using up the attempts of all items

An engine that refused every start for 5 s failed the items of the chunks held for good: their three attempts were over within milliseconds. The new test fails without the change and passes with it.

A chunk whose notes could not be removed or whose release failed was never let go, which would have held up the end of a cancel; it is let go now.

--- a/integration/tests/test_jobs_results.py
+++ b/integration/tests/test_jobs_results.py
@@ -85,6 +85,22 @@
     assert [line for line in lines if line["error"]] == []
 
 
+def test_engines_that_refuse_all_starts_for_a_while(deployment, tester):
+    engines = deployment.list_upstreams()
+    batch = tester.submit(PROMPTS, max_tokens=24)
+    wait_for_dispatch(tester, batch, count=8)
+    for engine in engines:
+        deployment.control(engine, fail_starts=True)
+    time.sleep(5.0)
+    refused = tester.count_events("refused", batch=batch)
+    for engine in engines:
+        deployment.control(engine, fail_starts=False)
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch)
+    assert [line for line in lines if line["error"]] == []
+    assert refused <= len(PROMPTS)
+
+
 def test_daemon_killed_between_a_part_and_its_reply(deployment, tester):
     deployment.control("store", lose_replies=True, lose_matching="results/")
     batch = tester.submit(PROMPTS)
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/execution.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/execution.py
@@ -54,6 +54,7 @@
             resume=resume,
         )
         runner.finish(run, build_success(run.chunk.record.job, item))
+        runner.note_success(run)
     except defer.CancelledError:
         take_stop(runner, run)
     except HollyspanError as error:
@@ -91,9 +92,13 @@
     if is_not_run(error):
         run.item.reset()
         runner.put_back(run)
-    elif is_terminal(error):
+        return
+    if is_terminal(error):
+        runner.note_success(run)
         fail(runner, run, error)
-    elif not run.chunk.record.idempotent:
+        return
+    runner.note_failure(run)
+    if not run.chunk.record.idempotent:
         fail(runner, run, OutcomeUnknownError(error.message))
     else:
         retry(runner, run, error)
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -26,6 +26,7 @@
 
 # Shorter than the time for which engines keep a cancelled stream.
 PAUSE_SECONDS = 8.0
+RETRY_SECONDS = 0.5
 TICK_SECONDS = 0.1
 RATE_WEIGHT = 0.02
 
@@ -103,9 +104,8 @@
 
     async def tick(self):
         """Bring everything up to date; called at each interval."""
-        if self.runtime.draining:
+        if self.runtime.draining and not self.stopping:
             self.spawn(self.drain())
-            return
         if self.stopping or self.runtime.configurations.current is None:
             return
         now = time.monotonic()
@@ -216,9 +216,22 @@
         run.chunk.put_back(run.item)
 
     def put_back_failed(self, run, *, alone):
-        """Let an item run again after its attempt was noted."""
+        """Let an item run again after a pause, its attempt being noted."""
         queue = run.chunk.suspects if alone else run.chunk.waiting
-        queue.append(run.item)
+        pause = RETRY_SECONDS * 2 ** (run.item.attempts - 1)
+        self.runtime.reactor.callLater(pause, queue.append, run.item)
+
+    def note_failure(self, run):
+        """Note that an upstream has failed an item."""
+        slots = self.slots.get(run.upstream.name)
+        if slots is not None:
+            slots.breaker.note_failure(now=time.monotonic())
+
+    def note_success(self, run):
+        """Note that an upstream does its work."""
+        slots = self.slots.get(run.upstream.name)
+        if slots is not None:
+            slots.breaker.note_success()
 
     def read_limit(self, name, chunk):
         """Return a value of the configuration for a chunk's items."""
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.batch import count_batch_slots
 from hollyspan_policy.batch import StreamView
 
+from .breaker import Breaker
 from .run import StopReason
 
 __all__ = ["UpstreamSlots"]
@@ -27,6 +28,7 @@
     paused : list of (HeldChunk, Item, float)
         Preempted items whose stream the engine may still know, with the
         monotonic seconds of the preemption; the earliest first.
+    breaker : Breaker
     owned : bool
         False when another daemon has become the owner.
     """
@@ -39,6 +41,7 @@
         "paused",
         "owned",
         "peers",
+        "breaker",
     )
 
     def __init__(self, *, upstream):
@@ -49,6 +52,7 @@
         self.paused = []
         self.owned = True
         self.peers = True
+        self.breaker = Breaker()
 
     def configure(self, configuration, *, now, wall):
         """Build the gate anew when what it depends on has changed.
@@ -114,7 +118,9 @@
         """Count the batch streams that may start now."""
         if not self.owned or not self.is_usable:
             return 0
-        return self.count_allowed(now=now) - self.upstream.count_batch()
+        free = self.count_allowed(now=now) - self.upstream.count_batch()
+        limit = self.breaker.count_allowed(running=len(self.running), now=now)
+        return free if limit is None else min(free, limit)
 
     @property
     def is_usable(self):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
@@ -84,8 +84,10 @@
         job=chunk.record.job,
         chunk=chunk.chunk,
     )
-    await chunk.notes.remove()
-    await let_go(runner, chunk)
+    try:
+        await chunk.notes.remove()
+    finally:
+        await let_go(runner, chunk)
 
 
 def record_end(runtime, record):
@@ -128,13 +130,14 @@
     works = [run.work for run in chunk.running]
     await defer.DeferredList(works, consumeErrors=True)
     chunk.withdraw()
-    await flush_patiently(runner, chunk)
     try:
+        await flush_patiently(runner, chunk)
         await chunk.notes.release(chunk.list_attempts())
     except HollyspanError as error:
         eliot.log_message(message_type="jobs:notes-left", reason=error.code)
-    runner.counters.released += 1
-    await let_go(runner, chunk)
+    finally:
+        runner.counters.released += 1
+        await let_go(runner, chunk)
 
 
 async def flush_patiently(runner, chunk):
