--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -42,6 +42,7 @@
         "owned",
         "peers",
         "breaker",
+        "reported",
     )
 
     def __init__(self, *, upstream):
@@ -53,6 +54,7 @@
         self.owned = True
         self.peers = True
         self.breaker = Breaker()
+        self.reported = None
 
     def configure(self, configuration, *, now, wall):
         """Build the gate anew when what it depends on has changed.
@@ -99,6 +101,19 @@
             self.peers = heard
             self.gate.observe_peers(heard, now=now)
 
+    def observe_report(self, *, now):
+        """Show the gate the upstream's load report, once."""
+        upstream = self.upstream
+        if upstream.reported is None or upstream.reported == self.reported:
+            return
+        self.reported = upstream.reported
+        self.gate.observe_report(
+            running=upstream.running,
+            waiting=upstream.waiting,
+            batch=upstream.count_batch(),
+            now=now,
+        )
+
     def observe_upstreams(self, names, *, now):
         """Show the gate which upstreams online work can choose from."""
         rank = names.index(self.upstream.name)
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -5,6 +5,9 @@
 from .baselines import allow_fixed
 from .baselines import allow_none
 from .baselines import BATCH_POLICIES
+from .headroom import compute_level
+from .headroom import share_reserve
+from .onlineload import OnlineLoad
 from .policy import count_batch_slots
 from .preemption import choose_preempted
 from .slots import BatchGate
@@ -15,11 +18,14 @@
     "ArrivalEstimator",
     "BATCH_POLICIES",
     "BatchGate",
+    "OnlineLoad",
     "SlidingMinimum",
     "StreamView",
     "allow_as_online",
     "allow_fixed",
     "allow_none",
     "choose_preempted",
+    "compute_level",
     "count_batch_slots",
+    "share_reserve",
 ]
