--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -5,10 +5,11 @@
 from hollyspan_core.messages import build_heartbeat
 from hollyspan_core.messages import build_notice
 from hollyspan_core.messages import Heartbeat
-from hollyspan_core.messages import InFlight
 from hollyspan_core.messages import Notice
-from hollyspan_core.messages import Report
 
+from .loads import describe_load
+from .loads import list_loads
+from .loads import list_reports
 from .split import split_heartbeat
 from .states import build_member
 from .states import build_remote
@@ -23,6 +24,8 @@
 # every fourth one.
 FAR_BEATS = 4
 SOON_SECONDS = 0.05
+# Falls of the online load are told together; rises at once.
+FALL_SECONDS = 0.05
 FULL_RATE_DAEMONS = 8
 FORGET_SECONDS = 600.0
 
@@ -48,7 +51,8 @@
         "turns",
         "soon",
         "online",
-        "risen",
+        "changed",
+        "notice",
     )
 
     def __init__(self, *, runtime, datagrams, receipts, probes):
@@ -61,7 +65,8 @@
         self.turns = 0
         self.soon = None
         self.online = {}
-        self.risen = {}
+        self.changed = {}
+        self.notice = None
 
     async def beat(self):
         """Send the heartbeats that are due.
@@ -94,10 +99,14 @@
         self.send_beats(far=True)
 
     def stop(self):
-        """Forget the heartbeat that is due soon."""
-        if self.soon is not None and self.soon.active():
-            self.soon.cancel()
+        """Forget the heartbeat and the notices that are due soon."""
+        for call in (self.soon, self.notice):
+            if call is not None and call.active():
+                call.cancel()
         self.soon = None
+        self.notice = None
+        # The next heartbeat tells all loads.
+        self.changed = {}
 
     def send_beats(self, *, far):
         """Send heartbeats to the own data centre, and to others if asked."""
@@ -133,7 +142,7 @@
 
     def send_near(self, base, *, far, now):
         remotes = self.list_remotes(now=now) if far else ()
-        loads = self.list_loads()
+        loads = list_loads(self.runtime)
         near = list_near(self.runtime, now=now)
         self.receipts.interval = choose_interval(
             self.runtime.settings.timing, near=len(near)
@@ -141,9 +150,7 @@
         more = {"remotes": remotes, "reports": base.reports}
         plain = self.encode(base, **more)
         for seed in near:
-            told = self.told.complete(
-                seed.instance, loads.get(seed.instance, [])
-            )
+            told = self.told.complete(seed.instance, loads)
             datagrams = plain
             if told:
                 datagrams = self.encode(base, in_flight=told, **more)
@@ -188,17 +195,8 @@
             if name in members
         ]
 
-    def list_loads(self):
-        """List the own loads above zero by owner of the upstream."""
-        loads = {}
-        for upstream in self.runtime.upstreams.by_name.values():
-            if upstream.online or upstream.batch:
-                owner = self.runtime.owners.find(upstream)
-                loads.setdefault(owner, []).append(describe_load(upstream))
-        return loads
-
     def hear_load(self, upstream):
-        """Prepare a notice when the own online load has risen.
+        """Prepare a notice when the own online load has changed.
 
         Parameters
         ----------
@@ -208,42 +206,48 @@
         if upstream.online == before:
             return
         self.online[upstream.name] = upstream.online
-        if upstream.online < before:
-            return
-        if not self.risen:
+        self.changed[upstream.name] = upstream
+        if upstream.online > before:
             # One notice for all that arrives within a turn of the loop.
-            self.runtime.reactor.callLater(0, self.send_notices)
-        self.risen[upstream.name] = upstream
+            self.notify_within(0)
+        else:
+            self.notify_within(FALL_SECONDS)
+
+    def notify_within(self, seconds):
+        """Send notices after some seconds, or sooner if they are due."""
+        notice = self.notice
+        if notice is None or not notice.active():
+            self.notice = self.runtime.reactor.callLater(
+                seconds, self.send_notices
+            )
+        elif notice.getTime() > self.runtime.reactor.seconds() + seconds:
+            notice.reset(seconds)
 
     def send_notices(self):
-        """Tell the owners of the loads that have risen."""
-        risen, self.risen = self.risen, {}
-        by_owner = {}
-        for upstream in risen.values():
-            owner = self.runtime.owners.find(upstream)
-            by_owner.setdefault(owner, []).append(upstream)
-        for owner, upstreams in by_owner.items():
-            self.send_notice(owner, upstreams)
-
-    def send_notice(self, owner, upstreams):
-        member = self.runtime.members.members.get(owner)
-        own = self.runtime.settings.instance
-        if member is None or owner == own:
-            return
+        """Tell the daemons of the data centre the loads that changed."""
+        changed, self.changed = self.changed, {}
+        near = list_near(self.runtime, now=time.monotonic())
+        if len(near) > FULL_RATE_DAEMONS:
+            # Heartbeats tell the others; datagrams would grow too many.
+            owners = {self.runtime.owners.find(u) for u in changed.values()}
+            near = [seed for seed in near if seed.instance in owners]
+        for seed in near:
+            self.send_notice(seed, changed.values())
+
+    def send_notice(self, seed, upstreams):
         self.sequence += 1
         for upstream in upstreams:
-            self.told.note(owner, upstream.name)
+            self.told.note(seed.instance, upstream.name)
         notice = Notice(
-            instance=own,
+            instance=self.runtime.settings.instance,
             incarnation=self.runtime.incarnation,
             sequence=self.sequence,
             in_flight=[describe_load(upstream) for upstream in upstreams],
         )
-        seed = self.runtime.seeds.get(owner)
         self.datagrams.send(
             self.datagrams.encode(build_notice(notice)),
-            address=seed.address if seed else member.address,
-            port=seed.peer_port if seed else member.peer_port,
+            address=seed.address,
+            port=seed.peer_port,
         )
 
 
@@ -266,24 +270,3 @@
     number to keep the traffic bounded. Bursts do not wait for it.
     """
     return timing.heartbeat * max(1.0, near / FULL_RATE_DAEMONS)
-
-
-def list_reports(runtime):
-    """List the reports of the upstreams that this daemon owns."""
-    return [
-        Report(
-            upstream=upstream.name,
-            waiting=upstream.waiting,
-            running=upstream.running,
-            reachable=upstream.reachable,
-        )
-        for upstream in runtime.upstreams.by_name.values()
-        if runtime.owners.find(upstream) == runtime.settings.instance
-        and (upstream.reported is not None or not upstream.reachable)
-    ]
-
-
-def describe_load(upstream):
-    return InFlight(
-        upstream=upstream.name, online=upstream.online, batch=upstream.batch
-    )
--- a/packages/hollyspan_policy/hollyspan_policy/routing/view.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/view.py
@@ -18,10 +18,12 @@
         Batch streams in flight from all daemons, as far as known.
     waiting : int
         Queue length of the last load report.
-    running : int
-        Streams of all kinds in the last load report.
     report_age : float or None
         Age of the last load report, seconds; None without one.
+    hidden : int
+        Streams that the load reports show and no daemon tells of.
+    yields : bool
+        False when no owner is heard that makes batch streams give way.
     serving : bool
         False when the upstream is leaving or cannot be reached.
     """
@@ -33,8 +35,9 @@
         "online",
         "batch",
         "waiting",
-        "running",
         "report_age",
+        "hidden",
+        "yields",
         "serving",
     )
 
@@ -47,8 +50,9 @@
         online=0,
         batch=0,
         waiting=0,
-        running=0,
         report_age=None,
+        hidden=0,
+        yields=True,
         serving=True,
     ):
         self.name = name
@@ -57,6 +61,7 @@
         self.online = online
         self.batch = batch
         self.waiting = waiting
-        self.running = running
         self.report_age = report_age
+        self.hidden = hidden
+        self.yields = yields
         self.serving = serving
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
@@ -1,10 +1,16 @@
 """Free ports for processes that are told theirs."""
 
+import secrets
 import socket
 
 __all__ = ["pick_port"]
 
 ADDRESS = "127.0.0.1"
+# Below the range from which the system takes ports for connections, so
+# that none is lost between the choice and its use.
+PORTS = range(15_000, 32_000)
+
+picked = set()
 
 
 def pick_port():
@@ -12,21 +18,24 @@
 
     Notes
     -----
-    The port is only free at the moment of the call.
+    No port is returned twice by one process.
     """
     while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
-            stream.bind((ADDRESS, 0))
-            port = stream.getsockname()[1]
-            if is_free_for_datagrams(port):
-                return port
-
-
-def is_free_for_datagrams(port):
-    """Return whether a UDP port is free."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        port = secrets.choice(PORTS)
+        if port in picked:
+            continue
+        if is_free(port, socket.SOCK_STREAM) and is_free(
+            port, socket.SOCK_DGRAM
+        ):
+            picked.add(port)
+            return port
+
+
+def is_free(port, kind):
+    """Return whether a port is free for sockets of a kind."""
+    with socket.socket(socket.AF_INET, kind) as probe:
         try:
-            datagrams.bind((ADDRESS, port))
+            probe.bind((ADDRESS, port))
         except OSError:
             return False
     return True
