--- a/packages/hollyspan_entry/hollyspan_entry/instances/registration.py
+++ b/packages/hollyspan_entry/hollyspan_entry/instances/registration.py
@@ -65,7 +65,8 @@
             known = None
         self.missing.pop(endpoint.name, None)
         if not endpoint.serving:
-            self.mark_leaving(known, now=now)
+            if known is not None:
+                upstreams.mark_leaving(known.name)
             return
         held = self.runtime.departures.holds(
             endpoint.name, endpoint=fresh.url, now=now
@@ -78,11 +79,6 @@
         elif known.leaving:
             known.leaving = False
 
-    def mark_leaving(self, upstream, *, now):
-        """Give an upstream no new work."""
-        if upstream is not None:
-            self.runtime.upstreams.mark_leaving(upstream.name)
-
     def remove_missing(self, listed, *, now):
         """Drop the upstreams that are listed no longer."""
         upstreams = self.runtime.upstreams
@@ -90,7 +86,7 @@
             if upstream.name in listed:
                 continue
             since = self.missing.setdefault(upstream.name, now)
-            self.mark_leaving(upstream, now=now)
+            upstreams.mark_leaving(upstream.name)
             idle = not upstream.online and not upstream.batch
             if idle and now - since >= REMOVE_SECONDS:
                 upstreams.remove(upstream.name)
--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -11,6 +11,7 @@
 from .loads import list_loads
 from .loads import list_reports
 from .split import split_heartbeat
+from .split import split_loads
 from .states import build_member
 from .states import build_remote
 from .states import describe_self
@@ -231,18 +232,20 @@
             # Heartbeats tell the others; datagrams would grow too many.
             owners = {self.runtime.owners.find(u) for u in changed.values()}
             near = [seed for seed in near if seed.instance in owners]
-        for seed in near:
-            self.send_notice(seed, changed.values())
+        loads = [describe_load(upstream) for upstream in changed.values()]
+        for part in split_loads(loads):
+            for seed in near:
+                self.send_notice(seed, part)
 
-    def send_notice(self, seed, upstreams):
+    def send_notice(self, seed, loads):
         self.sequence += 1
-        for upstream in upstreams:
-            self.told.note(seed.instance, upstream.name)
+        for load in loads:
+            self.told.note(seed.instance, load.upstream)
         notice = Notice(
             instance=self.runtime.settings.instance,
             incarnation=self.runtime.incarnation,
             sequence=self.sequence,
-            in_flight=[describe_load(upstream) for upstream in upstreams],
+            in_flight=loads,
         )
         self.datagrams.send(
             self.datagrams.encode(build_notice(notice)),
--- a/packages/hollyspan_entry/hollyspan_entry/peers/split.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/split.py
@@ -2,7 +2,7 @@
 
 from hollyspan_core.messages import Heartbeat
 
-__all__ = ["split_heartbeat"]
+__all__ = ["split_heartbeat", "split_loads"]
 
 MAX_DATAGRAM_BYTES = 1_400
 # Estimates of encoded sizes, above what the codec needs.
@@ -43,6 +43,29 @@
     return parts
 
 
+def split_loads(loads):
+    """Split the loads of a notice so that each part fits one datagram.
+
+    Parameters
+    ----------
+    loads : iterable of InFlight
+
+    Returns
+    -------
+    list of list of InFlight
+        At least one, which may be empty.
+    """
+    parts = [[]]
+    size = BASE_BYTES
+    for load in loads:
+        size += estimate_size(load)
+        if size > MAX_DATAGRAM_BYTES:
+            parts.append([])
+            size = BASE_BYTES + estimate_size(load)
+        parts[-1].append(load)
+    return parts
+
+
 def estimate_size(item):
     if isinstance(item, str):
         return ITEM_BYTES + count_bytes(item)
--- a/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
@@ -8,10 +8,12 @@
 from twisted.internet import task
 
 from hollyspan_core.messages import build_heartbeat
+from hollyspan_core.messages import build_notice
 from hollyspan_core.messages import decode_message
 from hollyspan_core.messages import encode_message
 from hollyspan_core.messages import Heartbeat
 from hollyspan_core.messages import InFlight
+from hollyspan_core.messages import Notice
 from hollyspan_core.messages import Remote
 from hollyspan_core.messages import Report
 from hollyspan_core.settings.settings import Settings
@@ -25,6 +27,7 @@
 from hollyspan_entry.peers.receipts import Receipts
 from hollyspan_entry.peers.split import MAX_DATAGRAM_BYTES
 from hollyspan_entry.peers.split import split_heartbeat
+from hollyspan_entry.peers.split import split_loads
 from hollyspan_entry.peers.told import ToldLoads
 from hollyspan_entry.peers.told import ZERO_BEATS
 from hollyspan_entry.runtime import Runtime
@@ -316,6 +319,19 @@
         decode_message(encoded, key=KEY)
 
 
+@given(strategies.lists(strategies.text(max_size=60), max_size=120))
+def test_parts_of_a_notice_fit_a_datagram(names):
+    loads = [InFlight(upstream=n, online=1, batch=1) for n in names]
+    parts = split_loads(loads)
+    assert [load for part in parts for load in part] == loads
+    for part in parts:
+        notice = Notice(
+            instance="a", incarnation=1, sequence=1, in_flight=part
+        )
+        encoded = encode_message(build_notice(notice), key=KEY)
+        assert len(encoded) <= MAX_DATAGRAM_BYTES
+
+
 def test_zeros_are_told_for_some_beats():
     told = ToldLoads()
     told.complete("b", [InFlight(upstream="e1", online=1, batch=0)])
