Test a data centre that is cut off and a long outage of the store

Online goes on from the own upstreams of a data centre without links to the others and the platform; after healing the configuration catches up within 12 s and the job has one result for each item. With the store down for longer than a lease, online goes on everywhere, items finish while the lease can be trusted, and the job is whole afterwards.

--- /dev/null
+++ b/integration/tests/test_partition.py
@@ -0,0 +1,134 @@
+"""A data centre that is cut off, and long outages of the store."""
+
+import time
+
+import pytest
+
+from hollyspan_standins.caller import Caller
+from hollyspan_standins.caller import Operator
+from hollyspan_standins.deployment import build_places
+from hollyspan_standins.deployment import open_deployment
+
+MODEL = "pips-lm"
+KEY = "dev-key"
+TIMING = {
+    "heartbeat": 0.2,
+    "peer_timeout": 1.0,
+    "lease": 6.0,
+    "lease_margin": 1.0,
+    "watch_refresh": 2.0,
+    "store_timeout": 1.0,
+}
+# Longer than a lease.
+CUT_SECONDS = 8.0
+IN_FORCE_SECONDS = 12.0
+PROMPTS = {f"item-{i}": f"reorder note {i}" for i in range(60)}
+ITEM_TOKENS = 150
+ONLINE_TOKENS = 8
+
+
+@pytest.fixture(name="deployment")
+def open_places():
+    """Open three data centres with all links proxied."""
+    places = build_places(
+        "attiki", "makedonia", "kriti", daemons=2, services=()
+    )
+    with open_deployment(
+        places=places,
+        proxied=["store", "instances", "upstreams", "peers"],
+        timing=TIMING,
+    ) as deployment:
+        yield deployment
+
+
+def send_online(deployment, daemons, *, seconds):
+    """Send online requests to daemons in turn; return their number.
+
+    An answer that is no success raises.
+    """
+    end = time.monotonic() + seconds
+    count = 0
+    while time.monotonic() < end:
+        for name in daemons:
+            caller = Caller(url=deployment.url(name), key=KEY)
+            answer = caller.post(
+                "/v1/completions",
+                {
+                    "model": MODEL,
+                    "prompt": f"drift note {name} {count}",
+                    "max_tokens": ONLINE_TOKENS,
+                },
+            )
+            assert answer["choices"][0]["finish_reason"]
+            count += 1
+    return count
+
+
+def count_online(deployment, engines, *, since):
+    return sum(
+        record["event"] == "finished"
+        and record["class"] == "online"
+        and record["time"] >= since
+        for record in deployment.read_records(*engines)
+    )
+
+
+def list_inside(deployment, data_centre):
+    return [
+        daemon.name
+        for daemon in deployment.daemons
+        if daemon.data_centre == data_centre
+    ]
+
+
+def test_a_data_centre_that_is_cut_off(deployment, open_tester):
+    tester = open_tester(deployment=deployment)
+    operator = Operator(deployment=deployment)
+    inside = list_inside(deployment, "kriti-a")
+    outside = [n for n in deployment.daemon_names if n not in inside]
+    batch = tester.submit(PROMPTS, max_tokens=ITEM_TOKENS)
+    engines = deployment.list_upstreams(data_centre="kriti-a")
+    tester.wait_until(
+        lambda: any(
+            record["class"] == "batch"
+            for record in deployment.read_records(*engines)
+        )
+    )
+    assert deployment.cut_off("kriti-a")
+    since = time.time()
+    generation = operator.change(outside[0], reason="while it is cut off")
+    sent = send_online(deployment, inside, seconds=CUT_SECONDS)
+    assert count_online(deployment, engines, since=since) == sent
+    deployment.cut_off("kriti-a", is_cut=False)
+    operator.wait_in_force(
+        generation, daemons=deployment.daemon_names, seconds=IN_FORCE_SECONDS
+    )
+    batch = tester.wait(batch)
+    lines = tester.check_whole(PROMPTS, batch, daemon=-1)
+    assert [line for line in lines if line["error"]] == []
+
+
+def test_a_long_outage_of_the_store(deployment, open_tester):
+    tester = open_tester(deployment=deployment)
+    batch = tester.submit(PROMPTS, max_tokens=ITEM_TOKENS)
+    tester.wait_until(
+        lambda: tester.count_events("admitted", batch=batch) >= 12
+    )
+    deployment.control("store", outage=True)
+    began = time.time()
+    sent = send_online(
+        deployment, deployment.daemon_names, seconds=CUT_SECONDS
+    )
+    engines = deployment.list_upstreams()
+    assert count_online(deployment, engines, since=began) == sent
+    # Jobs go on while a lease that was renewed before can be trusted.
+    trusted = began + TIMING["lease"] / 2
+    finished = [
+        record["time"]
+        for record in deployment.read_records(*engines)
+        if record["event"] == "finished" and record["class"] == "batch"
+    ]
+    assert any(began < moment < trusted for moment in finished)
+    deployment.control("store", outage=False)
+    batch = tester.wait(batch)
+    tester.check_whole(PROMPTS, batch)
