Free the batch streams of an owner that does not answer

Cause: in a burst after the loss of an upstream's owner the engine kept 7 of 8 slots for the owner's streams, connected or not, until the resume window ended; the engine's records show all online requests going through the one free slot, 0.40 s for the second and 2 s for the tenth. Nobody but the owner knew the streams' identifiers, and nobody learned that a notice was not heard.

Change: batch streams are numbered for each upstream, and their identifiers follow from instance, incarnation, upstream and number; heartbeats carry the numbers that run. The owner answers a notice of risen load after it has acted on it. Without an answer in 80 ms, one repeat included, the sender cancels the owner's streams on that upstream, and the next numbers, at the engine. Who takes an upstream over frees the streams of daemons that failed lately, and two peers those of a restarted daemon's former process. A batch stream whose connection breaks is cancelled and paused in place of being resumed into the engine's queue at once; it counts as no attempt, and the owner runs nothing there for 2 s when another daemon had cancelled it.

Ruled out: a larger reserve or other routing (too few slots are left), and the engines' load report (late).

--- a/integration/tests/test_batch_blocking.py
+++ b/integration/tests/test_batch_blocking.py
@@ -19,6 +19,8 @@
 ITEM_TOKENS = 60
 # Items that outlast the takeover by far.
 LONG_ITEM_TOKENS = 1500
+FREED_ITEMS = 40
+FREED_ITEM_TOKENS = 300
 ONLINE_TOKENS = 20
 BURST = 10
 PAUSE_SECONDS = 0.5
@@ -122,6 +124,10 @@
     assert violations
 
 
+def find_owner(deployment, engine):
+    return choose_owner(engine, deployment.daemon_names)
+
+
 @pytest.mark.parametrize("fault", ["kill", "freeze"])
 def test_loss_of_the_owner_in_a_burst(open_tester, fault):
     places = build_places("attiki", engines=2, daemons=3)
@@ -132,7 +138,7 @@
         wait_busy(deployment, streams=SLOTS // 2)
         daemons = deployment.daemon_names
         engine = deployment.list_upstreams()[0]
-        owner = choose_owner(engine, daemons)
+        owner = find_owner(deployment, engine)
         others = [name for name in daemons if name != owner]
         getattr(deployment, fault)(owner)
         send_burst(deployment, others, rounds=4)
@@ -142,3 +148,70 @@
         if fault == "freeze":
             deployment.thaw(owner)
     assert describe(violations) == []
+
+
+def test_lost_datagrams_in_a_burst(open_tester):
+    """The owners live, but hear nothing of the burst."""
+    places = build_places("attiki", engines=2, daemons=3)
+    with open_deployment(
+        places=places, slots=SLOTS, proxied=["peers"]
+    ) as deployment:
+        open_tester(deployment=deployment).submit(
+            build_prompts(), max_tokens=LONG_ITEM_TOKENS
+        )
+        wait_busy(deployment, streams=SLOTS // 2)
+        deployment.set_links("peer:*", cut=True)
+        send_burst(deployment, deployment.daemon_names, rounds=2)
+        violations = find_blocked_online(
+            read_engines(deployment), notice_seconds=NOTICE_SECONDS
+        )
+    assert describe(violations) == []
+
+
+def test_restart_of_the_owner_in_a_burst(open_tester):
+    """The new process knows nothing of the streams of the old one."""
+    places = build_places("attiki", engines=2, daemons=3)
+    with open_deployment(places=places, slots=SLOTS) as deployment:
+        open_tester(deployment=deployment).submit(
+            build_prompts(), max_tokens=LONG_ITEM_TOKENS
+        )
+        wait_busy(deployment, streams=SLOTS // 2)
+        owner = find_owner(deployment, deployment.list_upstreams()[0])
+        deployment.kill(owner)
+        deployment.wait(owner)
+        deployment.start(owner)
+        send_burst(deployment, deployment.daemon_names, rounds=3)
+        violations = find_blocked_online(
+            read_engines(deployment), notice_seconds=NOTICE_SECONDS
+        )
+    assert describe(violations) == []
+
+
+def test_freed_streams_have_one_result_each(open_tester):
+    """The owner wakes and takes the cancelled streams for preempted."""
+    places = build_places("attiki", engines=2, daemons=3)
+    prompts = {f"item-{i}": f"tide table {i}" for i in range(FREED_ITEMS)}
+    # A stream that were counted as failed would end its item.
+    configuration = build_configuration(
+        model=MODEL, services=(), slots=SLOTS, batch={"item_attempts": 1}
+    )
+    with open_deployment(
+        places=places, slots=SLOTS, configuration=configuration
+    ) as deployment:
+        tester = open_tester(deployment=deployment)
+        owner = find_owner(deployment, deployment.list_upstreams()[0])
+        daemons = deployment.daemon_names
+        others = [name for name in daemons if name != owner]
+        batch = tester.submit(prompts, max_tokens=FREED_ITEM_TOKENS)
+        wait_busy(deployment, streams=SLOTS // 2)
+        deployment.freeze(owner)
+        send_burst(deployment, others, rounds=1)
+        deployment.thaw(owner)
+        send_burst(deployment, daemons, rounds=3)
+        violations = find_blocked_online(
+            read_engines(deployment), notice_seconds=NOTICE_SECONDS
+        )
+        batch = tester.wait(batch)
+        lines = tester.check_whole(prompts, batch)
+    assert describe(violations) == []
+    assert [line for line in lines if line["error"]] == []
--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -37,6 +37,7 @@
 from .store import StoreReplyLostError
 from .store import StoreUnavailableError
 from .store import StoreValueTooLargeError
+from .upstream import StreamCancelledError
 from .upstream import StreamLostError
 from .upstream import StreamMalformedError
 from .upstream import UpstreamAnswerError
@@ -81,6 +82,7 @@
     "StoreReplyLostError",
     "StoreUnavailableError",
     "StoreValueTooLargeError",
+    "StreamCancelledError",
     "StreamLostError",
     "StreamMalformedError",
     "UpstreamAnswerError",
--- a/packages/hollyspan_core/hollyspan_core/errors/upstream.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/upstream.py
@@ -4,6 +4,7 @@
 from .base import Outcome
 
 __all__ = [
+    "StreamCancelledError",
     "StreamLostError",
     "StreamMalformedError",
     "UpstreamAnswerError",
@@ -37,6 +38,25 @@
     code = "stream_lost"
 
 
+class StreamCancelledError(HollyspanError):
+    """A stream broke and was cancelled; the engine can resume it.
+
+    Parameters
+    ----------
+    message : str
+    is_foreign : bool, optional
+        True when the engine had ended it, since another daemon cancelled it.
+    """
+
+    status = 502
+    kind = "server_error"
+    code = "stream_cancelled"
+
+    def __init__(self, message, *, is_foreign=False, **details):
+        super().__init__(message, **details)
+        self.is_foreign = is_foreign
+
+
 class StreamMalformedError(HollyspanError):
     """The bytes of a stream are no valid event stream."""
 
--- a/packages/hollyspan_core/hollyspan_core/messages/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/__init__.py
@@ -1,5 +1,6 @@
 """Messages between daemons: schema, encoding and digest."""
 
+from .batchstreams import BatchStreams
 from .codec import compute_digest
 from .codec import decode_message
 from .codec import encode_message
@@ -20,16 +21,21 @@
 from .notice import build_notice
 from .notice import Notice
 from .notice import read_notice
+from .noticeanswer import build_notice_answer
+from .noticeanswer import NoticeAnswer
+from .noticeanswer import read_notice_answer
 from .remote import Remote
 from .report import Report
 
 __all__ = [
+    "BatchStreams",
     "ForwardHead",
     "ForwardRequest",
     "Heartbeat",
     "Hello",
     "InFlight",
     "Notice",
+    "NoticeAnswer",
     "PeerMessage",
     "Remote",
     "Report",
@@ -37,6 +43,7 @@
     "build_heartbeat",
     "build_hello",
     "build_notice",
+    "build_notice_answer",
     "compute_digest",
     "decode_message",
     "encode_message",
@@ -46,4 +53,5 @@
     "read_heartbeat",
     "read_hello",
     "read_notice",
+    "read_notice_answer",
 ]
--- a/packages/hollyspan_core/hollyspan_core/messages/heartbeat.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/heartbeat.py
@@ -1,5 +1,7 @@
 """Heartbeats of daemons."""
 
+from .batchstreams import read_batch_streams
+from .batchstreams import write_batch_streams
 from .codec import guard_reading
 from .codec import PeerMessage
 from .inflight import read_in_flight
@@ -27,6 +29,8 @@
         Daemons of other data centres that the sender hears.
     reports : sequence of Report, optional
         Of the upstreams that the sender owns.
+    batch_streams : sequence of BatchStreams, optional
+        Its batch streams on upstreams of the own data centre.
     """
 
     __slots__ = (
@@ -36,6 +40,7 @@
         "cancelled_jobs",
         "remotes",
         "reports",
+        "batch_streams",
     )
 
     def __init__(
@@ -47,6 +52,7 @@
         cancelled_jobs=(),
         remotes=(),
         reports=(),
+        batch_streams=(),
     ):
         self.sender = sender
         self.in_flight = in_flight
@@ -54,6 +60,7 @@
         self.cancelled_jobs = cancelled_jobs
         self.remotes = remotes
         self.reports = reports
+        self.batch_streams = batch_streams
 
 
 def build_heartbeat(heartbeat):
@@ -85,6 +92,9 @@
         entries = target.init("reports", len(heartbeat.reports))
         for report, entry in zip(heartbeat.reports, entries):
             write_report(report, entry)
+    if heartbeat.batch_streams:
+        entries = target.init("batchStreams", len(heartbeat.batch_streams))
+        write_batch_streams(heartbeat.batch_streams, entries)
     return message
 
 
@@ -114,4 +124,5 @@
             cancelled_jobs=list(source.cancelledJobs),
             remotes=[read_remote(remote) for remote in source.remotes],
             reports=[read_report(report) for report in source.reports],
+            batch_streams=read_batch_streams(source.batchStreams),
         )
--- a/packages/hollyspan_core/hollyspan_core/messages/notice.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/notice.py
@@ -17,15 +17,32 @@
     incarnation, sequence : int
         Order among the heartbeats and notices of the sender.
     in_flight : sequence of InFlight
+    is_answered : bool, optional
+        Whether the sender waits for an answer.
     """
 
-    __slots__ = ("instance", "incarnation", "sequence", "in_flight")
-
-    def __init__(self, *, instance, incarnation, sequence, in_flight):
+    __slots__ = (
+        "instance",
+        "incarnation",
+        "sequence",
+        "in_flight",
+        "is_answered",
+    )
+
+    def __init__(
+        self,
+        *,
+        instance,
+        incarnation,
+        sequence,
+        in_flight,
+        is_answered=False,
+    ):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
         self.in_flight = in_flight
+        self.is_answered = is_answered
 
 
 def build_notice(notice):
@@ -44,6 +61,7 @@
     target.instance = notice.instance
     target.incarnation = notice.incarnation
     target.sequence = notice.sequence
+    target.isAnswered = notice.is_answered
     entries = target.init("inFlight", len(notice.in_flight))
     write_in_flight(notice.in_flight, entries)
     return message
@@ -72,4 +90,5 @@
             incarnation=source.incarnation,
             sequence=source.sequence,
             in_flight=read_in_flight(source.inFlight),
+            is_answered=source.isAnswered,
         )
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/messages/noticeanswer.py
@@ -0,0 +1,69 @@
+"""Answers to notices of online arrivals."""
+
+from .codec import guard_reading
+from .codec import PeerMessage
+
+__all__ = ["NoticeAnswer", "build_notice_answer", "read_notice_answer"]
+
+
+class NoticeAnswer:
+    """Tells that the loads of a notice were taken in.
+
+    Parameters
+    ----------
+    instance : str
+        The daemon that answers.
+    incarnation, sequence : int
+        Of the daemon that sent the notice, and of the notice.
+    """
+
+    __slots__ = ("instance", "incarnation", "sequence")
+
+    def __init__(self, *, instance, incarnation, sequence):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.sequence = sequence
+
+
+def build_notice_answer(answer):
+    """Return an answer as a message that can be encoded.
+
+    Parameters
+    ----------
+    answer : NoticeAnswer
+
+    Returns
+    -------
+    PeerMessage builder
+    """
+    message = PeerMessage.new_message()
+    target = message.init("noticeAnswer")
+    target.instance = answer.instance
+    target.incarnation = answer.incarnation
+    target.sequence = answer.sequence
+    return message
+
+
+def read_notice_answer(message):
+    """Return the answer in a decoded message.
+
+    Parameters
+    ----------
+    message : PeerMessage reader
+
+    Returns
+    -------
+    NoticeAnswer
+
+    Raises
+    ------
+    PeerMessageError
+        The message is damaged.
+    """
+    with guard_reading():
+        source = message.noticeAnswer
+        return NoticeAnswer(
+            instance=source.instance,
+            incarnation=source.incarnation,
+            sequence=source.sequence,
+        )
--- a/packages/hollyspan_core/hollyspan_core/messages/peer.capnp
+++ b/packages/hollyspan_core/hollyspan_core/messages/peer.capnp
@@ -15,6 +15,13 @@
   reachable @3 :Bool;
 }
 
+# Batch streams that the sender runs on one upstream, by their numbers.
+struct BatchStreams {
+  upstream @0 :Text;
+  highest @1 :UInt32;       # last number that was given to a stream
+  running @2 :List(UInt32);
+}
+
 # A daemon of another data centre, as its link partner heard it.
 struct Remote {
   instance @0 :Text;
@@ -47,6 +54,7 @@
   region @13 :Text;
   remotes @14 :List(Remote);
   reports @15 :List(Report);
+  batchStreams @16 :List(BatchStreams);
 }
 
 # Online arrivals towards an upstream, sent to its owner at once.
@@ -55,6 +63,14 @@
   sequence @1 :UInt64;
   inFlight @2 :List(InFlight);
   incarnation @3 :UInt64;
+  isAnswered @4 :Bool;      # the sender waits for an answer
+}
+
+# The loads of a notice were taken in and what they ask for was done.
+struct NoticeAnswer {
+  instance @0 :Text;
+  sequence @1 :UInt64;      # of the notice
+  incarnation @2 :UInt64;   # of the daemon that sent the notice
 }
 
 struct ConfigurationPull {
@@ -128,5 +144,6 @@
     statistics @11 :Statistics;
     hello @12 :Hello;
     failure @13 :Failure;
+    noticeAnswer @14 :NoticeAnswer;
   }
 }
--- a/packages/hollyspan_core/hollyspan_core/messages/tests/test_codec.py
+++ b/packages/hollyspan_core/hollyspan_core/messages/tests/test_codec.py
@@ -7,9 +7,11 @@
 
 from hollyspan_core.errors import PeerAuthenticationError
 from hollyspan_core.errors import PeerMessageError
+from hollyspan_core.messages import BatchStreams
 from hollyspan_core.messages import build_heartbeat
 from hollyspan_core.messages import build_hello
 from hollyspan_core.messages import build_notice
+from hollyspan_core.messages import build_notice_answer
 from hollyspan_core.messages import compute_digest
 from hollyspan_core.messages import decode_message
 from hollyspan_core.messages import encode_message
@@ -17,14 +19,16 @@
 from hollyspan_core.messages import Hello
 from hollyspan_core.messages import InFlight
 from hollyspan_core.messages import Notice
+from hollyspan_core.messages import NoticeAnswer
 from hollyspan_core.messages import read_heartbeat
 from hollyspan_core.messages import read_hello
 from hollyspan_core.messages import read_notice
+from hollyspan_core.messages import read_notice_answer
 from hollyspan_core.messages import Remote
 from hollyspan_core.messages import Report
 
 KEY = b"key"
-READERS = (read_heartbeat, read_hello, read_notice)
+READERS = (read_heartbeat, read_hello, read_notice, read_notice_answer)
 
 
 def build_remote(name):
@@ -51,6 +55,7 @@
         cancelled_jobs=["batch_1"],
         remotes=[build_remote("b")],
         reports=[Report(upstream="e1", waiting=3, running=8, reachable=True)],
+        batch_streams=[BatchStreams(upstream="e1", highest=9, running=[7, 9])],
     )
 
 
@@ -68,13 +73,32 @@
     assert heartbeat.cancelled_jobs == ["batch_1"]
     assert heartbeat.remotes[0].generation == 7
     assert heartbeat.reports[0].waiting == 3
+    assert heartbeat.batch_streams[0].highest == 9
+    assert heartbeat.batch_streams[0].running == [7, 9]
 
 
 def test_a_notice_comes_back_whole():
     loads = [InFlight(upstream="e1", online=2, batch=0)]
-    notice = Notice(instance="a", incarnation=1, sequence=2, in_flight=loads)
+    notice = Notice(
+        instance="a",
+        incarnation=1,
+        sequence=2,
+        in_flight=loads,
+        is_answered=True,
+    )
     encoded = encode_message(build_notice(notice), key=KEY)
-    assert read_notice(decode_message(encoded, key=KEY)).sequence == 2
+    decoded = read_notice(decode_message(encoded, key=KEY))
+    assert decoded.sequence == 2
+    assert decoded.is_answered
+
+
+def test_an_answer_comes_back_whole():
+    answer = NoticeAnswer(instance="a", incarnation=2**60, sequence=2)
+    encoded = encode_message(build_notice_answer(answer), key=KEY)
+    decoded = read_notice_answer(decode_message(encoded, key=KEY))
+    assert decoded.instance == "a"
+    assert decoded.incarnation == 2**60
+    assert decoded.sequence == 2
 
 
 def test_the_digest_covers_the_context():
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/execution.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/execution.py
@@ -8,11 +8,13 @@
 from hollyspan_core.errors import ItemTimeoutError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import OutcomeUnknownError
+from hollyspan_core.errors import StreamCancelledError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 
 from ..streams import run_stream
+from .begin import begin_stream
 from .results import build_failure
 from .results import build_success
 from .run import StopReason
@@ -35,10 +37,7 @@
     runtime = runner.runtime
     item = run.item
     resume = item.stream_id is not None
-    if not resume:
-        item.begin(
-            stream_id=runtime.create_token().hex(), upstream=run.upstream.name
-        )
+    begin_stream(runtime, run)
     try:
         await run_stream(
             runtime=runtime,
@@ -52,10 +51,13 @@
             offset=len(item.events),
             idle_timeout=IDLE_TIMEOUT_SECONDS,
             resume=resume,
+            cancel_broken=True,
         )
         runner.finish(run, build_success(run.chunk.record.job, item))
     except defer.CancelledError:
         take_stop(runner, run)
+    except StreamCancelledError as error:
+        take_cancel(runner, run, error)
     except HollyspanError as error:
         if resume and isinstance(error, StreamLostError):
             take_lost_resume(runner, run, error)
@@ -77,6 +79,16 @@
         fail(runner, run, OutcomeUnknownError("the item was cut off"))
 
 
+def take_cancel(runner, run, error):
+    """Decide about an item whose stream broke and holds no slot any more."""
+    if error.is_foreign:
+        runner.hold(run.upstream)
+    if run.reason in (None, StopReason.PREEMPTED):
+        runner.pause(run)
+    else:
+        take_stop(runner, run)
+
+
 def take_lost_resume(runner, run, error):
     """Decide about a preempted item that the engine has forgotten."""
     if not run.chunk.record.idempotent:
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/item.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/item.py
@@ -25,6 +25,8 @@
         Where its stream runs or was preempted.
     stream_id : str or None
         Identifier of the attempt, None between attempts.
+    stream_number : int or None
+        Of the attempt, as peers are told of it.
     events : list of bytes
         Received so far in this attempt.
     seconds : float
@@ -42,6 +44,7 @@
         "attempts",
         "upstream",
         "stream_id",
+        "stream_number",
         "events",
         "seconds",
         "pinned",
@@ -56,6 +59,7 @@
         self.attempts = 0
         self.upstream = None
         self.stream_id = None
+        self.stream_number = None
         self.events = []
         self.seconds = 0.0
         self.pinned = False
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.ownership import choose_owner
 from hollyspan_policy.ownership import rank_owners
 
+from ..streams import free_batch_streams
 from .slots import UpstreamSlots
 
 __all__ = ["build_guard", "build_member_listener", "refresh_slots"]
@@ -35,6 +36,10 @@
     return hear_member
 
 
+# Engines keep streams without a connection for a shorter time.
+LOST_SECONDS = 15.0
+
+
 def refresh_slots(runner, *, now):
     """Bring the runner's slots in step with the upstreams it owns.
 
@@ -53,7 +58,9 @@
         if owned.get(name) is not slots.upstream:
             retire(runner, name, slots)
     for name, upstream in owned.items():
-        slots = runner.slots.setdefault(name, UpstreamSlots(upstream=upstream))
+        if name not in runner.slots:
+            take_over(runner, upstream, now=now)
+        slots = runner.slots[name]
         slots.owned = slots.upstream is upstream
         slots.configure(
             runner.runtime.configurations.current, now=now, wall=time.time()
@@ -84,6 +91,32 @@
     return rank_owners(upstream.service, usable | {upstream.name})
 
 
+def take_over(runner, upstream, *, now):
+    """Begin to own an upstream and free what lost owners run there."""
+    runtime = runner.runtime
+    slots = UpstreamSlots(upstream=upstream)
+    runner.slots[upstream.name] = slots
+    lost = list_lost(runtime, now=now)
+    if lost:
+        # The other daemons have yet to tell this one of their online work.
+        slots.hold(now=now)
+    for instance in lost:
+        free_batch_streams(runtime, upstream=upstream, instance=instance)
+
+
+def list_lost(runtime, *, now):
+    """List the daemons of the data centre that have failed lately."""
+    members = runtime.members
+    live = {m.instance for m in members.list_live(now=now, leaving=True)}
+    return [
+        member.instance
+        for member in members.members.values()
+        if member.data_centre == runtime.settings.data_centre
+        and member.instance not in live
+        and now - member.heard <= LOST_SECONDS
+    ]
+
+
 def list_owned(runtime, *, now):
     """Return the engines of the own data centre that this daemon owns.
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/run.py
@@ -29,9 +29,19 @@
     work : Deferred or None
         Cancelled to stop the stream.
     reason : StopReason or None
+    number : int or None
+        Of the stream, as told to the peers.
     """
 
-    __slots__ = ("chunk", "item", "upstream", "began", "work", "reason")
+    __slots__ = (
+        "chunk",
+        "item",
+        "upstream",
+        "began",
+        "work",
+        "reason",
+        "number",
+    )
 
     def __init__(self, *, chunk, item, upstream, began):
         self.chunk = chunk
@@ -40,6 +50,7 @@
         self.began = began
         self.work = None
         self.reason = None
+        self.number = None
 
     def cancel(self, reason):
         """Stop the stream at its engine.
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -184,6 +184,7 @@
         """Free what a run had."""
         now = time.monotonic()
         self.runtime.upstreams.change_batch(run.upstream, -1)
+        run.upstream.streams.discard(run.number)
         slots = self.slots.get(run.upstream.name)
         if slots is not None:
             slots.running.discard(run)
@@ -211,6 +212,14 @@
             return
         slots.paused.append((run.chunk, run.item, time.monotonic()))
 
+    def hold(self, upstream):
+        """Keep batch work off an upstream that a peer needs for online."""
+        slots = self.slots.get(upstream.name)
+        if slots is not None:
+            now = time.monotonic()
+            slots.hold(now=now)
+            slots.preempt(now=now)
+
     def put_back(self, run):
         """Let an item run again that did not run."""
         run.chunk.put_back(run.item)
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -1,5 +1,7 @@
 """Batch slots of one upstream that this daemon owns."""
 
+import math
+
 from hollyspan_core.configuration import Scope
 from hollyspan_policy.batch import BatchGate
 from hollyspan_policy.batch import choose_preempted
@@ -10,6 +12,9 @@
 
 __all__ = ["UpstreamSlots"]
 
+# Within it a daemon that is not heard counts as failed.
+HOLD_SECONDS = 2.0
+
 
 class UpstreamSlots:
     """Batch streams of one upstream within its gate.
@@ -27,6 +32,8 @@
     paused : list of (HeldChunk, Item, float)
         Preempted items whose stream the engine may still know, with the
         monotonic seconds of the preemption; the earliest first.
+    held : float
+        Monotonic seconds until which no batch work may run.
     owned : bool
         False when another daemon has become the owner.
     """
@@ -37,6 +44,7 @@
         "policy",
         "running",
         "paused",
+        "held",
         "owned",
         "peers",
     )
@@ -47,6 +55,7 @@
         self.policy = None
         self.running = set()
         self.paused = []
+        self.held = -math.inf
         self.owned = True
         self.peers = True
 
@@ -103,6 +112,8 @@
 
     def count_allowed(self, *, now):
         """Count the batch streams that may run, those of peers included."""
+        if now < self.held:
+            return 0
         return count_batch_slots(
             self.policy,
             self.gate,
@@ -110,6 +121,16 @@
             running=self.upstream.count_batch(),
         )
 
+    def hold(self, *, now):
+        """Run nothing for a while: online work came that was not told of.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        self.held = now + HOLD_SECONDS
+
     def count_free(self, *, now):
         """Count the batch streams that may start now."""
         if not self.owned or not self.is_usable:
--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -7,6 +7,9 @@
 from hollyspan_core.messages import Heartbeat
 from hollyspan_core.messages import Notice
 
+from .answers import Answers
+from .answers import list_own
+from .batchstreams import ToldStreams
 from .loads import describe_load
 from .loads import list_loads
 from .loads import list_reports
@@ -47,11 +50,14 @@
         "receipts",
         "probes",
         "told",
+        "told_streams",
+        "answers",
         "sequence",
         "turns",
         "soon",
         "online",
         "changed",
+        "risen",
         "notice",
     )
 
@@ -61,11 +67,14 @@
         self.receipts = receipts
         self.probes = probes
         self.told = ToldLoads()
+        self.told_streams = ToldStreams()
+        self.answers = Answers(runtime=runtime, datagrams=datagrams)
         self.sequence = 0
         self.turns = 0
         self.soon = None
         self.online = {}
         self.changed = {}
+        self.risen = set()
         self.notice = None
 
     async def beat(self):
@@ -147,7 +156,11 @@
         self.receipts.interval = choose_interval(
             self.runtime.settings.timing, near=len(near)
         )
-        more = {"remotes": remotes, "reports": base.reports}
+        more = {
+            "remotes": remotes,
+            "reports": base.reports,
+            "batch_streams": self.told_streams.list(list_own(self.runtime)),
+        }
         plain = self.encode(base, **more)
         for seed in near:
             told = self.told.complete(seed.instance, loads)
@@ -166,7 +179,15 @@
             self.probes.send(seed.instance, now=now)
             self.send_all(datagrams, seed)
 
-    def encode(self, base, *, in_flight=(), remotes=(), reports=()):
+    def encode(
+        self,
+        base,
+        *,
+        in_flight=(),
+        remotes=(),
+        reports=(),
+        batch_streams=(),
+    ):
         whole = Heartbeat(
             sender=base.sender,
             in_flight=in_flight,
@@ -174,6 +195,7 @@
             cancelled_jobs=base.cancelled_jobs,
             remotes=remotes,
             reports=reports,
+            batch_streams=batch_streams,
         )
         return [
             self.datagrams.encode(build_heartbeat(part))
@@ -208,6 +230,7 @@
         self.online[upstream.name] = upstream.online
         self.changed[upstream.name] = upstream
         if upstream.online > before:
+            self.risen.add(upstream.name)
             # One notice for all that arrives within a turn of the loop.
             self.notify_within(0)
         else:
@@ -231,10 +254,18 @@
             # Heartbeats tell the others; datagrams would grow too many.
             owners = {self.runtime.owners.find(u) for u in changed.values()}
             near = [seed for seed in near if seed.instance in owners]
+        risen, self.risen = self.risen, set()
         for seed in near:
-            self.send_notice(seed, changed.values())
-
-    def send_notice(self, seed, upstreams):
+            asked = [
+                upstream
+                for name, upstream in changed.items()
+                if name in risen
+                and self.runtime.owners.find(upstream) == seed.instance
+            ]
+            self.send_notice(seed, changed.values(), asked=asked)
+
+    def send_notice(self, seed, upstreams, *, asked):
+        """Tell a daemon of loads; wait for its answer as an owner."""
         self.sequence += 1
         for upstream in upstreams:
             self.told.note(seed.instance, upstream.name)
@@ -243,11 +274,21 @@
             incarnation=self.runtime.incarnation,
             sequence=self.sequence,
             in_flight=[describe_load(upstream) for upstream in upstreams],
+            is_answered=bool(asked),
         )
-        self.datagrams.send(
-            self.datagrams.encode(build_notice(notice)),
-            address=seed.address,
-            port=seed.peer_port,
+        datagram = self.datagrams.encode(build_notice(notice))
+        if not asked:
+            self.datagrams.send(
+                datagram, address=seed.address, port=seed.peer_port
+            )
+            return
+        self.answers.questions.ask(
+            seed.instance,
+            sequence=notice.sequence,
+            upstreams=asked,
+            send=lambda: self.datagrams.send(
+                datagram, address=seed.address, port=seed.peer_port
+            ),
         )
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/peers/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/part.py
@@ -63,6 +63,9 @@
         receipts=receipts,
         probes=probes,
     )
+    receipts.notice_listeners.append(beats.answers.answer_notice)
+    receipts.restart_listeners.append(beats.answers.free_restarted)
+    receipts.answer_listeners.append(beats.answers.take_answer)
     port = runtime.reactor.listenUDP(
         settings.peer_port, datagrams, interface=settings.peer_address
     )
@@ -70,6 +73,7 @@
         yield beats
     finally:
         beats.stop()
+        beats.answers.questions.stop()
         port.stopListening()
 
 
--- a/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/receipts.py
@@ -4,6 +4,7 @@
 
 from hollyspan_core.messages import read_heartbeat
 from hollyspan_core.messages import read_notice
+from hollyspan_core.messages import read_notice_answer
 
 from ..upstreams import PeerLoad
 from .states import build_member
@@ -35,6 +36,13 @@
     partners : dict
         Monotonic seconds at which a daemon of another data centre was
         heard, by instance.
+    notice_listeners : list of callable
+        Called with each notice that waits for an answer.
+    restart_listeners : list of callable
+        Called with a daemon that was restarted and the incarnation of its
+        former process.
+    answer_listeners : list of callable
+        Called with each NoticeAnswer.
     """
 
     __slots__ = (
@@ -45,6 +53,9 @@
         "orders",
         "partners",
         "failed",
+        "notice_listeners",
+        "answer_listeners",
+        "restart_listeners",
     )
 
     def __init__(self, *, runtime, probes, remote_timeout):
@@ -55,6 +66,9 @@
         self.orders = {}
         self.partners = {}
         self.failed = set()
+        self.notice_listeners = []
+        self.answer_listeners = []
+        self.restart_listeners = []
 
     def receive(self, message):
         """Take in a message; other kinds are passed over.
@@ -73,6 +87,10 @@
             self.take_heartbeat(read_heartbeat(message))
         elif kind == "notice":
             self.take_notice(read_notice(message))
+        elif kind == "noticeAnswer":
+            answer = read_notice_answer(message)
+            for listener in self.answer_listeners:
+                listener(answer)
 
     def take_heartbeat(self, heartbeat):
         """Take in a heartbeat."""
@@ -87,6 +105,7 @@
         self.observe(sender, now=now)
         order = sender.incarnation, sender.sequence
         self.take_loads(sender.instance, order, heartbeat.in_flight)
+        self.take_streams(sender, heartbeat.batch_streams)
         for remote in heartbeat.remotes:
             if remote.data_centre != settings.data_centre:
                 self.observe(remote, now=now)
@@ -146,6 +165,22 @@
             return
         order = notice.incarnation, notice.sequence
         self.take_loads(notice.instance, order, notice.in_flight)
+        if notice.is_answered:
+            # What the loads ask for was done by their listeners.
+            for listener in self.notice_listeners:
+                listener(notice)
+
+    def take_streams(self, sender, batch_streams):
+        """Take in which batch streams a daemon runs."""
+        for entry in batch_streams:
+            upstream = self.runtime.upstreams.by_name.get(entry.upstream)
+            if upstream is not None:
+                upstream.note_peer_streams(
+                    sender.instance,
+                    incarnation=sender.incarnation,
+                    highest=entry.highest,
+                    running=entry.running,
+                )
 
     def take_loads(self, instance, order, loads):
         """Take in the loads of one daemon, unless newer ones are known."""
@@ -154,6 +189,8 @@
             return
         if order[0] > known[0]:
             self.drop_loads(instance)
+            for listener in self.restart_listeners:
+                listener(instance, known[0])
         self.orders[instance] = order
         for load in loads:
             self.take_load(instance, order[1], load)
--- a/packages/hollyspan_entry/hollyspan_entry/peers/split.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/split.py
@@ -1,5 +1,6 @@
 """Splitting of heartbeats that would not fit one datagram."""
 
+from hollyspan_core.messages import BatchStreams
 from hollyspan_core.messages import Heartbeat
 
 __all__ = ["split_heartbeat"]
@@ -9,12 +10,14 @@
 BASE_BYTES = 300
 ITEM_BYTES = 24
 REMOTE_BYTES = 120
+NUMBER_BYTES = 6
 FIELDS = (
     "in_flight",
     "leaving_upstreams",
     "cancelled_jobs",
     "remotes",
     "reports",
+    "batch_streams",
 )
 
 
@@ -46,6 +49,9 @@
 def estimate_size(item):
     if isinstance(item, str):
         return ITEM_BYTES + count_bytes(item)
+    if isinstance(item, BatchStreams):
+        numbers = NUMBER_BYTES * (2 + len(item.running))
+        return ITEM_BYTES + count_bytes(item.upstream) + numbers
     if hasattr(item, "upstream"):
         return ITEM_BYTES + count_bytes(item.upstream)
     texts = (item.instance, item.data_centre, item.region, item.peer_address)
--- a/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
@@ -22,6 +22,7 @@
 from hollyspan_entry.peers.counters import PeerCounters
 from hollyspan_entry.peers.datagrams import Datagrams
 from hollyspan_entry.peers.owners import Owners
+from hollyspan_entry.peers.questions import REPEAT_SECONDS
 from hollyspan_entry.peers.receipts import Receipts
 from hollyspan_entry.peers.split import MAX_DATAGRAM_BYTES
 from hollyspan_entry.peers.split import split_heartbeat
@@ -207,6 +208,30 @@
     assert network.delivered == before + 1
 
 
+def test_the_owner_answers_a_notice(pair):
+    network, first, second = pair
+    questions = first.beats.answers.questions
+    first.receipts.answer_listeners.append(first.beats.answers.take_answer)
+    first.runtime.upstreams.change_online(find_owned(first, "b"), 1)
+    network.clock.advance(0)
+    assert questions.waiting
+    second.receipts.notice_listeners.append(second.beats.answers.answer_notice)
+    network.clock.advance(REPEAT_SECONDS)
+    assert not questions.waiting
+
+
+def test_peers_know_the_batch_streams(pair):
+    network, first, second = pair
+    upstream = first.runtime.upstreams.by_name["e1"]
+    upstream.streams = {upstream.begin_batch_stream()}
+    network.beat()
+    known = second.runtime.upstreams.by_name["e1"].peer_streams["a"]
+    assert (known.highest, known.running) == (1, [1])
+    upstream.streams.clear()
+    network.beat()
+    assert (known.highest, known.running) == (1, [])
+
+
 def test_the_end_of_a_load_is_told(pair):
     network, first, second = pair
     upstream = find_owned(first, "b")
--- a/packages/hollyspan_entry/hollyspan_entry/streams/cancellation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/cancellation.py
@@ -14,6 +14,7 @@
 CALL_FAILURES = (
     defer.TimeoutError,
     error.ConnectError,
+    error.ConnectingCancelledError,
     error.ConnectionDone,
     error.ConnectionLost,
     client.ResponseFailed,
--- a/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
@@ -4,10 +4,13 @@
 
 from twisted.internet import defer
 from twisted.internet import protocol
+from twisted.python import failure
 from twisted.web import client
 
 __all__ = ["StreamReader"]
 
+END = failure.Failure(client.ResponseDone())
+
 
 class StreamReader(protocol.Protocol):
     """Feeds the bytes of a connection to a parser.
@@ -27,6 +30,8 @@
     ended : Deferred
         Fires with None when the stream is whole or the connection is lost,
         and with the failure when the parser rejects the bytes.
+    is_ended : bool
+        True when the engine has ended its answer.
     """
 
     def __init__(self, *, parser, is_done, idle_timeout, clock):
@@ -36,6 +41,7 @@
         self.clock = clock
         self.ended = defer.Deferred(lambda _: self.abort())
         self.failed = False
+        self.is_ended = False
         self.paused = False
         self.timer = None
         self.active = time.monotonic()
@@ -57,9 +63,10 @@
         if self.is_done():
             self.end()
 
-    def connectionLost(self, reason=client.ResponseDone):
+    def connectionLost(self, reason=END):
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
+        self.is_ended = bool(reason.check(client.ResponseDone))
         self.end()
 
     def end(self, result=None):
--- a/packages/hollyspan_entry/hollyspan_entry/streams/run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/run.py
@@ -1,5 +1,6 @@
 """Running of a stream on one upstream."""
 
+from hollyspan_core.errors import StreamCancelledError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
@@ -27,6 +28,7 @@
     resume=False,
     on_connection=None,
     first_event_tries=FIRST_EVENT_TRIES,
+    cancel_broken=False,
 ):
     """Run a stream on one upstream until it is whole.
 
@@ -57,6 +59,8 @@
     on_connection : callable, optional
         Called with an IPushProducer for each connection that is read, so
         that a slow receiver can pause it.
+    cancel_broken : bool, optional
+        Cancel the stream when its connection breaks, in place of a resume.
 
     Raises
     ------
@@ -69,6 +73,9 @@
     StreamLostError
         The engine no longer knows the stream, or cannot be reached for the
         rest of it.
+    StreamCancelledError
+        The connection broke and the stream was cancelled; the engine can
+        resume it.
     StreamMalformedError
         The bytes are no event stream.
 
@@ -89,13 +96,19 @@
         idle_timeout=idle_timeout,
         on_connection=on_connection,
         first_event_tries=first_event_tries,
+        cancel_broken=cancel_broken,
     )
     response = None
     try:
         if not (resume or offset):
             response = await run.start(path, body)
         await run.follow(response)
-    except (UpstreamUnavailableError, UpstreamAnswerError, StreamLostError):
+    except (
+        StreamCancelledError,
+        StreamLostError,
+        UpstreamAnswerError,
+        UpstreamUnavailableError,
+    ):
         raise
     except BaseException:
         send_cancel(runtime, upstream=upstream, stream_id=stream_id)
--- a/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
@@ -2,9 +2,11 @@
 
 import json
 
+from twisted.internet import defer
 from twisted.internet import task
 
 from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StreamCancelledError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamAnswerError
@@ -15,6 +17,7 @@
 from ..upstreams.call import read_content
 from ..upstreams.state import is_leaving_answer
 from ..upstreams.state import read_code
+from .cancellation import cancel_stream
 from .parser import ERROR_PREFIXES
 from .parser import EventParser
 from .reader import StreamReader
@@ -51,6 +54,7 @@
     idle_timeout : float
     on_connection : callable or None
     first_event_tries : int
+    cancel_broken : bool
     """
 
     __slots__ = (
@@ -63,7 +67,9 @@
         "idle_timeout",
         "on_connection",
         "first_event_tries",
+        "cancel_broken",
         "done",
+        "is_ended",
     )
 
     def __init__(
@@ -79,6 +85,7 @@
         idle_timeout,
         on_connection,
         first_event_tries,
+        cancel_broken,
     ):
         self.runtime = runtime
         self.upstream = upstream
@@ -93,7 +100,9 @@
         self.idle_timeout = idle_timeout
         self.on_connection = on_connection
         self.first_event_tries = first_event_tries
+        self.cancel_broken = cancel_broken
         self.done = False
+        self.is_ended = False
 
     def take_event(self, offset, data):
         """Hand on an event unless it was handed on before."""
@@ -157,6 +166,8 @@
                 await self.read(response)
             if self.done:
                 return
+            if self.cancel_broken and response is not None:
+                await self.cancel()
             if self.offset > before:
                 failures = 0
             if failures >= self.count_tries():
@@ -169,6 +180,25 @@
             failures += 1
             response = await self.open_resume()
 
+    async def cancel(self):
+        """Free the slot of a broken stream, if the engine knows it."""
+        work = defer.ensureDeferred(
+            cancel_stream(
+                runtime=self.runtime,
+                upstream=self.upstream,
+                stream_id=self.stream_id,
+            )
+        )
+        # The cancel goes on when the wait for it is cancelled.
+        answer = defer.Deferred()
+        work.addCallbacks(answer.callback, answer.errback)
+        offset = await answer
+        if offset is not None:
+            raise StreamCancelledError(
+                f"a stream at {self.upstream.name} was cancelled",
+                is_foreign=self.is_ended,
+            )
+
     def count_tries(self):
         """Return how many resumes without progress are tried."""
         tries = len(RESUME_DELAYS)
@@ -186,6 +216,7 @@
         if self.on_connection is not None:
             self.on_connection(reader)
         await reader.ended
+        self.is_ended = reader.is_ended
 
     async def open_resume(self):
         """Ask for the rest of the stream; None when it cannot be reached."""
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
@@ -2,6 +2,8 @@
 
 from hollyspan_policy.routing import UpstreamView
 
+from .peerstreams import PeerStreams
+
 __all__ = ["Upstream"]
 
 
@@ -31,6 +33,12 @@
         Requests in flight that this daemon sent.
     peers : dict
         PeerLoad by instance, from the peers' messages.
+    peer_streams : dict
+        PeerStreams by instance.
+    streams : set of int
+        Numbers of the own batch streams that run.
+    highest : int
+        Last number that was given to an own batch stream.
     waiting, running : int
         Streams of the last load report.
     reported : float or None
@@ -50,6 +58,9 @@
         "online",
         "batch",
         "peers",
+        "peer_streams",
+        "streams",
+        "highest",
         "waiting",
         "running",
         "reported",
@@ -70,6 +81,9 @@
         self.online = 0
         self.batch = 0
         self.peers = {}
+        self.peer_streams = {}
+        self.streams = set()
+        self.highest = 0
         self.waiting = 0
         self.running = 0
         self.reported = None
@@ -87,6 +101,34 @@
         """Count batch streams in flight from all daemons heard."""
         return self.batch + sum(p.batch for p in self.peers.values())
 
+    def begin_batch_stream(self):
+        """Return the number of a new own batch stream."""
+        self.highest += 1
+        return self.highest
+
+    def note_peer_streams(self, instance, *, incarnation, highest, running):
+        """Take in which batch streams a peer runs here.
+
+        Parameters
+        ----------
+        instance : str
+        incarnation, highest : int
+        running : sequence of int
+
+        Returns
+        -------
+        PeerStreams
+        """
+        known = self.peer_streams.get(instance)
+        if known is None or known.incarnation < incarnation:
+            known = self.peer_streams[instance] = PeerStreams(
+                incarnation=incarnation, highest=highest, running=running
+            )
+        if known.incarnation == incarnation:
+            known.highest = highest
+            known.running = running
+        return known
+
     def build_view(self, *, now):
         """Return what the policy sees of this upstream.
 
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -9,6 +9,7 @@
 from .preemption import choose_preempted
 from .slots import BatchGate
 from .stream import StreamView
+from .unanswered import choose_unanswered
 from .window import SlidingMinimum
 
 __all__ = [
@@ -21,5 +22,6 @@
     "allow_fixed",
     "allow_none",
     "choose_preempted",
+    "choose_unanswered",
     "count_batch_slots",
 ]
