--- a/packages/hollyspan_entry/hollyspan_entry/jobs/execution.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/execution.py
@@ -1,5 +1,7 @@
 """Running of one item."""
 
+import time
+
 import eliot
 from twisted.internet import defer
 
@@ -54,6 +56,7 @@
             cancel_broken=True,
         )
         runner.finish(run, build_success(run.chunk.record.job, item))
+        runner.note_success(run)
     except defer.CancelledError:
         take_stop(runner, run)
     except StreamCancelledError as error:
@@ -82,13 +85,19 @@
 def take_cancel(runner, run, error):
     """Decide about an item whose stream broke and holds no slot any more."""
     if error.is_foreign:
-        runner.hold(run.upstream)
+        hold(runner, run.upstream)
     if run.reason in (None, StopReason.PREEMPTED):
         runner.pause(run)
     else:
         take_stop(runner, run)
 
 
+def hold(runner, upstream):
+    slots = runner.slots.get(upstream.name)
+    if slots is not None:
+        slots.hold(now=time.monotonic())
+
+
 def take_lost_resume(runner, run, error):
     """Decide about a preempted item that the engine has forgotten."""
     if not run.chunk.record.idempotent:
@@ -103,9 +112,13 @@
     if is_not_run(error):
         run.item.reset()
         runner.put_back(run)
-    elif is_terminal(error):
+        return
+    if is_terminal(error):
+        runner.note_success(run)
         fail(runner, run, error)
-    elif not run.chunk.record.idempotent:
+        return
+    runner.note_failure(run)
+    if not run.chunk.record.idempotent:
         fail(runner, run, OutcomeUnknownError(error.message))
     else:
         retry(runner, run, error)
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -8,6 +8,7 @@
 from hollyspan_policy.batch import count_batch_slots
 from hollyspan_policy.batch import StreamView
 
+from .breaker import Breaker
 from .run import StopReason
 
 __all__ = ["UpstreamSlots"]
@@ -34,6 +35,7 @@
         monotonic seconds of the preemption; the earliest first.
     held : float
         Monotonic seconds until which no batch work may run.
+    breaker : Breaker
     owned : bool
         False when another daemon has become the owner.
     """
@@ -47,6 +49,8 @@
         "held",
         "owned",
         "peers",
+        "breaker",
+        "reported",
     )
 
     def __init__(self, *, upstream):
@@ -58,6 +62,8 @@
         self.held = -math.inf
         self.owned = True
         self.peers = True
+        self.breaker = Breaker()
+        self.reported = None
 
     def configure(self, configuration, *, now, wall):
         """Build the gate anew when what it depends on has changed.
@@ -104,6 +110,19 @@
             self.peers = heard
             self.gate.observe_peers(heard, now=now)
 
+    def observe_report(self, *, now):
+        """Show the gate the upstream's load report, once."""
+        upstream = self.upstream
+        if upstream.reported is None or upstream.reported == self.reported:
+            return
+        self.reported = upstream.reported
+        self.gate.observe_report(
+            running=upstream.running,
+            waiting=upstream.waiting,
+            batch=upstream.count_batch(),
+            now=now,
+        )
+
     def observe_upstreams(self, names, *, now):
         """Show the gate which upstreams online work can choose from."""
         rank = names.index(self.upstream.name)
@@ -130,12 +149,15 @@
             Monotonic seconds.
         """
         self.held = now + HOLD_SECONDS
+        self.preempt(now=now)
 
     def count_free(self, *, now):
         """Count the batch streams that may start now."""
         if not self.owned or not self.is_usable:
             return 0
-        return self.count_allowed(now=now) - self.upstream.count_batch()
+        free = self.count_allowed(now=now) - self.upstream.count_batch()
+        limit = self.breaker.count_allowed(running=len(self.running), now=now)
+        return free if limit is None else min(free, limit)
 
     @property
     def is_usable(self):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
@@ -12,8 +12,8 @@
 from .claim import delete_claim
 from .closing import close_chunk
 from .flush import flush_chunk
-from .preparation import GROUP_ITEMS
 from .preparation import prepare_items
+from .preparation import REFILL_ITEMS
 from .run import StopReason
 
 __all__ = ["maintain_chunk", "release_chunk"]
@@ -56,7 +56,7 @@
 
 
 def needs_preparing(chunk):
-    if chunk.preparing or chunk.count_ready() >= GROUP_ITEMS:
+    if chunk.preparing or chunk.count_ready() >= REFILL_ITEMS:
         return False
     if chunk.waiting:
         return True
@@ -84,8 +84,10 @@
         job=chunk.record.job,
         chunk=chunk.chunk,
     )
-    await chunk.notes.remove()
-    await let_go(runner, chunk)
+    try:
+        await chunk.notes.remove()
+    finally:
+        await let_go(runner, chunk)
 
 
 def record_end(runtime, record):
@@ -128,13 +130,14 @@
     works = [run.work for run in chunk.running]
     await defer.DeferredList(works, consumeErrors=True)
     chunk.withdraw()
-    await flush_patiently(runner, chunk)
     try:
+        await flush_patiently(runner, chunk)
         await chunk.notes.release(chunk.list_attempts())
     except HollyspanError as error:
         eliot.log_message(message_type="jobs:notes-left", reason=error.code)
-    runner.counters.released += 1
-    await let_go(runner, chunk)
+    finally:
+        runner.counters.released += 1
+        await let_go(runner, chunk)
 
 
 async def flush_patiently(runner, chunk):
--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -10,6 +10,8 @@
 from .answers import Answers
 from .answers import list_own
 from .batchstreams import ToldStreams
+from .interval import choose_interval
+from .interval import FULL_RATE_DAEMONS
 from .loads import describe_load
 from .loads import list_loads
 from .loads import list_reports
@@ -29,7 +31,6 @@
 SOON_SECONDS = 0.05
 # Falls of the online load are told together; rises at once.
 FALL_SECONDS = 0.05
-FULL_RATE_DAEMONS = 8
 FORGET_SECONDS = 600.0
 
 
@@ -290,24 +291,3 @@
                 datagram, address=seed.address, port=seed.peer_port
             ),
         )
-
-
-def choose_interval(timing, *, near):
-    """Return the seconds between heartbeats.
-
-    Parameters
-    ----------
-    timing : Timing
-    near : int
-        Other daemons of the data centre.
-
-    Returns
-    -------
-    float
-
-    Notes
-    -----
-    Each daemon hears all others, so that the interval grows with their
-    number to keep the traffic bounded. Bursts do not wait for it.
-    """
-    return timing.heartbeat * max(1.0, near / FULL_RATE_DAEMONS)
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/upstream.py
@@ -1,5 +1,6 @@
 """One upstream as this daemon knows it."""
 
+from hollyspan_policy.hidden import HiddenStreams
 from hollyspan_policy.routing import UpstreamView
 
 from .peerstreams import PeerStreams
@@ -43,6 +44,8 @@
         Streams of the last load report.
     reported : float or None
         Monotonic seconds of the last load report.
+    hidden : HiddenStreams
+        Streams in the reports that no daemon tells of.
     """
 
     __slots__ = (
@@ -63,6 +66,7 @@
         "highest",
         "waiting",
         "running",
+        "hidden",
         "reported",
     )
 
@@ -86,6 +90,7 @@
         self.highest = 0
         self.waiting = 0
         self.running = 0
+        self.hidden = HiddenStreams()
         self.reported = None
 
     @property
@@ -129,13 +134,30 @@
             known.running = running
         return known
 
-    def build_view(self, *, now):
+    def observe_report(self, *, waiting, running, now):
+        """Take in a load report.
+
+        Parameters
+        ----------
+        waiting, running : int
+        now : float
+            Monotonic seconds.
+        """
+        self.waiting = waiting
+        self.running = running
+        self.reported = now
+        told = self.count_online() + self.count_batch()
+        self.hidden.observe(waiting + running - told)
+
+    def build_view(self, *, now, yields=True):
         """Return what the policy sees of this upstream.
 
         Parameters
         ----------
         now : float
             Monotonic seconds.
+        yields : bool, optional
+            Whether an owner is heard that makes batch streams give way.
 
         Returns
         -------
@@ -150,5 +172,7 @@
             batch=self.count_batch(),
             waiting=self.waiting,
             report_age=age,
+            hidden=self.hidden.count(),
+            yields=yields,
             serving=self.reachable and not self.leaving,
         )
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
@@ -1,16 +1,20 @@
 """Free ports for processes that are told theirs."""
 
+import itertools
 import secrets
 import socket
 
 __all__ = ["pick_port"]
 
 ADDRESS = "127.0.0.1"
-
-
 # Below the range from which the system takes ports for connections, so
 # that none is lost between the choice and its use.
-PORTS = range(15_000, 32_000)
+FIRST_PORT = 15_000
+PORTS = 17_000
+
+# Ports in turn from a random one: deployments that start side by side
+# seldom look at the same ports.
+candidates = itertools.count(secrets.randbelow(PORTS))
 
 
 def pick_port():
@@ -18,29 +22,21 @@
 
     Notes
     -----
-    The port is only free at the moment of the call.
+    A process gets no port twice before it has seen all others.
     """
-    while True:
-        port = secrets.choice(PORTS)
-        if is_free_for_connections(port) and is_free_for_datagrams(port):
+    for candidate in candidates:
+        port = FIRST_PORT + candidate % PORTS
+        if is_free(port, socket.SOCK_STREAM) and is_free(
+            port, socket.SOCK_DGRAM
+        ):
             return port
 
 
-def is_free_for_connections(port):
-    """Return whether a TCP port is free."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
-        try:
-            stream.bind((ADDRESS, port))
-        except OSError:
-            return False
-    return True
-
-
-def is_free_for_datagrams(port):
-    """Return whether a UDP port is free."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+def is_free(port, kind):
+    """Return whether a port is free for sockets of a kind."""
+    with socket.socket(socket.AF_INET, kind) as probe:
         try:
-            datagrams.bind((ADDRESS, port))
+            probe.bind((ADDRESS, port))
         except OSError:
             return False
     return True
