--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -184,6 +184,7 @@
         """Free what a run had."""
         now = time.monotonic()
         self.runtime.upstreams.change_batch(run.upstream, -1)
+        run.upstream.streams.discard(run.number)
         slots = self.slots.get(run.upstream.name)
         if slots is not None:
             slots.running.discard(run)
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -1,5 +1,7 @@
 """Batch slots of one upstream that this daemon owns."""
 
+import math
+
 from hollyspan_core.configuration import Scope
 from hollyspan_policy.batch import BatchGate
 from hollyspan_policy.batch import choose_preempted
@@ -11,6 +13,9 @@
 
 __all__ = ["UpstreamSlots"]
 
+# Within it a daemon that is not heard counts as failed.
+HOLD_SECONDS = 2.0
+
 
 class UpstreamSlots:
     """Batch streams of one upstream within its gate.
@@ -28,6 +33,8 @@
     paused : list of (HeldChunk, Item, float)
         Preempted items whose stream the engine may still know, with the
         monotonic seconds of the preemption; the earliest first.
+    held : float
+        Monotonic seconds until which no batch work may run.
     breaker : Breaker
     owned : bool
         False when another daemon has become the owner.
@@ -39,6 +46,7 @@
         "policy",
         "running",
         "paused",
+        "held",
         "owned",
         "peers",
         "breaker",
@@ -51,6 +59,7 @@
         self.policy = None
         self.running = set()
         self.paused = []
+        self.held = -math.inf
         self.owned = True
         self.peers = True
         self.breaker = Breaker()
@@ -122,6 +131,8 @@
 
     def count_allowed(self, *, now):
         """Count the batch streams that may run, those of peers included."""
+        if now < self.held:
+            return 0
         return count_batch_slots(
             self.policy,
             self.gate,
@@ -129,6 +140,17 @@
             running=self.upstream.count_batch(),
         )
 
+    def hold(self, *, now):
+        """Run nothing for a while: online work came that was not told of.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        self.held = now + HOLD_SECONDS
+        self.preempt(now=now)
+
     def count_free(self, *, now):
         """Count the batch streams that may start now."""
         if not self.owned or not self.is_usable:
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -12,6 +12,7 @@
 from .preemption import choose_preempted
 from .slots import BatchGate
 from .stream import StreamView
+from .unanswered import choose_unanswered
 from .window import SlidingMinimum
 
 __all__ = [
@@ -25,6 +26,7 @@
     "allow_fixed",
     "allow_none",
     "choose_preempted",
+    "choose_unanswered",
     "compute_level",
     "count_batch_slots",
     "share_reserve",
