Check the lease before anything else in each round of the runner

After a pause a preempted item that must not run twice could have been resumed before the lapse was seen. The lease is checked first now.

--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -10,7 +10,6 @@
 from .counters import JobCounters
 from .draining import drain_runner
 from .execution import execute
-from .flush import RECORDS_PER_PART
 from .itemrecord import RecordKind
 from .lease import LeaseKeeper
 from .ownership import build_guard
@@ -108,6 +107,8 @@
             self.spawn(self.drain())
         if self.stopping or self.runtime.configurations.current is None:
             return
+        # After a pause the chunks are given up before anything else goes on.
+        self.lease.check()
         now = time.monotonic()
         refresh_slots(self, now=now)
         for slots in list(self.slots.values()):
@@ -295,15 +296,3 @@
         for chunk in list(self.chunks.values()):
             if not chunk.stopped:
                 self.spawn(release_chunk(self, chunk))
-
-    def is_flush_due(self, chunk, *, now):
-        """Tell whether the buffered records should be written now."""
-        if not chunk.buffer and not chunk.writing:
-            chunk.flushed = now
-            return False
-        waited = now - chunk.flushed
-        return (
-            len(chunk.buffer) >= RECORDS_PER_PART
-            or chunk.count_left() == 0
-            or waited >= self.runtime.settings.timing.part_flush
-        )
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
@@ -12,6 +12,7 @@
 from .claim import delete_claim
 from .closing import close_chunk
 from .flush import flush_chunk
+from .flush import RECORDS_PER_PART
 from .preparation import prepare_items
 from .preparation import REFILL_ITEMS
 from .run import StopReason
@@ -39,7 +40,7 @@
         return
     if chunk.contested or is_idle(chunk, now=now):
         runner.spawn(release_chunk(runner, chunk))
-    elif runner.is_flush_due(chunk, now=now):
+    elif is_flush_due(runner, chunk, now=now):
         chunk.flushed = now
         runner.spawn(write(runner, chunk, now=now))
     elif chunk.ledger.is_complete:
@@ -55,6 +56,18 @@
     return chunk.count_left() > 0 and now - chunk.active > IDLE_SECONDS
 
 
+def is_flush_due(runner, chunk, *, now):
+    """Tell whether the buffered records should be written now."""
+    if not chunk.buffer and not chunk.writing:
+        chunk.flushed = now
+        return False
+    return (
+        len(chunk.buffer) >= RECORDS_PER_PART
+        or chunk.count_left() == 0
+        or now - chunk.flushed >= runner.runtime.settings.timing.part_flush
+    )
+
+
 def needs_preparing(chunk):
     if chunk.preparing or chunk.count_ready() >= REFILL_ITEMS:
         return False
