Share the handling of operations and listings of files and batches

Cause: both resources identified the caller, chose an operation, set Retry-After and built list objects on their own. Both use http/operations.py and http/paging.py now; the limit and the start of a listing are a typed Paging. 80 tests of files, jobs and the official client pass as before.

--- a/packages/hollyspan_entry/hollyspan_entry/files/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/__init__.py
@@ -4,7 +4,6 @@
 from .content import FileContent
 from .content import read_manifest
 from .data import read_chunk
-from .listing import read_limit
 from .part import build_upload_request
 from .part import open_files
 
@@ -14,6 +13,5 @@
     "describe_file",
     "open_files",
     "read_chunk",
-    "read_limit",
     "read_manifest",
 ]
--- a/packages/hollyspan_entry/hollyspan_entry/files/resource.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/resource.py
@@ -4,11 +4,9 @@
 
 from hollyspan_core.errors import FileNotFoundInWorkspaceError
 from hollyspan_core.errors import InvalidRequestError
-from hollyspan_core.errors import StoreUnavailableError
 
-from ..http import identify_caller
+from ..http import build_operations
 from ..http import PacedWriter
-from ..http import write_json
 from .answer import build_file_object
 from .content import open_content
 from .deletion import delete_file
@@ -16,7 +14,6 @@
 
 __all__ = ["build_handler"]
 
-RETRY_SECONDS = 5.0
 FILE_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,128}")
 
 
@@ -33,17 +30,7 @@
         Handler of an AsyncResource.
     """
 
-    async def handle(request, path):
-        path = [part for part in path if part]
-        workspace = identify_caller(request, runtime=runtime)
-        operation = find_operation(request.method, path)
-        try:
-            await operation(runtime, request, workspace, path)
-        except StoreUnavailableError as error:
-            error.retry_after = error.retry_after or RETRY_SECONDS
-            raise
-
-    return handle
+    return build_operations(runtime, find_operation=find_operation)
 
 
 def find_operation(method, path):
@@ -67,23 +54,21 @@
     result = await request.upload
     if isinstance(result, Exception):
         raise result
-    write_json(request, build_file_object(result))
+    return build_file_object(result)
 
 
 async def answer_list(runtime, request, workspace, path):
-    answer = await list_files(runtime.store, workspace, arguments=request.args)
-    write_json(request, answer)
+    return await list_files(runtime.store, workspace, arguments=request.args)
 
 
 async def answer_file(runtime, request, workspace, path):
     content = await open_content(runtime, workspace, path[0])
-    write_json(request, content.description)
+    return content.description
 
 
 async def answer_deletion(runtime, request, workspace, path):
     await delete_file(runtime, workspace, path[0])
-    answer = {"id": path[0], "object": "file", "deleted": True}
-    write_json(request, answer)
+    return {"id": path[0], "object": "file", "deleted": True}
 
 
 async def answer_content(runtime, request, workspace, path):
--- a/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/__init__.py
@@ -9,7 +9,10 @@
 from .body import read_body
 from .body import read_json
 from .caller import identify_caller
+from .operations import build_operations
 from .paced import PacedWriter
+from .paging import build_list
+from .paging import read_paging
 from .producer import BytesProducer
 from .resource import AsyncResource
 from .site import DrainingSite
@@ -17,17 +20,19 @@
 
 __all__ = [
     "AsyncResource",
-    "DrainingSite",
     "BytesProducer",
+    "DrainingSite",
     "MAX_BODY_BYTES",
     "PacedWriter",
     "add_resource",
-    "add_resource",
     "authenticate",
+    "build_list",
+    "build_operations",
     "encode_error",
     "identify_caller",
     "read_body",
     "read_json",
+    "read_paging",
     "sign_key",
     "write_error",
     "write_json",
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/http/paging.py
@@ -0,0 +1,73 @@
+"""Listings in pages."""
+
+from hollyspan_core.errors import InvalidRequestError
+
+__all__ = ["Paging", "build_list", "read_paging"]
+
+DEFAULT_LIMIT = 20
+MAX_LIMIT = 100
+
+
+class Paging:
+    """Which part of a listing is asked for.
+
+    Parameters
+    ----------
+    limit : int
+        Most objects to return.
+    after : str or None
+        Identifier of the object before the first to return.
+    """
+
+    __slots__ = ("limit", "after")
+
+    def __init__(self, *, limit, after):
+        self.limit = limit
+        self.after = after
+
+
+def read_paging(arguments):
+    """Read which part of a listing is asked for.
+
+    Parameters
+    ----------
+    arguments : dict
+        Query of the request.
+
+    Returns
+    -------
+    Paging
+
+    Raises
+    ------
+    InvalidRequestError
+        The limit is no number above 0.
+    """
+    text = arguments.get(b"limit", [str(DEFAULT_LIMIT).encode()])[0]
+    if not text.isdigit() or not int(text):
+        raise InvalidRequestError("limit is no number", param="limit")
+    after = arguments.get(b"after", [b""])[0].decode("utf-8", "replace")
+    return Paging(limit=min(int(text), MAX_LIMIT), after=after or None)
+
+
+def build_list(objects, *, more):
+    """Return a list object.
+
+    Parameters
+    ----------
+    objects : list of dict
+        Each with its ``id``.
+    more : bool
+        Whether the listing goes on behind them.
+
+    Returns
+    -------
+    dict
+    """
+    return {
+        "object": "list",
+        "data": objects,
+        "has_more": more,
+        "first_id": objects[0]["id"] if objects else None,
+        "last_id": objects[-1]["id"] if objects else None,
+    }
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/resource.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/resource.py
@@ -5,12 +5,11 @@
 
 from hollyspan_core.errors import BatchNotFoundError
 from hollyspan_core.errors import InvalidRequestError
-from hollyspan_core.errors import StoreUnavailableError
 
-from ..files import read_limit
-from ..http import identify_caller
+from ..http import build_list
+from ..http import build_operations
 from ..http import read_json
-from ..http import write_json
+from ..http import read_paging
 from .batch import build_batch_object
 from .cancellation import cancel_job
 from .change import read_record
@@ -21,7 +20,6 @@
 
 __all__ = ["build_handler"]
 
-RETRY_SECONDS = 5.0
 JOB_PATTERN = re.compile(r"batch_[0-9a-f]{32}")
 
 
@@ -38,18 +36,7 @@
         Handler of an AsyncResource.
     """
 
-    async def handle(request, path):
-        path = [part for part in path if part]
-        workspace = identify_caller(request, runtime=runtime)
-        operation = find_operation(request.method, path)
-        try:
-            answer = await operation(runtime, request, workspace, path)
-        except StoreUnavailableError as error:
-            error.retry_after = error.retry_after or RETRY_SECONDS
-            raise
-        write_json(request, answer)
-
-    return handle
+    return build_operations(runtime, find_operation=find_operation)
 
 
 def find_operation(method, path):
@@ -91,23 +78,17 @@
 
 
 async def answer_list(runtime, request, workspace, path):
-    limit, after = read_limit(request.args)
+    paging = read_paging(request.args)
     page = await runtime.store.list(
         build_job_key(workspace, ""),
-        after=after and build_job_key(workspace, after),
-        limit=limit,
+        after=paging.after and build_job_key(workspace, paging.after),
+        limit=paging.limit,
     )
     batches = [
         build_batch_object(decode_record(entry.content))
         for entry in page.entries
     ]
-    return {
-        "object": "list",
-        "data": batches,
-        "has_more": page.more,
-        "first_id": batches[0]["id"] if batches else None,
-        "last_id": batches[-1]["id"] if batches else None,
-    }
+    return build_list(batches, more=page.more)
 
 
 async def answer_job(runtime, request, workspace, path):
