Keep the HTTP client from sending a lost request again

Cause: the connection pool of twisted.web resends a GET or DELETE without a body when a kept connection is lost before the answer, also one that a caller or the configuration marks as non-idempotent. Seen in review. Change: the pool's own resends are off, and idle connections are closed after 15 s, before servers do. Ruled out: resends by the daemon, which are decided per request.

--- a/integration/tests/test_online_once.py
+++ b/integration/tests/test_online_once.py
@@ -18,6 +18,7 @@
 MODEL = "pips-lm"
 CHAT = "/v1/chat/completions"
 ANNOUNCE = "/services/clock/announce"
+STATUS = "/services/clock/status"
 WORKSPACE = "dev"
 TOKENS = 40
 SETTLE_SECONDS = 2.0
@@ -70,10 +71,11 @@
 class Order:
     """One non-idempotent request and what its copies got."""
 
-    def __init__(self, deployment, *, path=CHAT, stream=True):
+    def __init__(self, deployment, *, path=CHAT, stream=True, method="POST"):
         self.deployment = deployment
         self.path = path
         self.stream = stream
+        self.method = method
         self.key = uuid.uuid4().hex
         self.replies = []
 
@@ -83,6 +85,7 @@
             self.deployment.url(self.deployment.daemon_names[daemon]),
             self.path,
             document=self.build_document(),
+            method=self.method,
             headers={
                 "idempotency-key": self.key,
                 "x-request-idempotent": "false",
@@ -94,6 +97,8 @@
         return reply
 
     def build_document(self):
+        if self.method == "GET":
+            return None
         if self.path != CHAT:
             return {"order": self.key}
         return {
@@ -305,3 +310,13 @@
     order.send(1)
     order.send(0)
     order.check()
+
+
+def test_connection_lost_before_the_answer_to_a_get(deployment):
+    """The HTTP client sends no request again by itself."""
+    order = Order(deployment, path=STATUS, method="GET")
+    deployment.set_links("upstream:*-1>*clock", drop_replies=True)
+    order.send(0)
+    deployment.set_links("upstream:*-1>*clock", drop_replies=0)
+    order.send(1)
+    order.check()
--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -37,6 +37,7 @@
 __all__ = ["run_daemon"]
 
 MAX_CONNECTIONS_PER_UPSTREAM = 64
+IDLE_CONNECTION_SECONDS = 15
 MICROSECONDS = 1_000_000
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -49,6 +50,11 @@
 def open_agent(reactor, *, timeout):
     pool = client.HTTPConnectionPool(reactor)
     pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_UPSTREAM
+    # Shorter than the time after which servers close idle connections.
+    pool.cachedConnectionTimeout = IDLE_CONNECTION_SECONDS
+    # The pool would send a lost GET or DELETE again by itself; whether a
+    # request may run twice is decided elsewhere.
+    pool.retryAutomatically = False
     try:
         yield client.Agent(reactor, connectTimeout=timeout, pool=pool)
     finally:
