--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -10,7 +10,6 @@
 from .counters import JobCounters
 from .draining import drain_runner
 from .execution import execute
-from .flush import RECORDS_PER_PART
 from .itemrecord import RecordKind
 from .lease import LeaseKeeper
 from .ownership import build_guard
@@ -26,6 +25,7 @@
 
 # Shorter than the time for which engines keep a cancelled stream.
 PAUSE_SECONDS = 8.0
+RETRY_SECONDS = 0.5
 TICK_SECONDS = 0.1
 RATE_WEIGHT = 0.02
 
@@ -103,11 +103,12 @@
 
     async def tick(self):
         """Bring everything up to date; called at each interval."""
-        if self.runtime.draining:
+        if self.runtime.draining and not self.stopping:
             self.spawn(self.drain())
-            return
         if self.stopping or self.runtime.configurations.current is None:
             return
+        # After a pause the chunks are given up before anything else goes on.
+        self.lease.check()
         now = time.monotonic()
         refresh_slots(self, now=now)
         for slots in list(self.slots.values()):
@@ -184,6 +185,7 @@
         """Free what a run had."""
         now = time.monotonic()
         self.runtime.upstreams.change_batch(run.upstream, -1)
+        run.upstream.streams.discard(run.number)
         slots = self.slots.get(run.upstream.name)
         if slots is not None:
             slots.running.discard(run)
@@ -216,9 +218,22 @@
         run.chunk.put_back(run.item)
 
     def put_back_failed(self, run, *, alone):
-        """Let an item run again after its attempt was noted."""
+        """Let an item run again after a pause, its attempt being noted."""
         queue = run.chunk.suspects if alone else run.chunk.waiting
-        queue.append(run.item)
+        pause = RETRY_SECONDS * 2 ** (run.item.attempts - 1)
+        self.runtime.reactor.callLater(pause, queue.append, run.item)
+
+    def note_failure(self, run):
+        """Note that an upstream has failed an item."""
+        slots = self.slots.get(run.upstream.name)
+        if slots is not None:
+            slots.breaker.note_failure(now=time.monotonic())
+
+    def note_success(self, run):
+        """Note that an upstream does its work."""
+        slots = self.slots.get(run.upstream.name)
+        if slots is not None:
+            slots.breaker.note_success()
 
     def read_limit(self, name, chunk):
         """Return a value of the configuration for a chunk's items."""
@@ -282,15 +297,3 @@
         for chunk in list(self.chunks.values()):
             if not chunk.stopped:
                 self.spawn(release_chunk(self, chunk))
-
-    def is_flush_due(self, chunk, *, now):
-        """Tell whether the buffered records should be written now."""
-        if not chunk.buffer and not chunk.writing:
-            chunk.flushed = now
-            return False
-        waited = now - chunk.flushed
-        return (
-            len(chunk.buffer) >= RECORDS_PER_PART
-            or chunk.count_left() == 0
-            or waited >= self.runtime.settings.timing.part_flush
-        )
--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -7,10 +7,16 @@
 from hollyspan_core.messages import Heartbeat
 from hollyspan_core.messages import Notice
 
+from .answers import Answers
+from .answers import list_own
+from .batchstreams import ToldStreams
+from .interval import choose_interval
+from .interval import FULL_RATE_DAEMONS
 from .loads import describe_load
 from .loads import list_loads
 from .loads import list_reports
 from .split import split_heartbeat
+from .split import split_loads
 from .states import build_member
 from .states import build_remote
 from .states import describe_self
@@ -26,7 +32,6 @@
 SOON_SECONDS = 0.05
 # Falls of the online load are told together; rises at once.
 FALL_SECONDS = 0.05
-FULL_RATE_DAEMONS = 8
 FORGET_SECONDS = 600.0
 
 
@@ -47,11 +52,14 @@
         "receipts",
         "probes",
         "told",
+        "told_streams",
+        "answers",
         "sequence",
         "turns",
         "soon",
         "online",
         "changed",
+        "risen",
         "notice",
     )
 
@@ -61,11 +69,14 @@
         self.receipts = receipts
         self.probes = probes
         self.told = ToldLoads()
+        self.told_streams = ToldStreams()
+        self.answers = Answers(runtime=runtime, datagrams=datagrams)
         self.sequence = 0
         self.turns = 0
         self.soon = None
         self.online = {}
         self.changed = {}
+        self.risen = set()
         self.notice = None
 
     async def beat(self):
@@ -147,7 +158,11 @@
         self.receipts.interval = choose_interval(
             self.runtime.settings.timing, near=len(near)
         )
-        more = {"remotes": remotes, "reports": base.reports}
+        more = {
+            "remotes": remotes,
+            "reports": base.reports,
+            "batch_streams": self.told_streams.list(list_own(self.runtime)),
+        }
         plain = self.encode(base, **more)
         for seed in near:
             told = self.told.complete(seed.instance, loads)
@@ -166,7 +181,15 @@
             self.probes.send(seed.instance, now=now)
             self.send_all(datagrams, seed)
 
-    def encode(self, base, *, in_flight=(), remotes=(), reports=()):
+    def encode(
+        self,
+        base,
+        *,
+        in_flight=(),
+        remotes=(),
+        reports=(),
+        batch_streams=(),
+    ):
         whole = Heartbeat(
             sender=base.sender,
             in_flight=in_flight,
@@ -174,6 +197,7 @@
             cancelled_jobs=base.cancelled_jobs,
             remotes=remotes,
             reports=reports,
+            batch_streams=batch_streams,
         )
         return [
             self.datagrams.encode(build_heartbeat(part))
@@ -208,6 +232,7 @@
         self.online[upstream.name] = upstream.online
         self.changed[upstream.name] = upstream
         if upstream.online > before:
+            self.risen.add(upstream.name)
             # One notice for all that arrives within a turn of the loop.
             self.notify_within(0)
         else:
@@ -231,42 +256,46 @@
             # Heartbeats tell the others; datagrams would grow too many.
             owners = {self.runtime.owners.find(u) for u in changed.values()}
             near = [seed for seed in near if seed.instance in owners]
-        for seed in near:
-            self.send_notice(seed, changed.values())
+        risen, self.risen = self.risen, set()
+        loads = [describe_load(upstream) for upstream in changed.values()]
+        for part in split_loads(loads):
+            for seed in near:
+                told = [changed[load.upstream] for load in part]
+                asked = self.list_asked(told, owner=seed.instance, risen=risen)
+                self.send_notice(seed, part, asked=asked)
+
+    def list_asked(self, upstreams, *, owner, risen):
+        """Return the upstreams whose owner is to answer a notice."""
+        return [
+            upstream
+            for upstream in upstreams
+            if upstream.name in risen
+            and self.runtime.owners.find(upstream) == owner
+        ]
 
-    def send_notice(self, seed, upstreams):
+    def send_notice(self, seed, loads, *, asked):
+        """Tell a daemon of loads; wait for its answer as an owner."""
         self.sequence += 1
-        for upstream in upstreams:
-            self.told.note(seed.instance, upstream.name)
+        for load in loads:
+            self.told.note(seed.instance, load.upstream)
         notice = Notice(
             instance=self.runtime.settings.instance,
             incarnation=self.runtime.incarnation,
             sequence=self.sequence,
-            in_flight=[describe_load(upstream) for upstream in upstreams],
+            in_flight=loads,
+            is_answered=bool(asked),
         )
-        self.datagrams.send(
-            self.datagrams.encode(build_notice(notice)),
-            address=seed.address,
-            port=seed.peer_port,
+        datagram = self.datagrams.encode(build_notice(notice))
+        if not asked:
+            self.datagrams.send(
+                datagram, address=seed.address, port=seed.peer_port
+            )
+            return
+        self.answers.questions.ask(
+            seed.instance,
+            sequence=notice.sequence,
+            upstreams=asked,
+            send=lambda: self.datagrams.send(
+                datagram, address=seed.address, port=seed.peer_port
+            ),
         )
-
-
-def choose_interval(timing, *, near):
-    """Return the seconds between heartbeats.
-
-    Parameters
-    ----------
-    timing : Timing
-    near : int
-        Other daemons of the data centre.
-
-    Returns
-    -------
-    float
-
-    Notes
-    -----
-    Each daemon hears all others, so that the interval grows with their
-    number to keep the traffic bounded. Bursts do not wait for it.
-    """
-    return timing.heartbeat * max(1.0, near / FULL_RATE_DAEMONS)
--- a/packages/hollyspan_entry/hollyspan_entry/peers/split.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/split.py
@@ -1,20 +1,23 @@
 """Splitting of heartbeats that would not fit one datagram."""
 
+from hollyspan_core.messages import BatchStreams
 from hollyspan_core.messages import Heartbeat
 
-__all__ = ["split_heartbeat"]
+__all__ = ["split_heartbeat", "split_loads"]
 
 MAX_DATAGRAM_BYTES = 1_400
 # Estimates of encoded sizes, above what the codec needs.
 BASE_BYTES = 300
 ITEM_BYTES = 24
 REMOTE_BYTES = 120
+NUMBER_BYTES = 6
 FIELDS = (
     "in_flight",
     "leaving_upstreams",
     "cancelled_jobs",
     "remotes",
     "reports",
+    "batch_streams",
 )
 
 
@@ -43,9 +46,35 @@
     return parts
 
 
+def split_loads(loads):
+    """Split the loads of a notice so that each part fits one datagram.
+
+    Parameters
+    ----------
+    loads : iterable of InFlight
+
+    Returns
+    -------
+    list of list of InFlight
+        At least one, which may be empty.
+    """
+    parts = [[]]
+    size = BASE_BYTES
+    for load in loads:
+        size += estimate_size(load)
+        if size > MAX_DATAGRAM_BYTES:
+            parts.append([])
+            size = BASE_BYTES + estimate_size(load)
+        parts[-1].append(load)
+    return parts
+
+
 def estimate_size(item):
     if isinstance(item, str):
         return ITEM_BYTES + count_bytes(item)
+    if isinstance(item, BatchStreams):
+        numbers = NUMBER_BYTES * (2 + len(item.running))
+        return ITEM_BYTES + count_bytes(item.upstream) + numbers
     if hasattr(item, "upstream"):
         return ITEM_BYTES + count_bytes(item.upstream)
     texts = (item.instance, item.data_centre, item.region, item.peer_address)
