--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
@@ -7,6 +7,7 @@
 from hollyspan_policy.ownership import rank_owners
 
 from ..streams import free_batch_streams
+from .overdue import put_back_long_paused
 from .slots import UpstreamSlots
 
 __all__ = ["build_guard", "build_member_listener", "refresh_slots"]
@@ -167,6 +168,6 @@
 def retire(runner, name, slots):
     """Start nothing at an upstream any more; what runs there goes on."""
     slots.owned = False
-    runner.put_back_long_paused(slots, now=time.monotonic())
+    put_back_long_paused(runner, slots, now=time.monotonic())
     if not slots.running and not slots.paused:
         del runner.slots[name]
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -12,10 +12,11 @@
 from .execution import execute
 from .itemrecord import RecordKind
 from .lease import LeaseKeeper
+from .overdue import cancel_overdue
+from .overdue import put_back_long_paused
 from .ownership import build_guard
 from .ownership import refresh_slots
 from .run import Run
-from .run import StopReason
 from .upkeep import maintain_chunk
 from .upkeep import release_chunk
 from .watcher import log_failure
@@ -23,8 +24,6 @@
 
 __all__ = ["JobRunner", "TICK_SECONDS"]
 
-# Shorter than the time for which engines keep a cancelled stream.
-PAUSE_SECONDS = 8.0
 RETRY_SECONDS = 0.5
 TICK_SECONDS = 0.1
 RATE_WEIGHT = 0.02
@@ -112,9 +111,9 @@
         now = time.monotonic()
         refresh_slots(self, now=now)
         for slots in list(self.slots.values()):
-            self.put_back_long_paused(slots, now=now)
+            put_back_long_paused(self, slots, now=now)
             slots.preempt(now=now)
-        self.cancel_overdue(now=now)
+        cancel_overdue(self, now=now)
         self.update_rate()
         self.dispatch()
         await claim_wanted(self, now=now)
@@ -256,31 +255,6 @@
         if not slots.preempt(now=now) and slots.count_free(now=now) > 0:
             self.wake()
 
-    def put_back_long_paused(self, slots, *, now):
-        """Give up resuming streams that the engine is about to forget."""
-        usable = slots.owned and slots.is_usable
-        for entry in list(slots.paused):
-            chunk, item, since = entry
-            if usable and now - since < PAUSE_SECONDS:
-                continue
-            if chunk.record.idempotent:
-                slots.paused.remove(entry)
-                self.counters.redone_tokens += item.reset()
-                chunk.put_back(item)
-            elif now - since >= PAUSE_SECONDS and not chunk.stopped:
-                # It cannot be run again, so it goes on whatever the gate says.
-                slots.paused.remove(entry)
-                item.pinned = True
-                self.start(slots, chunk, item, now=now)
-
-    def cancel_overdue(self, *, now):
-        """Stop the items that have run for longer than they may."""
-        for chunk in list(self.chunks.values()):
-            limit = self.read_limit("batch.item_timeout_seconds", chunk)
-            for run in list(chunk.running):
-                if run.item.seconds + now - run.began > limit:
-                    run.cancel(StopReason.TIMEOUT)
-
     def stop_job(self, job):
         """Run nothing more of a job that is cancelled or has ended."""
         for name, chunk in list(self.chunks.items()):
