--- a/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/slots.py
@@ -1,15 +1,21 @@
 """Batch slots of one upstream that this daemon owns."""
 
+import math
+
 from hollyspan_core.configuration import Scope
 from hollyspan_policy.batch import BatchGate
 from hollyspan_policy.batch import choose_preempted
 from hollyspan_policy.batch import count_batch_slots
 from hollyspan_policy.batch import StreamView
 
+from .breaker import Breaker
 from .run import StopReason
 
 __all__ = ["UpstreamSlots"]
 
+# Within it a daemon that is not heard counts as failed.
+HOLD_SECONDS = 2.0
+
 
 class UpstreamSlots:
     """Batch streams of one upstream within its gate.
@@ -27,6 +33,9 @@
     paused : list of (HeldChunk, Item, float)
         Preempted items whose stream the engine may still know, with the
         monotonic seconds of the preemption; the earliest first.
+    held : float
+        Monotonic seconds until which no batch work may run.
+    breaker : Breaker
     owned : bool
         False when another daemon has become the owner.
     """
@@ -37,8 +46,10 @@
         "policy",
         "running",
         "paused",
+        "held",
         "owned",
         "peers",
+        "breaker",
         "reported",
     )
 
@@ -48,8 +59,10 @@
         self.policy = None
         self.running = set()
         self.paused = []
+        self.held = -math.inf
         self.owned = True
         self.peers = True
+        self.breaker = Breaker()
         self.reported = None
 
     def configure(self, configuration, *, now, wall):
@@ -118,6 +131,8 @@
 
     def count_allowed(self, *, now):
         """Count the batch streams that may run, those of peers included."""
+        if now < self.held:
+            return 0
         return count_batch_slots(
             self.policy,
             self.gate,
@@ -125,11 +140,24 @@
             running=self.upstream.count_batch(),
         )
 
+    def hold(self, *, now):
+        """Run nothing for a while: online work came that was not told of.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        self.held = now + HOLD_SECONDS
+        self.preempt(now=now)
+
     def count_free(self, *, now):
         """Count the batch streams that may start now."""
         if not self.owned or not self.is_usable:
             return 0
-        return self.count_allowed(now=now) - self.upstream.count_batch()
+        free = self.count_allowed(now=now) - self.upstream.count_batch()
+        limit = self.breaker.count_allowed(running=len(self.running), now=now)
+        return free if limit is None else min(free, limit)
 
     @property
     def is_usable(self):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
@@ -12,6 +12,7 @@
 from .claim import delete_claim
 from .closing import close_chunk
 from .flush import flush_chunk
+from .flush import RECORDS_PER_PART
 from .preparation import prepare_items
 from .preparation import REFILL_ITEMS
 from .run import StopReason
@@ -39,7 +40,7 @@
         return
     if chunk.contested or is_idle(chunk, now=now):
         runner.spawn(release_chunk(runner, chunk))
-    elif runner.is_flush_due(chunk, now=now):
+    elif is_flush_due(runner, chunk, now=now):
         chunk.flushed = now
         runner.spawn(write(runner, chunk, now=now))
     elif chunk.ledger.is_complete:
@@ -55,6 +56,18 @@
     return chunk.count_left() > 0 and now - chunk.active > IDLE_SECONDS
 
 
+def is_flush_due(runner, chunk, *, now):
+    """Tell whether the buffered records should be written now."""
+    if not chunk.buffer and not chunk.writing:
+        chunk.flushed = now
+        return False
+    return (
+        len(chunk.buffer) >= RECORDS_PER_PART
+        or chunk.count_left() == 0
+        or now - chunk.flushed >= runner.runtime.settings.timing.part_flush
+    )
+
+
 def needs_preparing(chunk):
     if chunk.preparing or chunk.count_ready() >= REFILL_ITEMS:
         return False
@@ -84,8 +97,10 @@
         job=chunk.record.job,
         chunk=chunk.chunk,
     )
-    await chunk.notes.remove()
-    await let_go(runner, chunk)
+    try:
+        await chunk.notes.remove()
+    finally:
+        await let_go(runner, chunk)
 
 
 def record_end(runtime, record):
@@ -128,13 +143,14 @@
     works = [run.work for run in chunk.running]
     await defer.DeferredList(works, consumeErrors=True)
     chunk.withdraw()
-    await flush_patiently(runner, chunk)
     try:
+        await flush_patiently(runner, chunk)
         await chunk.notes.release(chunk.list_attempts())
     except HollyspanError as error:
         eliot.log_message(message_type="jobs:notes-left", reason=error.code)
-    runner.counters.released += 1
-    await let_go(runner, chunk)
+    finally:
+        runner.counters.released += 1
+        await let_go(runner, chunk)
 
 
 async def flush_patiently(runner, chunk):
