Decide retries in the policy alone

Cause: the online path had a decision of its own beside decide_retry of the policy, and the job runner a backoff of its own beside compute_backoff; neither of the policy's had a user. Change: may_retry translates an error and asks decide_retry, which now also refuses a retry after the deadline; failed items wait for compute_backoff, with jitter.

--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from hollyspan_core.configuration import Scope
+from hollyspan_policy.retries import compute_backoff
 
 from .claiming import claim_wanted
 from .counters import JobCounters
@@ -24,7 +25,8 @@
 
 __all__ = ["JobRunner", "TICK_SECONDS"]
 
-RETRY_SECONDS = 0.5
+# Twice the shortest pause before an item's second attempt.
+RETRY_SECONDS = 1.0
 TICK_SECONDS = 0.1
 RATE_WEIGHT = 0.02
 
@@ -219,7 +221,11 @@
     def put_back_failed(self, run, *, alone):
         """Let an item run again after a pause, its attempt being noted."""
         queue = run.chunk.suspects if alone else run.chunk.waiting
-        pause = RETRY_SECONDS * 2 ** (run.item.attempts - 1)
+        pause = compute_backoff(
+            run.item.attempts,
+            seed=f"{run.chunk.record.job}/{run.item.number}",
+            base=RETRY_SECONDS,
+        )
         self.runtime.reactor.callLater(pause, queue.append, run.item)
 
     def note_failure(self, run):
--- a/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
@@ -72,6 +72,7 @@
             idempotent=request.idempotent,
             delivered=receiver.delivered,
             attempts_left=attempts_left,
+            seconds_left=request.deadline - time.monotonic(),
             budget=state.budget,
         ):
             raise failure
--- a/packages/hollyspan_entry/hollyspan_entry/online/retry.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/retry.py
@@ -1,11 +1,13 @@
 """Whether a failed attempt may be followed by another."""
 
-from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamLeavingError
 from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_policy.retries import AttemptFailure
+from hollyspan_policy.retries import decide_retry
+from hollyspan_policy.retries import is_safe_to_retry
 
 __all__ = ["may_retry"]
 
@@ -13,7 +15,9 @@
 FIRST_SERVER_ERROR = 500
 
 
-def may_retry(error, *, idempotent, delivered, attempts_left, budget):
+def may_retry(
+    error, *, idempotent, delivered, attempts_left, seconds_left, budget
+):
     """Decide whether a request may be sent to another upstream.
 
     Parameters
@@ -25,6 +29,8 @@
         True when the caller has got any part of the answer.
     attempts_left : int
         Further attempts that the configuration allows.
+    seconds_left : float
+        Until the request's deadline.
     budget : RetryBudget
 
     Returns
@@ -37,13 +43,22 @@
     its refusals take nothing from the budget, so that a planned departure
     fails no request.
     """
-    if delivered or not is_retried(error):
-        return False
-    if not idempotent and error.outcome is not Outcome.NOT_RUN:
+    if not is_retried(error):
         return False
+    failure = AttemptFailure(
+        outcome=error.outcome,
+        idempotent=idempotent,
+        delivered=delivered,
+        attempts=1,
+    )
     if isinstance(error, UpstreamLeavingError):
-        return True
-    return attempts_left > 0 and budget.withdraw()
+        return is_safe_to_retry(failure)
+    return decide_retry(
+        failure,
+        budget=budget,
+        retries=attempts_left,
+        seconds_left=seconds_left,
+    )
 
 
 def is_retried(error):
--- a/packages/hollyspan_entry/hollyspan_entry/online/tests/test_retry.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/tests/test_retry.py
@@ -17,7 +17,15 @@
 MID_STREAM = UpstreamAnswerError("error", upstream_status=200)
 
 
-def decide(error, *, idempotent=True, delivered=False, attempts=1, saved=1):
+def decide(
+    error,
+    *,
+    idempotent=True,
+    delivered=False,
+    attempts=1,
+    saved=1,
+    seconds_left=1.0,
+):
     budget = RetryBudget(ratio=0.1)
     budget.saved = saved
     return may_retry(
@@ -25,6 +33,7 @@
         idempotent=idempotent,
         delivered=delivered,
         attempts_left=attempts,
+        seconds_left=seconds_left,
         budget=budget,
     )
 
@@ -56,3 +65,8 @@
     assert not decide(LOST, saved=0)
     assert not decide(LOST, attempts=0)
     assert decide(LEAVING, saved=0, attempts=0)
+
+
+def test_nothing_is_retried_after_the_deadline():
+    assert not decide(NEVER_SENT, seconds_left=0.0)
+    assert decide(NEVER_SENT, seconds_left=0.1)
