Split notices from heartbeats; keep a due notice at an early heartbeat

Cause: one class of 301 lines sent both, and a heartbeat outside the interval cancelled the notice that was due, since heartbeats tell all loads. But only a notice asks the owner for an answer, so a rise at that moment did not find an owner that is lost. Change: Notices has a module of its own and is not touched by heartbeats; both take their numbers from one count.

--- a/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/beats.py
@@ -1,22 +1,19 @@
-"""Sending of heartbeats and notices."""
+"""Sending of heartbeats."""
 
 import time
 
 from hollyspan_core.messages import build_heartbeat
-from hollyspan_core.messages import build_notice
 from hollyspan_core.messages import Heartbeat
-from hollyspan_core.messages import Notice
 
 from .answers import Answers
 from .answers import list_own
 from .batchstreams import ToldStreams
+from .count import MessageCount
 from .interval import choose_interval
-from .interval import FULL_RATE_DAEMONS
-from .loads import describe_load
 from .loads import list_loads
 from .loads import list_reports
+from .notices import Notices
 from .split import split_heartbeat
-from .split import split_loads
 from .states import build_member
 from .states import build_remote
 from .states import describe_self
@@ -30,13 +27,11 @@
 # every fourth one.
 FAR_BEATS = 4
 SOON_SECONDS = 0.05
-# Falls of the online load are told together; rises at once.
-FALL_SECONDS = 0.05
 FORGET_SECONDS = 600.0
 
 
 class Beats:
-    """Heartbeats and notices of this daemon.
+    """Heartbeats of this daemon.
 
     Parameters
     ----------
@@ -54,13 +49,10 @@
         "told",
         "told_streams",
         "answers",
-        "sequence",
+        "count",
+        "notices",
         "turns",
         "soon",
-        "online",
-        "changed",
-        "risen",
-        "notice",
     )
 
     def __init__(self, *, runtime, datagrams, receipts, probes):
@@ -71,13 +63,16 @@
         self.told = ToldLoads()
         self.told_streams = ToldStreams()
         self.answers = Answers(runtime=runtime, datagrams=datagrams)
-        self.sequence = 0
+        self.count = MessageCount()
+        self.notices = Notices(
+            runtime=runtime,
+            datagrams=datagrams,
+            answers=self.answers,
+            told=self.told,
+            count=self.count,
+        )
         self.turns = 0
         self.soon = None
-        self.online = {}
-        self.changed = {}
-        self.risen = set()
-        self.notice = None
 
     async def beat(self):
         """Send the heartbeats that are due.
@@ -106,24 +101,24 @@
 
     def beat_now(self):
         """Send heartbeats to all."""
-        self.stop()
+        self.cancel_soon()
         self.send_beats(far=True)
 
+    def cancel_soon(self):
+        """Forget the heartbeat that is due outside the interval."""
+        if self.soon is not None and self.soon.active():
+            self.soon.cancel()
+        self.soon = None
+
     def stop(self):
         """Forget the heartbeat and the notices that are due soon."""
-        for call in (self.soon, self.notice):
-            if call is not None and call.active():
-                call.cancel()
-        self.soon = None
-        self.notice = None
-        # The next heartbeat tells all loads.
-        self.changed = {}
+        self.cancel_soon()
+        self.notices.stop()
 
     def send_beats(self, *, far):
         """Send heartbeats to the own data centre, and to others if asked."""
         now = time.monotonic()
-        self.sequence += 1
-        sender = describe_self(self.runtime, sequence=self.sequence)
+        sender = describe_self(self.runtime, sequence=self.count.take())
         self.runtime.members.observe(
             build_member(sender, heard=now, timeout=None)
         )
@@ -218,84 +213,3 @@
             for name in self.receipts.list_partners(now=now)
             if name in members
         ]
-
-    def hear_load(self, upstream):
-        """Prepare a notice when the own online load has changed.
-
-        Parameters
-        ----------
-        upstream : Upstream
-        """
-        before = self.online.get(upstream.name, 0)
-        if upstream.online == before:
-            return
-        self.online[upstream.name] = upstream.online
-        self.changed[upstream.name] = upstream
-        if upstream.online > before:
-            self.risen.add(upstream.name)
-            # One notice for all that arrives within a turn of the loop.
-            self.notify_within(0)
-        else:
-            self.notify_within(FALL_SECONDS)
-
-    def notify_within(self, seconds):
-        """Send notices after some seconds, or sooner if they are due."""
-        notice = self.notice
-        if notice is None or not notice.active():
-            self.notice = self.runtime.reactor.callLater(
-                seconds, self.send_notices
-            )
-        elif notice.getTime() > self.runtime.reactor.seconds() + seconds:
-            notice.reset(seconds)
-
-    def send_notices(self):
-        """Tell the daemons of the data centre the loads that changed."""
-        changed, self.changed = self.changed, {}
-        near = list_near(self.runtime, now=time.monotonic())
-        if len(near) > FULL_RATE_DAEMONS:
-            # Heartbeats tell the others; datagrams would grow too many.
-            owners = {self.runtime.owners.find(u) for u in changed.values()}
-            near = [seed for seed in near if seed.instance in owners]
-        risen, self.risen = self.risen, set()
-        loads = [describe_load(upstream) for upstream in changed.values()]
-        for part in split_loads(loads):
-            for seed in near:
-                told = [changed[load.upstream] for load in part]
-                asked = self.list_asked(told, owner=seed.instance, risen=risen)
-                self.send_notice(seed, part, asked=asked)
-
-    def list_asked(self, upstreams, *, owner, risen):
-        """Return the upstreams whose owner is to answer a notice."""
-        return [
-            upstream
-            for upstream in upstreams
-            if upstream.name in risen
-            and self.runtime.owners.find(upstream) == owner
-        ]
-
-    def send_notice(self, seed, loads, *, asked):
-        """Tell a daemon of loads; wait for its answer as an owner."""
-        self.sequence += 1
-        for load in loads:
-            self.told.note(seed.instance, load.upstream)
-        notice = Notice(
-            instance=self.runtime.settings.instance,
-            incarnation=self.runtime.incarnation,
-            sequence=self.sequence,
-            in_flight=loads,
-            is_answered=bool(asked),
-        )
-        datagram = self.datagrams.encode(build_notice(notice))
-        if not asked:
-            self.datagrams.send(
-                datagram, address=seed.address, port=seed.peer_port
-            )
-            return
-        self.answers.questions.ask(
-            seed.instance,
-            sequence=notice.sequence,
-            upstreams=asked,
-            send=lambda: self.datagrams.send(
-                datagram, address=seed.address, port=seed.peer_port
-            ),
-        )
--- a/packages/hollyspan_entry/hollyspan_entry/peers/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/part.py
@@ -83,7 +83,7 @@
 
 
 def subscribe(runtime, beats):
-    runtime.upstreams.load_listeners.append(beats.hear_load)
+    runtime.upstreams.load_listeners.append(beats.notices.hear_load)
     announcements = (runtime.departures.announcements, runtime.cancelled_jobs)
     for names in announcements:
         names.listeners.append(beats.beat_soon)
