Apply the first configuration by the command line

Cause: the daemons take a document with generation 0 as the first, but the command line's check refused it before it was sent. Change: the check looks at the document as it will be accepted. A test with three daemons and an empty store: not ready before, in force on all and ready after; it could not be written before (exit code 2).

--- a/integration/tests/test_operator_commands.py
+++ b/integration/tests/test_operator_commands.py
@@ -4,11 +4,14 @@
 from pathlib import Path
 import subprocess
 import sys
+import time
 
 import pytest
 
 from hollyspan_standins.caller import Caller
+from hollyspan_standins.deployment import build_configuration
 from hollyspan_standins.deployment import CALLER_KEY
+from hollyspan_standins.deployment import is_answering
 from hollyspan_standins.deployment import open_deployment
 
 COMMAND = Path(sys.executable).parent / "hollyspan"
@@ -23,19 +26,23 @@
         yield opened
 
 
+def run_command(*arguments, url):
+    return subprocess.run(
+        [COMMAND, *arguments],
+        env={"HOLLYSPAN_URL": url, "HOLLYSPAN_KEY": "operator-key"},
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_SECONDS,
+    )
+
+
 @pytest.fixture
 def run(deployment):
     """Return a function that runs one command."""
     url = deployment.url(deployment.daemon_names[0])
 
     def run(*arguments, url=url):
-        return subprocess.run(
-            [COMMAND, *arguments],
-            env={"HOLLYSPAN_URL": url, "HOLLYSPAN_KEY": "operator-key"},
-            capture_output=True,
-            text=True,
-            timeout=LIMIT_SECONDS,
-        )
+        return run_command(*arguments, url=url)
 
     return run
 
@@ -171,3 +178,29 @@
     for text in lines:
         for secret in (PROMPT, CALLER_KEY, "operator-key", "peer-key"):
             assert secret not in text
+
+
+def test_first_configuration_is_applied(tmp_path):
+    """A fleet without a configuration becomes ready by its first."""
+    document = build_configuration(model="pips-lm", services=(), slots=8)
+    document["generation"] = 0
+    path = tmp_path / "document.json"
+    path.write_text(json.dumps(document), encoding="utf-8")
+    with open_deployment(start_daemons=False, is_configured=False) as fleet:
+        for name in fleet.daemon_names:
+            fleet.start(name, wait=False)
+        url = fleet.url(fleet.daemon_names[0])
+        wait_answering(f"{url}/healthz")
+        assert not is_answering(f"{url}/readyz")
+        done = run_command("config", "apply", str(path), url=url)
+        assert done.returncode == 0, done.stderr
+        assert "generation 1 is in force" in done.stdout
+        for name in fleet.daemon_names:
+            fleet.wait_ready(name)
+
+
+def wait_answering(url):
+    end = time.monotonic() + LIMIT_SECONDS
+    while not is_answering(url):
+        assert time.monotonic() < end
+        time.sleep(0.1)
--- a/packages/hollyspan_operator/hollyspan_operator/commands/config.py
+++ b/packages/hollyspan_operator/hollyspan_operator/commands/config.py
@@ -75,12 +75,19 @@
 
 def read_checked_document(path):
     document = read_document(path)
-    faults = find_configuration_faults(document)
+    faults = find_configuration_faults(raise_first(document))
     if faults:
         raise InputFileError(f"{path}:\n  " + "\n  ".join(faults))
     return document
 
 
+def raise_first(document):
+    """Return a document as it will be accepted, if it is to be the first."""
+    if isinstance(document, dict) and document.get("generation") == 0:
+        return {**document, "generation": 1}
+    return document
+
+
 def describe_check(result):
     differences = result["differences"]
     if not differences:
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
@@ -1,6 +1,7 @@
 """Launcher of the stand-ins and daemons, for tests and local runs."""
 
 from .calls import fetch_json
+from .calls import is_answering
 from .calls import post_json
 from .configuration import build_configuration
 from .configuration import CALLER_KEY
@@ -33,6 +34,7 @@
     "build_trust_places",
     "count_traffic",
     "fetch_json",
+    "is_answering",
     "open_deployment",
     "pick_port",
     "post_json",
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/launch.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/launch.py
@@ -42,6 +42,7 @@
     first_port=None,
     seed=1,
     start_daemons=True,
+    is_configured=True,
 ):
     """Start a deployment and stop it at the end.
 
@@ -72,6 +73,8 @@
     start_daemons : bool
         Whether the daemons are started; tests may start them one by one
         with :meth:`Deployment.start`.
+    is_configured : bool
+        Whether the store holds the first configuration at the start.
 
     Yields
     ------
@@ -101,7 +104,8 @@
                 services=sorted({s for p in places for s in p.services}),
                 slots=slots,
             )
-        write_configuration(deployment.url("store"), configuration)
+        if is_configured:
+            write_configuration(deployment.url("store"), configuration)
         launcher.prepare_daemons(links, timing or {})
         if start_daemons:
             launcher.start_daemons()
