Tell a cancelled request from a broken connection

Cause: test_freed_streams_have_one_result_each failed at times with one item that no engine had a record of. A run that was preempted between its connection and the head of its answer failed with ResponseNeverReceived in place of CancelledError; that counted as a lost answer, so the run went on with a resume, which the engine did not know, and the item's attempt was counted. One that was still connecting failed with ConnectingCancelledError and marked its upstream unreachable. Ruled out by the engines' records: a stream that an engine had forgotten, a start under a known identifier, a takeover's noted attempt. Change: a cancelled wait for an answer is a CancelledError, whatever the request fails with.

--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/call.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/call.py
@@ -12,6 +12,7 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 
 from ..http import BytesProducer
+from .cancelling import pass_cancel
 from .state import note_state
 from .state import note_unreachable
 
@@ -77,7 +78,7 @@
     )
     work.addTimeout(timeout, runtime.reactor)
     try:
-        response = await work
+        response = await pass_cancel(work)
     except NEVER_SENT as failure:
         note_unreachable(upstream)
         raise UpstreamUnavailableError(
