--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,15 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core policy entry operator standins
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/hollyspan_$(p))
-SOURCES := packages integration benchmarks
+PACKAGES := core policy entry gateway operator standins
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/hollyspan_$(p)) -e platform
+SOURCES := packages platform integration benchmarks
 
 .PHONY: venv test lint format demo serve yielding
 
 venv: $(VENV)/installed
 
-$(VENV)/installed: constraints.txt requirements-dev.txt packages/*/pyproject.toml
+$(VENV)/installed: constraints.txt requirements-dev.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q -c constraints.txt -r requirements-dev.txt
 	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -30,9 +30,11 @@
 from .request import OutcomeUnknownError
 from .request import OverloadedError
 from .request import RateLimitError
+from .request import RouteNotFoundError
 from .request import ServiceNotFoundError
 from .store import LeaseLostError
 from .store import StoreConflictError
+from .store import StoreHistoryLostError
 from .store import StoreKeyExistsError
 from .store import StoreReplyLostError
 from .store import StoreUnavailableError
@@ -75,9 +77,11 @@
     "PeerMessageError",
     "PeerUnavailableError",
     "RateLimitError",
+    "RouteNotFoundError",
     "ServiceNotFoundError",
     "SettingsInvalidError",
     "StoreConflictError",
+    "StoreHistoryLostError",
     "StoreKeyExistsError",
     "StoreReplyLostError",
     "StoreUnavailableError",
--- a/packages/hollyspan_core/hollyspan_core/errors/request.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/request.py
@@ -23,6 +23,7 @@
     "OutcomeUnknownError",
     "OverloadedError",
     "RateLimitError",
+    "RouteNotFoundError",
     "ServiceNotFoundError",
 ]
 
@@ -54,6 +55,15 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class RouteNotFoundError(HollyspanError):
+    """No route for the host and path."""
+
+    status = 404
+    kind = "invalid_request_error"
+    code = "route_not_found"
+    default_outcome = Outcome.NOT_RUN
+
+
 class ServiceNotFoundError(HollyspanError):
     """No such plain service."""
 
--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -6,6 +6,7 @@
 __all__ = [
     "LeaseLostError",
     "StoreConflictError",
+    "StoreHistoryLostError",
     "StoreKeyExistsError",
     "StoreReplyLostError",
     "StoreUnavailableError",
@@ -69,6 +70,14 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class StoreHistoryLostError(HollyspanError):
+    """The store no longer holds the changes after a revision."""
+
+    status = 503
+    kind = "server_error"
+    code = "store_history_lost"
+
+
 class LeaseLostError(HollyspanError):
     """The lease can no longer be trusted."""
 
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/events/__init__.py
@@ -0,0 +1,6 @@
+"""Server-sent events."""
+
+from .parser import ERROR_PREFIXES
+from .parser import EventParser
+
+__all__ = ["ERROR_PREFIXES", "EventParser"]
--- a/packages/hollyspan_entry/hollyspan_entry/streams/parser.py
+++ b/packages/hollyspan_core/hollyspan_core/events/parser.py
@@ -1,8 +1,8 @@
 """Parsing of server-sent events."""
 
-from hollyspan_core.errors import StreamMalformedError
+from ..errors import StreamMalformedError
 
-__all__ = ["EventParser"]
+__all__ = ["ERROR_PREFIXES", "EventParser"]
 
 MAX_EVENT_BYTES = 1_000_000
 MAX_OFFSET_DIGITS = 12
--- a/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_parser.py
+++ b/packages/hollyspan_core/hollyspan_core/events/tests/test_parser.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hollyspan_core.errors import StreamMalformedError
-from hollyspan_entry.streams import EventParser
+from hollyspan_core.events import EventParser
 
 
 def parse(*parts):
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/store/__init__.py
@@ -0,0 +1,7 @@
+"""What clients of the platform's store share."""
+
+from .entry import Entry
+from .entry import Page
+from .entry import TOKEN_BYTES
+
+__all__ = ["Entry", "Page", "TOKEN_BYTES"]
--- a/packages/hollyspan_entry/hollyspan_entry/store/entry.py
+++ b/packages/hollyspan_core/hollyspan_core/store/entry.py
@@ -1,6 +1,9 @@
 """What the store answers."""
 
-__all__ = ["Entry", "Page"]
+__all__ = ["Entry", "Page", "TOKEN_BYTES"]
+
+# Length of the random token in front of each value, which names its write.
+TOKEN_BYTES = 16
 
 
 class Entry:
@@ -17,16 +20,19 @@
         Revision of the last change; 0 in an event for a deleted key.
     lease : int
         Lease that the key is bound to, 0 for none.
+    created : int, optional
+        Revision of the key's creation, 0 where the store does not tell it.
     """
 
-    __slots__ = ("key", "content", "token", "revision", "lease")
+    __slots__ = ("key", "content", "token", "revision", "lease", "created")
 
-    def __init__(self, *, key, content, token, revision, lease):
+    def __init__(self, *, key, content, token, revision, lease, created=0):
         self.key = key
         self.content = content
         self.token = token
         self.revision = revision
         self.lease = lease
+        self.created = created
 
 
 class Page:
--- a/packages/hollyspan_entry/hollyspan_entry/store/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/__init__.py
@@ -2,8 +2,8 @@
 
 from .client import open_store
 from .client import Store
-from .entry import Entry
-from .entry import Page
+from hollyspan_core.store import Entry
+from hollyspan_core.store import Page
 from .watch import Watch
 
 __all__ = ["Entry", "Page", "Store", "Watch", "open_store"]
--- a/packages/hollyspan_entry/hollyspan_entry/store/client.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/client.py
@@ -7,12 +7,12 @@
 from hollyspan_core.errors import LeaseLostError
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreKeyExistsError
+from hollyspan_core.store import Page
 
 from .codec import decode_entry
 from .codec import encode_bytes
 from .codec import encode_key
 from .codec import end_of_prefix
-from .entry import Page
 from .transport import Transport
 from .watch import Watch
 from .writing import delete_key
--- a/packages/hollyspan_entry/hollyspan_entry/store/codec.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/codec.py
@@ -2,18 +2,16 @@
 
 import base64
 
-from .entry import Entry
+from hollyspan_core.store import Entry
+from hollyspan_core.store import TOKEN_BYTES
 
 __all__ = [
-    "TOKEN_BYTES",
     "decode_entry",
     "encode_bytes",
     "encode_key",
     "end_of_prefix",
 ]
 
-TOKEN_BYTES = 16
-
 
 def encode_bytes(content):
     """Return bytes as base64 text."""
--- a/packages/hollyspan_entry/hollyspan_entry/store/writing.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/writing.py
@@ -4,12 +4,12 @@
 from hollyspan_core.errors import StoreReplyLostError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_core.errors import StoreValueTooLargeError
+from hollyspan_core.store import Entry
+from hollyspan_core.store import TOKEN_BYTES
 
 from .codec import decode_entry
 from .codec import encode_bytes
 from .codec import encode_key
-from .codec import TOKEN_BYTES
-from .entry import Entry
 
 __all__ = ["delete_key", "put_value", "read_failure", "send_write"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/streams/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/__init__.py
@@ -5,11 +5,9 @@
 from .cancellation import send_cancel
 from .freeing import free_batch_streams
 from .names import build_batch_stream_id
-from .parser import EventParser
 from .run import run_stream
 
 __all__ = [
-    "EventParser",
     "assemble_answer",
     "build_batch_stream_id",
     "cancel_stream",
--- a/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
@@ -5,6 +5,8 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from hollyspan_core.events import ERROR_PREFIXES
+from hollyspan_core.events import EventParser
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamCancelledError
 from hollyspan_core.errors import StreamLostError
@@ -18,8 +20,7 @@
 from ..upstreams.state import is_leaving_answer
 from ..upstreams.state import read_code
 from .cancellation import cancel_stream
-from .parser import ERROR_PREFIXES
-from .parser import EventParser
+
 from .reader import StreamReader
 
 __all__ = ["StreamRun"]
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -0,0 +1,215 @@
+"""Assembly and stop of one gateway."""
+
+import contextlib
+import os
+import signal
+import time
+
+import eliot
+from twisted.internet import defer
+from twisted.web import http
+
+from hollyspan_core.errors import StoreUnavailableError
+
+from .clock import wait
+from .gateway import Gateway
+from .gateway import MEMBERS_PREFIX
+from .jobs.worker import Worker
+from .metrics import Metrics
+from .online.server import ClientSite
+from .store import Store
+
+__all__ = ["run_gateway"]
+
+# Bytes of a body before a configuration states the limit.
+INITIAL_BODY_BYTES = 4 * 1024 * 1024
+# Seconds that a client's connection may be idle.
+IDLE_S = 20.0
+LISTEN_BACKLOG = 512
+# Seconds after the request to stop for which new connections still come: the
+# balancer takes a daemon out after two missed questions, one a second.
+BALANCER_S = 2.6
+# Seconds before the end by force at which the process leaves by itself.
+LEAVE_MARGIN_S = 0.4
+DRAIN_CHECK_S = 0.05
+# Seconds before a failed registration is tried again.
+REGISTER_RETRY_S = 0.3
+# Seconds after the start before items are run, so that peers are heard first.
+WORKER_DELAY_S = 1.0
+
+
+def run_gateway(reactor, *, settings, dialect, create_wire):
+    """Run a gateway until it is told to stop.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : GatewaySettings
+    dialect : object
+        Functions that translate to and from the platform's formats.
+    create_wire : callable
+        Returns the wire client of the store.
+    """
+    gateway = Gateway(
+        reactor=reactor,
+        settings=settings,
+        store=Store(
+            wire=create_wire(reactor, settings.store_address),
+            reactor=reactor,
+            create_token=lambda: os.urandom(16),
+        ),
+        dialect=dialect,
+        metrics=Metrics(),
+        incarnation=time.time_ns() // 1000,
+    )
+    with contextlib.ExitStack() as stack:
+        site = None
+        if settings.client_port is not None:
+            site = listen_for_clients(reactor, gateway)
+        start_parts(reactor, gateway)
+        stack.callback(gateway.pool.close)
+        stopping = Stop(reactor=reactor, gateway=gateway, site=site)
+        reactor.addSystemEventTrigger(
+            "after",
+            "startup",
+            lambda: signal.signal(signal.SIGTERM, stopping.take_signal),
+        )
+        reactor.addSystemEventTrigger(
+            "after",
+            "startup",
+            lambda: signal.signal(signal.SIGHUP, signal.SIG_IGN),
+        )
+        eliot.log_message(
+            "gateway:started",
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            runs_batch=settings.runs_batch,
+        )
+        reactor.run()
+        eliot.log_message("gateway:ended", instance=settings.instance)
+
+
+def listen_for_clients(reactor, gateway):
+    """Open the addresses for clients and for the balancer."""
+    settings = gateway.settings
+    site = ClientSite(
+        reactor=reactor,
+        handle=lambda request: gateway.dialect.dispatch(gateway, request),
+        body_limit=INITIAL_BODY_BYTES,
+        idle_seconds=IDLE_S,
+    )
+    reactor.listenTCP(
+        settings.client_port,
+        site,
+        backlog=LISTEN_BACKLOG,
+        interface=settings.ip,
+    )
+    ready = ClientSite(
+        reactor=reactor,
+        handle=lambda request: answer_ready(gateway, request),
+        body_limit=0,
+        idle_seconds=IDLE_S,
+    )
+    reactor.listenTCP(settings.ready_port, ready, interface=settings.ip)
+    return site
+
+
+def answer_ready(gateway, request):
+    """Tell the balancer whether clients can be served."""
+    status = http.OK if gateway.is_ready else http.SERVICE_UNAVAILABLE
+    request.answer(status, [], b"")
+
+
+def start_parts(reactor, gateway):
+    """Start what follows the store and the peers."""
+    settings = gateway.settings
+    reactor.listenUDP(
+        settings.peer_port, gateway.peers, interface=settings.ip
+    )
+    gateway.configuration_mirror.start()
+    gateway.upstreams_mirror.start()
+    defer.ensureDeferred(register(gateway)).addErrback(eliot.write_failure)
+    if settings.runs_batch:
+        gateway.worker = Worker(gateway=gateway)
+        reactor.callLater(WORKER_DELAY_S, gateway.worker.start)
+
+
+async def register(gateway):
+    """Put this gateway into the store and learn of the others."""
+    settings = gateway.settings
+    address = f"{settings.ip}:{settings.peer_port}"
+    while True:
+        try:
+            await gateway.store.put(
+                MEMBERS_PREFIX + settings.instance, address.encode()
+            )
+            page = await gateway.store.list(MEMBERS_PREFIX)
+            break
+        except StoreUnavailableError as failure:
+            eliot.log_message("member:unregistered", reason=failure.message)
+            await wait(gateway.reactor, REGISTER_RETRY_S)
+    for entry in page.entries:
+        host, _, port = entry.content.decode().rpartition(":")
+        name = entry.key.removeprefix(MEMBERS_PREFIX)
+        gateway.peers.add(name, (host, int(port)))
+    eliot.log_message("member:registered", known=len(page.entries))
+
+
+class Stop:
+    """Stops a gateway without cutting a request off.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    gateway : Gateway
+    site : ClientSite or None
+    """
+
+    def __init__(self, *, reactor, gateway, site):
+        self.reactor = reactor
+        self.gateway = gateway
+        self.site = site
+        self.began = None
+
+    def take_signal(self, number, frame):
+        """Begin to stop; called from a signal."""
+        self.reactor.callFromThread(self.begin)
+
+    def begin(self):
+        """Report not ready, and leave once the work is done."""
+        if self.began is not None:
+            return
+        self.began = self.reactor.seconds()
+        gateway = self.gateway
+        gateway.is_draining = True
+        if gateway.worker is not None:
+            gateway.worker.is_stopping = True
+        gateway.peers.send_full(gateway.peers.list_live())
+        eliot.log_message(
+            "gateway:draining",
+            connections=len(self.site.channels) if self.site else 0,
+            items=len(gateway.worker.running) if gateway.worker else 0,
+        )
+        self.reactor.callLater(DRAIN_CHECK_S, self.check)
+
+    def check(self):
+        """Leave when nothing is in flight or the grace is over."""
+        spent = self.reactor.seconds() - self.began
+        limit = self.gateway.settings.grace_seconds - LEAVE_MARGIN_S
+        if spent < limit and not self.is_done(spent):
+            self.reactor.callLater(DRAIN_CHECK_S, self.check)
+            return
+        eliot.log_message("gateway:stopping", seconds=spent)
+        if self.gateway.worker is not None:
+            self.gateway.worker.stop()
+        self.reactor.stop()
+
+    def is_done(self, spent):
+        if self.gateway.worker is not None and self.gateway.worker.running:
+            return False
+        if self.site is None:
+            return True
+        if spent < BALANCER_S:
+            return False
+        self.site.close_idle()
+        return not self.site.channels
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -0,0 +1,256 @@
+"""State that the parts of one gateway share."""
+
+import time
+
+import eliot
+
+from hollyspan_policy.hashing import hash_parts
+
+from .http1 import ConnectionPool
+from .jobs.submissions import Submissions
+from .online.service import OnlineService
+from .peers import PeerTable
+from .store import Mirror
+from .upstreams import Directory
+from .upstreams import Placement
+from .upstreams.directory import LAPSE_GRACE_S
+
+__all__ = ["Gateway"]
+
+MEMBERS_PREFIX = "hs/m/"
+# A peer that knows a newer revision is given this time, seconds, for the own
+# watch to bring it too.
+REFRESH_S = 0.3
+
+
+class Gateway:
+    """One gateway: what it knows and the parts that use it.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : GatewaySettings
+    store : Store
+    dialect : object
+        Functions that translate to and from the platform's formats.
+    metrics : Metrics
+    incarnation : int
+        Start time, microseconds since the epoch.
+
+    Attributes
+    ----------
+    routes : RouteTable or None
+        The configuration in force.
+    is_draining : bool
+    worker : Worker or None
+    """
+
+    def __init__(
+        self, *, reactor, settings, store, dialect, metrics, incarnation
+    ):
+        self.reactor = reactor
+        self.settings = settings
+        self.store = store
+        self.dialect = dialect
+        self.metrics = metrics
+        self.name = settings.instance
+        self.routes = None
+        self.is_draining = False
+        self.worker = None
+        self.pool = ConnectionPool(reactor=reactor)
+        self.directory = Directory(
+            reactor=reactor, on_leaving=self.leave_upstream
+        )
+        self.placement = Placement(
+            reactor=reactor,
+            directory=self.directory,
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            on_change=self.note_load,
+        )
+        self.peers = PeerTable(
+            reactor=reactor,
+            name=settings.instance,
+            incarnation=incarnation,
+            describe=self.describe,
+            list_loads=self.list_loads,
+            on_message=self.take_message,
+            on_membership=self.note_membership,
+        )
+        self.configuration_mirror = Mirror(
+            store=store,
+            reactor=reactor,
+            prefix=dialect.configuration_prefix,
+            on_change=self.take_configuration,
+        )
+        self.upstreams_mirror = Mirror(
+            store=store,
+            reactor=reactor,
+            prefix=dialect.upstreams_prefix,
+            on_change=self.take_upstreams,
+        )
+        self.submissions = Submissions(gateway=self)
+        self.online = OnlineService(gateway=self)
+
+    @property
+    def configuration_version(self):
+        """Version of the configuration in force, None without one."""
+        return None if self.routes is None else self.routes.version
+
+    @property
+    def is_ready(self):
+        """True when clients can be served."""
+        return (
+            self.routes is not None
+            and self.upstreams_mirror.revision > 0
+            and not self.is_draining
+        )
+
+    def wall_clock(self):
+        """Return Unix seconds."""
+        return time.time()
+
+    def take_configuration(self, mirror):
+        """Put a newer configuration into force."""
+        for entry in mirror.entries.values():
+            table = self.dialect.decode_configuration(entry)
+            if table is None:
+                continue
+            known = self.routes
+            if known is not None and table.revision <= known.revision:
+                continue
+            self.routes = table
+            eliot.log_message(
+                "configuration:in_force",
+                version=table.version,
+                revision=table.revision,
+                routes=sum(map(len, table.by_host.values())),
+                was=None if known is None else known.version,
+            )
+
+    def take_upstreams(self, mirror):
+        """Take over the list of upstreams."""
+        entries = {}
+        for entry in mirror.entries.values():
+            upstream = self.dialect.decode_upstream(entry)
+            if upstream is not None:
+                entries[upstream.name] = upstream
+        lapse_until = 0.0
+        if mirror.regained is not None:
+            lapse_until = mirror.regained + LAPSE_GRACE_S
+        if not mirror.is_connected:
+            # This change is the first answer after an outage.
+            lapse_until = self.reactor.seconds() + LAPSE_GRACE_S
+        self.directory.update(entries, lapse_until=lapse_until)
+        if lapse_until > self.reactor.seconds():
+            self.reactor.callLater(
+                lapse_until - self.reactor.seconds() + 0.01,
+                self.take_upstreams,
+                mirror,
+            )
+        if self.worker is not None:
+            self.worker.schedule(0.0)
+
+    def leave_upstream(self, upstream):
+        """Send nothing new to an upstream that leaves."""
+        self.pool.drop_address(upstream.entry.address)
+
+    def note_load(self, upstream):
+        """Pass on a change of this gateway's load."""
+        self.peers.note_load(upstream)
+        if self.worker is not None:
+            self.worker.make_room(upstream)
+
+    def describe(self):
+        """Return the state for a full message to peers."""
+        worker = self.worker
+        return {
+            "configuration": self.routes.revision if self.routes else 0,
+            "upstreams": self.find_upstreams_revision(),
+            "runs_batch": worker is not None and not worker.is_stopping,
+            "is_leaving": self.is_draining,
+            "reaches_store": self.upstreams_mirror.is_connected,
+            "items": list(worker.running) if worker is not None else [],
+        }
+
+    def find_upstreams_revision(self):
+        """Return the revision of the newest upstream entry."""
+        entries = self.upstreams_mirror.entries.values()
+        return max((entry.revision for entry in entries), default=0)
+
+    def list_loads(self):
+        """Return the upstreams with requests of this gateway."""
+        return [
+            upstream
+            for upstream in self.directory.upstreams.values()
+            if upstream.online or upstream.batch
+        ]
+
+    def take_message(self, peer, message):
+        """Take over a peer's load and notice what it knows better."""
+        for upstream in self.directory.upstreams.values():
+            key = hash_parts(upstream.entry.name)
+            load = peer.loads.get(key)
+            if load is None:
+                upstream.peers.pop(peer.name, None)
+            else:
+                upstream.peers[peer.name] = load
+            if self.worker is not None:
+                self.worker.make_room(upstream)
+        if message.is_full:
+            self.compare_revisions(peer, message)
+
+    def compare_revisions(self, peer, message):
+        """Read what a peer knows in a newer revision."""
+        known = self.routes.revision if self.routes else 0
+        if message.configuration > known:
+            self.reactor.callLater(
+                REFRESH_S, self.refresh_configuration, message.configuration
+            )
+        if message.upstreams > self.upstreams_mirror.revision:
+            self.reactor.callLater(
+                REFRESH_S, self.refresh_upstreams, message.upstreams
+            )
+
+    def refresh_configuration(self, revision):
+        known = self.routes.revision if self.routes else 0
+        if known < revision:
+            eliot.log_message(
+                "configuration:behind", revision=known, peer=revision
+            )
+            self.configuration_mirror.refresh()
+
+    def refresh_upstreams(self, revision):
+        known = self.upstreams_mirror.revision
+        if known < revision:
+            eliot.log_message(
+                "upstreams:behind", revision=known, peer=revision
+            )
+            self.upstreams_mirror.refresh()
+
+    def note_membership(self):
+        """Take note that gateways came or went."""
+        live = {peer.name for peer in self.peers.list_live()}
+        for upstream in self.directory.upstreams.values():
+            for name in list(upstream.peers):
+                if name not in live:
+                    del upstream.peers[name]
+        if self.worker is not None:
+            self.worker.recheck()
+
+    def list_workers(self):
+        """Return the names of the gateways that can run items."""
+        workers = [
+            peer.name
+            for peer in self.peers.list_live()
+            if peer.runs_batch and peer.reaches_store and not peer.is_leaving
+        ]
+        if not self.worker.is_stopping:
+            workers.append(self.name)
+        return workers
+
+    def list_claimed_items(self):
+        """Return the hashes of the items that run at peers."""
+        return frozenset().union(
+            *(peer.items for peer in self.peers.list_live())
+        )
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
@@ -0,0 +1,8 @@
+"""HTTP/1.1 client connections to upstreams and to the store."""
+
+from .connection import ClientConnection
+from .connection import connect
+from .exchange import Exchange
+from .pool import ConnectionPool
+
+__all__ = ["ClientConnection", "ConnectionPool", "Exchange", "connect"]
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -0,0 +1,240 @@
+"""One persistent client connection."""
+
+import socket
+
+import h11
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import protocol
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamMalformedError
+from hollyspan_core.errors import UpstreamUnavailableError
+
+__all__ = ["ClientConnection", "connect"]
+
+# Seconds of silence before the first keep-alive probe, between two probes,
+# and probes without an answer: a silent peer is noticed within 3 s, the
+# shortest of the fleet's bounds on contact.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Milliseconds for which sent bytes may stay without an acknowledgement.
+USER_TIMEOUT_MS = 3000
+# A kept connection is not used in the last part of its idle time, since the
+# peer may be closing it: seconds, several times the longest round trip.
+IDLE_MARGIN_S = 0.5
+
+
+def connect(reactor, host, port, *, timeout):
+    """Open a connection.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    host : str
+        IP address.
+    port : int
+    timeout : float
+        Seconds.
+
+    Returns
+    -------
+    Deferred of ClientConnection
+        Fails with UpstreamUnavailableError, outcome ``not_run``.
+    """
+    factory = ClientFactory(reactor=reactor)
+    reactor.connectTCP(host, port, factory, timeout=timeout)
+    return factory.opened
+
+
+class ClientFactory(protocol.ClientFactory):
+    """Builds the protocol of one connection."""
+
+    noisy = False
+
+    def __init__(self, *, reactor):
+        self.reactor = reactor
+        self.opened = defer.Deferred()
+
+    def buildProtocol(self, addr):
+        return ClientConnection(reactor=self.reactor, opened=self.opened)
+
+    def clientConnectionFailed(self, connector, reason):
+        failure = UpstreamUnavailableError(
+            f"no connection: {reason.getErrorMessage()}",
+            outcome=Outcome.NOT_RUN,
+        )
+        # A cancelled wait has no one left to tell.
+        if not self.opened.called:
+            self.opened.errback(failure)
+
+
+class ClientConnection(protocol.Protocol):
+    """Sends one request at a time.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    opened : Deferred
+        Fires with the connection once it is made.
+
+    Attributes
+    ----------
+    on_free : callable or None
+        Called with the connection when an answer is complete and the
+        connection can take another request.
+    on_lost : callable or None
+        Called with the connection when it is lost.
+    usable_until : float or None
+        Time of the reactor at which the peer may close it for idleness.
+    """
+
+    def __init__(self, *, reactor, opened):
+        self.reactor = reactor
+        self.opened = opened
+        self.parser = h11.Connection(h11.CLIENT)
+        self.exchange = None
+        self.on_free = None
+        self.on_lost = None
+        self.usable_until = None
+        self.idle_seconds = None
+        self.is_lost = False
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        set_keepalive(self.transport.getHandle())
+        if self.opened.called:
+            self.transport.abortConnection()
+            return
+        self.opened.callback(self)
+
+    def send(self, exchange):
+        """Send a request; the connection must be free.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        """
+        self.exchange = exchange
+        headers = list(exchange.headers)
+        headers.append((b"Content-Length", b"%d" % len(exchange.body)))
+        head = h11.Request(
+            method=exchange.method, target=exchange.target, headers=headers
+        )
+        content = self.parser.send(head)
+        if exchange.body:
+            content += self.parser.send(h11.Data(data=exchange.body))
+        content += self.parser.send(h11.EndOfMessage())
+        self.transport.write(content)
+
+    def dataReceived(self, data):
+        if self.exchange is None:
+            # Bytes that no request asked for end the connection.
+            self.drop()
+            return
+        self.feed(data)
+
+    def feed(self, data):
+        try:
+            self.parser.receive_data(data)
+            while self.exchange is not None:
+                event = self.parser.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self.take(event)
+        except h11.RemoteProtocolError as fault:
+            self.fail(StreamMalformedError(f"malformed answer: {fault}"))
+
+    def take(self, event):
+        if isinstance(event, h11.Data):
+            self.exchange.on_data(bytes(event.data))
+        elif isinstance(event, h11.Response):
+            self.idle_seconds = find_idle_seconds(event.headers)
+            self.exchange.on_head(event.status_code, list(event.headers))
+        elif isinstance(event, h11.EndOfMessage):
+            self.finish()
+
+    def finish(self):
+        exchange, self.exchange = self.exchange, None
+        trailing, is_closed = self.parser.trailing_data
+        if (
+            trailing
+            or is_closed
+            or self.parser.our_state is not h11.DONE
+            or self.parser.their_state is not h11.DONE
+        ):
+            self.drop()
+        else:
+            self.parser.start_next_cycle()
+            if self.idle_seconds is not None:
+                self.usable_until = (
+                    self.reactor.seconds() + self.idle_seconds - IDLE_MARGIN_S
+                )
+            if self.on_free is not None:
+                self.on_free(self)
+        exchange.on_end()
+
+    def cancel(self):
+        """Give the request up and close the connection."""
+        self.exchange = None
+        self.drop()
+
+    def drop(self):
+        self.is_lost = True
+        self.transport.abortConnection()
+
+    def fail(self, failure):
+        exchange, self.exchange = self.exchange, None
+        self.drop()
+        if exchange is not None:
+            exchange.on_failure(failure)
+
+    def is_usable(self):
+        """Tell whether another request can be sent."""
+        if self.is_lost or self.exchange is not None:
+            return False
+        return (
+            self.usable_until is None
+            or self.reactor.seconds() < self.usable_until
+        )
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.is_lost = True
+        if self.on_lost is not None:
+            self.on_lost(self)
+        if self.exchange is None:
+            return
+        if reason.check(error.ConnectionDone):
+            # The end of the connection may be the end of the answer.
+            self.feed(b"")
+        if self.exchange is not None:
+            self.fail(
+                StreamLostError(
+                    f"connection lost: {reason.getErrorMessage()}"
+                )
+            )
+
+
+def set_keepalive(handle):
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def find_idle_seconds(headers):
+    """Return the time-out of a Keep-Alive header in seconds, or None."""
+    for name, value in headers:
+        if name != b"keep-alive":
+            continue
+        for part in value.split(b","):
+            key, _, number = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and number.isdigit():
+                return int(number)
+    return None
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/exchange.py
@@ -0,0 +1,56 @@
+"""One request on a connection, and who hears of its answer."""
+
+__all__ = ["Exchange"]
+
+
+class Exchange:
+    """A request and the functions that are told of its answer.
+
+    Parameters
+    ----------
+    method : bytes
+    target : bytes
+    headers : list of (bytes, bytes)
+        Without the length of the body.
+    body : bytes
+    on_head : callable
+        Called with the status and the list of headers, names in lower case.
+    on_data : callable
+        Called with each run of bytes of the body.
+    on_end : callable
+        Called once without arguments when the answer is complete.
+    on_failure : callable
+        Called once with a HollyspanError when no complete answer will come.
+    """
+
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "on_head",
+        "on_data",
+        "on_end",
+        "on_failure",
+    )
+
+    def __init__(
+        self,
+        *,
+        method,
+        target,
+        headers,
+        body,
+        on_head,
+        on_data,
+        on_end,
+        on_failure,
+    ):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.on_head = on_head
+        self.on_data = on_data
+        self.on_end = on_end
+        self.on_failure = on_failure
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item.py
@@ -0,0 +1,43 @@
+"""One item of a job."""
+
+__all__ = ["Item", "ItemResult"]
+
+
+class Item:
+    """A request that a job holds.
+
+    Parameters
+    ----------
+    identifier : str
+    path : str
+    headers : list of (str, str)
+    body : bytes
+    """
+
+    __slots__ = ("identifier", "path", "headers", "body")
+
+    def __init__(self, *, identifier, path, headers, body):
+        self.identifier = identifier
+        self.path = path
+        self.headers = headers
+        self.body = body
+
+
+class ItemResult:
+    """What became of an item.
+
+    Parameters
+    ----------
+    identifier : str
+    is_done : bool
+        False for an item that was given up.
+    output : bytes
+        Data of all events, separated by line feeds.
+    """
+
+    __slots__ = ("identifier", "is_done", "output")
+
+    def __init__(self, *, identifier, is_done, output):
+        self.identifier = identifier
+        self.is_done = is_done
+        self.output = output
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/loading.py
@@ -0,0 +1,52 @@
+"""Reading of a job's record."""
+
+from .records import build_job_key
+from .records import decode_job
+from .records import list_part_keys
+
+__all__ = ["load_job", "read_record"]
+
+
+async def load_job(store, identifier):
+    """Read a job from the store.
+
+    Parameters
+    ----------
+    store : Store
+    identifier : str
+
+    Returns
+    -------
+    Job or None
+        None when there is no such job.
+
+    Raises
+    ------
+    StoreUnavailableError
+    """
+    entry = await store.get(build_job_key(identifier))
+    if entry is None:
+        return None
+    return await read_record(store, identifier, entry)
+
+
+async def read_record(store, identifier, entry):
+    """Read the rest of a record whose first part is known.
+
+    Parameters
+    ----------
+    store : Store
+    identifier : str
+    entry : Entry
+        Entry of the job's key.
+
+    Returns
+    -------
+    Job
+    """
+    count = entry.content[0]
+    content = entry.content[1:]
+    for key in list_part_keys(identifier, count):
+        part = await store.get(key)
+        content += part.content
+    return decode_job(identifier, content)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -0,0 +1,166 @@
+"""Jobs and results as they lie in the store."""
+
+import base64
+import json
+import zlib
+
+from .item import Item
+from .item import ItemResult
+from .job import Job
+
+__all__ = [
+    "JOBS_PREFIX",
+    "RESULTS_PREFIX",
+    "build_end_key",
+    "build_job_key",
+    "build_result_key",
+    "build_results_prefix",
+    "decode_job",
+    "decode_result",
+    "encode_job",
+    "encode_result",
+    "is_end_key",
+    "list_part_keys",
+    "read_job_identifier",
+    "read_result_item",
+]
+
+JOBS_PREFIX = "hs/j/"
+PARTS_PREFIX = "hs/b/"
+RESULTS_PREFIX = "hs/r/"
+END = "/end"
+# Bytes of a record in one key, below the megabyte that a value may have with
+# the writer's token.
+PART_BYTES = 900_000
+COMPRESSION_LEVEL = 1
+DONE = b"done"
+GIVEN_UP = b"given_up"
+
+
+def build_job_key(identifier):
+    """Return the key of a job's record."""
+    return JOBS_PREFIX + identifier
+
+
+def build_end_key(identifier):
+    """Return the key that marks a job as ended."""
+    return JOBS_PREFIX + identifier + END
+
+
+def is_end_key(key):
+    """Tell whether a key marks a job as ended."""
+    return key.endswith(END)
+
+
+def read_job_identifier(key):
+    """Return the job of a key below JOBS_PREFIX."""
+    return key.removeprefix(JOBS_PREFIX).removesuffix(END)
+
+
+def build_results_prefix(identifier):
+    """Return the prefix of a job's results."""
+    return f"{RESULTS_PREFIX}{identifier}/"
+
+
+def build_result_key(job, item):
+    """Return the key of an item's result."""
+    return build_results_prefix(job) + item
+
+
+def read_result_item(key):
+    """Return the item of a result's key."""
+    return key.rpartition("/")[2]
+
+
+def list_part_keys(identifier, count):
+    """Return the keys of a record's parts after the first."""
+    return [f"{PARTS_PREFIX}{identifier}/{i}" for i in range(1, count)]
+
+
+def encode_job(job):
+    """Encode a job as contents by key.
+
+    Parameters
+    ----------
+    job : Job
+
+    Returns
+    -------
+    dict
+        Bytes by key. The first key is the job's; its first byte counts the
+        parts.
+    """
+    document = {
+        "host": job.host,
+        "path": job.path,
+        "submitted": job.submitted,
+        "due": job.due,
+        "retained_until": job.retained_until,
+        "items": [
+            {
+                "id": item.identifier,
+                "path": item.path,
+                "headers": item.headers,
+                "body": base64.b64encode(item.body).decode(),
+            }
+            for item in job.items
+        ],
+    }
+    content = zlib.compress(json.dumps(document).encode(), COMPRESSION_LEVEL)
+    parts = [
+        content[start : start + PART_BYTES]
+        for start in range(0, len(content), PART_BYTES)
+    ]
+    keys = [build_job_key(job.identifier)]
+    keys += list_part_keys(job.identifier, len(parts))
+    parts[0] = bytes([len(parts)]) + parts[0]
+    return dict(zip(keys, parts))
+
+
+def decode_job(identifier, content):
+    """Decode a job from its joined parts.
+
+    Parameters
+    ----------
+    identifier : str
+    content : bytes
+        All parts, without the count in front.
+
+    Returns
+    -------
+    Job
+    """
+    document = json.loads(zlib.decompress(content))
+    return Job(
+        identifier=identifier,
+        host=document["host"],
+        path=document["path"],
+        submitted=document["submitted"],
+        due=document["due"],
+        retained_until=document["retained_until"],
+        items=[
+            Item(
+                identifier=item["id"],
+                path=item["path"],
+                headers=[tuple(pair) for pair in item["headers"]],
+                body=base64.b64decode(item["body"]),
+            )
+            for item in document["items"]
+        ],
+    )
+
+
+def encode_result(result):
+    """Encode a result as the content of its key."""
+    state = DONE if result.is_done else GIVEN_UP
+    return state + b"\n" + result.output
+
+
+def decode_result(key, content):
+    """Decode the content of a result's key."""
+    state, _, output = content.partition(b"\n")
+    return ItemResult(
+        identifier=read_result_item(key),
+        is_done=state == DONE,
+        output=output,
+    )
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -0,0 +1,361 @@
+"""Runs the items of all jobs on what online work leaves free."""
+
+import eliot
+from twisted.internet import defer
+
+from hollyspan_core.errors import StoreKeyExistsError
+from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_policy.batch import choose_preempted
+from hollyspan_policy.batch import StreamView
+from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.ownership import choose_owner
+
+from ..clock import wait
+from ..routes import choose_service
+from ..routes import RouteKind
+from ..store import Mirror
+from .item import ItemResult
+from .loading import read_record
+from .records import build_result_key
+from .records import build_results_prefix
+from .records import encode_result
+from .records import is_end_key
+from .records import JOBS_PREFIX
+from .records import read_job_identifier
+from .records import read_result_item
+from .run import ItemRun
+from .work import ItemWork
+from .work import JobWork
+
+__all__ = ["Worker"]
+
+# Seconds between two rounds when nothing has changed: picks up items whose
+# pause is over and slots whose release no message told of.
+ROUND_S = 0.1
+# Pause of an item after a run that failed, seconds.
+RETRY_S = 0.15
+# Pause before a result is offered to the store again, seconds.
+STORE_RETRY_S = 0.3
+# Runs that fail before an item is given up, where its route is gone.
+DEFAULT_ATTEMPTS = 3
+
+
+class Worker:
+    """Runs the items that belong to this daemon.
+
+    Parameters
+    ----------
+    gateway : Gateway
+
+    Attributes
+    ----------
+    jobs : dict
+        JobWork by identifier.
+    running : dict
+        ItemWork by its key.
+    is_stopping : bool
+        True when no new item is started.
+    """
+
+    def __init__(self, *, gateway):
+        self.gateway = gateway
+        self.jobs = {}
+        self.running = {}
+        self.is_stopping = False
+        self.is_first_list = True
+        self.round_call = None
+        self.mirror = Mirror(
+            store=gateway.store,
+            reactor=gateway.reactor,
+            prefix=JOBS_PREFIX,
+            on_change=self.take_records,
+        )
+
+    def start(self):
+        """Begin to follow the jobs and to run items."""
+        self.mirror.start()
+        self.schedule(0.0)
+
+    def stop(self):
+        """Stop all runs."""
+        self.is_stopping = True
+        self.mirror.stop()
+        if self.round_call is not None:
+            self.round_call.cancel()
+            self.round_call = None
+        for work in list(self.running.values()):
+            work.run.cancel()
+
+    def schedule(self, seconds):
+        """Have the next round after some seconds at the latest."""
+        if self.is_stopping and not self.running:
+            return
+        call = self.round_call
+        if call is not None:
+            if call.getTime() <= self.gateway.reactor.seconds() + seconds:
+                return
+            call.cancel()
+        self.round_call = self.gateway.reactor.callLater(
+            seconds, self.start_items
+        )
+
+    def take_records(self, mirror):
+        """Take over the jobs that the store lists."""
+        is_first, self.is_first_list = self.is_first_list, False
+        for key, entry in mirror.entries.items():
+            identifier = read_job_identifier(key)
+            if is_end_key(key):
+                self.end_job(identifier)
+            elif identifier not in self.jobs:
+                # A placeholder, so that the record is read once.
+                self.jobs[identifier] = None
+                defer.ensureDeferred(
+                    self.add_job(identifier, entry, is_checked=not is_first)
+                ).addErrback(eliot.write_failure)
+
+    async def add_job(self, identifier, entry, *, is_checked):
+        try:
+            job = await read_record(self.gateway.store, identifier, entry)
+        except StoreUnavailableError as failure:
+            eliot.log_message(
+                "job:unreadable", job=identifier, reason=failure.message
+            )
+            await wait(self.gateway.reactor, STORE_RETRY_S)
+            await self.add_job(identifier, entry, is_checked=False)
+            return
+        work = JobWork(job=job, is_checked=is_checked)
+        for item in job.items:
+            key = hash_parts(identifier, item.identifier)
+            work.items[item.identifier] = ItemWork(
+                job=work, item=item, key=key
+            )
+        self.jobs[identifier] = work
+        eliot.log_message(
+            "job:seen",
+            job=identifier,
+            items=len(job.items),
+            age=self.gateway.wall_clock() - job.submitted,
+        )
+        if identifier + "/end" in self.mirror.entries:
+            self.end_job(identifier)
+        self.schedule(0.0)
+
+    def end_job(self, identifier):
+        """Stop the items of a job that its client has ended."""
+        job = self.jobs.get(identifier)
+        if job is None or job.is_ended:
+            return
+        job.is_ended = True
+        eliot.log_message("job:stopped", job=identifier)
+        for work in job.items.values():
+            if work.run is not None:
+                work.run.cancel()
+
+    def recheck(self):
+        """Read the results again, since items may have changed hands."""
+        for job in self.jobs.values():
+            if job is not None:
+                job.is_checked = False
+        self.schedule(0.0)
+
+    async def check_results(self, job):
+        """Learn which items of a job have a result."""
+        job.is_checking = True
+        try:
+            prefix = build_results_prefix(job.job.identifier)
+            page = await self.gateway.store.list(prefix)
+        except StoreUnavailableError as failure:
+            eliot.log_message(
+                "job:results_unreadable",
+                job=job.job.identifier,
+                reason=failure.message,
+            )
+            await wait(self.gateway.reactor, STORE_RETRY_S)
+            return
+        finally:
+            job.is_checking = False
+        for entry in page.entries:
+            work = job.items.get(read_result_item(entry.key))
+            if work is not None:
+                work.is_listed = True
+        job.is_checked = True
+        self.schedule(0.0)
+
+    def start_items(self):
+        """Start what fits into the free slots, the most urgent first."""
+        self.round_call = None
+        self.schedule(ROUND_S)
+        if self.is_stopping or self.gateway.routes is None:
+            return
+        owners = self.gateway.list_workers()
+        claimed = self.gateway.list_claimed_items()
+        for job in sorted(
+            (job for job in self.jobs.values() if is_open(job)),
+            key=lambda job: job.job.due,
+        ):
+            mine = [
+                work
+                for work in job.items.values()
+                if self.is_startable(work, owners, claimed)
+            ]
+            if not mine:
+                continue
+            if not job.is_checked:
+                if not job.is_checking:
+                    defer.ensureDeferred(self.check_results(job)).addErrback(
+                        eliot.write_failure
+                    )
+                continue
+            for work in mine:
+                self.start_item(work)
+
+    def is_startable(self, work, owners, claimed):
+        return (
+            not work.is_listed
+            and work.run is None
+            and work.result is None
+            and work.not_before <= self.gateway.reactor.seconds()
+            and work.key not in claimed
+            and choose_owner(f"{work.key:x}", owners) == self.gateway.name
+        )
+
+    def start_item(self, work):
+        """Start one item, unless there is no room for it."""
+        job = work.job.job
+        route = self.gateway.routes.find(job.host, work.item.path)
+        now = self.gateway.wall_clock()
+        if route is None or route.kind is not RouteKind.BATCH:
+            self.give_up(work, "the route is gone")
+            return
+        if now >= job.retained_until:
+            self.give_up(work, "the job's time is over")
+            return
+        service = choose_service(route, work.item.identifier)
+        upstream = self.gateway.placement.choose_for_batch(service)
+        if upstream is None:
+            return
+        work.run = ItemRun(
+            gateway=self.gateway,
+            work=work,
+            upstream=upstream,
+            host=job.host,
+            max_failures=route.max_attempts or DEFAULT_ATTEMPTS,
+        )
+        self.running[work.key] = work
+        eliot.log_message(
+            "item:started",
+            job=job.identifier,
+            item=work.item.identifier,
+            upstream=upstream.entry.name,
+            online=upstream.count_online(),
+            batch=upstream.count_batch(),
+            slots=upstream.entry.slots,
+            last_event=work.last_event,
+            slack=job.due - now,
+        )
+        work.run.start().addBoth(self.finish_run, work)
+
+    def give_up(self, work, reason):
+        eliot.log_message(
+            "item:given_up",
+            job=work.job.job.identifier,
+            item=work.item.identifier,
+            reason=reason,
+        )
+        work.result = ItemResult(
+            identifier=work.item.identifier, is_done=False, output=b""
+        )
+        self.store_result(work)
+
+    def finish_run(self, failure, work):
+        """Take note of the end of a run."""
+        if failure is not None and not failure.check(defer.CancelledError):
+            eliot.write_failure(failure)
+        run, work.run = work.run, None
+        self.running.pop(work.key, None)
+        if work.result is not None:
+            self.store_result(work)
+        elif not run.is_preempted:
+            work.not_before = self.gateway.reactor.seconds() + RETRY_S
+        self.schedule(0.0)
+
+    def store_result(self, work):
+        if not work.job.is_ended or work.result.is_done:
+            defer.ensureDeferred(self.keep_result(work)).addErrback(
+                eliot.write_failure
+            )
+
+    async def keep_result(self, work):
+        """Store a result until it is certain that one stands."""
+        job = work.job.job
+        key = build_result_key(job.identifier, work.item.identifier)
+        content = encode_result(work.result)
+        while True:
+            try:
+                await self.gateway.store.create({key: content})
+                break
+            except StoreKeyExistsError:
+                eliot.log_message(
+                    "item:stored_before",
+                    job=job.identifier,
+                    item=work.item.identifier,
+                )
+                break
+            except StoreUnavailableError as failure:
+                eliot.log_message(
+                    "item:result_waits",
+                    job=job.identifier,
+                    item=work.item.identifier,
+                    reason=failure.message,
+                )
+                await wait(self.gateway.reactor, STORE_RETRY_S)
+        work.is_listed = True
+        is_done = work.result.is_done
+        work.forget_output()
+        eliot.log_message(
+            "item:stored",
+            job=job.identifier,
+            item=work.item.identifier,
+            is_done=is_done,
+            slack=job.due - self.gateway.wall_clock(),
+        )
+        self.gateway.metrics.count_item("done" if is_done else "given_up")
+
+    def make_room(self, upstream):
+        """Stop items where online requests need their slots."""
+        if not upstream.batch:
+            return
+        excess = self.gateway.placement.count_batch_excess(upstream)
+        if excess <= 0:
+            return
+        here = {
+            f"{work.key:x}": work
+            for work in self.running.values()
+            if work.run.upstream is upstream
+        }
+        views = [
+            StreamView(
+                stream=name,
+                due=work.job.job.due,
+                resumable=True,
+                generated=len(work.texts),
+            )
+            for name, work in here.items()
+        ]
+        for view in choose_preempted(views, count=excess):
+            work = here[view.stream]
+            eliot.log_message(
+                "item:preempted",
+                job=work.job.job.identifier,
+                item=work.item.identifier,
+                upstream=upstream.entry.name,
+                online=upstream.count_online(),
+                batch=upstream.count_batch(),
+                slots=upstream.entry.slots,
+            )
+            self.gateway.metrics.count_item("preempted")
+            work.run.cancel()
+
+
+def is_open(job):
+    return job is not None and not job.is_ended and not job.is_complete()
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -0,0 +1,253 @@
+"""One client's request on its way through upstreams."""
+
+import eliot
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import OutcomeUnknownError
+from hollyspan_core.errors import OverloadedError
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamMalformedError
+from hollyspan_core.errors import UpstreamAnswerError
+from hollyspan_core.errors import UpstreamUnavailableError
+
+from ..routes import RouteKind
+from .attempt import run_attempt
+from .events import EventSplitter
+
+__all__ = ["Relay"]
+
+# Upstreams that may refuse a request without running it: one refusal is
+# chance, three mean that the service is full.
+MAX_REFUSALS = 3
+
+
+class Relay:
+    """Sends a request to upstreams until its answer is whole.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    request : ClientRequest
+    head : RequestHead
+    route : Route
+    service : str
+    body : bytes
+    until : float
+        Time of the reactor at which the answer is given up.
+
+    Attributes
+    ----------
+    sends : int
+        Upstreams that may have run the request.
+    refusals : int
+        Upstreams that have certainly not run it.
+    tried : set of str
+        Names of both.
+    first_event : float or None
+        Seconds from the arrival to the first byte passed on.
+    """
+
+    def __init__(
+        self, *, gateway, request, head, route, service, body, until
+    ):
+        self.gateway = gateway
+        self.request = request
+        self.head = head
+        self.route = route
+        self.service = service
+        self.body = body
+        self.until = until
+        self.sends = 0
+        self.refusals = 0
+        self.tried = set()
+        self.first_event = None
+        self.splitter = EventSplitter(last=head.resume_after)
+        self.upstream = None
+        self.reply = None
+        self.parts = []
+
+    @property
+    def has_begun(self):
+        """True once the client has got a part of the answer."""
+        return self.first_event is not None
+
+    @property
+    def outcome(self):
+        """Whether an upstream can have run the request."""
+        return Outcome.UNKNOWN if self.sends else Outcome.NOT_RUN
+
+    async def run(self):
+        """Relay the request until its answer is whole or given up.
+
+        Raises
+        ------
+        OverloadedError
+            No upstream has run the request.
+        OutcomeUnknownError
+            An upstream may have run it; nothing was sent to the client.
+        StreamLostError
+            A part of the answer was sent and the rest will not come.
+        """
+        while True:
+            self.upstream = self.choose()
+            failure = await self.send()
+            if failure is None:
+                self.finish()
+                return
+            self.log_failure(failure)
+            if not self.may_send_again(failure):
+                self.give_up(failure)
+                return
+
+    def choose(self):
+        """Choose the next upstream or refuse the request."""
+        return self.gateway.placement.choose(
+            self.service,
+            key=self.head.identifier,
+            excluded=self.tried,
+            outcome=self.outcome,
+        )
+
+    async def send(self):
+        """Send the request once.
+
+        Returns
+        -------
+        HollyspanError or None
+            None when a whole answer has come that the client can have.
+        """
+        upstream = self.upstream
+        self.tried.add(upstream.entry.name)
+        self.parts = []
+        self.reply = None
+        self.splitter.rest = b""
+        headers = self.gateway.dialect.encode_headers(
+            self.head,
+            upstream=upstream.entry.name,
+            deadline_seconds=self.until - self.gateway.reactor.seconds(),
+            resume_after=self.splitter.last,
+        )
+        self.sends += 1
+        with self.gateway.placement.hold_online(upstream):
+            try:
+                failure = await run_attempt(
+                    self.gateway.pool,
+                    address=upstream.entry.address,
+                    method=self.head.method,
+                    target=self.head.target,
+                    headers=headers,
+                    body=self.body,
+                    on_reply=self.take_reply,
+                    on_data=self.take_data,
+                )
+            except UpstreamUnavailableError as unsent:
+                failure = unsent
+        if failure is None:
+            failure = self.judge_answer()
+        if failure is not None:
+            self.count_failure(failure)
+        return failure
+
+    def take_reply(self, status, headers):
+        """Take the head of an answer."""
+        reply = self.gateway.dialect.decode_reply(status, headers)
+        if reply.identifier not in (None, self.head.identifier):
+            raise StreamMalformedError("the answer names another request")
+        self.gateway.placement.note_reply(self.upstream, reply)
+        self.reply = reply
+
+    def take_data(self, data):
+        """Take bytes of an answer's body."""
+        if not self.is_stream():
+            self.parts.append(data)
+            return
+        whole = self.splitter.feed(data)
+        if whole:
+            self.begin()
+            if self.request.is_open:
+                self.request.write(whole)
+
+    def is_stream(self):
+        """Tell whether the answer goes to the client as it comes."""
+        return self.route.kind is RouteKind.STREAM and self.reply.is_success
+
+    def begin(self):
+        """Send the head of a stream before its first event."""
+        if self.has_begun:
+            return
+        now = self.gateway.reactor.seconds()
+        self.first_event = now - self.request.arrived
+        self.request.begin(self.reply.status, self.reply.headers)
+
+    def judge_answer(self):
+        """Return why a whole answer is no answer for the client, or None."""
+        if self.reply.has_not_run:
+            return UpstreamUnavailableError(
+                f"the upstream refused with {self.reply.status}",
+                outcome=Outcome.NOT_RUN,
+            )
+        if self.is_stream():
+            if self.splitter.rest:
+                return StreamLostError("the stream ended within an event")
+            return None
+        if self.has_begun or self.reply.status in (500, 502, 503):
+            return UpstreamAnswerError(
+                f"the upstream answered {self.reply.status}",
+                upstream_status=self.reply.status,
+            )
+        return None
+
+    def count_failure(self, failure):
+        if failure.outcome is Outcome.NOT_RUN:
+            self.sends -= 1
+            self.refusals += 1
+        self.gateway.placement.note_failure(self.upstream, failure)
+
+    def finish(self):
+        """End the answer."""
+        if self.is_stream():
+            self.begin()
+            self.request.end()
+            return
+        self.request.answer(
+            self.reply.status, self.reply.headers, b"".join(self.parts)
+        )
+
+    def may_send_again(self, failure):
+        """Decide whether another upstream is asked."""
+        if self.gateway.reactor.seconds() >= self.until:
+            return False
+        if self.sends >= self.route.max_attempts:
+            return False
+        if failure.outcome is Outcome.NOT_RUN:
+            return self.refusals <= MAX_REFUSALS
+        return self.route.is_repeatable
+
+    def give_up(self, failure):
+        """End the request after its last send."""
+        if self.has_begun:
+            raise StreamLostError(f"the stream broke: {failure.message}")
+        if isinstance(failure, UpstreamAnswerError):
+            self.finish()
+            return
+        if self.sends:
+            raise OutcomeUnknownError(
+                f"the upstream broke off: {failure.message}"
+            )
+        raise OverloadedError(
+            f"no upstream took the request: {failure.message}",
+            outcome=Outcome.NOT_RUN,
+        )
+
+    def log_failure(self, failure):
+        eliot.log_message(
+            "request:attempt_failed",
+            request=self.head.identifier,
+            upstream=self.upstream.entry.name,
+            code=failure.code,
+            reason=failure.message,
+            outcome=failure.outcome.value,
+            last_event=self.splitter.last,
+            sends=self.sends,
+            refusals=self.refusals,
+        )
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -0,0 +1,36 @@
+"""Head of an upstream's answer."""
+
+__all__ = ["UpstreamReply"]
+
+
+class UpstreamReply:
+    """Head of an answer, decoded once.
+
+    Parameters
+    ----------
+    status : int
+    identifier : str or None
+        Identifier of the request that the answer belongs to.
+    has_not_run : bool
+        True when the upstream states that it has not run the request and
+        will not.
+    load : (int, int, int) or None
+        Running and waiting requests and slots, at the time of the answer.
+    headers : list of (bytes, bytes)
+        Headers that are passed on unchanged, without those that concern one
+        connection.
+    """
+
+    __slots__ = ("status", "identifier", "has_not_run", "load", "headers")
+
+    def __init__(self, *, status, identifier, has_not_run, load, headers):
+        self.status = status
+        self.identifier = identifier
+        self.has_not_run = has_not_run
+        self.load = load
+        self.headers = headers
+
+    @property
+    def is_success(self):
+        """True for a status of 2xx."""
+        return 200 <= self.status < 300
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -0,0 +1,168 @@
+"""HTTP server towards clients."""
+
+import io
+
+from twisted.web import http
+
+__all__ = ["ClientRequest", "ClientSite"]
+
+
+class ClientRequest(http.Request):
+    """A request whose body is kept in memory.
+
+    Attributes
+    ----------
+    is_too_large : bool
+        True when the body exceeds the limit; it is not kept then.
+    on_gone : callable or None
+        Called without arguments when the client has gone before the end of
+        the answer.
+    arrived : float
+        Time of the reactor when the request was complete.
+    """
+
+    def __init__(self, channel, queued=False):
+        super().__init__(channel, queued)
+        self.is_too_large = False
+        self.on_gone = None
+        self.arrived = 0.0
+
+    def gotLength(self, length):
+        self.content = io.BytesIO()
+
+    def handleContentChunk(self, data):
+        limit = self.channel.factory.body_limit
+        if self.content.tell() + len(data) > limit:
+            self.is_too_large = True
+            return
+        self.content.write(data)
+
+    def requestReceived(self, command, path, version):
+        self.method = command
+        self.uri = path
+        self.clientproto = version
+        factory = self.channel.factory
+        self.arrived = factory.reactor.seconds()
+        if factory.is_closing:
+            self.close_after()
+        factory.handle(self)
+
+    def connectionLost(self, reason):
+        on_gone, self.on_gone = self.on_gone, None
+        super().connectionLost(reason)
+        if on_gone is not None:
+            on_gone()
+
+    @property
+    def is_open(self):
+        """True while the client can be answered."""
+        return self.channel is not None and not self.finished
+
+    def close_after(self):
+        """Close the connection after this answer and tell the client."""
+        self.setHeader(b"Connection", b"close")
+        self.channel.persistent = False
+
+    def answer(self, status, headers, body):
+        """Send a whole answer.
+
+        Parameters
+        ----------
+        status : int
+        headers : list of (bytes, bytes)
+        body : bytes
+        """
+        if not self.is_open:
+            return
+        self.begin(status, headers)
+        self.setHeader(b"Content-Length", b"%d" % len(body))
+        if body:
+            self.write(body)
+        self.end()
+
+    def begin(self, status, headers):
+        """Set the head of an answer; it goes out with the first bytes."""
+        self.setResponseCode(status)
+        for name, value in headers:
+            self.responseHeaders.addRawHeader(name, value)
+
+    def end(self):
+        """End the answer."""
+        self.on_gone = None
+        if self.is_open:
+            self.finish()
+
+    def abort(self):
+        """Close the connection in the middle of the answer."""
+        self.on_gone = None
+        if self.channel is not None:
+            self.channel.abortConnection()
+
+
+class ClientSite(http.HTTPFactory):
+    """Takes requests of clients.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    handle : callable
+        Called with each complete ClientRequest.
+
+    Attributes
+    ----------
+    body_limit : int
+        Most bytes of a body.
+    is_closing : bool
+        True once each connection ends with its current request.
+    """
+
+    noisy = False
+
+    def __init__(self, *, reactor, handle, body_limit, idle_seconds):
+        super().__init__(reactor=reactor, timeout=idle_seconds)
+        self.handle = handle
+        self.body_limit = body_limit
+        self.is_closing = False
+        self.channels = set()
+
+    def buildProtocol(self, addr):
+        channel = ClientChannel()
+        channel.requestFactory = ClientRequest
+        channel.factory = self
+        channel.callLater = self.reactor.callLater
+        channel.timeOut = self.timeOut
+        return channel
+
+    def startFactory(self):
+        """Keep no access log; the decisions are logged."""
+
+    def stopFactory(self):
+        """Nothing to close."""
+
+    def log(self, request):
+        """Keep no access log; the decisions are logged."""
+
+    def close_idle(self):
+        """Close connections without a request; others end with theirs."""
+        self.is_closing = True
+        for channel in list(self.channels):
+            if channel.requests:
+                channel.persistent = False
+            else:
+                channel.loseConnection()
+
+
+class ClientChannel(http.HTTPChannel):
+    """A connection that its site knows."""
+
+    def connectionMade(self):
+        self.factory.channels.add(self)
+        self.transport.setTcpNoDelay(True)
+        super().connectionMade()
+
+    def connectionLost(self, reason):
+        self.factory.channels.discard(self)
+        super().connectionLost(reason)
+
+    def abortConnection(self):
+        self.transport.abortConnection()
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
@@ -0,0 +1,17 @@
+"""What gateways tell each other."""
+
+from .codec import decode_message
+from .codec import encode_message
+from .message import FleetMessage
+from .message import UpstreamLoad
+from .peer import Peer
+from .table import PeerTable
+
+__all__ = [
+    "FleetMessage",
+    "Peer",
+    "PeerTable",
+    "UpstreamLoad",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -0,0 +1,25 @@
+@0x9c1f3e5a7b2d4860;
+# Messages between gateways. Names are sent as 64-bit hashes; the registration
+# in the store gives them in full.
+
+struct Load {
+  upstream @0 :UInt64;
+  online @1 :UInt16;      # online requests in flight, sent by this gateway
+  batch @2 :UInt16;       # batch items in flight, sent by this gateway
+}
+
+struct FleetMessage {
+  sender @0 :UInt64;
+  incarnation @1 :UInt64;   # start time, microseconds since the epoch
+  sequence @2 :UInt64;
+  isFull @3 :Bool;          # loads that are not named are zero
+  loads @4 :List(Load);
+  # The rest is set in full messages only.
+  configuration @5 :UInt64; # store revision of the configuration in force
+  upstreams @6 :UInt64;     # store revision of the newest upstream entry
+  runsBatch @7 :Bool;
+  isLeaving @8 :Bool;
+  reachesStore @9 :Bool;
+  items @10 :List(UInt64);  # items that run here
+  wantsReply @11 :Bool;     # the sender has just started
+}
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
@@ -0,0 +1,77 @@
+"""The routes of one configuration."""
+
+from hollyspan_policy.hashing import hash_parts
+
+__all__ = ["RouteTable", "choose_service"]
+
+HASH_RANGE = 2.0**64
+
+
+class RouteTable:
+    """Routes by host and prefix.
+
+    Parameters
+    ----------
+    version : int
+        Version that the operator gave the configuration.
+    revision : int
+        Revision of the store at which it was written; orders versions.
+    routes : iterable of Route
+    limits : Limits
+    services : frozenset of str
+        Services that the configuration names.
+    """
+
+    __slots__ = ("version", "revision", "limits", "services", "by_host")
+
+    def __init__(self, *, version, revision, routes, limits, services):
+        self.version = version
+        self.revision = revision
+        self.limits = limits
+        self.services = services
+        self.by_host = {}
+        for route in routes:
+            self.by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host, path):
+        """Return the route with the longest prefix of a path, or None.
+
+        Parameters
+        ----------
+        host : str
+        path : str
+            Without the query.
+        """
+        prefixes = self.by_host.get(host)
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def choose_service(route, key):
+    """Return the service of a request, drawn by weight from its key.
+
+    Parameters
+    ----------
+    route : Route
+    key : str
+
+    Returns
+    -------
+    str
+    """
+    if len(route.services) == 1:
+        return route.services[0][0]
+    total = sum(weight for _, weight in route.services)
+    point = hash_parts(route.name, key) / HASH_RANGE * total
+    for name, weight in route.services:
+        point -= weight
+        if point < 0:
+            return name
+    return route.services[-1][0]
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/settings.py
@@ -0,0 +1,64 @@
+"""Settings of one gateway."""
+
+__all__ = ["GatewaySettings"]
+
+
+class GatewaySettings:
+    """Where a gateway runs and what it serves.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the machine.
+    data_centre, region : str
+    ip : str
+    client_port, ready_port : int or None
+        None for a gateway that takes no requests of clients.
+    peer_port : int
+    metrics_port : int or None
+    runs_batch : bool
+    store_address : (str, int)
+    grace_seconds : float
+        Time between the request to stop and the end by force.
+    """
+
+    __slots__ = (
+        "instance",
+        "data_centre",
+        "region",
+        "ip",
+        "client_port",
+        "ready_port",
+        "peer_port",
+        "metrics_port",
+        "runs_batch",
+        "store_address",
+        "grace_seconds",
+    )
+
+    def __init__(
+        self,
+        *,
+        instance,
+        data_centre,
+        region,
+        ip,
+        client_port,
+        ready_port,
+        peer_port,
+        metrics_port,
+        runs_batch,
+        store_address,
+        grace_seconds,
+    ):
+        self.instance = instance
+        self.data_centre = data_centre
+        self.region = region
+        self.ip = ip
+        self.client_port = client_port
+        self.ready_port = ready_port
+        self.peer_port = peer_port
+        self.metrics_port = metrics_port
+        self.runs_batch = runs_batch
+        self.store_address = store_address
+        self.grace_seconds = grace_seconds
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -0,0 +1,163 @@
+"""Where requests go, and what that adds to the upstreams' load."""
+
+import contextlib
+
+from hollyspan_core.errors import OverloadedError
+from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_policy.batch import choose_batch_upstream
+from hollyspan_policy.batch import count_excess
+from hollyspan_policy.routing import choose_nearby
+from hollyspan_policy.routing import UpstreamView
+
+__all__ = ["Placement"]
+
+# Mean time that an online request holds a slot, seconds, until the gateway
+# has measured it: some 270 tokens at 2.6 ms a step.
+INITIAL_SERVICE_S = 0.7
+# Weight of one measured service time in the moving mean.
+SERVICE_WEIGHT = 0.05
+# Seconds for which a queue that an upstream reported keeps batch work away.
+QUEUE_REPORT_S = 0.5
+# Clients come back after this time when no upstream is listed: the entries of
+# upstreams that lapsed are back within 2 s.
+NO_UPSTREAM_RETRY_S = 0.5
+
+
+class Placement:
+    """Chooses upstreams and counts what this daemon has sent there.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    directory : Directory
+    instance : str
+    data_centre : str
+    on_change : callable
+        Called with an Upstream whose counts have changed.
+    """
+
+    def __init__(
+        self, *, reactor, directory, instance, data_centre, on_change
+    ):
+        self.reactor = reactor
+        self.directory = directory
+        self.instance = instance
+        self.data_centre = data_centre
+        self.on_change = on_change
+        self.service_seconds = INITIAL_SERVICE_S
+
+    def choose(self, service, *, key, excluded, outcome):
+        """Choose the upstream for an online request.
+
+        Parameters
+        ----------
+        service : str
+        key : str
+            Identifier of the request.
+        excluded : collection of str
+            Upstreams tried already.
+        outcome : Outcome
+            Whether the request can have run.
+
+        Returns
+        -------
+        Upstream
+
+        Raises
+        ------
+        OverloadedError
+            No upstream can take the request now.
+        """
+        view = choose_nearby(
+            self.build_views(service),
+            data_centre=self.data_centre,
+            service_seconds=self.service_seconds,
+            excluded=excluded,
+            seed=key,
+        )
+        if view is None:
+            raise OverloadedError(
+                "no upstream of the service takes new work",
+                outcome=outcome,
+                retry_after=NO_UPSTREAM_RETRY_S,
+            )
+        return self.directory.upstreams[view.name]
+
+    def choose_for_batch(self, service, *, excluded=()):
+        """Choose the upstream for an item, None when no slot is free."""
+        view = choose_batch_upstream(
+            self.build_views(service, with_suspects=False),
+            data_centre=self.data_centre,
+            excluded=excluded,
+        )
+        return None if view is None else self.directory.upstreams[view.name]
+
+    def count_batch_excess(self, upstream):
+        """Count the items that this daemon has to stop at an upstream."""
+        batch = {name: told[1] for name, told in upstream.peers.items()}
+        batch[self.instance] = upstream.batch
+        return count_excess(
+            slots=upstream.entry.slots,
+            online=upstream.count_online(),
+            batch_by_daemon=batch,
+            daemon=self.instance,
+        )
+
+    def build_views(self, service, *, with_suspects=True):
+        """Return what is known of the upstreams of a service."""
+        now = self.reactor.seconds()
+        upstreams = self.directory.list_usable(service)
+        trusted = [each for each in upstreams if each.suspect_until <= now]
+        if trusted or not with_suspects:
+            upstreams = trusted
+        return [
+            UpstreamView(
+                name=upstream.entry.name,
+                data_centre=upstream.entry.data_centre,
+                slots=upstream.entry.slots,
+                online=upstream.count_online(),
+                batch=upstream.count_batch(),
+                waiting=upstream.find_waiting(now - QUEUE_REPORT_S),
+            )
+            for upstream in upstreams
+        ]
+
+    @contextlib.contextmanager
+    def hold_online(self, upstream):
+        """Count an online request at an upstream while it is there."""
+        started = self.reactor.seconds()
+        upstream.online += 1
+        self.on_change(upstream)
+        try:
+            yield
+        finally:
+            upstream.online -= 1
+            spent = self.reactor.seconds() - started
+            self.service_seconds += SERVICE_WEIGHT * (
+                spent - self.service_seconds
+            )
+            self.on_change(upstream)
+
+    @contextlib.contextmanager
+    def hold_batch(self, upstream):
+        """Count a batch item at an upstream while it is there."""
+        upstream.batch += 1
+        self.on_change(upstream)
+        try:
+            yield
+        finally:
+            upstream.batch -= 1
+            self.on_change(upstream)
+
+    def note_reply(self, upstream, reply):
+        """Take note of the head of an answer."""
+        if reply.load is not None:
+            upstream.reported = reply.load
+            upstream.reported_at = self.reactor.seconds()
+        if not reply.has_not_run:
+            self.directory.note_success(upstream)
+
+    def note_failure(self, upstream, failure):
+        """Take note of a send that failed."""
+        if isinstance(failure, UpstreamUnavailableError):
+            self.directory.note_failure(upstream)
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -10,6 +10,8 @@
 from .onlineload import OnlineLoad
 from .policy import count_batch_slots
 from .preemption import choose_preempted
+from .sharing import choose_batch_upstream
+from .sharing import count_excess
 from .slots import BatchGate
 from .stream import StreamView
 from .unanswered import choose_unanswered
@@ -25,9 +27,11 @@
     "allow_as_online",
     "allow_fixed",
     "allow_none",
+    "choose_batch_upstream",
     "choose_preempted",
     "choose_unanswered",
     "compute_level",
     "count_batch_slots",
+    "count_excess",
     "share_reserve",
 ]
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
@@ -0,0 +1,89 @@
+"""How daemons that run batch work share the slots of upstreams."""
+
+__all__ = ["choose_batch_upstream", "count_excess"]
+
+
+def choose_batch_upstream(views, *, data_centre, reserve=0, excluded=()):
+    """Choose the upstream for one more batch stream.
+
+    Parameters
+    ----------
+    views : iterable of UpstreamView
+    data_centre : str
+        Where the asking daemon is; its own upstreams come first.
+    reserve : int, optional
+        Slots to leave free at each upstream.
+    excluded : collection of str, optional
+        Upstreams that are not to be used.
+
+    Returns
+    -------
+    UpstreamView or None
+        None when no upstream has a free slot; batch work never waits in an
+        upstream's queue, where online requests would wait behind it.
+    """
+
+    def count_room(view):
+        taken = view.online + view.batch + view.hidden
+        return view.slots - reserve - taken
+
+    usable = [
+        view
+        for view in views
+        if view.serving
+        and not view.waiting
+        and view.name not in excluded
+        and count_room(view) > 0
+    ]
+    return max(
+        usable,
+        key=lambda view: (
+            view.data_centre == data_centre,
+            count_room(view),
+            view.name,
+        ),
+        default=None,
+    )
+
+
+def count_excess(*, slots, online, batch_by_daemon, daemon):
+    """Count the batch streams that a daemon has to stop at an upstream.
+
+    Parameters
+    ----------
+    slots : int
+    online : int
+        Online requests in flight there from all daemons.
+    batch_by_daemon : dict
+        Batch streams in flight there by daemon.
+    daemon : str
+        The daemon that asks.
+
+    Returns
+    -------
+    int
+
+    Notes
+    -----
+    Each daemon works out the same split: the one with the most streams stops
+    first, so that one online request does not stop a stream of each daemon.
+
+    Examples
+    --------
+    >>> count_excess(
+    ...     slots=8, online=5, batch_by_daemon={"a": 3, "b": 1}, daemon="a"
+    ... )
+    1
+    """
+    excess = online + sum(batch_by_daemon.values()) - slots
+    order = sorted(
+        batch_by_daemon, key=lambda name: (-batch_by_daemon[name], name)
+    )
+    for name in order:
+        if excess <= 0:
+            return 0
+        share = min(excess, batch_by_daemon[name])
+        if name == daemon:
+            return share
+        excess -= share
+    return 0
--- a/packages/hollyspan_policy/hollyspan_policy/routing/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/__init__.py
@@ -8,6 +8,8 @@
 from .cost import estimate_cost
 from .cost import estimate_queue
 from .cost import estimate_wait
+from .nearby import choose_nearby
+from .nearby import estimate_start
 from .place import DataCentreView
 from .spill import choose_data_centre
 from .spill import estimate_room
@@ -20,10 +22,12 @@
     "UpstreamView",
     "choose_data_centre",
     "choose_least_loaded",
+    "choose_nearby",
     "choose_upstream",
     "estimate_cost",
     "estimate_queue",
     "estimate_room",
+    "estimate_start",
     "estimate_wait",
     "hash_blocks",
 ]
