Name gateways by one identifier at all of them

Cause: a gateway that was heard before its registration was read got a name of its own at that peer, so daemons disagreed on the owner of an item: some items had no owner, others two.

Ruled out: lost heartbeats (all ten were live at each), lost records (each worker had seen each job).

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -32,6 +32,8 @@
 # Seconds before the end by force at which the process leaves by itself.
 LEAVE_MARGIN_S = 0.4
 DRAIN_CHECK_S = 0.05
+# Seconds between two lines with the counters.
+COUNTERS_S = 5.0
 # Seconds before a failed registration is tried again.
 REGISTER_RETRY_S = 0.3
 # Seconds after the start before items are run, so that peers are heard first.
@@ -85,6 +87,7 @@
             data_centre=settings.data_centre,
             runs_batch=settings.runs_batch,
         )
+        log_counters(gateway)
         reactor.run()
         eliot.log_message("gateway:ended", instance=settings.instance)
 
@@ -134,6 +137,18 @@
         reactor.callLater(WORKER_DELAY_S, gateway.worker.start)
 
 
+def log_counters(gateway):
+    """Log the counters now and then, for those without a metrics reader."""
+    eliot.log_message(
+        "gateway:counters",
+        store_calls=gateway.store.wire.describe_calls(),
+        connections=gateway.pool.opened,
+        requests=gateway.metrics.requests,
+        items=gateway.metrics.items,
+    )
+    gateway.reactor.callLater(COUNTERS_S, log_counters, gateway)
+
+
 async def register(gateway):
     """Put this gateway into the store and learn of the others."""
     settings = gateway.settings
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -9,6 +9,7 @@
 from .http1 import ConnectionPool
 from .jobs.submissions import Submissions
 from .online.service import OnlineService
+from .peers import build_identifier
 from .peers import PeerTable
 from .store import Mirror
 from .upstreams import Directory
@@ -53,7 +54,6 @@
         self.store = store
         self.dialect = dialect
         self.metrics = metrics
-        self.name = settings.instance
         self.routes = None
         self.is_draining = False
         self.worker = None
@@ -64,7 +64,7 @@
         self.placement = Placement(
             reactor=reactor,
             directory=self.directory,
-            instance=settings.instance,
+            daemon=build_identifier(hash_parts(settings.instance)),
             data_centre=settings.data_centre,
             on_change=self.note_load,
         )
@@ -192,9 +192,9 @@
             key = hash_parts(upstream.entry.name)
             load = peer.loads.get(key)
             if load is None:
-                upstream.peers.pop(peer.name, None)
+                upstream.peers.pop(peer.identifier, None)
             else:
-                upstream.peers[peer.name] = load
+                upstream.peers[peer.identifier] = load
             if self.worker is not None:
                 self.worker.make_room(upstream)
         if message.is_full:
@@ -230,7 +230,7 @@
 
     def note_membership(self):
         """Take note that gateways came or went."""
-        live = {peer.name for peer in self.peers.list_live()}
+        live = {peer.identifier for peer in self.peers.list_live()}
         for upstream in self.directory.upstreams.values():
             for name in list(upstream.peers):
                 if name not in live:
@@ -239,14 +239,14 @@
             self.worker.recheck()
 
     def list_workers(self):
-        """Return the names of the gateways that can run items."""
+        """Return the identifiers of the gateways that can run items."""
         workers = [
-            peer.name
+            peer.identifier
             for peer in self.peers.list_live()
             if peer.runs_batch and peer.reaches_store and not peer.is_leaving
         ]
         if not self.worker.is_stopping:
-            workers.append(self.name)
+            workers.append(self.peers.identifier)
         return workers
 
     def list_claimed_items(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -216,7 +216,7 @@
             and work.result is None
             and work.not_before <= self.gateway.reactor.seconds()
             and work.key not in claimed
-            and choose_owner(f"{work.key:x}", owners) == self.gateway.name
+            and choose_owner(f"{work.key:x}", owners) == self.gateway.peers.identifier
         )
 
     def start_item(self, work):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
@@ -4,6 +4,7 @@
 from .codec import encode_message
 from .message import FleetMessage
 from .message import UpstreamLoad
+from .peer import build_identifier
 from .peer import Peer
 from .table import PeerTable
 
@@ -12,6 +13,7 @@
     "Peer",
     "PeerTable",
     "UpstreamLoad",
+    "build_identifier",
     "decode_message",
     "encode_message",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -1,6 +1,6 @@
 """Another gateway."""
 
-__all__ = ["Peer"]
+__all__ = ["Peer", "build_identifier"]
 
 
 class Peer:
@@ -8,13 +8,15 @@
 
     Parameters
     ----------
-    name : str
+    key : int
+        Hash of its name, the same at each gateway, whether or not the name
+        itself is known there.
     address : (str, int)
 
     Attributes
     ----------
-    key : int
-        Hash of the name.
+    identifier : str
+        The key as text.
     heard : float or None
         Time of its last message.
     incarnation, sequence : int
@@ -27,7 +29,7 @@
     """
 
     __slots__ = (
-        "name",
+        "identifier",
         "address",
         "key",
         "heard",
@@ -40,8 +42,8 @@
         "items",
     )
 
-    def __init__(self, *, name, address, key):
-        self.name = name
+    def __init__(self, *, key, address):
+        self.identifier = build_identifier(key)
         self.address = address
         self.key = key
         self.heard = None
@@ -82,3 +84,8 @@
         for load in message.loads:
             self.loads[load.upstream] = (load.online, load.batch)
         return True
+
+
+def build_identifier(key):
+    """Return the key of a gateway as text."""
+    return f"{key:016x}"
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -11,6 +11,7 @@
 from .codec import encode_message
 from .message import FleetMessage
 from .message import UpstreamLoad
+from .peer import build_identifier
 from .peer import Peer
 
 __all__ = ["PeerTable"]
@@ -45,6 +46,8 @@
 
     Attributes
     ----------
+    identifier : str
+        How peers name this gateway.
     peers : dict
         Peer by hash of its name.
     """
@@ -63,8 +66,8 @@
         on_membership,
     ):
         self.reactor = reactor
-        self.name = name
         self.key = hash_parts(name)
+        self.identifier = build_identifier(self.key)
         self.incarnation = incarnation
         self.describe = describe
         self.list_loads = list_loads
@@ -95,7 +98,7 @@
         if known is not None:
             known.address = address
             return
-        self.peers[key] = Peer(name=name, address=address, key=key)
+        self.peers[key] = Peer(key=key, address=address)
         self.send_full([self.peers[key]], wants_reply=True)
 
     def list_live(self):
@@ -159,7 +162,7 @@
                 self.transport.write(datagram, peer.address)
             except OSError as fault:
                 eliot.log_message(
-                    "peer:send_failed", peer=peer.name, reason=str(fault)
+                    "peer:send_failed", peer=peer.identifier, reason=str(fault)
                 )
 
     def datagramReceived(self, datagram, address):
@@ -171,11 +174,7 @@
         peer = self.peers.get(message.sender)
         if peer is None:
             # Its registration is not known here yet; the address answers.
-            peer = Peer(
-                name=f"{message.sender:016x}",
-                address=address,
-                key=message.sender,
-            )
+            peer = Peer(key=message.sender, address=address)
             self.peers[message.sender] = peer
         peer.address = address
         if not peer.take(message, now=self.reactor.seconds()):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -30,18 +30,19 @@
     ----------
     reactor : twisted reactor
     directory : Directory
-    instance : str
+    daemon : str
+        Identifier of this gateway.
     data_centre : str
     on_change : callable
         Called with an Upstream whose counts have changed.
     """
 
     def __init__(
-        self, *, reactor, directory, instance, data_centre, on_change
+        self, *, reactor, directory, daemon, data_centre, on_change
     ):
         self.reactor = reactor
         self.directory = directory
-        self.instance = instance
+        self.daemon = daemon
         self.data_centre = data_centre
         self.on_change = on_change
         self.service_seconds = INITIAL_SERVICE_S
@@ -95,12 +96,12 @@
     def count_batch_excess(self, upstream):
         """Count the items that this daemon has to stop at an upstream."""
         batch = {name: told[1] for name, told in upstream.peers.items()}
-        batch[self.instance] = upstream.batch
+        batch[self.daemon] = upstream.batch
         return count_excess(
             slots=upstream.entry.slots,
             online=upstream.count_online(),
             batch_by_daemon=batch,
-            daemon=self.instance,
+            daemon=self.daemon,
         )
 
     def build_views(self, service, *, with_suspects=True):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -63,7 +63,8 @@
     online, batch : int
         Requests in flight from this daemon.
     peers : dict
-        (online, batch) in flight from other daemons, by their names.
+        (online, batch) in flight from other gateways, by their
+        identifiers.
     suspect_until : float
         Time until which new work goes elsewhere, since the last sends
         failed.
