Empty machines on request, keep headroom for online work, leave silent upstreams

- An order to empty a machine is followed: its items end or move, then the state is reported.
- Batch work leaves 6% of all slots of a service free, unless a job is due.
- A stream without an event for 0.2 s beyond the expected wait, or for 0.25 s between events, goes to another upstream where the route allows.
- A cancelled run could be cancelled twice, since its change of load came back into the same loop; a gateway that the store turns away read again with each message of a peer (1054 times; now at most once in 0.8 s).

Ruled out for the rejected arrivals: a full queue (refused runs in the logs: 5), reused addresses (no 421).

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -3,9 +3,12 @@
 import time
 
 import eliot
+from twisted.internet import defer
 
+from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.hashing import hash_parts
 
+from .clock import wait
 from .http1 import ConnectionPool
 from .jobs.submissions import Submissions
 from .online.service import OnlineService
@@ -22,6 +25,14 @@
 # A peer that knows a newer revision is given this time, seconds, for the own
 # watch to bring it too.
 REFRESH_S = 0.3
+# Least time between two such reads, seconds: a gateway that the store turns
+# away hears of newer revisions with each message.
+REFRESH_PAUSE_S = 0.8
+# Seconds before the end of a retirement's time at which it is reported done
+# though items still run; they are run again elsewhere.
+RETIRE_MARGIN_S = 1.0
+# Seconds before a failed report is written again.
+RETIRE_RETRY_S = 0.3
 
 
 class Gateway:
@@ -56,6 +67,9 @@
         self.metrics = metrics
         self.routes = None
         self.is_draining = False
+        self.is_retiring = False
+        self.has_retired = False
+        self.refreshed_at = 0.0
         self.worker = None
         self.pool = ConnectionPool(reactor=reactor)
         self.directory = Directory(
@@ -115,6 +129,7 @@
         for entry in mirror.entries.values():
             table = self.dialect.decode_configuration(entry)
             if table is None:
+                self.take_retirement(entry)
                 continue
             known = self.routes
             if known is not None and table.revision <= known.revision:
@@ -128,6 +143,47 @@
                 was=None if known is None else known.version,
             )
 
+    def take_retirement(self, entry):
+        """Give this machine up when the operator asks for it."""
+        seconds = self.dialect.decode_retirement(entry, self.settings.instance)
+        if seconds is None or self.is_retiring or self.worker is None:
+            return
+        self.is_retiring = True
+        eliot.log_message("gateway:retiring", seconds=seconds)
+        defer.ensureDeferred(self.report_retirement(is_done=False)).addErrback(
+            eliot.write_failure
+        )
+        self.worker.retire(on_empty=self.finish_retirement)
+        self.reactor.callLater(
+            max(0.0, seconds - RETIRE_MARGIN_S), self.finish_retirement
+        )
+        self.peers.send_full(self.peers.list_live())
+
+    def finish_retirement(self):
+        """Report that nothing is left on this machine."""
+        if self.has_retired:
+            return
+        self.has_retired = True
+        eliot.log_message("gateway:retired", items=len(self.worker.running))
+        defer.ensureDeferred(self.report_retirement(is_done=True)).addErrback(
+            eliot.write_failure
+        )
+
+    async def report_retirement(self, *, is_done):
+        """Write how far the machine is emptied, until the store has it."""
+        key, content = self.dialect.encode_retirement(
+            self.settings.instance, is_done=is_done
+        )
+        while is_done or not self.has_retired:
+            try:
+                await self.store.put_plain(key, content)
+                return
+            except StoreUnavailableError as failure:
+                eliot.log_message(
+                    "gateway:retirement_unreported", reason=failure.message
+                )
+                await wait(self.reactor, RETIRE_RETRY_S)
+
     def take_upstreams(self, mirror):
         """Take over the list of upstreams."""
         entries = {}
@@ -165,7 +221,7 @@
         """Return the state for a full message to peers."""
         worker = self.worker
         return {
-            "configuration": self.routes.revision if self.routes else 0,
+            "configuration": self.configuration_revision,
             "upstreams": self.find_upstreams_revision(),
             "runs_batch": worker is not None and not worker.is_stopping,
             "is_leaving": self.is_draining,
@@ -202,18 +258,27 @@
 
     def compare_revisions(self, peer, message):
         """Read what a peer knows in a newer revision."""
-        known = self.routes.revision if self.routes else 0
-        if message.configuration > known:
+        now = self.reactor.seconds()
+        if now - self.refreshed_at < REFRESH_PAUSE_S:
+            return
+        if message.configuration > self.configuration_revision:
+            self.refreshed_at = now
             self.reactor.callLater(
                 REFRESH_S, self.refresh_configuration, message.configuration
             )
         if message.upstreams > self.upstreams_mirror.revision:
+            self.refreshed_at = now
             self.reactor.callLater(
                 REFRESH_S, self.refresh_upstreams, message.upstreams
             )
 
+    @property
+    def configuration_revision(self):
+        """Revision of the configuration in force, 0 without one."""
+        return 0 if self.routes is None else self.routes.revision
+
     def refresh_configuration(self, revision):
-        known = self.routes.revision if self.routes else 0
+        known = self.configuration_revision
         if known < revision:
             eliot.log_message(
                 "configuration:behind", revision=known, peer=revision
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -1,14 +1,12 @@
 """Kept connections by address."""
 
-from twisted.internet import defer
-
 from .connection import connect
 
 __all__ = ["ConnectionPool"]
 
-# Seconds for a new connection: the longest round trip many times over, and
-# short enough to try another upstream within an online request's aim.
-CONNECT_TIMEOUT_S = 1.0
+# Seconds for a new connection: many times the longest round trip, and short
+# enough to try another upstream soon after an online request's aim.
+CONNECT_TIMEOUT_S = 0.3
 
 
 class ConnectionPool:
@@ -82,8 +80,3 @@
         for address in list(self.free):
             self.drop_address(address)
 
-
-def cancel_wait(work):
-    """Cancel a wait for a connection that is no longer needed."""
-    if isinstance(work, defer.Deferred) and not work.called:
-        work.cancel()
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -49,7 +49,6 @@
         "reply",
         "parser",
         "deferred",
-        "stall",
         "is_preempted",
     )
 
@@ -62,7 +61,6 @@
         self.reply = None
         self.parser = EventParser(on_event=self.take_event)
         self.deferred = None
-        self.stall = None
         self.is_preempted = False
 
     def start(self):
@@ -102,39 +100,28 @@
             deadline_seconds=None,
             resume_after=self.work.last_event,
         )
-        reactor = self.gateway.reactor
-        attempt = defer.ensureDeferred(
-            run_attempt(
-                self.gateway.pool,
-                address=self.upstream.entry.address,
-                method=head.method,
-                target=head.target,
-                headers=headers,
-                body=self.work.item.body,
-                on_reply=self.take_reply,
-                on_data=self.take_data,
-            )
-        )
-        self.stall = reactor.callLater(STALL_S, attempt.cancel)
         try:
             with self.gateway.placement.hold_batch(self.upstream):
-                failure = await attempt
+                failure = await run_attempt(
+                    self.gateway.pool,
+                    address=self.upstream.entry.address,
+                    method=head.method,
+                    target=head.target,
+                    headers=headers,
+                    body=self.work.item.body,
+                    on_reply=self.take_reply,
+                    on_data=self.take_data,
+                    first_seconds=STALL_S,
+                    pause_seconds=STALL_S,
+                )
             if failure is None:
                 failure = self.judge()
         except UpstreamUnavailableError as unsent:
             failure = unsent
-        except defer.CancelledError:
-            if self.is_preempted:
-                return
-            failure = StreamLostError(f"no byte for {STALL_S} s")
-        finally:
-            if self.stall.active():
-                self.stall.cancel()
         if failure is not None:
             self.report(failure)
 
     def take_reply(self, status, headers):
-        self.extend()
         reply = self.gateway.dialect.decode_reply(status, headers)
         if reply.identifier not in (None, self.work.item.identifier):
             raise StreamMalformedError("the answer names another request")
@@ -142,7 +129,6 @@
         self.reply = reply
 
     def take_data(self, data):
-        self.extend()
         if self.reply.is_success:
             self.parser.feed(data)
 
@@ -155,10 +141,6 @@
         self.work.last_event = number
         self.work.texts.append(data)
 
-    def extend(self):
-        if self.stall.active():
-            self.stall.reset(STALL_S)
-
     def judge(self):
         """Take the whole answer; return a failure that may pass, or None."""
         work = self.work
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -36,6 +36,9 @@
 RETRY_S = 0.15
 # Pause before a result is offered to the store again, seconds.
 STORE_RETRY_S = 0.3
+# Seconds before a job's due time from which its items use the last free slot:
+# a whole run takes some 5 s.
+URGENT_S = 7.0
 # Runs that fail before an item is given up, where its route is gone.
 DEFAULT_ATTEMPTS = 3
 
@@ -63,6 +66,7 @@
         self.running = {}
         self.is_stopping = False
         self.is_first_list = True
+        self.on_empty = None
         self.round_call = None
         self.mirror = Mirror(
             store=gateway.store,
@@ -151,6 +155,23 @@
             if work.run is not None:
                 work.run.cancel()
 
+    def retire(self, *, on_empty):
+        """Start nothing more and tell when nothing runs any longer.
+
+        Parameters
+        ----------
+        on_empty : callable
+            Called once without arguments.
+        """
+        self.is_stopping = True
+        self.on_empty = on_empty
+        self.tell_empty()
+
+    def tell_empty(self):
+        if self.on_empty is not None and not self.running:
+            on_empty, self.on_empty = self.on_empty, None
+            on_empty()
+
     def recheck(self):
         """Read the results again, since items may have changed hands."""
         for job in self.jobs.values():
@@ -231,7 +252,9 @@
             self.give_up(work, "the job's time is over")
             return
         service = choose_service(route, work.item.identifier)
-        upstream = self.gateway.placement.choose_for_batch(service)
+        upstream = self.gateway.placement.choose_for_batch(
+            service, is_urgent=job.due - now < URGENT_S
+        )
         if upstream is None:
             return
         work.run = ItemRun(
@@ -277,6 +300,7 @@
             self.store_result(work)
         elif not run.is_preempted:
             work.not_before = self.gateway.reactor.seconds() + RETRY_S
+        self.tell_empty()
         self.schedule(0.0)
 
     def store_result(self, work):
@@ -344,6 +368,9 @@
         ]
         for view in choose_preempted(views, count=excess):
             work = here[view.stream]
+            if work.run is None:
+                # Stopped by the change of load that the last one caused.
+                continue
             eliot.log_message(
                 "item:preempted",
                 job=work.job.job.identifier,
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/attempt.py
@@ -3,6 +3,7 @@
 from twisted.internet import defer
 
 from hollyspan_core.errors import HollyspanError
+from hollyspan_core.errors import StreamLostError
 
 from ..http1 import Exchange
 
@@ -10,7 +11,17 @@
 
 
 async def run_attempt(
-    pool, *, address, method, target, headers, body, on_reply, on_data
+    pool,
+    *,
+    address,
+    method,
+    target,
+    headers,
+    body,
+    on_reply,
+    on_data,
+    first_seconds=None,
+    pause_seconds=None,
 ):
     """Send a request once and report its answer as it comes.
 
@@ -25,6 +36,10 @@
         Called with status and headers; raises to give the answer up.
     on_data : callable
         Called with bytes of the body; raises to give the answer up.
+    first_seconds : float, optional
+        Longest wait for the first byte of the body.
+    pause_seconds : float, optional
+        Longest pause between two runs of bytes.
 
     Returns
     -------
@@ -43,31 +58,87 @@
     """
     connection = await pool.acquire(address)
     done = defer.Deferred()
+    stall = Stall(reactor=pool.reactor, seconds=first_seconds)
+
+    def end(failure):
+        stall.stop()
+        if not done.called:
+            done.callback(failure)
+
+    def break_off(failure):
+        connection.cancel()
+        end(failure)
 
     def guard(function):
         def call(*arguments):
             try:
                 function(*arguments)
             except HollyspanError as failure:
-                connection.cancel()
-                done.callback(failure)
+                break_off(failure)
 
         return call
 
+    def take_data(data):
+        stall.restart(pause_seconds)
+        on_data(data)
+
+    stall.on_end = lambda seconds: break_off(
+        StreamLostError(f"no byte for {seconds:.3f} s")
+    )
     exchange = Exchange(
         method=method,
         target=target,
         headers=headers,
         body=body,
         on_head=guard(on_reply),
-        on_data=guard(on_data),
-        on_end=lambda: done.callback(None),
-        on_failure=done.callback,
+        on_data=guard(take_data),
+        on_end=lambda: end(None),
+        on_failure=end,
     )
     connection.send(exchange)
     try:
         return await done
     except defer.CancelledError:
+        stall.stop()
         connection.cancel()
         raise
 
+
+class Stall:
+    """Ends a wait for bytes that lasts too long.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    seconds : float or None
+        Longest wait; None for no limit.
+
+    Attributes
+    ----------
+    on_end : callable
+        Called with the seconds of the wait that was too long.
+    """
+
+    __slots__ = ("reactor", "on_end", "call")
+
+    def __init__(self, *, reactor, seconds):
+        self.reactor = reactor
+        self.on_end = None
+        self.call = None
+        self.restart(seconds)
+
+    def restart(self, seconds):
+        """Begin a new wait."""
+        self.stop()
+        if seconds is not None:
+            self.call = self.reactor.callLater(seconds, self.end, seconds)
+
+    def end(self, seconds):
+        self.call = None
+        self.on_end(seconds)
+
+    def stop(self):
+        """End the wait."""
+        if self.call is not None:
+            self.call.cancel()
+            self.call = None
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -19,6 +19,13 @@
 # Upstreams that may refuse a request without running it: one refusal is
 # chance, three mean that the service is full.
 MAX_REFUSALS = 3
+# Seconds that a stream's first event may take beyond the expected wait for a
+# slot: several times its usual time, and soon enough to have it from another
+# upstream within the usual aim of 300 ms.
+FIRST_EVENT_S = 0.2
+# Seconds between two events, ten times the usual, so that the pause is below
+# the 400 ms of the strictest route after a move.
+PAUSE_S = 0.25
 
 
 class Relay:
@@ -139,6 +146,8 @@
                     body=self.body,
                     on_reply=self.take_reply,
                     on_data=self.take_data,
+                    first_seconds=self.find_first_limit(),
+                    pause_seconds=PAUSE_S if self.may_move() else None,
                 )
             except UpstreamUnavailableError as unsent:
                 failure = unsent
@@ -148,6 +157,22 @@
             self.count_failure(failure)
         return failure
 
+    def may_move(self):
+        """Tell whether a silent upstream can be left for another one."""
+        return (
+            self.route.kind is RouteKind.STREAM
+            and self.route.is_repeatable
+            and self.sends < self.route.max_attempts
+        )
+
+    def find_first_limit(self):
+        """Return the longest wait for the first event, None for no limit."""
+        if not self.may_move():
+            return None
+        return FIRST_EVENT_S + self.gateway.placement.estimate_wait(
+            self.upstream
+        )
+
     def take_reply(self, status, headers):
         """Take the head of an answer."""
         reply = self.gateway.dialect.decode_reply(status, headers)
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
@@ -150,6 +150,20 @@
         """
         await self.write({}, {key: self.create_token() + content})
 
+    async def put_plain(self, key, content):
+        """Write a key whose readers expect no token in front.
+
+        Parameters
+        ----------
+        key : str
+        content : bytes
+
+        Raises
+        ------
+        StoreUnavailableError
+        """
+        await self.write({}, {key: content})
+
     async def remove(self, keys):
         """Remove keys; absent ones are no failure.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -7,6 +7,7 @@
 from hollyspan_policy.batch import choose_batch_upstream
 from hollyspan_policy.batch import count_excess
 from hollyspan_policy.routing import choose_nearby
+from hollyspan_policy.routing import estimate_wait
 from hollyspan_policy.routing import UpstreamView
 
 __all__ = ["Placement"]
@@ -18,6 +19,9 @@
 SERVICE_WEIGHT = 0.05
 # Seconds for which a queue that an upstream reported keeps batch work away.
 QUEUE_REPORT_S = 0.5
+# Share of a service's slots that batch work leaves free for the online
+# requests of the next moments, so that these seldom wait for a preemption.
+BATCH_HEADROOM = 0.06
 # Clients come back after this time when no upstream is listed: the entries of
 # upstreams that lapsed are back within 2 s.
 NO_UPSTREAM_RETRY_S = 0.5
@@ -84,12 +88,31 @@
             )
         return self.directory.upstreams[view.name]
 
-    def choose_for_batch(self, service, *, excluded=()):
-        """Choose the upstream for an item, None when no slot is free."""
+    def estimate_wait(self, upstream):
+        """Estimate the wait of an online request just sent, seconds."""
+        return estimate_wait(
+            self.build_view(upstream, self.reactor.seconds()),
+            service_seconds=self.service_seconds,
+        )
+
+    def choose_for_batch(self, service, *, is_urgent):
+        """Choose the upstream for an item.
+
+        Parameters
+        ----------
+        service : str
+        is_urgent : bool
+            True when the item is late if it does not start now.
+
+        Returns
+        -------
+        Upstream or None
+            None when no slot is free for batch work.
+        """
         view = choose_batch_upstream(
             self.build_views(service, with_suspects=False),
             data_centre=self.data_centre,
-            excluded=excluded,
+            headroom_share=0.0 if is_urgent else BATCH_HEADROOM,
         )
         return None if view is None else self.directory.upstreams[view.name]
 
@@ -111,17 +134,18 @@
         trusted = [each for each in upstreams if each.suspect_until <= now]
         if trusted or not with_suspects:
             upstreams = trusted
-        return [
-            UpstreamView(
-                name=upstream.entry.name,
-                data_centre=upstream.entry.data_centre,
-                slots=upstream.entry.slots,
-                online=upstream.count_online(),
-                batch=upstream.count_batch(),
-                waiting=upstream.find_waiting(now - QUEUE_REPORT_S),
-            )
-            for upstream in upstreams
-        ]
+        return [self.build_view(upstream, now) for upstream in upstreams]
+
+    def build_view(self, upstream, now):
+        """Return what is known of one upstream."""
+        return UpstreamView(
+            name=upstream.entry.name,
+            data_centre=upstream.entry.data_centre,
+            slots=upstream.entry.slots,
+            online=upstream.count_online(),
+            batch=upstream.count_batch(),
+            waiting=upstream.find_waiting(now - QUEUE_REPORT_S),
+        )
 
     @contextlib.contextmanager
     def hold_online(self, upstream):
--- a/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
@@ -3,7 +3,7 @@
 __all__ = ["choose_batch_upstream", "count_excess"]
 
 
-def choose_batch_upstream(views, *, data_centre, reserve=0, excluded=()):
+def choose_batch_upstream(views, *, data_centre, headroom_share=0.0):
     """Choose the upstream for one more batch stream.
 
     Parameters
@@ -11,29 +11,37 @@
     views : iterable of UpstreamView
     data_centre : str
         Where the asking daemon is; its own upstreams come first.
-    reserve : int, optional
-        Slots to leave free at each upstream.
-    excluded : collection of str, optional
-        Upstreams that are not to be used.
+    headroom_share : float, optional
+        Share of all slots together that stays free. One free slot anywhere
+        serves the next online request, so the share is not kept at each
+        upstream.
 
     Returns
     -------
     UpstreamView or None
         None when no upstream has a free slot; batch work never waits in an
         upstream's queue, where online requests would wait behind it.
+
+    Notes
+    -----
+    Load pattern: online requests that come and go many times in the run of
+    one item, so that a slot filled the moment it is free is soon taken away
+    again.
     """
+    views = [view for view in views if view.serving]
 
     def count_room(view):
         taken = view.online + view.batch + view.hidden
-        return view.slots - reserve - taken
+        return view.slots - taken
+
+    free = sum(max(0, count_room(view)) for view in views)
+    if free <= headroom_share * sum(view.slots for view in views):
+        return None
 
     usable = [
         view
         for view in views
-        if view.serving
-        and not view.waiting
-        and view.name not in excluded
-        and count_room(view) > 0
+        if not view.waiting and count_room(view) > 0
     ]
     return max(
         usable,
