Run the items with the least left first; take lists from peers

A gateway that the store turns away kept sending to replicas that had gone (35 connections timed out).

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -17,6 +17,7 @@
 from .jobs.worker import Worker
 from .metrics import Metrics
 from .online.server import ClientSite
+from .peers import copies
 from .store import Store
 
 __all__ = ["run_gateway"]
@@ -123,9 +124,29 @@
     request.answer(status, [], b"")
 
 
+def answer_internal(gateway, request):
+    """Answer a peer or a reader of metrics."""
+    mirror = gateway.mirrors.get(
+        request.uri.removeprefix(copies.PATH).decode("latin-1")
+    )
+    if mirror is None:
+        request.answer(http.NOT_FOUND, [], b"")
+        return
+    request.answer(http.OK, [], copies.encode_copy(mirror))
+
+
 def start_parts(reactor, gateway):
     """Start what follows the store and the peers."""
     settings = gateway.settings
+    internal = ClientSite(
+        reactor=reactor,
+        handle=lambda request: answer_internal(gateway, request),
+        body_limit=0,
+        idle_seconds=IDLE_S,
+    )
+    reactor.listenTCP(
+        settings.metrics_port, internal, interface=settings.ip
+    )
     reactor.listenUDP(
         settings.peer_port, gateway.peers, interface=settings.ip
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -14,6 +14,7 @@
 from .online.service import OnlineService
 from .peers import build_identifier
 from .peers import PeerTable
+from .peers.copies import fetch_copy
 from .store import Mirror
 from .upstreams import Directory
 from .upstreams import Placement
@@ -103,6 +104,10 @@
             prefix=dialect.upstreams_prefix,
             on_change=self.take_upstreams,
         )
+        self.mirrors = {
+            "configuration": self.configuration_mirror,
+            "upstreams": self.upstreams_mirror,
+        }
         self.submissions = Submissions(gateway=self)
         self.online = OnlineService(gateway=self)
 
@@ -262,37 +267,43 @@
         if now - self.refreshed_at < REFRESH_PAUSE_S:
             return
         if message.configuration > self.configuration_revision:
-            self.refreshed_at = now
-            self.reactor.callLater(
-                REFRESH_S, self.refresh_configuration, message.configuration
-            )
+            self.refresh_soon("configuration", peer, message.configuration)
         if message.upstreams > self.upstreams_mirror.revision:
-            self.refreshed_at = now
-            self.reactor.callLater(
-                REFRESH_S, self.refresh_upstreams, message.upstreams
-            )
+            self.refresh_soon("upstreams", peer, message.upstreams)
+
+    def refresh_soon(self, name, peer, revision):
+        """Read entries anew unless the own watch brings them meanwhile."""
+        self.refreshed_at = self.reactor.seconds()
+        work = defer.ensureDeferred(self.refresh(name, peer, revision))
+        work.addErrback(eliot.write_failure)
+
+    async def refresh(self, name, peer, revision):
+        mirror = self.mirrors[name]
+        if mirror.is_connected:
+            await wait(self.reactor, REFRESH_S)
+        if mirror.revision >= revision:
+            return
+        eliot.log_message(
+            f"{name}:behind",
+            revision=mirror.revision,
+            peer=peer.identifier,
+            newer=revision,
+            is_connected=mirror.is_connected,
+        )
+        if mirror.is_connected:
+            mirror.refresh()
+            return
+        page = await fetch_copy(
+            self.pool, peer, port=self.settings.metrics_port, name=name
+        )
+        if page is not None:
+            mirror.take_over(page)
 
     @property
     def configuration_revision(self):
         """Revision of the configuration in force, 0 without one."""
         return 0 if self.routes is None else self.routes.revision
 
-    def refresh_configuration(self, revision):
-        known = self.configuration_revision
-        if known < revision:
-            eliot.log_message(
-                "configuration:behind", revision=known, peer=revision
-            )
-            self.configuration_mirror.refresh()
-
-    def refresh_upstreams(self, revision):
-        known = self.upstreams_mirror.revision
-        if known < revision:
-            eliot.log_message(
-                "upstreams:behind", revision=known, peer=revision
-            )
-            self.upstreams_mirror.refresh()
-
     def note_membership(self):
         """Take note that gateways came or went."""
         live = {peer.identifier for peer in self.peers.list_live()}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -38,6 +38,10 @@
     ----------
     is_preempted : bool
         True when the run was stopped to make room.
+    started : float
+        Time of the reactor at its start.
+    first_event : int
+        Events that earlier runs had brought.
     """
 
     __slots__ = (
@@ -50,6 +54,8 @@
         "parser",
         "deferred",
         "is_preempted",
+        "started",
+        "first_event",
     )
 
     def __init__(self, *, gateway, work, upstream, host, max_failures):
@@ -62,6 +68,8 @@
         self.parser = EventParser(on_event=self.take_event)
         self.deferred = None
         self.is_preempted = False
+        self.started = gateway.reactor.seconds()
+        self.first_event = len(work.texts)
 
     def start(self):
         """Begin the run.
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -5,8 +5,8 @@
 
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.errors import StoreUnavailableError
-from hollyspan_policy.batch import choose_preempted
-from hollyspan_policy.batch import StreamView
+from hollyspan_policy.batch import rank_item
+from hollyspan_policy.batch import RunTimes
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.ownership import choose_owner
 
@@ -36,6 +36,9 @@
 RETRY_S = 0.15
 # Pause before a result is offered to the store again, seconds.
 STORE_RETRY_S = 0.3
+# Expected events of an item and seconds for each, until items have finished.
+INITIAL_EVENTS = 180
+INITIAL_EVENT_S = 0.027
 # Seconds before a job's due time from which its items use the last free slot:
 # a whole run takes some 5 s.
 URGENT_S = 7.0
@@ -67,6 +70,9 @@
         self.is_stopping = False
         self.is_first_list = True
         self.on_empty = None
+        self.times = RunTimes(
+            events=INITIAL_EVENTS, event_seconds=INITIAL_EVENT_S
+        )
         self.round_call = None
         self.mirror = Mirror(
             store=gateway.store,
@@ -210,25 +216,36 @@
             return
         owners = self.gateway.list_workers()
         claimed = self.gateway.list_claimed_items()
-        for job in sorted(
-            (job for job in self.jobs.values() if is_open(job)),
-            key=lambda job: job.job.due,
-        ):
+        waiting = []
+        for job in self.jobs.values():
+            if not is_open(job):
+                continue
             mine = [
                 work
                 for work in job.items.values()
                 if self.is_startable(work, owners, claimed)
             ]
-            if not mine:
-                continue
-            if not job.is_checked:
-                if not job.is_checking:
-                    defer.ensureDeferred(self.check_results(job)).addErrback(
-                        eliot.write_failure
-                    )
-                continue
-            for work in mine:
-                self.start_item(work)
+            if mine and not job.is_checked:
+                self.begin_check(job)
+            elif mine:
+                waiting += mine
+        now = self.gateway.wall_clock()
+        for work in sorted(waiting, key=lambda work: self.rank(work, now)):
+            self.start_item(work)
+
+    def rank(self, work, now):
+        """Return the sort key of an item; the smallest is run first."""
+        return rank_item(
+            due=work.job.job.due,
+            left_seconds=self.times.estimate_left(len(work.texts)),
+            now=now,
+        )
+
+    def begin_check(self, job):
+        if not job.is_checking:
+            defer.ensureDeferred(self.check_results(job)).addErrback(
+                eliot.write_failure
+            )
 
     def is_startable(self, work, owners, claimed):
         return (
@@ -297,12 +314,22 @@
         run, work.run = work.run, None
         self.running.pop(work.key, None)
         if work.result is not None:
+            self.learn(run, work)
             self.store_result(work)
         elif not run.is_preempted:
             work.not_before = self.gateway.reactor.seconds() + RETRY_S
         self.tell_empty()
         self.schedule(0.0)
 
+    def learn(self, run, work):
+        """Learn how long items take from one that has finished."""
+        if work.result.is_done:
+            self.times.observe(
+                events=len(work.texts),
+                seconds=self.gateway.reactor.seconds() - run.started,
+                run_events=len(work.texts) - run.first_event,
+            )
+
     def store_result(self, work):
         if not work.job.is_ended or work.result.is_done:
             defer.ensureDeferred(self.keep_result(work)).addErrback(
@@ -352,22 +379,16 @@
         excess = self.gateway.placement.count_batch_excess(upstream)
         if excess <= 0:
             return
-        here = {
-            f"{work.key:x}": work
-            for work in self.running.values()
-            if work.run.upstream is upstream
-        }
-        views = [
-            StreamView(
-                stream=name,
-                due=work.job.job.due,
-                resumable=True,
-                generated=len(work.texts),
-            )
-            for name, work in here.items()
-        ]
-        for view in choose_preempted(views, count=excess):
-            work = here[view.stream]
+        now = self.gateway.wall_clock()
+        here = sorted(
+            (
+                work
+                for work in self.running.values()
+                if work.run.upstream is upstream
+            ),
+            key=lambda work: self.rank(work, now),
+        )
+        for work in here[-excess:]:
             if work.run is None:
                 # Stopped by the change of load that the last one caused.
                 continue
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -77,6 +77,25 @@
         self.must_list = True
         self.work.cancel()
 
+    def take_over(self, page):
+        """Take over a peer's copy if it is newer.
+
+        Parameters
+        ----------
+        page : Page
+
+        Returns
+        -------
+        bool
+            True when it was newer.
+        """
+        if page.revision <= self.revision:
+            return False
+        self.entries = {entry.key: entry for entry in page.entries}
+        self.revision = page.revision
+        self.on_change(self)
+        return True
+
     def report_end(self, failure):
         if failure.check(defer.CancelledError):
             if not self.is_stopped:
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -15,6 +15,8 @@
 from .slots import BatchGate
 from .stream import StreamView
 from .unanswered import choose_unanswered
+from .urgency import rank_item
+from .urgency import RunTimes
 from .window import SlidingMinimum
 
 __all__ = [
@@ -22,6 +24,7 @@
     "BATCH_POLICIES",
     "BatchGate",
     "OnlineLoad",
+    "RunTimes",
     "SlidingMinimum",
     "StreamView",
     "allow_as_online",
@@ -33,5 +36,6 @@
     "compute_level",
     "count_batch_slots",
     "count_excess",
+    "rank_item",
     "share_reserve",
 ]
