Share what upstreams report of their load; keep a place in a queue

Cause: the streams of a machine that vanished, or that peers could not hear, held slots that no gateway counted, so online requests were sent to full upstreams; and a request that had waited 0.2 s left its place in the queue for the end of another one, although all were full.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -249,6 +249,12 @@
 
     def take_message(self, peer, message):
         """Take over a peer's load and notice what it knows better."""
+        now = self.reactor.seconds()
+        reports = {
+            load.upstream: load.reported
+            for load in message.loads
+            if load.reported is not None
+        }
         for upstream in self.directory.upstreams.values():
             key = hash_parts(upstream.entry.name)
             load = peer.loads.get(key)
@@ -256,6 +262,8 @@
                 upstream.peers.pop(peer.identifier, None)
             else:
                 upstream.peers[peer.identifier] = load
+            if key in reports:
+                upstream.take_report(*reports[key], now=now)
             if self.worker is not None:
                 self.worker.make_room(upstream)
         if message.is_full:
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/attempt.py
@@ -9,6 +9,9 @@
 
 __all__ = ["run_attempt"]
 
+# Seconds between two questions whether a silent upstream is left.
+STALL_CHECK_S = 0.05
+
 
 async def run_attempt(
     pool,
@@ -22,6 +25,7 @@
     on_data,
     first_seconds=None,
     pause_seconds=None,
+    may_leave=None,
 ):
     """Send a request once and report its answer as it comes.
 
@@ -40,6 +44,8 @@
         Longest wait for the first byte of the body.
     pause_seconds : float, optional
         Longest pause between two runs of bytes.
+    may_leave : callable, optional
+        Asked when a wait is over whether the upstream is worth leaving.
 
     Returns
     -------
@@ -82,9 +88,13 @@
         stall.restart(pause_seconds)
         on_data(data)
 
-    stall.on_end = lambda seconds: break_off(
-        StreamLostError(f"no byte for {seconds:.3f} s")
-    )
+    def end_wait(seconds):
+        if may_leave is None or may_leave():
+            break_off(StreamLostError(f"no byte for {seconds:.3f} s"))
+        else:
+            stall.restart(STALL_CHECK_S)
+
+    stall.on_end = end_wait
     exchange = Exchange(
         method=method,
         target=target,
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -148,6 +148,7 @@
                     on_data=self.take_data,
                     first_seconds=self.find_first_limit(),
                     pause_seconds=PAUSE_S if self.may_move() else None,
+                    may_leave=self.may_leave,
                 )
             except UpstreamUnavailableError as unsent:
                 failure = unsent
@@ -165,6 +166,12 @@
             and self.sends < self.route.max_attempts
         )
 
+    def may_leave(self):
+        """Tell whether another upstream will do better than a silent one."""
+        return self.gateway.placement.has_better(
+            self.upstream, excluded=self.tried
+        )
+
     def find_first_limit(self):
         """Return the longest wait for the first event, None for no limit."""
         if not self.may_move():
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -48,6 +48,9 @@
             target.upstream = load.upstream
             target.online = load.online
             target.batch = load.batch
+            if load.reported is not None:
+                target.isReported = True
+                target.running, target.waiting = load.reported
     if message.items:
         wire.items = list(message.items)
     return wire.to_bytes_packed()
@@ -81,6 +84,7 @@
                     upstream=load.upstream,
                     online=load.online,
                     batch=load.batch,
+                    reported=read_reported(load),
                 )
                 for load in wire.loads
             ],
@@ -94,3 +98,7 @@
         )
     except (capnp.KjException, ValueError) as fault:
         raise PeerMessageError("a datagram cannot be decoded") from fault
+
+
+def read_reported(load):
+    return (load.running, load.waiting) if load.isReported else None
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -6,6 +6,9 @@
   upstream @0 :UInt64;
   online @1 :UInt16;      # online requests in flight, sent by this gateway
   batch @2 :UInt16;       # batch items in flight, sent by this gateway
+  isReported @3 :Bool;    # the upstream has just told its load:
+  running @4 :UInt16;     # requests that it runs, from whomever
+  waiting @5 :UInt16;     # requests in its queue
 }
 
 struct FleetMessage {
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -11,14 +11,17 @@
     upstream : int
         Hash of its name.
     online, batch : int
+    reported : (int, int) or None, optional
+        Running and waiting requests as the upstream has just told.
     """
 
-    __slots__ = ("upstream", "online", "batch")
+    __slots__ = ("upstream", "online", "batch", "reported")
 
-    def __init__(self, *, upstream, online, batch):
+    def __init__(self, *, upstream, online, batch, reported=None):
         self.upstream = upstream
         self.online = online
         self.batch = batch
+        self.reported = reported
 
 
 class FleetMessage:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -120,7 +120,10 @@
         """Send the changed loads."""
         self.flush_call = None
         changed, self.changed = self.changed, {}
-        loads = [build_load(upstream) for upstream in changed.values()]
+        loads = [
+            build_load(upstream, reported=upstream.take_news())
+            for upstream in changed.values()
+        ]
         message = self.build_message(loads=loads, is_full=False)
         self.send(self.list_live(), message)
 
@@ -202,9 +205,10 @@
         self.on_membership()
 
 
-def build_load(upstream):
+def build_load(upstream, *, reported=None):
     return UpstreamLoad(
         upstream=hash_parts(upstream.entry.name),
         online=upstream.online,
         batch=upstream.batch,
+        reported=reported,
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -17,8 +17,6 @@
 INITIAL_SERVICE_S = 0.7
 # Weight of one measured service time in the moving mean.
 SERVICE_WEIGHT = 0.05
-# Seconds for which a queue that an upstream reported keeps batch work away.
-QUEUE_REPORT_S = 0.5
 # Share of a service's slots that batch work leaves free for the online
 # requests of the next moments, so that these seldom wait for a preemption.
 BATCH_HEADROOM = 0.06
@@ -95,6 +93,32 @@
             service_seconds=self.service_seconds,
         )
 
+    def has_better(self, upstream, *, excluded):
+        """Tell whether a silent upstream is worth leaving.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Where a request waits.
+        excluded : collection of str
+            Upstreams that it was sent to.
+
+        Returns
+        -------
+        bool
+            True when another one has just shown that it has room; where all
+            are full, the place in the queue is worth more than a new one.
+        """
+        now = self.reactor.seconds()
+        return any(
+            other.is_reported(now=now)
+            and not other.waiting
+            and other.count_online() + other.hidden < other.entry.slots
+            and other.suspect_until <= now
+            for other in self.directory.list_usable(upstream.entry.service)
+            if other.entry.name not in excluded
+        )
+
     def choose_for_batch(self, service, *, is_urgent):
         """Choose the upstream for an item.
 
@@ -120,8 +144,10 @@
         """Count the items that this daemon has to stop at an upstream."""
         batch = {name: told[1] for name, told in upstream.peers.items()}
         batch[self.daemon] = upstream.batch
+        now = self.reactor.seconds()
+        hidden = upstream.hidden if upstream.is_reported(now=now) else 0
         return count_excess(
-            slots=upstream.entry.slots,
+            slots=upstream.entry.slots - hidden,
             online=upstream.count_online(),
             batch_by_daemon=batch,
             daemon=self.daemon,
@@ -138,13 +164,15 @@
 
     def build_view(self, upstream, now):
         """Return what is known of one upstream."""
+        is_reported = upstream.is_reported(now=now)
         return UpstreamView(
             name=upstream.entry.name,
             data_centre=upstream.entry.data_centre,
             slots=upstream.entry.slots,
             online=upstream.count_online(),
             batch=upstream.count_batch(),
-            waiting=upstream.find_waiting(now - QUEUE_REPORT_S),
+            waiting=upstream.waiting if is_reported else 0,
+            hidden=upstream.hidden if is_reported else 0,
         )
 
     @contextlib.contextmanager
@@ -177,8 +205,10 @@
     def note_reply(self, upstream, reply):
         """Take note of the head of an answer."""
         if reply.load is not None:
-            upstream.reported = reply.load
-            upstream.reported_at = self.reactor.seconds()
+            running, waiting, _ = reply.load
+            upstream.take_report(running, waiting, now=self.reactor.seconds())
+            upstream.news = (running, waiting)
+            self.on_change(upstream)
         if not reply.has_not_run:
             self.directory.note_success(upstream)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -1,7 +1,16 @@
 """One upstream."""
 
+import math
+
 __all__ = ["Upstream", "UpstreamEntry"]
 
+# Seconds for which a report counts: the time in which most of the online
+# requests that it shows have ended.
+REPORT_S = 0.7
+# Requests in a report that gateways may not have told of yet, while their
+# messages are on the way.
+REPORT_LAG = 1
+
 
 class UpstreamEntry:
     """What an upstream registers about itself.
@@ -72,10 +81,14 @@
         Failed sends in a row.
     is_listed : bool
         False once the entry is gone from the store.
-    reported : (int, int, int) or None
-        Running and waiting requests and slots of the last answer.
+    waiting : int
+        Queue of the last report.
+    hidden : int
+        Requests in the last report that no gateway tells of.
     reported_at : float
-        Time of that answer.
+        Time of the last report, from an answer here or at a peer.
+    news : (int, int) or None
+        Report that peers have not been told.
     """
 
     __slots__ = (
@@ -86,8 +99,10 @@
         "suspect_until",
         "failures",
         "is_listed",
-        "reported",
+        "waiting",
+        "hidden",
         "reported_at",
+        "news",
     )
 
     def __init__(self, *, entry):
@@ -98,8 +113,10 @@
         self.suspect_until = 0.0
         self.failures = 0
         self.is_listed = True
-        self.reported = None
-        self.reported_at = 0.0
+        self.waiting = 0
+        self.hidden = 0
+        self.reported_at = -math.inf
+        self.news = None
 
     def count_online(self):
         """Return the online requests in flight from all daemons."""
@@ -109,8 +126,24 @@
         """Return the batch items in flight from all daemons."""
         return self.batch + sum(told[1] for told in self.peers.values())
 
-    def find_waiting(self, since):
-        """Return the queue that was reported after a time, else 0."""
-        if self.reported is None or self.reported_at < since:
-            return 0
-        return self.reported[1]
+    def take_report(self, running, waiting, *, now):
+        """Take in the load that the upstream tells with an answer.
+
+        Parameters
+        ----------
+        running, waiting : int
+        now : float
+        """
+        known = self.count_online() + self.count_batch()
+        self.hidden = max(0, running + waiting - known - REPORT_LAG)
+        self.waiting = waiting
+        self.reported_at = now
+
+    def is_reported(self, *, now):
+        """Tell whether the last report still counts."""
+        return now - self.reported_at < REPORT_S
+
+    def take_news(self):
+        """Return the report that peers have not been told, and forget it."""
+        news, self.news = self.news, None
+        return news
