Let two workers that cannot hear each other keep their items

A worker now lives as long as any gateway hears it, and one that does not reach the store starts nothing.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -326,8 +326,8 @@
         """Return the identifiers of the gateways that can run items."""
         workers = [
             peer.identifier
-            for peer in self.peers.list_live()
-            if peer.runs_batch and peer.reaches_store and not peer.is_leaving
+            for peer in self.peers.list_workers()
+            if peer.reaches_store and not peer.is_leaving
         ]
         if not self.worker.is_stopping:
             workers.append(self.peers.identifier)
@@ -336,5 +336,5 @@
     def list_claimed_items(self):
         """Return the hashes of the items that run at peers."""
         return frozenset().union(
-            *(peer.items for peer in self.peers.list_live())
+            *(peer.items for peer in self.peers.list_workers())
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -214,6 +214,9 @@
         self.schedule(ROUND_S)
         if self.is_stopping or self.gateway.routes is None:
             return
+        if not self.gateway.upstreams_mirror.is_connected:
+            # Results could not be stored; peers that can take over.
+            return
         owners = self.gateway.list_workers()
         claimed = self.gateway.list_claimed_items()
         waiting = []
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -53,6 +53,8 @@
                 target.running, target.waiting = load.reported
     if message.items:
         wire.items = list(message.items)
+    if message.heard:
+        wire.heard = list(message.heard)
     return wire.to_bytes_packed()
 
 
@@ -95,6 +97,7 @@
             reaches_store=wire.reachesStore,
             items=list(wire.items),
             wants_reply=wire.wantsReply,
+            heard=list(wire.heard),
         )
     except (capnp.KjException, ValueError) as fault:
         raise PeerMessageError("a datagram cannot be decoded") from fault
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -25,4 +25,5 @@
   reachesStore @9 :Bool;
   items @10 :List(UInt64);  # items that run here
   wantsReply @11 :Bool;     # the sender has just started
+  heard @12 :List(UInt64);  # gateways that run items and are heard here
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -43,6 +43,8 @@
     items : list of int, optional
         Hashes of the items that run there.
     wants_reply : bool, optional
+    heard : list of int, optional
+        Hashes of the gateways that run items and that the sender hears.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "reaches_store",
         "items",
         "wants_reply",
+        "heard",
     )
 
     def __init__(
@@ -75,6 +78,7 @@
         reaches_store=False,
         items=(),
         wants_reply=False,
+        heard=(),
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -88,3 +92,4 @@
         self.reaches_store = reaches_store
         self.items = items
         self.wants_reply = wants_reply
+        self.heard = heard
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -26,6 +26,8 @@
     runs_batch, is_leaving, reaches_store : bool
     items : frozenset of int
         Hashes of the items that run there.
+    heard_workers : frozenset of int
+        Keys of the gateways that run items and that it hears.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "is_leaving",
         "reaches_store",
         "items",
+        "heard_workers",
     )
 
     def __init__(self, *, key, address):
@@ -54,6 +57,7 @@
         self.is_leaving = False
         self.reaches_store = False
         self.items = frozenset()
+        self.heard_workers = frozenset()
 
     def take(self, message, *, now):
         """Take in a message.
@@ -81,6 +85,7 @@
             self.is_leaving = message.is_leaving
             self.reaches_store = message.reaches_store
             self.items = frozenset(message.items)
+            self.heard_workers = frozenset(message.heard)
         for load in message.loads:
             self.loads[load.upstream] = (load.online, load.batch)
         return True
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -110,6 +110,30 @@
             if peer.heard is not None and now - peer.heard < LOST_S
         ]
 
+    def list_workers(self):
+        """Return the gateways that run items and live.
+
+        Notes
+        -----
+        One that is not heard here lives as long as another gateway hears
+        it [1]_: two workers that are cut off from each other do not take
+        each other's items over.
+
+        References
+        ----------
+        .. [1] A. Das, I. Gupta, A. Motivala, "SWIM: scalable weakly-consistent
+           infection-style process group membership protocol", DSN 2002.
+        """
+        live = self.list_live()
+        heard = {peer.key for peer in live}.union(
+            *(peer.heard_workers for peer in live)
+        )
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.runs_batch and peer.key in heard
+        ]
+
     def note_load(self, upstream):
         """Tell the others of a change of load soon."""
         self.changed[upstream.entry.name] = upstream
@@ -143,6 +167,9 @@
             loads=loads,
             is_full=True,
             wants_reply=wants_reply,
+            heard=[
+                peer.key for peer in self.list_live() if peer.runs_batch
+            ],
             **self.describe(),
         )
         self.send(peers, message)
@@ -191,7 +218,7 @@
         """Report a change of the gateways that are heard."""
         live = frozenset(
             (peer.key, peer.runs_batch, peer.is_leaving, peer.reaches_store)
-            for peer in self.list_live()
+            for peer in {*self.list_live(), *self.list_workers()}
         )
         if live == self.live:
             return
