Bound the log, serve metrics as text, trace a request from logs

Metrics are OpenTelemetry instruments, created 2 s after the start since their import takes long. 'hollyspan trace ID' puts a request's lines of all daemons in order, with what each believed.

--- a/packages/hollyspan_core/hollyspan_core/logs/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/logs/__init__.py
@@ -1,5 +1,7 @@
-"""Log set-up: eliot messages as JSON lines."""
+"""Structured logs."""
 
+from .bounded import BoundedLog
+from .destination import open_bounded_log
 from .destination import open_log
 
-__all__ = ["open_log"]
+__all__ = ["BoundedLog", "open_bounded_log", "open_log"]
--- a/packages/hollyspan_core/hollyspan_core/logs/destination.py
+++ b/packages/hollyspan_core/hollyspan_core/logs/destination.py
@@ -5,7 +5,9 @@
 
 import eliot
 
-__all__ = ["open_log"]
+from .bounded import BoundedLog
+
+__all__ = ["open_bounded_log", "open_log"]
 
 
 @contextlib.contextmanager
@@ -33,3 +35,27 @@
         eliot.add_destinations(destination)
         stack.callback(eliot.remove_destination, destination)
         yield
+
+
+@contextlib.contextmanager
+def open_bounded_log(*, reactor, instance):
+    """Write eliot's messages to standard output without blocking.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    instance : str
+        Name of the instance, added to each line.
+
+    Yields
+    ------
+    BoundedLog
+    """
+    eliot.add_global_fields(instance=instance)
+    log = BoundedLog(descriptor=sys.stdout.fileno(), reactor=reactor)
+    eliot.add_destinations(log)
+    try:
+        yield log
+    finally:
+        eliot.remove_destination(log)
+        log.flush()
--- a/packages/hollyspan_entry/hollyspan_entry/store/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/__init__.py
@@ -1,9 +1,10 @@
 """Client of the platform's store, behind a small port."""
 
-from .client import open_store
-from .client import Store
 from hollyspan_core.store import Entry
 from hollyspan_core.store import Page
+
+from .client import open_store
+from .client import Store
 from .watch import Watch
 
 __all__ = ["Entry", "Page", "Store", "Watch", "open_store"]
--- a/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/streamrun.py
@@ -5,8 +5,6 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from hollyspan_core.events import ERROR_PREFIXES
-from hollyspan_core.events import EventParser
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamCancelledError
 from hollyspan_core.errors import StreamLostError
@@ -14,13 +12,14 @@
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamLeavingError
 from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_core.events import ERROR_PREFIXES
+from hollyspan_core.events import EventParser
 
 from ..upstreams.call import open_response
 from ..upstreams.call import read_content
 from ..upstreams.state import is_leaving_answer
 from ..upstreams.state import read_code
 from .cancellation import cancel_stream
-
 from .reader import StreamReader
 
 __all__ = ["StreamRun"]
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -35,6 +35,12 @@
 DRAIN_CHECK_S = 0.05
 # Seconds between two lines with the counters.
 COUNTERS_S = 5.0
+METRICS_PATH = b"/metrics"
+# Seconds after the start before the metrics' library is imported: clients and
+# peers come first.
+METRICS_DELAY_S = 2.0
+# Seconds between two measurements of the loop's delay.
+LAG_S = 1.0
 # Seconds before a failed registration is tried again.
 REGISTER_RETRY_S = 0.3
 # Seconds after the start before items are run, so that peers are heard first.
@@ -126,6 +132,9 @@
 
 def answer_internal(gateway, request):
     """Answer a peer or a reader of metrics."""
+    if request.uri == METRICS_PATH:
+        answer_metrics(gateway, request)
+        return
     mirror = gateway.mirrors.get(
         request.uri.removeprefix(copies.PATH).decode("latin-1")
     )
@@ -135,6 +144,29 @@
     request.answer(http.OK, [], copies.encode_copy(mirror))
 
 
+def answer_metrics(gateway, request):
+    """Answer with the metrics as text."""
+    if gateway.read_metrics is None:
+        request.answer(http.SERVICE_UNAVAILABLE, [], b"not ready\n")
+        return
+    headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+    request.answer(http.OK, headers, gateway.read_metrics())
+
+
+def create_metrics(gateway):
+    """Create the instruments, which takes an import of some 0.1 s."""
+    from .metrics.instruments import create_instruments
+
+    gateway.read_metrics = create_instruments(gateway)
+
+
+def measure_lag(gateway, due):
+    """Record by how much a timer of the loop is late."""
+    now = gateway.reactor.seconds()
+    gateway.metrics.record("lag", max(0.0, now - due))
+    gateway.reactor.callLater(LAG_S, measure_lag, gateway, now + LAG_S)
+
+
 def start_parts(reactor, gateway):
     """Start what follows the store and the peers."""
     settings = gateway.settings
@@ -144,12 +176,11 @@
         body_limit=0,
         idle_seconds=IDLE_S,
     )
-    reactor.listenTCP(
-        settings.metrics_port, internal, interface=settings.ip
-    )
-    reactor.listenUDP(
-        settings.peer_port, gateway.peers, interface=settings.ip
-    )
+    for port in (settings.copies_port, settings.metrics_port):
+        reactor.listenTCP(port, internal, interface=settings.ip)
+    reactor.listenUDP(settings.peer_port, gateway.peers, interface=settings.ip)
+    reactor.callLater(METRICS_DELAY_S, create_metrics, gateway)
+    measure_lag(gateway, reactor.seconds())
     gateway.configuration_mirror.start()
     gateway.upstreams_mirror.start()
     defer.ensureDeferred(register(gateway)).addErrback(eliot.write_failure)
@@ -164,8 +195,8 @@
         "gateway:counters",
         store_calls=gateway.store.wire.describe_calls(),
         connections=gateway.pool.opened,
-        requests=gateway.metrics.requests,
-        items=gateway.metrics.items,
+        requests=dict(gateway.metrics.requests),
+        items=dict(gateway.metrics.items),
     )
     gateway.reactor.callLater(COUNTERS_S, log_counters, gateway)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -13,12 +13,12 @@
 from .jobs.submissions import Submissions
 from .online.service import OnlineService
 from .peers import build_identifier
+from .peers import fetch_copy
 from .peers import PeerTable
-from .peers.copies import fetch_copy
 from .store import Mirror
 from .upstreams import Directory
+from .upstreams import LAPSE_GRACE_S
 from .upstreams import Placement
-from .upstreams.directory import LAPSE_GRACE_S
 
 __all__ = ["Gateway"]
 
@@ -55,6 +55,8 @@
     routes : RouteTable or None
         The configuration in force.
     is_draining : bool
+    read_metrics : callable or None
+        Returns the metrics as text, once the instruments exist.
     worker : Worker or None
     """
 
@@ -70,6 +72,7 @@
         self.is_draining = False
         self.is_retiring = False
         self.has_retired = False
+        self.read_metrics = None
         self.refreshed_at = 0.0
         self.worker = None
         self.pool = ConnectionPool(reactor=reactor)
@@ -302,7 +305,7 @@
             mirror.refresh()
             return
         page = await fetch_copy(
-            self.pool, peer, port=self.settings.metrics_port, name=name
+            self.pool, peer, port=self.settings.copies_port, name=name
         )
         if page is not None:
             mirror.take_over(page)
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -211,9 +211,7 @@
             self.feed(b"")
         if self.exchange is not None:
             self.fail(
-                StreamLostError(
-                    f"connection lost: {reason.getErrorMessage()}"
-                )
+                StreamLostError(f"connection lost: {reason.getErrorMessage()}")
             )
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -55,9 +55,7 @@
                 return connection
             connection.drop()
         self.opened += 1
-        connection = await connect(
-            self.reactor, *address, timeout=timeout
-        )
+        connection = await connect(self.reactor, *address, timeout=timeout)
         connection.on_free = lambda freed: self.keep(address, freed)
         connection.on_lost = lambda lost: self.forget(address, lost)
         return connection
@@ -79,4 +77,3 @@
         """Close all free connections."""
         for address in list(self.free):
             self.drop_address(address)
-
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -151,4 +151,3 @@
         if count and size > ANSWER_BYTES:
             return results[:count]
     return results
-
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -257,7 +257,8 @@
             and work.result is None
             and work.not_before <= self.gateway.reactor.seconds()
             and work.key not in claimed
-            and choose_owner(f"{work.key:x}", owners) == self.gateway.peers.identifier
+            and choose_owner(f"{work.key:x}", owners)
+            == self.gateway.peers.identifier
         )
 
     def start_item(self, work):
@@ -326,10 +327,12 @@
 
     def learn(self, run, work):
         """Learn how long items take from one that has finished."""
+        seconds = self.gateway.reactor.seconds() - run.started
+        self.gateway.metrics.record("run", seconds)
         if work.result.is_done:
             self.times.observe(
                 events=len(work.texts),
-                seconds=self.gateway.reactor.seconds() - run.started,
+                seconds=seconds,
                 run_events=len(work.texts) - run.first_event,
             )
 
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Counters and latencies."""
+
+from .metrics import Metrics
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -0,0 +1,111 @@
+"""OpenTelemetry instruments of one gateway."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation
+from opentelemetry.sdk.metrics.view import View
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import generate_latest
+
+__all__ = ["create_instruments"]
+
+SCOPE = "hollyspan"
+# Seconds; the aims of the services (0.3 and 0.5) are bounds of buckets.
+TIME_BOUNDS = (
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    20.0,
+)
+TIMES = {
+    "first_event": "From a request to the first byte of its answer",
+    "request": "From a request to the end of its answer",
+    "run": "One run of an item",
+    "lag": "Delay of the loop",
+}
+
+
+def create_instruments(gateway):
+    """Create the instruments and return how they are read.
+
+    Parameters
+    ----------
+    gateway : Gateway
+
+    Returns
+    -------
+    callable
+        Returns the text exposition as bytes.
+    """
+    reader = PrometheusMetricReader()
+    provider = MeterProvider(
+        metric_readers=[reader],
+        resource=Resource({"service.name": "hollyspan"}),
+        views=[
+            View(
+                instrument_name="*_seconds",
+                aggregation=ExplicitBucketHistogramAggregation(TIME_BOUNDS),
+            )
+        ],
+        shutdown_on_exit=False,
+    )
+    meter = provider.get_meter(SCOPE)
+    add_counter(meter, "requests", "outcome", lambda: gateway.metrics.requests)
+    add_counter(meter, "items", "state", lambda: gateway.metrics.items)
+    add_counter(
+        meter, "store_calls", "call", gateway.store.wire.describe_calls
+    )
+    add_gauges(meter, gateway)
+    times = {
+        name: meter.create_histogram(
+            f"hollyspan_{name}_seconds", unit="s", description=text
+        )
+        for name, text in TIMES.items()
+    }
+    gateway.metrics.times = times
+    while gateway.metrics.early:
+        name, seconds = gateway.metrics.early.popleft()
+        times[name].record(seconds)
+    return generate_latest
+
+
+def add_counter(meter, name, label, read):
+    def observe(options):
+        for key, count in read().items():
+            yield Observation(count, {label: str(key)})
+
+    meter.create_observable_counter(f"hollyspan_{name}", [observe])
+
+
+def add_gauges(meter, gateway):
+    """Add what a gateway believes, read when it is asked."""
+
+    def add(name, read):
+        meter.create_observable_gauge(
+            f"hollyspan_{name}", [lambda options: [Observation(read())]]
+        )
+
+    def count_online():
+        upstreams = gateway.directory.upstreams.values()
+        return sum(upstream.online for upstream in upstreams)
+
+    add("online_in_flight", count_online)
+    if gateway.worker is not None:
+        add("batch_in_flight", lambda: len(gateway.worker.running))
+    add("configuration_version", lambda: gateway.configuration_version or 0)
+    add("peers_live", lambda: len(gateway.peers.list_live()))
+    add("upstreams", lambda: len(gateway.directory.upstreams))
+    add("connections_opened", lambda: gateway.pool.opened)
+    for name, mirror in gateway.mirrors.items():
+        add(f"{name}_connected", lambda m=mirror: int(m.is_connected))
+        add(f"{name}_revision", lambda m=mirror: m.revision)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
@@ -0,0 +1,58 @@
+"""Counters and latencies of one gateway."""
+
+import collections
+
+__all__ = ["Metrics"]
+
+# Observations that are kept until the instruments exist.
+MAX_EARLY = 1000
+
+
+class Metrics:
+    """Takes what is counted and timed.
+
+    Attributes
+    ----------
+    requests : collections.Counter
+        Requests by outcome.
+    items : collections.Counter
+        Items by what became of them.
+    early : collections.deque
+        Times from before the instruments were created.
+    times : dict
+        Histogram by name, empty until they are created.
+
+    Notes
+    -----
+    The library for metrics takes long to import, so the instruments are
+    created once the process listens (`create_instruments`).
+    """
+
+    def __init__(self):
+        self.requests = collections.Counter()
+        self.items = collections.Counter()
+        self.early = collections.deque(maxlen=MAX_EARLY)
+        self.times = {}
+
+    def count_request(self, outcome):
+        """Count a request by its outcome."""
+        self.requests[outcome] += 1
+
+    def count_item(self, state):
+        """Count an item by what became of it."""
+        self.items[state] += 1
+
+    def record(self, name, seconds):
+        """Record a time.
+
+        Parameters
+        ----------
+        name : str
+            ``first_event``, ``request``, ``run`` or ``lag``.
+        seconds : float
+        """
+        histogram = self.times.get(name)
+        if histogram is None:
+            self.early.append((name, seconds))
+        else:
+            histogram.record(seconds)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -54,9 +54,7 @@
         Seconds from the arrival to the first byte passed on.
     """
 
-    def __init__(
-        self, *, gateway, request, head, route, service, body, until
-    ):
+    def __init__(self, *, gateway, request, head, route, service, body, until):
         self.gateway = gateway
         self.request = request
         self.head = head
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -153,4 +153,7 @@
             configuration=self.gateway.configuration_version,
         )
         self.gateway.metrics.count_request("answered")
-        self.gateway.metrics.record_first_event(relay.first_event or seconds)
+        self.gateway.metrics.record(
+            "first_event", relay.first_event or seconds
+        )
+        self.gateway.metrics.record("request", seconds)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
@@ -2,6 +2,8 @@
 
 from .codec import decode_message
 from .codec import encode_message
+from .copies import encode_copy
+from .copies import fetch_copy
 from .message import FleetMessage
 from .message import UpstreamLoad
 from .peer import build_identifier
@@ -15,5 +17,7 @@
     "UpstreamLoad",
     "build_identifier",
     "decode_message",
+    "encode_copy",
     "encode_message",
+    "fetch_copy",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/copies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/copies.py
@@ -65,9 +65,7 @@
             )
             for row in document["entries"]
         ]
-        return Page(
-            entries=entries, more=False, revision=document["revision"]
-        )
+        return Page(entries=entries, more=False, revision=document["revision"])
     except (ValueError, KeyError, TypeError) as fault:
         raise PeerAnswerError(f"no copy: {fault!r}") from fault
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -167,9 +167,7 @@
             loads=loads,
             is_full=True,
             wants_reply=wants_reply,
-            heard=[
-                peer.key for peer in self.list_live() if peer.runs_batch
-            ],
+            heard=[peer.key for peer in self.list_live() if peer.runs_batch],
             **self.describe(),
         )
         self.send(peers, message)
--- a/packages/hollyspan_gateway/hollyspan_gateway/routes/limits.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/routes/limits.py
@@ -18,9 +18,16 @@
         Longest time between two requests of a connection.
     """
 
-    __slots__ = ("header_bytes", "body_bytes", "header_seconds", "idle_seconds")
+    __slots__ = (
+        "header_bytes",
+        "body_bytes",
+        "header_seconds",
+        "idle_seconds",
+    )
 
-    def __init__(self, *, header_bytes, body_bytes, header_seconds, idle_seconds):
+    def __init__(
+        self, *, header_bytes, body_bytes, header_seconds, idle_seconds
+    ):
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
         self.header_seconds = header_seconds
--- a/packages/hollyspan_gateway/hollyspan_gateway/settings.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/settings.py
@@ -15,7 +15,9 @@
     client_port, ready_port : int or None
         None for a gateway that takes no requests of clients.
     peer_port : int
-    metrics_port : int or None
+    copies_port : int
+        Where peers ask for what this gateway knows from the store.
+    metrics_port : int
     runs_batch : bool
     store_address : (str, int)
     grace_seconds : float
@@ -30,6 +32,7 @@
         "client_port",
         "ready_port",
         "peer_port",
+        "copies_port",
         "metrics_port",
         "runs_batch",
         "store_address",
@@ -46,6 +49,7 @@
         client_port,
         ready_port,
         peer_port,
+        copies_port,
         metrics_port,
         runs_batch,
         store_address,
@@ -58,6 +62,7 @@
         self.client_port = client_port
         self.ready_port = ready_port
         self.peer_port = peer_port
+        self.copies_port = copies_port
         self.metrics_port = metrics_port
         self.runs_batch = runs_batch
         self.store_address = store_address
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
@@ -65,7 +65,9 @@
         entries = page.entries
         revision = page.revision
         while page.more:
-            page = await self.wire.read_page(prefix, after=page.entries[-1].key)
+            page = await self.wire.read_page(
+                prefix, after=page.entries[-1].key
+            )
             entries += [
                 entry for entry in page.entries if entry.created <= revision
             ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
@@ -1,8 +1,15 @@
 """Upstreams that serve requests and how busy they are."""
 
 from .directory import Directory
+from .directory import LAPSE_GRACE_S
 from .placement import Placement
 from .upstream import Upstream
 from .upstream import UpstreamEntry
 
-__all__ = ["Directory", "Placement", "Upstream", "UpstreamEntry"]
+__all__ = [
+    "Directory",
+    "LAPSE_GRACE_S",
+    "Placement",
+    "Upstream",
+    "UpstreamEntry",
+]
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -39,9 +39,7 @@
         Called with an Upstream whose counts have changed.
     """
 
-    def __init__(
-        self, *, reactor, directory, daemon, data_centre, on_change
-    ):
+    def __init__(self, *, reactor, directory, daemon, data_centre, on_change):
         self.reactor = reactor
         self.directory = directory
         self.daemon = daemon
--- a/packages/hollyspan_operator/hollyspan_operator/commands/__init__.py
+++ b/packages/hollyspan_operator/hollyspan_operator/commands/__init__.py
@@ -12,6 +12,7 @@
 from .job import show_job
 from .report import report_burn
 from .status import show_status
+from .trace import trace_request
 
 __all__ = [
     "add_exception",
@@ -26,4 +27,5 @@
     "show_history",
     "show_job",
     "show_status",
+    "trace_request",
 ]
--- a/packages/hollyspan_operator/hollyspan_operator/main.py
+++ b/packages/hollyspan_operator/hollyspan_operator/main.py
@@ -29,6 +29,7 @@
     },
     "report": {"burn": commands.report_burn},
     "status": commands.show_status,
+    "trace": commands.trace_request,
 }
 
 
--- a/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
@@ -39,9 +39,7 @@
         return None
 
     usable = [
-        view
-        for view in views
-        if not view.waiting and count_room(view) > 0
+        view for view in views if not view.waiting and count_room(view) > 0
     ]
     return max(
         usable,
