--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
@@ -0,0 +1,169 @@
+"""Answers on a client connection, framed well and badly."""
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import task
+from twisted.internet.testing import StringTransport
+from twisted.python import failure
+
+from hollyspan_gateway.http1 import ClientConnection
+from hollyspan_gateway.http1 import connection as module
+from hollyspan_gateway.http1 import Exchange
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nab"
+
+
+class Transport(StringTransport):
+    """A transport that can be aborted and tuned."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_aborted = False
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def getHandle(self):
+        return None
+
+    def abortConnection(self):
+        self.is_aborted = True
+
+
+class Answer:
+    """Collects what an exchange is told."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b""
+        self.ends = 0
+        self.failures = []
+
+    def build_exchange(self, body=b"x"):
+        return Exchange(
+            method=b"POST",
+            target=b"/a",
+            headers=[(b"Host", b"h")],
+            body=body,
+            on_head=self.take_head,
+            on_data=self.take_data,
+            on_end=self.take_end,
+            on_failure=self.failures.append,
+        )
+
+    def take_head(self, status, headers):
+        self.status = status
+
+    def take_data(self, data):
+        self.body += data
+
+    def take_end(self):
+        self.ends += 1
+
+
+@pytest.fixture
+def opened(monkeypatch):
+    monkeypatch.setattr(module, "set_keepalive", lambda handle: None)
+    clock = task.Clock()
+    connection = ClientConnection(reactor=clock, opened=defer.Deferred())
+    connection.makeConnection(Transport())
+    connection.clock = clock
+    return connection
+
+
+def lose(connection, reason):
+    connection.connectionLost(failure.Failure(reason))
+
+
+def test_a_whole_answer_leaves_the_connection_usable(opened):
+    freed = []
+    opened.on_free = freed.append
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(WHOLE)
+    assert (answer.status, answer.body, answer.ends) == (200, b"ab", 1)
+    assert freed == [opened]
+    assert opened.is_usable()
+
+
+def test_bytes_after_an_answer_close_the_connection(opened):
+    freed = []
+    opened.on_free = freed.append
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(WHOLE + WHOLE)
+    assert (answer.body, answer.ends) == (b"ab", 1)
+    assert freed == []
+    assert not opened.is_usable()
+
+
+def test_bytes_that_nobody_asked_for_close_the_connection(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(WHOLE)
+    opened.dataReceived(WHOLE)
+    assert opened.transport.is_aborted
+    assert not opened.is_usable()
+
+
+def test_an_answer_without_a_length_ends_with_a_clean_close(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(HEAD + b"\r\nab")
+    lose(opened, error.ConnectionDone())
+    assert (answer.body, answer.ends, answer.failures) == (b"ab", 1, [])
+
+
+def test_an_answer_without_a_length_that_is_reset_is_broken(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(HEAD + b"\r\nab")
+    lose(opened, error.ConnectionLost())
+    assert answer.ends == 0
+    assert answer.failures[0].code == "stream_lost"
+
+
+def test_a_clean_close_within_a_length_is_broken(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(WHOLE[:-1])
+    lose(opened, error.ConnectionDone())
+    assert answer.ends == 0
+    assert len(answer.failures) == 1
+
+
+def test_bytes_that_are_no_answer_are_a_failure(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(b"what is this\r\n\r\n")
+    assert answer.failures[0].code == "stream_malformed"
+    assert opened.transport.is_aborted
+
+
+def test_a_cancelled_exchange_hears_nothing_more(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.cancel()
+    lose(opened, error.ConnectionLost())
+    assert answer.failures == []
+    assert opened.transport.is_aborted
+
+
+def test_a_connection_is_not_used_near_its_idle_time(opened):
+    opened.send(Answer().build_exchange())
+    opened.dataReceived(
+        HEAD + b"Keep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert opened.is_usable()
+    opened.clock.advance(1.6)
+    assert not opened.is_usable()
+
+
+def test_connection_close_is_kept_to(opened):
+    opened.send(Answer().build_exchange())
+    opened.dataReceived(
+        HEAD + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert not opened.is_usable()
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -108,7 +108,7 @@
         """Forget the results of jobs that nobody reads."""
         before = self.gateway.reactor.seconds() - VIEW_IDLE_S
         for identifier, view in list(self.views.items()):
-            if view.used < before and view.work is None:
+            if view.used < before and not view.is_reading:
                 del self.views[identifier]
 
     async def read(self, request, identifier, *, position, wait_seconds):
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
@@ -0,0 +1,130 @@
+"""Results as readers at different daemons see them."""
+
+import pytest
+from twisted.internet import defer
+
+from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import ItemResult
+from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import build_result_key
+from hollyspan_gateway.jobs.records import encode_result
+from hollyspan_gateway.jobs.view import JobView
+
+NAMES = ("b", "a", "d", "c")
+
+
+@pytest.fixture
+def build_view(store, reactor):
+    def build():
+        job = Job(
+            identifier="j",
+            host="h",
+            path="/b/",
+            submitted=0.0,
+            due=9.0,
+            retained_until=9.0,
+            items=[
+                Item(identifier=name, path="/b/x", headers=[], body=b"")
+                for name in NAMES
+            ],
+        )
+        return JobView(job=job, store=store, reactor=reactor)
+
+    return build
+
+
+@pytest.fixture
+def finish(store, run):
+    """Return a function that stores the result of an item."""
+
+    def create(name):
+        result = ItemResult(identifier=name, is_done=True, output=b"x")
+        key = build_result_key("j", name)
+        run(store.create({key: encode_result(result)}))
+
+    return create
+
+
+def wait_for(view, position, seconds=1.0):
+    ends = []
+    work = defer.ensureDeferred(view.wait_for(position, seconds=seconds))
+    work.addBoth(ends.append)
+    return ends
+
+
+def list_names(view):
+    return [result.identifier for result in view.results]
+
+
+def test_each_daemon_lists_results_at_the_same_positions(build_view, finish):
+    early, late = build_view(), build_view()
+    wait_for(early, 0)
+    for name in NAMES:
+        finish(name)
+        wait_for(early, len(early.results))
+    wait_for(late, 0)
+    assert list_names(early) == list_names(late) == list(NAMES)
+
+
+def test_a_reader_hears_of_a_result_as_it_comes(build_view, finish):
+    view = build_view()
+    finish("b")
+    wait_for(view, 0)
+    ends = wait_for(view, 1)
+    assert ends == []
+    finish("a")
+    assert ends == [None]
+    assert list_names(view) == ["b", "a"]
+
+
+def test_a_wait_ends_without_a_result(build_view, finish, reactor):
+    view = build_view()
+    finish("b")
+    wait_for(view, 0)
+    ends = wait_for(view, 1)
+    reactor.advance(1.1)
+    assert ends == [None]
+    assert list_names(view) == ["b"]
+
+
+def test_positions_stay_when_history_is_lost(build_view, finish, wire):
+    view = build_view()
+    finish("d")
+    wait_for(view, 0)
+    finish("a")
+    finish("b")
+    wire.kept_after = wire.revision
+    wait_for(view, 1)
+    assert list_names(view) == ["d", "a", "b"]
+
+
+def test_readers_share_one_call(build_view, finish, wire):
+    view = build_view()
+    finish("b")
+    wait_for(view, 0)
+    calls = len(wire.calls)
+    ends = [wait_for(view, 1) for _ in range(5)]
+    assert len(wire.calls) == calls + 1
+    finish("a")
+    assert ends == [[None]] * 5
+
+
+def test_in_an_outage_a_reader_is_told_so(build_view, finish, wire):
+    view = build_view()
+    finish("b")
+    wait_for(view, 0)
+    wire.is_down = True
+    assert wait_for(view, 0) == [None]
+    (failure,) = wait_for(view, 1)
+    assert failure.check(StoreUnavailableError)
+
+
+def test_a_complete_job_is_read_without_a_call(build_view, finish, wire):
+    view = build_view()
+    for name in NAMES:
+        finish(name)
+    wait_for(view, 0)
+    calls = len(wire.calls)
+    assert wait_for(view, 4) == [None]
+    assert len(wire.calls) == calls
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -0,0 +1,344 @@
+"""Items through failures, preemption, outages and changes of hands."""
+
+import pytest
+
+from hollyspan_core.errors import StreamLostError
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import build_end_key
+from hollyspan_gateway.jobs.records import build_results_prefix
+from hollyspan_gateway.jobs.records import decode_result
+from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.routes import RouteKind
+
+OTHER_WORKER = "0" * 16
+
+
+@pytest.fixture
+def batch_route(helpers):
+    return helpers.build_route(
+        host="h", prefix="/b/", kind=RouteKind.BATCH, max_attempts=3
+    )
+
+
+@pytest.fixture
+def build_worker(build_gateway, batch_route):
+    """Return a function that starts a gateway that runs items."""
+
+    def build(**options):
+        gateway = build_gateway(routes=[batch_route], **options)
+        gateway.worker = Worker(gateway=gateway)
+        gateway.worker.start()
+        return gateway
+
+    return build
+
+
+@pytest.fixture
+def submit(store, run, reactor):
+    """Return a function that puts a job into the store."""
+
+    def create(count=1, *, name="j", due=18.0):
+        now = reactor.seconds()
+        job = Job(
+            identifier=name,
+            host="h",
+            path="/b/",
+            submitted=now,
+            due=now + due,
+            retained_until=now + 60.0,
+            items=[
+                Item(
+                    identifier=f"{name}{number}",
+                    path="/b/x",
+                    headers=[],
+                    body=b"",
+                )
+                for number in range(count)
+            ],
+        )
+        run(store.create(encode_job(job)))
+        reactor.advance(0.2)
+
+    return create
+
+
+def list_results(wire, name="j"):
+    """Return the stored results by item."""
+    prefix = build_results_prefix(name)
+    results = [
+        decode_result(key, entry.content)
+        for key, entry in wire.entries.items()
+        if key.startswith(prefix)
+    ]
+    return {
+        result.identifier: (result.is_done, result.output)
+        for result in results
+    }
+
+
+def test_an_item_is_run_and_its_whole_output_stored(
+    build_worker, submit, wire, helpers
+):
+    gateway = build_worker()
+    submit()
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 3))
+    assert list_results(wire) == {"j0": (True, b"t1\nt2\nt3")}
+
+
+def test_a_broken_run_goes_on_at_the_next_event(
+    build_worker, submit, wire, helpers, reactor
+):
+    gateway = build_worker()
+    submit()
+    first = gateway.pool.last
+    first.answer(200, body=helpers.build_events(1, 2), is_whole=False)
+    first.exchange.on_failure(StreamLostError("reset"))
+    reactor.advance(0.5)
+    second = gateway.pool.last
+    assert second.headers[b"resume"] == b"2"
+    second.answer(200, body=helpers.build_events(3, 4))
+    assert list_results(wire) == {"j0": (True, b"t1\nt2\nt3\nt4")}
+
+
+def test_a_gap_in_a_resumed_run_is_not_stored(
+    build_worker, submit, wire, helpers, reactor
+):
+    gateway = build_worker()
+    submit()
+    gateway.pool.last.answer(
+        200, body=helpers.build_events(1, 2), is_whole=False
+    )
+    gateway.pool.last.exchange.on_failure(StreamLostError("reset"))
+    reactor.advance(0.5)
+    gateway.pool.last.answer(200, body=helpers.build_events(4, 5))
+    assert list_results(wire) == {}
+
+
+def test_a_silent_run_is_moved(build_worker, submit, helpers, reactor):
+    gateway = build_worker()
+    submit()
+    first = gateway.pool.last
+    first.answer(200, body=helpers.build_events(1, 2), is_whole=False)
+    reactor.advance(0.9)
+    assert not first.is_cancelled
+    reactor.advance(0.2)
+    assert first.is_cancelled
+    reactor.advance(0.5)
+    assert gateway.pool.last.headers[b"resume"] == b"2"
+
+
+def test_an_impossible_item_is_given_up_at_once(build_worker, submit, wire):
+    gateway = build_worker()
+    submit()
+    gateway.pool.last.answer(422)
+    assert list_results(wire) == {"j0": (False, b"")}
+    assert len(gateway.pool.sent) == 1
+
+
+def test_an_item_that_always_fails_is_given_up_after_its_attempts(
+    build_worker, submit, wire, reactor
+):
+    gateway = build_worker()
+    submit()
+    for attempt in range(3):
+        assert list_results(wire) == {}
+        assert len(gateway.pool.sent) == attempt + 1
+        gateway.pool.last.answer(500)
+        reactor.advance(0.5)
+    assert list_results(wire) == {"j0": (False, b"")}
+    reactor.advance(5.0)
+    assert len(gateway.pool.sent) == 3
+
+
+def test_a_refused_run_is_no_failed_attempt(
+    build_worker, submit, wire, reactor, helpers
+):
+    gateway = build_worker()
+    submit()
+    for _ in range(5):
+        gateway.pool.last.answer(503, headers=[(b"not-run", b"1")])
+        reactor.advance(4.0)
+    assert list_results(wire) == {}
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert list_results(wire) == {"j0": (True, b"t1")}
+
+
+@pytest.mark.parametrize("fault", ["lose", "drop"])
+def test_a_result_is_stored_once_though_answers_are_lost(
+    build_worker, submit, wire, reactor, helpers, fault
+):
+    gateway = build_worker()
+    submit()
+    setattr(wire, fault, 6)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    for _ in range(20):
+        reactor.advance(0.5)
+    assert list_results(wire) == {"j0": (True, b"t1")}
+    assert len(gateway.pool.sent) == 1
+
+
+def test_a_result_waits_for_the_end_of_an_outage(
+    build_worker, submit, wire, reactor, helpers
+):
+    gateway = build_worker()
+    submit()
+    wire.is_down = True
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    for _ in range(10):
+        reactor.advance(0.5)
+    assert list_results(wire) == {}
+    wire.is_down = False
+    for _ in range(4):
+        reactor.advance(0.5)
+    assert list_results(wire) == {"j0": (True, b"t1")}
+    assert len(gateway.pool.sent) == 1
+
+
+def test_without_the_store_nothing_new_is_started(
+    build_worker, submit, reactor
+):
+    gateway = build_worker()
+    gateway.upstreams_mirror.is_connected = False
+    submit()
+    reactor.advance(1.0)
+    assert gateway.pool.sent == []
+
+
+def test_the_end_of_a_job_stops_its_items(
+    build_worker, submit, store, run, reactor, helpers
+):
+    gateway = build_worker()
+    submit(3)
+    assert len(gateway.pool.sent) == 3
+    run(store.create({build_end_key("j"): b""}))
+    assert all(each.is_cancelled for each in gateway.pool.sent)
+    reactor.advance(2.0)
+    assert len(gateway.pool.sent) == 3
+
+
+def test_online_requests_take_the_slots_of_items(
+    build_worker, submit, reactor
+):
+    gateway = build_worker(upstreams=("u1",), slots=4)
+    submit(3, due=5.0)
+    upstream = gateway.directory.upstreams["u1"]
+    assert upstream.batch == 3
+    with gateway.placement.hold_online(upstream):
+        assert upstream.batch == 3
+        with gateway.placement.hold_online(upstream):
+            assert upstream.batch == 2
+            with gateway.placement.hold_online(upstream):
+                with gateway.placement.hold_online(upstream):
+                    assert upstream.batch == 0
+    reactor.advance(0.2)
+    assert upstream.batch == 3
+
+
+def test_several_items_are_stopped_in_one_go(build_worker, submit):
+    # Each stop changes the load, which asks again how many are to stop.
+    gateway = build_worker(upstreams=("u1",), slots=6)
+    submit(6, due=5.0)
+    upstream = gateway.directory.upstreams["u1"]
+    assert upstream.batch == 6
+    upstream.peers["p"] = (4, 0)
+    gateway.worker.make_room(upstream)
+    assert upstream.batch == 2
+    assert sum(each.is_cancelled for each in gateway.pool.sent) == 4
+
+
+def test_an_item_that_was_stopped_keeps_its_events(
+    build_worker, submit, reactor, helpers
+):
+    gateway = build_worker(upstreams=("u1",), slots=1)
+    submit(due=5.0)
+    gateway.pool.last.answer(
+        200, body=helpers.build_events(1, 7), is_whole=False
+    )
+    upstream = gateway.directory.upstreams["u1"]
+    with gateway.placement.hold_online(upstream):
+        assert upstream.batch == 0
+    reactor.advance(0.2)
+    assert gateway.pool.last.headers[b"resume"] == b"7"
+
+
+def test_a_new_worker_runs_only_what_has_no_result(
+    build_worker, submit, wire, helpers, reactor
+):
+    first = build_worker()
+    submit(4)
+    for connection in first.pool.sent[:3]:
+        connection.answer(200, body=helpers.build_events(1, 1))
+    first.worker.stop()
+    second = build_worker()
+    reactor.advance(0.2)
+    assert len(second.pool.sent) == 1
+    second.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert len(list_results(wire)) == 4
+
+
+def test_workers_share_the_items(build_worker, submit, reactor):
+    gateways = [build_worker(name=name) for name in ("w1", "w2")]
+    names = [gateway.peers.identifier for gateway in gateways]
+    for gateway in gateways:
+        gateway.list_workers = lambda: names
+    submit(12, due=5.0)
+    counts = [len(gateway.pool.sent) for gateway in gateways]
+    assert sum(counts) == 12
+    assert 0 not in counts
+
+
+def test_items_of_a_lost_worker_are_taken_over(build_worker, submit, reactor):
+    gateway = build_worker()
+    gateway.list_workers = lambda: [gateway.peers.identifier, OTHER_WORKER]
+    submit(12, due=5.0)
+    before = len(gateway.pool.sent)
+    assert before < 12
+    gateway.list_workers = lambda: [gateway.peers.identifier]
+    gateway.note_membership()
+    reactor.advance(0.2)
+    assert len(gateway.pool.sent) == 12
+
+
+def test_an_item_that_runs_at_a_peer_is_left_there(
+    build_worker, submit, reactor
+):
+    gateway = build_worker()
+    gateway.list_claimed_items = lambda: frozenset(claimed)
+    claimed = []
+    submit(2, name="k")
+    keys = [work.key for work in gateway.worker.running.values()]
+    assert len(keys) == 2
+    claimed += [
+        work.key
+        for job in gateway.worker.jobs.values()
+        for work in job.items.values()
+    ]
+    for connection in gateway.pool.sent:
+        connection.exchange.on_failure(StreamLostError("reset"))
+    reactor.advance(2.0)
+    assert len(gateway.pool.sent) == 2
+
+
+def test_a_machine_is_emptied_on_request(
+    build_worker, submit, helpers, reactor
+):
+    gateway = build_worker()
+    submit(1)
+    empty = []
+    gateway.worker.retire(on_empty=lambda: empty.append(True))
+    submit(1, name="k")
+    assert len(gateway.pool.sent) == 1
+    assert empty == []
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert empty == [True]
+
+
+def test_items_whose_route_is_gone_are_given_up(
+    build_worker, submit, helpers, wire, reactor
+):
+    gateway = build_worker()
+    gateway.routes = helpers.build_table([])
+    submit()
+    assert list_results(wire) == {"j0": (False, b"")}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -43,7 +43,7 @@
         "listed",
         "revision",
         "waiting",
-        "work",
+        "is_reading",
         "used",
     )
 
@@ -56,7 +56,7 @@
         self.listed = set()
         self.revision = 0
         self.waiting = []
-        self.work = None
+        self.is_reading = False
         self.used = reactor.seconds()
 
     @property
@@ -80,15 +80,17 @@
         self.used = self.reactor.seconds()
         if position < len(self.results) or self.is_complete:
             return
-        if self.work is None:
-            self.work = defer.ensureDeferred(self.read_news(seconds))
-            self.work.addBoth(self.tell_waiting)
         waiting = defer.Deferred()
         self.waiting.append(waiting)
+        if not self.is_reading:
+            # Set first, since the answer may come before the call returns.
+            self.is_reading = True
+            work = defer.ensureDeferred(self.read_news(seconds))
+            work.addBoth(self.tell_waiting)
         await waiting
 
     def tell_waiting(self, result):
-        self.work = None
+        self.is_reading = False
         waiting, self.waiting = self.waiting, []
         for deferred in waiting:
             if not deferred.called:
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -0,0 +1,182 @@
+"""Requests through upstreams that refuse, break off, stall and answer."""
+
+import pytest
+from twisted.internet import defer
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StreamLostError
+from hollyspan_gateway.online.relay import Relay
+from hollyspan_gateway.routes import RouteKind
+
+
+@pytest.fixture
+def start(gateway, reactor, helpers):
+    """Return a function that starts a relay and collects its end."""
+
+    def begin(*, resume_after=None, **changes):
+        route = helpers.build_route(**changes)
+        request = helpers.build_request(reactor=reactor)
+        relay = Relay(
+            gateway=gateway,
+            request=request,
+            head=helpers.build_head(resume_after=resume_after),
+            route=route,
+            service="m",
+            body=b"body",
+            until=reactor.seconds() + 5.0,
+        )
+        relay.ends = []
+        relay.work = defer.ensureDeferred(relay.run())
+        relay.work.addBoth(relay.ends.append)
+        return relay
+
+    return begin
+
+
+def relay_failure():
+    return StreamLostError("reset")
+
+
+def find_failure(relay):
+    (end,) = relay.ends
+    return end.value
+
+
+def test_a_stream_is_passed_on_as_it_comes(start, gateway, helpers):
+    relay = start()
+    connection = gateway.pool.last
+    connection.answer(200, body=helpers.build_events(1, 2), is_whole=False)
+    assert relay.request.written == helpers.build_events(1, 2)
+    assert not relay.request.is_ended
+    connection.exchange.on_data(helpers.build_events(3, 3))
+    connection.exchange.on_end()
+    assert relay.request.written == helpers.build_events(1, 3)
+    assert relay.request.is_ended
+    assert relay.ends == [None]
+
+
+def test_a_broken_stream_goes_on_at_the_next_event(start, gateway, helpers):
+    relay = start()
+    first = gateway.pool.last
+    half = helpers.build_events(1, 3)[:-4]
+    first.answer(200, body=half, is_whole=False)
+    first.exchange.on_failure(relay_failure())
+    second = gateway.pool.last
+    assert second.address != first.address
+    assert second.headers[b"resume"] == b"2"
+    second.answer(200, body=helpers.build_events(3, 5))
+    assert relay.request.written == helpers.build_events(1, 5)
+    assert relay.request.is_ended
+
+
+def test_a_resumed_stream_with_a_gap_is_cut(start, gateway, helpers):
+    relay = start()
+    first = gateway.pool.last
+    first.answer(200, body=helpers.build_events(1, 2), is_whole=False)
+    first.exchange.on_failure(relay_failure())
+    gateway.pool.last.answer(200, body=helpers.build_events(5, 6))
+    assert gateway.pool.last.is_cancelled
+    assert relay.request.written == helpers.build_events(1, 2)
+    assert not relay.request.is_ended
+    assert find_failure(relay).code == "stream_lost"
+
+
+def test_the_end_within_an_event_is_no_end(start, gateway, helpers):
+    relay = start(max_attempts=1)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 2)[:-2])
+    assert not relay.request.is_ended
+    assert find_failure(relay).code == "stream_lost"
+
+
+def test_a_request_that_may_run_once_is_not_sent_again(start, gateway):
+    relay = start(kind=RouteKind.ONCE, is_resumable=False, max_attempts=3)
+    gateway.pool.last.exchange.on_failure(relay_failure())
+    assert len(gateway.pool.sent) == 1
+    failure = find_failure(relay)
+    assert failure.outcome is Outcome.UNKNOWN
+
+
+def test_a_refusal_that_says_not_run_goes_elsewhere(start, gateway):
+    relay = start(kind=RouteKind.ONCE, is_resumable=False, max_attempts=1)
+    first = gateway.pool.last
+    first.answer(503, headers=[(b"not-run", b"1")])
+    second = gateway.pool.last
+    assert second.address != first.address
+    second.answer(200, body=b"done")
+    assert (relay.request.status, relay.request.written) == (200, b"done")
+
+
+def test_refused_everywhere_promises_that_it_has_not_run(start, gateway):
+    relay = start()
+    gateway.pool.last.answer(503, headers=[(b"not-run", b"1")])
+    gateway.pool.last.answer(503, headers=[(b"not-run", b"1")])
+    failure = find_failure(relay)
+    assert failure.outcome is Outcome.NOT_RUN
+    assert failure.status == 503
+
+
+def test_one_send_that_may_have_run_takes_the_promise_back(start, gateway):
+    relay = start(max_attempts=2)
+    gateway.pool.last.exchange.on_failure(relay_failure())
+    gateway.pool.last.answer(503, headers=[(b"not-run", b"1")])
+    assert find_failure(relay).outcome is Outcome.UNKNOWN
+
+
+def test_an_upstream_that_cannot_be_reached_has_not_run_it(start, gateway):
+    for upstream in gateway.directory.upstreams.values():
+        gateway.pool.unreachable.add(upstream.entry.address)
+    relay = start(kind=RouteKind.ONCE, is_resumable=False, max_attempts=1)
+    assert find_failure(relay).outcome is Outcome.NOT_RUN
+    assert relay.refusals == 2
+
+
+def test_an_answer_to_another_request_is_not_passed_on(start, gateway):
+    relay = start(kind=RouteKind.ONCE, is_resumable=False)
+    gateway.pool.last.answer(200, body=b"x", headers=[(b"id", b"q0")])
+    assert relay.request.status is None
+    assert gateway.pool.last.is_cancelled
+    assert find_failure(relay).outcome is Outcome.UNKNOWN
+
+
+def test_a_failure_of_the_upstream_is_passed_on_at_the_end(start, gateway):
+    relay = start(max_attempts=2)
+    gateway.pool.last.answer(500, body=b"first")
+    gateway.pool.last.answer(500, body=b"second")
+    assert (relay.request.status, relay.request.written) == (500, b"second")
+
+
+def test_a_silent_upstream_is_left_for_one_with_room(start, gateway, reactor):
+    relay = start()
+    first = gateway.pool.last
+    other = next(
+        upstream
+        for upstream in gateway.directory.upstreams.values()
+        if upstream.entry.address != first.address
+    )
+    reactor.advance(0.1)
+    other.take_report(1, 0, now=reactor.seconds())
+    reactor.advance(0.2)
+    assert first.is_cancelled
+    assert gateway.pool.last.address == other.entry.address
+    assert relay.sends == 2
+
+
+def test_a_place_in_a_queue_is_kept_while_all_are_full(
+    start, gateway, reactor
+):
+    start()
+    first = gateway.pool.last
+    for _ in range(20):
+        reactor.advance(0.1)
+        for upstream in gateway.directory.upstreams.values():
+            upstream.take_report(8, 5, now=reactor.seconds())
+    assert not first.is_cancelled
+    assert len(gateway.pool.sent) == 1
+
+
+def test_a_cancelled_relay_closes_its_connection(start, gateway):
+    relay = start()
+    relay.work.cancel()
+    assert gateway.pool.last.is_cancelled
+    upstreams = gateway.directory.upstreams.values()
+    assert sum(upstream.online for upstream in upstreams) == 0
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_service.py
@@ -0,0 +1,65 @@
+"""Final answers of requests."""
+
+import pytest
+
+from hollyspan_gateway.online.service import OnlineService
+
+
+@pytest.fixture
+def serve(gateway, reactor, helpers):
+    """Return a function that hands a request to the service."""
+
+    def handle(head=None, **changes):
+        request = helpers.build_request(reactor=reactor)
+        gateway.dialect.decode_head = lambda _: head or helpers.build_head()
+        if changes:
+            gateway.routes = helpers.build_table(
+                [helpers.build_route(**changes)]
+            )
+        OnlineService(gateway=gateway).handle(request)
+        return request
+
+    return handle
+
+
+def test_without_a_configuration_nothing_is_denied(serve, gateway):
+    gateway.routes = None
+    request = serve()
+    assert (request.status, request.written) == (503, b"not_run")
+
+
+def test_an_unknown_path_is_not_found(serve, helpers):
+    request = serve(prefix="/other/")
+    assert request.status == 404
+
+
+def test_without_an_upstream_it_is_refused_at_once(serve, gateway):
+    gateway.directory.update({})
+    request = serve()
+    assert (request.status, request.written) == (503, b"not_run")
+
+
+def test_the_route_s_time_out_ends_a_request(serve, gateway, reactor):
+    request = serve(timeout=2.0, is_resumable=False)
+    reactor.advance(1.9)
+    assert request.status is None
+    reactor.advance(0.2)
+    assert (request.status, request.written) == (504, b"unknown")
+    assert gateway.pool.last.is_cancelled
+
+
+def test_a_stream_past_its_time_is_cut(serve, gateway, reactor, helpers):
+    request = serve(timeout=2.0)
+    gateway.pool.last.answer(
+        200, body=helpers.build_events(1, 1), is_whole=False
+    )
+    reactor.advance(2.1)
+    assert request.is_aborted
+    assert not request.is_ended
+
+
+def test_the_upstream_hears_when_the_client_has_gone(serve, gateway):
+    request = serve()
+    request.on_gone()
+    assert gateway.pool.last.is_cancelled
+    assert request.status is None
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -0,0 +1,77 @@
+"""Encoding of messages between gateways."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from hollyspan_core.errors import PeerMessageError
+from hollyspan_gateway.peers import decode_message
+from hollyspan_gateway.peers import encode_message
+from hollyspan_gateway.peers import FleetMessage
+from hollyspan_gateway.peers import UpstreamLoad
+
+HASHES = st.integers(0, 2**64 - 1)
+COUNTS = st.integers(0, 2**16 - 1)
+LOADS = st.builds(
+    UpstreamLoad,
+    upstream=HASHES,
+    online=COUNTS,
+    batch=COUNTS,
+    reported=st.none() | st.tuples(COUNTS, COUNTS),
+)
+MESSAGES = st.builds(
+    FleetMessage,
+    sender=HASHES,
+    incarnation=HASHES,
+    sequence=HASHES,
+    is_full=st.booleans(),
+    loads=st.lists(LOADS, max_size=4),
+    configuration=HASHES,
+    upstreams=HASHES,
+    runs_batch=st.booleans(),
+    is_leaving=st.booleans(),
+    reaches_store=st.booleans(),
+    items=st.lists(HASHES, max_size=4),
+    wants_reply=st.booleans(),
+    heard=st.lists(HASHES, max_size=4),
+)
+
+
+def describe(value):
+    if isinstance(value, (FleetMessage, UpstreamLoad)):
+        return {
+            name: describe(getattr(value, name)) for name in value.__slots__
+        }
+    if isinstance(value, (list, tuple)):
+        return [describe(each) for each in value]
+    return value
+
+
+@settings(derandomize=True, max_examples=60)
+@given(MESSAGES)
+def test_a_message_comes_back_as_it_was(message):
+    decoded = decode_message(encode_message(message))
+    assert describe(decoded) == describe(message)
+
+
+@settings(derandomize=True, max_examples=60)
+@given(st.binary(max_size=80))
+def test_any_bytes_are_a_message_or_a_typed_failure(datagram):
+    try:
+        decode_message(datagram)
+    except PeerMessageError as failure:
+        assert failure.code
+
+
+def test_half_a_message_is_a_typed_failure():
+    load = UpstreamLoad(upstream=2**60 + 1, online=9, batch=3)
+    message = FleetMessage(
+        sender=2**63 + 5,
+        incarnation=2**50 + 3,
+        sequence=7,
+        is_full=True,
+        loads=[load] * 5,
+    )
+    with pytest.raises(PeerMessageError):
+        decode_message(encode_message(message)[:20])
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -0,0 +1,166 @@
+"""Gateways that hear each other, or do not."""
+
+import pytest
+
+from hollyspan_policy.hashing import hash_parts
+
+
+class Net:
+    """Carries datagrams between gateways of one test.
+
+    Attributes
+    ----------
+    cut : set of (int, int)
+        Ports of sender and receiver between which nothing passes.
+    """
+
+    def __init__(self):
+        self.gateways = {}
+        self.cut = set()
+
+    def join(self, gateway, port):
+        self.gateways[port] = gateway
+        gateway.peers.transport = Transport(net=self, port=port)
+
+
+class Transport:
+    """The socket of one gateway."""
+
+    def __init__(self, *, net, port):
+        self.net = net
+        self.port = port
+
+    def write(self, datagram, address):
+        if (self.port, address[1]) in self.net.cut:
+            return
+        target = self.net.gateways.get(address[1])
+        if target is not None:
+            target.peers.datagramReceived(datagram, ("10.0.0.1", self.port))
+
+
+@pytest.fixture
+def net():
+    return Net()
+
+
+@pytest.fixture
+def fleet(build_gateway, net):
+    """Three gateways that run items and one that does not."""
+    gateways = []
+    for port, name in enumerate(("w1", "w2", "w3", "f1"), 1):
+        gateway = build_gateway(name=name)
+        net.join(gateway, port)
+        gateways.append(gateway)
+    for gateway in gateways[:3]:
+        gateway.worker = Runner()
+    for gateway in gateways:
+        for port, name in enumerate(("w1", "w2", "w3", "f1"), 1):
+            gateway.peers.add(name, ("10.0.0.1", port))
+    return gateways
+
+
+class Runner:
+    """What a gateway asks of its worker."""
+
+    is_stopping = False
+
+    def __init__(self):
+        self.running = {}
+        self.rechecks = 0
+
+    def make_room(self, upstream):
+        """Nothing runs here."""
+
+    def recheck(self):
+        self.rechecks += 1
+
+    def schedule(self, seconds):
+        """Nothing runs here."""
+
+
+def beat(fleet, reactor, seconds):
+    for _ in range(round(seconds / 0.3)):
+        reactor.advance(0.3)
+        for gateway in fleet:
+            gateway.peers.beat()
+
+
+def test_all_agree_on_who_runs_items(fleet, reactor):
+    beat(fleet, reactor, 0.6)
+    views = [sorted(gateway.list_workers()) for gateway in fleet[:3]]
+    assert views[0] == views[1] == views[2]
+    assert len(views[0]) == 3
+
+
+def test_a_gateway_is_named_alike_before_it_is_listed(
+    build_gateway, net, reactor
+):
+    early, late = build_gateway(name="a"), build_gateway(name="b")
+    net.join(early, 1)
+    net.join(late, 2)
+    # Only the late one knows the other from the store.
+    late.peers.add("a", ("10.0.0.1", 1))
+    (peer,) = early.peers.list_live()
+    assert peer.identifier == late.peers.identifier
+
+
+def test_a_silent_gateway_is_lost_and_its_load_forgotten(fleet, net, reactor):
+    first, second = fleet[0], fleet[1]
+    upstream = second.directory.upstreams["u1"]
+    with second.placement.hold_batch(upstream):
+        beat(fleet, reactor, 0.6)
+        assert first.directory.upstreams["u1"].count_batch() == 1
+        beat([fleet[0], fleet[2], fleet[3]], reactor, 1.5)
+    assert len(first.list_workers()) == 2
+    assert first.directory.upstreams["u1"].count_batch() == 0
+
+
+def test_two_workers_that_are_cut_off_from_each_other_stay_alive(
+    fleet, net, reactor
+):
+    beat(fleet, reactor, 0.6)
+    net.cut |= {(1, 2), (2, 1), (1, 3), (3, 1)}
+    beat(fleet, reactor, 3.0)
+    assert len(fleet[0].list_workers()) == 3
+    assert len(fleet[1].list_workers()) == 3
+    assert len(fleet[0].peers.list_live()) == 1
+
+
+def test_a_worker_that_no_one_hears_is_lost(fleet, net, reactor):
+    beat(fleet, reactor, 0.6)
+    net.cut |= {(1, 2), (1, 3), (1, 4)}
+    beat(fleet, reactor, 3.0)
+    assert len(fleet[1].list_workers()) == 2
+
+
+def test_load_is_told_within_moments(fleet, reactor):
+    beat(fleet, reactor, 0.6)
+    upstream = fleet[3].directory.upstreams["u1"]
+    with fleet[3].placement.hold_online(upstream):
+        reactor.advance(0.02)
+        assert fleet[0].directory.upstreams["u1"].count_online() == 1
+    reactor.advance(0.02)
+    assert fleet[0].directory.upstreams["u1"].count_online() == 0
+
+
+def test_a_report_of_an_upstream_reaches_all(fleet, reactor, helpers):
+    beat(fleet, reactor, 0.6)
+    upstream = fleet[3].directory.upstreams["u1"]
+    reply = fleet[3].dialect.decode_reply(200, [(b"load", b"8,4,8")])
+    fleet[3].placement.note_reply(upstream, reply)
+    reactor.advance(0.02)
+    assert fleet[0].directory.upstreams["u1"].hidden == 8 + 4 - 1
+
+
+def test_messages_that_come_late_change_nothing(fleet, reactor):
+    beat(fleet, reactor, 0.6)
+    (peer,) = [
+        peer
+        for peer in fleet[0].peers.list_live()
+        if peer.key == hash_parts("f1")
+    ]
+    newest = peer.sequence
+    message = fleet[3].peers.build_message(loads=[], is_full=False)
+    assert peer.take(message, now=0.0)
+    message.sequence = newest
+    assert not peer.take(message, now=0.0)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -0,0 +1,71 @@
+"""The list of upstreams through leaving, lapses and reused names."""
+
+import pytest
+
+from hollyspan_gateway.upstreams import Directory
+
+
+@pytest.fixture
+def left():
+    return []
+
+
+@pytest.fixture
+def directory(reactor, left):
+    return Directory(
+        reactor=reactor,
+        on_leaving=lambda upstream: left.append(upstream.entry.name),
+    )
+
+
+def test_a_leaving_upstream_takes_nothing_new(directory, helpers, left):
+    directory.update({"u": helpers.build_entry("u")})
+    directory.update({"u": helpers.build_entry("u", is_ready=False)})
+    assert directory.list_usable("m") == []
+    assert left == ["u"]
+
+
+def test_a_missing_entry_is_gone_at_once(directory, helpers, left):
+    directory.update({"u": helpers.build_entry("u")})
+    directory.update({})
+    assert directory.list_usable("m") == []
+    assert left == ["u"]
+
+
+def test_a_lapsed_entry_is_kept_until_it_had_time_to_return(
+    directory, helpers, reactor, left
+):
+    directory.update({"u": helpers.build_entry("u")})
+    until = reactor.seconds() + 2.0
+    directory.update({}, lapse_until=until)
+    assert len(directory.list_usable("m")) == 1
+    reactor.advance(2.1)
+    directory.update({}, lapse_until=until)
+    assert directory.list_usable("m") == []
+    assert left == ["u"]
+
+
+def test_a_leaving_entry_does_not_lapse(directory, helpers, reactor):
+    directory.update({"u": helpers.build_entry("u", is_ready=False)})
+    directory.update({}, lapse_until=reactor.seconds() + 2.0)
+    assert directory.upstreams == {}
+
+
+def test_a_new_start_under_the_same_name_begins_empty(directory, helpers):
+    directory.update({"u": helpers.build_entry("u", born=1)})
+    directory.upstreams["u"].online = 3
+    directory.update({"u": helpers.build_entry("u", born=2)})
+    assert directory.upstreams["u"].online == 0
+
+
+def test_failures_in_a_row_keep_work_away_for_longer(
+    directory, helpers, reactor
+):
+    directory.update({"u": helpers.build_entry("u")})
+    upstream = directory.upstreams["u"]
+    directory.note_failure(upstream)
+    first = upstream.suspect_until - reactor.seconds()
+    directory.note_failure(upstream)
+    assert upstream.suspect_until - reactor.seconds() > first
+    directory.note_success(upstream)
+    assert upstream.suspect_until <= reactor.seconds()
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -0,0 +1,76 @@
+"""Where requests go, by what is known of the load."""
+
+import contextlib
+
+import pytest
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import OverloadedError
+
+
+def choose(gateway, key="q"):
+    return gateway.placement.choose(
+        "m", key=key, excluded=(), outcome=Outcome.NOT_RUN
+    )
+
+
+def test_requests_spread_over_equal_upstreams(gateway):
+    with contextlib.ExitStack() as stack:
+        for number in range(16):
+            upstream = choose(gateway, str(number))
+            stack.enter_context(gateway.placement.hold_online(upstream))
+        counts = [each.online for each in gateway.directory.upstreams.values()]
+    assert counts == [8, 8]
+
+
+def test_streams_that_no_gateway_tells_of_keep_requests_away(gateway, reactor):
+    first = choose(gateway)
+    first.take_report(8, 2, now=reactor.seconds())
+    assert choose(gateway) is not first
+    assert first.hidden > 0
+
+
+def test_an_old_report_no_longer_counts(gateway, reactor):
+    first = choose(gateway)
+    first.take_report(8, 2, now=reactor.seconds())
+    reactor.advance(1.0)
+    assert choose(gateway) is first
+
+
+def test_an_upstream_that_failed_is_passed_over(gateway):
+    first = choose(gateway)
+    gateway.directory.note_failure(first)
+    assert choose(gateway) is not first
+
+
+def test_when_all_have_failed_one_is_tried(gateway):
+    for upstream in gateway.directory.upstreams.values():
+        gateway.directory.note_failure(upstream)
+    assert choose(gateway)
+
+
+def test_batch_work_leaves_headroom(build_gateway):
+    gateway = build_gateway(slots=16)
+    first, second = gateway.directory.upstreams.values()
+    first.online = second.online = 15
+    assert gateway.placement.choose_for_batch("m", is_urgent=False)
+    first.online = 16
+    assert gateway.placement.choose_for_batch("m", is_urgent=False) is None
+    assert gateway.placement.choose_for_batch("m", is_urgent=True) is second
+
+
+def test_without_an_upstream_a_request_is_refused(gateway):
+    gateway.directory.update({})
+    with pytest.raises(OverloadedError) as caught:
+        choose(gateway)
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.retry_after > 0
+
+
+def test_hidden_streams_make_batch_work_give_way(gateway, reactor):
+    upstream = choose(gateway)
+    upstream.batch = 4
+    upstream.online = 2
+    assert gateway.placement.count_batch_excess(upstream) == 0
+    upstream.take_report(8, 3, now=reactor.seconds())
+    assert gateway.placement.count_batch_excess(upstream) == 2
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_sharing.py
@@ -0,0 +1,104 @@
+"""Slots that batch work takes and gives back."""
+
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from hollyspan_policy.batch import choose_batch_upstream
+from hollyspan_policy.batch import count_excess
+from hollyspan_policy.routing import UpstreamView
+
+STEP_S = 0.01
+ONLINE_S = 0.7
+ONLINE_RATE = 30.0
+UPSTREAMS = 9
+SLOTS = 8
+
+
+def build_view(name, **load):
+    return UpstreamView(name=name, data_centre="a", slots=SLOTS, **load)
+
+
+def choose(views, **options):
+    chosen = choose_batch_upstream(views, data_centre="a", **options)
+    return None if chosen is None else chosen.name
+
+
+def test_the_own_data_centre_comes_first():
+    near = build_view("near", online=6)
+    far = UpstreamView(name="far", data_centre="b", slots=SLOTS)
+    assert choose([near, far]) == "near"
+    near.online = 8
+    assert choose([near, far]) == "far"
+
+
+def test_batch_work_never_waits_in_a_queue():
+    assert choose([build_view("u", online=8)]) is None
+    assert choose([build_view("u", online=4, batch=4)]) is None
+    assert choose([build_view("u", waiting=1)]) is None
+    assert choose([build_view("u", hidden=8)]) is None
+    assert choose([build_view("u", serving=False)]) is None
+
+
+@settings(derandomize=True, max_examples=80)
+@given(
+    online=st.integers(0, 12),
+    batch=st.dictionaries(
+        st.sampled_from("abcd"), st.integers(0, 8), min_size=1
+    ),
+)
+def test_together_daemons_stop_just_what_is_too_much(online, batch):
+    stopped = {
+        name: count_excess(
+            slots=SLOTS, online=online, batch_by_daemon=batch, daemon=name
+        )
+        for name in batch
+    }
+    excess = max(0, online + sum(batch.values()) - SLOTS)
+    assert sum(stopped.values()) == min(excess, sum(batch.values()))
+    assert all(0 <= stopped[name] <= batch[name] for name in batch)
+
+
+def count_preemptions(headroom_share, *, seed, seconds=20.0):
+    """Replay online requests that come and go beside waiting batch work."""
+    draw = random.Random(seed)
+    views = [build_view(f"u{number}") for number in range(UPSTREAMS)]
+    ends = []
+    preempted = 0
+    for step in range(round(seconds / STEP_S)):
+        now = step * STEP_S
+        for end, view in [each for each in ends if each[0] <= now]:
+            ends.remove((end, view))
+            view.online -= 1
+        if draw.random() < ONLINE_RATE * STEP_S:
+            view = min(
+                views,
+                key=lambda each: (
+                    each.online + each.batch >= SLOTS,
+                    each.online,
+                    draw.random(),
+                ),
+            )
+            view.online += 1
+            ends.append((now + ONLINE_S, view))
+            if view.online + view.batch > SLOTS:
+                view.batch -= 1
+                preempted += 1
+        while True:
+            view = choose_batch_upstream(
+                views, data_centre="a", headroom_share=headroom_share
+            )
+            if view is None:
+                break
+            view.batch += 1
+    return preempted
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_headroom_spares_most_preemptions(seed):
+    with_headroom = count_preemptions(0.06, seed=seed)
+    without = count_preemptions(0.0, seed=seed)
+    assert with_headroom < without / 2
