--- a/conftest.py
+++ b/conftest.py
@@ -1,9 +1,6 @@
 """Passes over the failures listed in KNOWN-RED.txt and prints them."""
 
 from pathlib import Path
-# Loaded before the tests in the folder of the same name, whose modules pytest
-# would otherwise put in its place.
-import platform  # noqa: F401
 
 import pytest
 
