Refuse what cannot begin in time; keep promises to what is known

- A request whose wait at each upstream exceeds its time is refused at once, with the time after which to come back; so is one that upstreams refused.
- A 503 of an upstream that does not say that it has not run the request ended as a 503 towards the client, which is a promise; it is a 502 now.
- Items are given up 5 s after their time, since machines' clocks differ.
- Jobs are removed from the store when their time is over.
- The operator's limit on bodies is applied.
- 'make check' lints and runs the unit tests; 'make test' runs modules side by side.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/hollyspan_$(p)) -e platform
 SOURCES := packages platform integration benchmarks
 
-.PHONY: venv test lint format demo serve yielding
+WORKERS ?= 5
+
+.PHONY: venv test check lint format demo serve yielding
 
 venv: $(VENV)/installed
 
@@ -15,8 +17,12 @@
 	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
 	touch $@
 
+# Test modules run side by side, the tests of one module in their order.
 test: venv
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile
+
+check: lint
+	$(BIN)/python -m pytest -q -n $(WORKERS) --dist loadfile packages platform
 
 lint: venv
 	$(BIN)/python -m black -q --check $(SOURCES)
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -72,12 +72,11 @@
         incarnation=time.time_ns() // 1000,
     )
     with contextlib.ExitStack() as stack:
-        site = None
         if settings.client_port is not None:
-            site = listen_for_clients(reactor, gateway)
+            gateway.site = listen_for_clients(reactor, gateway)
         start_parts(reactor, gateway)
         stack.callback(gateway.pool.close)
-        stopping = Stop(reactor=reactor, gateway=gateway, site=site)
+        stopping = Stop(reactor=reactor, gateway=gateway)
         reactor.addSystemEventTrigger(
             "after",
             "startup",
@@ -229,13 +228,12 @@
     ----------
     reactor : twisted reactor
     gateway : Gateway
-    site : ClientSite or None
     """
 
-    def __init__(self, *, reactor, gateway, site):
+    def __init__(self, *, reactor, gateway):
         self.reactor = reactor
         self.gateway = gateway
-        self.site = site
+        self.site = gateway.site
         self.began = None
 
     def take_signal(self, number, frame):
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -55,6 +55,8 @@
     routes : RouteTable or None
         The configuration in force.
     is_draining : bool
+    site : ClientSite or None
+        Where clients are served; None for a gateway that only runs items.
     read_metrics : callable or None
         Returns the metrics as text, once the instruments exist.
     worker : Worker or None
@@ -73,6 +75,7 @@
         self.is_retiring = False
         self.has_retired = False
         self.read_metrics = None
+        self.site = None
         self.refreshed_at = 0.0
         self.worker = None
         self.pool = ConnectionPool(reactor=reactor)
@@ -143,6 +146,8 @@
             if known is not None and table.revision <= known.revision:
                 continue
             self.routes = table
+            if self.site is not None:
+                self.site.body_limit = table.limits.body_bytes
             eliot.log_message(
                 "configuration:in_force",
                 version=table.version,
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -335,6 +335,35 @@
     assert empty == [True]
 
 
+def test_a_job_is_removed_when_its_time_is_over(
+    build_worker, submit, wire, helpers, reactor
+):
+    gateway = build_worker()
+    submit(2)
+    for connection in list(gateway.pool.sent):
+        connection.answer(200, body=helpers.build_events(1, 1))
+    reactor.pump([1.0] * 200)
+    assert len(list_results(wire)) == 2
+    reactor.pump([1.0] * 80)
+    assert list_results(wire) == {}
+    assert not [key for key in wire.entries if key.startswith("hs/j/")]
+    assert gateway.worker.jobs == {}
+
+
+def test_an_item_is_given_up_only_well_after_its_time(
+    build_worker, submit, wire, reactor, helpers
+):
+    gateway = build_worker(upstreams=())
+    submit()
+    reactor.pump([1.0] * 60)
+    assert list_results(wire) == {}
+    gateway.directory.update({"u": helpers.build_entry("u")})
+    reactor.pump([1.0] * 2)
+    assert list_results(wire) == {}
+    reactor.pump([1.0] * 6)
+    assert list_results(wire) == {"j0": (False, b"")}
+
+
 def test_items_whose_route_is_gone_are_given_up(
     build_worker, submit, helpers, wire, reactor
 ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -16,6 +16,7 @@
 from ..store import Mirror
 from .item import ItemResult
 from .loading import read_record
+from .records import build_job_key
 from .records import build_result_key
 from .records import build_results_prefix
 from .records import encode_result
@@ -23,12 +24,16 @@
 from .records import JOBS_PREFIX
 from .records import read_job_identifier
 from .records import read_result_item
+from .removal import Removal
 from .run import ItemRun
 from .work import ItemWork
 from .work import JobWork
 
 __all__ = ["Worker"]
 
+# Seconds by which machines' clocks may differ: an item is given up that much
+# after its time.
+CLOCK_MARGIN_S = 5.0
 # Seconds between two rounds when nothing has changed: picks up items whose
 # pause is over and slots whose release no message told of.
 ROUND_S = 0.1
@@ -74,6 +79,7 @@
             events=INITIAL_EVENTS, event_seconds=INITIAL_EVENT_S
         )
         self.round_call = None
+        self.removal = Removal(gateway=gateway, worker=self)
         self.mirror = Mirror(
             store=gateway.store,
             reactor=gateway.reactor,
@@ -85,11 +91,13 @@
         """Begin to follow the jobs and to run items."""
         self.mirror.start()
         self.schedule(0.0)
+        self.removal.start()
 
     def stop(self):
         """Stop all runs."""
         self.is_stopping = True
         self.mirror.stop()
+        self.removal.stop()
         if self.round_call is not None:
             self.round_call.cancel()
             self.round_call = None
@@ -122,6 +130,11 @@
                 defer.ensureDeferred(
                     self.add_job(identifier, entry, is_checked=not is_first)
                 ).addErrback(eliot.write_failure)
+        for identifier, job in list(self.jobs.items()):
+            if job is not None and build_job_key(identifier) not in (
+                mirror.entries
+            ):
+                del self.jobs[identifier]
 
     async def add_job(self, identifier, entry, *, is_checked):
         try:
@@ -269,7 +282,7 @@
         if route is None or route.kind is not RouteKind.BATCH:
             self.give_up(work, "the route is gone")
             return
-        if now >= job.retained_until:
+        if now >= job.retained_until + CLOCK_MARGIN_S:
             self.give_up(work, "the job's time is over")
             return
         service = choose_service(route, work.item.identifier)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -19,6 +19,8 @@
 # Upstreams that may refuse a request without running it: one refusal is
 # chance, three mean that the service is full.
 MAX_REFUSALS = 3
+# Failures of an upstream that another one may not have.
+RETRIED_STATUSES = (500, 502)
 # Seconds that a stream's first event may take beyond the expected wait for a
 # slot: several times its usual time, and soon enough to have it from another
 # upstream within the usual aim of 300 ms.
@@ -111,6 +113,7 @@
             key=self.head.identifier,
             excluded=self.tried,
             outcome=self.outcome,
+            seconds_left=self.until - self.gateway.reactor.seconds(),
         )
 
     async def send(self):
@@ -220,7 +223,11 @@
             if self.splitter.rest:
                 return StreamLostError("the stream ended within an event")
             return None
-        if self.has_begun or self.reply.status in (500, 502, 503):
+        if (
+            self.has_begun
+            or self.reply.is_ambiguous
+            or self.reply.status in RETRIED_STATUSES
+        ):
             return UpstreamAnswerError(
                 f"the upstream answered {self.reply.status}",
                 upstream_status=self.reply.status,
@@ -257,7 +264,10 @@
         """End the request after its last send."""
         if self.has_begun:
             raise StreamLostError(f"the stream broke: {failure.message}")
-        if isinstance(failure, UpstreamAnswerError):
+        if (
+            isinstance(failure, UpstreamAnswerError)
+            and not self.reply.is_ambiguous
+        ):
             self.finish()
             return
         if self.sends:
@@ -267,6 +277,9 @@
         raise OverloadedError(
             f"no upstream took the request: {failure.message}",
             outcome=Outcome.NOT_RUN,
+            retry_after=self.gateway.placement.choose_retry_after(
+                self.head.identifier
+            ),
         )
 
     def log_failure(self, failure):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -14,6 +14,9 @@
     has_not_run : bool
         True when the upstream states that it has not run the request and
         will not.
+    is_ambiguous : bool
+        True for a status that promises that the request has not run, from an
+        upstream that does not state so; it may not be passed on.
     load : (int, int, int) or None
         Running and waiting requests and slots, at the time of the answer.
     headers : list of (bytes, bytes)
@@ -21,12 +24,22 @@
         connection.
     """
 
-    __slots__ = ("status", "identifier", "has_not_run", "load", "headers")
+    __slots__ = (
+        "status",
+        "identifier",
+        "has_not_run",
+        "is_ambiguous",
+        "load",
+        "headers",
+    )
 
-    def __init__(self, *, status, identifier, has_not_run, load, headers):
+    def __init__(
+        self, *, status, identifier, has_not_run, is_ambiguous, load, headers
+    ):
         self.status = status
         self.identifier = identifier
         self.has_not_run = has_not_run
+        self.is_ambiguous = is_ambiguous
         self.load = load
         self.headers = headers
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -145,6 +145,32 @@
     assert (relay.request.status, relay.request.written) == (500, b"second")
 
 
+def test_a_promise_that_the_upstream_does_not_make_is_not_passed_on(
+    start, gateway
+):
+    relay = start(kind=RouteKind.ONCE, is_resumable=False)
+    gateway.pool.last.answer(503, body=b"busy")
+    assert relay.request.status is None
+    assert find_failure(relay).outcome is Outcome.UNKNOWN
+
+
+def test_a_refusal_tells_when_to_come_back(start, gateway, helpers):
+    relay = start()
+    for _ in range(2):
+        gateway.pool.last.answer(503, headers=[(b"not-run", b"1")])
+    assert 0.2 < find_failure(relay).retry_after < 1.0
+
+
+def test_what_cannot_begin_in_time_is_refused_at_once(start, gateway):
+    for upstream in gateway.directory.upstreams.values():
+        upstream.peers["p"] = (100, 0)
+    relay = start()
+    failure = find_failure(relay)
+    assert failure.outcome is Outcome.NOT_RUN
+    assert failure.retry_after >= 1.0
+    assert gateway.pool.sent == []
+
+
 def test_a_silent_upstream_is_left_for_one_with_room(start, gateway, reactor):
     relay = start()
     first = gateway.pool.last
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -24,7 +24,7 @@
 # the time in which an online request's first event is due.
 COALESCE_S = 0.008
 # Silent gateways get one full message in this many.
-SILENT_BEATS = 5
+SILENT_BEATS = 3
 
 
 class PeerTable(protocol.DatagramProtocol):
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -146,11 +146,12 @@
 
     async def read_all(self):
         page = await self.store.list(self.prefix)
+        self.must_list = False
         if page.revision < self.revision:
+            # A peer's copy is newer; the watch goes on from there.
             return
         self.entries = {entry.key: entry for entry in page.entries}
         self.revision = page.revision
-        self.must_list = False
         self.on_change(self)
 
     async def read_changes(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -4,8 +4,10 @@
 
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_policy.admission import decide_admission
 from hollyspan_policy.batch import choose_batch_upstream
 from hollyspan_policy.batch import count_excess
+from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.routing import choose_nearby
 from hollyspan_policy.routing import estimate_wait
 from hollyspan_policy.routing import UpstreamView
@@ -20,9 +22,10 @@
 # Share of a service's slots that batch work leaves free for the online
 # requests of the next moments, so that these seldom wait for a preemption.
 BATCH_HEADROOM = 0.06
-# Clients come back after this time when no upstream is listed: the entries of
-# upstreams that lapsed are back within 2 s.
-NO_UPSTREAM_RETRY_S = 0.5
+# Mean time after which refused clients come back, seconds: about one online
+# request's time in a slot.
+RETRY_AFTER_S = 0.6
+HASH_RANGE = 2.0**64
 
 
 class Placement:
@@ -47,7 +50,7 @@
         self.on_change = on_change
         self.service_seconds = INITIAL_SERVICE_S
 
-    def choose(self, service, *, key, excluded, outcome):
+    def choose(self, service, *, key, excluded, outcome, seconds_left):
         """Choose the upstream for an online request.
 
         Parameters
@@ -59,6 +62,8 @@
             Upstreams tried already.
         outcome : Outcome
             Whether the request can have run.
+        seconds_left : float
+            Time in which the answer must begin.
 
         Returns
         -------
@@ -69,8 +74,20 @@
         OverloadedError
             No upstream can take the request now.
         """
+        views = self.build_views(service)
+        admission = decide_admission(
+            views,
+            service_seconds=self.service_seconds,
+            deadline_seconds=seconds_left,
+        )
+        if views and not admission.accepted:
+            raise OverloadedError(
+                f"the wait of {admission.expected:.1f} s is too long",
+                outcome=outcome,
+                retry_after=admission.retry_after,
+            )
         view = choose_nearby(
-            self.build_views(service),
+            views,
             data_centre=self.data_centre,
             service_seconds=self.service_seconds,
             excluded=excluded,
@@ -80,10 +97,22 @@
             raise OverloadedError(
                 "no upstream of the service takes new work",
                 outcome=outcome,
-                retry_after=NO_UPSTREAM_RETRY_S,
+                retry_after=self.choose_retry_after(key),
             )
         return self.directory.upstreams[view.name]
 
+    def choose_retry_after(self, key):
+        """Return when a refused client may come back, seconds.
+
+        Parameters
+        ----------
+        key : str
+            Identifier of the request, which spreads clients over time so that
+            they do not come back together.
+        """
+        share = hash_parts("retry", key) / HASH_RANGE
+        return RETRY_AFTER_S * (0.5 + share)
+
     def estimate_wait(self, upstream):
         """Estimate the wait of an online request just sent, seconds."""
         return estimate_wait(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -10,7 +10,11 @@
 
 def choose(gateway, key="q"):
     return gateway.placement.choose(
-        "m", key=key, excluded=(), outcome=Outcome.NOT_RUN
+        "m",
+        key=key,
+        excluded=(),
+        outcome=Outcome.NOT_RUN,
+        seconds_left=5.0,
     )
 
 
