Share word of replicas that cannot be reached; let short runs pause

- A gateway that could not connect tells its peers, who pass the replica over for 1 s unless it has just reported its load; its own pause is 2 s.
- A silent stream counts as a failed send.
- An item whose run was stopped within 0.2 s pauses for 0.15 s.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -42,9 +42,11 @@
 from .upstream import StreamCancelledError
 from .upstream import StreamLostError
 from .upstream import StreamMalformedError
+from .upstream import StreamStalledError
 from .upstream import UpstreamAnswerError
 from .upstream import UpstreamLeavingError
 from .upstream import UpstreamUnavailableError
+from .upstream import UpstreamUnreachableError
 
 __all__ = [
     "AuthenticationError",
@@ -89,7 +91,9 @@
     "StreamCancelledError",
     "StreamLostError",
     "StreamMalformedError",
+    "StreamStalledError",
     "UpstreamAnswerError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
+    "UpstreamUnreachableError",
 ]
--- a/packages/hollyspan_core/hollyspan_core/errors/upstream.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/upstream.py
@@ -7,20 +7,31 @@
     "StreamCancelledError",
     "StreamLostError",
     "StreamMalformedError",
+    "StreamStalledError",
     "UpstreamAnswerError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
+    "UpstreamUnreachableError",
 ]
 
 
 class UpstreamUnavailableError(HollyspanError):
-    """No connection to the upstream could be made."""
+    """The upstream takes no work now."""
 
     status = 503
     kind = "server_error"
     code = "upstream_unavailable"
 
 
+class UpstreamUnreachableError(UpstreamUnavailableError):
+    """No connection to the upstream could be made; nothing was sent."""
+
+    status = 503
+    kind = "server_error"
+    code = "upstream_unreachable"
+    default_outcome = Outcome.NOT_RUN
+
+
 class UpstreamLeavingError(UpstreamUnavailableError):
     """The upstream is leaving and takes no new work."""
 
@@ -38,6 +49,14 @@
     code = "stream_lost"
 
 
+class StreamStalledError(StreamLostError):
+    """A stream was silent for too long and was given up."""
+
+    status = 502
+    kind = "server_error"
+    code = "stream_stalled"
+
+
 class StreamCancelledError(HollyspanError):
     """A stream broke and was cancelled; the engine can resume it.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -258,11 +258,7 @@
     def take_message(self, peer, message):
         """Take over a peer's load and notice what it knows better."""
         now = self.reactor.seconds()
-        reports = {
-            load.upstream: load.reported
-            for load in message.loads
-            if load.reported is not None
-        }
+        news = {load.upstream: load for load in message.loads}
         for upstream in self.directory.upstreams.values():
             key = hash_parts(upstream.entry.name)
             load = peer.loads.get(key)
@@ -270,13 +266,20 @@
                 upstream.peers.pop(peer.identifier, None)
             else:
                 upstream.peers[peer.identifier] = load
-            if key in reports:
-                upstream.take_report(*reports[key], now=now)
+            if key in news:
+                self.take_news(upstream, news[key], now=now)
             if self.worker is not None:
                 self.worker.make_room(upstream)
         if message.is_full:
             self.compare_revisions(peer, message)
 
+    def take_news(self, upstream, load, *, now):
+        """Take over what a peer has just learned of an upstream."""
+        if load.reported is not None:
+            upstream.take_report(*load.reported, now=now)
+        if load.is_unreachable:
+            self.directory.note_hearsay(upstream)
+
     def compare_revisions(self, peer, message):
         """Read what a peer knows in a newer revision."""
         now = self.reactor.seconds()
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -7,10 +7,9 @@
 from twisted.internet import error
 from twisted.internet import protocol
 
-from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
-from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_core.errors import UpstreamUnreachableError
 
 __all__ = ["ClientConnection", "connect"]
 
@@ -42,7 +41,7 @@
     Returns
     -------
     Deferred of ClientConnection
-        Fails with UpstreamUnavailableError, outcome ``not_run``.
+        Fails with UpstreamUnreachableError.
     """
     factory = ClientFactory(reactor=reactor)
     reactor.connectTCP(host, port, factory, timeout=timeout)
@@ -62,9 +61,8 @@
         return ClientConnection(reactor=self.reactor, opened=self.opened)
 
     def clientConnectionFailed(self, connector, reason):
-        failure = UpstreamUnavailableError(
-            f"no connection: {reason.getErrorMessage()}",
-            outcome=Outcome.NOT_RUN,
+        failure = UpstreamUnreachableError(
+            f"no connection: {reason.getErrorMessage()}"
         )
         # A cancelled wait has no one left to tell.
         if not self.opened.called:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -263,6 +263,17 @@
     assert gateway.pool.last.headers[b"resume"] == b"7"
 
 
+def test_a_stopped_item_does_not_flap(build_worker, submit, reactor):
+    gateway = build_worker(upstreams=("u1",), slots=1)
+    submit(due=5.0)
+    upstream = gateway.directory.upstreams["u1"]
+    for _ in range(20):
+        with gateway.placement.hold_online(upstream):
+            reactor.advance(0.01)
+        reactor.advance(0.01)
+    assert len(gateway.pool.sent) <= 4
+
+
 def test_a_new_worker_runs_only_what_has_no_result(
     build_worker, submit, wire, helpers, reactor
 ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -39,6 +39,9 @@
 ROUND_S = 0.1
 # Pause of an item after a run that failed, seconds.
 RETRY_S = 0.15
+# A run that is preempted sooner than this, seconds, has found a slot that the
+# next online request takes; the item pauses as after a failure.
+SHORT_RUN_S = 0.2
 # Pause before a result is offered to the store again, seconds.
 STORE_RETRY_S = 0.3
 # Expected events of an item and seconds for each, until items have finished.
@@ -333,11 +336,14 @@
         if work.result is not None:
             self.learn(run, work)
             self.store_result(work)
-        elif not run.is_preempted:
+        elif not run.is_preempted or self.is_short(run):
             work.not_before = self.gateway.reactor.seconds() + RETRY_S
         self.tell_empty()
         self.schedule(0.0)
 
+    def is_short(self, run):
+        return self.gateway.reactor.seconds() - run.started < SHORT_RUN_S
+
     def learn(self, run, work):
         """Learn how long items take from one that has finished."""
         seconds = self.gateway.reactor.seconds() - run.started
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/attempt.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from hollyspan_core.errors import HollyspanError
-from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamStalledError
 
 from ..http1 import Exchange
 
@@ -90,7 +90,7 @@
 
     def end_wait(seconds):
         if may_leave is None or may_leave():
-            break_off(StreamLostError(f"no byte for {seconds:.3f} s"))
+            break_off(StreamStalledError(f"no byte for {seconds:.3f} s"))
         else:
             stall.restart(STALL_CHECK_S)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -48,6 +48,7 @@
             target.upstream = load.upstream
             target.online = load.online
             target.batch = load.batch
+            target.isUnreachable = load.is_unreachable
             if load.reported is not None:
                 target.isReported = True
                 target.running, target.waiting = load.reported
@@ -87,6 +88,7 @@
                     online=load.online,
                     batch=load.batch,
                     reported=read_reported(load),
+                    is_unreachable=load.isUnreachable,
                 )
                 for load in wire.loads
             ],
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -9,6 +9,7 @@
   isReported @3 :Bool;    # the upstream has just told its load:
   running @4 :UInt16;     # requests that it runs, from whomever
   waiting @5 :UInt16;     # requests in its queue
+  isUnreachable @6 :Bool; # the sender has just failed to connect to it
 }
 
 struct FleetMessage {
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -13,15 +13,26 @@
     online, batch : int
     reported : (int, int) or None, optional
         Running and waiting requests as the upstream has just told.
+    is_unreachable : bool, optional
+        True when the sender has just failed to connect to it.
     """
 
-    __slots__ = ("upstream", "online", "batch", "reported")
+    __slots__ = ("upstream", "online", "batch", "reported", "is_unreachable")
 
-    def __init__(self, *, upstream, online, batch, reported=None):
+    def __init__(
+        self,
+        *,
+        upstream,
+        online,
+        batch,
+        reported=None,
+        is_unreachable=False,
+    ):
         self.upstream = upstream
         self.online = online
         self.batch = batch
         self.reported = reported
+        self.is_unreachable = is_unreachable
 
 
 class FleetMessage:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -145,7 +145,7 @@
         self.flush_call = None
         changed, self.changed = self.changed, {}
         loads = [
-            build_load(upstream, reported=upstream.take_news())
+            build_load(upstream, with_news=True)
             for upstream in changed.values()
         ]
         message = self.build_message(loads=loads, is_full=False)
@@ -230,10 +230,15 @@
         self.on_membership()
 
 
-def build_load(upstream, *, reported=None):
-    return UpstreamLoad(
+def build_load(upstream, *, with_news=False):
+    """Return the load of an upstream, with what peers have not been told."""
+    load = UpstreamLoad(
         upstream=hash_parts(upstream.entry.name),
         online=upstream.online,
         batch=upstream.batch,
-        reported=reported,
     )
+    if with_news:
+        load.reported, upstream.news = upstream.news, None
+        load.is_unreachable = upstream.is_unreachable_news
+        upstream.is_unreachable_news = False
+    return load
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -19,6 +19,7 @@
     online=COUNTS,
     batch=COUNTS,
     reported=st.none() | st.tuples(COUNTS, COUNTS),
+    is_unreachable=st.booleans(),
 )
 MESSAGES = st.builds(
     FleetMessage,
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hollyspan_core.errors import UpstreamUnreachableError
 from hollyspan_policy.hashing import hash_parts
 
 
@@ -152,6 +153,17 @@
     assert fleet[0].directory.upstreams["u1"].hidden == 8 + 4 - 1
 
 
+def test_word_of_a_dark_upstream_reaches_all(fleet, reactor):
+    beat(fleet, reactor, 0.6)
+    upstream = fleet[3].directory.upstreams["u1"]
+    fleet[3].placement.note_failure(
+        upstream, UpstreamUnreachableError("no connection")
+    )
+    reactor.advance(0.02)
+    suspect = fleet[0].directory.upstreams["u1"].suspect_until
+    assert suspect > reactor.seconds()
+
+
 def test_messages_that_come_late_change_nothing(fleet, reactor):
     beat(fleet, reactor, 0.6)
     (peer,) = [
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -10,10 +10,18 @@
 # back, as the platform states.
 LAPSE_GRACE_S = 2.0
 # Pause in new work after a failed send, seconds, doubled with each further
-# one: the time in which the store takes a crashed upstream's entry away is
+# one up to the time in which the store takes a crashed upstream's entry away,
 # three heartbeats.
 SUSPECT_S = 0.4
 LONGEST_SUSPECT_S = 3.0
+# Pause after a connection that could not be made, seconds: such an upstream
+# is mostly gone, and its entry follows.
+UNREACHABLE_S = 2.0
+# Pause after a peer's word of that, seconds; the peer may be the one that is
+# cut off.
+HEARSAY_S = 1.0
+# A report of the upstream that is younger than this, seconds, outweighs it.
+RECENT_REPORT_S = 0.3
 
 
 class Directory:
@@ -85,9 +93,21 @@
             if upstream.entry.service == service and upstream.entry.is_ready
         ]
 
-    def note_failure(self, upstream):
+    def note_unreachable(self, upstream):
+        """Keep new work from an upstream that could not be connected to."""
+        upstream.is_unreachable_news = True
+        self.note_failure(upstream, first_pause=UNREACHABLE_S)
+
+    def note_hearsay(self, upstream):
+        """Take a peer's word that an upstream cannot be reached."""
+        now = self.reactor.seconds()
+        if now - upstream.reported_at < RECENT_REPORT_S:
+            return
+        upstream.suspect_until = max(upstream.suspect_until, now + HEARSAY_S)
+
+    def note_failure(self, upstream, *, first_pause=SUSPECT_S):
         """Keep new work from an upstream for a while after a failed send."""
-        pause = min(LONGEST_SUSPECT_S, SUSPECT_S * 2**upstream.failures)
+        pause = min(LONGEST_SUSPECT_S, first_pause * 2**upstream.failures)
         upstream.failures += 1
         upstream.suspect_until = self.reactor.seconds() + pause
         eliot.log_message(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -3,7 +3,9 @@
 import contextlib
 
 from hollyspan_core.errors import OverloadedError
+from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_core.errors import UpstreamUnreachableError
 from hollyspan_policy.admission import decide_admission
 from hollyspan_policy.batch import choose_batch_upstream
 from hollyspan_policy.batch import count_excess
@@ -241,5 +243,10 @@
 
     def note_failure(self, upstream, failure):
         """Take note of a send that failed."""
-        if isinstance(failure, UpstreamUnavailableError):
+        if isinstance(failure, UpstreamUnreachableError):
+            self.directory.note_unreachable(upstream)
+            self.on_change(upstream)
+        elif isinstance(
+            failure, (UpstreamUnavailableError, StreamStalledError)
+        ):
             self.directory.note_failure(upstream)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -58,6 +58,31 @@
     assert directory.upstreams["u"].online == 0
 
 
+def test_a_peer_s_word_keeps_work_away_unless_a_report_is_recent(
+    directory, helpers, reactor
+):
+    directory.update({"u": helpers.build_entry("u")})
+    upstream = directory.upstreams["u"]
+    upstream.take_report(1, 0, now=reactor.seconds())
+    directory.note_hearsay(upstream)
+    assert upstream.suspect_until <= reactor.seconds()
+    reactor.advance(0.5)
+    directory.note_hearsay(upstream)
+    assert upstream.suspect_until > reactor.seconds()
+
+
+def test_an_upstream_that_cannot_be_connected_to_rests_longer(
+    directory, helpers, reactor
+):
+    directory.update(
+        {"u": helpers.build_entry("u"), "v": helpers.build_entry("v")}
+    )
+    first, second = directory.upstreams.values()
+    directory.note_failure(first)
+    directory.note_unreachable(second)
+    assert second.suspect_until > first.suspect_until + 1.0
+
+
 def test_failures_in_a_row_keep_work_away_for_longer(
     directory, helpers, reactor
 ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -89,6 +89,8 @@
         Time of the last report, from an answer here or at a peer.
     news : (int, int) or None
         Report that peers have not been told.
+    is_unreachable_news : bool
+        True when peers have not been told that no connection was made.
     """
 
     __slots__ = (
@@ -103,6 +105,7 @@
         "hidden",
         "reported_at",
         "news",
+        "is_unreachable_news",
     )
 
     def __init__(self, *, entry):
@@ -117,6 +120,7 @@
         self.hidden = 0
         self.reported_at = -math.inf
         self.news = None
+        self.is_unreachable_news = False
 
     def count_online(self):
         """Return the online requests in flight from all daemons."""
@@ -142,8 +146,3 @@
     def is_reported(self, *, now):
         """Tell whether the last report still counts."""
         return now - self.reported_at < REPORT_S
-
-    def take_news(self):
-        """Return the report that peers have not been told, and forget it."""
-        news, self.news = self.news, None
-        return news
