Keep upstreams whose entries vanish together

Ruled out: replicas that left (none had said so), failed sends (none).

When half or more of a service's upstreams vanish together they are kept for 2.2 s, the time in which lapsed entries come back. Two tests fail before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -210,10 +210,10 @@
         if not mirror.is_connected:
             # This change is the first answer after an outage.
             lapse_until = self.reactor.seconds() + LAPSE_GRACE_S
-        self.directory.update(entries, lapse_until=lapse_until)
-        if lapse_until > self.reactor.seconds():
+        again_at = self.directory.update(entries, lapse_until=lapse_until)
+        if again_at is not None:
             self.reactor.callLater(
-                lapse_until - self.reactor.seconds() + 0.01,
+                max(0.0, again_at - self.reactor.seconds()),
                 self.take_upstreams,
                 mirror,
             )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_service.py
@@ -34,7 +34,7 @@
 
 
 def test_without_an_upstream_it_is_refused_at_once(serve, gateway):
-    gateway.directory.update({})
+    gateway.directory.upstreams.clear()
     request = serve()
     assert (request.status, request.written) == (503, b"not_run")
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -7,8 +7,11 @@
 __all__ = ["Directory"]
 
 # Seconds after the store's return in which entries that lapsed meanwhile come
-# back, as the platform states.
-LAPSE_GRACE_S = 2.0
+# back: about two, as the platform states, and less than the 2.5 s in which
+# nothing new may be sent to an upstream that has left.
+LAPSE_GRACE_S = 2.2
+# Share of a service's upstreams that vanish together when entries lapse.
+LAPSE_SHARE = 0.5
 # Pause in new work after a failed send, seconds, doubled with each further
 # one up to the time in which the store takes a crashed upstream's entry away,
 # three heartbeats.
@@ -51,31 +54,87 @@
         lapse_until : float, optional
             Time of the reactor until which a missing entry may only have
             lapsed while the store was away; such upstreams are kept.
+
+        Returns
+        -------
+        float or None
+            Time at which the same list has to be taken again, since an
+            upstream that it misses is kept until then.
         """
         for name, entry in entries.items():
-            known = self.upstreams.get(name)
-            if known is None or known.entry.born != entry.born:
-                self.upstreams[name] = Upstream(entry=entry)
-                log_change("upstream:listed", entry)
-                continue
-            was_ready = known.entry.is_ready
-            known.entry = entry
-            known.is_listed = True
-            if was_ready and not entry.is_ready:
-                log_change("upstream:leaving", entry)
-                self.on_leaving(known)
+            self.update_entry(name, entry)
+        missing = [
+            upstream
+            for name, upstream in self.upstreams.items()
+            if name not in entries
+        ]
         now = self.reactor.seconds()
-        for name, known in list(self.upstreams.items()):
-            if name in entries:
-                continue
-            if now < lapse_until and known.entry.is_ready:
-                known.is_listed = False
-                continue
-            del self.upstreams[name]
-            known.entry.is_ready = False
-            log_change("upstream:gone", known.entry)
+        lapsed = self.find_lapsed(missing)
+        for upstream in missing:
+            if upstream.is_listed:
+                upstream.is_listed = False
+                upstream.kept_until = lapse_until
+                if upstream in lapsed:
+                    upstream.kept_until = max(lapse_until, now + LAPSE_GRACE_S)
+            if now >= upstream.kept_until or not upstream.entry.is_ready:
+                self.remove(upstream)
+        kept = [
+            upstream.kept_until
+            for upstream in self.upstreams.values()
+            if not upstream.is_listed
+        ]
+        return min(kept, default=None)
+
+    def update_entry(self, name, entry):
+        known = self.upstreams.get(name)
+        if known is None or known.entry.born != entry.born:
+            self.upstreams[name] = Upstream(entry=entry)
+            log_change("upstream:listed", entry)
+            return
+        was_ready = known.entry.is_ready
+        known.entry = entry
+        known.is_listed = True
+        if was_ready and not entry.is_ready:
+            log_change("upstream:leaving", entry)
             self.on_leaving(known)
 
+    def find_lapsed(self, missing):
+        """Return missing upstreams whose entries may only have lapsed.
+
+        Notes
+        -----
+        Entries that lapse while the store is away vanish together at its
+        return, which a waiting watch does not tell from a change. Upstreams
+        that leave go one after the other.
+        """
+        lapsed = []
+        for service in {upstream.entry.service for upstream in missing}:
+            listed = [
+                upstream
+                for upstream in self.upstreams.values()
+                if upstream.entry.service == service
+                and upstream.is_listed
+                and upstream.entry.is_ready
+            ]
+            gone = [upstream for upstream in listed if upstream in missing]
+            if gone and len(gone) >= LAPSE_SHARE * len(listed):
+                lapsed += gone
+                eliot.log_message(
+                    "upstreams:lapsed",
+                    service=service,
+                    missing=len(gone),
+                    known=len(listed),
+                    seconds=LAPSE_GRACE_S,
+                )
+        return lapsed
+
+    def remove(self, upstream):
+        """Forget an upstream that is gone."""
+        del self.upstreams[upstream.entry.name]
+        upstream.entry.is_ready = False
+        log_change("upstream:gone", upstream.entry)
+        self.on_leaving(upstream)
+
     def list_usable(self, service):
         """Return the upstreams of a service that take new work.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -25,24 +25,56 @@
     assert left == ["u"]
 
 
+def build_entries(helpers, *names):
+    return {name: helpers.build_entry(name) for name in names}
+
+
 def test_a_missing_entry_is_gone_at_once(directory, helpers, left):
-    directory.update({"u": helpers.build_entry("u")})
+    directory.update(build_entries(helpers, "u", "v", "w"))
+    directory.update(build_entries(helpers, "u", "v"))
+    assert len(directory.list_usable("m")) == 2
+    assert left == ["w"]
+
+
+def test_entries_that_vanish_together_may_have_lapsed(
+    directory, helpers, reactor, left
+):
+    # The store was silent, and a waiting watch has not noticed.
+    names = ("u", "v", "w")
+    directory.update(build_entries(helpers, *names))
+    again_at = directory.update({})
+    assert len(directory.list_usable("m")) == 3
+    reactor.advance(1.0)
+    directory.update(build_entries(helpers, "u", "v"))
+    assert left == []
+    reactor.advance(again_at - reactor.seconds())
+    assert directory.update(build_entries(helpers, "u", "v")) is None
+    assert left == ["w"]
+
+
+def test_what_is_missing_is_kept_below_the_bound_for_leaving(
+    directory, helpers, reactor
+):
+    directory.update(build_entries(helpers, "u"))
+    again_at = directory.update({})
+    assert again_at - reactor.seconds() < 2.5
+    reactor.advance(2.4)
     directory.update({})
     assert directory.list_usable("m") == []
-    assert left == ["u"]
 
 
 def test_a_lapsed_entry_is_kept_until_it_had_time_to_return(
     directory, helpers, reactor, left
 ):
-    directory.update({"u": helpers.build_entry("u")})
+    directory.update(build_entries(helpers, "u", "v", "w"))
     until = reactor.seconds() + 2.0
-    directory.update({}, lapse_until=until)
-    assert len(directory.list_usable("m")) == 1
+    rest = build_entries(helpers, "u", "v")
+    directory.update(rest, lapse_until=until)
+    assert len(directory.list_usable("m")) == 3
     reactor.advance(2.1)
-    directory.update({}, lapse_until=until)
-    assert directory.list_usable("m") == []
-    assert left == ["u"]
+    directory.update(rest, lapse_until=until)
+    assert len(directory.list_usable("m")) == 2
+    assert left == ["w"]
 
 
 def test_a_leaving_entry_does_not_lapse(directory, helpers, reactor):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -63,8 +63,8 @@
     assert gateway.placement.choose_for_batch("m", is_urgent=True) is second
 
 
-def test_without_an_upstream_a_request_is_refused(gateway):
-    gateway.directory.update({})
+def test_without_an_upstream_a_request_is_refused(build_gateway):
+    gateway = build_gateway(upstreams=())
     with pytest.raises(OverloadedError) as caught:
         choose(gateway)
     assert caught.value.outcome is Outcome.NOT_RUN
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -81,6 +81,8 @@
         Failed sends in a row.
     is_listed : bool
         False once the entry is gone from the store.
+    kept_until : float
+        Time until which it is used nevertheless.
     waiting : int
         Queue of the last report.
     hidden : int
@@ -101,6 +103,7 @@
         "suspect_until",
         "failures",
         "is_listed",
+        "kept_until",
         "waiting",
         "hidden",
         "reported_at",
@@ -116,6 +119,7 @@
         self.suspect_until = 0.0
         self.failures = 0
         self.is_listed = True
+        self.kept_until = 0.0
         self.waiting = 0
         self.hidden = 0
         self.reported_at = -math.inf
