Part the worker and the gateway into smaller modules

The operator's limits on heads and idle connections are applied.

Faults found on the way, each with a test: a report 'running' that arrives late could replace 'done' for an emptied machine; a peer's answer that is no copy ended in an untyped failure.

--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -230,6 +230,24 @@
     configuration_prefix = "configuration"
     upstreams_prefix = "upstreams/"
 
+    @staticmethod
+    def decode_configuration(entry):
+        return None
+
+    @staticmethod
+    def decode_upstream(entry):
+        return build_entry(entry.key.rpartition("/")[2])
+
+    @staticmethod
+    def decode_retirement(entry, instance):
+        if entry.key != f"retire/{instance}":
+            return None
+        return float(entry.content)
+
+    @staticmethod
+    def encode_retirement(instance, *, is_done):
+        return f"status/{instance}", b"done" if is_done else b"running"
+
     @staticmethod
     def encode_headers(head, *, upstream, deadline_seconds, resume_after):
         return [
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -3,18 +3,16 @@
 import time
 
 import eliot
-from twisted.internet import defer
 
-from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.hashing import hash_parts
 
-from .clock import wait
 from .http1 import ConnectionPool
 from .jobs.submissions import Submissions
 from .online.service import OnlineService
 from .peers import build_identifier
-from .peers import fetch_copy
 from .peers import PeerTable
+from .refresh import Refresh
+from .retirement import Retirement
 from .store import Mirror
 from .upstreams import Directory
 from .upstreams import LAPSE_GRACE_S
@@ -23,17 +21,6 @@
 __all__ = ["Gateway"]
 
 MEMBERS_PREFIX = "hs/m/"
-# A peer that knows a newer revision is given this time, seconds, for the own
-# watch to bring it too.
-REFRESH_S = 0.3
-# Least time between two such reads, seconds: a gateway that the store turns
-# away hears of newer revisions with each message.
-REFRESH_PAUSE_S = 0.8
-# Seconds before the end of a retirement's time at which it is reported done
-# though items still run; they are run again elsewhere.
-RETIRE_MARGIN_S = 1.0
-# Seconds before a failed report is written again.
-RETIRE_RETRY_S = 0.3
 
 
 class Gateway:
@@ -72,11 +59,8 @@
         self.metrics = metrics
         self.routes = None
         self.is_draining = False
-        self.is_retiring = False
-        self.has_retired = False
         self.read_metrics = None
         self.site = None
-        self.refreshed_at = 0.0
         self.worker = None
         self.pool = ConnectionPool(reactor=reactor)
         self.directory = Directory(
@@ -114,6 +98,8 @@
             "configuration": self.configuration_mirror,
             "upstreams": self.upstreams_mirror,
         }
+        self.retirement = Retirement(gateway=self)
+        self.refresh = Refresh(gateway=self)
         self.submissions = Submissions(gateway=self)
         self.online = OnlineService(gateway=self)
 
@@ -140,14 +126,14 @@
         for entry in mirror.entries.values():
             table = self.dialect.decode_configuration(entry)
             if table is None:
-                self.take_retirement(entry)
+                self.retirement.take_order(entry)
                 continue
             known = self.routes
             if known is not None and table.revision <= known.revision:
                 continue
             self.routes = table
             if self.site is not None:
-                self.site.body_limit = table.limits.body_bytes
+                self.site.apply_limits(table.limits)
             eliot.log_message(
                 "configuration:in_force",
                 version=table.version,
@@ -156,47 +142,6 @@
                 was=None if known is None else known.version,
             )
 
-    def take_retirement(self, entry):
-        """Give this machine up when the operator asks for it."""
-        seconds = self.dialect.decode_retirement(entry, self.settings.instance)
-        if seconds is None or self.is_retiring or self.worker is None:
-            return
-        self.is_retiring = True
-        eliot.log_message("gateway:retiring", seconds=seconds)
-        defer.ensureDeferred(self.report_retirement(is_done=False)).addErrback(
-            eliot.write_failure
-        )
-        self.worker.retire(on_empty=self.finish_retirement)
-        self.reactor.callLater(
-            max(0.0, seconds - RETIRE_MARGIN_S), self.finish_retirement
-        )
-        self.peers.send_full(self.peers.list_live())
-
-    def finish_retirement(self):
-        """Report that nothing is left on this machine."""
-        if self.has_retired:
-            return
-        self.has_retired = True
-        eliot.log_message("gateway:retired", items=len(self.worker.running))
-        defer.ensureDeferred(self.report_retirement(is_done=True)).addErrback(
-            eliot.write_failure
-        )
-
-    async def report_retirement(self, *, is_done):
-        """Write how far the machine is emptied, until the store has it."""
-        key, content = self.dialect.encode_retirement(
-            self.settings.instance, is_done=is_done
-        )
-        while is_done or not self.has_retired:
-            try:
-                await self.store.put_plain(key, content)
-                return
-            except StoreUnavailableError as failure:
-                eliot.log_message(
-                    "gateway:retirement_unreported", reason=failure.message
-                )
-                await wait(self.reactor, RETIRE_RETRY_S)
-
     def take_upstreams(self, mirror):
         """Take over the list of upstreams."""
         entries = {}
@@ -271,7 +216,7 @@
             if self.worker is not None:
                 self.worker.make_room(upstream)
         if message.is_full:
-            self.compare_revisions(peer, message)
+            self.refresh.compare(peer, message)
 
     def take_news(self, upstream, load, *, now):
         """Take over what a peer has just learned of an upstream."""
@@ -280,44 +225,6 @@
         if load.is_unreachable:
             self.directory.note_hearsay(upstream)
 
-    def compare_revisions(self, peer, message):
-        """Read what a peer knows in a newer revision."""
-        now = self.reactor.seconds()
-        if now - self.refreshed_at < REFRESH_PAUSE_S:
-            return
-        if message.configuration > self.configuration_revision:
-            self.refresh_soon("configuration", peer, message.configuration)
-        if message.upstreams > self.upstreams_mirror.revision:
-            self.refresh_soon("upstreams", peer, message.upstreams)
-
-    def refresh_soon(self, name, peer, revision):
-        """Read entries anew unless the own watch brings them meanwhile."""
-        self.refreshed_at = self.reactor.seconds()
-        work = defer.ensureDeferred(self.refresh(name, peer, revision))
-        work.addErrback(eliot.write_failure)
-
-    async def refresh(self, name, peer, revision):
-        mirror = self.mirrors[name]
-        if mirror.is_connected:
-            await wait(self.reactor, REFRESH_S)
-        if mirror.revision >= revision:
-            return
-        eliot.log_message(
-            f"{name}:behind",
-            revision=mirror.revision,
-            peer=peer.identifier,
-            newer=revision,
-            is_connected=mirror.is_connected,
-        )
-        if mirror.is_connected:
-            mirror.refresh()
-            return
-        page = await fetch_copy(
-            self.pool, peer, port=self.settings.copies_port, name=name
-        )
-        if page is not None:
-            mirror.take_over(page)
-
     @property
     def configuration_revision(self):
         """Revision of the configuration in force, 0 without one."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -5,7 +5,7 @@
 from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import StreamStalledError
 
-from ..http1 import Exchange
+from .exchange import Exchange
 
 __all__ = ["run_attempt"]
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/removal.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/removal.py
@@ -29,12 +29,12 @@
     Parameters
     ----------
     gateway : Gateway
-    worker : Worker
+    catalogue : JobCatalogue
     """
 
-    def __init__(self, *, gateway, worker):
+    def __init__(self, *, gateway, catalogue):
         self.gateway = gateway
-        self.worker = worker
+        self.catalogue = catalogue
         self.loop = task.LoopingCall(self.remove_old)
         self.loop.clock = gateway.reactor
 
@@ -51,7 +51,7 @@
         """Remove the jobs whose time is over."""
         now = self.gateway.wall_clock()
         owners = self.gateway.list_workers()
-        for identifier, job in self.worker.jobs.items():
+        for identifier, job in self.catalogue.jobs.items():
             if job is None or now < job.job.retained_until + KEPT_S:
                 continue
             if choose_owner(identifier, owners) != (
@@ -64,7 +64,7 @@
 
     async def remove(self, identifier):
         """Remove all keys of a job, its record last."""
-        entry = self.worker.mirror.entries.get(build_job_key(identifier))
+        entry = self.catalogue.mirror.entries.get(build_job_key(identifier))
         if entry is None:
             return
         prefix = build_results_prefix(identifier)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -8,7 +8,7 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.events import EventParser
 
-from ..online.attempt import run_attempt
+from ..http1 import run_attempt
 from ..online.head import RequestHead
 from .item import ItemResult
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -323,7 +323,7 @@
     assert len(keys) == 2
     claimed += [
         work.key
-        for job in gateway.worker.jobs.values()
+        for job in gateway.worker.catalogue.jobs.values()
         for work in job.items.values()
     ]
     for connection in gateway.pool.sent:
@@ -358,7 +358,7 @@
     reactor.pump([1.0] * 80)
     assert list_results(wire) == {}
     assert not [key for key in wire.entries if key.startswith("hs/j/")]
-    assert gateway.worker.jobs == {}
+    assert gateway.worker.catalogue.jobs == {}
 
 
 def test_an_item_is_given_up_only_well_after_its_time(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -3,31 +3,17 @@
 import eliot
 from twisted.internet import defer
 
-from hollyspan_core.errors import StoreKeyExistsError
-from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.batch import rank_item
 from hollyspan_policy.batch import RunTimes
-from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.ownership import choose_owner
 
-from ..clock import wait
 from ..routes import choose_service
 from ..routes import RouteKind
-from ..store import Mirror
+from .catalogue import JobCatalogue
 from .item import ItemResult
-from .loading import read_record
-from .records import build_job_key
-from .records import build_result_key
-from .records import build_results_prefix
-from .records import encode_result
-from .records import is_end_key
-from .records import JOBS_PREFIX
-from .records import read_job_identifier
-from .records import read_result_item
+from .keeping import keep_result
 from .removal import Removal
 from .run import ItemRun
-from .work import ItemWork
-from .work import JobWork
 
 __all__ = ["Worker"]
 
@@ -42,8 +28,6 @@
 # A run that is preempted sooner than this, seconds, has found a slot that the
 # next online request takes; the item pauses as after a failure.
 SHORT_RUN_S = 0.2
-# Pause before a result is offered to the store again, seconds.
-STORE_RETRY_S = 0.3
 # Expected events of an item and seconds for each, until items have finished.
 INITIAL_EVENTS = 180
 INITIAL_EVENT_S = 0.027
@@ -63,8 +47,7 @@
 
     Attributes
     ----------
-    jobs : dict
-        JobWork by identifier.
+    catalogue : JobCatalogue
     running : dict
         ItemWork by its key.
     is_stopping : bool
@@ -73,33 +56,30 @@
 
     def __init__(self, *, gateway):
         self.gateway = gateway
-        self.jobs = {}
         self.running = {}
         self.is_stopping = False
-        self.is_first_list = True
         self.on_empty = None
         self.times = RunTimes(
             events=INITIAL_EVENTS, event_seconds=INITIAL_EVENT_S
         )
         self.round_call = None
-        self.removal = Removal(gateway=gateway, worker=self)
-        self.mirror = Mirror(
-            store=gateway.store,
-            reactor=gateway.reactor,
-            prefix=JOBS_PREFIX,
-            on_change=self.take_records,
+        self.catalogue = JobCatalogue(
+            gateway=gateway,
+            on_change=lambda: self.schedule(0.0),
+            on_end=self.stop_job,
         )
+        self.removal = Removal(gateway=gateway, catalogue=self.catalogue)
 
     def start(self):
         """Begin to follow the jobs and to run items."""
-        self.mirror.start()
+        self.catalogue.start()
         self.schedule(0.0)
         self.removal.start()
 
     def stop(self):
         """Stop all runs."""
         self.is_stopping = True
-        self.mirror.stop()
+        self.catalogue.stop()
         self.removal.stop()
         if self.round_call is not None:
             self.round_call.cancel()
@@ -120,59 +100,8 @@
             seconds, self.start_items
         )
 
-    def take_records(self, mirror):
-        """Take over the jobs that the store lists."""
-        is_first, self.is_first_list = self.is_first_list, False
-        for key, entry in mirror.entries.items():
-            identifier = read_job_identifier(key)
-            if is_end_key(key):
-                self.end_job(identifier)
-            elif identifier not in self.jobs:
-                # A placeholder, so that the record is read once.
-                self.jobs[identifier] = None
-                defer.ensureDeferred(
-                    self.add_job(identifier, entry, is_checked=not is_first)
-                ).addErrback(eliot.write_failure)
-        for identifier, job in list(self.jobs.items()):
-            if job is not None and build_job_key(identifier) not in (
-                mirror.entries
-            ):
-                del self.jobs[identifier]
-
-    async def add_job(self, identifier, entry, *, is_checked):
-        try:
-            job = await read_record(self.gateway.store, identifier, entry)
-        except StoreUnavailableError as failure:
-            eliot.log_message(
-                "job:unreadable", job=identifier, reason=failure.message
-            )
-            await wait(self.gateway.reactor, STORE_RETRY_S)
-            await self.add_job(identifier, entry, is_checked=False)
-            return
-        work = JobWork(job=job, is_checked=is_checked)
-        for item in job.items:
-            key = hash_parts(identifier, item.identifier)
-            work.items[item.identifier] = ItemWork(
-                job=work, item=item, key=key
-            )
-        self.jobs[identifier] = work
-        eliot.log_message(
-            "job:seen",
-            job=identifier,
-            items=len(job.items),
-            age=self.gateway.wall_clock() - job.submitted,
-        )
-        if identifier + "/end" in self.mirror.entries:
-            self.end_job(identifier)
-        self.schedule(0.0)
-
-    def end_job(self, identifier):
+    def stop_job(self, job):
         """Stop the items of a job that its client has ended."""
-        job = self.jobs.get(identifier)
-        if job is None or job.is_ended:
-            return
-        job.is_ended = True
-        eliot.log_message("job:stopped", job=identifier)
         for work in job.items.values():
             if work.run is not None:
                 work.run.cancel()
@@ -195,34 +124,8 @@
             on_empty()
 
     def recheck(self):
-        """Read the results again, since items may have changed hands."""
-        for job in self.jobs.values():
-            if job is not None:
-                job.is_checked = False
-        self.schedule(0.0)
-
-    async def check_results(self, job):
-        """Learn which items of a job have a result."""
-        job.is_checking = True
-        try:
-            prefix = build_results_prefix(job.job.identifier)
-            page = await self.gateway.store.list(prefix)
-        except StoreUnavailableError as failure:
-            eliot.log_message(
-                "job:results_unreadable",
-                job=job.job.identifier,
-                reason=failure.message,
-            )
-            await wait(self.gateway.reactor, STORE_RETRY_S)
-            return
-        finally:
-            job.is_checking = False
-        for entry in page.entries:
-            work = job.items.get(read_result_item(entry.key))
-            if work is not None:
-                work.is_listed = True
-        job.is_checked = True
-        self.schedule(0.0)
+        """Read results again, since items may have changed hands."""
+        self.catalogue.recheck()
 
     def start_items(self):
         """Start what fits into the free slots, the most urgent first."""
@@ -236,16 +139,14 @@
         owners = self.gateway.list_workers()
         claimed = self.gateway.list_claimed_items()
         waiting = []
-        for job in self.jobs.values():
-            if not is_open(job):
-                continue
+        for job in self.catalogue.list_open():
             mine = [
                 work
                 for work in job.items.values()
                 if self.is_startable(work, owners, claimed)
             ]
             if mine and not job.is_checked:
-                self.begin_check(job)
+                self.catalogue.begin_check(job)
             elif mine:
                 waiting += mine
         now = self.gateway.wall_clock()
@@ -260,12 +161,6 @@
             now=now,
         )
 
-    def begin_check(self, job):
-        if not job.is_checking:
-            defer.ensureDeferred(self.check_results(job)).addErrback(
-                eliot.write_failure
-            )
-
     def is_startable(self, work, owners, claimed):
         return (
             not work.is_listed
@@ -357,46 +252,10 @@
 
     def store_result(self, work):
         if not work.job.is_ended or work.result.is_done:
-            defer.ensureDeferred(self.keep_result(work)).addErrback(
+            defer.ensureDeferred(keep_result(self.gateway, work)).addErrback(
                 eliot.write_failure
             )
 
-    async def keep_result(self, work):
-        """Store a result until it is certain that one stands."""
-        job = work.job.job
-        key = build_result_key(job.identifier, work.item.identifier)
-        content = encode_result(work.result)
-        while True:
-            try:
-                await self.gateway.store.create({key: content})
-                break
-            except StoreKeyExistsError:
-                eliot.log_message(
-                    "item:stored_before",
-                    job=job.identifier,
-                    item=work.item.identifier,
-                )
-                break
-            except StoreUnavailableError as failure:
-                eliot.log_message(
-                    "item:result_waits",
-                    job=job.identifier,
-                    item=work.item.identifier,
-                    reason=failure.message,
-                )
-                await wait(self.gateway.reactor, STORE_RETRY_S)
-        work.is_listed = True
-        is_done = work.result.is_done
-        work.forget_output()
-        eliot.log_message(
-            "item:stored",
-            job=job.identifier,
-            item=work.item.identifier,
-            is_done=is_done,
-            slack=job.due - self.gateway.wall_clock(),
-        )
-        self.gateway.metrics.count_item("done" if is_done else "given_up")
-
     def make_room(self, upstream):
         """Stop items where online requests need their slots."""
         if not upstream.batch:
@@ -428,7 +287,3 @@
             )
             self.gateway.metrics.count_item("preempted")
             work.run.cancel()
-
-
-def is_open(job):
-    return job is not None and not job.is_ended and not job.is_complete()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -10,8 +10,8 @@
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..http1 import run_attempt
 from ..routes import RouteKind
-from .attempt import run_attempt
 from .events import EventSplitter
 
 __all__ = ["Relay"]
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -112,6 +112,8 @@
     ----------
     body_limit : int
         Most bytes of a body.
+    header_limit : int
+        Most bytes of a head.
     is_closing : bool
         True once each connection ends with its current request.
     """
@@ -122,6 +124,7 @@
         super().__init__(reactor=reactor, timeout=idle_seconds)
         self.handle = handle
         self.body_limit = body_limit
+        self.header_limit = ClientChannel.totalHeadersSize
         self.is_closing = False
         self.channels = set()
 
@@ -131,6 +134,7 @@
         channel.factory = self
         channel.callLater = self.reactor.callLater
         channel.timeOut = self.timeOut
+        channel.totalHeadersSize = self.header_limit
         return channel
 
     def startFactory(self):
@@ -142,6 +146,17 @@
     def log(self, request):
         """Keep no access log; the decisions are logged."""
 
+    def apply_limits(self, limits):
+        """Put the operator's limits into force for later requests.
+
+        Parameters
+        ----------
+        limits : Limits
+        """
+        self.body_limit = limits.body_bytes
+        self.header_limit = limits.header_bytes
+        self.timeOut = limits.idle_seconds
+
     def close_idle(self):
         """Close connections without a request; others end with theirs."""
         self.is_closing = True
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/copies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/copies.py
@@ -7,11 +7,11 @@
 from twisted.internet import defer
 
 from hollyspan_core.errors import HollyspanError
-from hollyspan_core.errors import PeerAnswerError
+from hollyspan_core.errors import PeerMessageError
 from hollyspan_core.store import Entry
 from hollyspan_core.store import Page
 
-from ..online.attempt import run_attempt
+from ..http1 import run_attempt
 
 __all__ = ["PATH", "encode_copy", "fetch_copy"]
 
@@ -49,7 +49,7 @@
 
     Raises
     ------
-    PeerAnswerError
+    PeerMessageError
         The bytes are no copy.
     """
     try:
@@ -67,7 +67,7 @@
         ]
         return Page(entries=entries, more=False, revision=document["revision"])
     except (ValueError, KeyError, TypeError) as fault:
-        raise PeerAnswerError(f"no copy: {fault!r}") from fault
+        raise PeerMessageError(f"no copy: {fault!r}") from fault
 
 
 async def fetch_copy(pool, peer, *, port, name):
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
@@ -152,19 +152,21 @@
         """
         await self.write({}, {key: self.create_token() + content})
 
-    async def put_plain(self, key, content):
+    async def put_plain(self, key, content, *, only_new):
         """Write a key whose readers expect no token in front.
 
         Parameters
         ----------
         key : str
         content : bytes
+        only_new : bool
+            Leave a key that exists as it is.
 
         Raises
         ------
         StoreUnavailableError
         """
-        await self.write({}, {key: content})
+        await self.write({key: 0} if only_new else {}, {key: content})
 
     async def remove(self, keys):
         """Remove keys; absent ones are no failure.
