Log what was believed of the upstream that was chosen

Found while tracing twenty failed requests from logs: eight online answers were late without a failed send, and the line did not tell the load that the gateway had seen, its age, or the wait that it expected.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -52,6 +52,8 @@
         Upstreams that have certainly not run it.
     tried : set of str
         Names of both.
+    belief : dict
+        What was believed of the upstream when it was chosen.
     first_event : float or None
         Seconds from the arrival to the first byte passed on.
     """
@@ -70,6 +72,7 @@
         self.first_event = None
         self.splitter = EventSplitter(last=head.resume_after)
         self.upstream = None
+        self.belief = {}
         self.reply = None
         self.parts = []
 
@@ -97,6 +100,7 @@
         """
         while True:
             self.upstream = self.choose()
+            self.belief = self.gateway.placement.describe(self.upstream)
             failure = await self.send()
             if failure is None:
                 self.finish()
@@ -293,4 +297,5 @@
             last_event=self.splitter.last,
             sends=self.sends,
             refusals=self.refusals,
+            **self.belief,
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -151,6 +151,7 @@
             sends=relay.sends,
             refusals=relay.refusals,
             configuration=self.gateway.configuration_version,
+            **relay.belief,
         )
         self.gateway.metrics.count_request("answered")
         self.gateway.metrics.record(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -200,6 +200,20 @@
     assert len(gateway.pool.sent) == 1
 
 
+def test_the_belief_at_the_choice_is_kept_for_the_log(start, gateway, reactor):
+    for upstream in gateway.directory.upstreams.values():
+        upstream.peers["p"] = (8, 1)
+        upstream.take_report(8, 4, now=reactor.seconds())
+    reactor.advance(0.25)
+    relay = start()
+    assert relay.belief["online"] == 8
+    assert relay.belief["batch"] == 1
+    assert relay.belief["hidden"] == 12 - 9 - 1
+    assert relay.belief["waiting"] == 4
+    assert relay.belief["report_age"] == 0.25
+    assert relay.belief["expected_wait"] > 0.1
+
+
 def test_a_cancelled_relay_closes_its_connection(start, gateway):
     relay = start()
     relay.work.cancel()
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -1,6 +1,7 @@
 """Where requests go, and what that adds to the upstreams' load."""
 
 import contextlib
+import math
 
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StreamStalledError
@@ -148,6 +149,31 @@
             if other.entry.name not in excluded
         )
 
+    def describe(self, upstream):
+        """Return what is believed of an upstream, for a log line.
+
+        Parameters
+        ----------
+        upstream : Upstream
+
+        Returns
+        -------
+        dict
+            Requests in flight, expected wait, and the age of the upstream's
+            last report, seconds.
+        """
+        now = self.reactor.seconds()
+        view = self.build_view(upstream, now)
+        age = now - upstream.reported_at
+        return {
+            "online": view.online,
+            "batch": view.batch,
+            "hidden": view.hidden,
+            "waiting": view.waiting,
+            "expected_wait": round(self.estimate_wait(upstream), 3),
+            "report_age": None if math.isinf(age) else round(age, 3),
+        }
+
     def choose_for_batch(self, service, *, is_urgent):
         """Choose the upstream for an item.
 
