Share what stood twice in the gateway

The check that an answer names the request stood in the relay and in the run of an item; the share that a hash draws, with its range, in routes and placement; the load that a report shows was worked out twice, and a view was built twice for each request's log line. One constant had no user.

Behaviour is unchanged.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -10,6 +10,7 @@
 
 from ..http1 import run_attempt
 from ..online.head import RequestHead
+from ..online.reply import check_identifier
 from .item import ItemResult
 
 __all__ = ["ItemRun"]
@@ -131,8 +132,7 @@
 
     def take_reply(self, status, headers):
         reply = self.gateway.dialect.decode_reply(status, headers)
-        if reply.identifier not in (None, self.work.item.identifier):
-            raise StreamMalformedError("the answer names another request")
+        check_identifier(reply, self.work.item.identifier)
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -6,13 +6,13 @@
 from hollyspan_core.errors import OutcomeUnknownError
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StreamLostError
-from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .events import EventSplitter
+from .reply import check_identifier
 
 __all__ = ["Relay"]
 
@@ -188,8 +188,7 @@
     def take_reply(self, status, headers):
         """Take the head of an answer."""
         reply = self.gateway.dialect.decode_reply(status, headers)
-        if reply.identifier not in (None, self.head.identifier):
-            raise StreamMalformedError("the answer names another request")
+        check_identifier(reply, self.head.identifier)
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -1,6 +1,8 @@
 """Head of an upstream's answer."""
 
-__all__ = ["UpstreamReply"]
+from hollyspan_core.errors import StreamMalformedError
+
+__all__ = ["UpstreamReply", "check_identifier"]
 
 
 class UpstreamReply:
@@ -47,3 +49,9 @@
     def is_success(self):
         """True for a status of 2xx."""
         return 200 <= self.status < 300
+
+
+def check_identifier(reply, identifier):
+    """Raise StreamMalformedError for an answer to another request."""
+    if reply.identifier not in (None, identifier):
+        raise StreamMalformedError("the answer names another request")
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -19,7 +19,6 @@
 
 # Wait of a client that names none, seconds.
 DEFAULT_DEADLINE_S = 30.0
-NO_IDENTIFIER = "-"
 
 
 class OnlineService:
--- a/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
@@ -1,11 +1,9 @@
 """The routes of one configuration."""
 
-from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.hashing import draw_share
 
 __all__ = ["RouteTable", "choose_service"]
 
-HASH_RANGE = 2.0**64
-
 
 class RouteTable:
     """Routes by host and prefix.
@@ -69,7 +67,7 @@
     if len(route.services) == 1:
         return route.services[0][0]
     total = sum(weight for _, weight in route.services)
-    point = hash_parts(route.name, key) / HASH_RANGE * total
+    point = draw_share(route.name, key) * total
     for name, weight in route.services:
         point -= weight
         if point < 0:
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -10,7 +10,7 @@
 from hollyspan_policy.admission import decide_admission
 from hollyspan_policy.batch import choose_batch_upstream
 from hollyspan_policy.batch import count_excess
-from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.hashing import draw_share
 from hollyspan_policy.routing import choose_nearby
 from hollyspan_policy.routing import estimate_wait
 from hollyspan_policy.routing import UpstreamView
@@ -28,7 +28,6 @@
 # Mean time after which refused clients come back, seconds: about one online
 # request's time in a slot.
 RETRY_AFTER_S = 0.6
-HASH_RANGE = 2.0**64
 
 
 class Placement:
@@ -113,15 +112,12 @@
             Identifier of the request, which spreads clients over time so that
             they do not come back together.
         """
-        share = hash_parts("retry", key) / HASH_RANGE
-        return RETRY_AFTER_S * (0.5 + share)
+        return RETRY_AFTER_S * (0.5 + draw_share("retry", key))
 
     def estimate_wait(self, upstream):
         """Estimate the wait of an online request just sent, seconds."""
-        return estimate_wait(
-            self.build_view(upstream, self.reactor.seconds()),
-            service_seconds=self.service_seconds,
-        )
+        view = self.build_view(upstream, self.reactor.seconds())
+        return estimate_wait(view, service_seconds=self.service_seconds)
 
     def has_better(self, upstream, *, excluded):
         """Tell whether a silent upstream is worth leaving.
@@ -164,13 +160,14 @@
         """
         now = self.reactor.seconds()
         view = self.build_view(upstream, now)
+        wait = estimate_wait(view, service_seconds=self.service_seconds)
         age = now - upstream.reported_at
         return {
             "online": view.online,
             "batch": view.batch,
             "hidden": view.hidden,
             "waiting": view.waiting,
-            "expected_wait": round(self.estimate_wait(upstream), 3),
+            "expected_wait": round(wait, 3),
             "report_age": None if math.isinf(age) else round(age, 3),
         }
 
@@ -199,11 +196,10 @@
         """Count the items that this daemon has to stop at an upstream."""
         batch = {name: told[1] for name, told in upstream.peers.items()}
         batch[self.daemon] = upstream.batch
-        now = self.reactor.seconds()
-        hidden = upstream.hidden if upstream.is_reported(now=now) else 0
+        view = self.build_view(upstream, self.reactor.seconds())
         return count_excess(
-            slots=upstream.entry.slots - hidden,
-            online=upstream.count_online(),
+            slots=view.slots - view.hidden,
+            online=view.online,
             batch_by_daemon=batch,
             daemon=self.daemon,
         )
--- a/packages/hollyspan_policy/hollyspan_policy/hashing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/hashing.py
@@ -2,7 +2,9 @@
 
 import xxhash
 
-__all__ = ["hash_parts"]
+__all__ = ["draw_share", "hash_parts"]
+
+HASH_RANGE = 2.0**64
 
 
 def hash_parts(*parts):
@@ -23,3 +25,22 @@
     """
     content = "\0".join(parts).encode("utf-8", "surrogatepass")
     return xxhash.xxh3_64_intdigest(content)
+
+
+def draw_share(*parts):
+    """Return a number from 0 to below 1 that texts determine.
+
+    Parameters
+    ----------
+    *parts : str
+
+    Returns
+    -------
+    float
+
+    Examples
+    --------
+    >>> 0.0 <= draw_share("request", "a") < 1.0
+    True
+    """
+    return hash_parts(*parts) / HASH_RANGE
