Ignore further signals until the process has ended

Cause: test_repeated_signals_do_no_harm ended with -15 in place of 0, twice beside load. The handler blocked the signals in its thread. The interpreter puts its handlers back to the default when it ends, and a signal to the process then goes to a thread that does not block it.

Ruled out: the reactor, whose own clean-up leaves the handlers; a signal before the handlers were there, since the test waits until the daemon is ready.

Change: the first signal sets the others to be ignored, which the interpreter leaves as it is. The gateway's stop uses the same function.

Before: test_signals.py, a signal at the very end beside a second thread, ended with -15.

--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -11,6 +11,7 @@
 from twisted.web import client
 from twisted.web import resource
 
+from hollyspan_core.signals import handle_once
 from hollyspan_policy.membership import MemberTable
 
 from .burn import open_burn
@@ -161,16 +162,10 @@
             await drain(runtime, site=site, port=port)
         eliot.log_message(message_type="daemon:stop")
 
-    def ask_to_stop(number, frame):
-        # Further signals would end the process once the loop has stopped.
-        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    def ask_to_stop():
         reactor.callFromThread(finish_waiting, stop)
 
-    def install_handlers():
-        for number in STOP_SIGNALS:
-            signal.signal(number, ask_to_stop)
-
-    reactor.callWhenRunning(install_handlers)
+    reactor.callWhenRunning(handle_once, ask_to_stop, STOP_SIGNALS)
     task.react(lambda r: defer.ensureDeferred(run(r)), ())
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -10,6 +10,7 @@
 from twisted.web import http
 
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_core.signals import handle_once
 
 from .clock import wait
 from .gateway import Gateway
@@ -80,7 +81,7 @@
         reactor.addSystemEventTrigger(
             "after",
             "startup",
-            lambda: signal.signal(signal.SIGTERM, stopping.take_signal),
+            lambda: handle_once(stopping.ask, (signal.SIGTERM,)),
         )
         reactor.addSystemEventTrigger(
             "after",
@@ -236,7 +237,7 @@
         self.site = gateway.site
         self.began = None
 
-    def take_signal(self, number, frame):
+    def ask(self):
         """Begin to stop; called from a signal."""
         self.reactor.callFromThread(self.begin)
 
