Tell of load, in large fleets, those whom it concerns

Cause: with 80 gateways each change of load and each heartbeat went to 79 others. Each datagram made it look through all upstreams and all peers.

Change: a message touches only the upstreams that it names, and the membership is worked out only when it may have changed. Above 24 live gateways a change of load goes to those in the upstream's region and to workers with items there; heartbeats come every 0.3 to 1 s, by the fleet's size, and tell when the next one comes. An upstream in another region then costs 76 ms in place of 16, since its load is known late; another data centre of the own region costs 2 ms. Items go to upstreams of the own region before others.

Ruled out: longer gathering of changes (a gateway has four changes a second, so nothing would be gathered); a relay per data centre (its load grows with the fleet, and it is one more thing to lose).

--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -48,13 +48,20 @@
 def build_gateway(reactor, store):
     """Return a function that builds a gateway with some upstreams."""
 
-    def build(*, name="g1", upstreams=("u1", "u2"), slots=8, routes=None):
+    def build(
+        *,
+        name="g1",
+        data_centre="a",
+        upstreams=("u1", "u2"),
+        slots=8,
+        routes=None,
+    ):
         gateway = Gateway(
             reactor=reactor,
             settings=GatewaySettings(
                 instance=name,
-                data_centre="a",
-                region="r",
+                data_centre=data_centre,
+                regions={"a": "r", "b": "r", "far": "s"},
                 ip="10.0.0.9",
                 client_port=1,
                 ready_port=2,
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -71,11 +71,15 @@
             directory=self.directory,
             daemon=build_identifier(hash_parts(settings.instance)),
             data_centre=settings.data_centre,
+            find_region=settings.find_region,
+            knows_remote=lambda: self.peers.tells_all(),
             on_change=self.note_load,
         )
         self.peers = PeerTable(
             reactor=reactor,
             name=settings.instance,
+            find_region=settings.find_region,
+            data_centre=settings.data_centre,
             incarnation=incarnation,
             describe=self.describe,
             list_loads=self.list_loads,
@@ -200,17 +204,19 @@
             if upstream.online or upstream.batch
         ]
 
-    def take_message(self, peer, message):
+    def take_message(self, peer, message, change):
         """Take over a peer's load and notice what it knows better."""
         now = self.reactor.seconds()
         news = {load.upstream: load for load in message.loads}
-        for upstream in self.directory.upstreams.values():
-            key = hash_parts(upstream.entry.name)
+        for key in change.upstreams:
+            upstream = self.directory.by_key.get(key)
+            if upstream is None:
+                continue
             load = peer.loads.get(key)
             if load is None:
-                upstream.peers.pop(peer.identifier, None)
+                upstream.forget_told(peer.identifier)
             else:
-                upstream.peers[peer.identifier] = load
+                upstream.take_told(peer.identifier, load)
             if key in news:
                 self.take_news(upstream, news[key], now=now)
             if self.worker is not None:
@@ -236,7 +242,7 @@
         for upstream in self.directory.upstreams.values():
             for name in list(upstream.peers):
                 if name not in live:
-                    del upstream.peers[name]
+                    upstream.forget_told(name)
         if self.worker is not None:
             self.worker.recheck()
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -242,7 +242,7 @@
     submit(6, due=5.0)
     upstream = gateway.directory.upstreams["u1"]
     assert upstream.batch == 6
-    upstream.peers["p"] = (4, 0)
+    upstream.take_told("p", (4, 0))
     gateway.worker.make_room(upstream)
     assert upstream.batch == 2
     assert sum(each.is_cancelled for each in gateway.pool.sent) == 4
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -163,7 +163,7 @@
 
 def test_what_cannot_begin_in_time_is_refused_at_once(start, gateway):
     for upstream in gateway.directory.upstreams.values():
-        upstream.peers["p"] = (100, 0)
+        upstream.take_told("p", (100, 0))
     relay = start()
     failure = find_failure(relay)
     assert failure.outcome is Outcome.NOT_RUN
@@ -202,7 +202,7 @@
 
 def test_the_belief_at_the_choice_is_kept_for_the_log(start, gateway, reactor):
     for upstream in gateway.directory.upstreams.values():
-        upstream.peers["p"] = (8, 1)
+        upstream.take_told("p", (8, 1))
         upstream.take_report(8, 4, now=reactor.seconds())
     reactor.advance(0.25)
     relay = start()
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -41,6 +41,8 @@
         isLeaving=message.is_leaving,
         reachesStore=message.reaches_store,
         wantsReply=message.wants_reply,
+        region=message.region,
+        beatMs=round(message.beat_seconds * 1000),
     )
     if message.loads:
         loads = wire.init("loads", len(message.loads))
@@ -100,6 +102,8 @@
             items=list(wire.items),
             wants_reply=wire.wantsReply,
             heard=list(wire.heard),
+            region=wire.region,
+            beat_seconds=wire.beatMs / 1000,
         )
     except (capnp.KjException, ValueError) as fault:
         raise PeerMessageError("a datagram cannot be decoded") from fault
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -27,4 +27,6 @@
   items @10 :List(UInt64);  # items that run here
   wantsReply @11 :Bool;     # the sender has just started
   heard @12 :List(UInt64);  # gateways that run items and are heard here
+  region @13 :UInt64;       # hash of the sender's region
+  beatMs @14 :UInt16;       # time until the next full message, milliseconds
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -56,6 +56,10 @@
     wants_reply : bool, optional
     heard : list of int, optional
         Hashes of the gateways that run items and that the sender hears.
+    region : int, optional
+        Hash of the sender's region.
+    beat_seconds : float, optional
+        Time until the next full message.
     """
 
     __slots__ = (
@@ -72,6 +76,8 @@
         "items",
         "wants_reply",
         "heard",
+        "region",
+        "beat_seconds",
     )
 
     def __init__(
@@ -90,6 +96,8 @@
         items=(),
         wants_reply=False,
         heard=(),
+        region=0,
+        beat_seconds=0.0,
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -104,3 +112,5 @@
         self.items = items
         self.wants_reply = wants_reply
         self.heard = heard
+        self.region = region
+        self.beat_seconds = beat_seconds
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -2,10 +2,12 @@
 
 import eliot
 from twisted.internet import protocol
-from twisted.internet import task
 
 from hollyspan_core.errors import PeerMessageError
 from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.membership import choose_audience
+from hollyspan_policy.membership import choose_beat_seconds
+from hollyspan_policy.membership import is_small_fleet
 
 from .codec import decode_message
 from .codec import encode_message
@@ -16,10 +18,6 @@
 
 __all__ = ["PeerTable"]
 
-# Seconds between two full messages, and of silence after which a gateway
-# counts as lost: three missed messages and the longest way between regions.
-BEAT_S = 0.3
-LOST_S = 1.0
 # Seconds that a change of load may wait for others to go with it; far below
 # the time in which an online request's first event is due.
 COALESCE_S = 0.008
@@ -34,13 +32,16 @@
     ----------
     reactor : twisted reactor
     name : str
+    find_region : callable
+        Returns the region of a data centre.
+    data_centre : str
     incarnation : int
     describe : callable
         Returns a dict with the state for a full message.
     list_loads : callable
         Returns the upstreams with requests in flight.
     on_message : callable
-        Called with a Peer and its FleetMessage.
+        Called with a Peer, its FleetMessage and what that has changed.
     on_membership : callable
         Called without arguments when a gateway appears, is lost or leaves.
 
@@ -59,6 +60,8 @@
         *,
         reactor,
         name,
+        find_region,
+        data_centre,
         incarnation,
         describe,
         list_loads,
@@ -68,6 +71,8 @@
         self.reactor = reactor
         self.key = hash_parts(name)
         self.identifier = build_identifier(self.key)
+        self.find_region = find_region
+        self.region = hash_parts(find_region(data_centre))
         self.incarnation = incarnation
         self.describe = describe
         self.list_loads = list_loads
@@ -79,15 +84,26 @@
         self.flush_call = None
         self.beats = 0
         self.live = frozenset()
-        self.loop = task.LoopingCall(self.beat)
+        self.beat_call = None
 
     def startProtocol(self):
-        self.loop.clock = self.reactor
-        self.loop.start(BEAT_S)
+        self.keep_beating()
 
     def stopProtocol(self):
-        if self.loop.running:
-            self.loop.stop()
+        if self.beat_call is not None:
+            self.beat_call.cancel()
+            self.beat_call = None
+
+    def keep_beating(self):
+        """Send a full message now and again and again."""
+        self.beat_call = self.reactor.callLater(
+            self.find_beat_seconds(), self.keep_beating
+        )
+        self.beat()
+
+    def find_beat_seconds(self):
+        """Return the time between two full messages."""
+        return choose_beat_seconds(len(self.list_live()))
 
     def add(self, name, address):
         """Add a gateway that the store lists."""
@@ -104,11 +120,7 @@
     def list_live(self):
         """Return the gateways that are heard."""
         now = self.reactor.seconds()
-        return [
-            peer
-            for peer in self.peers.values()
-            if peer.heard is not None and now - peer.heard < LOST_S
-        ]
+        return [peer for peer in self.peers.values() if peer.is_live(now)]
 
     def list_workers(self):
         """Return the gateways that run items and live.
@@ -141,15 +153,39 @@
             self.flush_call = self.reactor.callLater(COALESCE_S, self.flush)
 
     def flush(self):
-        """Send the changed loads."""
+        """Send the changed loads, in a large fleet to those concerned."""
         self.flush_call = None
         changed, self.changed = self.changed, {}
-        loads = [
-            build_load(upstream, with_news=True)
-            for upstream in changed.values()
-        ]
-        message = self.build_message(loads=loads, is_full=False)
-        self.send(self.list_live(), message)
+        live = self.list_live()
+        loads = {}
+        audiences = {}
+        for upstream in changed.values():
+            audience = self.choose_audience(upstream, live)
+            keys = frozenset(peer.key for peer in audience)
+            audiences[keys] = audience
+            loads.setdefault(keys, []).append(
+                build_load(upstream, with_news=True)
+            )
+        for keys, audience in audiences.items():
+            message = self.build_message(loads=loads[keys], is_full=False)
+            self.send(audience, message)
+
+    def tells_all(self):
+        """Tell whether each change of load goes to all gateways at once."""
+        return is_small_fleet(len(self.list_live()))
+
+    def choose_audience(self, upstream, live):
+        """Return the live gateways that a change of load concerns."""
+        region = self.find_region(upstream.entry.data_centre)
+        return choose_audience(
+            live,
+            region=hash_parts(region),
+            holders={
+                peer
+                for peer in live
+                if upstream.peers.get(peer.identifier, (0, 0))[1]
+            },
+        )
 
     def beat(self):
         """Send a full message to all, and notice who is lost."""
@@ -168,6 +204,8 @@
             is_full=True,
             wants_reply=wants_reply,
             heard=[peer.key for peer in self.list_live() if peer.runs_batch],
+            region=self.region,
+            beat_seconds=self.find_beat_seconds(),
             **self.describe(),
         )
         self.send(peers, message)
@@ -205,12 +243,16 @@
             peer = Peer(key=message.sender, address=address)
             self.peers[message.sender] = peer
         peer.address = address
-        if not peer.take(message, now=self.reactor.seconds()):
+        now = self.reactor.seconds()
+        was_live = peer.is_live(now)
+        change = peer.take(message, now=now)
+        if change is None:
             return
         if message.wants_reply:
             self.send_full([peer])
-        self.on_message(peer, message)
-        self.notice_members()
+        self.on_message(peer, message, change)
+        if change.is_member_news or not was_live:
+            self.notice_members()
 
     def notice_members(self):
         """Report a change of the gateways that are heard."""
@@ -233,7 +275,7 @@
 def build_load(upstream, *, with_news=False):
     """Return the load of an upstream, with what peers have not been told."""
     load = UpstreamLoad(
-        upstream=hash_parts(upstream.entry.name),
+        upstream=upstream.entry.key,
         online=upstream.online,
         batch=upstream.batch,
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -176,3 +176,71 @@
     assert peer.take(message, now=0.0)
     message.sequence = newest
     assert not peer.take(message, now=0.0)
+
+
+@pytest.fixture
+def large_fleet(build_gateway, net):
+    """Fifteen gateways near the upstreams and fifteen in another region."""
+    places = ["a"] * 15 + ["far"] * 15
+    gateways = []
+    for port, place in enumerate(places, 1):
+        gateway = build_gateway(name=f"g{port}", data_centre=place)
+        net.join(gateway, port)
+        gateways.append(gateway)
+    for gateway in gateways:
+        for port in range(1, len(places) + 1):
+            gateway.peers.add(f"g{port}", ("10.0.0.1", port))
+    return gateways
+
+
+def count_told(gateways):
+    """Count the gateways that know of an online request at an upstream."""
+    return sum(
+        gateway.directory.upstreams["u1"].told_online > 0
+        for gateway in gateways
+    )
+
+
+def test_a_large_fleet_tells_those_near_the_upstream(large_fleet, reactor):
+    beat(large_fleet, reactor, 0.9)
+    sender, near, far = large_fleet[0], large_fleet[1:15], large_fleet[15:]
+    holder = far[0]
+    with holder.placement.hold_batch(holder.directory.upstreams["u1"]):
+        beat(large_fleet, reactor, 0.3)
+        with sender.placement.hold_online(sender.directory.upstreams["u1"]):
+            reactor.advance(0.02)
+            assert count_told(near) == len(near)
+            assert count_told(far) == count_told([holder]) == 1
+            beat(large_fleet, reactor, 0.3)
+            assert count_told(far) == len(far)
+
+
+def test_heartbeats_of_a_large_fleet_are_rarer(large_fleet, reactor):
+    beat(large_fleet, reactor, 0.9)
+    peer, *_ = large_fleet[0].peers.list_live()
+    assert peer.beat_seconds == pytest.approx(0.3 * 29 / 24, abs=0.001)
+    # Three such heartbeats may be missed.
+    beat(large_fleet[:1], reactor, 0.9)
+    assert len(large_fleet[0].peers.list_live()) == 29
+    beat(large_fleet[:1], reactor, 0.6)
+    assert large_fleet[0].peers.list_live() == []
+
+
+def test_a_message_changes_only_what_it_names(fleet, reactor):
+    beat(fleet, reactor, 0.6)
+    (peer,) = [
+        peer
+        for peer in fleet[0].peers.list_live()
+        if peer.key == hash_parts("f1")
+    ]
+    upstream = fleet[3].directory.upstreams["u1"]
+    with fleet[3].placement.hold_online(upstream):
+        load = fleet[3].peers.build_message(loads=[], is_full=False)
+        change = peer.take(load, now=reactor.seconds())
+        assert change.upstreams == set()
+        assert not change.is_member_news
+        fleet[3].is_draining = True
+        fleet[3].peers.beat()
+    # The full message told that the sender leaves, and the load.
+    assert fleet[0].directory.upstreams["u1"].told_online == 1
+    assert peer.is_leaving
--- a/packages/hollyspan_gateway/hollyspan_gateway/settings.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/settings.py
@@ -10,7 +10,9 @@
     ----------
     instance : str
         Name of the machine.
-    data_centre, region : str
+    data_centre : str
+    regions : dict
+        Region by data centre.
     ip : str
     client_port, ready_port : int or None
         None for a gateway that takes no requests of clients.
@@ -27,7 +29,7 @@
     __slots__ = (
         "instance",
         "data_centre",
-        "region",
+        "regions",
         "ip",
         "client_port",
         "ready_port",
@@ -44,7 +46,7 @@
         *,
         instance,
         data_centre,
-        region,
+        regions,
         ip,
         client_port,
         ready_port,
@@ -57,7 +59,7 @@
     ):
         self.instance = instance
         self.data_centre = data_centre
-        self.region = region
+        self.regions = regions
         self.ip = ip
         self.client_port = client_port
         self.ready_port = ready_port
@@ -67,3 +69,12 @@
         self.runs_batch = runs_batch
         self.store_address = store_address
         self.grace_seconds = grace_seconds
+
+    @property
+    def region(self):
+        """Region of this gateway."""
+        return self.find_region(self.data_centre)
+
+    def find_region(self, data_centre):
+        """Return the region of a data centre, its own name if unknown."""
+        return self.regions.get(data_centre, data_centre)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -35,14 +35,20 @@
     reactor : twisted reactor
     on_leaving : callable
         Called with an Upstream that no longer takes new work.
+
+    Attributes
+    ----------
+    upstreams, by_key : dict
+        Upstream by its name, and by the hash of it.
     """
 
-    __slots__ = ("reactor", "on_leaving", "upstreams")
+    __slots__ = ("reactor", "on_leaving", "upstreams", "by_key")
 
     def __init__(self, *, reactor, on_leaving):
         self.reactor = reactor
         self.on_leaving = on_leaving
         self.upstreams = {}
+        self.by_key = {}
 
     def update(self, entries, *, lapse_until=0.0):
         """Take over what the store lists.
@@ -88,7 +94,9 @@
     def update_entry(self, name, entry):
         known = self.upstreams.get(name)
         if known is None or known.entry.born != entry.born:
-            self.upstreams[name] = Upstream(entry=entry)
+            upstream = Upstream(entry=entry)
+            self.upstreams[name] = upstream
+            self.by_key[entry.key] = upstream
             log_change("upstream:listed", entry)
             return
         was_ready = known.entry.is_ready
@@ -131,6 +139,7 @@
     def remove(self, upstream):
         """Forget an upstream that is gone."""
         del self.upstreams[upstream.entry.name]
+        del self.by_key[upstream.entry.key]
         upstream.entry.is_ready = False
         log_change("upstream:gone", upstream.entry)
         self.on_leaving(upstream)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -40,15 +40,32 @@
     daemon : str
         Identifier of this gateway.
     data_centre : str
+    find_region : callable
+        Returns the region of a data centre.
+    knows_remote : callable
+        Tells whether the load in other regions is known at once.
     on_change : callable
         Called with an Upstream whose counts have changed.
     """
 
-    def __init__(self, *, reactor, directory, daemon, data_centre, on_change):
+    def __init__(
+        self,
+        *,
+        reactor,
+        directory,
+        daemon,
+        data_centre,
+        find_region,
+        knows_remote,
+        on_change,
+    ):
         self.reactor = reactor
         self.directory = directory
         self.daemon = daemon
         self.data_centre = data_centre
+        self.find_region = find_region
+        self.region = find_region(data_centre)
+        self.knows_remote = knows_remote
         self.on_change = on_change
         self.service_seconds = INITIAL_SERVICE_S
 
@@ -91,6 +108,8 @@
         view = choose_nearby(
             views,
             data_centre=self.data_centre,
+            is_near=self.is_near,
+            knows_remote=self.knows_remote(),
             service_seconds=self.service_seconds,
             excluded=excluded,
             seed=key,
@@ -188,13 +207,20 @@
         view = choose_batch_upstream(
             self.build_views(service, with_suspects=False),
             data_centre=self.data_centre,
+            is_near=self.is_near,
             headroom_share=0.0 if is_urgent else BATCH_HEADROOM,
         )
         return None if view is None else self.directory.upstreams[view.name]
 
+    def is_near(self, data_centre):
+        """Tell whether a data centre is in the own region."""
+        return self.find_region(data_centre) == self.region
+
     def count_batch_excess(self, upstream):
         """Count the items that this daemon has to stop at an upstream."""
-        batch = {name: told[1] for name, told in upstream.peers.items()}
+        batch = {
+            name: told[1] for name, told in upstream.peers.items() if told[1]
+        }
         batch[self.daemon] = upstream.batch
         view = self.build_view(upstream, self.reactor.seconds())
         return count_excess(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -2,6 +2,8 @@
 
 import math
 
+from hollyspan_policy.hashing import hash_parts
+
 __all__ = ["Upstream", "UpstreamEntry"]
 
 # Seconds for which a report counts: the time in which most of the online
@@ -28,6 +30,11 @@
         False once it has announced that it leaves.
     born : int or None
         Unix milliseconds of its start.
+
+    Attributes
+    ----------
+    key : int
+        Hash of its name, by which gateways tell each other of it.
     """
 
     __slots__ = (
@@ -38,6 +45,7 @@
         "slots",
         "is_ready",
         "born",
+        "key",
     )
 
     def __init__(
@@ -58,6 +66,7 @@
         self.slots = slots
         self.is_ready = is_ready
         self.born = born
+        self.key = hash_parts(name)
 
 
 class Upstream:
@@ -73,7 +82,9 @@
         Requests in flight from this daemon.
     peers : dict
         (online, batch) in flight from other gateways, by their
-        identifiers.
+        identifiers; changed by `take_told` and `forget_told`.
+    told_online, told_batch : int
+        Their sums.
     suspect_until : float
         Time until which new work goes elsewhere, since the last sends
         failed.
@@ -100,6 +111,8 @@
         "online",
         "batch",
         "peers",
+        "told_online",
+        "told_batch",
         "suspect_until",
         "failures",
         "is_listed",
@@ -116,6 +129,8 @@
         self.online = 0
         self.batch = 0
         self.peers = {}
+        self.told_online = 0
+        self.told_batch = 0
         self.suspect_until = 0.0
         self.failures = 0
         self.is_listed = True
@@ -128,11 +143,31 @@
 
     def count_online(self):
         """Return the online requests in flight from all daemons."""
-        return self.online + sum(told[0] for told in self.peers.values())
+        return self.online + self.told_online
 
     def count_batch(self):
         """Return the batch items in flight from all daemons."""
-        return self.batch + sum(told[1] for told in self.peers.values())
+        return self.batch + self.told_batch
+
+    def take_told(self, identifier, load):
+        """Take in what another gateway has in flight here.
+
+        Parameters
+        ----------
+        identifier : str
+        load : (int, int)
+            Online requests and batch items.
+        """
+        self.forget_told(identifier)
+        self.peers[identifier] = load
+        self.told_online += load[0]
+        self.told_batch += load[1]
+
+    def forget_told(self, identifier):
+        """Forget what another gateway has in flight here."""
+        online, batch = self.peers.pop(identifier, (0, 0))
+        self.told_online -= online
+        self.told_batch -= batch
 
     def take_report(self, running, waiting, *, now):
         """Take in the load that the upstream tells with an answer.
--- a/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
@@ -3,7 +3,9 @@
 __all__ = ["choose_batch_upstream", "count_excess"]
 
 
-def choose_batch_upstream(views, *, data_centre, headroom_share=0.0):
+def choose_batch_upstream(
+    views, *, data_centre, is_near=None, headroom_share=0.0
+):
     """Choose the upstream for one more batch stream.
 
     Parameters
@@ -11,6 +13,9 @@
     views : iterable of UpstreamView
     data_centre : str
         Where the asking daemon is; its own upstreams come first.
+    is_near : callable, optional
+        Tells whether another data centre is in the daemon's region; those come
+        next, since word of online requests there comes sooner.
     headroom_share : float, optional
         Share of all slots together that stays free. One free slot anywhere
         serves the next online request, so the share is not kept at each
@@ -45,6 +50,7 @@
         usable,
         key=lambda view: (
             view.data_centre == data_centre,
+            is_near is not None and is_near(view.data_centre),
             count_room(view),
             view.name,
         ),
--- a/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_sharing.py
@@ -102,3 +102,10 @@
     with_headroom = count_preemptions(0.06, seed=seed)
     without = count_preemptions(0.0, seed=seed)
     assert with_headroom < without / 2
+
+
+def test_the_own_region_goes_before_another_one():
+    near = UpstreamView(name="near", data_centre="b", slots=SLOTS, online=6)
+    far = UpstreamView(name="far", data_centre="c", slots=SLOTS)
+    assert choose([near, far], is_near=lambda place: place == "b") == "near"
+    assert choose([near, far]) == "far"
--- a/packages/hollyspan_policy/hollyspan_policy/membership/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/__init__.py
@@ -1,5 +1,8 @@
 """Which daemons are live."""
 
+from .audience import choose_audience
+from .audience import choose_beat_seconds
+from .audience import is_small_fleet
 from .member import Member
 from .partners import choose_partners
 from .pause import PauseGuard
@@ -8,6 +11,9 @@
 from .table import MemberTable
 
 __all__ = [
+    "choose_audience",
+    "choose_beat_seconds",
+    "is_small_fleet",
     "Member",
     "MemberState",
     "MemberTable",
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/tests/test_audience.py
@@ -0,0 +1,54 @@
+"""Messages that a daemon gets, by the size of the fleet."""
+
+import collections
+
+import pytest
+
+from hollyspan_policy.membership import choose_audience
+from hollyspan_policy.membership import choose_beat_seconds
+
+Daemon = collections.namedtuple("Daemon", "name region")
+
+REGIONS = ("a", "b", "c")
+# Changes of load a second at each daemon: two requests that begin and end.
+CHANGES = 4.0
+
+
+def build_fleet(count):
+    return [
+        Daemon(number, REGIONS[number % len(REGIONS)])
+        for number in range(count)
+    ]
+
+
+def count_received(count):
+    """Return the datagrams a second that one daemon gets."""
+    fleet = build_fleet(count)
+    beats = (count - 1) / choose_beat_seconds(count - 1)
+    told = len(choose_audience(fleet[1:], region="a", holders=()))
+    return beats + told * CHANGES
+
+
+def test_all_of_a_small_fleet_are_told():
+    fleet = build_fleet(12)
+    assert choose_audience(fleet, region="a", holders=()) == fleet
+
+
+def test_those_near_and_those_with_batch_work_are_told():
+    fleet = build_fleet(80)
+    holder = fleet[1]
+    told = choose_audience(fleet, region="a", holders={holder})
+    assert holder in told
+    assert {daemon.region for daemon in told if daemon != holder} == {"a"}
+    assert len(told) == 28
+
+
+@pytest.mark.parametrize(
+    ("live", "seconds"), [(0, 0.3), (24, 0.3), (48, 0.6), (80, 1.0)]
+)
+def test_heartbeats_grow_rarer(live, seconds):
+    assert choose_beat_seconds(live) == pytest.approx(seconds)
+
+
+def test_the_messages_of_80_daemons_stay_near_those_of_a_small_fleet():
+    assert count_received(80) < 2 * count_received(24)
--- a/packages/hollyspan_policy/hollyspan_policy/routing/nearby.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/nearby.py
@@ -5,15 +5,33 @@
 
 __all__ = ["choose_nearby", "estimate_start"]
 
-# Seconds that an upstream of another data centre costs: a round trip between
+# Seconds that an upstream of another region costs: a round trip between
 # regions, which also stands for the price of the bytes.
 REMOTE_S = 0.016
+# Seconds that an upstream of another region costs in a fleet that tells of
+# load there with heartbeats only: what such a view is off by, up to a second
+# old, against a near upstream whose batch work gives way at once.
+HEARSAY_S = 0.06
+# Seconds that another data centre of the own region costs: a round trip.
+NEIGHBOUR_S = 0.002
 # Seconds for each slot in use: steps grow with the streams that run, and a
 # nearly full upstream is the first to fill up while word of it travels.
 LOAD_S = 0.004
 
 
-def estimate_start(view, *, data_centre, service_seconds):
+def is_elsewhere(data_centre):
+    """Tell that each other data centre is in another region."""
+    return False
+
+
+def estimate_start(
+    view,
+    *,
+    data_centre,
+    service_seconds,
+    is_near=is_elsewhere,
+    knows_remote=True,
+):
     """Estimate the time until an upstream starts a new request.
 
     Parameters
@@ -23,6 +41,10 @@
         Where the asking daemon is.
     service_seconds : float
         Mean time that an online request holds a slot, seconds.
+    is_near : callable, optional
+        Tells whether another data centre is in the daemon's region.
+    knows_remote : bool, optional
+        False when the load in other regions is known with a delay.
 
     Returns
     -------
@@ -31,12 +53,22 @@
     """
     start = estimate_wait(view, service_seconds=service_seconds)
     if view.data_centre != data_centre:
-        start += REMOTE_S
+        if is_near(view.data_centre):
+            start += NEIGHBOUR_S
+        else:
+            start += REMOTE_S if knows_remote else REMOTE_S + HEARSAY_S
     return start + LOAD_S * (view.online + view.batch)
 
 
 def choose_nearby(
-    views, *, data_centre, service_seconds, excluded=(), seed=""
+    views,
+    *,
+    data_centre,
+    service_seconds,
+    is_near=is_elsewhere,
+    knows_remote=True,
+    excluded=(),
+    seed="",
 ):
     """Choose the upstream that starts an online request first.
 
@@ -47,6 +79,10 @@
         Where the asking daemon is.
     service_seconds : float
         Mean time that an online request holds a slot, seconds.
+    is_near : callable, optional
+        Tells whether another data centre is in the daemon's region.
+    knows_remote : bool, optional
+        False when the load in other regions is known with a delay.
     excluded : collection of str, optional
         Upstreams tried already.
     seed : str, optional
@@ -68,7 +104,11 @@
 
     def rank(view):
         start = estimate_start(
-            view, data_centre=data_centre, service_seconds=service_seconds
+            view,
+            data_centre=data_centre,
+            service_seconds=service_seconds,
+            is_near=is_near,
+            knows_remote=knows_remote,
         )
         return start, hash_parts(seed, view.name)
 
--- a/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_nearby.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_nearby.py
@@ -49,3 +49,20 @@
     views = [build_view(f"u{number}") for number in range(4)]
     chosen = {choose(views, seed=str(number)) for number in range(40)}
     assert len(chosen) == 4
+
+
+def test_the_own_region_goes_before_another_one():
+    views = [build_view("f", "c"), build_view("n", "b", online=2)]
+    assert choose(views, is_near=lambda place: place == "b") == "n"
+    assert choose(views) == "f"
+
+
+def test_a_view_from_afar_that_is_old_weighs_less():
+    """Eight batch streams near, that give way, and a slot that may be gone."""
+    near = build_view("n", batch=8)
+    far = build_view("f", "b", online=2)
+    assert choose([near, far]) == "f"
+    assert choose([near, far], knows_remote=False) == "n"
+    # A queue near by still goes after a free slot far away.
+    near = build_view("n", online=9)
+    assert choose([near, far], knows_remote=False) == "f"
