Have one gateway of a region read a job for the others

Cause: each read of a job's client comes on a new connection and so at another gateway.

Change: rendezvous hashing names the job's reader among the live gateways of the region; the others pass a read on and answer with its bytes. Without an answer in 0.6 s beyond the wait, or with any other answer than success, a gateway reads the store itself. Positions are those of the store's order, so they are the same from both.

Ruled out: reading through one gateway of the whole fleet (results would cross regions twice); leaving it at shared views (67 gateways share little).

Counters and metrics also tell sends by result, events, the age of reports at the choice, processor time and peak memory.

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -19,6 +19,7 @@
 from .metrics import Metrics
 from .online.server import ClientSite
 from .peers import copies
+from .peers import READS_PATH
 from .store import Store
 
 __all__ = ["run_gateway"]
@@ -131,10 +132,14 @@
 
 
 def answer_internal(gateway, request):
-    """Answer a peer or a reader of metrics."""
+    """Answer a peer or a scrape of the metrics."""
     if request.uri == METRICS_PATH:
         answer_metrics(gateway, request)
         return
+    if request.uri.startswith(READS_PATH):
+        target = request.uri.removeprefix(READS_PATH).decode("latin-1")
+        gateway.reading.answer_peer(request, target)
+        return
     mirror = gateway.mirrors.get(
         request.uri.removeprefix(copies.PATH).decode("latin-1")
     )
@@ -195,6 +200,8 @@
         "gateway:counters",
         store_calls=gateway.store.wire.describe_calls(),
         connections=gateway.pool.opened,
+        events=gateway.metrics.events,
+        processor_seconds=round(time.process_time(), 4),
         requests=dict(gateway.metrics.requests),
         items=dict(gateway.metrics.items),
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -7,6 +7,7 @@
 from hollyspan_policy.hashing import hash_parts
 
 from .http1 import ConnectionPool
+from .jobs.reading import JobReading
 from .jobs.submissions import Submissions
 from .online.service import OnlineService
 from .peers import build_identifier
@@ -105,6 +106,7 @@
         self.retirement = Retirement(gateway=self)
         self.refresh = Refresh(gateway=self)
         self.submissions = Submissions(gateway=self)
+        self.reading = JobReading(gateway=self)
         self.online = OnlineService(gateway=self)
 
     @property
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -1,25 +1,15 @@
-"""Submission, reading and end of jobs."""
+"""Submission and end of jobs."""
 
 import eliot
 
-from hollyspan_core.errors import BatchNotFoundError
 from hollyspan_core.errors import StoreKeyExistsError
 
 from .job import Job
-from .loading import load_job
 from .records import build_end_key
 from .records import encode_job
-from .view import JobView
 
 __all__ = ["Submissions"]
 
-# Seconds without a read after which a job's results leave the memory.
-VIEW_IDLE_S = 20.0
-# Longest wait of a read for news, seconds; the client waits 1.5 s longer than
-# it allows.
-MAX_WAIT_S = 1.0
-# Bytes of outputs in one answer, below the megabyte that it may have.
-ANSWER_BYTES = 700_000
 # Time for a job whose route states none, seconds.
 DEFAULT_COMPLETION_S = 3600.0
 
@@ -34,7 +24,6 @@
 
     def __init__(self, *, gateway):
         self.gateway = gateway
-        self.views = {}
 
     async def handle(self, request, head, route):
         """Take a job in.
@@ -84,56 +73,9 @@
             return False
         return True
 
-    async def find_view(self, identifier):
-        """Return the view of a job.
-
-        Raises
-        ------
-        BatchNotFoundError
-        StoreUnavailableError
-        """
-        self.drop_idle()
-        view = self.views.get(identifier)
-        if view is not None:
-            return view
-        job = await load_job(self.gateway.store, identifier)
-        if job is None:
-            raise BatchNotFoundError("no such job")
-        view = JobView(
-            job=job, store=self.gateway.store, reactor=self.gateway.reactor
-        )
-        return self.views.setdefault(identifier, view)
-
-    def drop_idle(self):
-        """Forget the results of jobs that nobody reads."""
-        before = self.gateway.reactor.seconds() - VIEW_IDLE_S
-        for identifier, view in list(self.views.items()):
-            if view.used < before and not view.is_reading:
-                del self.views[identifier]
-
-    async def read(self, request, identifier, *, position, wait_seconds):
-        """Answer with the results from a position on."""
-        view = await self.find_view(identifier)
-        await view.wait_for(position, seconds=min(wait_seconds, MAX_WAIT_S))
-        results = limit_results(view.results[position:])
-        status, headers, body = self.gateway.dialect.encode_results(
-            total=len(view.job.items), position=position, results=results
-        )
-        request.answer(status, headers, body)
-
-    async def read_body(self, request, identifier, item):
-        """Answer with the body of an item."""
-        view = await self.find_view(identifier)
-        found = view.bodies.get(item)
-        if found is None:
-            raise BatchNotFoundError("no such item")
-        request.answer(
-            200, self.gateway.dialect.list_body_headers(), found.body
-        )
-
     async def end(self, request, identifier):
         """End a job."""
-        await self.find_view(identifier)
+        await self.gateway.reading.find_view(identifier)
         try:
             await self.gateway.store.create({build_end_key(identifier): b""})
         except StoreKeyExistsError:
@@ -141,13 +83,3 @@
         else:
             eliot.log_message("job:ended", job=identifier)
         request.answer(200, [], b"")
-
-
-def limit_results(results):
-    """Return the first results whose outputs fit into one answer."""
-    size = 0
-    for count, result in enumerate(results):
-        size += len(result.output)
-        if count and size > ANSWER_BYTES:
-            return results[:count]
-    return results
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_reading.py
@@ -0,0 +1,174 @@
+"""Reads of jobs, by the gateway that reads a job and by the others."""
+
+import pytest
+from twisted.internet import defer
+
+from hollyspan_core.errors import BatchNotFoundError
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import ItemResult
+from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import build_result_key
+from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.records import encode_result
+from hollyspan_gateway.peers import FleetMessage
+
+PREFIX = b"/jobs/"
+
+
+@pytest.fixture
+def submit(store, run):
+    """Return a function that stores a job with one item and its result."""
+
+    def create(identifier="j", *, name="i1"):
+        job = Job(
+            identifier=identifier,
+            host="h",
+            path="/b/",
+            submitted=0.0,
+            due=9.0,
+            retained_until=9.0,
+            items=[Item(identifier=name, path="/b/x", headers=[], body=b"B")],
+        )
+        result = ItemResult(identifier=name, is_done=True, output=b"x")
+        run(store.create(encode_job(job)))
+        key = build_result_key(identifier, name)
+        run(store.create({key: encode_result(result)}))
+
+    return create
+
+
+@pytest.fixture
+def pair(build_gateway, reactor):
+    """Two gateways of one region that hear each other."""
+    gateways = [build_gateway(name=name) for name in ("g1", "g2")]
+    for gateway in gateways:
+        for other in gateways:
+            gateway.peers.add(other.settings.instance, ("10.0.0.1", 1))
+        for peer in gateway.peers.peers.values():
+            hear(gateway, peer, reactor)
+    return gateways
+
+
+def hear(gateway, peer, reactor, **state):
+    values = {"reaches_store": True, "region": gateway.peers.region, **state}
+    message = FleetMessage(
+        sender=peer.key,
+        incarnation=1,
+        sequence=peer.sequence + 1,
+        is_full=True,
+        loads=[],
+        beat_seconds=0.3,
+        **values,
+    )
+    peer.take(message, now=reactor.seconds())
+
+
+def find_job(gateway, *, is_read_here):
+    """Return a job that the gateway reads itself, or that its peer reads."""
+    return next(
+        name
+        for name in map(str, range(100))
+        if (gateway.reading.find_reader(name) is None) == is_read_here
+    )
+
+
+def read(gateway, helpers, reactor, identifier, **changes):
+    request = helpers.build_request(reactor=reactor)
+    options = {"position": 0, "wait_seconds": 0.0, **changes}
+    work = defer.ensureDeferred(
+        gateway.reading.read(request, identifier, **options)
+    )
+    request.ended = []
+    work.addBoth(request.ended.append)
+    return request
+
+
+def carry(source, target, helpers, reactor):
+    """Let the target answer what the source has last sent."""
+    sent = source.pool.last
+    request = helpers.build_request(reactor=reactor)
+    path = sent.exchange.target.removeprefix(PREFIX).decode()
+    target.reading.answer_peer(request, path)
+    headers = [(b"Content-Type", b"text/x"), (b"Date", b"now")]
+    sent.answer(request.status, headers=headers, body=request.written)
+
+
+def test_both_gateways_agree_on_a_job_s_reader(pair):
+    for name in map(str, range(20)):
+        is_first = pair[0].reading.find_reader(name) is None
+        is_second = pair[1].reading.find_reader(name) is None
+        assert is_first != is_second
+
+
+def test_the_reader_answers_from_the_store(pair, submit, helpers, reactor):
+    job = find_job(pair[0], is_read_here=True)
+    submit(job)
+    request = read(pair[0], helpers, reactor, job)
+    assert (request.status, request.written) == (200, b"1:0:i1")
+    assert pair[0].pool.sent == []
+
+
+def test_the_others_ask_the_reader(pair, submit, helpers, reactor, wire):
+    job = find_job(pair[0], is_read_here=False)
+    submit(job)
+    request = read(pair[0], helpers, reactor, job, wait_seconds=1.0)
+    assert request.status is None
+    carry(pair[0], pair[1], helpers, reactor)
+    assert (request.status, request.written) == (200, b"1:0:i1")
+    # The reader has the job, the other one has not read it.
+    assert list(pair[1].reading.views) == [job]
+    assert pair[0].reading.views == {}
+
+
+def test_a_body_comes_from_the_reader(pair, submit, helpers, reactor, run):
+    job = find_job(pair[0], is_read_here=False)
+    submit(job, name="a/b?c")
+    request = helpers.build_request(reactor=reactor)
+    defer.ensureDeferred(pair[0].reading.read_body(request, job, "a/b?c"))
+    carry(pair[0], pair[1], helpers, reactor)
+    assert (request.status, request.written) == (200, b"B")
+
+
+@pytest.mark.parametrize("fault", ["silent", "refuses", "unreachable"])
+def test_without_the_reader_the_store_is_read(
+    pair, submit, helpers, reactor, fault
+):
+    job = find_job(pair[0], is_read_here=False)
+    submit(job)
+    if fault == "unreachable":
+        pair[0].pool.unreachable.add(("10.0.0.1", 4))
+    request = read(pair[0], helpers, reactor, job, wait_seconds=0.5)
+    if fault == "refuses":
+        pair[0].pool.last.answer(503)
+    if fault == "silent":
+        reactor.advance(1.0)
+        assert request.status is None
+        reactor.advance(0.2)
+    assert (request.status, request.written) == (200, b"1:0:i1")
+
+
+def test_a_job_that_the_reader_does_not_know_is_looked_up(
+    pair, helpers, reactor
+):
+    job = find_job(pair[0], is_read_here=False)
+    request = read(pair[0], helpers, reactor, job)
+    carry(pair[0], pair[1], helpers, reactor)
+    (failure,) = request.ended
+    assert failure.check(BatchNotFoundError)
+
+
+@pytest.mark.parametrize(
+    "state", [{"region": 7}, {"is_leaving": True}, {"reaches_store": False}]
+)
+def test_who_reads_no_jobs_for_others(pair, reactor, state):
+    job = find_job(pair[0], is_read_here=False)
+    (peer,) = pair[0].peers.list_live()
+    hear(pair[0], peer, reactor, **state)
+    assert pair[0].reading.find_reader(job) is None
+
+
+@pytest.mark.parametrize("target", ["j?position=x&wait=0", "j", "j?wait=1"])
+def test_a_malformed_read_of_a_peer_is_refused(pair, helpers, reactor, target):
+    request = helpers.build_request(reactor=reactor)
+    pair[0].reading.answer_peer(request, target)
+    assert request.status == 503
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -1,5 +1,8 @@
 """OpenTelemetry instruments of one gateway."""
 
+import resource as process_resource
+import time
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -11,6 +14,8 @@
 __all__ = ["create_instruments"]
 
 SCOPE = "hollyspan"
+# The unit in which the kernel tells memory.
+KIBIBYTE = 1024
 # Seconds; the aims of the services (0.3 and 0.5) are bounds of buckets.
 TIME_BOUNDS = (
     0.005,
@@ -32,6 +37,7 @@
     "request": "From a request to the end of its answer",
     "run": "One run of an item",
     "lag": "Delay of the loop",
+    "report_age": "Age of an upstream's last report when it is chosen",
 }
 
 
@@ -61,6 +67,7 @@
     )
     meter = provider.get_meter(SCOPE)
     add_counter(meter, "requests", "outcome", lambda: gateway.metrics.requests)
+    add_counter(meter, "sends", "result", lambda: gateway.metrics.sends)
     add_counter(meter, "items", "state", lambda: gateway.metrics.items)
     add_counter(
         meter, "store_calls", "call", gateway.store.wire.describe_calls
@@ -99,6 +106,9 @@
         upstreams = gateway.directory.upstreams.values()
         return sum(upstream.online for upstream in upstreams)
 
+    add("events", lambda: gateway.metrics.events)
+    add("processor_seconds", time.process_time)
+    add("peak_memory_bytes", read_peak_memory)
     add("online_in_flight", count_online)
     if gateway.worker is not None:
         add("batch_in_flight", lambda: len(gateway.worker.running))
@@ -109,3 +119,9 @@
     for name, mirror in gateway.mirrors.items():
         add(f"{name}_connected", lambda m=mirror: int(m.is_connected))
         add(f"{name}_revision", lambda m=mirror: m.revision)
+
+
+def read_peak_memory():
+    """Return the most memory that the process has had, bytes."""
+    usage = process_resource.getrusage(process_resource.RUSAGE_SELF)
+    return usage.ru_maxrss * KIBIBYTE
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
@@ -6,6 +6,9 @@
 
 # Observations that are kept until the instruments exist.
 MAX_EARLY = 1000
+# Labels of sends beside the codes of failures.
+WHOLE = "whole"
+RESUMED = "resumed"
 
 
 class Metrics:
@@ -15,6 +18,11 @@
     ----------
     requests : collections.Counter
         Requests by outcome.
+    sends : collections.Counter
+        Sends of requests to upstreams by how they ended; `RESUMED` counts
+        those among them that went on in the middle of a stream.
+    events : int
+        Events passed on to clients.
     items : collections.Counter
         Items by what became of them.
     early : collections.deque
@@ -30,6 +38,8 @@
 
     def __init__(self):
         self.requests = collections.Counter()
+        self.sends = collections.Counter()
+        self.events = 0
         self.items = collections.Counter()
         self.early = collections.deque(maxlen=MAX_EARLY)
         self.times = {}
@@ -38,6 +48,20 @@
         """Count a request by its outcome."""
         self.requests[outcome] += 1
 
+    def count_send(self, failure, *, is_resumed):
+        """Count a send to an upstream.
+
+        Parameters
+        ----------
+        failure : HollyspanError or None
+            Why it brought no whole answer.
+        is_resumed : bool
+            True when the stream had begun before.
+        """
+        self.sends[WHOLE if failure is None else failure.code] += 1
+        if is_resumed:
+            self.sends[RESUMED] += 1
+
     def count_item(self, state):
         """Count an item by what became of it."""
         self.items[state] += 1
@@ -48,7 +72,8 @@
         Parameters
         ----------
         name : str
-            ``first_event``, ``request``, ``run`` or ``lag``.
+            ``first_event``, ``request``, ``run``, ``lag`` or
+            ``report_age``.
         seconds : float
         """
         histogram = self.times.get(name)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/tests/test_metrics.py
@@ -0,0 +1,54 @@
+"""What the metrics address tells."""
+
+import re
+
+import pytest
+
+from hollyspan_core.errors import StreamLostError
+from hollyspan_gateway.metrics.instruments import create_instruments
+
+
+@pytest.fixture
+def read(gateway):
+    """Return a function that reads the value of a metric."""
+    # Recorded before the instruments exist.
+    gateway.metrics.record("first_event", 0.25)
+    scrape = create_instruments(gateway)
+
+    def find(name, **labels):
+        values = {}
+        for line in scrape().decode().splitlines():
+            found = re.match(r"(\w+)\{(.*)\} (\S+)$", line)
+            if found is None or found[1] != f"hollyspan_{name}":
+                continue
+            told = dict(re.findall(r'(\w+)="([^"]*)"', found[2]))
+            if labels.items() <= told.items():
+                values[found[2]] = float(found[3])
+        (value,) = values.values()
+        return value
+
+    return find
+
+
+def test_counters_times_and_what_the_process_uses(gateway, read):
+    metrics = gateway.metrics
+    metrics.count_request("answered")
+    metrics.count_request("answered")
+    metrics.count_send(None, is_resumed=True)
+    metrics.count_send(StreamLostError("broken"), is_resumed=False)
+    metrics.count_item("done")
+    metrics.events += 27
+    metrics.record("report_age", 0.04)
+    assert read("requests_total", outcome="answered") == 2
+    assert read("sends_total", result="whole") == 1
+    assert read("sends_total", result="resumed") == 1
+    assert read("sends_total", result=StreamLostError.code) == 1
+    assert read("items_total", state="done") == 1
+    assert read("events") == 27
+    assert read("processor_seconds") > 0
+    assert read("peak_memory_bytes") > 1_000_000
+    assert read("first_event_seconds_count") == 1
+    # The aim of the services is a bound of a bucket.
+    assert read("first_event_seconds_bucket", le="0.3") == 1
+    assert read("first_event_seconds_bucket", le="0.2") == 0
+    assert read("report_age_seconds_sum") == pytest.approx(0.04)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -101,6 +101,10 @@
         while True:
             self.upstream = self.choose()
             self.belief = self.gateway.placement.describe(self.upstream)
+            if self.belief["report_age"] is not None:
+                self.gateway.metrics.record(
+                    "report_age", self.belief["report_age"]
+                )
             failure = await self.send()
             if failure is None:
                 self.finish()
@@ -140,6 +144,7 @@
             resume_after=self.splitter.last,
         )
         self.sends += 1
+        has_begun = self.has_begun
         with self.gateway.placement.hold_online(upstream):
             try:
                 failure = await run_attempt(
@@ -159,6 +164,7 @@
                 failure = unsent
         if failure is None:
             failure = self.judge_answer()
+        self.gateway.metrics.count_send(failure, is_resumed=has_begun)
         if failure is not None:
             self.count_failure(failure)
         return failure
@@ -197,8 +203,10 @@
         if not self.is_stream():
             self.parts.append(data)
             return
+        before = self.splitter.count
         whole = self.splitter.feed(data)
         if whole:
+            self.gateway.metrics.events += self.splitter.count - before
             self.begin()
             if self.request.is_open:
                 self.request.write(whole)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
@@ -1,5 +1,7 @@
 """What gateways tell each other."""
 
+from .calls import fetch_answer
+from .calls import READS_PATH
 from .codec import decode_message
 from .codec import encode_message
 from .copies import encode_copy
@@ -14,10 +16,12 @@
     "FleetMessage",
     "Peer",
     "PeerTable",
+    "READS_PATH",
     "UpstreamLoad",
     "build_identifier",
     "decode_message",
     "encode_copy",
     "encode_message",
+    "fetch_answer",
     "fetch_copy",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/copies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/copies.py
@@ -4,14 +4,12 @@
 import json
 
 import eliot
-from twisted.internet import defer
 
-from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import PeerMessageError
 from hollyspan_core.store import Entry
 from hollyspan_core.store import Page
 
-from ..http1 import run_attempt
+from .calls import call_peer
 
 __all__ = ["PATH", "encode_copy", "fetch_copy"]
 
@@ -87,30 +85,18 @@
     Page or None
         None when the peer does not answer.
     """
-    parts = []
-    work = defer.ensureDeferred(
-        run_attempt(
-            pool,
-            address=(peer.address[0], port),
-            method=b"GET",
-            target=PATH + name.encode(),
-            headers=[(b"Host", peer.address[0].encode())],
-            body=b"",
-            on_reply=lambda status, headers: None,
-            on_data=parts.append,
-        )
+    answer = await call_peer(
+        pool, peer, port=port, target=PATH + name.encode(), seconds=TIMEOUT_S
     )
-    work.addTimeout(TIMEOUT_S, pool.reactor)
+    if answer is None:
+        return None
     try:
-        failure = await work
-        if failure is not None:
-            raise failure
-        return decode_copy(b"".join(parts))
-    except (HollyspanError, defer.TimeoutError) as failure:
+        return decode_copy(answer[1])
+    except PeerMessageError as failure:
         eliot.log_message(
             "peer:no_copy",
             peer=peer.identifier,
             name=name,
-            reason=str(failure),
+            reason=failure.message,
         )
         return None
