Place items by the room in the region; gather longer in a burst of changes

Change: within the region the upstream with the most room goes first, ties are drawn by the item. Where a region is one data centre nothing changes but the ties. The pause after changes of the store doubles to 0.4 s while they keep coming (24 watches a gateway while the fleet registered).

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -201,7 +201,6 @@
         store_calls=gateway.store.wire.describe_calls(),
         connections=gateway.pool.opened,
         events=gateway.metrics.events,
-        processor_seconds=round(time.process_time(), 4),
         requests=dict(gateway.metrics.requests),
         items=dict(gateway.metrics.items),
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -185,7 +185,9 @@
             return
         service = choose_service(route, work.item.identifier)
         upstream = self.gateway.placement.choose_for_batch(
-            service, is_urgent=job.due - now < URGENT_S
+            service,
+            key=work.item.identifier,
+            is_urgent=job.due - now < URGENT_S,
         )
         if upstream is None:
             return
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -12,13 +12,15 @@
 
 __all__ = ["Mirror"]
 
-# Longest wait of one watch, seconds, below the 30 s that the store allows; it
+# Longest wait of one watch, seconds: the store keeps 20 s of history and
 # counts each call. A watch that has gone silent is noticed by keep-alive
 # probes and by peers before that.
-WATCH_S = 25.0
+WATCH_S = 15.0
 # Pause after a watch that brought changes, seconds, so that those of the next
-# moments come in one answer; the bounds on changes are seconds.
+# moments come in one answer; doubled while changes keep coming, as when a
+# whole fleet registers. The bounds on changes are seconds.
 GATHER_S = 0.1
+LONGEST_GATHER_S = 0.4
 # Pause after a failed call, seconds, doubled up to the longest one: the store
 # is asked often enough to notice its return within a second.
 FIRST_PAUSE_S = 0.1
@@ -61,6 +63,7 @@
         self.is_stopped = False
         self.must_list = True
         self.pause = FIRST_PAUSE_S
+        self.gathering = GATHER_S
         self.work = None
 
     def start(self):
@@ -115,10 +118,11 @@
                     await self.read_all()
                     self.note_answer()
                     continue
+                began = self.reactor.seconds()
                 page = await self.read_changes()
                 self.note_answer()
                 if page.entries:
-                    await wait(self.reactor, GATHER_S)
+                    await wait(self.reactor, self.choose_gathering(began))
             except StoreHistoryLostError:
                 self.note_answer()
                 eliot.log_message(
@@ -132,6 +136,20 @@
                 await wait(self.reactor, self.pause * random.uniform(0.5, 1))
                 self.pause = min(LONGEST_PAUSE_S, self.pause * 2)
 
+    def choose_gathering(self, began):
+        """Return the pause after changes, by how soon they came.
+
+        Parameters
+        ----------
+        began : float
+            Time of the reactor at which the watch that brought them began.
+        """
+        if self.reactor.seconds() - began < self.gathering:
+            self.gathering = min(LONGEST_GATHER_S, self.gathering * 2)
+        else:
+            self.gathering = GATHER_S
+        return self.gathering
+
     def note_answer(self):
         self.pause = FIRST_PAUSE_S
         if not self.is_connected:
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
@@ -7,7 +7,7 @@
 
 VALUE = bytes(16)
 # Time by which a change may come later, so that others come with it.
-GATHER_S = 0.1
+GATHER_S = 0.4
 
 
 @pytest.fixture
@@ -46,6 +46,19 @@
     assert len(mirror.entries) == 31
 
 
+def test_a_fleet_that_registers_for_seconds(mirror, wire, reactor):
+    """Sixty upstreams in three seconds, then a single change."""
+    seen = len(mirror.seen)
+    for number in range(60):
+        wire.change({f"p/{number}": VALUE})
+        reactor.advance(0.05)
+    reactor.pump([0.05] * 20)
+    assert len(mirror.entries) == 61
+    assert len(mirror.seen) - seen <= 12
+    wire.change({"p/last": VALUE})
+    assert "p/last" in mirror.entries
+
+
 def test_lost_history_is_made_up_by_a_read(mirror, wire, reactor):
     events, wire.events = wire.events, []
     wire.change({}, ["p/a"])
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -190,12 +190,14 @@
             "report_age": None if math.isinf(age) else round(age, 3),
         }
 
-    def choose_for_batch(self, service, *, is_urgent):
+    def choose_for_batch(self, service, *, key, is_urgent):
         """Choose the upstream for an item.
 
         Parameters
         ----------
         service : str
+        key : str
+            Identifier of the item.
         is_urgent : bool
             True when the item is late if it does not start now.
 
@@ -209,6 +211,7 @@
             data_centre=self.data_centre,
             is_near=self.is_near,
             headroom_share=0.0 if is_urgent else BATCH_HEADROOM,
+            seed=key,
         )
         return None if view is None else self.directory.upstreams[view.name]
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -57,10 +57,16 @@
     gateway = build_gateway(slots=16)
     first, second = gateway.directory.upstreams.values()
     first.online = second.online = 15
-    assert gateway.placement.choose_for_batch("m", is_urgent=False)
+    assert gateway.placement.choose_for_batch("m", key="i", is_urgent=False)
     first.online = 16
-    assert gateway.placement.choose_for_batch("m", is_urgent=False) is None
-    assert gateway.placement.choose_for_batch("m", is_urgent=True) is second
+    assert (
+        gateway.placement.choose_for_batch("m", key="i", is_urgent=False)
+        is None
+    )
+    assert (
+        gateway.placement.choose_for_batch("m", key="i", is_urgent=True)
+        is second
+    )
 
 
 def test_without_an_upstream_a_request_is_refused(build_gateway):
--- a/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
@@ -1,10 +1,12 @@
 """How daemons that run batch work share the slots of upstreams."""
 
+from ..hashing import hash_parts
+
 __all__ = ["choose_batch_upstream", "count_excess"]
 
 
 def choose_batch_upstream(
-    views, *, data_centre, is_near=None, headroom_share=0.0
+    views, *, data_centre, is_near=None, headroom_share=0.0, seed=""
 ):
     """Choose the upstream for one more batch stream.
 
@@ -12,14 +14,19 @@
     ----------
     views : iterable of UpstreamView
     data_centre : str
-        Where the asking daemon is; its own upstreams come first.
+        Where the asking daemon is.
     is_near : callable, optional
-        Tells whether another data centre is in the daemon's region; those come
-        next, since word of online requests there comes sooner.
+        Tells whether a data centre is in the daemon's region. Its upstreams
+        come first, since word of online requests there comes sooner, and of
+        these the ones with the most room; by default the daemon's data centre
+        is its region.
     headroom_share : float, optional
         Share of all slots together that stays free. One free slot anywhere
         serves the next online request, so the share is not kept at each
         upstream.
+    seed : str, optional
+        Key of the item; breaks ties, so that daemons with the same view do
+        not all fill the same upstream.
 
     Returns
     -------
@@ -43,19 +50,19 @@
     if free <= headroom_share * sum(view.slots for view in views):
         return None
 
+    def rank(view):
+        is_own = view.data_centre == data_centre
+        return (
+            is_own if is_near is None else is_near(view.data_centre),
+            count_room(view),
+            is_own,
+            hash_parts(seed, view.name),
+        )
+
     usable = [
         view for view in views if not view.waiting and count_room(view) > 0
     ]
-    return max(
-        usable,
-        key=lambda view: (
-            view.data_centre == data_centre,
-            is_near is not None and is_near(view.data_centre),
-            count_room(view),
-            view.name,
-        ),
-        default=None,
-    )
+    return max(usable, key=rank, default=None)
 
 
 def count_excess(*, slots, online, batch_by_daemon, daemon):
--- a/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_sharing.py
@@ -109,3 +109,16 @@
     far = UpstreamView(name="far", data_centre="c", slots=SLOTS)
     assert choose([near, far], is_near=lambda place: place == "b") == "near"
     assert choose([near, far]) == "far"
+
+
+def test_room_in_the_region_goes_before_the_own_data_centre():
+    """The last free slot is the first that an online request takes."""
+    own = build_view("own", online=7)
+    near = UpstreamView(name="near", data_centre="b", slots=SLOTS, online=3)
+    assert choose([own, near], is_near=lambda place: True) == "near"
+
+
+def test_daemons_with_one_view_do_not_fill_one_upstream():
+    views = [build_view(f"u{number}", online=2) for number in range(4)]
+    chosen = {choose(views, seed=str(number)) for number in range(40)}
+    assert len(chosen) == 4
