Part the entry daemon's jobs into intake, running, results and state

Cause: 38 modules of one type each stood in one flat folder, so that the way of a job through them could not be seen.

Change: four subpackages that depend in one direction: intake and running on results, all on state. Modules are moved as they are; each subpackage names what others use. Tests stand beside what they test.

No behaviour changes; the unit tests of the package pass as before.

--- a/packages/hollyspan_entry/hollyspan_entry/jobs/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/__init__.py
@@ -1,10 +1,10 @@
 """Jobs of callers: their interface and their running."""
 
-from .batch import build_batch_object
-from .cancellation import cancel_job
-from .change import read_record
+from .intake import build_batch_object
+from .intake import cancel_job
 from .part import open_jobs
-from .record import decode_record
+from .state import decode_record
+from .state import read_record
 
 __all__ = [
     "build_batch_object",
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/conftest.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/conftest.py
@@ -7,14 +7,14 @@
 from hollyspan_entry.files.keys import build_manifest_key
 from hollyspan_entry.files.manifest import encode_manifest
 from hollyspan_entry.files.manifest import FileManifest
-from hollyspan_entry.jobs.attempts import open_notes
-from hollyspan_entry.jobs.chunk import HeldChunk
-from hollyspan_entry.jobs.creation import create_job
-from hollyspan_entry.jobs.item import Item
-from hollyspan_entry.jobs.itemrecord import ItemRecord
-from hollyspan_entry.jobs.itemrecord import RecordKind
-from hollyspan_entry.jobs.ledger import read_ledger
-from hollyspan_entry.jobs.order import parse_order
+from hollyspan_entry.jobs.intake.creation import create_job
+from hollyspan_entry.jobs.intake.order import parse_order
+from hollyspan_entry.jobs.results.itemrecord import ItemRecord
+from hollyspan_entry.jobs.results.itemrecord import RecordKind
+from hollyspan_entry.jobs.results.ledger import read_ledger
+from hollyspan_entry.jobs.running.attempts import open_notes
+from hollyspan_entry.jobs.running.chunk import HeldChunk
+from hollyspan_entry.jobs.running.item import Item
 
 FILE = "file-1"
 ORDER = {"input_file_id": FILE, "endpoint": "/v1/completions"}
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/batch.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/intake/batch.py
@@ -1,7 +1,7 @@
 """The batch object in OpenAI's shape."""
 
-from .output import build_output_id
-from .status import JobStatus
+from ..results import build_output_id
+from ..state import JobStatus
 
 __all__ = ["build_batch_object"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/cancellation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/intake/cancellation.py
@@ -4,9 +4,9 @@
 
 from hollyspan_core.errors import BatchStateError
 
-from .change import change_record
-from .change import show_state
-from .status import JobStatus
+from ..state import change_record
+from ..state import JobStatus
+from ..state import show_state
 
 __all__ = ["cancel_job"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/creation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/intake/creation.py
@@ -9,19 +9,19 @@
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.errors import StoreUnavailableError
 
-from ..files import read_manifest
-from .change import change_record
-from .change import remove_from_queue
-from .keys import build_job_key
-from .keys import build_queue_key
-from .keys import derive_job_id
+from ...files import read_manifest
+from ..state import build_job_key
+from ..state import build_queue_entry
+from ..state import build_queue_key
+from ..state import change_record
+from ..state import decode_record
+from ..state import derive_job_id
+from ..state import encode_queue_entry
+from ..state import encode_record
+from ..state import JobRecord
+from ..state import JobStatus
+from ..state import remove_from_queue
 from .order import find_due
-from .queue import build_queue_entry
-from .queue import encode_queue_entry
-from .record import decode_record
-from .record import encode_record
-from .record import JobRecord
-from .status import JobStatus
 
 __all__ = ["create_job"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/resource.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/intake/resource.py
@@ -6,17 +6,17 @@
 from hollyspan_core.errors import BatchNotFoundError
 from hollyspan_core.errors import InvalidRequestError
 
-from ..http import build_list
-from ..http import build_operations
-from ..http import read_json
-from ..http import read_paging
+from ...http import build_list
+from ...http import build_operations
+from ...http import read_json
+from ...http import read_paging
+from ..state import build_job_key
+from ..state import decode_record
+from ..state import read_record
 from .batch import build_batch_object
 from .cancellation import cancel_job
-from .change import read_record
 from .creation import create_job
-from .keys import build_job_key
 from .order import parse_order
-from .record import decode_record
 
 __all__ = ["build_handler"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_cancellation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/intake/tests/test_cancellation.py
@@ -3,17 +3,17 @@
 from hollyspan_core.errors import BatchNotFoundError
 from hollyspan_core.errors import BatchStateError
 from hollyspan_core.errors import StoreReplyLostError
-from hollyspan_entry.jobs.cancellation import cancel_job
-from hollyspan_entry.jobs.change import read_record
-from hollyspan_entry.jobs.closing import close_chunk
-from hollyspan_entry.jobs.closing import end_cancelled
-from hollyspan_entry.jobs.flush import flush_chunk
-from hollyspan_entry.jobs.keys import build_claim_key
-from hollyspan_entry.jobs.keys import build_queue_key
-from hollyspan_entry.jobs.output import build_output_id
-from hollyspan_entry.jobs.output import open_output
-from hollyspan_entry.jobs.queue import decode_queue_entry
-from hollyspan_entry.jobs.status import JobStatus
+from hollyspan_entry.jobs.intake.cancellation import cancel_job
+from hollyspan_entry.jobs.results.flush import flush_chunk
+from hollyspan_entry.jobs.results.output import build_output_id
+from hollyspan_entry.jobs.results.output import open_output
+from hollyspan_entry.jobs.running.closing import close_chunk
+from hollyspan_entry.jobs.running.closing import end_cancelled
+from hollyspan_entry.jobs.state.change import read_record
+from hollyspan_entry.jobs.state.keys import build_claim_key
+from hollyspan_entry.jobs.state.keys import build_queue_key
+from hollyspan_entry.jobs.state.queue import decode_queue_entry
+from hollyspan_entry.jobs.state.status import JobStatus
 
 
 async def read_all(content):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_creation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/intake/tests/test_creation.py
@@ -6,10 +6,10 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_entry.files.keys import build_manifest_key
-from hollyspan_entry.jobs.keys import build_job_key
-from hollyspan_entry.jobs.keys import build_queue_key
-from hollyspan_entry.jobs.record import decode_record
-from hollyspan_entry.jobs.status import JobStatus
+from hollyspan_entry.jobs.state.keys import build_job_key
+from hollyspan_entry.jobs.state.keys import build_queue_key
+from hollyspan_entry.jobs.state.record import decode_record
+from hollyspan_entry.jobs.state.status import JobStatus
 
 
 def test_resend_gives_the_same_job(create, store):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/part.py
@@ -7,12 +7,12 @@
 from ..http import add_resource
 from ..http import AsyncResource
 from ..runtime import open_periodic
-from .output import open_output
-from .ownership import build_member_listener
-from .queue import is_file_queued
-from .resource import build_handler
-from .runner import JobRunner
-from .runner import TICK_SECONDS
+from .intake import build_handler
+from .results import open_output
+from .running import build_member_listener
+from .running import JobRunner
+from .running import TICK_SECONDS
+from .state import is_file_queued
 
 __all__ = ["open_jobs"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/flush.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/results/flush.py
@@ -3,9 +3,9 @@
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.errors import StoreValueTooLargeError
 
+from ..state import build_part_key
 from .itemrecord import decode_part
 from .itemrecord import encode_part
-from .keys import build_part_key
 from .results import build_oversized
 
 __all__ = ["RECORDS_PER_PART", "flush_chunk"]
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ledger.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/results/ledger.py
@@ -1,10 +1,10 @@
 """State of a chunk's items as the parts of its results tell it."""
 
-from .closed import ClosedChunk
+from ..state import build_part_key
+from ..state import ClosedChunk
 from .itemrecord import decode_part
 from .itemrecord import encode_line
 from .itemrecord import RecordKind
-from .keys import build_part_key
 
 __all__ = ["ChunkLedger", "read_ledger"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/output.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/results/output.py
@@ -4,16 +4,16 @@
 
 from hollyspan_core.errors import FileNotFoundInWorkspaceError
 
-from ..files import describe_file
-from ..files import FileContent
+from ...files import describe_file
+from ...files import FileContent
+from ..state import build_job_key
+from ..state import build_part_key
+from ..state import decode_record
+from ..state import JOB_PREFIX
 from .itemrecord import decode_part
 from .itemrecord import encode_line
 from .itemrecord import RecordKind
-from .keys import build_job_key
-from .keys import build_part_key
-from .keys import JOB_PREFIX
 from .ledger import ChunkLedger
-from .record import decode_record
 
 __all__ = ["JobOutput", "build_output_id", "open_output", "parse_output_id"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/results.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/results/results.py
@@ -5,7 +5,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StoreValueTooLargeError
 
-from ..streams import assemble_answer
+from ...streams import assemble_answer
 from .itemrecord import ItemRecord
 from .itemrecord import RecordKind
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_flush.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/results/tests/test_flush.py
@@ -1,8 +1,8 @@
 import pytest
 
 from hollyspan_core.errors import StoreReplyLostError
-from hollyspan_entry.jobs.flush import flush_chunk
-from hollyspan_entry.jobs.ledger import read_ledger
+from hollyspan_entry.jobs.results.flush import flush_chunk
+from hollyspan_entry.jobs.results.ledger import read_ledger
 
 
 def read(store, run, chunk):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/attempts.py
@@ -5,7 +5,7 @@
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreKeyExistsError
 
-from .keys import build_attempts_key
+from ..state import build_attempts_key
 
 __all__ = ["AttemptNotes", "open_notes"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/begin.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/begin.py
@@ -1,6 +1,6 @@
 """Identifiers of the streams of items."""
 
-from ..streams import build_batch_stream_id
+from ...streams import build_batch_stream_id
 
 __all__ = ["begin_stream"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/chunk.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/chunk.py
@@ -4,8 +4,8 @@
 
 from twisted.internet import defer
 
-from .itemrecord import ItemRecord
-from .itemrecord import RecordKind
+from ..results import ItemRecord
+from ..results import RecordKind
 
 __all__ = ["HeldChunk"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/claim.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/claim.py
@@ -8,15 +8,15 @@
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreKeyExistsError
 
-from ..files import read_chunk
+from ...files import read_chunk
+from ..results import read_ledger
+from ..state import build_claim_key
+from ..state import JobStatus
+from ..state import parse_chunk
+from ..state import read_record
 from .attempts import open_notes
-from .change import read_record
 from .chunk import HeldChunk
 from .item import parse_items
-from .keys import build_claim_key
-from .keys import parse_chunk
-from .ledger import read_ledger
-from .status import JobStatus
 
 __all__ = ["claim_chunk", "delete_claim", "list_claims"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/claiming.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/claiming.py
@@ -8,9 +8,9 @@
 from hollyspan_policy.claims import choose_chunk
 from hollyspan_policy.claims import count_chunks_to_hold
 
+from ..state import JobStatus
 from .claim import claim_chunk
 from .preparation import admit_items
-from .status import JobStatus
 from .upkeep import release_chunk
 
 __all__ = ["claim_wanted"]
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/closing.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/closing.py
@@ -4,11 +4,11 @@
 
 import eliot
 
-from .change import change_record
-from .change import remove_from_queue
+from ..results import read_ledger
+from ..state import change_record
+from ..state import JobStatus
+from ..state import remove_from_queue
 from .claim import list_claims
-from .ledger import read_ledger
-from .status import JobStatus
 
 __all__ = ["close_chunk", "end_cancelled"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/draining.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/draining.py
@@ -8,7 +8,7 @@
 
 from hollyspan_core.errors import HollyspanError
 
-from .change import touch_queue
+from ..state import touch_queue
 from .upkeep import release_chunk
 
 __all__ = ["drain_runner"]
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/execution.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/execution.py
@@ -15,10 +15,10 @@
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 
-from ..streams import run_stream
+from ...streams import run_stream
+from ..results import build_failure
+from ..results import build_success
 from .begin import begin_stream
-from .results import build_failure
-from .results import build_success
 from .run import StopReason
 
 __all__ = ["execute"]
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/ownership.py
@@ -6,7 +6,7 @@
 from hollyspan_policy.ownership import choose_owner
 from hollyspan_policy.ownership import rank_owners
 
-from ..streams import free_batch_streams
+from ...streams import free_batch_streams
 from .overdue import put_back_long_paused
 from .slots import UpstreamSlots
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/preparation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/preparation.py
@@ -4,8 +4,8 @@
 from hollyspan_core.errors import ModelNotFoundError
 from hollyspan_core.errors import OutcomeUnknownError
 
-from .flush import flush_chunk
-from .results import build_failure
+from ..results import build_failure
+from ..results import flush_chunk
 
 __all__ = ["REFILL_ITEMS", "admit_items", "prepare_items"]
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/runner.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/runner.py
@@ -7,11 +7,11 @@
 from hollyspan_core.configuration import Scope
 from hollyspan_policy.retries import compute_backoff
 
+from ..results import RecordKind
 from .claiming import claim_wanted
 from .counters import JobCounters
 from .draining import drain_runner
 from .execution import execute
-from .itemrecord import RecordKind
 from .lease import LeaseKeeper
 from .overdue import cancel_overdue
 from .overdue import put_back_long_paused
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_breaker.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/tests/test_breaker.py
@@ -1,5 +1,5 @@
-from hollyspan_entry.jobs.breaker import Breaker
-from hollyspan_entry.jobs.breaker import LONGEST_PAUSE_SECONDS
+from hollyspan_entry.jobs.running.breaker import Breaker
+from hollyspan_entry.jobs.running.breaker import LONGEST_PAUSE_SECONDS
 
 
 def fail(breaker, *times):
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_lease.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/tests/test_lease.py
@@ -1,7 +1,7 @@
 import pytest
 
-from hollyspan_entry.jobs import lease as module
-from hollyspan_entry.jobs.lease import LeaseKeeper
+from hollyspan_entry.jobs.running import lease as module
+from hollyspan_entry.jobs.running.lease import LeaseKeeper
 
 
 class Clock:
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_ownership.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/tests/test_ownership.py
@@ -2,7 +2,7 @@
 
 from types import SimpleNamespace
 
-from hollyspan_entry.jobs.ownership import refresh_slots
+from hollyspan_entry.jobs.running.ownership import refresh_slots
 from hollyspan_entry.upstreams import Upstream
 from hollyspan_entry.upstreams import Upstreams
 from hollyspan_policy.membership import MemberTable
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/tests/test_preparation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/tests/test_preparation.py
@@ -2,10 +2,10 @@
 
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreUnavailableError
-from hollyspan_entry.jobs.attempts import open_notes
-from hollyspan_entry.jobs.flush import flush_chunk
-from hollyspan_entry.jobs.preparation import admit_items
-from hollyspan_entry.jobs.preparation import prepare_items
+from hollyspan_entry.jobs.results.flush import flush_chunk
+from hollyspan_entry.jobs.running.attempts import open_notes
+from hollyspan_entry.jobs.running.preparation import admit_items
+from hollyspan_entry.jobs.running.preparation import prepare_items
 
 SERVICES = {"m": {"kind": "model"}}
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/upkeep.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/upkeep.py
@@ -8,11 +8,11 @@
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreUnavailableError
 
-from ..burn import record_job_deadline
+from ...burn import record_job_deadline
+from ..results import flush_chunk
+from ..results import RECORDS_PER_PART
 from .claim import delete_claim
 from .closing import close_chunk
-from .flush import flush_chunk
-from .flush import RECORDS_PER_PART
 from .preparation import prepare_items
 from .preparation import REFILL_ITEMS
 from .run import StopReason
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/watcher.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/watcher.py
@@ -8,15 +8,15 @@
 from hollyspan_core.errors import BatchNotFoundError
 from hollyspan_core.errors import HollyspanError
 
-from .change import read_record
-from .change import remove_from_queue
+from ..state import build_queue_key
+from ..state import decode_queue_entry
+from ..state import JobStatus
+from ..state import KnownJob
+from ..state import read_record
+from ..state import remove_from_queue
 from .claim import delete_claim
 from .claim import list_claims
 from .closing import end_cancelled
-from .keys import build_queue_key
-from .knownjob import KnownJob
-from .queue import decode_queue_entry
-from .status import JobStatus
 
 __all__ = ["QueueWatcher"]
 
