--- a/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
@@ -9,6 +9,7 @@
 from .delays import RunDelays
 from .delays import sample_run_delays
 from .deployment import Deployment
+from .deployment import read_lines
 from .errors import CallError
 from .errors import NotReadyError
 from .errors import ProcessExitedError
@@ -19,6 +20,7 @@
 from .place import build_trust_places
 from .place import Place
 from .ports import pick_port
+from .process import Process
 from .regions import count_traffic
 from .regions import set_distances
 
@@ -29,6 +31,7 @@
     "LINK_KINDS",
     "NotReadyError",
     "Place",
+    "Process",
     "ProcessExitedError",
     "RunDelays",
     "build_configuration",
@@ -41,6 +44,7 @@
     "open_deployment",
     "pick_port",
     "post_json",
+    "read_lines",
     "sample_run_delays",
     "set_distances",
     "write_configuration",
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/deployment.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/deployment.py
@@ -9,7 +9,7 @@
 from .ports import ADDRESS
 from .process import READY_SECONDS
 
-__all__ = ["Deployment", "UnknownProcessError"]
+__all__ = ["Deployment", "UnknownProcessError", "read_lines"]
 
 # Time for a daemon to finish what is in flight after SIGTERM.
 DAEMON_STOP_SECONDS = 70.0
@@ -193,7 +193,16 @@
 
 
 def read_lines(path):
-    """Return the JSON lines of a file; a last, cut line is left out."""
+    """Return the JSON lines of a file; a last, cut line is left out.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+
+    Returns
+    -------
+    list of dict
+    """
     if not path.exists():
         return []
     text = path.read_text(encoding="utf-8")
