--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -210,6 +210,7 @@
             self.build_views(service, with_suspects=False),
             data_centre=self.data_centre,
             is_near=self.is_near,
+            knows_remote=self.knows_remote(),
             headroom_share=0.0 if is_urgent else BATCH_HEADROOM,
             seed=key,
         )
--- a/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/sharing.py
@@ -6,7 +6,13 @@
 
 
 def choose_batch_upstream(
-    views, *, data_centre, is_near=None, headroom_share=0.0, seed=""
+    views,
+    *,
+    data_centre,
+    is_near=None,
+    knows_remote=True,
+    headroom_share=0.0,
+    seed="",
 ):
     """Choose the upstream for one more batch stream.
 
@@ -20,6 +26,9 @@
         come first, since word of online requests there comes sooner, and of
         these the ones with the most room; by default the daemon's data centre
         is its region.
+    knows_remote : bool, optional
+        False when the load in other regions is known with a delay. Free slots
+        there then do not stand in for those of the region.
     headroom_share : float, optional
         Share of all slots together that stays free. One free slot anywhere
         serves the next online request, so the share is not kept at each
@@ -42,27 +51,39 @@
     """
     views = [view for view in views if view.serving]
 
-    def count_room(view):
-        taken = view.online + view.batch + view.hidden
-        return view.slots - taken
+    def is_in_region(view):
+        if is_near is None:
+            return view.data_centre == data_centre
+        return is_near(view.data_centre)
 
-    free = sum(max(0, count_room(view)) for view in views)
-    if free <= headroom_share * sum(view.slots for view in views):
-        return None
+    groups = [views]
+    if not knows_remote:
+        near = [view for view in views if is_in_region(view)]
+        groups = [near, [view for view in views if not is_in_region(view)]]
 
     def rank(view):
-        is_own = view.data_centre == data_centre
         return (
-            is_own if is_near is None else is_near(view.data_centre),
+            is_in_region(view),
             count_room(view),
-            is_own,
+            view.data_centre == data_centre,
             hash_parts(seed, view.name),
         )
 
-    usable = [
-        view for view in views if not view.waiting and count_room(view) > 0
-    ]
-    return max(usable, key=rank, default=None)
+    for group in groups:
+        free = sum(max(0, count_room(view)) for view in group)
+        if free <= headroom_share * sum(view.slots for view in group):
+            continue
+        usable = [
+            view for view in group if not view.waiting and count_room(view) > 0
+        ]
+        if usable:
+            return max(usable, key=rank)
+    return None
+
+
+def count_room(view):
+    """Count the slots of an upstream that nothing holds."""
+    return view.slots - view.online - view.batch - view.hidden
 
 
 def count_excess(*, slots, online, batch_by_daemon, daemon):
--- a/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_sharing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/tests/test_sharing.py
@@ -122,3 +122,20 @@
     views = [build_view(f"u{number}", online=2) for number in range(4)]
     chosen = {choose(views, seed=str(number)) for number in range(40)}
     assert len(chosen) == 4
+
+
+def test_the_headroom_of_a_region_is_its_own_when_others_are_known_late():
+    """Slots that look free in another region may be taken by now."""
+    near = build_view("near", online=6, batch=1)
+    far = [
+        UpstreamView(name=f"f{n}", data_centre="c", slots=SLOTS, online=8)
+        for n in range(3)
+    ]
+    options = {"headroom_share": 0.2, "is_near": lambda place: place == "a"}
+    assert choose([near, *far], **options) is None
+    far[0].online = 0
+    assert choose([near, *far], **options) == "near"
+    assert choose([near, *far], knows_remote=False, **options) == "f0"
+    far[0].online = 8
+    near.online = 3
+    assert choose([near, *far], knows_remote=False, **options) == "near"
