Notice the return of a store that has no changes

Played again with logs: after the store was silent, the workers' list of upstreams counted as out of contact for 31 s, since its watch waits for a change, none came, and the watch sent into the silence had to time out first. Items are run only with contact.

Ruled out: the job's record (each worker had seen it); a worker that was lost (all three lived); the change of the watch's wait from 10 to 15 s alone (the same happens with 10 s, for 21 s).

Change: while contact is lost a watch waits 0.5 s.

Test: test_the_return_of_a_store_without_changes_is_noticed, which failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -16,6 +16,9 @@
 # counts each call. A watch that has gone silent is noticed by keep-alive
 # probes and by peers before that.
 WATCH_S = 15.0
+# Wait of a watch while contact is lost, seconds: without a change only its end
+# tells that the store is back, and items are run only then.
+PROBE_S = 0.5
 # Pause after a watch that brought changes, seconds, so that those of the next
 # moments come in one answer; doubled while changes keep coming, as when a
 # whole fleet registers. The bounds on changes are seconds.
@@ -181,7 +184,9 @@
 
     async def read_changes(self):
         page = await self.store.watch(
-            self.prefix, after=self.revision, seconds=WATCH_S
+            self.prefix,
+            after=self.revision,
+            seconds=WATCH_S if self.is_connected else PROBE_S,
         )
         for entry in page.entries:
             if entry.revision:
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
@@ -84,6 +84,19 @@
     assert mirror.regained == reactor.seconds()
 
 
+def test_the_return_of_a_store_without_changes_is_noticed(
+    mirror, wire, reactor
+):
+    """Items are run only while the list of upstreams is known to be fresh."""
+    wire.is_down = True
+    wire.wake_all()
+    reactor.advance(0.3)
+    assert not mirror.is_connected
+    wire.is_down = False
+    reactor.pump([0.1] * 20)
+    assert mirror.is_connected
+
+
 def test_a_deaf_watch_is_left_when_a_peer_knows_more(mirror, wire):
     wire.waiting, deaf = [], wire.waiting
     wire.change({"p/b": VALUE})
