Tell large fleets of batch work only where it matters; gather changes longer there

Workers start and stop some 29 runs a second, and each change went to all gateways of the upstream's region.

Change: in a fleet above 24 gateways a change of batch work alone goes to workers (fronts hear of it with the next heartbeat, and batch gives way to what they send), and changes wait 25 ms for each other, so that the start of a request and its first report go in one message. Small fleets are as before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -175,9 +175,9 @@
         """Send nothing new to an upstream that leaves."""
         self.pool.drop_address(upstream.entry.address)
 
-    def note_load(self, upstream):
+    def note_load(self, upstream, *, is_batch_only):
         """Pass on a change of this gateway's load."""
-        self.peers.note_load(upstream)
+        self.peers.note_load(upstream, is_batch_only=is_batch_only)
         if self.worker is not None:
             self.worker.make_room(upstream)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -7,6 +7,7 @@
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.membership import choose_audience
 from hollyspan_policy.membership import choose_beat_seconds
+from hollyspan_policy.membership import choose_gathering
 from hollyspan_policy.membership import is_small_fleet
 
 from .codec import decode_message
@@ -18,9 +19,6 @@
 
 __all__ = ["PeerTable"]
 
-# Seconds that a change of load may wait for others to go with it; far below
-# the time in which an online request's first event is due.
-COALESCE_S = 0.008
 # Silent gateways get one full message in this many.
 SILENT_BEATS = 3
 
@@ -81,6 +79,7 @@
         self.peers = {}
         self.sequence = 0
         self.changed = {}
+        self.online_changed = set()
         self.flush_call = None
         self.beats = 0
         self.live = frozenset()
@@ -146,21 +145,30 @@
             if peer.runs_batch and peer.key in heard
         ]
 
-    def note_load(self, upstream):
+    def note_load(self, upstream, *, is_batch_only):
         """Tell the others of a change of load soon."""
-        self.changed[upstream.entry.name] = upstream
+        name = upstream.entry.name
+        self.changed[name] = upstream
+        if not is_batch_only:
+            self.online_changed.add(name)
         if self.flush_call is None:
-            self.flush_call = self.reactor.callLater(COALESCE_S, self.flush)
+            seconds = choose_gathering(len(self.list_live()))
+            self.flush_call = self.reactor.callLater(seconds, self.flush)
 
     def flush(self):
         """Send the changed loads, in a large fleet to those concerned."""
         self.flush_call = None
         changed, self.changed = self.changed, {}
+        online_changed, self.online_changed = self.online_changed, set()
         live = self.list_live()
         loads = {}
         audiences = {}
         for upstream in changed.values():
-            audience = self.choose_audience(upstream, live)
+            audience = self.choose_audience(
+                upstream,
+                live,
+                is_batch_only=upstream.entry.name not in online_changed,
+            )
             keys = frozenset(peer.key for peer in audience)
             audiences[keys] = audience
             loads.setdefault(keys, []).append(
@@ -174,7 +182,7 @@
         """Tell whether each change of load goes to all gateways at once."""
         return is_small_fleet(len(self.list_live()))
 
-    def choose_audience(self, upstream, live):
+    def choose_audience(self, upstream, live, *, is_batch_only):
         """Return the live gateways that a change of load concerns."""
         region = self.find_region(upstream.entry.data_centre)
         return choose_audience(
@@ -185,6 +193,7 @@
                 for peer in live
                 if upstream.peers.get(peer.identifier, (0, 0))[1]
             },
+            is_batch_only=is_batch_only,
         )
 
     def beat(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -46,7 +46,8 @@
     knows_remote : callable
         Tells whether the load in other regions is known at once.
     on_change : callable
-        Called with an Upstream whose counts have changed.
+        Called with an Upstream whose counts have changed, and whether only
+        those of batch work have.
     """
 
     def __init__(
@@ -281,7 +282,7 @@
         """Count an online request at an upstream while it is there."""
         started = self.reactor.seconds()
         upstream.online += 1
-        self.on_change(upstream)
+        self.on_change(upstream, is_batch_only=False)
         try:
             yield
         finally:
@@ -290,18 +291,18 @@
             self.service_seconds += SERVICE_WEIGHT * (
                 spent - self.service_seconds
             )
-            self.on_change(upstream)
+            self.on_change(upstream, is_batch_only=False)
 
     @contextlib.contextmanager
     def hold_batch(self, upstream):
         """Count a batch item at an upstream while it is there."""
         upstream.batch += 1
-        self.on_change(upstream)
+        self.on_change(upstream, is_batch_only=True)
         try:
             yield
         finally:
             upstream.batch -= 1
-            self.on_change(upstream)
+            self.on_change(upstream, is_batch_only=True)
 
     def note_reply(self, upstream, reply):
         """Take note of the head of an answer."""
@@ -309,7 +310,7 @@
             running, waiting, _ = reply.load
             upstream.take_report(running, waiting, now=self.reactor.seconds())
             upstream.news = (running, waiting)
-            self.on_change(upstream)
+            self.on_change(upstream, is_batch_only=False)
         if not reply.has_not_run:
             self.directory.note_success(upstream)
 
@@ -317,7 +318,7 @@
         """Take note of a send that failed."""
         if isinstance(failure, UpstreamUnreachableError):
             self.directory.note_unreachable(upstream)
-            self.on_change(upstream)
+            self.on_change(upstream, is_batch_only=False)
         elif isinstance(
             failure, (UpstreamUnavailableError, StreamStalledError)
         ):
--- a/packages/hollyspan_policy/hollyspan_policy/membership/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from .audience import choose_audience
 from .audience import choose_beat_seconds
+from .audience import choose_gathering
 from .audience import is_small_fleet
 from .member import Member
 from .partners import choose_partners
@@ -13,6 +14,7 @@
 __all__ = [
     "choose_audience",
     "choose_beat_seconds",
+    "choose_gathering",
     "is_small_fleet",
     "Member",
     "MemberState",
--- a/packages/hollyspan_policy/hollyspan_policy/membership/audience.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/audience.py
@@ -1,6 +1,11 @@
 """Who is told of load, and how often, as the fleet grows."""
 
-__all__ = ["choose_audience", "choose_beat_seconds", "is_small_fleet"]
+__all__ = [
+    "choose_audience",
+    "choose_beat_seconds",
+    "choose_gathering",
+    "is_small_fleet",
+]
 
 # Seconds between two heartbeats of a small fleet.
 SHORTEST_BEAT_S = 0.3
@@ -10,6 +15,11 @@
 # Live daemons up to which each hears all others at the shortest interval, and
 # of each change of load: some hundred datagrams a second, 1% of a core.
 SMALL_FLEET = 24
+# Seconds that a change of load waits for others to go with it: far below the
+# time in which an online request's first event is due. In a large fleet the
+# start of a request and the report with its first event go together.
+GATHER_S = 0.008
+LARGE_GATHER_S = 0.025
 
 
 def choose_beat_seconds(live):
@@ -50,24 +60,44 @@
     return live <= SMALL_FLEET
 
 
-def choose_audience(peers, *, region, holders):
+def choose_gathering(live):
+    """Choose how long a change of load waits for others.
+
+    Parameters
+    ----------
+    live : int
+        Daemons that are heard.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return GATHER_S if is_small_fleet(live) else LARGE_GATHER_S
+
+
+def choose_audience(peers, *, region, holders, is_batch_only=False):
     """Choose the daemons that are told of a change of load at once.
 
     Parameters
     ----------
     peers : list
-        Live daemons, with a `region`.
+        Live daemons, with a `region` and `runs_batch`.
     region : object
         Where the upstream is.
     holders : collection
         The daemons among them with batch work at the upstream.
+    is_batch_only : bool, optional
+        Only batch work has changed, which gives way to online requests
+        wherever these are sent.
 
     Returns
     -------
     list
         All of a small fleet. In a large one those near the upstream, which
         send most of its requests, and those whose batch work has to give way
-        there; the others learn of it with the next heartbeat.
+        there; the others learn of it with the next heartbeat. Changes of
+        batch work go to those that run some.
 
     Notes
     -----
@@ -82,4 +112,9 @@
     """
     if is_small_fleet(len(peers)):
         return peers
-    return [peer for peer in peers if peer.region == region or peer in holders]
+    return [
+        peer
+        for peer in peers
+        if (peer.region == region or peer in holders)
+        and (peer.runs_batch or not is_batch_only)
+    ]
