Tell the fronts of a region of batch work that comes from another one

Cause, found by reading: in a large fleet a worker that places an item in another region told only workers there. The fronts, which tell a worker of online requests once they know that it has items at an upstream, heard of it with the next heartbeat; until then an online request could wait behind the item.

Change: a change of batch work goes to workers alone only from within the upstream's region. The new test failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -183,17 +183,23 @@
         return is_small_fleet(len(self.list_live()))
 
     def choose_audience(self, upstream, live, *, is_batch_only):
-        """Return the live gateways that a change of load concerns."""
-        region = self.find_region(upstream.entry.data_centre)
+        """Return the live gateways that a change of load concerns.
+
+        Notes
+        -----
+        Gateways of the upstream's region tell each worker there of online
+        requests. One from another region they have to know of first.
+        """
+        region = hash_parts(self.find_region(upstream.entry.data_centre))
         return choose_audience(
             live,
-            region=hash_parts(region),
+            region=region,
             holders={
                 peer
                 for peer in live
                 if upstream.peers.get(peer.identifier, (0, 0))[1]
             },
-            is_batch_only=is_batch_only,
+            is_batch_only=is_batch_only and region == self.region,
         )
 
     def beat(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -228,6 +228,22 @@
         assert all(each.told_batch for each in upstreams[1:])
 
 
+def test_batch_work_from_another_region_is_told_to_the_fronts_there(
+    large_fleet, reactor
+):
+    """They do not tell its worker of online requests until they know of it."""
+    beat(large_fleet, reactor, 0.9)
+    near, far = large_fleet[:15], large_fleet[15:]
+    upstream = far[0].directory.upstreams["u1"]
+    with far[0].placement.hold_batch(upstream):
+        reactor.advance(0.03)
+        known = [each.directory.upstreams["u1"].told_batch for each in near]
+        assert known == [1] * len(near)
+        with near[0].placement.hold_online(near[0].directory.upstreams["u1"]):
+            reactor.advance(0.03)
+            assert upstream.told_online == 1
+
+
 def test_heartbeats_of_a_large_fleet_are_rarer(large_fleet, reactor):
     beat(large_fleet, reactor, 0.9)
     peer, *_ = large_fleet[0].peers.list_live()
