Count requests by kind, measure items' lateness; take the owners' ranks out of the worker

Metrics: requests by outcome and kind of route, a histogram of the time by which results of items come after their job is due. The worker's ranks at upstreams have a module of their own; behaviour unchanged.

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -201,7 +201,10 @@
         store_calls=gateway.store.wire.describe_calls(),
         connections=gateway.pool.opened,
         events=gateway.metrics.events,
-        requests=dict(gateway.metrics.requests),
+        requests={
+            f"{outcome} {kind}": count
+            for (outcome, kind), count in gateway.metrics.requests.items()
+        },
         items=dict(gateway.metrics.items),
     )
     gateway.reactor.callLater(COUNTERS_S, log_counters, gateway)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/keeping.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/keeping.py
@@ -49,11 +49,13 @@
     work.is_listed = True
     is_done = work.result.is_done
     work.forget_output()
+    slack = job.due - gateway.wall_clock()
     eliot.log_message(
         "item:stored",
         job=job.identifier,
         item=work.item.identifier,
         is_done=is_done,
-        slack=job.due - gateway.wall_clock(),
+        slack=slack,
     )
+    gateway.metrics.record("lateness", max(0.0, -slack))
     gateway.metrics.count_item("done" if is_done else "given_up")
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -61,7 +61,9 @@
             is_new=is_new,
             seconds=self.gateway.reactor.seconds() - request.arrived,
         )
-        self.gateway.metrics.count_request("job_accepted")
+        self.gateway.metrics.count_request(
+            "job_accepted", kind=route.kind.value
+        )
         status, headers, body = self.gateway.dialect.encode_accepted()
         request.answer(status, headers, body)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -5,7 +5,6 @@
 
 from hollyspan_policy.batch import rank_item
 from hollyspan_policy.batch import RunTimes
-from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.ownership import choose_owner
 
 from ..routes import choose_service
@@ -13,6 +12,7 @@
 from .catalogue import JobCatalogue
 from .item import ItemResult
 from .keeping import keep_result
+from .ranks import OwnerRanks
 from .removal import Removal
 from .run import ItemRun
 
@@ -64,8 +64,7 @@
             events=INITIAL_EVENTS, event_seconds=INITIAL_EVENT_S
         )
         self.round_call = None
-        self.owners = ()
-        self.ranks = {}
+        self.ranks = OwnerRanks(gateway=gateway)
         self.catalogue = JobCatalogue(
             gateway=gateway,
             on_change=lambda: self.schedule(0.0),
@@ -140,7 +139,7 @@
             # Results could not be stored; peers that can take over.
             return
         owners = self.gateway.list_workers()
-        self.take_owners(owners)
+        self.ranks.take_owners(owners)
         claimed = self.gateway.list_claimed_items()
         waiting = []
         for job in self.catalogue.list_open():
@@ -157,37 +156,6 @@
         for work in sorted(waiting, key=lambda work: self.rank(work, now)):
             self.start_item(work)
 
-    def take_owners(self, owners):
-        """Take note of the gateways that run items."""
-        owners = tuple(sorted(owners))
-        if owners != self.owners:
-            self.owners = owners
-            self.ranks = {}
-
-    def find_rank(self, upstream):
-        """Return the place of this gateway among the owners at an upstream.
-
-        Returns
-        -------
-        (int, int)
-            Place, from 0, and number of owners. Those of the upstream's
-            region come first.
-        """
-        name = upstream.entry.name
-        rank = self.ranks.get(name)
-        if rank is None:
-            region = self.gateway.find_upstream_region(upstream)
-            order = sorted(
-                self.owners,
-                key=lambda owner: (
-                    self.gateway.find_gateway_region(owner) != region,
-                    hash_parts(name, owner),
-                ),
-            )
-            rank = order.index(self.gateway.peers.identifier)
-            self.ranks[name] = rank
-        return rank, len(self.owners)
-
     def rank(self, work, now):
         """Return the sort key of an item; the smallest is run first."""
         return rank_item(
@@ -223,7 +191,7 @@
             service,
             key=work.item.identifier,
             is_urgent=job.due - now < URGENT_S,
-            find_rank=self.find_rank,
+            find_rank=self.ranks.find,
         )
         if upstream is None:
             return
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -32,12 +32,16 @@
     10.0,
     20.0,
 )
+# Seconds after the due time of an item's job; those in time are at 0.
+LATENESS_BOUNDS = (0.0, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
+REQUEST_LABELS = ("outcome", "kind")
 TIMES = {
     "first_event": "From a request to the first byte of its answer",
     "request": "From a request to the end of its answer",
     "run": "One run of an item",
     "lag": "Delay of the loop",
     "report_age": "Age of an upstream's last report when it is chosen",
+    "lateness": "Time by which an item's result is stored after it is due",
 }
 
 
@@ -58,19 +62,21 @@
         metric_readers=[reader],
         resource=Resource({"service.name": "hollyspan"}),
         views=[
-            View(
-                instrument_name="*_seconds",
-                aggregation=ExplicitBucketHistogramAggregation(TIME_BOUNDS),
+            build_view(
+                f"hollyspan_{name}_seconds",
+                LATENESS_BOUNDS if name == "lateness" else TIME_BOUNDS,
             )
+            for name in TIMES
         ],
         shutdown_on_exit=False,
     )
     meter = provider.get_meter(SCOPE)
-    add_counter(meter, "requests", "outcome", lambda: gateway.metrics.requests)
-    add_counter(meter, "sends", "result", lambda: gateway.metrics.sends)
-    add_counter(meter, "items", "state", lambda: gateway.metrics.items)
+    metrics = gateway.metrics
+    add_counter(meter, "requests", REQUEST_LABELS, lambda: metrics.requests)
+    add_counter(meter, "sends", ("result",), lambda: metrics.sends)
+    add_counter(meter, "items", ("state",), lambda: metrics.items)
     add_counter(
-        meter, "store_calls", "call", gateway.store.wire.describe_calls
+        meter, "store_calls", ("call",), gateway.store.wire.describe_calls
     )
     add_gauges(meter, gateway)
     times = {
@@ -86,10 +92,21 @@
     return generate_latest
 
 
-def add_counter(meter, name, label, read):
+def build_view(name, bounds):
+    """Return the buckets of one histogram."""
+    return View(
+        instrument_name=name,
+        aggregation=ExplicitBucketHistogramAggregation(bounds),
+    )
+
+
+def add_counter(meter, name, labels, read):
+    """Add a counter whose keys hold one value for each label."""
+
     def observe(options):
         for key, count in read().items():
-            yield Observation(count, {label: str(key)})
+            values = key if isinstance(key, tuple) else (key,)
+            yield Observation(count, dict(zip(labels, map(str, values))))
 
     meter.create_observable_counter(f"hollyspan_{name}", [observe])
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
@@ -8,6 +8,8 @@
 MAX_EARLY = 1000
 # Labels of sends beside the codes of failures.
 WHOLE = "whole"
+# Kind of a request whose route is not known.
+NO_ROUTE = "none"
 RESUMED = "resumed"
 
 
@@ -17,7 +19,7 @@
     Attributes
     ----------
     requests : collections.Counter
-        Requests by outcome.
+        Requests by outcome and kind of route.
     sends : collections.Counter
         Sends of requests to upstreams by how they ended; `RESUMED` counts
         those among them that went on in the middle of a stream.
@@ -44,9 +46,9 @@
         self.early = collections.deque(maxlen=MAX_EARLY)
         self.times = {}
 
-    def count_request(self, outcome):
-        """Count a request by its outcome."""
-        self.requests[outcome] += 1
+    def count_request(self, outcome, *, kind=NO_ROUTE):
+        """Count a request by its outcome and the kind of its route."""
+        self.requests[outcome, kind] += 1
 
     def count_send(self, failure, *, is_resumed):
         """Count a send to an upstream.
@@ -72,8 +74,8 @@
         Parameters
         ----------
         name : str
-            ``first_event``, ``request``, ``run``, ``lag`` or
-            ``report_age``.
+            ``first_event``, ``request``, ``run``, ``lag``, ``report_age`` or
+            ``lateness``.
         seconds : float
         """
         histogram = self.times.get(name)
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/tests/test_metrics.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/tests/test_metrics.py
@@ -32,14 +32,18 @@
 
 def test_counters_times_and_what_the_process_uses(gateway, read):
     metrics = gateway.metrics
-    metrics.count_request("answered")
-    metrics.count_request("answered")
+    metrics.count_request("answered", kind="stream")
+    metrics.count_request("answered", kind="stream")
+    metrics.count_request("route_not_found")
     metrics.count_send(None, is_resumed=True)
     metrics.count_send(StreamLostError("broken"), is_resumed=False)
     metrics.count_item("done")
     metrics.events += 27
     metrics.record("report_age", 0.04)
-    assert read("requests_total", outcome="answered") == 2
+    metrics.record("lateness", 0.0)
+    metrics.record("lateness", 3.0)
+    assert read("requests_total", outcome="answered", kind="stream") == 2
+    assert read("requests_total", outcome="route_not_found") == 1
     assert read("sends_total", result="whole") == 1
     assert read("sends_total", result="resumed") == 1
     assert read("sends_total", result=StreamLostError.code) == 1
@@ -51,4 +55,6 @@
     # The aim of the services is a bound of a bucket.
     assert read("first_event_seconds_bucket", le="0.3") == 1
     assert read("first_event_seconds_bucket", le="0.2") == 0
+    assert read("lateness_seconds_bucket", le="0.0") == 1
+    assert read("lateness_seconds_bucket", le="5.0") == 2
     assert read("report_age_seconds_sum") == pytest.approx(0.04)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -129,7 +129,8 @@
             configuration=self.gateway.configuration_version,
             seconds=self.count_seconds(request),
         )
-        self.gateway.metrics.count_request(failure.code)
+        kind = {} if relay is None else {"kind": relay.route.kind.value}
+        self.gateway.metrics.count_request(failure.code, **kind)
         if relay is not None and relay.has_begun:
             # Without the end of its chunks the answer cannot look whole.
             request.abort()
@@ -153,7 +154,9 @@
             reported=relay.reply.load,
             **relay.belief,
         )
-        self.gateway.metrics.count_request("answered")
+        self.gateway.metrics.count_request(
+            "answered", kind=relay.route.kind.value
+        )
         self.gateway.metrics.record(
             "first_event", relay.first_event or seconds
         )
