Wait for the cancel itself when a caller has left

The test waited until the engine's load report showed nothing running; the report lags by 0.5 s, so it may be of the time before the request, and the records were read before the cancel had come.

Change: the test waits for the record and the report together.

--- a/integration/tests/test_online_answers.py
+++ b/integration/tests/test_online_answers.py
@@ -203,16 +203,24 @@
 
     reply = ask(deployment, "leaving caller", on_data=leave)
     assert reply.failure == "Left"
+    # The load report lags, so it alone may be of the time before the request.
     limit = time.monotonic() + 5.0
-    while count_running(deployment) and time.monotonic() < limit:
+    while time.monotonic() < limit:
+        last = find_last_event(deployment)
+        if last == "cancelled" and not count_running(deployment):
+            break
         time.sleep(0.05)
+    assert last == "cancelled"
     assert count_running(deployment) == 0
-    last = [
+
+
+def find_last_event(deployment):
+    """Return the engines' last event but those of connections."""
+    return [
         record["event"]
         for record in deployment.read_records()
         if record.get("key") and record["event"] != "disconnected"
     ][-1]
-    assert last == "cancelled"
 
 
 def count_running(deployment):
