Refuse requests that a stopping gateway could not finish

The balancer goes on sending to fronts that are not ready when less than half of a zone is.

Ruled out: a kept connection that was not closed (idle ones are from 2.6 s on, and the listener stays open for such balancers).

Change: from 3 s after the request to stop, or half of the grace time, a new request is refused with 'not run' and the time to come back; it has not reached a replica. Test: test_a_stopping_gateway_takes_what_it_can_finish.

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -256,7 +256,7 @@
             return
         self.began = self.reactor.seconds()
         gateway = self.gateway
-        gateway.is_draining = True
+        gateway.drain()
         if gateway.worker is not None:
             gateway.worker.is_stopping = True
         gateway.peers.send_full(gateway.peers.list_live())
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -22,6 +22,12 @@
 __all__ = ["Gateway"]
 
 MEMBERS_PREFIX = "hs/m/"
+# Seconds after the request to stop in which new requests are still taken: the
+# balancer needs two missed questions, one a second, to notice. What comes
+# later could be cut off by the end of the grace time.
+TAKE_S = 3.0
+# Most of the grace time that this may use.
+TAKE_SHARE = 0.5
 
 
 class Gateway:
@@ -42,7 +48,8 @@
     ----------
     routes : RouteTable or None
         The configuration in force.
-    is_draining : bool
+    draining_since : float or None
+        Time of the reactor at which it was told to stop.
     site : ClientSite or None
         Where clients are served; None for a gateway that only runs items.
     read_metrics : callable or None
@@ -59,7 +66,7 @@
         self.dialect = dialect
         self.metrics = metrics
         self.routes = None
-        self.is_draining = False
+        self.draining_since = None
         self.read_metrics = None
         self.site = None
         self.worker = None
@@ -123,6 +130,24 @@
             and not self.is_draining
         )
 
+    @property
+    def is_draining(self):
+        """True once it has been told to stop."""
+        return self.draining_since is not None
+
+    @property
+    def takes_requests(self):
+        """True while a new request can be finished before the stop."""
+        if self.draining_since is None:
+            return True
+        spent = self.reactor.seconds() - self.draining_since
+        grace = self.settings.grace_seconds
+        return spent < min(TAKE_S, TAKE_SHARE * grace)
+
+    def drain(self):
+        """Report not ready from now on."""
+        self.draining_since = self.reactor.seconds()
+
     def wall_clock(self):
         """Return Unix seconds."""
         return time.time()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -6,6 +6,7 @@
 from hollyspan_core.errors import BodyTooLargeError
 from hollyspan_core.errors import ConfigurationMissingError
 from hollyspan_core.errors import DeadlineError
+from hollyspan_core.errors import DrainingError
 from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import Outcome
@@ -19,6 +20,9 @@
 
 # Wait of a client that names none, seconds.
 DEFAULT_DEADLINE_S = 30.0
+# Seconds after which a client that met a stopping gateway may come back: the
+# next connection goes to another one.
+STOPPING_RETRY_S = 0.1
 
 
 class OnlineService:
@@ -67,6 +71,12 @@
         try:
             if request.is_too_large:
                 raise BodyTooLargeError("the body exceeds the limit")
+            if not self.gateway.takes_requests:
+                raise DrainingError(
+                    "the gateway is about to stop",
+                    outcome=Outcome.NOT_RUN,
+                    retry_after=STOPPING_RETRY_S,
+                )
             route = self.find_route(head)
             if route.kind is RouteKind.BATCH:
                 await self.gateway.submissions.handle(request, head, route)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_service.py
@@ -28,6 +28,17 @@
     assert (request.status, request.written) == (503, b"not_run")
 
 
+def test_a_stopping_gateway_takes_what_it_can_finish(serve, gateway, reactor):
+    """A balancer without another choice goes on sending."""
+    gateway.drain()
+    reactor.advance(2.9)
+    assert serve().status is None
+    reactor.advance(0.2)
+    late = serve()
+    assert (late.status, late.written) == (503, b"not_run")
+    assert len(gateway.pool.sent) == 1
+
+
 def test_an_unknown_path_is_not_found(serve, helpers):
     request = serve(prefix="/other/")
     assert request.status == 404
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -268,7 +268,7 @@
         change = peer.take(load, now=reactor.seconds())
         assert change.upstreams == set()
         assert not change.is_member_news
-        fleet[3].is_draining = True
+        fleet[3].drain()
         fleet[3].peers.beat()
     # The full message told that the sender leaves, and the load.
     assert fleet[0].directory.upstreams["u1"].told_online == 1
