Entry daemon: remove claims of a cancelled job that a failed delete left

Cause: a claim whose delete failed stays in the store under the daemon's own live lease. The next listing of claims was meant to find it, but the queue watcher lists claims only of jobs in progress. A cancelled job then never ends: each poll sees the claim and waits for a holder that has forgotten it.

Ruled out: a lapse of the lease frees the claim, but the lease is renewed.

After: it is cancelled at the next poll; claims that are held here or elsewhere still keep it.

Conclusion: a real fault, whatever the load.

--- a/packages/hollyspan_entry/hollyspan_entry/jobs/running/watcher.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/running/watcher.py
@@ -167,6 +167,10 @@
         if record.status is JobStatus.CANCELLING:
             known.record = record
             self.on_stopped(entry.job)
+            # A claim whose delete failed would keep the job from ending.
+            await self.sweep(
+                entry.job, await list_claims(self.store, entry.job)
+            )
             if await end_cancelled(self.store, record):
                 self.forget(entry.job)
             return
