Gateway: one answer to defects, regions kept with upstreams, batch placement apart

Clean-up without a change of decisions, but for one fault: a job identifier with characters that a URL quotes was looked up in its quoted form at the job's reader, so that the asking gateway always read the store itself. The new test failed before (the answer came from the store, not from the reader).

- answer_defect stands once, in http1, in place of three copies.
- The hash of an upstream's region is computed when it is listed, not with each change of load; the region of a gateway is found by its key.
- Whether each change is told to all gateways is read from the members known at the last change instead of counting them for each request.
- placement.py is parted; its batch side stands in batchplacement.py.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -15,6 +15,7 @@
 from .refresh import Refresh
 from .retirement import Retirement
 from .store import Mirror
+from .upstreams import BatchPlacement
 from .upstreams import Directory
 from .upstreams import LAPSE_GRACE_S
 from .upstreams import Placement
@@ -72,22 +73,26 @@
         self.worker = None
         self.pool = ConnectionPool(reactor=reactor)
         self.directory = Directory(
-            reactor=reactor, on_leaving=self.leave_upstream
+            reactor=reactor,
+            find_region=settings.find_region,
+            on_leaving=self.leave_upstream,
         )
         self.placement = Placement(
             reactor=reactor,
             directory=self.directory,
-            daemon=build_identifier(hash_parts(settings.instance)),
             data_centre=settings.data_centre,
             find_region=settings.find_region,
             knows_remote=lambda: self.peers.tells_all(),
             on_change=self.note_load,
         )
+        self.batch_placement = BatchPlacement(
+            placement=self.placement,
+            gateway=build_identifier(hash_parts(settings.instance)),
+        )
         self.peers = PeerTable(
             reactor=reactor,
             name=settings.instance,
-            find_region=settings.find_region,
-            data_centre=settings.data_centre,
+            region=settings.region,
             incarnation=incarnation,
             describe=self.describe,
             list_loads=self.list_loads,
@@ -284,20 +289,6 @@
             workers.append(self.peers.identifier)
         return workers
 
-    def find_upstream_region(self, upstream):
-        """Return the hash of an upstream's region."""
-        region = self.settings.find_region(upstream.entry.data_centre)
-        return hash_parts(region)
-
-    def find_gateway_region(self, identifier):
-        """Return the hash of the region of a gateway, 0 if it is unknown."""
-        if identifier == self.peers.identifier:
-            return self.peers.region
-        for peer in self.peers.peers.values():
-            if peer.identifier == identifier:
-                return peer.region
-        return 0
-
     def list_claimed_items(self):
         """Return the hashes of the items that run at peers."""
         return frozenset().union(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/ranks.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/ranks.py
@@ -51,10 +51,10 @@
         return self.ranks[name], len(self.owners)
 
     def compute(self, upstream):
-        region = self.gateway.find_upstream_region(upstream)
+        peers = self.gateway.peers
 
         def order(owner):
-            is_elsewhere = self.gateway.find_gateway_region(owner) != region
+            is_elsewhere = peers.find_region(owner) != upstream.region
             return is_elsewhere, hash_parts(upstream.entry.name, owner)
 
         ranked = sorted(self.owners, key=order)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
@@ -2,6 +2,7 @@
 
 from urllib.parse import parse_qs
 from urllib.parse import quote
+from urllib.parse import unquote
 from urllib.parse import urlencode
 
 import eliot
@@ -12,6 +13,7 @@
 from hollyspan_core.errors import HollyspanError
 from hollyspan_policy.ownership import choose_owner
 
+from ..http1 import answer_defect
 from ..peers import fetch_answer
 from .loading import load_job
 from .view import JobView
@@ -143,10 +145,11 @@
         """
         work = defer.ensureDeferred(self.read_for_peer(request, target))
         request.on_gone = work.cancel
-        work.addErrback(report_defect, request)
+        work.addErrback(answer_defect, request)
 
     async def read_for_peer(self, request, target):
-        identifier, _, query = target.partition("?")
+        quoted, _, query = target.partition("?")
+        identifier = unquote(quoted)
         values = {name: each[0] for name, each in parse_qs(query).items()}
         try:
             if "item" in values:
@@ -184,13 +187,6 @@
         request.answer(http.OK, headers, found.body)
 
 
-def report_defect(failure, request):
-    if failure.check(defer.CancelledError):
-        return
-    eliot.write_failure(failure)
-    request.answer(http.INTERNAL_SERVER_ERROR, [], b"")
-
-
 def limit_results(results):
     """Return the first results whose outputs fit into one answer."""
     size = 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -110,7 +110,7 @@
             resume_after=self.work.last_event,
         )
         try:
-            with self.gateway.placement.hold_batch(self.upstream):
+            with self.gateway.batch_placement.hold(self.upstream):
                 failure = await run_attempt(
                     self.gateway.pool,
                     address=self.upstream.entry.address,
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_reading.py
@@ -63,11 +63,11 @@
     peer.take(message, now=reactor.seconds())
 
 
-def find_job(gateway, *, is_read_here):
+def find_job(gateway, *, is_read_here, prefix=""):
     """Return a job that the gateway reads itself, or that its peer reads."""
     return next(
         name
-        for name in map(str, range(100))
+        for name in (f"{prefix}{number}" for number in range(100))
         if (gateway.reading.find_reader(name) is None) == is_read_here
     )
 
@@ -120,6 +120,15 @@
     assert pair[0].reading.views == {}
 
 
+def test_the_reader_takes_any_identifier(pair, submit, helpers, reactor):
+    job = find_job(pair[0], is_read_here=False, prefix="a%2F/b c?d&")
+    submit(job)
+    request = read(pair[0], helpers, reactor, job)
+    carry(pair[0], pair[1], helpers, reactor)
+    assert (request.status, request.written) == (200, b"1:0:i1")
+    assert pair[0].reading.views == {}
+
+
 def test_a_body_comes_from_the_reader(pair, submit, helpers, reactor, run):
     job = find_job(pair[0], is_read_here=False)
     submit(job, name="a/b?c")
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -187,7 +187,7 @@
             self.give_up(work, "the job's time is over")
             return
         service = choose_service(route, work.item.identifier)
-        upstream = self.gateway.placement.choose_for_batch(
+        upstream = self.gateway.batch_placement.choose(
             service,
             key=work.item.identifier,
             is_urgent=job.due - now < URGENT_S,
@@ -266,7 +266,7 @@
         """Stop items where online requests need their slots."""
         if not upstream.batch:
             return
-        excess = self.gateway.placement.count_batch_excess(upstream)
+        excess = self.gateway.batch_placement.count_excess(upstream)
         if excess <= 0:
             return
         now = self.gateway.wall_clock()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -12,6 +12,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import RouteNotFoundError
 
+from ..http1 import answer_defect
 from ..routes import choose_service
 from ..routes import RouteKind
 from .relay import Relay
@@ -60,8 +61,7 @@
             )
             self.gateway.metrics.count_request("client_gone")
             return
-        eliot.write_failure(failure)
-        request.answer(500, [], b"internal error\n")
+        answer_defect(failure, request)
 
     def count_seconds(self, request):
         return round(self.gateway.reactor.seconds() - request.arrived, 4)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -1,6 +1,6 @@
 """Another gateway."""
 
-__all__ = ["Peer", "PeerChange", "build_identifier"]
+__all__ = ["Peer", "PeerChange", "build_identifier", "parse_identifier"]
 
 # Seconds between the full messages of a gateway that has not told it yet.
 FIRST_BEAT_S = 0.3
@@ -148,3 +148,8 @@
 def build_identifier(key):
     """Return the key of a gateway as text."""
     return f"{key:016x}"
+
+
+def parse_identifier(identifier):
+    """Return the key of a gateway from its text."""
+    return int(identifier, 16)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -15,6 +15,7 @@
 from .message import FleetMessage
 from .message import UpstreamLoad
 from .peer import build_identifier
+from .peer import parse_identifier
 from .peer import Peer
 
 __all__ = ["PeerTable"]
@@ -30,9 +31,8 @@
     ----------
     reactor : twisted reactor
     name : str
-    find_region : callable
-        Returns the region of a data centre.
-    data_centre : str
+    region : str
+        Where this gateway is.
     incarnation : int
     describe : callable
         Returns a dict with the state for a full message.
@@ -58,8 +58,7 @@
         *,
         reactor,
         name,
-        find_region,
-        data_centre,
+        region,
         incarnation,
         describe,
         list_loads,
@@ -69,8 +68,7 @@
         self.reactor = reactor
         self.key = hash_parts(name)
         self.identifier = build_identifier(self.key)
-        self.find_region = find_region
-        self.region = hash_parts(find_region(data_centre))
+        self.region = hash_parts(region)
         self.incarnation = incarnation
         self.describe = describe
         self.list_loads = list_loads
@@ -180,7 +178,14 @@
 
     def tells_all(self):
         """Tell whether each change of load goes to all gateways at once."""
-        return is_small_fleet(len(self.list_live()))
+        return is_small_fleet(len(self.live))
+
+    def find_region(self, identifier):
+        """Return the hash of the region of a gateway, 0 if it is unknown."""
+        if identifier == self.identifier:
+            return self.region
+        peer = self.peers.get(parse_identifier(identifier))
+        return 0 if peer is None else peer.region
 
     def choose_audience(self, upstream, live, *, is_batch_only):
         """Return the live gateways that a change of load concerns.
@@ -190,16 +195,15 @@
         Gateways of the upstream's region tell each worker there of online
         requests. One from another region they have to know of first.
         """
-        region = hash_parts(self.find_region(upstream.entry.data_centre))
         return choose_audience(
             live,
-            region=region,
+            region=upstream.region,
             holders={
                 peer
                 for peer in live
                 if upstream.peers.get(peer.identifier, (0, 0))[1]
             },
-            is_batch_only=is_batch_only and region == self.region,
+            is_batch_only=is_batch_only and upstream.region == self.region,
         )
 
     def beat(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -108,7 +108,7 @@
 def test_a_silent_gateway_is_lost_and_its_load_forgotten(fleet, net, reactor):
     first, second = fleet[0], fleet[1]
     upstream = second.directory.upstreams["u1"]
-    with second.placement.hold_batch(upstream):
+    with second.batch_placement.hold(upstream):
         beat(fleet, reactor, 0.6)
         assert first.directory.upstreams["u1"].count_batch() == 1
         beat([fleet[0], fleet[2], fleet[3]], reactor, 1.5)
@@ -205,7 +205,7 @@
     beat(large_fleet, reactor, 0.9)
     sender, near, far = large_fleet[0], large_fleet[1:15], large_fleet[15:]
     holder = far[0]
-    with holder.placement.hold_batch(holder.directory.upstreams["u1"]):
+    with holder.batch_placement.hold(holder.directory.upstreams["u1"]):
         beat(large_fleet, reactor, 0.3)
         with sender.placement.hold_online(sender.directory.upstreams["u1"]):
             reactor.advance(0.03)
@@ -221,7 +221,7 @@
     large_fleet[1].worker = Runner()
     beat(large_fleet, reactor, 0.9)
     upstreams = [each.directory.upstreams["u1"] for each in large_fleet]
-    with large_fleet[0].placement.hold_batch(upstreams[0]):
+    with large_fleet[0].batch_placement.hold(upstreams[0]):
         reactor.advance(0.03)
         assert [each.told_batch for each in upstreams[1:4]] == [1, 0, 0]
         beat(large_fleet, reactor, 0.3)
@@ -235,7 +235,7 @@
     beat(large_fleet, reactor, 0.9)
     near, far = large_fleet[:15], large_fleet[15:]
     upstream = far[0].directory.upstreams["u1"]
-    with far[0].placement.hold_batch(upstream):
+    with far[0].batch_placement.hold(upstream):
         reactor.advance(0.03)
         known = [each.directory.upstreams["u1"].told_batch for each in near]
         assert known == [1] * len(near)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Upstreams that serve requests and how busy they are."""
 
+from .batchplacement import BatchPlacement
 from .directory import Directory
 from .directory import LAPSE_GRACE_S
 from .placement import Placement
@@ -7,6 +8,7 @@
 from .upstream import UpstreamEntry
 
 __all__ = [
+    "BatchPlacement",
     "Directory",
     "LAPSE_GRACE_S",
     "Placement",
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batchplacement.py
@@ -0,0 +1,104 @@
+"""Where batch items go, and what that adds to the upstreams' load."""
+
+import contextlib
+
+from hollyspan_policy.batch import choose_batch_upstream
+from hollyspan_policy.batch import count_excess
+from hollyspan_policy.batch import count_room
+
+__all__ = ["BatchPlacement"]
+
+# Share of a service's slots that batch work leaves free for the online
+# requests of the next moments, so that these seldom wait for a preemption.
+BATCH_HEADROOM = 0.06
+
+
+class BatchPlacement:
+    """Chooses upstreams and counts the items of this gateway there.
+
+    Parameters
+    ----------
+    placement : Placement
+        Its view of the upstreams is used.
+    gateway : str
+        Identifier of this gateway.
+    """
+
+    __slots__ = ("placement", "gateway")
+
+    def __init__(self, *, placement, gateway):
+        self.placement = placement
+        self.gateway = gateway
+
+    def choose(self, service, *, key, is_urgent, find_rank):
+        """Choose the upstream for an item.
+
+        Parameters
+        ----------
+        service : str
+        key : str
+            Identifier of the item.
+        is_urgent : bool
+            True when the item is late if it does not start now.
+        find_rank : callable
+            Called with an Upstream, returns the place of this gateway among
+            those that run items there, and their number.
+
+        Returns
+        -------
+        Upstream or None
+            None when no slot is free for batch work.
+        """
+        placement = self.placement
+
+        def count_open(view):
+            upstream = placement.directory.upstreams[view.name]
+            rank, daemons = find_rank(upstream)
+            return upstream.turns.count_open(
+                count_room(view),
+                rank=rank,
+                daemons=daemons,
+                now=placement.reactor.seconds(),
+            )
+
+        view = choose_batch_upstream(
+            placement.build_views(service, with_suspects=False),
+            data_centre=placement.data_centre,
+            is_near=placement.is_near,
+            knows_remote=placement.knows_remote(),
+            headroom_share=0.0 if is_urgent else BATCH_HEADROOM,
+            count_open=count_open,
+            seed=key,
+        )
+        if view is None:
+            return None
+        upstream = placement.directory.upstreams[view.name]
+        upstream.turns.note_taken()
+        return upstream
+
+    def count_excess(self, upstream):
+        """Count the items that this gateway has to stop at an upstream."""
+        batch = {
+            name: told[1] for name, told in upstream.peers.items() if told[1]
+        }
+        batch[self.gateway] = upstream.batch
+        view = self.placement.build_view(
+            upstream, self.placement.reactor.seconds()
+        )
+        return count_excess(
+            slots=view.slots - view.hidden,
+            online=view.online,
+            batch_by_daemon=batch,
+            daemon=self.gateway,
+        )
+
+    @contextlib.contextmanager
+    def hold(self, upstream):
+        """Count a batch item at an upstream while it is there."""
+        upstream.batch += 1
+        self.placement.on_change(upstream, is_batch_only=True)
+        try:
+            yield
+        finally:
+            upstream.batch -= 1
+            self.placement.on_change(upstream, is_batch_only=True)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -2,6 +2,8 @@
 
 import eliot
 
+from hollyspan_policy.hashing import hash_parts
+
 from .upstream import Upstream
 
 __all__ = ["Directory"]
@@ -33,6 +35,8 @@
     Parameters
     ----------
     reactor : twisted reactor
+    find_region : callable
+        Returns the region of a data centre.
     on_leaving : callable
         Called with an Upstream that no longer takes new work.
 
@@ -42,10 +46,11 @@
         Upstream by its name, and by the hash of it.
     """
 
-    __slots__ = ("reactor", "on_leaving", "upstreams", "by_key")
+    __slots__ = ("reactor", "find_region", "on_leaving", "upstreams", "by_key")
 
-    def __init__(self, *, reactor, on_leaving):
+    def __init__(self, *, reactor, find_region, on_leaving):
         self.reactor = reactor
+        self.find_region = find_region
         self.on_leaving = on_leaving
         self.upstreams = {}
         self.by_key = {}
@@ -94,7 +99,8 @@
     def update_entry(self, name, entry):
         known = self.upstreams.get(name)
         if known is None or known.entry.born != entry.born:
-            upstream = Upstream(entry=entry)
+            region = hash_parts(self.find_region(entry.data_centre))
+            upstream = Upstream(entry=entry, region=region)
             self.upstreams[name] = upstream
             self.by_key[entry.key] = upstream
             log_change("upstream:listed", entry)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -1,4 +1,4 @@
-"""Where requests go, and what that adds to the upstreams' load."""
+"""Where online requests go, and what that adds to the upstreams' load."""
 
 import contextlib
 import math
@@ -8,9 +8,6 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.errors import UpstreamUnreachableError
 from hollyspan_policy.admission import decide_admission
-from hollyspan_policy.batch import choose_batch_upstream
-from hollyspan_policy.batch import count_excess
-from hollyspan_policy.batch import count_room
 from hollyspan_policy.hashing import draw_share
 from hollyspan_policy.routing import choose_nearby
 from hollyspan_policy.routing import estimate_wait
@@ -23,23 +20,18 @@
 INITIAL_SERVICE_S = 0.7
 # Weight of one measured service time in the moving mean.
 SERVICE_WEIGHT = 0.05
-# Share of a service's slots that batch work leaves free for the online
-# requests of the next moments, so that these seldom wait for a preemption.
-BATCH_HEADROOM = 0.06
 # Mean time after which refused clients come back, seconds: about one online
 # request's time in a slot.
 RETRY_AFTER_S = 0.6
 
 
 class Placement:
-    """Chooses upstreams and counts what this daemon has sent there.
+    """Chooses upstreams and counts the requests of this gateway there.
 
     Parameters
     ----------
     reactor : twisted reactor
     directory : Directory
-    daemon : str
-        Identifier of this gateway.
     data_centre : str
     find_region : callable
         Returns the region of a data centre.
@@ -55,7 +47,6 @@
         *,
         reactor,
         directory,
-        daemon,
         data_centre,
         find_region,
         knows_remote,
@@ -63,7 +54,6 @@
     ):
         self.reactor = reactor
         self.directory = directory
-        self.daemon = daemon
         self.data_centre = data_centre
         self.find_region = find_region
         self.region = find_region(data_centre)
@@ -192,69 +182,10 @@
             "report_age": None if math.isinf(age) else round(age, 3),
         }
 
-    def choose_for_batch(self, service, *, key, is_urgent, find_rank):
-        """Choose the upstream for an item.
-
-        Parameters
-        ----------
-        service : str
-        key : str
-            Identifier of the item.
-        is_urgent : bool
-            True when the item is late if it does not start now.
-        find_rank : callable
-            Called with an Upstream, returns the place of this gateway among
-            those that run items there, and their number.
-
-        Returns
-        -------
-        Upstream or None
-            None when no slot is free for batch work.
-        """
-
-        def count_open(view):
-            upstream = self.directory.upstreams[view.name]
-            rank, daemons = find_rank(upstream)
-            return upstream.turns.count_open(
-                count_room(view),
-                rank=rank,
-                daemons=daemons,
-                now=self.reactor.seconds(),
-            )
-
-        view = choose_batch_upstream(
-            self.build_views(service, with_suspects=False),
-            data_centre=self.data_centre,
-            is_near=self.is_near,
-            knows_remote=self.knows_remote(),
-            headroom_share=0.0 if is_urgent else BATCH_HEADROOM,
-            count_open=count_open,
-            seed=key,
-        )
-        if view is None:
-            return None
-        upstream = self.directory.upstreams[view.name]
-        upstream.turns.note_taken()
-        return upstream
-
     def is_near(self, data_centre):
         """Tell whether a data centre is in the own region."""
         return self.find_region(data_centre) == self.region
 
-    def count_batch_excess(self, upstream):
-        """Count the items that this daemon has to stop at an upstream."""
-        batch = {
-            name: told[1] for name, told in upstream.peers.items() if told[1]
-        }
-        batch[self.daemon] = upstream.batch
-        view = self.build_view(upstream, self.reactor.seconds())
-        return count_excess(
-            slots=view.slots - view.hidden,
-            online=view.online,
-            batch_by_daemon=batch,
-            daemon=self.daemon,
-        )
-
     def build_views(self, service, *, with_suspects=True):
         """Return what is known of the upstreams of a service."""
         now = self.reactor.seconds()
@@ -293,17 +224,6 @@
             )
             self.on_change(upstream, is_batch_only=False)
 
-    @contextlib.contextmanager
-    def hold_batch(self, upstream):
-        """Count a batch item at an upstream while it is there."""
-        upstream.batch += 1
-        self.on_change(upstream, is_batch_only=True)
-        try:
-            yield
-        finally:
-            upstream.batch -= 1
-            self.on_change(upstream, is_batch_only=True)
-
     def note_reply(self, upstream, reply):
         """Take note of the head of an answer."""
         if reply.load is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -14,6 +14,7 @@
 def directory(reactor, left):
     return Directory(
         reactor=reactor,
+        find_region=lambda data_centre: data_centre,
         on_leaving=lambda upstream: left.append(upstream.entry.name),
     )
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -19,7 +19,7 @@
 
 
 def choose_for_batch(gateway, *, is_urgent=False, rank=(0, 1)):
-    return gateway.placement.choose_for_batch(
+    return gateway.batch_placement.choose(
         "m", key="i", is_urgent=is_urgent, find_rank=lambda upstream: rank
     )
 
@@ -81,6 +81,6 @@
     upstream = choose(gateway)
     upstream.batch = 4
     upstream.online = 2
-    assert gateway.placement.count_batch_excess(upstream) == 0
+    assert gateway.batch_placement.count_excess(upstream) == 0
     upstream.take_report(8, 3, now=reactor.seconds())
-    assert gateway.placement.count_batch_excess(upstream) == 2
+    assert gateway.batch_placement.count_excess(upstream) == 2
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -76,6 +76,8 @@
     Parameters
     ----------
     entry : UpstreamEntry
+    region : int
+        Hash of the name of its region.
 
     Attributes
     ----------
@@ -111,6 +113,7 @@
 
     __slots__ = (
         "entry",
+        "region",
         "online",
         "batch",
         "peers",
@@ -128,8 +131,9 @@
         "is_unreachable_news",
     )
 
-    def __init__(self, *, entry):
+    def __init__(self, *, entry, region):
         self.entry = entry
+        self.region = region
         self.online = 0
         self.batch = 0
         self.peers = {}
