--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/model/batch.py
@@ -0,0 +1,198 @@
+"""Items of a simulated gateway."""
+
+from contextlib import ExitStack
+
+from hollyspan_gateway.jobs.worker import INITIAL_EVENT_S
+from hollyspan_gateway.jobs.worker import INITIAL_EVENTS
+from hollyspan_gateway.jobs.worker import RETRY_S
+from hollyspan_gateway.jobs.worker import ROUND_S
+from hollyspan_gateway.jobs.worker import SHORT_RUN_S
+from hollyspan_gateway.jobs.worker import URGENT_S
+from hollyspan_policy.batch import rank_item
+from hollyspan_policy.batch import RunTimes
+
+from .stream import EngineStream
+
+__all__ = ["BatchRunner"]
+
+# Tokens from one event to the next.
+STRIDE = 10
+
+
+class BatchRunner:
+    """Runs the items that belong to one gateway.
+
+    Parameters
+    ----------
+    gateway : GatewayModel
+
+    Attributes
+    ----------
+    waiting : list of ItemState
+    running : dict
+        Run by the key of its item.
+    preemptions : int
+    short_runs : int
+        Preemptions so early that the run was of little use.
+    """
+
+    def __init__(self, *, gateway):
+        self.gateway = gateway
+        self.clock = gateway.clock
+        self.waiting = []
+        self.running = {}
+        self.times = RunTimes(
+            events=INITIAL_EVENTS, event_seconds=INITIAL_EVENT_S
+        )
+        self.preemptions = 0
+        self.short_runs = 0
+
+    def start(self):
+        """Look for free slots again and again."""
+        self.start_items()
+        self.clock.call_later(ROUND_S, self.start)
+
+    def add(self, items):
+        """Take over items of a new job."""
+        self.waiting.extend(items)
+        self.start_items()
+
+    def rank(self, item):
+        return rank_item(
+            due=item.due,
+            left_seconds=self.times.estimate_left(item.done // STRIDE),
+            now=self.clock.now,
+        )
+
+    def start_items(self):
+        """Start what fits into the free slots, the most urgent first."""
+        now = self.clock.now
+        ready = [item for item in self.waiting if item.not_before <= now]
+        for item in sorted(ready, key=self.rank):
+            upstream = self.gateway.policy.choose_batch(
+                self.gateway, item.key, item.due - now < URGENT_S
+            )
+            if upstream is not None:
+                self.waiting.remove(item)
+                self.running[item.key] = Run(
+                    runner=self, item=item, upstream=upstream
+                )
+
+    def make_room(self, upstream):
+        """Stop items where online requests need their slots."""
+        if not upstream.batch or not self.gateway.policy.gives_way:
+            return
+        excess = self.gateway.batch_placement.count_excess(upstream)
+        if excess <= 0:
+            return
+        here = [
+            run for run in self.running.values() if run.upstream is upstream
+        ]
+        here.sort(key=lambda run: self.rank(run.item))
+        for run in here[-excess:]:
+            if not run.is_over:
+                self.preemptions += 1
+                run.preempt()
+
+    def take_end(self, run, reason):
+        """Take note of the end of a run."""
+        item = run.item
+        del self.running[item.key]
+        seconds = self.clock.now - run.started
+        if reason == "finished":
+            item.finished_at = self.clock.now
+            self.times.observe(
+                events=item.tokens // STRIDE,
+                seconds=seconds,
+                run_events=(item.tokens - run.first_token) // STRIDE,
+            )
+        else:
+            is_short = seconds < SHORT_RUN_S
+            self.short_runs += reason == "preempted" and is_short
+            if reason != "preempted" or is_short:
+                item.not_before = self.clock.now + RETRY_S
+            self.waiting.append(item)
+        self.clock.call_later(0.0, self.start_items)
+
+
+class Run:
+    """One run of an item.
+
+    Parameters
+    ----------
+    runner : BatchRunner
+    item : ItemState
+    upstream : Upstream
+    """
+
+    __slots__ = (
+        "runner",
+        "item",
+        "upstream",
+        "started",
+        "first_token",
+        "holds",
+        "delay",
+        "stream",
+        "is_over",
+    )
+
+    def __init__(self, *, runner, item, upstream):
+        self.runner = runner
+        self.item = item
+        self.upstream = upstream
+        self.started = runner.clock.now
+        self.first_token = item.done
+        self.is_over = False
+        gateway = runner.gateway
+        self.delay = gateway.fleet.find_delay(
+            gateway.data_centre, upstream.entry.data_centre
+        )
+        self.stream = EngineStream(
+            parts=item.parts,
+            tokens=item.tokens,
+            done=item.done,
+            on_event=self.pass_event,
+            on_end=self.pass_end,
+        )
+        item.runs += 1
+        self.holds = ExitStack()
+        self.holds.enter_context(gateway.batch_placement.hold(upstream))
+        runner.clock.call_later(self.delay, self.engine.submit, self.stream)
+
+    @property
+    def engine(self):
+        """The engine behind the upstream."""
+        return self.runner.gateway.fleet.engines[self.upstream.entry.name]
+
+    def pass_event(self, stream):
+        self.runner.clock.call_later(
+            self.delay, self.take_event, stream.generated, self.engine.load
+        )
+
+    def pass_end(self, stream, reason):
+        self.runner.clock.call_later(self.delay, self.take_end, reason)
+
+    def take_event(self, generated, load):
+        if not self.is_over:
+            if self.item.done == self.first_token:
+                self.runner.gateway.fleet.note_report(self, load)
+            self.item.done = generated
+
+    def take_end(self, reason):
+        if not self.is_over:
+            self.end(reason)
+
+    def preempt(self):
+        """Stop the run; what has come is kept."""
+        self.runner.clock.call_later(
+            self.delay, self.engine.remove, self.stream
+        )
+        self.end("preempted")
+
+    def end(self, reason):
+        self.is_over = True
+        generated = self.stream.generated - self.first_token
+        self.item.generated += max(0, generated)
+        self.holds.close()
+        self.runner.take_end(self, reason)
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/model/figures.py
@@ -0,0 +1,105 @@
+"""Figures of a simulated run."""
+
+import math
+
+__all__ = ["compute_figures", "find_quantile", "group_by_load"]
+
+# Of the users' sheets: the aim for the first event and the bound of pauses.
+AIM_S = 0.3
+PAUSE_S = 0.5
+
+
+def find_quantile(values, share):
+    """Return a quantile by the nearest rank, None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def compute_figures(fleet):
+    """Return what clients of a run have seen.
+
+    Parameters
+    ----------
+    fleet : FleetModel
+
+    Returns
+    -------
+    dict
+        Shares from 0 to 1; times in seconds.
+    """
+    requests = fleet.requests
+    firsts = [
+        request.first_at - request.arrived
+        for request in requests
+        if request.first_at is not None
+    ]
+    answered = [each for each in requests if each.ended == "answered"]
+    timely = [
+        request
+        for request in answered
+        if request.first_at - request.arrived <= AIM_S
+        and request.longest_pause <= PAUSE_S
+    ]
+    items = fleet.items
+    in_time = [
+        item
+        for item in items
+        if item.finished_at is not None and item.finished_at <= item.due
+    ]
+    runners = [gateway.batch for gateway in fleet.list_workers()]
+    errors = [abs(error) for error in fleet.errors]
+    return {
+        "requests": len(requests),
+        "timely": share(len(timely), len(requests)),
+        "answered": share(len(answered), len(requests)),
+        "refused": sum(each.ended == "refused" for each in requests),
+        "first_p50": round_time(find_quantile(firsts, 0.5)),
+        "first_p99": round_time(find_quantile(firsts, 0.99)),
+        "moved": sum(each.sends > 1 for each in requests),
+        "items": len(items),
+        "items_in_time": share(len(in_time), len(items)),
+        "preemptions": sum(runner.preemptions for runner in runners),
+        "short_runs": sum(runner.short_runs for runner in runners),
+        "error_p50": find_quantile(errors, 0.5),
+        "error_p99": find_quantile(errors, 0.99),
+        "messages": fleet.messages,
+    }
+
+
+def group_by_load(fleet):
+    """Return times by the load that upstreams reported.
+
+    Parameters
+    ----------
+    fleet : FleetModel
+
+    Returns
+    -------
+    dict
+        By running and waiting streams: count, median time from the choice of
+        the upstream to the first event, and median time between events,
+        seconds.
+    """
+    groups = {}
+    for request in fleet.requests:
+        if request.report is not None and request.ended == "answered":
+            groups.setdefault(request.report, []).append(request)
+    return {
+        load: {
+            "count": len(group),
+            "first": find_quantile(
+                [each.first_at - each.sent_at for each in group], 0.5
+            ),
+        }
+        for load, group in sorted(groups.items())
+    }
+
+
+def share(part, whole):
+    return round(part / whole, 4) if whole else None
+
+
+def round_time(seconds):
+    return None if seconds is None else round(seconds, 4)
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
@@ -0,0 +1,304 @@
+"""A gateway whose decisions are the product's and whose I/O is simulated."""
+
+from contextlib import ExitStack
+
+from hollyspan_core.errors import OverloadedError
+from hollyspan_gateway.online.relay import FIRST_EVENT_S
+from hollyspan_gateway.upstreams import BatchPlacement
+from hollyspan_gateway.upstreams import Directory
+from hollyspan_gateway.upstreams import Placement
+from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.membership import choose_audience
+from hollyspan_policy.membership import choose_gathering
+from hollyspan_policy.membership import is_small_fleet
+
+from .batch import BatchRunner
+from .stream import EngineStream
+
+__all__ = ["GatewayModel"]
+
+# Upstreams that may refuse a request before it is refused.
+MAX_REFUSALS = 3
+# Upstreams that may run a request.
+MAX_SENDS = 2
+# Seconds between two questions whether a silent upstream is left.
+STALL_CHECK_S = 0.05
+
+
+class GatewayModel:
+    """One gateway of a simulated fleet.
+
+    Parameters
+    ----------
+    fleet : FleetModel
+    name, data_centre : str
+    policy : RunPolicy
+    runs_batch : bool
+
+    Attributes
+    ----------
+    region : int
+        Hash of the name of its region.
+    batch : BatchRunner
+    """
+
+    def __init__(self, *, fleet, name, data_centre, policy, runs_batch):
+        self.fleet = fleet
+        self.clock = fleet.clock
+        self.service = fleet.service
+        self.identifier = name
+        self.data_centre = data_centre
+        self.region = hash_parts(fleet.find_region(data_centre))
+        self.policy = policy
+        self.runs_batch = runs_batch
+        self.directory = Directory(
+            reactor=fleet.clock,
+            find_region=fleet.find_region,
+            on_leaving=lambda upstream: None,
+        )
+        self.placement = Placement(
+            reactor=fleet.clock,
+            directory=self.directory,
+            data_centre=data_centre,
+            find_region=fleet.find_region,
+            knows_remote=lambda: is_small_fleet(len(fleet.gateways)),
+            on_change=self.note_load,
+        )
+        self.batch_placement = BatchPlacement(
+            placement=self.placement, gateway=name
+        )
+        self.batch = BatchRunner(gateway=self)
+        self.changed = {}
+        self.online_changed = set()
+        self.is_flushing = False
+
+    def find_rank(self, upstream):
+        """Return this gateway's place among those that run items there."""
+        order = sorted(
+            (
+                gateway.region != upstream.region,
+                hash_parts(upstream.entry.name, gateway.identifier),
+                gateway.identifier,
+            )
+            for gateway in self.fleet.list_workers()
+        )
+        names = [name for _, _, name in order]
+        return names.index(self.identifier), len(names)
+
+    def note_load(self, upstream, *, is_batch_only):
+        """Tell the others of a change of load, and stop items for it."""
+        name = upstream.entry.name
+        self.changed[name] = upstream
+        if not is_batch_only:
+            self.online_changed.add(name)
+        if not self.is_flushing:
+            self.is_flushing = True
+            seconds = choose_gathering(len(self.fleet.gateways))
+            self.clock.call_later(seconds, self.flush)
+        self.batch.make_room(upstream)
+
+    def flush(self):
+        """Send the changed loads."""
+        self.is_flushing = False
+        changed, self.changed = self.changed, {}
+        online_changed, self.online_changed = self.online_changed, set()
+        others = [each for each in self.fleet.gateways if each is not self]
+        for name, upstream in changed.items():
+            report, upstream.news = upstream.news, None
+            load = (upstream.online, upstream.batch)
+            audience = choose_audience(
+                others,
+                region=upstream.region,
+                holders={
+                    each
+                    for each in others
+                    if upstream.peers.get(each.identifier, (0, 0))[1]
+                },
+                is_batch_only=name not in online_changed,
+            )
+            for other in audience:
+                self.fleet.messages += 1
+                self.clock.call_later(
+                    self.fleet.find_delay(self.data_centre, other.data_centre),
+                    other.take_told,
+                    self.identifier,
+                    name,
+                    load,
+                    report,
+                )
+
+    def take_told(self, sender, name, load, report):
+        """Take in what another gateway tells of an upstream."""
+        upstream = self.directory.upstreams.get(name)
+        if upstream is None:
+            return
+        upstream.take_told(sender, load)
+        if report is not None:
+            upstream.take_report(*report, now=self.clock.now)
+        self.batch.make_room(upstream)
+
+    def serve(self, request):
+        """Send a request to an upstream, or refuse it."""
+        try:
+            upstream = self.policy.choose_online(
+                self,
+                request.key,
+                request.tried,
+                request.until - self.clock.now,
+            )
+        except OverloadedError as refusal:
+            self.refuse(request, refusal.retry_after)
+            return
+        request.tried.add(upstream.entry.name)
+        request.sends += 1
+        request.sent_at = self.clock.now
+        request.belief = upstream.count_online() + upstream.count_batch()
+        request.belief += upstream.hidden
+        wait = self.placement.estimate_wait(upstream)
+        holds = ExitStack()
+        holds.enter_context(self.placement.hold_online(upstream))
+        delay = self.fleet.find_delay(
+            self.data_centre, upstream.entry.data_centre
+        )
+        attempt = Attempt(
+            gateway=self,
+            request=request,
+            upstream=upstream,
+            holds=holds,
+            delay=delay,
+        )
+        engine = self.fleet.engines[upstream.entry.name]
+        self.clock.call_later(delay, engine.submit, attempt.stream)
+        self.clock.call_later(FIRST_EVENT_S + wait, attempt.check_first)
+        self.clock.call_later(
+            max(0.0, request.until - self.clock.now), attempt.give_up
+        )
+
+    def refuse(self, request, retry_after):
+        """Refuse a request that has not run, or give a broken one up."""
+        if request.first_at is not None or request.sends:
+            request.ended = "lost"
+            return
+        request.ended = "refused"
+        self.fleet.return_later(request, retry_after)
+
+
+class Attempt:
+    """One send of an online request.
+
+    Parameters
+    ----------
+    gateway : GatewayModel
+    request : RequestState
+    upstream : Upstream
+    holds : ExitStack
+        Counts the request at the upstream until it is closed.
+    delay : float
+        Seconds to the upstream.
+    """
+
+    __slots__ = (
+        "gateway",
+        "request",
+        "upstream",
+        "holds",
+        "delay",
+        "stream",
+        "has_event",
+        "is_over",
+    )
+
+    def __init__(self, *, gateway, request, upstream, holds, delay):
+        self.gateway = gateway
+        self.request = request
+        self.upstream = upstream
+        self.holds = holds
+        self.delay = delay
+        self.has_event = False
+        self.is_over = False
+        self.stream = EngineStream(
+            parts=request.arrival.parts,
+            tokens=request.arrival.tokens,
+            done=request.done,
+            on_event=self.pass_event,
+            on_end=self.pass_end,
+        )
+
+    def pass_event(self, stream):
+        engine = self.gateway.fleet.engines[self.upstream.entry.name]
+        self.gateway.clock.call_later(
+            self.delay, self.take_event, stream.generated, engine.load
+        )
+
+    def pass_end(self, stream, reason):
+        self.gateway.clock.call_later(self.delay, self.take_end, reason)
+
+    def take_event(self, generated, load):
+        """Take an event on the way to the client."""
+        if self.is_over:
+            return
+        if not self.has_event:
+            self.has_event = True
+            self.gateway.fleet.note_report(self, load)
+        now = self.gateway.clock.now + self.gateway.fleet.client_delay
+        self.request.take_event(generated, now=now)
+
+    def take_end(self, reason):
+        """Take the end of the answer, of whichever kind."""
+        if self.is_over:
+            return
+        self.end()
+        request = self.request
+        if reason == "finished":
+            request.ended = "answered"
+            self.gateway.directory.note_success(self.upstream)
+        elif reason == "refused":
+            request.sends -= 1
+            request.refusals += 1
+            self.gateway.directory.note_failure(self.upstream)
+            if request.refusals <= MAX_REFUSALS:
+                self.gateway.serve(request)
+            else:
+                key = request.key
+                self.gateway.refuse(
+                    request, self.gateway.placement.choose_retry_after(key)
+                )
+        else:
+            self.gateway.directory.note_failure(self.upstream)
+            self.move()
+
+    def move(self):
+        """Go on at another upstream."""
+        if self.request.sends < MAX_SENDS:
+            self.gateway.serve(self.request)
+        else:
+            self.request.ended = "lost"
+
+    def check_first(self):
+        """Leave an upstream that is silent for too long."""
+        if self.is_over or self.has_event:
+            return
+        is_better = self.gateway.placement.has_better(
+            self.upstream, excluded=self.request.tried
+        )
+        if self.request.sends < MAX_SENDS and is_better:
+            self.end()
+            self.cancel()
+            self.move()
+        else:
+            self.gateway.clock.call_later(STALL_CHECK_S, self.check_first)
+
+    def give_up(self):
+        """End a request whose time is over."""
+        if not self.is_over:
+            self.end()
+            self.cancel()
+            self.request.ended = "given_up"
+
+    def cancel(self):
+        engine = self.gateway.fleet.engines[self.upstream.entry.name]
+        self.gateway.clock.call_later(self.delay, engine.remove, self.stream)
+
+    def end(self):
+        self.is_over = True
+        self.holds.close()
