Gateway: requests that would begin late wait for a slot, not in a queue

Cause: upstreams serve in order of arrival. In a wave above their capacity the wait grows beyond the aim, and from then on every request of the wave begins late, also those that come when the worst is over.

Change: must_hold (hollyspan_policy.admission) keeps a new request of a stream at the gateway while it would begin late and no slot is free for it (batch work's slots are); the one whose time ends first goes when a slot is free, one at a time, 2 s before the end of its time in any case. What can still be in time passes. A request without a chance is refused at once as before.

The tail of those that are late grows.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -9,6 +9,7 @@
 from .http1 import ConnectionPool
 from .jobs.reading import JobReading
 from .jobs.submissions import Submissions
+from .online.held import HeldRequests
 from .online.service import OnlineService
 from .peers import build_identifier
 from .peers import PeerTable
@@ -119,6 +120,7 @@
         self.refresh = Refresh(gateway=self)
         self.submissions = Submissions(gateway=self)
         self.reading = JobReading(gateway=self)
+        self.held = HeldRequests(gateway=self)
         self.online = OnlineService(gateway=self)
 
     @property
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -81,6 +81,11 @@
         """True once the client has got a part of the answer."""
         return self.first_event is not None
 
+    @property
+    def aim_at(self):
+        """Time of the reactor by which the answer should begin."""
+        return self.request.arrived + self.route.aim
+
     @property
     def outcome(self):
         """Whether an upstream can have run the request."""
@@ -98,6 +103,8 @@
         StreamLostError
             A part of the answer was sent and the rest will not come.
         """
+        if self.route.kind is RouteKind.STREAM and not self.is_resumed():
+            await self.gateway.held.wait(self)
         while True:
             self.upstream = self.choose()
             self.belief = self.gateway.placement.describe(self.upstream)
@@ -114,6 +121,10 @@
                 self.give_up(failure)
                 return
 
+    def is_resumed(self):
+        """Tell whether the client has got a part of the answer before."""
+        return self.head.resume_after is not None
+
     def choose(self):
         """Choose the next upstream or refuse the request."""
         return self.gateway.placement.choose(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -8,6 +8,7 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.errors import UpstreamUnreachableError
 from hollyspan_policy.admission import decide_admission
+from hollyspan_policy.admission import must_hold
 from hollyspan_policy.hashing import draw_share
 from hollyspan_policy.routing import choose_nearby
 from hollyspan_policy.routing import estimate_wait
@@ -114,6 +115,26 @@
             )
         return self.directory.upstreams[view.name]
 
+    def must_hold(self, service, *, seconds_to_aim, seconds_left):
+        """Tell whether a new request waits here rather than in a queue.
+
+        Parameters
+        ----------
+        service : str
+        seconds_to_aim, seconds_left : float
+            See `hollyspan_policy.admission.must_hold`.
+
+        Returns
+        -------
+        bool
+        """
+        return must_hold(
+            self.build_views(service),
+            service_seconds=self.service_seconds,
+            seconds_to_aim=seconds_to_aim,
+            seconds_left=seconds_left,
+        )
+
     def choose_retry_after(self, key):
         """Return when a refused client may come back, seconds.
 
--- a/packages/hollyspan_policy/hollyspan_policy/admission/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/admission/__init__.py
@@ -2,6 +2,7 @@
 
 from .deadline import estimate_first_token
 from .decision import decide_admission
+from .holding import must_hold
 from .limits import WorkspaceLimiter
 from .shares import WorkspaceShares
 from .verdict import Admission
@@ -12,4 +13,5 @@
     "WorkspaceShares",
     "decide_admission",
     "estimate_first_token",
+    "must_hold",
 ]
