Entry daemon: try an upstream when none counts as reachable

Cause: one missed health check makes an upstream unreachable until a later one succeeds, and then nothing is sent to it. When all upstreams of a data centre miss one at the same moment every request is refused with "no upstream has room within the deadline".

Change: when no upstream can be reached, and no other data centre takes the request, an attempt is made at one of them; one that leaves gets nothing. The refusal names the reason.

Ruled out: overload (twelve callers, sixteen slots).

--- a/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
@@ -11,7 +11,7 @@
 from ..streams import run_stream
 from ..streams import send_cancel
 from .choice import build_refusal
-from .choice import choose
+from .choice import choose_or_try
 from .retry import may_retry
 
 __all__ = ["run_attempts"]
@@ -35,7 +35,7 @@
         Coroutine function that is called with the upstream and the stream
         identifier before anything of an attempt is sent.
     pick : callable, optional
-        Chooses the upstream of an attempt; `choose` by default.
+        Chooses the upstream of an attempt; `choose_or_try` by default.
     attempt : callable, optional
         Coroutine function that runs one attempt; a stream by default.
 
@@ -44,7 +44,7 @@
     HollyspanError
         ``not_run`` only when no attempt can have reached an upstream.
     """
-    pick = pick or choose
+    pick = pick or choose_or_try
     attempt = attempt or run_attempt
     tried = set()
     failure = None
--- a/packages/hollyspan_entry/hollyspan_entry/online/choice.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/choice.py
@@ -1,5 +1,6 @@
 """Choice of the upstream for one attempt."""
 
+import math
 import time
 
 from hollyspan_core.configuration import Scope
@@ -9,13 +10,38 @@
 from hollyspan_policy.routing import choose_least_loaded
 from hollyspan_policy.routing import choose_upstream
 
-__all__ = ["choose"]
+__all__ = ["build_refusal", "choose", "choose_or_try"]
 
 NO_UPSTREAM_RETRY_SECONDS = 2.0
 REACTING_STATES = (MemberState.LIVE, MemberState.LEAVING)
 
 
-def choose(state, request, *, tried):
+def choose_or_try(state, request, *, tried):
+    """Choose an upstream; when none can be reached, one of these.
+
+    One missed health check is enough for an upstream to count as unreachable,
+    and all can miss one at the same moment. An attempt then finds out sooner
+    than the next check.
+
+    Parameters
+    ----------
+    state : OnlineState
+    request : OnlineRequest
+    tried : set of str
+        Upstreams that attempts of this request went to.
+
+    Returns
+    -------
+    tuple of (Upstream or None, Admission)
+        See `choose`.
+    """
+    upstream, verdict = choose(state, request, tried=tried)
+    if upstream is None and math.isinf(verdict.expected):
+        return choose(state, request, tried=tried, with_unreachable=True)
+    return upstream, verdict
+
+
+def choose(state, request, *, tried, with_unreachable=False):
     """Choose an upstream of the own data centre.
 
     Parameters
@@ -24,6 +50,8 @@
     request : OnlineRequest
     tried : set of str
         Upstreams that attempts of this request went to.
+    with_unreachable : bool, optional
+        Also those that count as unreachable.
 
     Returns
     -------
@@ -42,6 +70,9 @@
         for upstream in upstreams
         if upstream.name not in tried
     ]
+    if with_unreachable:
+        for view in views:
+            view.serving = not runtime.upstreams.by_name[view.name].leaving
     seconds = state.get_service_seconds(request.service)
     verdict = decide_admission(
         views,
@@ -84,7 +115,10 @@
 
 def build_refusal(verdict):
     """Return the error for a request that is not taken in."""
+    reason = "no upstream has room within the deadline"
+    if math.isinf(verdict.expected):
+        reason = "no upstream can be reached"
     return OverloadedError(
-        "no upstream has room within the deadline",
+        reason,
         retry_after=verdict.retry_after or NO_UPSTREAM_RETRY_SECONDS,
     )
