Gateway: longest pause and held time in logs and metrics; delivery apart

An answer's line has the longest time between two events, and a held request's line the time until its aim; both have histograms.

--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -37,6 +37,7 @@
 REQUEST_LABELS = ("outcome", "kind")
 TIMES = {
     "first_event": "From a request to the first byte of its answer",
+    "pause": "Longest time between two events of an answer",
     "held": "Wait of a request at the gateway for a slot",
     "request": "From a request to the end of its answer",
     "run": "One run of an item",
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
@@ -74,8 +74,8 @@
         Parameters
         ----------
         name : str
-            ``first_event``, ``held``, ``request``, ``run``, ``lag``,
-            ``report_age`` or ``lateness``.
+            ``first_event``, ``pause``, ``held``, ``request``, ``run``,
+            ``lag``, ``report_age`` or ``lateness``.
         seconds : float
         """
         histogram = self.times.get(name)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
@@ -74,6 +74,7 @@
             service=relay.service,
             held=len(self.waiting),
             service_seconds=round(self.gateway.placement.service_seconds, 3),
+            seconds_to_aim=round(relay.aim_at - started, 3),
             seconds_left=round(relay.until - started, 3),
         )
         self.waiting[relay] = defer.Deferred()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -11,7 +11,7 @@
 
 from ..http1 import run_attempt
 from ..routes import RouteKind
-from .events import EventSplitter
+from .delivery import Delivery
 from .reply import check_identifier
 
 __all__ = ["Relay"]
@@ -54,8 +54,8 @@
         Names of both.
     belief : dict
         What was believed of the upstream when it was chosen.
-    first_event : float or None
-        Seconds from the arrival to the first byte passed on.
+    delivery : Delivery
+        What the client has got of the answer.
     """
 
     def __init__(self, *, gateway, request, head, route, service, body, until):
@@ -69,17 +69,14 @@
         self.sends = 0
         self.refusals = 0
         self.tried = set()
-        self.first_event = None
-        self.splitter = EventSplitter(last=head.resume_after)
+        self.delivery = Delivery(
+            request=request,
+            clock=gateway.reactor.seconds,
+            resume_after=head.resume_after,
+        )
         self.upstream = None
         self.belief = {}
         self.reply = None
-        self.parts = []
-
-    @property
-    def has_begun(self):
-        """True once the client has got a part of the answer."""
-        return self.first_event is not None
 
     @property
     def aim_at(self):
@@ -145,17 +142,16 @@
         """
         upstream = self.upstream
         self.tried.add(upstream.entry.name)
-        self.parts = []
         self.reply = None
-        self.splitter.rest = b""
+        self.delivery.restart()
         headers = self.gateway.dialect.encode_headers(
             self.head,
             upstream=upstream.entry.name,
             deadline_seconds=self.until - self.gateway.reactor.seconds(),
-            resume_after=self.splitter.last,
+            resume_after=self.delivery.last_event,
         )
         self.sends += 1
-        has_begun = self.has_begun
+        has_begun = self.delivery.has_begun
         with self.gateway.placement.hold_online(upstream):
             try:
                 failure = await run_attempt(
@@ -211,29 +207,16 @@
 
     def take_data(self, data):
         """Take bytes of an answer's body."""
-        if not self.is_stream():
-            self.parts.append(data)
-            return
-        before = self.splitter.count
-        whole = self.splitter.feed(data)
-        if whole:
-            self.gateway.metrics.events += self.splitter.count - before
-            self.begin()
-            if self.request.is_open:
-                self.request.write(whole)
+        if self.is_stream():
+            events = self.delivery.pass_events(data, self.reply)
+            self.gateway.metrics.events += events
+        else:
+            self.delivery.keep(data)
 
     def is_stream(self):
         """Tell whether the answer goes to the client as it comes."""
         return self.route.kind is RouteKind.STREAM and self.reply.is_success
 
-    def begin(self):
-        """Send the head of a stream before its first event."""
-        if self.has_begun:
-            return
-        now = self.gateway.reactor.seconds()
-        self.first_event = now - self.request.arrived
-        self.request.begin(self.reply.status, self.reply.headers)
-
     def judge_answer(self):
         """Return why a whole answer is no answer for the client, or None."""
         if self.reply.has_not_run:
@@ -242,11 +225,11 @@
                 outcome=Outcome.NOT_RUN,
             )
         if self.is_stream():
-            if self.splitter.rest:
+            if self.delivery.has_partial_event:
                 return StreamLostError("the stream ended within an event")
             return None
         if (
-            self.has_begun
+            self.delivery.has_begun
             or self.reply.is_ambiguous
             or self.reply.status in RETRIED_STATUSES
         ):
@@ -265,12 +248,9 @@
     def finish(self):
         """End the answer."""
         if self.is_stream():
-            self.begin()
-            self.request.end()
-            return
-        self.request.answer(
-            self.reply.status, self.reply.headers, b"".join(self.parts)
-        )
+            self.delivery.end_stream(self.reply)
+        else:
+            self.delivery.answer(self.reply)
 
     def may_send_again(self, failure):
         """Decide whether another upstream is asked."""
@@ -284,7 +264,7 @@
 
     def give_up(self, failure):
         """End the request after its last send."""
-        if self.has_begun:
+        if self.delivery.has_begun:
             raise StreamLostError(f"the stream broke: {failure.message}")
         if (
             isinstance(failure, UpstreamAnswerError)
@@ -312,7 +292,7 @@
             code=failure.code,
             reason=failure.message,
             outcome=failure.outcome.value,
-            last_event=self.splitter.last,
+            last_event=self.delivery.last_event,
             sends=self.sends,
             refusals=self.refusals,
             **self.belief,
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -141,7 +141,7 @@
         )
         kind = {} if relay is None else {"kind": relay.route.kind.value}
         self.gateway.metrics.count_request(failure.code, **kind)
-        if relay is not None and relay.has_begun:
+        if relay is not None and relay.delivery.has_begun:
             # Without the end of its chunks the answer cannot look whole.
             request.abort()
             return
@@ -156,7 +156,8 @@
             route=relay.route.name,
             upstream=relay.upstream.entry.name,
             status=relay.reply.status,
-            first_event=relay.first_event,
+            first_event=relay.delivery.first_event,
+            longest_pause=round(relay.delivery.longest_pause, 4),
             seconds=seconds,
             sends=relay.sends,
             refusals=relay.refusals,
@@ -168,6 +169,8 @@
             "answered", kind=relay.route.kind.value
         )
         self.gateway.metrics.record(
-            "first_event", relay.first_event or seconds
+            "first_event", relay.delivery.first_event or seconds
         )
         self.gateway.metrics.record("request", seconds)
+        if relay.is_stream():
+            self.gateway.metrics.record("pause", relay.delivery.longest_pause)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -55,6 +55,26 @@
     assert relay.ends == [None]
 
 
+def test_the_longest_pause_counts_moves_in_too(
+    start, gateway, reactor, helpers
+):
+    relay = start()
+    first = gateway.pool.last
+    reactor.advance(0.1)
+    first.answer(200, body=helpers.build_events(1, 2), is_whole=False)
+    assert relay.delivery.longest_pause == 0.0
+    reactor.advance(0.2)
+    first.exchange.on_failure(relay_failure())
+    reactor.advance(0.1)
+    second = gateway.pool.last
+    second.answer(200, body=helpers.build_events(3, 4), is_whole=False)
+    reactor.advance(0.05)
+    second.exchange.on_data(helpers.build_events(5, 5))
+    second.exchange.on_end()
+    assert relay.ends == [None]
+    assert relay.delivery.longest_pause == pytest.approx(0.3)
+
+
 def test_a_broken_stream_goes_on_at_the_next_event(start, gateway, helpers):
     relay = start()
     first = gateway.pool.last
