Benchmarks: compare the model of the engines with real ones by their load

python -m benchmarks.engines LOG... groups answers of gateways' logs by the running and waiting requests that the upstream reported, and the model's requests in the same way.

--- /dev/null
+++ b/benchmarks/engines.py
@@ -0,0 +1,164 @@
+"""How far the model of the engines agrees with real ones.
+
+Reads gateways' logs: each answer's line has the load that its upstream
+reported and the time to the first event. The same is taken from a run of the
+model under waves.
+"""
+
+import json
+import statistics
+import sys
+
+import fire
+
+from hollyspan_operator.tracing import parse_line
+from hollyspan_standins.model import build_pattern
+from hollyspan_standins.model import FleetLayout
+from hollyspan_standins.model import POLICIES
+from hollyspan_standins.model import run_fleet
+
+__all__ = ["compare_engines", "group_answers", "group_requests"]
+
+ANSWERED = "request:answered"
+# Answers of one load below which a mean says little.
+LEAST_ANSWERS = 10
+DATA_CENTRES = ["attiki-a", "makedonia-a", "kriti-a"]
+
+
+def main(*paths, rate=38.0, seconds=29.0, seeds=2, output=None):
+    """Print both tables as JSON.
+
+    Parameters
+    ----------
+    paths : str
+        Log files; standard input without any.
+    rate : float, optional
+        Mean online requests a second of one data centre in the model.
+    seconds : float, optional
+        Length of a run of the model.
+    seeds : int, optional
+        Runs of the model.
+    output : str, optional
+        File to write to as well.
+    """
+    lines = []
+    for path in paths or ("/dev/stdin",):
+        with open(path, encoding="utf-8", errors="replace") as stream:
+            lines += [parse_line(text) for text in stream]
+    requests = []
+    for seed in range(1, seeds + 1):
+        requests += run_model(rate=rate, seconds=seconds, seed=seed)
+    table = compare_engines(
+        group_answers([line for line in lines if line is not None]),
+        group_requests(requests),
+    )
+    text = json.dumps(table, indent=2)
+    if output is not None:
+        with open(output, "w", encoding="utf-8") as stream:
+            stream.write(text + "\n")
+    sys.stdout.write(text + "\n")
+
+
+def run_model(*, rate, seconds, seed):
+    fleet = run_fleet(
+        layout=FleetLayout(
+            data_centres=DATA_CENTRES, engines=6, fronts=2, workers=1
+        ),
+        policy=POLICIES["chosen"],
+        pattern=build_pattern(
+            "wave",
+            seed=seed,
+            seconds=seconds,
+            rate=rate,
+            data_centres=DATA_CENTRES,
+            jobs=16,
+        ),
+        seed=seed,
+    )
+    return fleet.requests
+
+
+def group_answers(lines):
+    """Group the answers of logs by the load that the upstream reported.
+
+    Parameters
+    ----------
+    lines : iterable of LogLine
+
+    Returns
+    -------
+    dict
+        List of (seconds to the first event, seconds from it to the last) by
+        running and waiting requests.
+    """
+    groups = {}
+    for line in lines:
+        fields = line.fields
+        if line.kind != ANSWERED or not fields.get("reported"):
+            continue
+        if fields.get("first_event") is None or fields["sends"] != 1:
+            continue
+        load = tuple(fields["reported"][:2])
+        first = fields["first_event"]
+        groups.setdefault(load, []).append((first, fields["seconds"] - first))
+    return groups
+
+
+def group_requests(requests):
+    """Group the answered requests of the model in the same way.
+
+    Parameters
+    ----------
+    requests : iterable of RequestState
+
+    Returns
+    -------
+    dict
+    """
+    groups = {}
+    for request in requests:
+        if request.ended == "answered" and request.sends == 1:
+            times = (
+                request.first_at - request.sent_at,
+                request.last_at - request.first_at,
+            )
+            groups.setdefault(request.report, []).append(times)
+    return groups
+
+
+def compare_engines(measured, modelled):
+    """Return the means of both by load, where both have enough answers.
+
+    Parameters
+    ----------
+    measured, modelled : dict
+        See `group_answers`.
+
+    Returns
+    -------
+    list of dict
+    """
+    return [
+        {
+            "running": load[0],
+            "waiting": load[1],
+            "measured": summarize(measured[load]),
+            "model": summarize(modelled[load]),
+        }
+        for load in sorted(measured.keys() & modelled.keys())
+        if min(len(measured[load]), len(modelled[load])) >= LEAST_ANSWERS
+    ]
+
+
+def summarize(times):
+    firsts, rests = zip(*times)
+    return {
+        "answers": len(times),
+        "first_mean": round(statistics.mean(firsts), 4),
+        "first_median": round(statistics.median(firsts), 4),
+        "rest_median": round(statistics.median(rests), 4),
+    }
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
