Workers read results again only when the set of workers changes

Cause: each change of the gateways that are heard, fronts included, made every worker read the results of all its open jobs again. A fleet of 80 that restarts has 80 such changes in a second or two.

Items change hands only when the set of workers that reach the store and are not leaving changes; the reads follow that now. The new test failed before (a front that fell silent made the workers read again). Unit tests of the gateway and platform/: 260 passed.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -57,6 +57,8 @@
     read_metrics : callable or None
         Returns the metrics as text, once the instruments exist.
     worker : Worker or None
+    workers : frozenset of str
+        Identifiers of the gateways that can run items, as of the last change.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.read_metrics = None
         self.site = None
         self.worker = None
+        self.workers = frozenset()
         self.pool = ConnectionPool(reactor=reactor)
         self.directory = Directory(
             reactor=reactor,
@@ -280,6 +283,13 @@
                 if name not in live:
                     upstream.forget_told(name)
         if self.worker is not None:
+            self.note_workers()
+
+    def note_workers(self):
+        """Read results again when items may have changed hands."""
+        workers = frozenset(self.list_workers())
+        if workers != self.workers:
+            self.workers = workers
             self.worker.recheck()
 
     def list_workers(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -143,6 +143,21 @@
     assert len(fleet[1].list_workers()) == 2
 
 
+def test_only_a_change_of_the_workers_makes_results_be_read_again(
+    fleet, reactor
+):
+    beat(fleet, reactor, 0.6)
+    runner = fleet[0].worker
+    before = runner.rechecks
+    beat(fleet[:3], reactor, 1.8)
+    assert len(fleet[0].peers.list_live()) == 2
+    assert runner.rechecks == before
+    beat(fleet[:2], reactor, 1.8)
+    assert runner.rechecks == before + 1
+    beat(fleet[:3], reactor, 0.6)
+    assert runner.rechecks == before + 2
+
+
 def test_load_is_told_within_moments(fleet, reactor):
     beat(fleet, reactor, 0.6)
     upstream = fleet[3].directory.upstreams["u1"]
