Peers: regions of a large fleet tell each other the load of all their gateways

Cause: a gateway of a large fleet knew of requests at replicas of other regions from the heartbeats of the gateways that send them, with up to 4 s of delay. A far replica of which nothing was heard looked empty, and gateways of two regions sent there at the same moment.

Change: a heartbeat to another region carries the requests from all gateways at the replicas of the sender's region, where each change is told at once. With heartbeats in turn a gateway hears from each region several times a second. Told totals count for 1 s, own requests at least.

Ruled out: load (three quarters of all slots are taken in these waves), requests held (none), batch work in the way.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -13,6 +13,7 @@
 from .online.service import OnlineService
 from .peers import build_identifier
 from .peers import PeerTable
+from .peers import UpstreamTotal
 from .refresh import Refresh
 from .retirement import Retirement
 from .store import Mirror
@@ -101,6 +102,7 @@
             runs_batch=settings.runs_batch,
             describe=self.describe,
             list_loads=self.list_loads,
+            list_totals=self.list_totals,
             on_message=self.take_message,
             on_membership=self.note_membership,
         )
@@ -243,6 +245,18 @@
             if upstream.online or upstream.batch
         ]
 
+    def list_totals(self):
+        """Return the load of the upstreams of the own region."""
+        return [
+            UpstreamTotal(
+                upstream=upstream.entry.key,
+                online=upstream.count_online(),
+                batch=upstream.count_batch(),
+            )
+            for upstream in self.directory.upstreams.values()
+            if upstream.region == self.peers.region
+        ]
+
     def take_message(self, peer, message, change):
         """Take over a peer's load and notice what it knows better."""
         now = self.reactor.seconds()
@@ -260,6 +274,10 @@
                 self.take_news(upstream, news[key], now=now)
             if self.worker is not None:
                 self.worker.make_room(upstream)
+        for total in message.totals:
+            upstream = self.directory.by_key.get(total.upstream)
+            if upstream is not None:
+                upstream.take_total(total.online, total.batch, now=now)
         if message.is_full:
             self.refresh.compare(peer, message)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
@@ -8,6 +8,7 @@
 from .copies import fetch_copy
 from .message import FleetMessage
 from .message import UpstreamLoad
+from .message import UpstreamTotal
 from .peer import build_identifier
 from .peer import Peer
 from .table import PeerTable
@@ -18,6 +19,7 @@
     "PeerTable",
     "READS_PATH",
     "UpstreamLoad",
+    "UpstreamTotal",
     "build_identifier",
     "decode_message",
     "encode_copy",
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -8,6 +8,7 @@
 
 from .message import FleetMessage
 from .message import UpstreamLoad
+from .message import UpstreamTotal
 
 __all__ = ["decode_message", "encode_message"]
 
@@ -54,6 +55,12 @@
             if load.reported is not None:
                 target.isReported = True
                 target.running, target.waiting = load.reported
+    if message.totals:
+        totals = wire.init("totals", len(message.totals))
+        for target, total in zip(totals, message.totals):
+            target.upstream = total.upstream
+            target.online = total.online
+            target.batch = total.batch
     if message.items:
         wire.items = list(message.items)
     if message.heard:
@@ -104,6 +111,14 @@
             heard=list(wire.heard),
             region=wire.region,
             beat_seconds=wire.beatMs / 1000,
+            totals=[
+                UpstreamTotal(
+                    upstream=total.upstream,
+                    online=total.online,
+                    batch=total.batch,
+                )
+                for total in wire.totals
+            ],
         )
     except (capnp.KjException, ValueError) as fault:
         raise PeerMessageError("a datagram cannot be decoded") from fault
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -12,6 +12,12 @@
   isUnreachable @6 :Bool; # the sender has just failed to connect to it
 }
 
+struct Total {
+  upstream @0 :UInt64;
+  online @1 :UInt16;      # online requests in flight, sent by all gateways
+  batch @2 :UInt16;       # batch items in flight, sent by all gateways
+}
+
 struct FleetMessage {
   sender @0 :UInt64;
   incarnation @1 :UInt64;   # start time, microseconds since the epoch
@@ -29,4 +35,5 @@
   heard @12 :List(UInt64);  # gateways that run items and are heard here
   region @13 :UInt64;       # hash of the sender's region
   beatMs @14 :UInt16;       # time until the next full message, milliseconds
+  totals @15 :List(Total);  # for other regions: the load of the sender's
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -1,6 +1,6 @@
 """One message between gateways."""
 
-__all__ = ["FleetMessage", "UpstreamLoad"]
+__all__ = ["FleetMessage", "UpstreamLoad", "UpstreamTotal"]
 
 
 class UpstreamLoad:
@@ -35,6 +35,24 @@
         self.is_unreachable = is_unreachable
 
 
+class UpstreamTotal:
+    """Requests in flight at one upstream from all gateways.
+
+    Parameters
+    ----------
+    upstream : int
+        Hash of its name.
+    online, batch : int
+    """
+
+    __slots__ = ("upstream", "online", "batch")
+
+    def __init__(self, *, upstream, online, batch):
+        self.upstream = upstream
+        self.online = online
+        self.batch = batch
+
+
 class FleetMessage:
     """Load, and in full messages the state, of one gateway.
 
@@ -60,6 +78,8 @@
         Hash of the sender's region.
     beat_seconds : float, optional
         Time until the next full message.
+    totals : list of UpstreamTotal, optional
+        The load of the sender's region, for gateways of other ones.
     """
 
     __slots__ = (
@@ -78,6 +98,7 @@
         "heard",
         "region",
         "beat_seconds",
+        "totals",
     )
 
     def __init__(
@@ -98,6 +119,7 @@
         heard=(),
         region=0,
         beat_seconds=0.0,
+        totals=(),
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -114,3 +136,4 @@
         self.heard = heard
         self.region = region
         self.beat_seconds = beat_seconds
+        self.totals = totals
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -24,6 +24,9 @@
 
 # Silent gateways get one full message in this many.
 SILENT_BEATS = 3
+# Loads of the own region in one message, so that it fits into a datagram of
+# the usual size; with more upstreams each message has the next ones.
+MOST_TOTALS = 48
 
 
 class PeerTable(protocol.DatagramProtocol):
@@ -42,6 +45,8 @@
         Returns a dict with the state for a full message.
     list_loads : callable
         Returns the upstreams with requests in flight.
+    list_totals : callable
+        Returns an UpstreamTotal for each upstream of the own region.
     on_message : callable
         Called with a Peer, its FleetMessage and what that has changed.
     on_membership : callable
@@ -67,6 +72,7 @@
         runs_batch,
         describe,
         list_loads,
+        list_totals,
         on_message,
         on_membership,
     ):
@@ -78,6 +84,7 @@
         self.runs_batch = runs_batch
         self.describe = describe
         self.list_loads = list_loads
+        self.list_totals = list_totals
         self.on_message = on_message
         self.on_membership = on_membership
         self.peers = {}
@@ -245,14 +252,25 @@
             "region": self.region,
             **self.describe(),
         }
-        often = [peer for peer in peers if self.runs_batch and peer.runs_batch]
-        seldom = [peer for peer in peers if peer not in often]
-        for group, rounds in ((often, 1), (seldom, self.rounds)):
-            if group:
-                message = self.build_message(
-                    beat_seconds=beat_seconds * rounds, **state
-                )
-                self.send(group, message)
+        groups = {}
+        for peer in peers:
+            is_often = self.runs_batch and peer.runs_batch
+            rounds = 1 if is_often else self.rounds
+            with_totals = self.rounds > 1 and peer.region != self.region
+            groups.setdefault((rounds, with_totals), []).append(peer)
+        for (rounds, with_totals), group in groups.items():
+            message = self.build_message(
+                beat_seconds=beat_seconds * rounds,
+                totals=self.choose_totals() if with_totals else (),
+                **state,
+            )
+            self.send(group, message)
+
+    def choose_totals(self):
+        """Return the loads that one message to another region carries."""
+        totals = self.list_totals()
+        first = self.beats * MOST_TOTALS % max(1, len(totals))
+        return (totals[first:] + totals[:first])[:MOST_TOTALS]
 
     def list_heard_workers(self):
         """Return the keys of the gateways that run items and are heard.
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -10,6 +10,7 @@
 from hollyspan_gateway.peers import encode_message
 from hollyspan_gateway.peers import FleetMessage
 from hollyspan_gateway.peers import UpstreamLoad
+from hollyspan_gateway.peers import UpstreamTotal
 
 HASHES = st.integers(0, 2**64 - 1)
 COUNTS = st.integers(0, 2**16 - 1)
@@ -21,6 +22,7 @@
     reported=st.none() | st.tuples(COUNTS, COUNTS),
     is_unreachable=st.booleans(),
 )
+TOTALS = st.builds(UpstreamTotal, upstream=HASHES, online=COUNTS, batch=COUNTS)
 MESSAGES = st.builds(
     FleetMessage,
     sender=HASHES,
@@ -36,11 +38,12 @@
     items=st.lists(HASHES, max_size=4),
     wants_reply=st.booleans(),
     heard=st.lists(HASHES, max_size=4),
+    totals=st.lists(TOTALS, max_size=4),
 )
 
 
 def describe(value):
-    if isinstance(value, (FleetMessage, UpstreamLoad)):
+    if isinstance(value, (FleetMessage, UpstreamLoad, UpstreamTotal)):
         return {
             name: describe(getattr(value, name)) for name in value.__slots__
         }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -1,8 +1,11 @@
 """Gateways that hear each other, or do not."""
 
+import contextlib
+
 import pytest
 
 from hollyspan_core.errors import UpstreamUnreachableError
+from hollyspan_gateway.peers import table
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.membership import count_round_beats
 
@@ -354,6 +357,45 @@
     assert seen == {(10, 9), (20, 19), (26, 25), (30, 29)}
 
 
+def test_other_regions_are_told_the_load_of_all_gateways(large_fleet, reactor):
+    beat(large_fleet, reactor, ROUND_S)
+    near, far = large_fleet[:15], large_fleet[15:]
+    with contextlib.ExitStack() as stack:
+        for gateway in near[:6]:
+            upstream = gateway.directory.upstreams["u1"]
+            stack.enter_context(gateway.placement.hold_online(upstream))
+        reactor.advance(0.03)
+        beat(large_fleet, reactor, 0.3)
+        # One heartbeat of fifteen gateways reaches each of the others.
+        for gateway in far:
+            upstream = gateway.directory.upstreams["u1"]
+            assert upstream.total == (6, 0)
+            view = gateway.placement.build_view(upstream, reactor.seconds())
+            assert view.online == 6
+
+
+def test_loads_of_many_upstreams_are_told_in_turn(build_gateway, monkeypatch):
+    monkeypatch.setattr(table, "MOST_TOTALS", 2)
+    gateway = build_gateway(upstreams=("u1", "u2", "u3"))
+    told = []
+    for _ in range(3):
+        gateway.peers.beats += 1
+        told += [total.upstream for total in gateway.peers.choose_totals()]
+    assert len(told) == 6
+    assert len(set(told)) == 3
+
+
+def test_a_small_fleet_tells_no_totals(fleet, reactor):
+    beat(fleet, reactor, 0.6)
+    upstream = fleet[0].directory.upstreams["u1"]
+    with fleet[0].placement.hold_online(upstream):
+        beat(fleet, reactor, 0.3)
+    assert all(
+        not gateway.directory.upstreams["u1"].has_total(now=reactor.seconds())
+        for gateway in fleet
+    )
+
+
 def test_a_gateway_that_stops_tells_all_at_once(large_fleet, reactor):
     beat(large_fleet, reactor, ROUND_S)
     large_fleet[0].drain()
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -219,12 +219,17 @@
     def build_view(self, upstream, now):
         """Return what is known of one upstream."""
         is_reported = upstream.is_reported(now=now)
+        online, batch = upstream.count_online(), upstream.count_batch()
+        if upstream.has_total(now=now):
+            # Gateways of its region hear of each change there at once.
+            online = max(upstream.online, upstream.total[0])
+            batch = max(upstream.batch, upstream.total[1])
         return UpstreamView(
             name=upstream.entry.name,
             data_centre=upstream.entry.data_centre,
             slots=upstream.entry.slots,
-            online=upstream.count_online(),
-            batch=upstream.count_batch(),
+            online=online,
+            batch=batch,
             waiting=upstream.waiting if is_reported else 0,
             hidden=upstream.hidden if is_reported else 0,
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -47,6 +47,26 @@
     assert choose(gateway) is first
 
 
+def test_the_load_told_by_another_region_counts_while_it_is_new(
+    gateway, reactor
+):
+    full, free = gateway.directory.upstreams.values()
+    full.take_total(8, 0, now=reactor.seconds())
+    assert {choose(gateway, str(key)) for key in range(8)} == {free}
+    reactor.advance(1.1)
+    assert {choose(gateway, str(key)) for key in range(8)} == {full, free}
+
+
+def test_own_requests_count_before_word_of_them_is_back(gateway, reactor):
+    first, _ = gateway.directory.upstreams.values()
+    first.take_total(1, 0, now=reactor.seconds())
+    with contextlib.ExitStack() as stack:
+        for _ in range(3):
+            stack.enter_context(gateway.placement.hold_online(first))
+        view = gateway.placement.build_view(first, reactor.seconds())
+        assert view.online == 3
+
+
 def test_an_upstream_that_failed_is_passed_over(gateway):
     first = choose(gateway)
     gateway.directory.note_failure(first)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -10,6 +10,9 @@
 # Seconds for which a report counts: the time in which most of the online
 # requests that it shows have ended.
 REPORT_S = 0.7
+# Seconds for which the load told by another region counts, of which several
+# messages come in a second: what it is off by grows as in a report.
+TOTAL_S = 1.0
 # Requests in a report that gateways may not have told of yet, while their
 # messages are on the way.
 REPORT_LAG = 1
@@ -105,6 +108,11 @@
         Time of the last report, from an answer here or at a peer.
     news : (int, int) or None
         Report that peers have not been told.
+    total : (int, int)
+        Online requests and batch items from all gateways, as those of its
+        region have told.
+    total_at : float
+        Time at which they have.
     turns : SlotTurns
         When this daemon may fill free slots there with batch work.
     is_unreachable_news : bool
@@ -127,6 +135,8 @@
         "hidden",
         "reported_at",
         "news",
+        "total",
+        "total_at",
         "turns",
         "is_unreachable_news",
     )
@@ -147,6 +157,8 @@
         self.hidden = 0
         self.reported_at = -math.inf
         self.news = None
+        self.total = (0, 0)
+        self.total_at = -math.inf
         self.turns = SlotTurns()
         self.is_unreachable_news = False
 
@@ -178,6 +190,15 @@
         self.told_online -= online
         self.told_batch -= batch
 
+    def take_total(self, online, batch, *, now):
+        """Take in the load that a gateway of the upstream's region tells."""
+        self.total = (online, batch)
+        self.total_at = now
+
+    def has_total(self, *, now):
+        """Tell whether the load told by its region still counts."""
+        return now - self.total_at < TOTAL_S
+
     def take_report(self, running, waiting, *, now):
         """Take in the load that the upstream tells with an answer.
 
