Peers: word of changed loads apart from the table of gateways

table.py keeps the gateways and the heartbeats, loadnews.py gathers changes of load and tells those concerned.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -12,6 +12,7 @@
 from .online.held import HeldRequests
 from .online.service import OnlineService
 from .peers import build_identifier
+from .peers import LoadNews
 from .peers import PeerTable
 from .peers import UpstreamTotal
 from .refresh import Refresh
@@ -106,6 +107,7 @@
             on_message=self.take_message,
             on_membership=self.note_membership,
         )
+        self.load_news = LoadNews(table=self.peers)
         self.configuration_mirror = Mirror(
             store=store,
             reactor=reactor,
@@ -216,7 +218,7 @@
 
     def note_load(self, upstream, *, is_batch_only):
         """Pass on a change of this gateway's load."""
-        self.peers.note_load(upstream, is_batch_only=is_batch_only)
+        self.load_news.note(upstream, is_batch_only=is_batch_only)
         if self.worker is not None:
             self.worker.make_room(upstream)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
@@ -6,6 +6,7 @@
 from .codec import encode_message
 from .copies import encode_copy
 from .copies import fetch_copy
+from .loadnews import LoadNews
 from .message import FleetMessage
 from .message import UpstreamLoad
 from .message import UpstreamTotal
@@ -15,6 +16,7 @@
 
 __all__ = [
     "FleetMessage",
+    "LoadNews",
     "Peer",
     "PeerTable",
     "READS_PATH",
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -5,17 +5,15 @@
 
 from hollyspan_core.errors import PeerMessageError
 from hollyspan_policy.hashing import hash_parts
-from hollyspan_policy.membership import choose_audience
 from hollyspan_policy.membership import choose_beat_audience
 from hollyspan_policy.membership import choose_beat_seconds
-from hollyspan_policy.membership import choose_gathering
 from hollyspan_policy.membership import count_round_beats
 from hollyspan_policy.membership import is_small_fleet
 
 from .codec import decode_message
 from .codec import encode_message
+from .loadnews import build_load
 from .message import FleetMessage
-from .message import UpstreamLoad
 from .peer import build_identifier
 from .peer import parse_identifier
 from .peer import Peer
@@ -89,9 +87,6 @@
         self.on_membership = on_membership
         self.peers = {}
         self.sequence = 0
-        self.changed = {}
-        self.online_changed = set()
-        self.flush_call = None
         self.beats = 0
         # Heartbeats in which each gateway is told once.
         self.rounds = 1
@@ -158,39 +153,6 @@
             if peer.runs_batch and peer.key in heard
         ]
 
-    def note_load(self, upstream, *, is_batch_only):
-        """Tell the others of a change of load soon."""
-        name = upstream.entry.name
-        self.changed[name] = upstream
-        if not is_batch_only:
-            self.online_changed.add(name)
-        if self.flush_call is None:
-            seconds = choose_gathering(len(self.list_live()))
-            self.flush_call = self.reactor.callLater(seconds, self.flush)
-
-    def flush(self):
-        """Send the changed loads, in a large fleet to those concerned."""
-        self.flush_call = None
-        changed, self.changed = self.changed, {}
-        online_changed, self.online_changed = self.online_changed, set()
-        live = self.list_live()
-        loads = {}
-        audiences = {}
-        for upstream in changed.values():
-            audience = self.choose_audience(
-                upstream,
-                live,
-                is_batch_only=upstream.entry.name not in online_changed,
-            )
-            keys = frozenset(peer.key for peer in audience)
-            audiences[keys] = audience
-            loads.setdefault(keys, []).append(
-                build_load(upstream, with_news=True)
-            )
-        for keys, audience in audiences.items():
-            message = self.build_message(loads=loads[keys], is_full=False)
-            self.send(audience, message)
-
     def tells_all(self):
         """Tell whether each change of load goes to all gateways at once."""
         return is_small_fleet(len(self.live))
@@ -202,25 +164,6 @@
         peer = self.peers.get(parse_identifier(identifier))
         return 0 if peer is None else peer.region
 
-    def choose_audience(self, upstream, live, *, is_batch_only):
-        """Return the live gateways that a change of load concerns.
-
-        Notes
-        -----
-        Gateways of the upstream's region tell each worker there of online
-        requests. One from another region they have to know of first.
-        """
-        return choose_audience(
-            live,
-            region=upstream.region,
-            holders={
-                peer
-                for peer in live
-                if upstream.peers.get(peer.identifier, (0, 0))[1]
-            },
-            is_batch_only=is_batch_only and upstream.region == self.region,
-        )
-
     def beat(self):
         """Send full messages to those whose turn it is, and notice losses."""
         self.beats += 1
@@ -344,17 +287,3 @@
         )
         self.live = live
         self.on_membership()
-
-
-def build_load(upstream, *, with_news=False):
-    """Return the load of an upstream, with what peers have not been told."""
-    load = UpstreamLoad(
-        upstream=upstream.entry.key,
-        online=upstream.online,
-        batch=upstream.batch,
-    )
-    if with_news:
-        load.reported, upstream.news = upstream.news, None
-        load.is_unreachable = upstream.is_unreachable_news
-        upstream.is_unreachable_news = False
-    return load
