Benchmarks: one reader of gateways' logs, one writer of figures

Three benchmarks read logs and two wrote figures with the same lines. wave.py reads standard input without paths now, as the other two do.

--- a/benchmarks/beliefs.py
+++ b/benchmarks/beliefs.py
@@ -4,13 +4,12 @@
 when it was chosen, and what the upstream reported with the answer's head.
 """
 
-import json
 import statistics
-import sys
 
 import fire
 
-from hollyspan_operator.tracing import parse_line
+from .gatewaylogs import read_lines
+from .gatewaylogs import write_figures
 
 __all__ = ["compare_beliefs", "find_quantile", "measure_beliefs"]
 
@@ -29,16 +28,7 @@
     output : str, optional
         File to write to as well.
     """
-    lines = []
-    for path in paths or ("/dev/stdin",):
-        with open(path, encoding="utf-8", errors="replace") as stream:
-            lines += [parse_line(text) for text in stream]
-    figures = compare_beliefs([line for line in lines if line is not None])
-    text = json.dumps(figures, indent=2)
-    if output is not None:
-        with open(output, "w", encoding="utf-8") as stream:
-            stream.write(text + "\n")
-    sys.stdout.write(text + "\n")
+    write_figures(compare_beliefs(read_lines(paths)), output)
 
 
 def compare_beliefs(lines):
--- a/benchmarks/engines.py
+++ b/benchmarks/engines.py
@@ -5,18 +5,18 @@
 model under waves.
 """
 
-import json
 import statistics
-import sys
 
 import fire
 
-from hollyspan_operator.tracing import parse_line
 from hollyspan_standins.model import build_pattern
 from hollyspan_standins.model import FleetLayout
 from hollyspan_standins.model import POLICIES
 from hollyspan_standins.model import run_fleet
 
+from .gatewaylogs import read_lines
+from .gatewaylogs import write_figures
+
 __all__ = ["compare_engines", "group_answers", "group_requests"]
 
 ANSWERED = "request:answered"
@@ -41,22 +41,11 @@
     output : str, optional
         File to write to as well.
     """
-    lines = []
-    for path in paths or ("/dev/stdin",):
-        with open(path, encoding="utf-8", errors="replace") as stream:
-            lines += [parse_line(text) for text in stream]
+    answers = group_answers(read_lines(paths))
     requests = []
     for seed in range(1, seeds + 1):
         requests += run_model(rate=rate, seconds=seconds, seed=seed)
-    table = compare_engines(
-        group_answers([line for line in lines if line is not None]),
-        group_requests(requests),
-    )
-    text = json.dumps(table, indent=2)
-    if output is not None:
-        with open(output, "w", encoding="utf-8") as stream:
-            stream.write(text + "\n")
-    sys.stdout.write(text + "\n")
+    write_figures(compare_engines(answers, group_requests(requests)), output)
 
 
 def run_model(*, rate, seconds, seed):
--- a/benchmarks/wave.py
+++ b/benchmarks/wave.py
@@ -8,13 +8,12 @@
 import fire
 import matplotlib
 
-from hollyspan_operator.tracing import parse_line
-
 matplotlib.use("Agg")
 
 from matplotlib import pyplot  # noqa: E402
 
 from .beliefs import find_quantile  # noqa: E402
+from .gatewaylogs import read_lines  # noqa: E402
 
 __all__ = ["gather_seconds", "plot_waves"]
 
@@ -30,16 +29,11 @@
     Parameters
     ----------
     paths : str
-        Log files.
+        Log files; standard input without any.
     output : str
         PNG file.
     """
-    lines = []
-    for path in paths:
-        with open(path, encoding="utf-8", errors="replace") as stream:
-            lines += [parse_line(text) for text in stream]
-    seconds = gather_seconds([line for line in lines if line is not None])
-    plot_waves(seconds, output)
+    plot_waves(gather_seconds(read_lines(paths)), output)
 
 
 def gather_seconds(lines):
