Model: call the gateway's own audience and ranks, one call to engines

The model had copies of LoadNews.choose_audience and OwnerRanks, the first with a different rule for batch work of other regions in large fleets; it calls them now. The load patterns share one builder. Removed: group_by_load, which benchmarks.engines had made needless, and state that nothing read.

No product code changes.

--- a/packages/hollyspan_standins/hollyspan_standins/model/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/__init__.py
@@ -4,7 +4,6 @@
 from .clock import SimulationClock
 from .engine import EngineModel
 from .figures import compute_figures
-from .figures import group_by_load
 from .fleet import FleetLayout
 from .fleet import FleetModel
 from .fleet import REMOTE_S
@@ -34,6 +33,5 @@
     "View",
     "build_pattern",
     "compute_figures",
-    "group_by_load",
     "run_fleet",
 ]
--- a/packages/hollyspan_standins/hollyspan_standins/model/batch.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/batch.py
@@ -1,7 +1,5 @@
 """Items of a simulated gateway."""
 
-from contextlib import ExitStack
-
 from hollyspan_gateway.jobs.worker import INITIAL_EVENT_S
 from hollyspan_gateway.jobs.worker import INITIAL_EVENTS
 from hollyspan_gateway.jobs.worker import RETRY_S
@@ -11,7 +9,7 @@
 from hollyspan_policy.batch import rank_item
 from hollyspan_policy.batch import RunTimes
 
-from .stream import EngineStream
+from .call import EngineCall
 
 __all__ = ["BatchRunner"]
 
@@ -90,7 +88,7 @@
         ]
         here.sort(key=lambda run: self.rank(run.item))
         for run in here[-excess:]:
-            if not run.is_over:
+            if not run.call.is_over:
                 self.preemptions += 1
                 run.preempt()
 
@@ -131,10 +129,7 @@
         "upstream",
         "started",
         "first_token",
-        "holds",
-        "delay",
-        "stream",
-        "is_over",
+        "call",
     )
 
     def __init__(self, *, runner, item, upstream):
@@ -143,56 +138,29 @@
         self.upstream = upstream
         self.started = runner.clock.now
         self.first_token = item.done
-        self.is_over = False
-        gateway = runner.gateway
-        self.delay = gateway.fleet.find_delay(
-            gateway.data_centre, upstream.entry.data_centre
-        )
-        self.stream = EngineStream(
+        item.runs += 1
+        self.call = EngineCall(
+            gateway=runner.gateway,
+            upstream=upstream,
+            hold=runner.gateway.batch_placement.hold(upstream),
             parts=item.parts,
             tokens=item.tokens,
             done=item.done,
-            on_event=self.pass_event,
-            on_end=self.pass_end,
-        )
-        item.runs += 1
-        self.holds = ExitStack()
-        self.holds.enter_context(gateway.batch_placement.hold(upstream))
-        runner.clock.call_later(self.delay, self.engine.submit, self.stream)
-
-    @property
-    def engine(self):
-        """The engine behind the upstream."""
-        return self.runner.gateway.fleet.engines[self.upstream.entry.name]
-
-    def pass_event(self, stream):
-        self.runner.clock.call_later(
-            self.delay, self.take_event, stream.generated, self.engine.load
+            on_event=self.take_event,
+            on_end=self.end,
         )
 
-    def pass_end(self, stream, reason):
-        self.runner.clock.call_later(self.delay, self.take_end, reason)
-
     def take_event(self, generated, load):
-        if not self.is_over:
-            if self.item.done == self.first_token:
-                self.runner.gateway.fleet.note_report(self, load)
-            self.item.done = generated
-
-    def take_end(self, reason):
-        if not self.is_over:
-            self.end(reason)
+        if self.item.done == self.first_token:
+            self.runner.gateway.take_report(self.upstream, load)
+        self.item.done = generated
 
     def preempt(self):
         """Stop the run; what has come is kept."""
-        self.runner.clock.call_later(
-            self.delay, self.engine.remove, self.stream
-        )
+        self.call.cancel()
         self.end("preempted")
 
     def end(self, reason):
-        self.is_over = True
-        generated = self.stream.generated - self.first_token
+        generated = self.call.stream.generated - self.first_token
         self.item.generated += max(0, generated)
-        self.holds.close()
         self.runner.take_end(self, reason)
--- a/packages/hollyspan_standins/hollyspan_standins/model/engine.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/engine.py
@@ -203,7 +203,6 @@
                 return
             self.waiting.popleft()
             self.running.append(stream)
-            stream.is_running = True
             stream.unread = (
                 self.memory.count_unread(stream.parts) + stream.generated
             )
@@ -221,7 +220,6 @@
         while not self.memory.make_room() and len(self.running) > 1:
             stream = self.running[-1]
             self.release(stream)
-            stream.is_running = False
             self.read_again += stream.count_own_tokens()
             self.waiting.appendleft(stream)
 
--- a/packages/hollyspan_standins/hollyspan_standins/model/figures.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/figures.py
@@ -4,7 +4,7 @@
 
 from .gateway import AIM_S
 
-__all__ = ["compute_figures", "find_quantile", "group_by_load"]
+__all__ = ["compute_figures", "find_quantile"]
 
 # Seconds between two events of an answer in time, of the users' sheets.
 PAUSE_S = 0.5
@@ -95,35 +95,6 @@
     return round(ratio, 4)
 
 
-def group_by_load(fleet):
-    """Return times by the load that upstreams reported.
-
-    Parameters
-    ----------
-    fleet : FleetModel
-
-    Returns
-    -------
-    dict
-        By running and waiting streams: count, median time from the choice of
-        the upstream to the first event, and median time between events,
-        seconds.
-    """
-    groups = {}
-    for request in fleet.requests:
-        if request.report is not None and request.ended == "answered":
-            groups.setdefault(request.report, []).append(request)
-    return {
-        load: {
-            "count": len(group),
-            "first": find_quantile(
-                [each.first_at - each.sent_at for each in group], 0.5
-            ),
-        }
-        for load, group in sorted(groups.items())
-    }
-
-
 def share(part, whole):
     return round(part / whole, 4) if whole else None
 
--- a/packages/hollyspan_standins/hollyspan_standins/model/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/fleet.py
@@ -73,6 +73,8 @@
         Datagrams between gateways.
     errors : list of int
         Streams believed to be at an upstream less those that it reported.
+    fronts : dict
+        Fronts of each data centre and their shares of its connections.
     """
 
     def __init__(self, *, layout, policy, seed):
@@ -87,6 +89,7 @@
         self.items = []
         self.messages = 0
         self.errors = []
+        self.fronts = {}
         self.add_engines()
         self.add_gateways(policy)
 
@@ -216,19 +219,6 @@
         for name, items in owned.items():
             workers[name].batch.add(items)
 
-    def note_report(self, attempt, load):
-        """Take the load that an upstream tells with the head of an answer."""
-        upstream = attempt.upstream
-        gateway = getattr(attempt, "gateway", None)
-        if gateway is None:
-            gateway = attempt.runner.gateway
-        else:
-            attempt.request.report = load
-            self.errors.append(attempt.request.belief + 1 - sum(load))
-        upstream.take_report(*load, now=self.clock.now)
-        upstream.news = load
-        gateway.note_load(upstream, is_batch_only=False)
-
 
 def run_fleet(*, layout, policy, pattern, seed):
     """Run a load pattern through a fresh fleet.
--- a/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
@@ -1,34 +1,27 @@
 """A gateway whose decisions are the product's and whose I/O is simulated."""
 
-from contextlib import ExitStack
-
 from hollyspan_core.errors import OverloadedError
+from hollyspan_gateway.jobs.ranks import OwnerRanks
 from hollyspan_gateway.online.held import LOOK_S
 from hollyspan_gateway.online.held import MOST_HELD
-from hollyspan_gateway.online.relay import FIRST_EVENT_S
+from hollyspan_gateway.peers import LoadNews
 from hollyspan_gateway.upstreams import BatchPlacement
 from hollyspan_gateway.upstreams import Directory
 from hollyspan_gateway.upstreams import Placement
 from hollyspan_policy.hashing import hash_parts
-from hollyspan_policy.membership import choose_audience
 from hollyspan_policy.membership import choose_beat_seconds
 from hollyspan_policy.membership import choose_gathering
 from hollyspan_policy.membership import is_small_fleet
 
+from .attempt import Attempt
 from .batch import BatchRunner
+from .peers import PeersModel
 from .policies import View
-from .stream import EngineStream
 
 __all__ = ["GatewayModel"]
 
 # Seconds in which the first event is due, of the users' sheets.
 AIM_S = 0.3
-# Upstreams that may refuse a request before it is refused.
-MAX_REFUSALS = 3
-# Upstreams that may run a request.
-MAX_SENDS = 2
-# Seconds between two questions whether a silent upstream is left.
-STALL_CHECK_S = 0.05
 
 
 class GatewayModel:
@@ -46,6 +39,7 @@
     region : int
         Hash of the name of its region.
     batch : BatchRunner
+    peers : PeersModel
     held : list of RequestState
         Requests that wait here for a slot.
     """
@@ -76,6 +70,11 @@
             placement=self.placement, gateway=name
         )
         self.batch = BatchRunner(gateway=self)
+        self.peers = PeersModel(
+            fleet=fleet, identifier=name, region=self.region
+        )
+        self.ranks = OwnerRanks(gateway=self)
+        self.load_news = LoadNews(table=self.peers)
         self.changed = {}
         self.online_changed = set()
         self.is_flushing = False
@@ -83,16 +82,9 @@
 
     def find_rank(self, upstream):
         """Return this gateway's place among those that run items there."""
-        order = sorted(
-            (
-                gateway.region != upstream.region,
-                hash_parts(upstream.entry.name, gateway.identifier),
-                gateway.identifier,
-            )
-            for gateway in self.fleet.list_workers()
-        )
-        names = [name for _, _, name in order]
-        return names.index(self.identifier), len(names)
+        workers = self.fleet.list_workers()
+        self.ranks.take_owners(each.identifier for each in workers)
+        return self.ranks.find(upstream)
 
     def note_load(self, upstream, *, is_batch_only):
         """Tell the others of a change of load, and stop items for it."""
@@ -131,15 +123,8 @@
             if self.policy.view is View.HEARTBEATS:
                 report = None
             load = (upstream.online, upstream.batch)
-            audience = choose_audience(
-                others,
-                region=upstream.region,
-                holders={
-                    each
-                    for each in others
-                    if upstream.peers.get(each.identifier, (0, 0))[1]
-                },
-                is_batch_only=name not in online_changed,
+            audience = self.load_news.choose_audience(
+                upstream, others, is_batch_only=name not in online_changed
             )
             for other in audience:
                 self.fleet.messages += 1
@@ -152,6 +137,12 @@
                     report,
                 )
 
+    def take_report(self, upstream, load):
+        """Take the load that an upstream tells with the head of an answer."""
+        upstream.take_report(*load, now=self.clock.now)
+        upstream.news = load
+        self.note_load(upstream, is_batch_only=False)
+
     def take_told(self, sender, name, load, report):
         """Take in what another gateway tells of an upstream."""
         upstream = self.directory.upstreams.get(name)
@@ -206,25 +197,7 @@
         request.sent_at = self.clock.now
         request.belief = upstream.count_online() + upstream.count_batch()
         request.belief += upstream.hidden
-        wait = self.placement.estimate_wait(upstream)
-        holds = ExitStack()
-        holds.enter_context(self.placement.hold_online(upstream))
-        delay = self.fleet.find_delay(
-            self.data_centre, upstream.entry.data_centre
-        )
-        attempt = Attempt(
-            gateway=self,
-            request=request,
-            upstream=upstream,
-            holds=holds,
-            delay=delay,
-        )
-        engine = self.fleet.engines[upstream.entry.name]
-        self.clock.call_later(delay, engine.submit, attempt.stream)
-        self.clock.call_later(FIRST_EVENT_S + wait, attempt.check_first)
-        self.clock.call_later(
-            max(0.0, request.until - self.clock.now), attempt.give_up
-        )
+        Attempt(gateway=self, request=request, upstream=upstream)
 
     def refuse(self, request, retry_after):
         """Refuse a request that has not run, or give a broken one up."""
@@ -233,124 +206,3 @@
             return
         request.ended = "refused"
         self.fleet.return_later(request, retry_after)
-
-
-class Attempt:
-    """One send of an online request.
-
-    Parameters
-    ----------
-    gateway : GatewayModel
-    request : RequestState
-    upstream : Upstream
-    holds : ExitStack
-        Counts the request at the upstream until it is closed.
-    delay : float
-        Seconds to the upstream.
-    """
-
-    __slots__ = (
-        "gateway",
-        "request",
-        "upstream",
-        "holds",
-        "delay",
-        "stream",
-        "has_event",
-        "is_over",
-    )
-
-    def __init__(self, *, gateway, request, upstream, holds, delay):
-        self.gateway = gateway
-        self.request = request
-        self.upstream = upstream
-        self.holds = holds
-        self.delay = delay
-        self.has_event = False
-        self.is_over = False
-        self.stream = EngineStream(
-            parts=request.arrival.parts,
-            tokens=request.arrival.tokens,
-            done=request.done,
-            on_event=self.pass_event,
-            on_end=self.pass_end,
-        )
-
-    def pass_event(self, stream):
-        engine = self.gateway.fleet.engines[self.upstream.entry.name]
-        self.gateway.clock.call_later(
-            self.delay, self.take_event, stream.generated, engine.load
-        )
-
-    def pass_end(self, stream, reason):
-        self.gateway.clock.call_later(self.delay, self.take_end, reason)
-
-    def take_event(self, generated, load):
-        """Take an event on the way to the client."""
-        if self.is_over:
-            return
-        if not self.has_event:
-            self.has_event = True
-            self.gateway.fleet.note_report(self, load)
-        now = self.gateway.clock.now + self.gateway.fleet.client_delay
-        self.request.take_event(generated, now=now)
-
-    def take_end(self, reason):
-        """Take the end of the answer, of whichever kind."""
-        if self.is_over:
-            return
-        self.end()
-        request = self.request
-        if reason == "finished":
-            request.ended = "answered"
-            self.gateway.directory.note_success(self.upstream)
-        elif reason == "refused":
-            request.sends -= 1
-            request.refusals += 1
-            self.gateway.directory.note_failure(self.upstream)
-            if request.refusals <= MAX_REFUSALS:
-                self.gateway.serve(request)
-            else:
-                key = request.key
-                self.gateway.refuse(
-                    request, self.gateway.placement.choose_retry_after(key)
-                )
-        else:
-            self.gateway.directory.note_failure(self.upstream)
-            self.move()
-
-    def move(self):
-        """Go on at another upstream."""
-        if self.request.sends < MAX_SENDS:
-            self.gateway.serve(self.request)
-        else:
-            self.request.ended = "lost"
-
-    def check_first(self):
-        """Leave an upstream that is silent for too long."""
-        if self.is_over or self.has_event:
-            return
-        is_better = self.gateway.placement.has_better(
-            self.upstream, excluded=self.request.tried
-        )
-        if self.request.sends < MAX_SENDS and is_better:
-            self.end()
-            self.cancel()
-            self.move()
-        else:
-            self.gateway.clock.call_later(STALL_CHECK_S, self.check_first)
-
-    def give_up(self):
-        """End a request whose time is over."""
-        if not self.is_over:
-            self.end()
-            self.cancel()
-            self.request.ended = "given_up"
-
-    def cancel(self):
-        engine = self.gateway.fleet.engines[self.upstream.entry.name]
-        self.gateway.clock.call_later(self.delay, engine.remove, self.stream)
-
-    def end(self):
-        self.is_over = True
-        self.holds.close()
--- a/packages/hollyspan_standins/hollyspan_standins/model/pattern.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/pattern.py
@@ -173,14 +173,14 @@
     return [0.5 * seconds * number / jobs for number in range(jobs)]
 
 
-def build_wave(chance, *, seconds, rate, data_centres, jobs):
-    """Waves, with jobs that come one after the other."""
+def build_load(chance, measure, *, seconds, rate, data_centres, jobs):
+    """Requests whose rate follows a function, and jobs one after the other."""
     arrivals = draw_arrivals(
         chance,
         seconds=seconds,
         rate=rate,
         data_centres=data_centres,
-        measure=lambda at, _: measure_wave(at),
+        measure=measure,
     )
     return LoadPattern(
         seconds=seconds,
@@ -189,7 +189,12 @@
     )
 
 
-def build_burst(chance, *, seconds, rate, data_centres, jobs):
+def build_wave(chance, **scale):
+    """Waves, with jobs that come one after the other."""
+    return build_load(chance, lambda at, _: measure_wave(at), **scale)
+
+
+def build_burst(chance, *, seconds, data_centres, **scale):
     """Steady load, and a burst at one data centre in the middle."""
     middle = seconds / 2
 
@@ -197,52 +202,29 @@
         is_burst = middle <= at < middle + BURST_S
         return BURST_X if is_burst and data_centre == data_centres[0] else 1.0
 
-    arrivals = draw_arrivals(
-        chance,
-        seconds=seconds,
-        rate=rate,
-        data_centres=data_centres,
-        measure=measure,
-    )
-    return LoadPattern(
-        seconds=seconds,
-        arrivals=arrivals,
-        jobs=draw_jobs(chance, spread_times(seconds, jobs)),
+    return build_load(
+        chance, measure, seconds=seconds, data_centres=data_centres, **scale
     )
 
 
-def build_job_rush(chance, *, seconds, rate, data_centres, jobs):
+def build_job_rush(chance, *, jobs, **scale):
     """Waves, with all jobs at the start."""
-    pattern = build_wave(
-        chance, seconds=seconds, rate=rate, data_centres=data_centres, jobs=0
-    )
+    pattern = build_wave(chance, jobs=0, **scale)
     pattern.jobs = draw_jobs(chance, [0.0] * jobs)
     return pattern
 
 
-def build_loss(chance, *, seconds, rate, data_centres, jobs):
+def build_loss(chance, **scale):
     """Waves, in one of which some upstreams are lost for good."""
-    pattern = build_wave(
-        chance,
-        seconds=seconds,
-        rate=rate,
-        data_centres=data_centres,
-        jobs=jobs,
-    )
+    pattern = build_wave(chance, **scale)
     peak = WAVE_PERIOD_S - WAVE_S / 2
     pattern.losses = [(peak + 0.1 * number, number) for number in range(2)]
     return pattern
 
 
-def build_skew(chance, *, seconds, rate, data_centres, jobs):
+def build_skew(chance, **scale):
     """Waves, with one gateway that has three times its share."""
-    pattern = build_wave(
-        chance,
-        seconds=seconds,
-        rate=rate,
-        data_centres=data_centres,
-        jobs=jobs,
-    )
+    pattern = build_wave(chance, **scale)
     pattern.skew = 3.0
     return pattern
 
--- a/packages/hollyspan_standins/hollyspan_standins/model/request.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/request.py
@@ -42,7 +42,6 @@
         "ended",
         "report",
         "belief",
-        "stream",
         "sent_at",
     )
 
@@ -62,7 +61,6 @@
         self.ended = None
         self.report = None
         self.belief = None
-        self.stream = None
         self.sent_at = None
 
     def take_event(self, generated, *, now):
@@ -84,8 +82,6 @@
         Tokens that have come.
     generated : int
         Tokens that engines have generated for it, in all runs.
-    upstream : Upstream or None
-        Where it runs.
     not_before : float
         Time until which it pauses.
     finished_at : float or None
@@ -98,9 +94,6 @@
         "due",
         "done",
         "generated",
-        "upstream",
-        "stream",
-        "started",
         "runs",
         "not_before",
         "finished_at",
@@ -113,9 +106,6 @@
         self.due = due
         self.done = 0
         self.generated = 0
-        self.upstream = None
-        self.stream = None
-        self.started = None
         self.runs = 0
         self.not_before = 0.0
         self.finished_at = None
--- a/packages/hollyspan_standins/hollyspan_standins/model/stream.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/stream.py
@@ -27,8 +27,6 @@
         Tokens of the prompt that are still to be read.
     generated : int
         Tokens generated, those of earlier runs included.
-    is_running : bool
-        True once it has a slot.
     """
 
     __slots__ = (
@@ -39,7 +37,6 @@
         "on_end",
         "unread",
         "generated",
-        "is_running",
     )
 
     def __init__(self, *, parts, tokens, on_event, on_end, done=0):
@@ -50,7 +47,6 @@
         self.on_end = on_end
         self.unread = 0
         self.generated = done
-        self.is_running = False
 
     @property
     def is_finished(self):
