Send nothing new to a replica that announces its shutdown in an answer

Cause: replicas that leave now say so in all their answers (Server-Leaving), and nothing read the header. A gateway went on sending new requests for as long as the replica's entry said ready: with a silent watch, a lost history or an entry that lapsed and returned, longer than DrainMs allows.

Change: the directory remembers departures by the key of the replica's incarnation (name and start time), apart from the entries: a departure holds while the entry says ready, over a lapse and return, and ends with the incarnation. Peers hear of it with the change of load and, since datagrams are lost, in heartbeats for 15 s; a repeated report does not prolong that. Items that run there go on, waiting ones go elsewhere. 4,096 departures are kept.

Ruled out: a mark in the entry (the next read of the entry overwrites it); a mark by name alone (a replica may start again under its name); an answer of status 421, which another replica gave. Gateways make no health checks of replicas, so these need nothing.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -237,6 +237,9 @@
             "is_leaving": self.is_draining,
             "reaches_store": self.upstreams_mirror.is_connected,
             "items": list(worker.running) if worker is not None else [],
+            "departures": self.directory.departures.list_announced(
+                now=self.reactor.seconds()
+            ),
         }
 
     def find_upstreams_revision(self):
@@ -267,6 +270,9 @@
     def apply_message(self, peer, message, change):
         """Apply the loads in a peer's message and compare revisions."""
         now = self.reactor.seconds()
+        reported = [load.departure for load in message.loads if load.departure]
+        for key in (*message.departures, *reported):
+            self.directory.note_reported_departure(key)
         message_loads = {load.upstream: load for load in message.loads}
         for key in change.upstreams:
             upstream = self.directory.by_key.get(key)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -376,3 +376,24 @@
     gateway.routes = helpers.build_table([])
     submit()
     assert list_results(wire) == {"j0": (False, b"")}
+
+
+def test_an_item_goes_on_at_a_leaving_upstream_and_waiting_ones_elsewhere(
+    build_worker, submit, reactor, wire, helpers
+):
+    gateway = build_worker(slots=2)
+    submit()
+    first = gateway.pool.last
+    first.answer(
+        200,
+        headers=[(b"leaving", b"1")],
+        body=helpers.build_events(1, 1),
+        is_complete=False,
+    )
+    submit(2, name="k")
+    reactor.advance(0.5)
+    assert len(gateway.pool.sent) == 3
+    assert all(each.address != first.address for each in gateway.pool.sent[1:])
+    first.exchange.on_data(helpers.build_events(2, 2))
+    first.exchange.on_end()
+    assert list_results(wire) == {"j0": (True, b"t1\nt2")}
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -21,6 +21,8 @@
         upstream that does not state so; it must not be forwarded.
     load : (int, int, int) or None
         Running and waiting requests and slots, at the time of the answer.
+    is_leaving : bool
+        True when the upstream states that it is shutting down.
     headers : list of (bytes, bytes)
         Headers that are forwarded unchanged, without hop-by-hop headers.
     """
@@ -31,17 +33,27 @@
         "has_not_run",
         "is_ambiguous",
         "load",
+        "is_leaving",
         "headers",
     )
 
     def __init__(
-        self, *, status, identifier, has_not_run, is_ambiguous, load, headers
+        self,
+        *,
+        status,
+        identifier,
+        has_not_run,
+        is_ambiguous,
+        load,
+        is_leaving,
+        headers,
     ):
         self.status = status
         self.identifier = identifier
         self.has_not_run = has_not_run
         self.is_ambiguous = is_ambiguous
         self.load = load
+        self.is_leaving = is_leaving
         self.headers = headers
 
     @property
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -243,3 +243,72 @@
     assert gateway.pool.last.is_cancelled
     upstreams = gateway.directory.upstreams.values()
     assert sum(upstream.online for upstream in upstreams) == 0
+
+
+LEAVING = [(b"leaving", b"1")]
+
+
+def read_address(gateway):
+    return gateway.pool.last.address
+
+
+def test_an_answer_that_announces_the_shutdown_stops_new_requests(
+    start, gateway, helpers
+):
+    start()
+    first = gateway.pool.last
+    first.answer(
+        200,
+        headers=LEAVING,
+        body=helpers.build_events(1, 1),
+        is_complete=False,
+    )
+    # The stream itself goes on.
+    assert not first.is_cancelled
+    for _ in range(6):
+        start()
+        assert read_address(gateway) != first.address
+
+
+@pytest.mark.parametrize("status", (200, 429, 500, 503))
+def test_the_shutdown_may_be_announced_with_any_status(
+    start, gateway, reactor, status
+):
+    start()
+    first = gateway.pool.last
+    first.answer(status, headers=[*LEAVING, (b"not-run", b"1")])
+    # The back-off after a failure has ended by then.
+    reactor.advance(3.5)
+    for _ in range(12):
+        start()
+        assert read_address(gateway) != first.address
+
+
+def test_a_resumed_stream_does_not_return_to_a_leaving_upstream(
+    start, gateway, helpers
+):
+    start()
+    gateway.pool.last.answer(
+        200, headers=LEAVING, body=helpers.build_events(1, 2)
+    )
+    left = read_address(gateway)
+    relay = start(max_attempts=3)
+    connection = gateway.pool.last
+    connection.answer(200, body=helpers.build_events(1, 2), is_complete=False)
+    connection.exchange.on_failure(build_stream_error())
+    assert all(each.address != left for each in gateway.pool.sent[1:])
+    assert find_error(relay).code == "overloaded" or not relay.ends
+
+
+def test_nothing_is_sent_when_all_upstreams_are_leaving(
+    start, gateway, helpers
+):
+    for _ in range(2):
+        start()
+        gateway.pool.last.answer(
+            200, headers=LEAVING, body=helpers.build_events(1, 1)
+        )
+    sent = len(gateway.pool.sent)
+    relay = start()
+    assert len(gateway.pool.sent) == sent
+    assert find_error(relay).outcome is Outcome.NOT_RUN
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -52,6 +52,7 @@
             encoded.online = load.online
             encoded.batch = load.batch
             encoded.isUnreachable = load.is_unreachable
+            encoded.departure = load.departure
             if load.reported is not None:
                 encoded.isReported = True
                 encoded.running, encoded.waiting = load.reported
@@ -65,6 +66,8 @@
         wire.items = list(message.items)
     if message.live_workers:
         wire.heard = list(message.live_workers)
+    if message.departures:
+        wire.departures = list(message.departures)
     return wire.to_bytes_packed()
 
 
@@ -98,6 +101,7 @@
                     batch=load.batch,
                     reported=read_reported(load),
                     is_unreachable=load.isUnreachable,
+                    departure=load.departure,
                 )
                 for load in wire.loads
             ],
@@ -110,6 +114,7 @@
             wants_reply=wire.wantsReply,
             live_workers=list(wire.heard),
             region=wire.region,
+            departures=list(wire.departures),
             heartbeat_seconds=wire.beatMs / 1000,
             totals=[
                 UpstreamTotal(
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -10,6 +10,7 @@
   running @4 :UInt16;     # requests that it runs, from whomever
   waiting @5 :UInt16;     # requests in its queue
   isUnreachable @6 :Bool; # the sender has just failed to connect to it
+  departure @7 :UInt64;   # incarnation that has just announced its shutdown
 }
 
 struct Total {
@@ -36,4 +37,5 @@
   region @13 :UInt64;       # hash of the sender's region
   beatMs @14 :UInt16;       # time until the next full message, milliseconds
   totals @15 :List(Total);  # for other regions: the load of the sender's
+  departures @16 :List(UInt64); # incarnations that announced their shutdown
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
@@ -98,8 +98,9 @@
     ----------
     upstream : Upstream
     include_report : bool, optional
-        Include the load that the upstream last reported and its failed
-        connection, unless they have been sent before, and mark them as sent.
+        Include the load that the upstream last reported, its failed
+        connection and its departure, unless they have been sent before, and
+        mark them as sent.
     """
     load = UpstreamLoad(
         upstream=upstream.entry.key,
@@ -110,4 +111,7 @@
         load.reported, upstream.unsent_report = upstream.unsent_report, None
         load.is_unreachable = upstream.has_unsent_failure
         upstream.has_unsent_failure = False
+        if upstream.has_unsent_departure:
+            load.departure = upstream.entry.incarnation_key
+            upstream.has_unsent_departure = False
     return load
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -17,9 +17,19 @@
         them to the sender.
     is_unreachable : bool, optional
         True when the sender has just failed to connect to it.
+    departure : int, optional
+        Key of its incarnation when it has just announced its shutdown to the
+        sender, else 0.
     """
 
-    __slots__ = ("upstream", "online", "batch", "reported", "is_unreachable")
+    __slots__ = (
+        "upstream",
+        "online",
+        "batch",
+        "reported",
+        "is_unreachable",
+        "departure",
+    )
 
     def __init__(
         self,
@@ -29,12 +39,14 @@
         batch,
         reported=None,
         is_unreachable=False,
+        departure=0,
     ):
         self.upstream = upstream
         self.online = online
         self.batch = batch
         self.reported = reported
         self.is_unreachable = is_unreachable
+        self.departure = departure
 
 
 class UpstreamTotal:
@@ -87,6 +99,9 @@
     totals : list of UpstreamTotal, optional
         Total loads of the upstreams of the sender's region, for gateways of
         other regions.
+    departures : list of int, optional
+        Keys of the upstreams' incarnations that have announced their shutdown
+        in an answer, to the sender or to one of its peers.
     """
 
     __slots__ = (
@@ -106,6 +121,7 @@
         "region",
         "heartbeat_seconds",
         "totals",
+        "departures",
     )
 
     def __init__(
@@ -127,6 +143,7 @@
         region=0,
         heartbeat_seconds=0.0,
         totals=(),
+        departures=(),
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -144,3 +161,4 @@
         self.region = region
         self.heartbeat_seconds = heartbeat_seconds
         self.totals = totals
+        self.departures = departures
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -21,6 +21,7 @@
     batch=COUNTS,
     reported=st.none() | st.tuples(COUNTS, COUNTS),
     is_unreachable=st.booleans(),
+    departure=HASHES,
 )
 TOTALS = st.builds(UpstreamTotal, upstream=HASHES, online=COUNTS, batch=COUNTS)
 MESSAGES = st.builds(
@@ -39,6 +40,7 @@
     wants_reply=st.booleans(),
     live_workers=st.lists(HASHES, max_size=4),
     totals=st.lists(TOTALS, max_size=4),
+    departures=st.lists(HASHES, max_size=4),
 )
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -443,3 +443,32 @@
     # The full message carried the load and the state of the sender.
     assert fleet[0].directory.upstreams["u1"].peer_online == 1
     assert peer.is_leaving
+
+
+def note_departure(gateway, name):
+    reply = gateway.dialect.decode_reply(200, [(b"leaving", b"1")])
+    gateway.placement.note_reply(gateway.directory.upstreams[name], reply)
+
+
+def list_usable_names(gateway):
+    return [each.entry.name for each in gateway.directory.list_usable("m")]
+
+
+def test_a_departure_reaches_peers_with_the_change_of_load(fleet, reactor):
+    note_departure(fleet[3], "u1")
+    reactor.advance(0.02)
+    assert [list_usable_names(each) for each in fleet] == [["u2"]] * 4
+
+
+def test_a_departure_reaches_peers_with_heartbeats_when_changes_are_lost(
+    fleet, network, reactor
+):
+    network.blocked = {(4, port) for port in (1, 2, 3)}
+    note_departure(fleet[3], "u1")
+    reactor.advance(0.02)
+    assert list_usable_names(fleet[0]) == ["u1", "u2"]
+    # Heard by one peer, which passes it on to the others.
+    network.blocked = {(4, 2), (4, 3)}
+    for gateway in (fleet[3], fleet[0]):
+        gateway.peers.send_heartbeat()
+    assert [list_usable_names(each) for each in fleet] == [["u2"]] * 4
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """Upstreams, their load, and the placement of work on them."""
 
 from .batch_placement import BatchPlacement
+from .departures import Departures
 from .directory import Directory
 from .directory import EXPIRY_GRACE_S
 from .placement import Placement
@@ -9,6 +10,7 @@
 
 __all__ = [
     "BatchPlacement",
+    "Departures",
     "Directory",
     "EXPIRY_GRACE_S",
     "Placement",
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -4,6 +4,7 @@
 
 from hollyspan_policy.hashing import hash_parts
 
+from .departures import Departures
 from .upstream import Upstream
 
 __all__ = ["Directory"]
@@ -44,9 +45,18 @@
     ----------
     upstreams, by_key : dict
         Upstream by its name, and by the hash of its name.
+    departures : Departures
+        Upstreams that have announced their shutdown in an answer.
     """
 
-    __slots__ = ("reactor", "find_region", "on_leaving", "upstreams", "by_key")
+    __slots__ = (
+        "reactor",
+        "find_region",
+        "on_leaving",
+        "upstreams",
+        "by_key",
+        "departures",
+    )
 
     def __init__(self, *, reactor, find_region, on_leaving):
         self.reactor = reactor
@@ -54,6 +64,7 @@
         self.on_leaving = on_leaving
         self.upstreams = {}
         self.by_key = {}
+        self.departures = Departures()
 
     def update(self, entries, *, expiry_grace_until=0.0):
         """Update the directory from the entries in the store.
@@ -89,7 +100,7 @@
                     upstream.kept_until = max(
                         expiry_grace_until, now + EXPIRY_GRACE_S
                     )
-            if now >= upstream.kept_until or not upstream.entry.is_ready:
+            if now >= upstream.kept_until or not upstream.accepts_work:
                 self.remove(upstream)
         kept = [
             upstream.kept_until
@@ -106,6 +117,7 @@
         ):
             region = hash_parts(self.find_region(entry.data_centre))
             upstream = Upstream(entry=entry, region=region)
+            upstream.has_departed = entry.incarnation_key in self.departures
             self.upstreams[name] = upstream
             self.by_key[entry.key] = upstream
             log_change("upstream:listed", entry)
@@ -133,7 +145,7 @@
                 for upstream in self.upstreams.values()
                 if upstream.entry.service == service
                 and upstream.is_listed
-                and upstream.entry.is_ready
+                and upstream.accepts_work
             ]
             vanished = [upstream for upstream in listed if upstream in missing]
             if vanished and len(vanished) >= EXPIRY_SHARE * len(listed):
@@ -169,9 +181,36 @@
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.entry.service == service and upstream.entry.is_ready
+            if upstream.entry.service == service and upstream.accepts_work
         ]
 
+    def note_departure(self, upstream):
+        """Send nothing new to an upstream that has announced its shutdown."""
+        if self.note_reported_departure(upstream.entry.incarnation_key):
+            upstream.has_unsent_departure = True
+
+    def note_reported_departure(self, key):
+        """Note a departure that a peer reported.
+
+        Parameters
+        ----------
+        key : int
+            Key of the upstream's incarnation, which may not be listed here.
+
+        Returns
+        -------
+        bool
+            False when it was known already.
+        """
+        if not self.departures.note(key, now=self.reactor.seconds()):
+            return False
+        for upstream in self.upstreams.values():
+            if upstream.entry.incarnation_key == key:
+                upstream.has_departed = True
+                log_change("upstream:departing", upstream.entry)
+                self.on_leaving(upstream)
+        return True
+
     def note_unreachable(self, upstream):
         """Back off from an upstream after a failed connection attempt."""
         upstream.has_unsent_failure = True
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -253,13 +253,16 @@
             self.on_change(upstream, is_batch_only=False)
 
     def note_reply(self, upstream, reply):
-        """Record the load report in an answer and end a back-off."""
+        """Record what an answer tells of its upstream and end a back-off."""
+        if reply.is_leaving:
+            self.directory.note_departure(upstream)
         if reply.load is not None:
             running, waiting, _ = reply.load
             upstream.record_report(
                 running, waiting, now=self.reactor.seconds()
             )
             upstream.unsent_report = (running, waiting)
+        if reply.load is not None or upstream.has_unsent_departure:
             self.on_change(upstream, is_batch_only=False)
         if not reply.has_not_run:
             self.directory.note_success(upstream)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -129,3 +129,52 @@
     assert upstream.suspect_until - reactor.seconds() > first
     directory.note_success(upstream)
     assert upstream.suspect_until <= reactor.seconds()
+
+
+def depart(directory, name):
+    directory.note_departure(directory.upstreams[name])
+
+
+def test_a_departure_holds_while_the_entry_still_says_ready(
+    directory, helpers, departed
+):
+    directory.update(build_entries(helpers, "u", "v"))
+    depart(directory, "u")
+    directory.update(build_entries(helpers, "u", "v"))
+    assert [each.entry.name for each in directory.list_usable("m")] == ["v"]
+    assert departed == ["u"]
+
+
+def test_a_departure_outlasts_the_entry(directory, helpers):
+    directory.update(build_entries(helpers, "u", "v", "w"))
+    depart(directory, "u")
+    directory.update(build_entries(helpers, "v", "w"))
+    directory.update(build_entries(helpers, "u", "v", "w"))
+    assert len(directory.list_usable("m")) == 2
+
+
+def test_a_departed_upstream_is_not_kept_when_entries_expire_together(
+    directory, helpers
+):
+    directory.update(build_entries(helpers, "u", "v"))
+    depart(directory, "u")
+    directory.update({})
+    assert [each.entry.name for each in directory.list_usable("m")] == ["v"]
+    assert "u" not in directory.upstreams
+
+
+@pytest.mark.parametrize("with_gap", (False, True))
+def test_a_restarted_upstream_gets_work_again(directory, helpers, with_gap):
+    directory.update({"u": helpers.build_entry("u", started_at_ms=1)})
+    depart(directory, "u")
+    if with_gap:
+        directory.update({})
+    directory.update({"u": helpers.build_entry("u", started_at_ms=2)})
+    assert len(directory.list_usable("m")) == 1
+
+
+def test_a_departure_reported_before_the_entry_is_known(directory, helpers):
+    entry = helpers.build_entry("u")
+    assert directory.note_reported_departure(entry.incarnation_key)
+    directory.update({"u": entry})
+    assert directory.list_usable("m") == []
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -39,6 +39,8 @@
     ----------
     key : int
         Hash of its name, which identifies it in messages to peers.
+    incarnation_key : int
+        Hash of its name and start time.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "is_ready",
         "started_at_ms",
         "key",
+        "incarnation_key",
     )
 
     def __init__(
@@ -71,6 +74,7 @@
         self.is_ready = is_ready
         self.started_at_ms = started_at_ms
         self.key = hash_parts(name)
+        self.incarnation_key = hash_parts(name, str(started_at_ms))
 
 
 class Upstream:
@@ -116,6 +120,11 @@
         Turns of this gateway to fill free slots there with batch items.
     has_unsent_failure : bool
         True when a failed connection attempt was not sent to peers yet.
+    has_departed : bool
+        True once the upstream has announced its shutdown in an answer, here
+        or at a peer.
+    has_unsent_departure : bool
+        True when this was not sent to peers yet.
     """
 
     __slots__ = (
@@ -138,6 +147,8 @@
         "region_total_at",
         "turns",
         "has_unsent_failure",
+        "has_departed",
+        "has_unsent_departure",
     )
 
     def __init__(self, *, entry, region):
@@ -160,6 +171,13 @@
         self.region_total_at = -math.inf
         self.turns = SlotTurns()
         self.has_unsent_failure = False
+        self.has_departed = False
+        self.has_unsent_departure = False
+
+    @property
+    def accepts_work(self):
+        """True until the upstream or its entry announces the shutdown."""
+        return self.entry.is_ready and not self.has_departed
 
     def count_online(self):
         """Return the online requests in flight from all gateways."""
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -55,6 +55,7 @@
             has_not_run=b"not-run" in values,
             is_ambiguous=status == 503 and b"not-run" not in values,
             load=load and tuple(int(part) for part in load.split(b",")),
+            is_leaving=b"leaving" in values,
             headers=list(headers),
         )
 
