Limit the waiting tokens of a batch route over the whole fleet

Change: the record of a job is created together with a count of its tokens in one of eight shares of the limit, in one transaction with the share's revision as a condition. A share that is too full borrows from the others in the same write; after a limit was lowered all shares are compared. Workers count what has ended in the transaction that creates a result, each in a counter of its own, so an item is released once whoever ran it. The rest of an ended job is released by its owner among the workers, marked by a key. Both counts only grow: a view that misses releases makes the count too large, never too small. A job that does not fit is refused with 429 after a read as of now, with the time in which the missing tokens end at the measured rate, spread over twice that time; a repeat of an accepted job is accepted. A negative, too large or non-integer limit refuses the configuration, the one in force stays. A stopping worker waits until its results are stored.

Cost: a stale read (a tenth of a call) beside the write of a job; none for a result. Routes without a limit are as before. Jobs that were accepted while a route had no limit are not counted when it gets one.

Ruled out: one counter (all gateways of a burst compete for one key); releases written into the shares (a further write for each result, against all others).

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -29,6 +29,7 @@
 from .request import ModelNotFoundError
 from .request import OutcomeUnknownError
 from .request import OverloadedError
+from .request import QuotaExceededError
 from .request import RateLimitError
 from .request import RouteNotFoundError
 from .request import ServiceNotFoundError
@@ -74,6 +75,7 @@
     "Outcome",
     "OutcomeUnknownError",
     "OverloadedError",
+    "QuotaExceededError",
     "PeerAnswerError",
     "PeerAuthenticationError",
     "PeerMessageError",
--- a/packages/hollyspan_core/hollyspan_core/errors/request.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/request.py
@@ -22,6 +22,7 @@
     "ModelNotFoundError",
     "OutcomeUnknownError",
     "OverloadedError",
+    "QuotaExceededError",
     "RateLimitError",
     "RouteNotFoundError",
     "ServiceNotFoundError",
@@ -186,6 +187,15 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class QuotaExceededError(HollyspanError):
+    """The job does not fit under the limit on waiting tokens now."""
+
+    status = 429
+    kind = "rate_limit_error"
+    code = "waiting_tokens_exceeded"
+    default_outcome = Outcome.NOT_RUN
+
+
 class OverloadedError(HollyspanError):
     """No upstream has free capacity before the deadline."""
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -284,7 +284,8 @@
         self.reactor.stop()
 
     def is_drained(self, elapsed):
-        if self.gateway.worker is not None and self.gateway.worker.running:
+        worker = self.gateway.worker
+        if worker is not None and (worker.running or worker.storing):
             return False
         if self.site is None:
             return True
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -4,9 +4,11 @@
 
 import eliot
 
+from hollyspan_core.errors import ConfigurationInvalidError
 from hollyspan_policy.hashing import hash_parts
 
 from .http1 import ConnectionPool
+from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
 from .jobs.submissions import Submissions
 from .online.held import HeldRequests
@@ -127,6 +129,7 @@
         }
         self.retirement = Retirement(gateway=self)
         self.refresh = Refresh(gateway=self)
+        self.quotas = QuotaLedger(gateway=self)
         self.submissions = Submissions(gateway=self)
         self.reading = JobReadService(gateway=self)
         self.held = HeldRequests(gateway=self)
@@ -172,7 +175,17 @@
     def apply_configuration(self, mirror):
         """Apply a newer configuration or an order to retire the machine."""
         for entry in mirror.entries.values():
-            table = self.dialect.decode_configuration(entry)
+            try:
+                table = self.dialect.decode_configuration(entry)
+            except ConfigurationInvalidError as error:
+                # The configuration in force stays in force.
+                eliot.log_message(
+                    "configuration:invalid",
+                    revision=entry.revision,
+                    param=error.param,
+                    reason=error.message,
+                )
+                continue
             if table is None:
                 self.retirement.apply_order(entry)
                 continue
@@ -180,13 +193,14 @@
             if current is not None and table.revision <= current.revision:
                 continue
             self.routes = table
+            self.quotas.note_limits(table.list_routes())
             if self.site is not None:
                 self.site.apply_limits(table.limits)
             eliot.log_message(
                 "configuration:in_force",
                 version=table.version,
                 revision=table.revision,
-                routes=sum(map(len, table.by_host.values())),
+                routes=len(table.list_routes()),
                 was=None if current is None else current.version,
             )
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -39,6 +39,8 @@
     ----------
     jobs : dict
         JobState by identifier; None while the record is being read.
+    ended : set of str
+        Identifiers of the jobs that their clients have ended.
     """
 
     def __init__(self, *, gateway, on_change, on_end):
@@ -46,6 +48,7 @@
         self.on_change = on_change
         self.on_end = on_end
         self.jobs = {}
+        self.ended = set()
         self.is_first_update = True
         self.mirror = Mirror(
             store=gateway.store,
@@ -72,6 +75,23 @@
             and not job_state.is_complete()
         ]
 
+    def list_unreleased(self):
+        """Return ended jobs whose waiting tokens may not be released yet.
+
+        Returns
+        -------
+        list of (JobState, int)
+            With the revision at which the job was ended.
+        """
+        return [
+            (job_state, entry.created_revision)
+            for identifier in self.ended
+            if (job_state := self.jobs.get(identifier)) is not None
+            and job_state.job.reservation is not None
+            and not job_state.is_released
+            and (entry := self.mirror.entries.get(build_end_key(identifier)))
+        ]
+
     def apply_entries(self, mirror):
         """Add new jobs, mark ended ones and drop those no longer stored."""
         is_first, self.is_first_update = self.is_first_update, False
@@ -92,6 +112,7 @@
                 mirror.entries
             ):
                 del self.jobs[identifier]
+                self.ended.discard(identifier)
 
     async def load_job_state(self, identifier, entry, *, has_read_results):
         try:
@@ -128,6 +149,7 @@
         if job_state is None or job_state.is_ended:
             return
         job_state.is_ended = True
+        self.ended.add(identifier)
         eliot.log_message("job:stopped", job=identifier)
         self.on_end(job_state)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item.py
@@ -12,15 +12,18 @@
     path : str
     headers : list of (str, str)
     body : bytes
+    tokens : int, optional
+        Tokens of its prompt and its longest output.
     """
 
-    __slots__ = ("identifier", "path", "headers", "body")
+    __slots__ = ("identifier", "path", "headers", "body", "tokens")
 
-    def __init__(self, *, identifier, path, headers, body):
+    def __init__(self, *, identifier, path, headers, body, tokens=0):
         self.identifier = identifier
         self.path = path
         self.headers = headers
         self.body = body
+        self.tokens = tokens
 
 
 class ItemResult:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
@@ -19,6 +19,8 @@
     retained_until : float
         Unix seconds after which unfinished items may be given up.
     items : list of Item
+    reservation : Reservation or None, optional
+        What its tokens are counted against; None without a limit.
     """
 
     __slots__ = (
@@ -29,10 +31,20 @@
         "due",
         "retained_until",
         "items",
+        "reservation",
     )
 
     def __init__(
-        self, *, identifier, host, path, submitted, due, retained_until, items
+        self,
+        *,
+        identifier,
+        host,
+        path,
+        submitted,
+        due,
+        retained_until,
+        items,
+        reservation=None,
     ):
         self.identifier = identifier
         self.host = host
@@ -41,3 +53,8 @@
         self.due = due
         self.retained_until = retained_until
         self.items = items
+        self.reservation = reservation
+
+    def count_tokens(self):
+        """Return the tokens of all items."""
+        return sum(item.tokens for item in self.items)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_remover.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_remover.py
@@ -7,6 +7,7 @@
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.ownership import choose_owner
 
+from .quota_records import build_release_key
 from .records import build_end_key
 from .records import build_job_key
 from .records import build_results_prefix
@@ -74,6 +75,7 @@
             page = await self.gateway.store.list(prefix)
             keys = [each.key for each in page.entries]
             keys += list_part_keys(identifier, entry.content[0])
+            keys += list_release_keys(self.catalogue.jobs.get(identifier))
             keys += [build_end_key(identifier), build_job_key(identifier)]
             for start in range(0, len(keys), MAX_KEYS_PER_WRITE):
                 await self.gateway.store.remove(
@@ -85,3 +87,11 @@
             )
             return
         eliot.log_message("job:removed", job=identifier, keys=len(keys))
+
+
+def list_release_keys(job_state):
+    """Return the key that may mark the rest of a job as released."""
+    if job_state is None or job_state.job.reservation is None:
+        return []
+    job = job_state.job
+    return [build_release_key(job.reservation.quota, job.identifier)]
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -79,6 +79,9 @@
         True when the client has ended the job.
     is_reading_results : bool
         True while the results are being read.
+    is_released : bool
+        True once this gateway has begun to release the waiting tokens of the
+        ended job.
     """
 
     __slots__ = (
@@ -87,6 +90,7 @@
         "is_ended",
         "has_read_results",
         "is_reading_results",
+        "is_released",
     )
 
     def __init__(self, *, job, has_read_results):
@@ -95,6 +99,7 @@
         self.is_ended = False
         self.has_read_results = has_read_results
         self.is_reading_results = False
+        self.is_released = False
 
     def is_complete(self):
         """Return whether every item has a result."""
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota_records.py
@@ -0,0 +1,103 @@
+"""Keys and encoding of the counters of waiting tokens in the store."""
+
+import json
+
+from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.quota import Share
+
+__all__ = [
+    "SHARE_COUNT",
+    "build_counters_prefix",
+    "build_quota_identifier",
+    "build_release_key",
+    "build_releases_key",
+    "build_share_key",
+    "decode_counters",
+    "decode_releases",
+    "encode_releases",
+    "encode_share",
+]
+
+QUOTAS_PREFIX = "hs/q/"
+SHARES_SUFFIX = "/c/s/"
+RELEASES_SUFFIX = "/c/r/"
+RELEASED_JOBS_SUFFIX = "/e/"
+# Shares of a limit: with one each for a handful of daemons, jobs that arrive
+# in a burst seldom compete for a share.
+SHARE_COUNT = 8
+
+
+def build_quota_identifier(route):
+    """Return the identifier of the counters of a route."""
+    return f"{hash_parts(route):016x}"
+
+
+def build_counters_prefix(quota):
+    """Return the prefix of all counters of a route."""
+    return f"{QUOTAS_PREFIX}{quota}/c/"
+
+
+def build_share_key(quota, index):
+    """Return the key of a share."""
+    return f"{QUOTAS_PREFIX}{quota}{SHARES_SUFFIX}{index}"
+
+
+def build_releases_key(quota, instance):
+    """Return the key of the tokens that a gateway has released."""
+    return f"{QUOTAS_PREFIX}{quota}{RELEASES_SUFFIX}{instance}"
+
+
+def build_release_key(quota, job):
+    """Return the key that marks the rest of an ended job as released."""
+    return f"{QUOTAS_PREFIX}{quota}{RELEASED_JOBS_SUFFIX}{job}"
+
+
+def encode_share(share):
+    """Encode a share as the content of its key."""
+    document = {"accepted": share.accepted, "borrowed": share.borrowed}
+    return json.dumps(document).encode()
+
+
+def encode_releases(released):
+    """Encode the released tokens by share as the content of a key."""
+    return json.dumps(
+        {str(share): tokens for share, tokens in released.items()}
+    ).encode()
+
+
+def decode_releases(content):
+    """Decode the tokens by share that a gateway has released."""
+    return {
+        int(share): tokens for share, tokens in json.loads(content).items()
+    }
+
+
+def decode_counters(entries, *, quota):
+    """Decode the counters of a route.
+
+    Parameters
+    ----------
+    entries : iterable of Entry
+    quota : str
+
+    Returns
+    -------
+    (list of Share, list of int, list of int)
+        Shares, their revisions, 0 for those that do not exist yet, and the
+        released tokens of each share.
+    """
+    shares = [Share() for _ in range(SHARE_COUNT)]
+    revisions = [0] * SHARE_COUNT
+    released = [0] * SHARE_COUNT
+    indices = {
+        build_share_key(quota, index): index for index in range(SHARE_COUNT)
+    }
+    for entry in entries:
+        index = indices.get(entry.key)
+        if index is not None:
+            shares[index] = Share(**json.loads(entry.content))
+            revisions[index] = entry.revision
+            continue
+        for share, tokens in decode_releases(entry.content).items():
+            released[share] += tokens
+    return shares, revisions, released
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -7,6 +7,7 @@
 from .item import Item
 from .item import ItemResult
 from .job import Job
+from .reservation import Reservation
 
 __all__ = [
     "JOBS_PREFIX",
@@ -95,12 +96,14 @@
         "submitted": job.submitted,
         "due": job.due,
         "retained_until": job.retained_until,
+        "reservation": encode_reservation(job.reservation),
         "items": [
             {
                 "id": item.identifier,
                 "path": item.path,
                 "headers": item.headers,
                 "body": base64.b64encode(item.body).decode(),
+                "tokens": item.tokens,
             }
             for item in job.items
         ],
@@ -143,12 +146,29 @@
                 path=item["path"],
                 headers=[tuple(pair) for pair in item["headers"]],
                 body=base64.b64decode(item["body"]),
+                tokens=item.get("tokens", 0),
             )
             for item in document["items"]
         ],
+        reservation=decode_reservation(document.get("reservation")),
     )
 
 
+def encode_reservation(reservation):
+    """Return a reservation as a JSON value."""
+    if reservation is None:
+        return None
+    return [reservation.quota, reservation.share]
+
+
+def decode_reservation(value):
+    """Return the reservation in a record, None without one."""
+    if value is None:
+        return None
+    quota, share = value
+    return Reservation(quota=quota, share=share)
+
+
 def encode_result(result):
     """Encode a result as the content of its key."""
     state = DONE_STATE if result.is_done else GIVEN_UP_STATE
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/result_storage.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/result_storage.py
@@ -28,14 +28,13 @@
     content = encode_result(state.result)
     while True:
         try:
-            await gateway.store.create({key: content})
+            if job.reservation is None or state.job_state.is_ended:
+                await gateway.store.create({key: content})
+            elif not await gateway.worker.releases.store_result(state):
+                log_stored_before(state)
             break
         except StoreKeyExistsError:
-            eliot.log_message(
-                "item:stored_before",
-                job=job.identifier,
-                item=state.item.identifier,
-            )
+            log_stored_before(state)
             break
         except StoreUnavailableError as error:
             eliot.log_message(
@@ -58,3 +57,11 @@
     )
     gateway.metrics.record("lateness", max(0.0, -slack))
     gateway.metrics.count_item("done" if is_done else "given_up")
+
+
+def log_stored_before(state):
+    eliot.log_message(
+        "item:stored_before",
+        job=state.job_state.job.identifier,
+        item=state.item.identifier,
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -38,6 +38,8 @@
         ------
         InvalidRequestError
             The body is not a valid job.
+        QuotaExceededError
+            The job's tokens do not fit under the route's limit now.
         StoreUnavailableError
             The job was not stored, or it is unknown whether it was.
         """
@@ -53,7 +55,7 @@
             + (route.retention_seconds or DEFAULT_COMPLETION_S),
             items=items,
         )
-        is_new = await self.create_record(job)
+        is_new = await self.create_record(job, route)
         eliot.log_message(
             "job:accepted",
             job=job.identifier,
@@ -67,8 +69,10 @@
         status, headers, body = self.gateway.dialect.encode_accepted()
         request.answer(status, headers, body)
 
-    async def create_record(self, job):
+    async def create_record(self, job, route):
         """Create the record of a job; return False if it exists already."""
+        if route.max_waiting_tokens:
+            return await self.gateway.quotas.create_record(job, route)
         try:
             await self.gateway.store.create(encode_job(job))
         except StoreKeyExistsError:
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -0,0 +1,267 @@
+"""Tests of jobs under a limit on waiting tokens."""
+
+import pytest
+from twisted.internet import defer
+
+from hollyspan_core.errors import QuotaExceededError
+from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import ItemResult
+from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.job_state import ItemState
+from hollyspan_gateway.jobs.job_state import JobState
+from hollyspan_gateway.jobs.quota import UNSETTLED_LIMIT_S
+from hollyspan_gateway.jobs.quota_records import build_counters_prefix
+from hollyspan_gateway.jobs.quota_records import build_quota_identifier
+from hollyspan_gateway.jobs.quota_records import decode_counters
+from hollyspan_gateway.jobs.records import build_end_key
+from hollyspan_gateway.jobs.records import build_result_key
+from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.routes import RouteKind
+
+LIMIT = 800
+
+
+@pytest.fixture
+def build_route(helpers):
+    def build(limit=LIMIT):
+        return helpers.build_route(
+            name="b",
+            prefix="/b/",
+            kind=RouteKind.BATCH,
+            max_waiting_tokens=limit,
+        )
+
+    return build
+
+
+@pytest.fixture
+def build_front(build_gateway, build_route, reactor):
+    """Return a function that builds a gateway with a settled limit."""
+
+    def build(name="f1", *, limit=LIMIT):
+        gateway = build_gateway(name=name, routes=[build_route(limit)])
+        gateway.quotas.note_limits([build_route(limit)])
+        reactor.advance(UNSETTLED_LIMIT_S)
+        return gateway
+
+    return build
+
+
+@pytest.fixture
+def front(build_front):
+    return build_front()
+
+
+@pytest.fixture
+def accept(run, reactor, build_route):
+    """Return a function that submits a job of one item."""
+
+    def submit(gateway, name, tokens, *, limit=LIMIT):
+        now = reactor.seconds()
+        job = Job(
+            identifier=name,
+            host="h",
+            path="/b/",
+            submitted=now,
+            due=now + 18.0,
+            retained_until=now + 60.0,
+            items=[
+                Item(
+                    identifier=f"{name}0",
+                    path="/b/x",
+                    headers=[],
+                    body=b"",
+                    tokens=tokens,
+                )
+            ],
+        )
+        is_new = run(gateway.quotas.create_record(job, build_route(limit)))
+        assert is_new in (True, False)
+        return job
+
+    return submit
+
+
+def finish_item(gateway, job):
+    """Start to store the result of a job's item; return a Deferred."""
+    state = ItemState(
+        job_state=JobState(job=job, has_read_results=True),
+        item=job.items[0],
+        key=1,
+    )
+    state.result = ItemResult(
+        identifier=job.items[0].identifier, is_done=True, output=b"t"
+    )
+    return defer.ensureDeferred(gateway.worker.releases.store_result(state))
+
+
+def build_worker(gateway):
+    gateway.worker = Worker(gateway=gateway)
+    return gateway
+
+
+def test_a_job_costs_one_write_and_one_stale_read(front, wire, accept):
+    accept(front, "j1", 100)
+    assert wire.calls == ["read_stale_page", "commit"]
+
+
+def test_two_gateways_with_the_same_view_do_not_exceed_the_limit(
+    build_front, wire, accept
+):
+    fronts = [build_front(name) for name in ("f1", "f2")]
+    wire.stale_entries = {}
+    accept(fronts[0], "j1", 500)
+    with pytest.raises(QuotaExceededError):
+        accept(fronts[1], "j2", 500)
+
+
+def test_a_refusal_says_when_to_come_back(build_front, accept, reactor):
+    front = build_worker(build_front())
+    jobs = [accept(front, f"j{number}", 100) for number in range(8)]
+    for job in jobs[:4]:
+        reactor.advance(1.0)
+        finish_item(front, job)
+        accept(front, job.identifier + "x", 100)
+    with pytest.raises(QuotaExceededError) as caught:
+        accept(front, "j8", 200)
+    # 100 tokens end each second, and 200 are missing.
+    assert 2.0 <= caught.value.retry_after <= 6.0
+
+
+def test_a_stale_view_alone_does_not_refuse_a_job(build_front, accept, wire):
+    front = build_worker(build_front())
+    job = accept(front, "j1", 800)
+    wire.stale_entries = dict(wire.entries)
+    finish_item(front, job)
+    accept(front, "j2", 800)
+
+
+def test_a_lowered_limit_is_not_compared_with_a_stale_view(
+    front, accept, wire, build_route
+):
+    wire.stale_entries = dict(wire.entries)
+    accept(front, "j1", 400)
+    front.quotas.note_limits([build_route(400)])
+    with pytest.raises(QuotaExceededError):
+        accept(front, "j2", 50, limit=400)
+
+
+def test_a_repeated_job_is_accepted_when_the_limit_is_reached(front, accept):
+    accept(front, "j1", 800)
+    accept(front, "j1", 800)
+
+
+def test_a_gateway_that_loses_each_race_refuses_in_the_end(
+    front, accept, wire
+):
+    commit = wire.commit
+
+    async def compete(**write):
+        accept_key = next(key for key in write["expected"] if "/s/" in key)
+        wire.change(
+            {accept_key: bytes(16) + b'{"accepted": 0, "borrowed": 0}'}
+        )
+        return await commit(**write)
+
+    wire.commit = compete
+    with pytest.raises(StoreUnavailableError):
+        accept(front, "j1", 100)
+    assert not any(key.startswith("hs/j/") for key in wire.entries)
+
+
+def test_a_delayed_write_does_not_undo_later_releases(
+    build_front, accept, wire, reactor
+):
+    front = build_worker(build_front())
+    first, second = accept(front, "j1", 300), accept(front, "j2", 300)
+    wire.writes_to_delay = 1
+    finish_item(front, first)
+    # The process is replaced before it repeats the write.
+    restarted = build_worker(build_front())
+    reactor.pump([0.0])
+    finish_item(restarted, second)
+    wire.apply_delayed_writes()
+    waiting = [
+        job.identifier
+        for job in (first, second)
+        if build_result_key(job.identifier, job.items[0].identifier)
+        not in wire.entries
+    ]
+    with pytest.raises(QuotaExceededError):
+        accept(restarted, "j3", LIMIT - 300 * len(waiting) + 1)
+    accept(restarted, "j4", LIMIT - 300 * len(waiting))
+
+
+def test_results_that_end_together_share_one_write(build_front, accept, wire):
+    front = build_worker(build_front())
+    jobs = [accept(front, f"j{number}", 10) for number in range(4)]
+    wire.writes_to_lose = 1
+    ends = [finish_item(front, job) for job in jobs]
+    wire.calls.clear()
+    front.reactor.pump([0.1] * 10)
+    assert [end.result for end in ends] == [True] * 4
+    assert wire.calls.count("commit") == 2
+
+
+def test_results_wait_for_the_store_and_release_once(
+    build_front, accept, wire, reactor
+):
+    front = build_worker(build_front())
+    job = accept(front, "j1", 800)
+    wire.is_down = True
+    end = finish_item(front, job)
+    reactor.pump([0.1] * 50)
+    assert not end.called
+    wire.is_down = False
+    reactor.pump([0.1] * 10)
+    assert end.called
+    accept(front, "j2", 800)
+    with pytest.raises(QuotaExceededError):
+        accept(front, "j3", 8)
+
+
+def count_waiting(wire):
+    quota = build_quota_identifier("b")
+    prefix = build_counters_prefix(quota)
+    shares, _, released = decode_counters(
+        [e for key, e in wire.entries.items() if key.startswith(prefix)],
+        quota=quota,
+    )
+    return sum(share.accepted for share in shares) - sum(released)
+
+
+def test_a_worker_releases_what_it_finishes(
+    build_front, accept, wire, reactor, helpers
+):
+    front = build_worker(build_front())
+    front.worker.start()
+    accept(front, "j1", 500)
+    reactor.pump([0.1] * 5)
+    front.pool.last.answer(200, body=helpers.build_events(1, 2))
+    assert count_waiting(wire) == 0
+
+
+def test_an_ended_job_releases_its_tokens(
+    build_front, accept, wire, reactor, run
+):
+    front = build_worker(build_front())
+    front.worker.start()
+    accept(front, "j1", 500)
+    reactor.pump([0.1] * 5)
+    run(front.store.create({build_end_key("j1"): b""}))
+    reactor.pump([0.1] * 10)
+    assert count_waiting(wire) == 0
+    accept(front, "j2", 800)
+
+
+def test_an_ended_job_whose_owner_is_lost_is_released_by_the_next(
+    build_front, accept, wire, reactor, run
+):
+    front = build_worker(build_front())
+    accept(front, "j1", 500)
+    run(front.store.create({build_end_key("j1"): b""}))
+    other = build_worker(build_front("f2"))
+    other.worker.start()
+    reactor.pump([0.1] * 10)
+    assert count_waiting(wire) == 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_records.py
@@ -15,6 +15,7 @@
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.records import encode_result
 from hollyspan_gateway.jobs.records import MAX_PART_BYTES
+from hollyspan_gateway.jobs.reservation import Reservation
 
 
 def build_job(bodies):
@@ -69,3 +70,13 @@
 
 def test_unknown_job_is_none(store, run):
     assert run(load_job(store, "nothing")) is None
+
+
+def test_a_reservation_is_part_of_the_record(store, run):
+    job = build_job([b"x"])
+    job.items[0].tokens = 940
+    job.reservation = Reservation(quota="q", share=3)
+    run(store.create(encode_job(job)))
+    stored = run(load_job(store, "j"))
+    assert stored.count_tokens() == 940
+    assert (stored.reservation.quota, stored.reservation.share) == ("q", 3)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -3,6 +3,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.batch import rank_item
 from hollyspan_policy.batch import RunTimeEstimator
 from hollyspan_policy.ownership import choose_owner
@@ -13,6 +14,7 @@
 from .item import ItemResult
 from .job_remover import JobRemover
 from .ranks import WorkerRanks
+from .releases import ReleaseWriter
 from .result_storage import persist_result
 from .run import ItemRun
 
@@ -53,6 +55,8 @@
     catalogue : JobCatalogue
     running : dict
         ItemState by its key.
+    storing : int
+        Number of results that are being stored.
     is_stopping : bool
         True when no new items are started.
     """
@@ -60,6 +64,8 @@
     def __init__(self, *, gateway):
         self.gateway = gateway
         self.running = {}
+        self.storing = 0
+        self.releases = ReleaseWriter(gateway=gateway)
         self.is_stopping = False
         self.on_drained = None
         self.times = RunTimeEstimator(
@@ -145,6 +151,7 @@
         workers = self.gateway.list_workers()
         self.ranks.update_workers(workers)
         claimed = self.gateway.list_claimed_items()
+        self.release_ended_jobs(workers)
         waiting = []
         for job_state in self.catalogue.list_incomplete():
             startable = [
@@ -160,6 +167,31 @@
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
             self.start_item(state)
 
+    def release_ended_jobs(self, workers):
+        """Release the waiting tokens of the ended jobs that are owned here."""
+        for job_state, end_revision in self.catalogue.list_unreleased():
+            identifier = job_state.job.identifier
+            if choose_owner(identifier, workers) == (
+                self.gateway.peers.identifier
+            ):
+                job_state.is_released = True
+                defer.ensureDeferred(
+                    self.release_job(job_state, end_revision)
+                ).addErrback(eliot.write_failure)
+
+    async def release_job(self, job_state, end_revision):
+        try:
+            await self.releases.release_rest(
+                job_state.job, end_revision=end_revision
+            )
+        except StoreUnavailableError as error:
+            eliot.log_message(
+                "job:not_released",
+                job=job_state.job.identifier,
+                reason=error.message,
+            )
+            job_state.is_released = False
+
     def rank(self, state, now):
         """Return the sort key of an item; the smallest is started first."""
         return rank_item(
@@ -264,9 +296,14 @@
 
     def store_result(self, state):
         if not state.job_state.is_ended or state.result.is_done:
+            self.storing += 1
             defer.ensureDeferred(
                 persist_result(self.gateway, state)
-            ).addErrback(eliot.write_failure)
+            ).addErrback(eliot.write_failure).addBoth(self.count_stored)
+
+    def count_stored(self, result):
+        self.storing -= 1
+        return result
 
     def preempt_items(self, upstream):
         """Preempt items at an upstream whose slots online requests need."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/routes/route.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/routes/route.py
@@ -42,6 +42,9 @@
         Time from a job's submission to the deadline of its last result.
     retention_seconds : float or None
         Time from a job's submission after which its items may be given up.
+    max_waiting_tokens : int, optional
+        Limit on the tokens of all accepted items that have not ended; 0 for
+        no limit.
     """
 
     __slots__ = (
@@ -58,6 +61,7 @@
         "max_pause",
         "completion_seconds",
         "retention_seconds",
+        "max_waiting_tokens",
     )
 
     def __init__(
@@ -76,6 +80,7 @@
         max_pause=None,
         completion_seconds=None,
         retention_seconds=None,
+        max_waiting_tokens=0,
     ):
         self.name = name
         self.host = host
@@ -90,6 +95,7 @@
         self.max_pause = max_pause
         self.completion_seconds = completion_seconds
         self.retention_seconds = retention_seconds
+        self.max_waiting_tokens = max_waiting_tokens
 
     @property
     def is_repeatable(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
@@ -32,6 +32,14 @@
         for route in routes:
             self.by_host.setdefault(route.host, {})[route.prefix] = route
 
+    def list_routes(self):
+        """Return all routes."""
+        return [
+            route
+            for prefixes in self.by_host.values()
+            for route in prefixes.values()
+        ]
+
     def find(self, host, path):
         """Return the route with the longest prefix of a path, or None.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
@@ -48,12 +48,14 @@
         """
         return await self.wire.read(key)
 
-    async def list(self, prefix):
+    async def list(self, prefix, *, may_be_stale=False):
         """Return all entries below a prefix as of one revision.
 
         Parameters
         ----------
         prefix : str
+        may_be_stale : bool, optional
+            Accept an answer that is seconds old, which costs the store less.
 
         Returns
         -------
@@ -65,12 +67,16 @@
         ------
         StoreUnavailableError
         """
-        page = await self.wire.read_page(prefix, after=None)
+        page = await self.wire.read_page(
+            prefix, after=None, may_be_stale=may_be_stale
+        )
         entries = page.entries
         revision = page.revision
         while page.has_more:
             page = await self.wire.read_page(
-                prefix, after=page.entries[-1].key
+                prefix,
+                after=page.entries[-1].key,
+                may_be_stale=may_be_stale,
             )
             entries += [
                 entry
@@ -130,21 +136,48 @@
         StoreUnavailableError
             The write was not made, outcome ``not_run``.
         """
-        token = self.create_token()
-        values = {key: token + content for key, content in contents.items()}
-        expected = dict.fromkeys(values, 0)
-        commit = await self.write(expected, values)
+        commit = await self.change(contents, dict.fromkeys(contents, 0))
         if commit.succeeded:
             return commit.revision
-        for key in values:
-            entry = commit.found.get(key)
-            if entry is not None and entry.token == token:
-                return 0
-        first = next(iter(values))
+        first = next(iter(contents))
         raise StoreKeyExistsError(
             f"key {first} exists", entry=commit.found.get(first)
         )
 
+    async def change(self, contents, expected):
+        """Write keys atomically if the expected revisions hold.
+
+        Parameters
+        ----------
+        contents : dict
+            Bytes by key.
+        expected : dict
+            Revision by key, 0 for a key that must not exist. At least one key
+            of `contents` must be among them.
+
+        Returns
+        -------
+        Commit
+            When an earlier attempt, whose reply was lost, has made the write,
+            its revision is 0 and `found` holds the entries.
+
+        Raises
+        ------
+        StoreReplyLostError
+            The write may have taken effect or may still do so.
+        StoreUnavailableError
+            The write was not made, outcome ``not_run``.
+        """
+        token = self.create_token()
+        values = {key: token + content for key, content in contents.items()}
+        commit = await self.write(expected, values)
+        if not commit.succeeded:
+            commit.succeeded = any(
+                key in contents and entry.token == token
+                for key, entry in commit.found.items()
+            )
+        return commit
+
     async def put(self, key, content):
         """Write a key unconditionally.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_client.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_client.py
@@ -68,7 +68,7 @@
     wire.change({f"p/{i}": bytes(16) for i in range(4)})
     read_page = wire.read_page
 
-    async def read_and_add(prefix, *, after):
+    async def read_and_add(prefix, *, after, **options):
         page = await read_page(prefix, after=after)
         if after is None:
             # A key sorted within the first page and one after it.
--- a/packages/hollyspan_standins/hollyspan_standins/memory/wire.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/wire.py
@@ -25,6 +25,12 @@
         Number of next writes that take effect but whose reply is lost.
     writes_to_lose : int
         Number of next writes that are lost before they take effect.
+    writes_to_delay : int
+        Number of next writes that are not answered and take effect with
+        `apply_delayed_writes`, if their conditions hold then.
+    stale_entries : dict or None
+        Entries that reads which accept stale answers return; None for the
+        current ones.
     compacted_revision : int
         Revision that the history is compacted to: a watch after an earlier
         revision fails.
@@ -42,6 +48,9 @@
         self.is_down = False
         self.replies_to_lose = 0
         self.writes_to_lose = 0
+        self.writes_to_delay = 0
+        self.delayed_writes = []
+        self.stale_entries = None
         self.compacted_revision = 0
         self.page_size = 500
         self.waiting = []
@@ -56,15 +65,18 @@
         self.check("read")
         return self.entries.get(key)
 
-    async def read_page(self, prefix, *, after):
-        self.check("read_page")
+    async def read_page(self, prefix, *, after, may_be_stale=False):
+        self.check("read_stale_page" if may_be_stale else "read_page")
+        entries = self.entries
+        if may_be_stale and self.stale_entries is not None:
+            entries = self.stale_entries
         keys = sorted(
             key
-            for key in self.entries
+            for key in entries
             if key.startswith(prefix) and (after is None or key > after)
         )
         return Page(
-            entries=[self.entries[key] for key in keys[: self.page_size]],
+            entries=[entries[key] for key in keys[: self.page_size]],
             has_more=len(keys) > self.page_size,
             revision=self.revision,
         )
@@ -110,6 +122,23 @@
         if self.writes_to_lose:
             self.writes_to_lose -= 1
             raise StoreReplyLostError("request lost")
+        if self.writes_to_delay:
+            self.writes_to_delay -= 1
+            self.delayed_writes.append((expected, values, removed))
+            raise StoreReplyLostError("request delayed")
+        commit = self.apply_write(expected, values, removed)
+        if commit.succeeded and self.replies_to_lose:
+            self.replies_to_lose -= 1
+            raise StoreReplyLostError("reply lost")
+        return commit
+
+    def apply_delayed_writes(self):
+        """Apply the delayed writes whose conditions still hold."""
+        delayed_writes, self.delayed_writes = self.delayed_writes, []
+        for write in delayed_writes:
+            self.apply_write(*write)
+
+    def apply_write(self, expected, values, removed):
         found = {
             key: self.entries[key] for key in expected if key in self.entries
         }
@@ -118,9 +147,6 @@
             if (entry.revision if entry else 0) != revision:
                 return Commit(succeeded=False, found=found)
         self.change(values, removed)
-        if self.replies_to_lose:
-            self.replies_to_lose -= 1
-            raise StoreReplyLostError("reply lost")
         return Commit(succeeded=True, revision=self.revision)
 
     def change(self, values, removed=()):
