--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -39,9 +39,6 @@
 # Interval between log lines with the counters.
 COUNTERS_LOG_INTERVAL_S = 5.0
 METRICS_PATH = b"/metrics"
-# Delay after startup before the metrics library is imported, so that clients
-# and peers are served first.
-METRICS_START_DELAY_S = 2.0
 # Interval between measurements of the event loop's delay.
 LAG_CHECK_INTERVAL_S = 1.0
 # Delay before a failed registration is retried.
@@ -154,14 +151,17 @@
 def answer_metrics(gateway, request):
     """Answer with the metrics in the text exposition format."""
     if gateway.read_metrics is None:
-        request.answer(http.SERVICE_UNAVAILABLE, [], b"not ready\n")
-        return
+        create_metrics(gateway)
     headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
     request.answer(http.OK, headers, gateway.read_metrics())
 
 
 def create_metrics(gateway):
-    """Create the instruments; importing their module takes about 0.1 s."""
+    """Create the instruments at the first scrape.
+
+    The import of the metrics library takes about 0.1 s and 3 MB, which a
+    gateway that nobody scrapes need not spend.
+    """
     from .metrics.instruments import create_instruments
 
     gateway.read_metrics = create_instruments(gateway)
@@ -188,7 +188,6 @@
     for port in (settings.snapshot_port, settings.metrics_port):
         reactor.listenTCP(port, internal, interface=settings.ip)
     reactor.listenUDP(settings.peer_port, gateway.peers, interface=settings.ip)
-    reactor.callLater(METRICS_START_DELAY_S, create_metrics, gateway)
     measure_lag(gateway, reactor.seconds())
     gateway.configuration_mirror.start()
     gateway.upstreams_mirror.start()
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -59,7 +59,7 @@
     site : ClientSite or None
         Server for clients; None for a gateway that only runs items.
     read_metrics : callable or None
-        Returns the metrics as text; None until the instruments exist.
+        Returns the metrics as text; None until the first scrape.
     worker : Worker or None
     workers : frozenset of str
         Identifiers of the gateways that can run items, as of the last
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -29,6 +29,10 @@
         The final result; None until the item is done or given up.
     not_before : float
         Time before which the item is not started again, reactor seconds.
+    owner : str or None
+        Identifier of the gateway that runs the item, among `owner_workers`.
+    owner_workers : tuple of str or None
+        Gateways that could run items when the owner was chosen.
     """
 
     __slots__ = (
@@ -42,6 +46,8 @@
         "run",
         "result",
         "not_before",
+        "owner",
+        "owner_workers",
     )
 
     def __init__(self, *, job_state, item, key):
@@ -55,6 +61,8 @@
         self.run = None
         self.result = None
         self.not_before = 0.0
+        self.owner = None
+        self.owner_workers = None
 
     def discard_output(self):
         """Discard the events received, so that the next run starts over."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -148,7 +148,7 @@
             # Results could not be stored; peers that reach the store take
             # the items over.
             return
-        workers = self.gateway.list_workers()
+        workers = tuple(sorted(self.gateway.list_workers()))
         self.ranks.update_workers(workers)
         claimed = self.gateway.list_claimed_items()
         self.release_ended_jobs(workers)
@@ -209,10 +209,17 @@
             and state.result is None
             and state.not_before <= self.gateway.reactor.seconds()
             and state.key not in claimed
-            and choose_owner(f"{state.key:x}", workers)
+            and self.find_owner(state, workers)
             == self.gateway.peers.identifier
         )
 
+    def find_owner(self, state, workers):
+        """Return the identifier of the gateway that runs an item."""
+        if state.owner_workers != workers:
+            state.owner = choose_owner(f"{state.key:x}", workers)
+            state.owner_workers = workers
+        return state.owner
+
     def start_item(self, state):
         """Start one item if a slot is free, or give it up."""
         job = state.job_state.job
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/metrics.py
@@ -36,7 +36,8 @@
     Notes
     -----
     The metrics library takes long to import, so the instruments are created
-    after the process has started to listen (`create_instruments`).
+    by the first scrape (`create_instruments`). Counters include all that came
+    before, histograms the newest times.
     """
 
     def __init__(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -89,7 +89,7 @@
     """
     try:
         wire = WireMessage.from_bytes_packed(datagram)
-        return FleetMessage(
+        message = FleetMessage(
             sender=wire.sender,
             incarnation=wire.incarnation,
             sequence=wire.sequence,
@@ -105,29 +105,34 @@
                 )
                 for load in wire.loads
             ],
-            configuration=wire.configuration,
-            upstreams=wire.upstreams,
-            runs_batch=wire.runsBatch,
-            is_leaving=wire.isLeaving,
-            reaches_store=wire.reachesStore,
-            items=list(wire.items),
-            wants_reply=wire.wantsReply,
-            live_workers=list(wire.heard),
-            region=wire.region,
-            departures=list(wire.departures),
-            heartbeat_seconds=wire.beatMs / 1000,
-            totals=[
-                UpstreamTotal(
-                    upstream=total.upstream,
-                    online=total.online,
-                    batch=total.batch,
-                )
-                for total in wire.totals
-            ],
         )
+        if message.is_full:
+            read_state(message, wire)
+        return message
     except (capnp.KjException, ValueError) as error:
         raise PeerMessageError("a datagram cannot be decoded") from error
 
 
+def read_state(message, wire):
+    """Read the state of the sender, which only full messages carry."""
+    message.configuration = wire.configuration
+    message.upstreams = wire.upstreams
+    message.runs_batch = wire.runsBatch
+    message.is_leaving = wire.isLeaving
+    message.reaches_store = wire.reachesStore
+    message.items = list(wire.items)
+    message.wants_reply = wire.wantsReply
+    message.live_workers = list(wire.heard)
+    message.region = wire.region
+    message.departures = list(wire.departures)
+    message.heartbeat_seconds = wire.beatMs / 1000
+    message.totals = [
+        UpstreamTotal(
+            upstream=total.upstream, online=total.online, batch=total.batch
+        )
+        for total in wire.totals
+    ]
+
+
 def read_reported(load):
     return (load.running, load.waiting) if load.isReported else None
