Let a few gateways of each region watch the store for the others

Each of 80 gateways watched the configuration and the list of upstreams, so each change woke all of them: 22 to 39 watches a front in 30 s, 34 refused calls at a front that the store turned away.

Change: in a fleet of more than 24 live gateways those that run items watch, and where a region has fewer than two of these, as many fronts as are missing, by rendezvous hashing. Full messages tell the revision of the last change, deletions included, in place of that of the newest entry. A gateway that hears no reader watches itself. In the first second after the start nobody watches, since the peers are not known yet. Small fleets watch as before.

Ruled out: stale reads at intervals (a change may be seen seconds late); longer coalescing of watches (a leaving replica is seen late).

--- a/packages/hollyspan_core/hollyspan_core/store/entry.py
+++ b/packages/hollyspan_core/hollyspan_core/store/entry.py
@@ -55,11 +55,15 @@
         True if the range contains more keys.
     revision : int
         Revision of the store at the time of the answer.
+    changed_revision : int, optional
+        Revision of the last change in the range, deletions included; 0 when
+        the answer does not tell it.
     """
 
-    __slots__ = ("entries", "has_more", "revision")
+    __slots__ = ("entries", "has_more", "revision", "changed_revision")
 
-    def __init__(self, *, entries, has_more, revision):
+    def __init__(self, *, entries, has_more, revision, changed_revision=0):
         self.entries = entries
         self.has_more = has_more
         self.revision = revision
+        self.changed_revision = changed_revision
--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -11,6 +11,7 @@
 from hollyspan_gateway.metrics import Metrics
 from hollyspan_gateway.settings import GatewaySettings
 from hollyspan_gateway.store import Store
+from hollyspan_gateway.store_reading import DISCOVERY_S
 from hollyspan_standins.memory import build_entry
 from hollyspan_standins.memory import build_events
 from hollyspan_standins.memory import build_head
@@ -82,6 +83,8 @@
         gateway.wall_clock = reactor.seconds
         gateway.routes = build_table(routes or [build_route()])
         gateway.upstreams_mirror.is_connected = True
+        # It has been up long enough to know its peers.
+        gateway.store_reading.started_at -= DISCOVERY_S
         gateway.directory.update(
             {
                 each: build_entry(each, port=number, slots=slots)
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -20,6 +20,7 @@
 from .refresh import Refresh
 from .retirement import Retirement
 from .store import Mirror
+from .store_reading import StoreReading
 from .upstreams import BatchPlacement
 from .upstreams import Directory
 from .upstreams import EXPIRY_GRACE_S
@@ -111,17 +112,22 @@
             on_membership=self.update_membership,
         )
         self.load_broadcaster = LoadBroadcaster(table=self.peers)
+        self.store_reading = StoreReading(gateway=self)
         self.configuration_mirror = Mirror(
             store=store,
             reactor=reactor,
             prefix=dialect.configuration_prefix,
             on_change=self.apply_configuration,
+            must_watch=self.store_reading.must_watch,
+            on_news=self.store_reading.announce_news,
         )
         self.upstreams_mirror = Mirror(
             store=store,
             reactor=reactor,
             prefix=dialect.upstreams_prefix,
             on_change=self.apply_upstreams,
+            must_watch=self.store_reading.must_watch,
+            on_news=self.store_reading.announce_news,
         )
         self.mirrors = {
             "configuration": self.configuration_mirror,
@@ -246,7 +252,7 @@
         worker = self.worker
         return {
             "configuration": self.configuration_revision,
-            "upstreams": self.find_upstreams_revision(),
+            "upstreams": self.upstreams_mirror.changed_revision,
             "runs_batch": worker is not None and not worker.is_stopping,
             "is_leaving": self.is_draining,
             "reaches_store": self.upstreams_mirror.is_connected,
@@ -256,11 +262,6 @@
             ),
         }
 
-    def find_upstreams_revision(self):
-        """Return the revision of the newest upstream entry."""
-        entries = self.upstreams_mirror.entries.values()
-        return max((entry.revision for entry in entries), default=0)
-
     def list_loads(self):
         """Return the upstreams with work of this gateway in flight."""
         return [
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -27,7 +27,7 @@
   loads @4 :List(Load);
   # The rest is set in full messages only.
   configuration @5 :UInt64; # store revision of the configuration in force
-  upstreams @6 :UInt64;     # store revision of the newest upstream entry
+  upstreams @6 :UInt64;     # store revision of the last change of upstreams
   runsBatch @7 :Bool;
   isLeaving @8 :Bool;
   reachesStore @9 :Bool;
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -83,8 +83,8 @@
         True when upstreams that `loads` does not contain have no load.
     loads : list of UpstreamLoad
     configuration, upstreams : int, optional
-        Store revisions of the configuration in force and of the newest
-        upstream entry at the sender.
+        Store revisions of the configuration in force and of the last change
+        of the upstreams' entries at the sender.
     runs_batch, is_leaving, reaches_store : bool, optional
     items : list of int, optional
         Hashes of the items that run at the sender.
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
@@ -38,7 +38,11 @@
         }
         for entry in mirror.entries.values()
     ]
-    document = {"revision": mirror.revision, "entries": rows}
+    document = {
+        "revision": mirror.revision,
+        "changed": mirror.changed_revision,
+        "entries": rows,
+    }
     return json.dumps(document).encode()
 
 
@@ -64,7 +68,10 @@
             for row in document["entries"]
         ]
         return Page(
-            entries=entries, has_more=False, revision=document["revision"]
+            entries=entries,
+            has_more=False,
+            revision=document["revision"],
+            changed_revision=document.get("changed", 0),
         )
     except (ValueError, KeyError, TypeError) as error:
         raise PeerMessageError(f"malformed snapshot: {error!r}") from error
--- a/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
@@ -24,11 +24,14 @@
     gateway : Gateway
     """
 
-    __slots__ = ("gateway", "last_started")
+    __slots__ = ("gateway", "last_started", "newer", "call")
 
     def __init__(self, *, gateway):
         self.gateway = gateway
-        self.last_started = 0.0
+        self.last_started = -MIN_REFRESH_INTERVAL_S
+        # Peer and revision by name of the mirror, of those to catch up with.
+        self.newer = {}
+        self.call = None
 
     def compare_revisions(self, peer, message):
         """Start to catch up if a peer has a newer revision.
@@ -40,26 +43,34 @@
             A full message.
         """
         gateway = self.gateway
-        if (
-            gateway.reactor.seconds() - self.last_started
-            < MIN_REFRESH_INTERVAL_S
-        ):
-            return
         if message.configuration > gateway.configuration_revision:
-            self.start_catch_up("configuration", peer, message.configuration)
+            self.newer["configuration"] = peer, message.configuration
         if message.upstreams > gateway.upstreams_mirror.revision:
-            self.start_catch_up("upstreams", peer, message.upstreams)
+            self.newer["upstreams"] = peer, message.upstreams
+        if self.newer and self.call is None:
+            now = gateway.reactor.seconds()
+            delay = self.last_started + MIN_REFRESH_INTERVAL_S - now
+            if delay <= 0:
+                self.start_catch_up()
+            else:
+                self.call = gateway.reactor.callLater(
+                    delay, self.start_catch_up
+                )
 
-    def start_catch_up(self, name, peer, revision):
+    def start_catch_up(self):
+        self.call = None
         self.last_started = self.gateway.reactor.seconds()
-        work = defer.ensureDeferred(self.catch_up(name, peer, revision))
-        work.addErrback(eliot.write_failure)
+        newer, self.newer = self.newer, {}
+        for name, (peer, revision) in newer.items():
+            work = defer.ensureDeferred(self.catch_up(name, peer, revision))
+            work.addErrback(eliot.write_failure)
 
     async def catch_up(self, name, peer, revision):
         """Read the entries again unless the watch delivers them first."""
         gateway = self.gateway
         mirror = gateway.mirrors[name]
-        if mirror.is_connected:
+        is_watching = mirror.is_connected and mirror.must_watch()
+        if is_watching:
             await wait(gateway.reactor, WATCH_GRACE_S)
         if mirror.revision >= revision:
             return
@@ -68,9 +79,9 @@
             revision=mirror.revision,
             peer=peer.identifier,
             newer=revision,
-            is_connected=mirror.is_connected,
+            is_watching=is_watching,
         )
-        if mirror.is_connected:
+        if is_watching:
             mirror.refresh()
             return
         page = await fetch_snapshot(
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -29,6 +29,8 @@
 # enough to detect the store's return within a second.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
+# Interval between checks whether the changes have to be watched here.
+PASSIVE_CHECK_INTERVAL_S = 0.5
 
 
 class Mirror:
@@ -41,6 +43,11 @@
     prefix : str
     on_change : callable
         Called with the mirror after entries have changed.
+    must_watch : callable, optional
+        Returns whether to watch the store now. Without the watch, changes
+        come as snapshots of peers. By default the store is always watched.
+    on_news : callable, optional
+        Called without arguments after a watch has returned changes.
 
     Attributes
     ----------
@@ -48,6 +55,8 @@
         Entry by key.
     revision : int
         Store revision that the entries reflect; 0 before the first read.
+    changed_revision : int
+        Revision of the last known change of the entries.
     is_connected : bool
         True when the last call succeeded.
     reconnected_at : float or None
@@ -55,13 +64,25 @@
         reactor seconds.
     """
 
-    def __init__(self, *, store, reactor, prefix, on_change):
+    def __init__(
+        self,
+        *,
+        store,
+        reactor,
+        prefix,
+        on_change,
+        must_watch=lambda: True,
+        on_news=lambda: None,
+    ):
         self.store = store
         self.reactor = reactor
         self.prefix = prefix
         self.on_change = on_change
+        self.must_watch = must_watch
+        self.on_news = on_news
         self.entries = {}
         self.revision = 0
+        self.changed_revision = 0
         self.is_connected = False
         self.reconnected_at = None
         self.is_stopped = False
@@ -102,10 +123,19 @@
         """
         if page.revision <= self.revision:
             return False
+        self.replace_entries(page)
+        return True
+
+    def replace_entries(self, page):
+        """Replace the entries by those of a page."""
         self.entries = {entry.key: entry for entry in page.entries}
         self.revision = page.revision
+        self.changed_revision = max(
+            self.changed_revision,
+            page.changed_revision,
+            *(entry.revision for entry in page.entries),
+        )
         self.on_change(self)
-        return True
 
     def handle_end(self, failure):
         if failure.check(defer.CancelledError):
@@ -122,10 +152,14 @@
                     await self.read_all()
                     self.record_success()
                     continue
+                if not self.must_watch():
+                    await wait(self.reactor, PASSIVE_CHECK_INTERVAL_S)
+                    continue
                 watch_start = self.reactor.seconds()
                 page = await self.read_changes()
                 self.record_success()
                 if page.entries:
+                    self.on_news()
                     await wait(
                         self.reactor, self.choose_coalescing_delay(watch_start)
                     )
@@ -183,9 +217,7 @@
         if page.revision < self.revision:
             # A peer's snapshot is newer; the watch continues from there.
             return
-        self.entries = {entry.key: entry for entry in page.entries}
-        self.revision = page.revision
-        self.on_change(self)
+        self.replace_entries(page)
 
     async def read_changes(self):
         page = await self.store.watch(
@@ -203,6 +235,9 @@
             else:
                 self.entries.pop(entry.key, None)
         self.revision = max(self.revision, page.revision)
+        self.changed_revision = max(
+            self.changed_revision, page.changed_revision
+        )
         if page.entries:
             self.on_change(self)
         return page
--- a/packages/hollyspan_policy/hollyspan_policy/membership/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/__init__.py
@@ -4,6 +4,7 @@
 from .partners import choose_partners
 from .pause import PauseGuard
 from .probes import Probes
+from .readers import is_store_reader
 from .recipients import choose_coalescing_delay
 from .recipients import choose_heartbeat_interval
 from .recipients import choose_heartbeat_recipients
@@ -20,6 +21,7 @@
     "choose_coalescing_delay",
     "count_heartbeats_per_round",
     "is_small_fleet",
+    "is_store_reader",
     "Member",
     "MemberState",
     "MemberTable",
--- a/packages/hollyspan_standins/hollyspan_standins/memory/wire.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/wire.py
@@ -95,15 +95,19 @@
             self.check("watch_end")
             if after < self.compacted_revision:
                 raise StoreHistoryLostError("compacted")
+        events = self.find_events(prefix, after)
         return Page(
-            entries=self.find_events(prefix, after),
+            entries=[entry for _, entry in events],
             has_more=False,
             revision=self.revision,
+            changed_revision=max(
+                (revision for revision, _ in events), default=0
+            ),
         )
 
     def find_events(self, prefix, after):
         return [
-            entry
+            (revision, entry)
             for revision, entry in self.events
             if revision > after and entry.key.startswith(prefix)
         ]
