Greet and answer a starting fleet with one message for many peers

Cause: a gateway that starts sent each registered peer a message of its own, and answered each peer that greeted it with one more; each peer that became live led to a walk over the whole table. At 195 gateways that start within a second these are some 390 messages to encode and 194 checks for each of them.

A restarted gateway is informed within 0.2 s by one full message of each peer.

Tests: both new ones fail on the code before (29 messages encoded for 1, 11 checks for 2).

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -227,10 +227,12 @@
         except StoreUnavailableError as error:
             eliot.log_message("member:unregistered", reason=error.message)
             await wait(gateway.reactor, REGISTRATION_RETRY_S)
+    members = {}
     for entry in page.entries:
         host, _, port = entry.content.decode().rpartition(":")
         name = entry.key.removeprefix(MEMBERS_PREFIX)
-        gateway.peers.add(name, (host, int(port)))
+        members[name] = (host, int(port))
+    gateway.peers.add(members)
     eliot.log_message("member:registered", known=len(page.entries))
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_reading.py
@@ -43,7 +43,7 @@
     gateways = [build_gateway(name=name) for name in ("g1", "g2")]
     for gateway in gateways:
         for other in gateways:
-            gateway.peers.add(other.settings.instance, ("10.0.0.1", 1))
+            gateway.peers.add({other.settings.instance: ("10.0.0.1", 1)})
         for peer in gateway.peers.peers.values():
             receive_heartbeat(gateway, peer, reactor)
     return gateways
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -26,6 +26,12 @@
 # Keeps a message within a datagram of the usual size; with more upstreams the
 # messages carry them in turn.
 MAX_TOTALS_PER_MESSAGE = 48
+# Delays in a large fleet, so that the messages of many gateways that start
+# together are answered by one message and lead to one check. The first leaves
+# a restarted gateway informed within 0.3 s; the second is a small part of the
+# time after which a silent gateway counts as failed.
+REPLY_DELAY_S = 0.05
+CHECK_DELAY_S = 0.1
 
 
 class PeerTable(protocol.DatagramProtocol):
@@ -96,14 +102,19 @@
         self.heartbeats_per_round = 1
         self.live = frozenset()
         self.heartbeat_call = None
+        # Peers that wait for a reply, by their keys.
+        self.unanswered = {}
+        self.reply_call = None
+        self.check_call = None
 
     def startProtocol(self):
         self.run_heartbeats()
 
     def stopProtocol(self):
-        if self.heartbeat_call is not None:
-            self.heartbeat_call.cancel()
-            self.heartbeat_call = None
+        for call in (self.heartbeat_call, self.reply_call, self.check_call):
+            if call is not None:
+                call.cancel()
+        self.heartbeat_call = self.reply_call = self.check_call = None
 
     def run_heartbeats(self):
         """Send a heartbeat now and one after each heartbeat interval."""
@@ -116,17 +127,26 @@
         """Return the seconds between two heartbeats."""
         return choose_heartbeat_interval(len(self.list_live()))
 
-    def add(self, name, address):
-        """Add a gateway registered in the store."""
-        key = hash_parts(name)
-        existing = self.peers.get(key)
-        if key == self.key:
-            return
-        if existing is not None:
-            existing.address = address
-            return
-        self.peers[key] = Peer(key=key, address=address)
-        self.send_full([self.peers[key]], wants_reply=True)
+    def add(self, members):
+        """Add gateways registered in the store and greet those not known.
+
+        Parameters
+        ----------
+        members : dict
+            Address, (str, int), by name.
+        """
+        added = []
+        for name, address in members.items():
+            key = hash_parts(name)
+            if key == self.key:
+                continue
+            if key in self.peers:
+                self.peers[key].address = address
+                continue
+            self.peers[key] = Peer(key=key, address=address)
+            added.append(self.peers[key])
+        # One message for all, since encoding takes longer than sending.
+        self.send_full(added, wants_reply=True)
 
     def list_live(self):
         """Return the peers whose last message is recent enough."""
@@ -284,10 +304,45 @@
         if change is None:
             return
         if message.wants_reply:
-            self.send_full([peer])
+            self.queue_reply(peer)
         self.on_message(peer, message, change)
         if change.is_membership_change or not was_live:
+            self.schedule_membership_check()
+
+    def queue_reply(self, peer):
+        """Reply to a peer that has started, in a large fleet to many at once.
+
+        Notes
+        -----
+        Load pattern: a fleet that starts, or a zone that restarts, greets
+        every gateway within a fraction of a second.
+        """
+        if is_small_fleet(len(self.peers)):
+            self.send_full([peer])
+            return
+        self.unanswered[peer.key] = peer
+        if self.reply_call is None:
+            self.reply_call = self.reactor.callLater(
+                REPLY_DELAY_S, self.send_replies
+            )
+
+    def send_replies(self):
+        self.reply_call = None
+        unanswered, self.unanswered = self.unanswered, {}
+        self.send_full(list(unanswered.values()))
+
+    def schedule_membership_check(self):
+        """Check the membership now, in a large fleet after a short delay."""
+        if is_small_fleet(len(self.peers)):
             self.check_membership()
+        elif self.check_call is None:
+            self.check_call = self.reactor.callLater(
+                CHECK_DELAY_S, self.run_scheduled_check
+            )
+
+    def run_scheduled_check(self):
+        self.check_call = None
+        self.check_membership()
 
     def check_membership(self):
         """Report a change of the live gateways or of their roles."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -68,7 +68,7 @@
         gateway.worker = IdleWorker()
     for gateway in gateways:
         for port, name in enumerate(("w1", "w2", "w3", "f1"), 1):
-            gateway.peers.add(name, ("10.0.0.1", port))
+            gateway.peers.add({name: ("10.0.0.1", port)})
     return gateways
 
 
@@ -112,7 +112,7 @@
     network.join(first, 1)
     network.join(second, 2)
     # Only the second gateway has read the other's registration.
-    second.peers.add("a", ("10.0.0.1", 1))
+    second.peers.add({"a": ("10.0.0.1", 1)})
     (peer,) = first.peers.list_live()
     assert peer.identifier == second.peers.identifier
 
@@ -214,7 +214,7 @@
         gateways.append(gateway)
     for gateway in gateways:
         for port in range(1, len(data_centres) + 1):
-            gateway.peers.add(f"g{port}", ("10.0.0.1", port))
+            gateway.peers.add({f"g{port}": ("10.0.0.1", port)})
     return gateways
 
 
@@ -230,7 +230,7 @@
         gateway.worker = IdleWorker()
     for gateway in gateways:
         for port in range(1, 31):
-            gateway.peers.add(f"g{port}", ("10.0.0.1", port))
+            gateway.peers.add({f"g{port}": ("10.0.0.1", port)})
     return gateways
 
 
@@ -362,7 +362,7 @@
     for count in (10, 20, 26, 30):
         for gateway in gateways[:count]:
             for port in range(1, count + 1):
-                gateway.peers.add(f"g{port}", ("10.0.0.1", port))
+                gateway.peers.add({f"g{port}": ("10.0.0.1", port)})
         for _ in range(6):
             run_heartbeats(gateways[:count], reactor, 0.3)
             live_counts.add((count, len(gateways[0].peers.list_live())))
@@ -472,3 +472,58 @@
     for gateway in (fleet[3], fleet[0]):
         gateway.peers.send_heartbeat()
     assert [list_usable_names(each) for each in fleet] == [["u2"]] * 4
+
+
+def test_a_restarted_gateway_is_informed_by_few_messages(
+    large_fleet, network, reactor, monkeypatch
+):
+    reactor.advance(0.3)
+    restarted, *others = large_fleet
+    restarted.peers.peers.clear()
+    restarted.peers.incarnation += 1
+    network.delivered.clear()
+    encoded = []
+    encode = table.encode_message
+
+    def record(message):
+        encoded.append(message.sender)
+        return encode(message)
+
+    monkeypatch.setattr(table, "encode_message", record)
+    restarted.peers.add(
+        {f"g{port}": ("10.0.0.1", port) for port in range(1, 31)}
+    )
+    reactor.advance(0.2)
+    assert len(restarted.peers.list_live()) == len(others)
+    assert encoded.count(restarted.peers.key) == 1
+    # Each peer sends the full message that was asked for.
+    received = [target for _, target in network.delivered if target == 1]
+    assert len(received) == len(others)
+
+
+def test_a_zone_that_restarts_leads_to_one_check_and_one_reply(
+    large_fleet, reactor, monkeypatch
+):
+    reactor.advance(0.3)
+    first, *others = large_fleet
+    checks, encoded = [], []
+    first.peers.on_membership = lambda: checks.append(reactor.seconds())
+    encode = table.encode_message
+
+    def record(message):
+        encoded.append(message.sender)
+        return encode(message)
+
+    monkeypatch.setattr(table, "encode_message", record)
+    for peer in list(first.peers.peers.values())[:10]:
+        peer.last_seen = None
+    first.peers.check_membership()
+    for other in others[:10]:
+        other.peers.incarnation += 1
+        other.peers.peers.pop(first.peers.key)
+        other.peers.add({"g1": ("10.0.0.1", 1)})
+    reactor.advance(0.2)
+    assert len(first.peers.list_live()) == len(others)
+    assert len(checks) == 2
+    # Peers of the other region receive the totals too, in a second message.
+    assert encoded.count(first.peers.key) <= 2
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_store_reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_store_reading.py
@@ -18,7 +18,7 @@
 def hear(gateway, *, number, runs_batch=False, **state):
     """Let a gateway receive a full message of a peer of its region."""
     name = f"p{number}"
-    gateway.peers.add(name, (f"10.0.1.{number}", 3))
+    gateway.peers.add({name: (f"10.0.1.{number}", 3)})
     peer = gateway.peers.peers[hash_parts(name)]
     message = FleetMessage(
         sender=peer.key,
