Report machines without a gateway as retired

Cause: workers now run on two fifths of the store machines, and an order to retire one of the others found no process that would answer it.

Change: a worker, chosen by rendezvous hashing, reports such a machine as done a second after the order, if no gateway has registered under its name.

--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -148,6 +148,10 @@
         # One message for all, since encoding takes longer than sending.
         self.send_full(added, wants_reply=True)
 
+    def is_known(self, name):
+        """Return whether a gateway of this name has registered here."""
+        return hash_parts(name) in self.peers
+
     def list_live(self):
         """Return the peers whose last message is recent enough."""
         now = self.reactor.seconds()
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_retirement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_retirement.py
@@ -70,6 +70,32 @@
 ):
     order()
     assert read_status(wire) == b"done"
-    gateway.retirement.is_done = False
-    run(gateway.retirement.write_report(is_done=False))
+    run(
+        gateway.retirement.write_report(
+            "g1", is_done=False, is_current=lambda: True
+        )
+    )
     assert read_status(wire) == b"done"
+
+
+def test_a_worker_reports_for_a_machine_without_a_gateway(
+    order, wire, reactor
+):
+    order("g7")
+    assert "status/g7" not in wire.entries
+    reactor.advance(1.0)
+    entry = wire.entries["status/g7"]
+    assert entry.token + entry.content == b"done"
+    calls = len(wire.calls)
+    order("g7")
+    reactor.advance(1.0)
+    assert len(wire.calls) == calls
+
+
+def test_nobody_reports_for_a_machine_that_has_a_gateway(
+    order, gateway, wire, reactor
+):
+    gateway.peers.add({"g7": ("10.0.0.7", 3)})
+    order("g7")
+    reactor.advance(1.0)
+    assert "status/g7" not in wire.entries
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -22,10 +22,10 @@
         return build_entry(entry.key.rpartition("/")[2])
 
     @staticmethod
-    def decode_retirement(entry, instance):
-        if entry.key != f"retire/{instance}":
+    def decode_retirement(entry):
+        if not entry.key.startswith("retire/"):
             return None
-        return float(entry.content)
+        return entry.key.removeprefix("retire/"), float(entry.content)
 
     @staticmethod
     def encode_retirement(instance, *, is_done):
