--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota.py
@@ -38,6 +38,8 @@
     Parameters
     ----------
     gateway : Gateway
+    share_count : int, optional
+        Number of shares of a limit, the same at all gateways.
 
     Attributes
     ----------
@@ -57,10 +59,11 @@
     releases, and never too small.
     """
 
-    __slots__ = ("gateway", "limits", "samples", "rates")
+    __slots__ = ("gateway", "share_count", "limits", "samples", "rates")
 
-    def __init__(self, *, gateway):
+    def __init__(self, *, gateway, share_count=SHARE_COUNT):
         self.gateway = gateway
+        self.share_count = share_count
         self.limits = {}
         self.samples = {}
         self.rates = {}
@@ -109,7 +112,7 @@
         entries = {entry.key: entry for entry in page.entries}
         for _ in range(MAX_ATTEMPTS):
             shares, revisions, released = decode_counters(
-                entries.values(), quota=quota
+                entries.values(), quota=quota, share_count=self.share_count
             )
             self.measure_rate(quota, released)
             chosen = choose_reservation(
@@ -183,7 +186,8 @@
 
     def choose_preferred_share(self, quota):
         """Return the index of the share that this gateway uses first."""
-        return hash_parts(quota, self.gateway.settings.instance) % SHARE_COUNT
+        instance = self.gateway.settings.instance
+        return hash_parts(quota, instance) % self.share_count
 
     def is_limit_settled(self, quota):
         """Return whether all gateways have used this limit for a while."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota_records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota_records.py
@@ -72,13 +72,14 @@
     }
 
 
-def decode_counters(entries, *, quota):
+def decode_counters(entries, *, quota, share_count=SHARE_COUNT):
     """Decode the counters of a route.
 
     Parameters
     ----------
     entries : iterable of Entry
     quota : str
+    share_count : int, optional
 
     Returns
     -------
@@ -86,11 +87,11 @@
         Shares, their revisions, 0 for those that do not exist yet, and the
         released tokens of each share.
     """
-    shares = [Share() for _ in range(SHARE_COUNT)]
-    revisions = [0] * SHARE_COUNT
-    released = [0] * SHARE_COUNT
+    shares = [Share() for _ in range(share_count)]
+    revisions = [0] * share_count
+    released = [0] * share_count
     indices = {
-        build_share_key(quota, index): index for index in range(SHARE_COUNT)
+        build_share_key(quota, index): index for index in range(share_count)
     }
     for entry in entries:
         index = indices.get(entry.key)
