--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
@@ -41,6 +41,7 @@
     document = {
         "revision": mirror.revision,
         "changed": mirror.changed_revision,
+        "connected_seconds": mirror.measure_connected_seconds(),
         "entries": rows,
     }
     return json.dumps(document).encode()
@@ -49,6 +50,11 @@
 def decode_snapshot(content):
     """Decode a snapshot from a peer.
 
+    Returns
+    -------
+    (Page, float or None)
+        The entries, and for how long the peer has reached the store.
+
     Raises
     ------
     PeerMessageError
@@ -67,12 +73,13 @@
             )
             for row in document["entries"]
         ]
-        return Page(
+        page = Page(
             entries=entries,
             has_more=False,
             revision=document["revision"],
             changed_revision=document.get("changed", 0),
         )
+        return page, document.get("connected_seconds")
     except (ValueError, KeyError, TypeError) as error:
         raise PeerMessageError(f"malformed snapshot: {error!r}") from error
 
@@ -91,8 +98,9 @@
 
     Returns
     -------
-    Page or None
-        None when the peer does not reply or its snapshot is malformed.
+    (Page, float or None) or None
+        The entries, and for how long the peer has reached the store; None
+        when the peer does not reply or its snapshot is malformed.
     """
     answer = await call_peer(
         pool,
--- a/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
@@ -84,8 +84,9 @@
         if is_watching:
             mirror.refresh()
             return
-        page = await fetch_snapshot(
+        snapshot = await fetch_snapshot(
             gateway.pool, peer, port=gateway.settings.snapshot_port, name=name
         )
-        if page is not None:
-            mirror.apply_snapshot(page)
+        if snapshot is not None:
+            page, connected_seconds = snapshot
+            mirror.apply_snapshot(page, connected_seconds=connected_seconds)
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -109,12 +109,15 @@
         self.needs_listing = True
         self.follower.cancel()
 
-    def apply_snapshot(self, page):
+    def apply_snapshot(self, page, *, connected_seconds=None):
         """Replace the entries by a peer's snapshot if it is newer.
 
         Parameters
         ----------
         page : Page
+        connected_seconds : float, optional
+            For how long the peer has reached the store. Entries may be
+            missing shortly after an outage that only the peer has noticed.
 
         Returns
         -------
@@ -123,9 +126,17 @@
         """
         if page.revision <= self.revision:
             return False
+        if connected_seconds is not None and self.is_connected:
+            self.reconnected_at = self.reactor.seconds() - connected_seconds
         self.replace_entries(page)
         return True
 
+    def measure_connected_seconds(self):
+        """Return for how long the store was reached, None if it is not."""
+        if not self.is_connected or self.reconnected_at is None:
+            return None
+        return self.reactor.seconds() - self.reconnected_at
+
     def replace_entries(self, page):
         """Replace the entries by those of a page."""
         self.entries = {entry.key: entry for entry in page.entries}
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_store_reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_store_reading.py
@@ -122,3 +122,36 @@
     wire.change({"upstreams/b": VALUE})
     assert sent == [FLEET]
     reader.upstreams_mirror.stop()
+
+
+def test_an_entry_that_is_missing_after_an_outage_is_kept_for_a_while(
+    front, build_gateway, wire, reactor
+):
+    reader = build_gateway(name="reader")
+    join_fleet(front, workers=3)
+    wire.change({f"upstreams/{name}": VALUE for name in "abc"})
+    for gateway in (front, reader):
+        gateway.directory.upstreams.clear()
+        gateway.upstreams_mirror.start()
+        gateway.upstreams_mirror.reconnected_at = reactor.seconds() - 60.0
+    # The reader notices an outage in which one entry expires.
+    wire.is_down = True
+    wire.wake_all()
+    wire.change({}, ["upstreams/c"])
+    reactor.advance(0.4)
+    wire.is_down = False
+    join_fleet(front, workers=3)
+    reactor.advance(0.8)
+    join_fleet(front, workers=3)
+    hear(
+        front,
+        number=1,
+        runs_batch=True,
+        upstreams=reader.describe()["upstreams"],
+    )
+    front.pool.last.answer(200, body=encode_snapshot(reader.upstreams_mirror))
+    assert len(front.directory.list_usable("m")) == 3
+    reactor.advance(2.5)
+    assert len(front.directory.list_usable("m")) == 2
+    for gateway in (front, reader):
+        gateway.upstreams_mirror.stop()
