Refuse a job as not run when the counters cannot be read

Cause: a read without an answer before anything was written came back as an unknown outcome, which a client may take for a job that was stored.

Change: reading the counters is a method of its own, whose failures say that nothing was stored; the loop over attempts reads from top to bottom. The new test fails before (outcome unknown).

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota.py
@@ -2,6 +2,7 @@
 
 import eliot
 
+from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import QuotaExceededError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.hashing import hash_parts
@@ -88,7 +89,7 @@
         Parameters
         ----------
         job : Job
-            Its reservation is set.
+            This sets its reservation.
         route : Route
             With a limit on the waiting tokens.
 
@@ -105,11 +106,8 @@
             The job was not stored, or it is unknown whether it was.
         """
         quota = build_quota_identifier(route.name)
-        limit = route.max_waiting_tokens
         may_be_stale = self.is_limit_settled(quota)
-        prefix = build_counters_prefix(quota)
-        page = await self.gateway.store.list(prefix, may_be_stale=may_be_stale)
-        entries = {entry.key: entry for entry in page.entries}
+        entries = await self.read_counters(quota, may_be_stale=may_be_stale)
         for _ in range(MAX_ATTEMPTS):
             shares, revisions, released = decode_counters(
                 entries.values(), quota=quota, share_count=self.share_count
@@ -118,39 +116,54 @@
             chosen = choose_reservation(
                 shares,
                 released=released,
-                limit=limit,
+                limit=route.max_waiting_tokens,
                 tokens=job.count_tokens(),
                 preferred=self.choose_preferred_share(quota),
             )
-            if chosen is None:
-                if not may_be_stale:
-                    return await self.refuse(
-                        job,
-                        quota,
-                        rooms=compute_rooms(
-                            shares, released=released, limit=limit
-                        ),
-                    )
+            if chosen is not None:
+                index, changed = chosen
+                job.reservation = Reservation(quota=quota, share=index)
+                commit = await self.write(job, changed, revisions)
+                if commit.succeeded:
+                    return True
+                if build_job_key(job.identifier) in commit.found:
+                    return False
+                entries.update(commit.found)
+            elif may_be_stale:
                 may_be_stale = False
-                page = await self.gateway.store.list(prefix)
-                entries = {entry.key: entry for entry in page.entries}
-                continue
-            index, changed = chosen
-            job.reservation = Reservation(quota=quota, share=index)
-            commit = await self.write(job, changed, revisions)
-            if commit.succeeded:
-                return True
-            if build_job_key(job.identifier) in commit.found:
-                return False
-            entries.update(commit.found)
+                entries = await self.read_counters(quota)
+            else:
+                rooms = compute_rooms(
+                    shares, released=released, limit=route.max_waiting_tokens
+                )
+                return await self.refuse(job, quota, rooms=rooms)
         raise StoreUnavailableError(
             "other gateways have changed the counters each time",
-            outcome=QuotaExceededError.default_outcome,
+            outcome=Outcome.NOT_RUN,
             retry_after=estimate_retry_after(
                 0, tokens_per_second=None, key=job.identifier
             ),
         )
 
+    async def read_counters(self, quota, *, may_be_stale=False):
+        """Return the entries of a route's counters by key.
+
+        Raises
+        ------
+        StoreUnavailableError
+            They cannot be read now; nothing was stored.
+        """
+        try:
+            page = await self.gateway.store.list(
+                build_counters_prefix(quota), may_be_stale=may_be_stale
+            )
+        except StoreUnavailableError as error:
+            raise StoreUnavailableError(
+                f"the counters cannot be read: {error.message}",
+                outcome=Outcome.NOT_RUN,
+            ) from error
+        return {entry.key: entry for entry in page.entries}
+
     async def write(self, job, changed, revisions):
         """Write a job's record together with the changed shares."""
         quota = job.reservation.quota
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -3,7 +3,9 @@
 import pytest
 from twisted.internet import defer
 
+from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import QuotaExceededError
+from hollyspan_core.errors import StoreReplyLostError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import ItemResult
@@ -170,6 +172,19 @@
     assert not any(key.startswith("hs/j/") for key in wire.entries)
 
 
+def test_counters_that_cannot_be_read_refuse_the_job_as_not_run(
+    front, accept, wire
+):
+    async def lose(prefix, **options):
+        raise StoreReplyLostError("no answer")
+
+    wire.read_page = lose
+    with pytest.raises(StoreUnavailableError) as caught:
+        accept(front, "j1", 100)
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert "commit" not in wire.calls
+
+
 def test_a_delayed_write_does_not_undo_later_releases(
     build_front, accept, wire, reactor
 ):
