Order the results of one write by their keys

Cause: under a limit on waiting tokens several results are created in one write when the store takes them late, and then share a creation revision, by which readers order results.

Ruled out: two results of one item (the creation is conditional), results at an older revision than one read before (each page is complete up to a revision).

Change: results are ordered by creation revision and key.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
@@ -128,3 +128,23 @@
     calls = len(wire.calls)
     assert wait_for(view, 4) == [None]
     assert len(wire.calls) == calls
+
+
+def test_results_of_one_write_have_the_same_positions_everywhere(
+    build_view, store, run
+):
+    listing, watching = build_view(), build_view()
+    # The first read lists the results, the second one watches for them.
+    for _ in range(2):
+        wait_for(watching, 0)
+    result = ItemResult(identifier="x", is_done=True, output=b"x")
+    run(
+        store.create(
+            {
+                build_result_key("j", name): encode_result(result)
+                for name in NAMES
+            }
+        )
+    )
+    wait_for(listing, 0)
+    assert list_names(watching) == list_names(listing) == sorted(NAMES)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -113,9 +113,12 @@
         self.add_page(await self.store.list(prefix))
 
     def add_page(self, page):
-        """Add the new results of a page in the order of their creation."""
+        """Add the new results of a page in the order of their creation.
+
+        Results that one write has created are in the order of their keys.
+        """
         for entry in sorted(
-            page.entries, key=lambda each: each.created_revision
+            page.entries, key=lambda each: (each.created_revision, each.key)
         ):
             result = decode_result(entry.key, entry.content)
             if result.identifier not in self.added and entry.revision:
