--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -21,9 +21,7 @@
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_core.store import TOKEN_BYTES
 from hollyspan_gateway.clock import wait
-from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import ItemResult
-from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.job_state import ItemState
 from hollyspan_gateway.jobs.job_state import JobState
 from hollyspan_gateway.jobs.quota import QuotaLedger
@@ -32,6 +30,7 @@
 from hollyspan_gateway.jobs.records import JOBS_PREFIX
 from hollyspan_gateway.jobs.releases import ReleaseWriter
 from hollyspan_gateway.store import Store
+from hollyspan_standins.memory import build_job
 from hollyspan_standins.memory import build_route
 from hollyspan_standins.memory import MemoryWire
 
@@ -189,24 +188,7 @@
         self.history.append((self.reactor.seconds(), self.waiting))
 
     async def submit(self, name):
-        job = Job(
-            identifier=name,
-            host="h",
-            path="/b/",
-            submitted=0.0,
-            due=18.0,
-            retained_until=60.0,
-            items=[
-                Item(
-                    identifier=f"{name}i{number}",
-                    path="/b/x",
-                    headers=[],
-                    body=b"",
-                    tokens=TOKENS_PER_ITEM,
-                )
-                for number in range(ITEMS_PER_JOB)
-            ],
-        )
+        job = build_job(name, tokens=[TOKENS_PER_ITEM] * ITEMS_PER_JOB)
         started = self.reactor.seconds()
         ledger = self.generator.choice(self.ledgers)
         try:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -7,9 +7,7 @@
 from hollyspan_core.errors import QuotaExceededError
 from hollyspan_core.errors import StoreReplyLostError
 from hollyspan_core.errors import StoreUnavailableError
-from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import ItemResult
-from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.job_state import ItemState
 from hollyspan_gateway.jobs.job_state import JobState
 from hollyspan_gateway.jobs.quota import UNSETTLED_LIMIT_S
@@ -20,6 +18,7 @@
 from hollyspan_gateway.jobs.records import build_result_key
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.routes import RouteKind
+from hollyspan_standins.memory import build_job
 
 LIMIT = 800
 
@@ -60,24 +59,7 @@
     """Return a function that submits a job of one item."""
 
     def submit(gateway, name, tokens, *, limit=LIMIT):
-        now = reactor.seconds()
-        job = Job(
-            identifier=name,
-            host="h",
-            path="/b/",
-            submitted=now,
-            due=now + 18.0,
-            retained_until=now + 60.0,
-            items=[
-                Item(
-                    identifier=f"{name}0",
-                    path="/b/x",
-                    headers=[],
-                    body=b"",
-                    tokens=tokens,
-                )
-            ],
-        )
+        job = build_job(name, tokens=[tokens], submitted=reactor.seconds())
         is_new = run(gateway.quotas.create_record(job, build_route(limit)))
         assert is_new in (True, False)
         return job
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota_machine.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota_machine.py
@@ -11,9 +11,7 @@
 from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import QuotaExceededError
 from hollyspan_core.store import TOKEN_BYTES
-from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import ItemResult
-from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.job_state import ItemState
 from hollyspan_gateway.jobs.job_state import JobState
 from hollyspan_gateway.jobs.quota import QuotaLedger
@@ -27,6 +25,7 @@
 from hollyspan_gateway.jobs.records import decode_job
 from hollyspan_gateway.jobs.releases import ReleaseWriter
 from hollyspan_gateway.store import Store
+from hollyspan_standins.memory import build_job
 from hollyspan_standins.memory import build_route
 from hollyspan_standins.memory import MemoryWire
 
@@ -175,24 +174,7 @@
     @stateful.rule(gateway=st.sampled_from(GATEWAYS), sizes=SIZES)
     def accept(self, gateway, sizes):
         name = f"j{len(self.jobs)}"
-        self.jobs[name] = Job(
-            identifier=name,
-            host="h",
-            path="/b/",
-            submitted=0.0,
-            due=18.0,
-            retained_until=60.0,
-            items=[
-                Item(
-                    identifier=f"{name}i{number}",
-                    path="/b/x",
-                    headers=[],
-                    body=b"",
-                    tokens=size,
-                )
-                for number, size in enumerate(sizes)
-            ],
-        )
+        self.jobs[name] = build_job(name, tokens=sizes)
         self.submit(gateway, name)
 
     @stateful.precondition(lambda self: self.jobs)
--- a/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
@@ -3,6 +3,7 @@
 from .builders import build_entry
 from .builders import build_events
 from .builders import build_head
+from .builders import build_job
 from .builders import build_route
 from .builders import build_table
 from .dialect import PlainDialect
@@ -18,6 +19,7 @@
     "build_entry",
     "build_events",
     "build_head",
+    "build_job",
     "build_route",
     "build_table",
 ]
--- a/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
@@ -1,5 +1,7 @@
 """Builders of routes, request heads, upstream entries and events."""
 
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.online import RequestHead
 from hollyspan_gateway.routes import Limits
 from hollyspan_gateway.routes import Route
@@ -11,6 +13,7 @@
     "build_entry",
     "build_events",
     "build_head",
+    "build_job",
     "build_route",
     "build_table",
 ]
@@ -59,6 +62,28 @@
     return UpstreamEntry(**values)
 
 
+def build_job(name, *, tokens, submitted=0.0):
+    """Build a job with one item for each number of tokens."""
+    return Job(
+        identifier=name,
+        host="h",
+        path="/b/",
+        submitted=submitted,
+        due=submitted + 18.0,
+        retained_until=submitted + 60.0,
+        items=[
+            Item(
+                identifier=f"{name}i{number}",
+                path="/b/x",
+                headers=[],
+                body=b"",
+                tokens=count,
+            )
+            for number, count in enumerate(tokens)
+        ],
+    )
+
+
 def build_head(identifier="q1", *, resume_after=None):
     return RequestHead(
         identifier=identifier,
