Read the change again: an early return, a platform's word, an empty assertion

A front whose region has two workers hashed all fronts of the region twice a second for nothing. A gateway test used the platform's name of a field. The test of resumed streams ended with a disjunction that held either way; what fails without the guard is the assertion before it.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -292,12 +292,11 @@
         200, headers=LEAVING, body=helpers.build_events(1, 2)
     )
     left = read_address(gateway)
-    relay = start(max_attempts=3)
+    start(max_attempts=3)
     connection = gateway.pool.last
     connection.answer(200, body=helpers.build_events(1, 2), is_complete=False)
     connection.exchange.on_failure(build_stream_error())
     assert all(each.address != left for each in gateway.pool.sent[1:])
-    assert find_error(relay).code == "overloaded" or not relay.ends
 
 
 def test_nothing_is_sent_when_all_upstreams_are_leaving(
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_configuration.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_configuration.py
@@ -10,7 +10,7 @@
 ):
     def decode(entry):
         if entry.content == b"invalid":
-            raise ConfigurationInvalidError("no number", param="MaxCount")
+            raise ConfigurationInvalidError("no number", param="limit")
         return helpers.build_table(
             [helpers.build_route(name="new")], revision=entry.revision
         )
--- a/packages/hollyspan_policy/hollyspan_policy/membership/readers.py
+++ b/packages/hollyspan_policy/hollyspan_policy/membership/readers.py
@@ -53,6 +53,8 @@
         return True
     others = list(others)
     missing = MIN_READERS - sum(is_worker for _, is_worker in others)
+    if missing <= 0:
+        return False
     own_weight = hash_parts("reader", identifier)
     stronger = sum(
         hash_parts("reader", other) > own_weight
