Log the shared parts of prompts with failed attempts, and tell lost connections from malformed answers

The head of a request and the state of an item hold hashes of the parts that other requests may share, and request:attempt_failed and item:run_failed name them. A close before the end of an answer is stream_lost. Decisions are unchanged: no caller of the gateway treats the two codes differently.

--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -145,6 +145,9 @@
                     return
                 self.handle_event(event)
         except h11.RemoteProtocolError as fault:
+            if not data:
+                self.fail(StreamLostError(f"connection closed: {fault}"))
+                return
             self.fail(StreamMalformedError(f"malformed answer: {fault}"))
 
     def handle_event(self, event):
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
@@ -131,7 +131,15 @@
     opened.dataReceived(WHOLE[:-1])
     lose(opened, error.ConnectionDone())
     assert answer.ends == 0
-    assert len(answer.failures) == 1
+    # The upstream has closed the connection; what it sent is well-formed.
+    assert [each.code for each in answer.failures] == ["stream_lost"]
+
+
+def test_a_connection_closed_before_the_head_is_lost(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    lose(opened, error.ConnectionDone())
+    assert [each.code for each in answer.failures] == ["stream_lost"]
 
 
 def test_bytes_that_are_not_http_are_a_failure(opened):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -130,7 +130,10 @@
         for item in job.items:
             key = hash_parts(identifier, item.identifier)
             job_state.items[item.identifier] = ItemState(
-                job_state=job_state, item=item, key=key
+                job_state=job_state,
+                item=item,
+                key=key,
+                shared_parts=self.gateway.dialect.decode_item_parts(item),
             )
         self.jobs[identifier] = job_state
         eliot.log_message(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -12,6 +12,8 @@
     item : Item
     key : int
         Hash of the job and the item.
+    shared_parts : tuple of int, optional
+        Hashes of the parts of its prompt that other requests may share.
 
     Attributes
     ----------
@@ -39,6 +41,7 @@
         "job_state",
         "item",
         "key",
+        "shared_parts",
         "has_result",
         "failures",
         "event_data",
@@ -50,10 +53,11 @@
         "owner_workers",
     )
 
-    def __init__(self, *, job_state, item, key):
+    def __init__(self, *, job_state, item, key, shared_parts=()):
         self.job_state = job_state
         self.item = item
         self.key = key
+        self.shared_parts = shared_parts
         self.has_result = False
         self.failures = 0
         self.event_data = []
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -9,6 +9,7 @@
 from hollyspan_core.events import EventParser
 
 from ..http1 import run_attempt
+from ..online.head import format_parts
 from ..online.head import RequestHead
 from ..online.reply import check_identifier
 from .item import ItemResult
@@ -99,6 +100,7 @@
             resume_after=self.state.last_event,
             prompt_tokens=0,
             output_tokens=0,
+            shared_parts=self.state.shared_parts,
             forwarded=self.gateway.dialect.encode_item_headers(
                 self.state.item, self.host
             ),
@@ -189,4 +191,5 @@
             reason=error.message,
             last_event=self.state.last_event,
             failures=self.state.failures,
+            parts=format_parts(self.state.shared_parts),
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
@@ -1,6 +1,6 @@
 """Head of a client's request."""
 
-__all__ = ["RequestHead"]
+__all__ = ["RequestHead", "format_parts"]
 
 
 class RequestHead:
@@ -21,6 +21,9 @@
     prompt_tokens, output_tokens : int
         Tokens of the prompt and the most tokens to generate; 0 when
         unknown.
+    shared_parts : tuple of int
+        Hashes of the parts of the prompt that other requests may share, in
+        order.
     forwarded : list of (bytes, bytes)
         Headers that are forwarded unchanged.
     """
@@ -34,6 +37,7 @@
         "resume_after",
         "prompt_tokens",
         "output_tokens",
+        "shared_parts",
         "forwarded",
     )
 
@@ -48,6 +52,7 @@
         resume_after,
         prompt_tokens,
         output_tokens,
+        shared_parts,
         forwarded,
     ):
         self.identifier = identifier
@@ -58,9 +63,15 @@
         self.resume_after = resume_after
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
+        self.shared_parts = shared_parts
         self.forwarded = forwarded
 
     @property
     def path(self):
         """Path without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
+
+
+def format_parts(parts):
+    """Return hashes of prompt parts as text, for log lines."""
+    return [f"{part:016x}" for part in parts]
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -12,6 +12,7 @@
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .delivery import Delivery
+from .head import format_parts
 from .reply import check_identifier
 
 __all__ = ["Relay"]
@@ -299,5 +300,6 @@
             last_event=self.delivery.last_event,
             sends=self.sends,
             refusals=self.refusals,
+            parts=format_parts(self.head.shared_parts),
             **self.upstream_load,
         )
--- a/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
@@ -84,7 +84,7 @@
     )
 
 
-def build_head(identifier="q1", *, resume_after=None):
+def build_head(identifier="q1", *, resume_after=None, shared_parts=()):
     return RequestHead(
         identifier=identifier,
         host="h",
@@ -94,6 +94,7 @@
         resume_after=resume_after,
         prompt_tokens=0,
         output_tokens=0,
+        shared_parts=shared_parts,
         forwarded=[],
     )
 
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -44,6 +44,12 @@
     def encode_item_headers(item, host):
         return []
 
+    @staticmethod
+    def decode_item_parts(item):
+        return tuple(
+            int(value) for name, value in item.headers if name == "part"
+        )
+
     @staticmethod
     def decode_reply(status, headers):
         values = dict(headers)
