--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -57,6 +57,7 @@
         slots=8,
         routes=None,
         runs_batch=True,
+        incarnation=1,
     ):
         gateway = Gateway(
             reactor=reactor,
@@ -77,7 +78,7 @@
             store=store,
             dialect=PlainDialect(),
             metrics=Metrics(),
-            incarnation=1,
+            incarnation=incarnation,
         )
         gateway.pool = MemoryPool(reactor=reactor)
         gateway.wall_clock = reactor.seconds
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -8,52 +8,16 @@
 from hollyspan_gateway.peers import table
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.membership import count_heartbeats_per_round
+from hollyspan_standins.memory import MemoryNetwork
 
 # A gateway of a fleet of thirty sends each peer a heartbeat once in a round.
 HEARTBEATS_PER_ROUND = count_heartbeats_per_round(29)
 ROUND_S = 0.3 * HEARTBEATS_PER_ROUND
 
 
-class Network:
-    """Delivers datagrams between the gateways of one test.
-
-    Attributes
-    ----------
-    blocked : set of (int, int)
-        Ports of sender and receiver between which datagrams are dropped.
-    delivered : list of (int, int)
-        Ports of sender and receiver of each datagram that was not dropped.
-    """
-
-    def __init__(self):
-        self.gateways = {}
-        self.blocked = set()
-        self.delivered = []
-
-    def join(self, gateway, port):
-        self.gateways[port] = gateway
-        gateway.peers.transport = Transport(network=self, port=port)
-
-
-class Transport:
-    """Datagram transport of one gateway."""
-
-    def __init__(self, *, network, port):
-        self.network = network
-        self.port = port
-
-    def write(self, datagram, address):
-        if (self.port, address[1]) in self.network.blocked:
-            return
-        self.network.delivered.append((self.port, address[1]))
-        target = self.network.gateways.get(address[1])
-        if target is not None:
-            target.peers.datagramReceived(datagram, ("10.0.0.1", self.port))
-
-
 @pytest.fixture
 def network():
-    return Network()
+    return MemoryNetwork()
 
 
 @pytest.fixture
--- a/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
@@ -7,11 +7,15 @@
 from .builders import build_route
 from .builders import build_table
 from .dialect import PlainDialect
+from .fleet import MemoryFleet
+from .network import MemoryNetwork
 from .pool import MemoryPool
 from .request import MemoryRequest
 from .wire import MemoryWire
 
 __all__ = [
+    "MemoryFleet",
+    "MemoryNetwork",
     "MemoryPool",
     "MemoryRequest",
     "MemoryWire",
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -38,6 +38,7 @@
             (b"upstream", upstream.encode()),
             (b"deadline", str(deadline_seconds).encode()),
             (b"resume", str(resume_after).encode()),
+            (b"parts", " ".join(map(str, head.shared_parts)).encode()),
         ]
 
     @staticmethod
--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -0,0 +1,257 @@
+"""In-memory fleet of gateways and upstreams in simulated time."""
+
+import random
+
+from twisted.internet import defer
+
+from hollyspan_core.errors import StreamLostError
+
+from .builders import build_entry
+from .builders import build_events
+from .builders import build_head
+from .network import ADDRESS
+from .network import MemoryNetwork
+from .request import MemoryRequest
+
+__all__ = ["MemoryFleet"]
+
+# Time of an upstream from a request to the head of its answer, and between two
+# events.
+START_DELAY_S = 0.05
+EVENT_INTERVAL_S = 0.05
+EVENTS_PER_ANSWER = 16
+# Time from the end of an upstream to the start of the next one at its address.
+RESTART_DELAY_S = 2.0
+CLOCK_STEP_S = 0.01
+
+
+class MemoryFleet:
+    """Gateways that share upstreams, a network and a store.
+
+    Parameters
+    ----------
+    reactor : task.Clock
+    build_gateway : callable
+        Returns a gateway for the keywords `name`, `upstreams`, `routes` and
+        `runs_batch`.
+    upstreams : int, optional
+        Number of upstreams.
+    options : dict, optional
+        More keywords for `build_gateway`.
+
+    Attributes
+    ----------
+    gateways : list of Gateway
+    network : MemoryNetwork
+    fatal_parts : set of int
+        Parts of prompts that end each upstream that begins to answer them.
+    sent : list of Send
+        Everything that was sent to upstreams, in order.
+    ended : list of (float, str)
+        Time and name of each upstream that has ended.
+    restarts : bool
+        Whether ended upstreams start again.
+    """
+
+    def __init__(self, *, reactor, build_gateway, upstreams=6, options=None):
+        self.reactor = reactor
+        self.build_gateway = build_gateway
+        self.options = options or {}
+        self.gateways = []
+        self.network = MemoryNetwork()
+        self.random = random.Random(1)
+        self.upstreams = {}
+        self.fatal_parts = set()
+        self.sent = []
+        self.ended = []
+        self.started_count = 0
+        self.restarts = True
+        for number in range(upstreams):
+            self.start_upstream(port=number + 1)
+
+    def add_gateway(self, **options):
+        """Add a gateway, which greets the others."""
+        port = 1000 + len(self.gateways)
+        gateway = self.connect_gateway(port, **options)
+        self.gateways.append(gateway)
+        return gateway
+
+    def restart_gateway(self, number, **options):
+        """Replace a gateway by a new process of the same name."""
+        self.gateways[number].peers.stopProtocol()
+        gateway = self.connect_gateway(
+            1000 + number, incarnation=self.started_count + 2, **options
+        )
+        self.gateways[number] = gateway
+        return gateway
+
+    def connect_gateway(self, port, **options):
+        name = f"g{port}"
+        gateway = self.build_gateway(
+            name=name, upstreams=(), **{**self.options, **options}
+        )
+        gateway.pool.on_send = lambda sent: self.handle_send(gateway, sent)
+        gateway.pool.unreachable = {
+            (ADDRESS, number) for number in range(1, 100)
+        }
+        self.network.join(gateway, port)
+        members = {
+            f"g{other}": (ADDRESS, other) for other in self.network.gateways
+        }
+        for other in self.network.gateways.values():
+            other.peers.add(members)
+        gateway.peers.startProtocol()
+        self.list_upstreams(gateway)
+        return gateway
+
+    def list_upstreams(self, gateway):
+        """Tell a gateway which upstreams there are, as the store does."""
+        entries = {
+            name: build_entry(name, port=port)
+            for name, port in self.upstreams.items()
+        }
+        gateway.directory.update(entries)
+        gateway.pool.unreachable -= {
+            (ADDRESS, port) for port in self.upstreams.values()
+        }
+
+    def start_upstream(self, *, port):
+        """Start an upstream and list it at all gateways."""
+        self.started_count += 1
+        self.upstreams[f"u{self.started_count}"] = port
+        for gateway in self.gateways:
+            self.list_upstreams(gateway)
+
+    def handle_send(self, gateway, connection):
+        """Let the upstream at an address answer a request."""
+        names = [
+            name
+            for name, port in self.upstreams.items()
+            if port == connection.address[1]
+        ]
+        send = Send(
+            time=self.reactor.seconds(),
+            gateway=gateway,
+            upstream=names[0],
+            connection=connection,
+        )
+        self.sent.append(send)
+        self.reactor.callLater(START_DELAY_S, self.begin_answer, send)
+
+    def begin_answer(self, send):
+        if not send.is_open():
+            return
+        if self.fatal_parts.intersection(send.parts):
+            self.end_upstream(send.upstream)
+            return
+        resume = send.connection.headers[b"resume"]
+        send.last_event = 0 if resume == b"None" else int(resume)
+        send.connection.answer(200, is_complete=False)
+        self.continue_answer(send)
+
+    def continue_answer(self, send):
+        if not send.is_open():
+            return
+        if send.last_event >= EVENTS_PER_ANSWER:
+            send.is_ended = True
+            send.connection.exchange.on_end()
+            return
+        send.last_event += 1
+        event = build_events(send.last_event, send.last_event)
+        send.connection.exchange.on_data(event)
+        self.reactor.callLater(EVENT_INTERVAL_S, self.continue_answer, send)
+
+    def end_upstream(self, name):
+        """End an upstream, which breaks its connections."""
+        port = self.upstreams.pop(name, None)
+        if port is None:
+            return
+        self.ended.append((self.reactor.seconds(), name))
+        for gateway in self.gateways:
+            gateway.pool.unreachable.add((ADDRESS, port))
+        if self.restarts:
+            self.reactor.callLater(
+                RESTART_DELAY_S, lambda: self.start_upstream(port=port)
+            )
+        self.break_connections(name)
+
+    def break_connections(self, name):
+        """Break the open connections to an upstream."""
+        for send in self.sent:
+            if send.upstream == name and send.is_open():
+                send.is_ended = True
+                send.connection.exchange.on_failure(
+                    StreamLostError("connection closed")
+                )
+
+    def request(self, identifier, parts=(), *, gateway=None, resume=None):
+        """Send a client's request and return its MemoryRequest.
+
+        Parameters
+        ----------
+        identifier : str
+        parts : tuple of int, optional
+            Shared parts of its prompt.
+        gateway : Gateway, optional
+            A random one by default.
+        resume : int, optional
+            Last event that the client has received.
+        """
+        gateway = gateway or self.random.choice(self.gateways)
+        request = MemoryRequest(reactor=self.reactor)
+        head = build_head(identifier, shared_parts=parts, resume_after=resume)
+        work = defer.ensureDeferred(gateway.online.answer(request, head))
+        request.on_disconnect = work.cancel
+        work.addErrback(gateway.online.handle_failure, request, head)
+        return request
+
+    def advance(self, seconds):
+        """Let simulated time pass."""
+        for _ in range(round(seconds / CLOCK_STEP_S)):
+            self.reactor.advance(CLOCK_STEP_S)
+
+    def list_sends(self, part, *, after=0.0):
+        """Return the sends with a part in their prompts after a time."""
+        return [
+            send
+            for send in self.sent
+            if part in send.parts and send.time > after
+        ]
+
+
+class Send:
+    """One request at an upstream.
+
+    Attributes
+    ----------
+    time : float
+        Time of sending, reactor seconds.
+    parts : tuple of int
+        Shared parts of its prompt.
+    last_event : int
+        Last event that was sent.
+    """
+
+    __slots__ = (
+        "time",
+        "gateway",
+        "upstream",
+        "connection",
+        "parts",
+        "last_event",
+        "is_ended",
+    )
+
+    def __init__(self, *, time, gateway, upstream, connection):
+        self.time = time
+        self.gateway = gateway
+        self.upstream = upstream
+        self.connection = connection
+        parts = connection.headers[b"parts"].split()
+        self.parts = tuple(int(part) for part in parts)
+        self.last_event = 0
+        self.is_ended = False
+
+    def is_open(self):
+        """Return whether the gateway still waits for the answer."""
+        return not self.is_ended and not self.connection.is_cancelled
--- a/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
@@ -1,7 +1,6 @@
 """In-memory connections to upstreams, for tests that provide the answers."""
 
-from hollyspan_core.errors import Outcome
-from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_core.errors import UpstreamUnreachableError
 
 __all__ = ["MemoryConnection", "MemoryPool"]
 
@@ -15,7 +14,9 @@
         Connections with a request, in order of sending; their `address` and
         `exchange` can be inspected.
     unreachable : set of (str, int)
-        Addresses to which connections fail.
+        Addresses that refuse connections.
+    on_send : callable
+        Called with each connection that carries a request.
     """
 
     def __init__(self, *, reactor):
@@ -23,10 +24,11 @@
         self.sent = []
         self.unreachable = set()
         self.opened = 0
+        self.on_send = lambda connection: None
 
     async def acquire(self, address, *, timeout=1.0):
         if address in self.unreachable:
-            raise UpstreamUnavailableError("refused", outcome=Outcome.NOT_RUN)
+            raise UpstreamUnreachableError("connection refused")
         return MemoryConnection(pool=self, address=address)
 
     def drop_address(self, address):
@@ -52,6 +54,7 @@
     def send(self, exchange):
         self.exchange = exchange
         self.pool.sent.append(self)
+        self.pool.on_send(self)
 
     def cancel(self):
         self.is_cancelled = True
