--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -29,6 +29,7 @@
 from .request import ModelNotFoundError
 from .request import OutcomeUnknownError
 from .request import OverloadedError
+from .request import PromptPartBlockedError
 from .request import QuotaExceededError
 from .request import RateLimitError
 from .request import RouteNotFoundError
@@ -45,6 +46,7 @@
 from .upstream import StreamMalformedError
 from .upstream import StreamStalledError
 from .upstream import UpstreamAnswerError
+from .upstream import UpstreamConnectionRefusedError
 from .upstream import UpstreamLeavingError
 from .upstream import UpstreamUnavailableError
 from .upstream import UpstreamUnreachableError
@@ -75,6 +77,7 @@
     "Outcome",
     "OutcomeUnknownError",
     "OverloadedError",
+    "PromptPartBlockedError",
     "QuotaExceededError",
     "PeerAnswerError",
     "PeerAuthenticationError",
@@ -95,6 +98,7 @@
     "StreamMalformedError",
     "StreamStalledError",
     "UpstreamAnswerError",
+    "UpstreamConnectionRefusedError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
     "UpstreamUnreachableError",
--- a/packages/hollyspan_core/hollyspan_core/errors/request.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/request.py
@@ -22,6 +22,7 @@
     "ModelNotFoundError",
     "OutcomeUnknownError",
     "OverloadedError",
+    "PromptPartBlockedError",
     "QuotaExceededError",
     "RateLimitError",
     "RouteNotFoundError",
@@ -187,6 +188,15 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class PromptPartBlockedError(HollyspanError):
+    """Upstreams have ended as they answered a part of this prompt."""
+
+    status = 503
+    kind = "server_error"
+    code = "prompt_part_blocked"
+    default_outcome = Outcome.NOT_RUN
+
+
 class QuotaExceededError(HollyspanError):
     """The job does not fit under the limit on waiting tokens now."""
 
--- a/packages/hollyspan_core/hollyspan_core/errors/upstream.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/upstream.py
@@ -9,6 +9,7 @@
     "StreamMalformedError",
     "StreamStalledError",
     "UpstreamAnswerError",
+    "UpstreamConnectionRefusedError",
     "UpstreamLeavingError",
     "UpstreamUnavailableError",
     "UpstreamUnreachableError",
@@ -32,6 +33,15 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class UpstreamConnectionRefusedError(UpstreamUnreachableError):
+    """Nothing listens at the upstream's address."""
+
+    status = 503
+    kind = "server_error"
+    code = "upstream_unreachable"
+    default_outcome = Outcome.NOT_RUN
+
+
 class UpstreamLeavingError(UpstreamUnavailableError):
     """The upstream is leaving and accepts no new work."""
 
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/__init__.py
@@ -0,0 +1,8 @@
+"""Ended upstreams and the prompts that have ended them."""
+
+from .guard import PartGuard
+from .notices import BlockNotice
+from .notices import EndNotice
+from .notices import SurvivalNotice
+
+__all__ = ["BlockNotice", "EndNotice", "PartGuard", "SurvivalNotice"]
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
@@ -0,0 +1,71 @@
+"""One request or item in flight at an upstream."""
+
+import math
+
+__all__ = ["Exposure"]
+
+# Time from the first bytes of an answer from which on its upstream has
+# survived the prompt: several times longer than it takes to begin an answer.
+SURVIVAL_S = 0.5
+
+
+class Exposure:
+    """An upstream's exposure to a prompt.
+
+    Parameters
+    ----------
+    upstream : Upstream
+    request : str
+        Identifier of the request or the item.
+    parts : tuple of int
+        Shared parts of the prompt.
+
+    Attributes
+    ----------
+    abort : callable or None
+        Called with a HollyspanError to break off the attempt.
+    first_data_at : float
+        Arrival of the first bytes of the answer, reactor seconds.
+    has_survived : bool
+        True once the upstream has survived the prompt.
+    """
+
+    __slots__ = (
+        "upstream",
+        "request",
+        "parts",
+        "abort",
+        "first_data_at",
+        "has_survived",
+    )
+
+    def __init__(self, *, upstream, request, parts):
+        self.upstream = upstream
+        self.request = request
+        self.parts = parts
+        self.abort = None
+        self.first_data_at = math.inf
+        self.has_survived = False
+
+    def set_abort(self, abort):
+        """Set the function that breaks off the attempt."""
+        self.abort = abort
+
+    def note_data(self, *, now):
+        """Note the arrival of bytes of the answer.
+
+        Returns
+        -------
+        bool
+            True when they show for the first time that the upstream has
+            survived the prompt.
+        """
+        if self.has_survived:
+            return False
+        self.first_data_at = min(self.first_data_at, now)
+        self.has_survived = now - self.first_data_at >= SURVIVAL_S
+        return self.has_survived
+
+    def has_data(self):
+        """Return whether bytes of the answer have arrived."""
+        return self.first_data_at < math.inf
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -0,0 +1,361 @@
+"""Refusal of prompts whose parts have ended upstreams."""
+
+import contextlib
+import random
+
+import eliot
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import PromptPartBlockedError
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamStalledError
+from hollyspan_policy.crashes import choose_blocks
+from hollyspan_policy.crashes import CrashEvidence
+from hollyspan_policy.crashes import list_implicated_parts
+from hollyspan_policy.crashes import narrow_block
+from hollyspan_policy.crashes import PartBlock
+from hollyspan_policy.ownership import choose_owner
+
+from .detector import EndDetector
+from .exposure import Exposure
+from .news import CrashNews
+from .records import BlockRecords
+
+__all__ = ["PartGuard"]
+
+# Time from a report to the decision, in which other gateways can answer that
+# upstreams have survived the parts, and the longest random delay of such an
+# answer, so that few gateways give it.
+DECISION_DELAY_S = 0.2
+MAX_SURVIVAL_DELAY_S = 0.1
+# Limit on the memory; the oldest block is forgotten.
+MAX_BLOCKS = 64
+# Shortest retry-after time of a refused request.
+MIN_RETRY_AFTER_S = 1.0
+
+
+class PartGuard:
+    """Decides which prompts may be sent to upstreams.
+
+    Parameters
+    ----------
+    gateway : Gateway
+
+    Attributes
+    ----------
+    evidence : CrashEvidence
+        From all gateways.
+    blocks : dict
+        PartBlock by its parts, the oldest first.
+    exposures : set of Exposure
+        All requests and items in flight from this gateway.
+
+    Notes
+    -----
+    Each gateway reports the ends of upstreams that it has seen, with the parts
+    of the prompts in flight there, decides for itself from the reports of all,
+    and tells its decisions to the others and to the store. A block ends when a
+    gateway sees that an upstream has survived the parts: in a request that was
+    in flight, or in the trials that the block's owner lets through.
+    """
+
+    __slots__ = (
+        "gateway",
+        "evidence",
+        "blocks",
+        "exposures",
+        "detector",
+        "news",
+        "records",
+        "decision_call",
+        "survival_call",
+    )
+
+    def __init__(self, *, gateway):
+        self.gateway = gateway
+        self.evidence = CrashEvidence()
+        self.blocks = {}
+        self.exposures = set()
+        self.detector = EndDetector(gateway=gateway, on_end=self.handle_end)
+        self.news = CrashNews(gateway=gateway)
+        self.records = BlockRecords(gateway=gateway, guard=self)
+        self.decision_call = None
+        self.survival_call = None
+
+    def find_block(self, parts):
+        """Return the block that a prompt falls under, or None."""
+        for block in self.blocks.values():
+            if block.parts.issubset(parts):
+                return block
+        return None
+
+    def may_send(self, parts):
+        """Return whether a prompt may be sent to an upstream now."""
+        if not self.blocks:
+            return True
+        block = self.find_block(parts)
+        return block is None or self.may_try(block)
+
+    def may_try(self, block):
+        """Return whether a request may be let through as a trial here."""
+        if block.is_tried or self.gateway.reactor.seconds() < block.trial_at:
+            return False
+        peers = self.gateway.peers
+        live = [peer.identifier for peer in peers.list_live()]
+        duty = " ".join(map(str, sorted(block.parts)))
+        return choose_owner(duty, [*live, peers.identifier]) == (
+            peers.identifier
+        )
+
+    def require_allowed(self, parts, *, outcome=Outcome.NOT_RUN):
+        """Raise PromptPartBlockedError for a prompt that may not be sent.
+
+        Parameters
+        ----------
+        parts : tuple of int
+            Shared parts of the prompt.
+        outcome : Outcome, optional
+            Whether the request may have run.
+        """
+        if not self.may_send(parts):
+            raise self.build_error(self.find_block(parts), outcome=outcome)
+
+    def build_error(self, block, *, outcome):
+        remaining = block.trial_at - self.gateway.reactor.seconds()
+        return PromptPartBlockedError(
+            "upstreams have ended as they answered prompts with this part",
+            outcome=outcome,
+            retry_after=max(MIN_RETRY_AFTER_S, remaining),
+        )
+
+    @contextlib.contextmanager
+    def track(self, upstream, *, request, parts):
+        """Track a request that is sent to an upstream.
+
+        Yields
+        ------
+        Exposure
+        """
+        exposure = Exposure(upstream=upstream, request=request, parts=parts)
+        self.exposures.add(exposure)
+        block = self.find_block(parts) if self.blocks else None
+        if block is not None:
+            block.is_tried = True
+            eliot.log_message("part:tried", request=request, **describe(block))
+        try:
+            yield exposure
+        finally:
+            self.exposures.discard(exposure)
+            if block is not None:
+                block.is_tried = False
+
+    def note_data(self, exposure):
+        """Note bytes of the answer to a tracked request."""
+        if exposure.note_data(now=self.gateway.reactor.seconds()):
+            self.handle_survival(exposure.parts)
+
+    def note_result(self, exposure, error, reply):
+        """Note how a tracked request has ended.
+
+        Parameters
+        ----------
+        exposure : Exposure
+        error : HollyspanError or None
+            Reason why no complete answer arrived; None if one did.
+        reply : UpstreamReply or None
+        """
+        if error is None:
+            # Another answer ends as well when its upstream does.
+            if reply.is_delimited and reply.is_success:
+                self.note_complete(exposure)
+        elif is_broken_off(error):
+            self.detector.note_lost(exposure)
+
+    def note_complete(self, exposure):
+        if not exposure.has_survived:
+            exposure.has_survived = True
+            self.handle_survival(exposure.parts)
+
+    def handle_survival(self, parts):
+        if not parts:
+            return
+        now = self.gateway.reactor.seconds()
+        if self.apply_survival(parts, at=now):
+            self.news.tell_survival(parts, at=now)
+
+    def apply_survival(self, parts, *, at):
+        """Withdraw what a survival contradicts.
+
+        Returns
+        -------
+        bool
+            True when a block was withdrawn.
+        """
+        self.evidence.note_survival(parts, at=at)
+        if not self.blocks:
+            return False
+        refuted = [
+            block
+            for block in self.blocks.values()
+            if at > block.at and block.parts.issubset(parts)
+        ]
+        for block in refuted:
+            self.remove_block(block, reason="survived")
+            self.records.remove(block)
+        for block in list(self.blocks.values()):
+            self.narrow(block)
+        return bool(refuted)
+
+    def narrow(self, block):
+        """Limit a block to the parts that no upstream has survived."""
+        if len(block.parts) == 1:
+            return
+        parts = narrow_block(
+            block.parts, at=block.at, survivals=self.evidence.survivals
+        )
+        if parts != block.parts:
+            self.publish_block(
+                self.add_block(
+                    parts, at=block.at, failed_trials=block.failed_trials
+                )
+            )
+
+    def publish_block(self, block):
+        """Tell a block to the other gateways and to the store."""
+        self.records.store(block)
+        self.news.tell_block(block)
+
+    def handle_end(self, upstream, exposures):
+        """Report an upstream that has ended with requests in flight."""
+        gateway = self.gateway
+        gateway.directory.note_unreachable(upstream)
+        gateway.handle_load_change(upstream, is_batch_only=False)
+        now = gateway.reactor.seconds()
+        requests = {
+            exposure.parts
+            for exposure in exposures
+            if exposure.parts and not exposure.has_survived
+        }
+        for block in list(self.blocks.values()):
+            if any(block.parts.issubset(parts) for parts in requests):
+                self.extend_block(block, now=now)
+        if requests:
+            key = upstream.entry.incarnation_key
+            self.news.tell_end(key, requests, at=now)
+            self.apply_end(key, requests, at=now)
+
+    def apply_end(self, key, requests, *, at):
+        """Apply a report, here or of a peer, and decide a little later."""
+        if not self.evidence.note_end(key, requests, at=at):
+            return
+        reactor = self.gateway.reactor
+        if self.decision_call is None:
+            self.decision_call = reactor.callLater(
+                DECISION_DELAY_S, self.decide
+            )
+        if self.survival_call is None:
+            self.survival_call = reactor.callLater(
+                random.uniform(0.0, MAX_SURVIVAL_DELAY_S), self.tell_survivals
+            )
+
+    def tell_survivals(self):
+        """Tell the others of survivals that they may not know."""
+        self.survival_call = None
+        now = self.gateway.reactor.seconds()
+        ends = self.evidence.list_ends(now=now)
+        implicated = list_implicated_parts(
+            ends, survivals=self.news.list_told(), blocked=self.blocks
+        )
+        # With what is known here, some of them are not.
+        implicated -= list_implicated_parts(
+            ends, survivals=self.evidence.survivals, blocked=self.blocks
+        )
+        for part in implicated:
+            self.news.tell_survival((part,), at=self.evidence.survivals[part])
+
+    def decide(self):
+        """Block the parts that the evidence convicts."""
+        self.decision_call = None
+        now = self.gateway.reactor.seconds()
+        ends = self.evidence.list_ends(now=now)
+        for parts in choose_blocks(
+            ends, survivals=self.evidence.survivals, blocked=self.blocks
+        ):
+            self.publish_block(self.add_block(parts, at=now))
+
+    def add_block(self, parts, *, at, failed_trials=0):
+        """Block parts, and break off what is in flight with them.
+
+        Parameters
+        ----------
+        parts : frozenset of int
+        at : float
+            Time of the decision or of the last failed trial.
+        failed_trials : int, optional
+
+        Returns
+        -------
+        PartBlock
+            An earlier one if that blocks the same prompts.
+        """
+        block = self.find_block(parts)
+        if block is not None:
+            if block.parts == parts:
+                block.at = max(block.at, at)
+                block.failed_trials = max(block.failed_trials, failed_trials)
+            return block
+        block = PartBlock(parts=parts, at=at, failed_trials=failed_trials)
+        for wider in list(self.blocks.values()):
+            if parts < wider.parts:
+                self.remove_block(wider, reason="narrowed")
+                self.records.remove(wider)
+        self.blocks[parts] = block
+        eliot.log_message("part:blocked", **describe(block))
+        if len(self.blocks) > MAX_BLOCKS:
+            self.remove_block(
+                next(iter(self.blocks.values())), reason="too many"
+            )
+        self.break_off(block)
+        return block
+
+    def extend_block(self, block, *, now):
+        """Extend a block under which one more upstream has ended."""
+        has_failed_trial = now >= block.trial_at
+        block.at = now
+        if has_failed_trial:
+            block.failed_trials += 1
+            self.publish_block(block)
+
+    def break_off(self, block):
+        """Break off the blocked requests that are held or in flight."""
+        error = self.build_error(block, outcome=Outcome.UNKNOWN)
+        for exposure in list(self.exposures):
+            if (
+                block.parts.issubset(exposure.parts)
+                and not exposure.has_data()
+                and exposure.abort is not None
+            ):
+                exposure.abort(error)
+        self.gateway.held.release_blocked(block.parts)
+
+    def remove_block(self, block, *, reason):
+        """Let the prompts with these parts through again."""
+        if self.blocks.pop(block.parts, None) is not None:
+            eliot.log_message(
+                "part:unblocked", reason=reason, **describe(block)
+            )
+
+
+def is_broken_off(error):
+    """Return whether an upstream may have ended in the midst of an answer."""
+    return isinstance(error, StreamLostError) and not isinstance(
+        error, StreamStalledError
+    )
+
+
+def describe(block):
+    """Return the fields of a block for a log line."""
+    return {
+        "parts": [f"{part:016x}" for part in sorted(block.parts)],
+        "failed_trials": block.failed_trials,
+    }
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -0,0 +1,225 @@
+"""Messages to other gateways about ended upstreams and blocked parts."""
+
+from .notices import BlockNotice
+from .notices import EndNotice
+from .notices import SurvivalNotice
+
+__all__ = ["CrashNews"]
+
+# Time for which notices are gathered into one message.
+COALESCING_DELAY_S = 0.01
+# Time for which heartbeats repeat a notice: several rounds of the longest
+# heartbeat interval, so that lost datagrams do not matter.
+REPETITION_S = 15.0
+# Limits the size of a message to one datagram of the usual size; the newest
+# notices are sent.
+MAX_PARTS_PER_KIND = 48
+# Limit on the notices that are remembered.
+MAX_REMEMBERED = 256
+
+
+class CrashNews:
+    """Tells the other gateways of ends, survivals and blocks.
+
+    Parameters
+    ----------
+    gateway : Gateway
+
+    Attributes
+    ----------
+    ends : dict
+        (requests, time) of the ends seen here, by the upstream's key.
+    survivals : dict
+        Time of a survival by the parts, of those told here or by a peer.
+    """
+
+    __slots__ = (
+        "gateway",
+        "ends",
+        "survivals",
+        "unsent_ends",
+        "unsent_survivals",
+        "unsent_blocks",
+        "send_call",
+    )
+
+    def __init__(self, *, gateway):
+        self.gateway = gateway
+        self.ends = {}
+        self.survivals = {}
+        self.unsent_ends = set()
+        self.unsent_survivals = set()
+        self.unsent_blocks = set()
+        self.send_call = None
+
+    def tell_end(self, key, requests, *, at):
+        """Tell of an upstream that ended with requests of this gateway."""
+        if key in self.ends:
+            earlier, at = self.ends[key]
+            requests = requests.union(earlier)
+        remember(self.ends, key, (limit_parts(requests), at))
+        self.unsent_ends.add(key)
+        self.schedule_send()
+
+    def tell_survival(self, parts, *, at):
+        """Tell that an upstream has survived a prompt."""
+        remember(self.survivals, parts, at)
+        self.unsent_survivals.add(parts)
+        self.schedule_send()
+
+    def tell_block(self, block):
+        """Tell of a new block or a failed trial."""
+        self.unsent_blocks.add(block.parts)
+        self.schedule_send()
+
+    def list_told(self):
+        """Return the last survival by part, as told here or by a peer."""
+        told = {}
+        for parts, at in self.survivals.items():
+            for part in parts:
+                told[part] = max(at, told.get(part, at))
+        return told
+
+    def is_refuted(self, parts, *, since):
+        """Return whether a prompt with blocked parts was survived later."""
+        return any(
+            at > since and parts.issubset(survived)
+            for survived, at in self.survivals.items()
+        )
+
+    def schedule_send(self):
+        if self.send_call is None:
+            self.send_call = self.gateway.reactor.callLater(
+                COALESCING_DELAY_S, self.send
+            )
+
+    def send(self):
+        """Send the notices that were not sent yet to all live gateways."""
+        self.send_call = None
+        table = self.gateway.peers
+        message = table.build_message(
+            loads=[],
+            is_full=False,
+            **self.build_notices(
+                ends=self.unsent_ends,
+                survivals=self.unsent_survivals,
+                blocks=self.unsent_blocks,
+            ),
+        )
+        self.unsent_ends = set()
+        self.unsent_survivals = set()
+        self.unsent_blocks = set()
+        table.send(table.list_live(), message)
+
+    def describe(self):
+        """Return the notices for a full message to peers."""
+        self.forget_old()
+        return self.build_notices(
+            ends=self.ends,
+            survivals=self.survivals,
+            blocks=self.gateway.guard.blocks,
+        )
+
+    def forget_old(self):
+        now = self.gateway.reactor.seconds()
+        for key, (_, at) in list(self.ends.items()):
+            if now - at > REPETITION_S:
+                del self.ends[key]
+        for parts, at in list(self.survivals.items()):
+            if now - at > REPETITION_S:
+                del self.survivals[parts]
+
+    def build_notices(self, *, ends, survivals, blocks):
+        now = self.gateway.reactor.seconds()
+        known_blocks = self.gateway.guard.blocks
+        return {
+            "ends": [
+                EndNotice(upstream=key, requests=requests, age=now - at)
+                for key, (requests, at) in limit_notices(
+                    self.ends, ends, count=count_parts_of_end
+                )
+            ],
+            "survivals": [
+                SurvivalNotice(parts=parts, age=now - at)
+                for parts, at in limit_notices(self.survivals, survivals)
+            ],
+            "blocks": [
+                BlockNotice(
+                    parts=tuple(sorted(parts)),
+                    age=now - block.at,
+                    failed_trials=block.failed_trials,
+                )
+                for parts, block in limit_notices(known_blocks, blocks)
+            ],
+        }
+
+    def apply(self, message):
+        """Apply the notices in a peer's message."""
+        guard = self.gateway.guard
+        now = self.gateway.reactor.seconds()
+        for notice in message.ends:
+            guard.apply_end(
+                notice.upstream, notice.requests, at=now - notice.age
+            )
+        for notice in message.survivals:
+            at = now - notice.age
+            if notice.age < REPETITION_S:
+                remember(self.survivals, notice.parts, at)
+            guard.apply_survival(notice.parts, at=at)
+        for notice in message.blocks:
+            parts = frozenset(notice.parts)
+            at = now - notice.age
+            if not self.is_refuted(parts, since=at):
+                guard.add_block(
+                    parts, at=at, failed_trials=notice.failed_trials
+                )
+
+
+def remember(entries, key, value):
+    """Set the newest entry of a bounded dict."""
+    entries.pop(key, None)
+    entries[key] = value
+    if len(entries) > MAX_REMEMBERED:
+        del entries[next(iter(entries))]
+
+
+def limit_parts(requests):
+    """Return as many requests as fit into a message."""
+    chosen = []
+    room = MAX_PARTS_PER_KIND
+    for parts in sorted(requests, key=lambda parts: (len(parts), parts)):
+        room -= len(parts)
+        if room >= 0:
+            chosen.append(parts)
+    return chosen
+
+
+def count_parts_of_end(key, value):
+    return sum(map(len, value[0]))
+
+
+def limit_notices(entries, keys, *, count=lambda parts, value: len(parts)):
+    """Return the newest entries with the given keys that fit into a message.
+
+    Parameters
+    ----------
+    entries : dict
+        The oldest first.
+    keys : collection
+    count : callable, optional
+        Returns the number of parts in an entry, by default that of its key.
+
+    Returns
+    -------
+    list of (key, value)
+    """
+    chosen = []
+    room = MAX_PARTS_PER_KIND
+    for key in reversed(entries):
+        if key not in keys:
+            continue
+        room -= count(key, entries[key])
+        if room < 0:
+            break
+        chosen.append((key, entries[key]))
+    return chosen
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -0,0 +1,135 @@
+"""Blocked parts in the store, for gateways that start or hear no peer."""
+
+import json
+
+import eliot
+from twisted.internet import defer
+
+from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.ownership import choose_owner
+
+from ..clock import wait
+from ..store import Mirror
+
+__all__ = ["BlockRecords"]
+
+BLOCKS_PREFIX = "hs/x/"
+# Delay of the readers of the store that write a block in place of its owner.
+SUBSTITUTE_DELAY_S = 2.0
+RETRY_DELAY_S = 1.0
+# A block under which no trial has failed for this long is dropped.
+MAX_BLOCK_AGE_S = 24 * 3600.0
+
+
+class BlockRecords:
+    """Keeps the blocks in the store and applies those of others.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    guard : PartGuard
+
+    Attributes
+    ----------
+    mirror : Mirror
+    seen : dict
+        Parts by key, of the entries that were seen in the store.
+    """
+
+    __slots__ = ("gateway", "guard", "mirror", "seen")
+
+    def __init__(self, *, gateway, guard):
+        self.gateway = gateway
+        self.guard = guard
+        self.mirror = Mirror(
+            store=gateway.store,
+            reactor=gateway.reactor,
+            prefix=BLOCKS_PREFIX,
+            on_change=self.apply,
+            must_watch=gateway.store_reading.must_watch,
+        )
+        self.seen = {}
+
+    def start(self):
+        """Start to follow the blocks in the store."""
+        self.mirror.start()
+
+    def store(self, block):
+        """Write a block, or leave it to the gateway that owns it."""
+        self.start_work(self.write(block))
+
+    def remove(self, block):
+        """Remove a block that a survival seen here has refuted."""
+        self.start_work(self.erase(build_key(block.parts)))
+
+    def start_work(self, work):
+        defer.ensureDeferred(work).addErrback(eliot.write_failure)
+
+    async def write(self, block):
+        key = build_key(block.parts)
+        if not self.is_owner(key):
+            await wait(self.gateway.reactor, SUBSTITUTE_DELAY_S)
+            if key in self.mirror.entries or not self.mirror.must_watch():
+                return
+        age = self.gateway.reactor.seconds() - block.at
+        content = {
+            "parts": sorted(block.parts),
+            "blocked_at": self.gateway.wall_clock() - age,
+            "failed_trials": block.failed_trials,
+        }
+        while block.parts in self.guard.blocks:
+            try:
+                await self.gateway.store.put(key, json.dumps(content).encode())
+                return
+            except StoreUnavailableError as error:
+                eliot.log_message("part:not_stored", reason=error.message)
+                await wait(self.gateway.reactor, RETRY_DELAY_S)
+
+    async def erase(self, key):
+        while key in self.mirror.entries:
+            try:
+                await self.gateway.store.remove([key])
+                return
+            except StoreUnavailableError as error:
+                eliot.log_message("part:not_removed", reason=error.message)
+                await wait(self.gateway.reactor, RETRY_DELAY_S)
+
+    def is_owner(self, key):
+        peers = self.gateway.peers
+        live = [peer.identifier for peer in peers.list_live()]
+        return choose_owner(key, [*live, peers.identifier]) == peers.identifier
+
+    def apply(self, mirror):
+        """Apply the blocks in the store, and withdraw those removed."""
+        now = self.gateway.reactor.seconds()
+        stored = {}
+        for key, entry in mirror.entries.items():
+            try:
+                content = json.loads(entry.content)
+                parts = frozenset(int(part) for part in content["parts"])
+                age = self.gateway.wall_clock() - float(content["blocked_at"])
+                failed_trials = int(content["failed_trials"])
+            except (ValueError, LookupError, TypeError) as error:
+                eliot.log_message(
+                    "part:unreadable_record", key=key, reason=repr(error)
+                )
+                continue
+            if age > MAX_BLOCK_AGE_S:
+                if self.is_owner(key):
+                    self.start_work(self.erase(key))
+                continue
+            at = now - max(0.0, age)
+            stored[key] = parts
+            if not self.guard.news.is_refuted(parts, since=at):
+                self.guard.add_block(parts, at=at, failed_trials=failed_trials)
+        for key, parts in self.seen.items():
+            block = self.guard.blocks.get(parts)
+            if key not in stored and block is not None:
+                self.guard.remove_block(block, reason="removed")
+        self.seen = stored
+
+
+def build_key(parts):
+    """Return the key of a block in the store."""
+    return f"{BLOCKS_PREFIX}{hash_parts(*map(str, sorted(parts))):016x}"
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -0,0 +1,155 @@
+"""Tests of the evidence that one gateway collects and tells."""
+
+import pytest
+from twisted.internet import defer
+
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamStalledError
+from hollyspan_gateway.crashes import BlockNotice
+from hollyspan_gateway.crashes import EndNotice
+from hollyspan_gateway.crashes import SurvivalNotice
+from hollyspan_gateway.peers import decode_message
+from hollyspan_gateway.peers import encode_message
+from hollyspan_gateway.peers import FleetMessage
+
+PART = 2**63 + 5
+# Payload of a datagram in an Ethernet frame.
+DATAGRAM_BYTES = 1472
+
+
+@pytest.fixture
+def send(gateway, reactor, helpers):
+    """Return a function that sends a request and returns its connection."""
+
+    def begin(parts=(PART,), *, name="q"):
+        request = helpers.build_request(reactor=reactor)
+        head = helpers.build_head(name, shared_parts=parts)
+        defer.ensureDeferred(gateway.online.answer(request, head))
+        return gateway.pool.last
+
+    return begin
+
+
+def fail(connection, error):
+    connection.pool.unreachable.add(connection.address)
+    connection.exchange.on_failure(error)
+
+
+def test_an_end_is_told_with_the_requests_in_flight(gateway, send, reactor):
+    first = send((1, PART), name="q1")
+    second = send((1, 7), name="q2")
+    assert first.address != second.address
+    fail(first, StreamLostError("connection closed"))
+    (end,) = gateway.describe()["ends"]
+    assert end.requests == [(1, PART)]
+    ((upstream, suspect_until),) = [
+        (upstream, upstream.suspect_until)
+        for upstream in gateway.directory.upstreams.values()
+        if upstream.entry.address == first.address
+    ]
+    assert suspect_until > reactor.seconds()
+    assert end.upstream == upstream.entry.incarnation_key
+
+
+def test_a_request_that_is_answered_for_long_is_not_told(
+    gateway, send, reactor, helpers
+):
+    connection = send()
+    connection.answer(200, body=helpers.build_events(1, 1), is_complete=False)
+    reactor.advance(0.6)
+    connection.exchange.on_data(helpers.build_events(2, 2))
+    fail(connection, StreamLostError("connection closed"))
+    assert gateway.describe()["ends"] == []
+
+
+def test_a_silent_upstream_has_not_ended(gateway, send):
+    fail(send(), StreamStalledError("no data"))
+    assert gateway.describe()["ends"] == []
+
+
+def test_an_answer_without_an_end_of_its_own_shows_no_survival(
+    gateway, send, helpers
+):
+    events = helpers.build_events(1, 2)
+    send().answer(200, headers=[(b"undelimited", b"1")], body=events)
+    assert not gateway.guard.evidence.survivals
+    send().answer(200, body=events)
+    assert PART in gateway.guard.evidence.survivals
+
+
+def test_notices_survive_encoding():
+    message = FleetMessage(
+        sender=1,
+        incarnation=2,
+        sequence=3,
+        is_full=False,
+        loads=[],
+        ends=[EndNotice(upstream=4, requests=[(5, PART), (6,)], age=0.25)],
+        survivals=[SurvivalNotice(parts=(5,), age=1.5)],
+        blocks=[BlockNotice(parts=(PART,), age=1e9, failed_trials=2)],
+    )
+    decoded = decode_message(encode_message(message))
+    (end,), (survival,) = decoded.ends, decoded.survivals
+    (block,) = decoded.blocks
+    assert (end.upstream, end.requests) == (4, [(5, PART), (6,)])
+    assert end.age == 0.25
+    assert (survival.parts, survival.age) == ((5,), 1.5)
+    assert (block.parts, block.failed_trials) == ((PART,), 2)
+    assert block.age > 1e6
+
+
+def test_a_message_stays_within_bounds(gateway, reactor):
+    for number in range(200):
+        requests = {(number, other) for other in range(40)}
+        gateway.guard.news.tell_end(number, requests, at=reactor.seconds())
+        gateway.guard.news.tell_survival((number,), at=reactor.seconds())
+        gateway.guard.add_block(frozenset({number}), at=reactor.seconds())
+    message = gateway.peers.build_message(
+        loads=[], is_full=True, **gateway.describe()
+    )
+    assert message.ends and message.survivals and message.blocks
+    assert len(encode_message(message)) < DATAGRAM_BYTES
+    reactor.advance(20.0)
+    assert gateway.describe()["ends"] == []
+
+
+def test_blocks_are_bounded(gateway, reactor):
+    for number in range(200):
+        gateway.guard.add_block(frozenset({number}), at=reactor.seconds())
+    assert len(gateway.guard.blocks) <= 64
+    assert frozenset({199}) in gateway.guard.blocks
+
+
+def test_an_older_block_does_not_return_after_a_survival(gateway, reactor):
+    at = reactor.seconds()
+    gateway.guard.add_block(frozenset({PART}), at=at)
+    reactor.advance(1.0)
+    gateway.guard.handle_survival((PART,))
+    assert not gateway.guard.blocks
+    message = FleetMessage(
+        sender=1,
+        incarnation=2,
+        sequence=3,
+        is_full=False,
+        loads=[],
+        blocks=[BlockNotice(parts=(PART,), age=1.0, failed_trials=0)],
+    )
+    gateway.guard.news.apply(message)
+    assert not gateway.guard.blocks
+
+
+def test_malformed_records_in_the_store_are_passed_over(
+    gateway, wire, reactor
+):
+    token = b"\0" * 16
+    good = b'{"parts": [7], "blocked_at": 90.0, "failed_trials": 0}'
+    contents = (b"no json", b"[]", b'{"parts": 3}', b'{"parts": ["x"]}', good)
+    wire.change(
+        {
+            f"hs/x/{number}": token + content
+            for number, content in enumerate(contents)
+        }
+    )
+    gateway.guard.records.start()
+    reactor.advance(0.1)
+    assert set(gateway.guard.blocks) == {frozenset({7})}
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -0,0 +1,138 @@
+"""Tests of items whose prompts end upstreams."""
+
+import pytest
+
+from hollyspan_core.errors import StreamLostError
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.routes import RouteKind
+
+FATAL = 2
+
+
+@pytest.fixture
+def gateway(build_gateway, helpers):
+    """A gateway that runs items on five upstreams."""
+    route = helpers.build_route(
+        host="h", prefix="/b/", kind=RouteKind.BATCH, max_attempts=3
+    )
+    gateway = build_gateway(
+        routes=[route], upstreams=("u1", "u2", "u3", "u4", "u5")
+    )
+    gateway.worker = Worker(gateway=gateway)
+    gateway.worker.start()
+    return gateway
+
+
+@pytest.fixture
+def submit(store, run, reactor):
+    """Return a function that stores a job with a part for each item."""
+
+    def create(*parts, retained=60.0):
+        now = reactor.seconds()
+        items = [
+            Item(
+                identifier=f"j{number}",
+                path="/b/x",
+                headers=[("part", str(part))],
+                body=b"",
+            )
+            for number, part in enumerate(parts)
+        ]
+        job = Job(
+            identifier="j",
+            host="h",
+            path="/b/",
+            submitted=now,
+            due=now + 18.0,
+            retained_until=now + retained,
+            items=items,
+        )
+        run(store.create(encode_job(job)))
+        reactor.advance(0.2)
+
+    return create
+
+
+def break_upstream(gateway, connection):
+    gateway.pool.unreachable.add(connection.address)
+    connection.exchange.on_failure(StreamLostError("connection closed"))
+
+
+def end_three_upstreams(gateway, reactor):
+    for _ in range(3):
+        break_upstream(gateway, gateway.pool.last)
+        reactor.advance(0.5)
+
+
+def test_an_item_that_ends_upstreams_is_held_back(gateway, submit, reactor):
+    submit(FATAL)
+    end_three_upstreams(gateway, reactor)
+    sent = len(gateway.pool.sent)
+    for _ in range(50):
+        reactor.advance(0.2)
+    assert len(gateway.pool.sent) == sent
+    (job_state,) = gateway.worker.catalogue.list_incomplete()
+    assert job_state.items["j0"].result is None
+
+
+def test_the_other_items_of_its_job_are_run(gateway, submit, reactor):
+    gateway.guard.add_block(frozenset({FATAL}), at=reactor.seconds())
+    submit(FATAL, 7, 8)
+    reactor.advance(0.5)
+    parts = {sent.headers[b"parts"] for sent in gateway.pool.sent}
+    assert parts == {b"7", b"8"}
+
+
+def test_a_blocked_item_ends_with_its_retention_time(gateway, submit, reactor):
+    gateway.guard.add_block(frozenset({FATAL}), at=reactor.seconds())
+    submit(FATAL, retained=5.0)
+    (job_state,) = gateway.worker.catalogue.list_incomplete()
+    for _ in range(60):
+        reactor.advance(0.2)
+    assert job_state.items["j0"].result.is_done is False
+    assert gateway.pool.sent == []
+
+
+def test_a_waiting_run_is_broken_off_and_one_that_writes_is_not(
+    gateway, submit, reactor, helpers
+):
+    submit(FATAL, FATAL)
+    first, second = gateway.pool.sent
+    first.answer(200, body=helpers.build_events(1, 1), is_complete=False)
+    gateway.guard.add_block(frozenset({FATAL}), at=reactor.seconds())
+    assert second.is_cancelled
+    assert not first.is_cancelled
+    reactor.advance(0.6)
+    first.exchange.on_data(helpers.build_events(2, 2))
+    # The upstream has survived the part.
+    assert not gateway.guard.blocks
+
+
+def test_a_preempted_run_tells_nothing_of_its_part(gateway, submit, reactor):
+    submit(FATAL)
+    (state,) = gateway.worker.running.values()
+    gateway.pool.unreachable.add(gateway.pool.last.address)
+    state.run.cancel()
+    reactor.advance(0.1)
+    assert not gateway.guard.evidence.ends
+    assert not gateway.guard.evidence.survivals
+
+
+def test_an_item_that_only_ran_beside_goes_on(gateway, submit, reactor):
+    submit(7)
+    end_three_upstreams(gateway, reactor)
+    assert gateway.guard.blocks
+    gateway.guard.apply_survival((7,), at=reactor.seconds())
+    reactor.advance(0.5)
+    assert len(gateway.pool.sent) == 4
+
+
+def test_answers_with_an_error_check_no_upstream(gateway, submit, reactor):
+    submit(FATAL)
+    gateway.pool.unreachable.add(gateway.pool.last.address)
+    gateway.pool.last.answer(500)
+    reactor.advance(0.1)
+    assert not gateway.guard.evidence.ends
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -191,6 +191,7 @@
     measure_lag(gateway, reactor.seconds())
     gateway.configuration_mirror.start()
     gateway.upstreams_mirror.start()
+    gateway.guard.records.start()
     defer.ensureDeferred(register(gateway)).addErrback(eliot.write_failure)
     if settings.runs_batch:
         gateway.worker = Worker(gateway=gateway)
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -7,6 +7,7 @@
 from hollyspan_core.errors import ConfigurationInvalidError
 from hollyspan_policy.hashing import hash_parts
 
+from .crashes import PartGuard
 from .http1 import ConnectionPool
 from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
@@ -133,6 +134,7 @@
             "configuration": self.configuration_mirror,
             "upstreams": self.upstreams_mirror,
         }
+        self.guard = PartGuard(gateway=self)
         self.retirement = Retirement(gateway=self)
         self.refresh = Refresh(gateway=self)
         self.quotas = QuotaLedger(gateway=self)
@@ -260,6 +262,7 @@
             "departures": self.directory.departures.list_announced(
                 now=self.reactor.seconds()
             ),
+            **self.guard.news.describe(),
         }
 
     def list_loads(self):
@@ -306,6 +309,7 @@
             upstream = self.directory.by_key.get(total.upstream)
             if upstream is not None:
                 upstream.set_region_total(total.online, total.batch, now=now)
+        self.guard.news.apply(message)
         if message.is_full:
             self.refresh.compare_revisions(peer, message)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -26,6 +26,7 @@
     first_byte_timeout=None,
     pause_timeout=None,
     may_abandon=None,
+    on_start=None,
 ):
     """Send a request once and report its answer as it arrives.
 
@@ -47,6 +48,9 @@
     may_abandon : callable, optional
         Called when a timeout expires; returns whether to abort the attempt.
         Without it, the attempt is aborted.
+    on_start : callable, optional
+        Called, before the request is sent, with a function that aborts the
+        attempt with a HollyspanError.
 
     Returns
     -------
@@ -73,8 +77,9 @@
             done.callback(error)
 
     def abort(error):
-        connection.cancel()
-        end(error)
+        if not done.called:
+            connection.cancel()
+            end(error)
 
     def guard(function):
         def call(*arguments):
@@ -106,6 +111,8 @@
         on_end=lambda: end(None),
         on_failure=end,
     )
+    if on_start is not None:
+        on_start(abort)
     connection.send(exchange)
     try:
         return await done
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -9,6 +9,7 @@
 
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
+from hollyspan_core.errors import UpstreamConnectionRefusedError
 from hollyspan_core.errors import UpstreamUnreachableError
 
 __all__ = ["ClientConnection", "connect"]
@@ -62,9 +63,12 @@
         return ClientConnection(reactor=self.reactor, opened=self.opened)
 
     def clientConnectionFailed(self, connector, reason):
-        failure = UpstreamUnreachableError(
-            f"connection failed: {reason.getErrorMessage()}"
-        )
+        is_refused = reason.check(error.ConnectionRefusedError)
+        failure = (
+            UpstreamConnectionRefusedError
+            if is_refused
+            else UpstreamUnreachableError
+        )(f"connection failed: {reason.getErrorMessage()}")
         # The caller may have cancelled the wait.
         if not self.opened.called:
             self.opened.errback(failure)
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -54,6 +54,28 @@
             if connection.is_usable():
                 return connection
             connection.abort()
+        return await self.open(address, timeout=timeout)
+
+    async def open_idle(self, address):
+        """Open a connection to an address and keep it for later requests.
+
+        Parameters
+        ----------
+        address : (str, int)
+            IP address and port.
+
+        Raises
+        ------
+        UpstreamConnectionRefusedError
+            Nothing listens there.
+        UpstreamUnavailableError
+            No connection could be established for another reason.
+        """
+        self.add_idle(
+            address, await self.open(address, timeout=CONNECT_TIMEOUT_S)
+        )
+
+    async def open(self, address, *, timeout):
         self.opened += 1
         connection = await connect(self.reactor, *address, timeout=timeout)
         connection.on_free = lambda freed: self.add_idle(address, freed)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -5,6 +5,7 @@
 
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
+from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.events import EventParser
 
@@ -58,6 +59,7 @@
         "is_preempted",
         "started",
         "initial_event_count",
+        "exposure",
     )
 
     def __init__(self, *, gateway, state, upstream, host, max_failures):
@@ -72,6 +74,7 @@
         self.is_preempted = False
         self.started = gateway.reactor.seconds()
         self.initial_event_count = len(state.event_data)
+        self.exposure = None
 
     def start(self):
         """Start the run.
@@ -111,8 +114,16 @@
             deadline_seconds=None,
             resume_after=self.state.last_event,
         )
+        guard = self.gateway.guard
         try:
-            with self.gateway.batch_placement.track(self.upstream):
+            with (
+                self.gateway.batch_placement.track(self.upstream),
+                guard.track(
+                    self.upstream,
+                    request=self.state.item.identifier,
+                    parts=self.state.shared_parts,
+                ) as self.exposure,
+            ):
                 error = await run_attempt(
                     self.gateway.pool,
                     address=self.upstream.entry.address,
@@ -124,9 +135,11 @@
                     on_data=self.handle_data,
                     first_byte_timeout=STALL_TIMEOUT_S,
                     pause_timeout=STALL_TIMEOUT_S,
+                    on_start=self.exposure.set_abort,
                 )
             if error is None:
                 error = self.evaluate_reply()
+            guard.note_result(self.exposure, error, self.reply)
         except UpstreamUnavailableError as unavailable:
             error = unavailable
         if error is not None:
@@ -139,6 +152,7 @@
         self.reply = reply
 
     def handle_data(self, data):
+        self.gateway.guard.note_data(self.exposure)
         if self.reply.is_success:
             self.parser.feed(data)
 
@@ -171,7 +185,9 @@
             if state.failures >= self.max_failures:
                 self.set_result(is_done=False)
                 return None
-        return StreamLostError(f"the upstream answered {status}")
+        return UpstreamAnswerError(
+            f"the upstream answered {status}", upstream_status=status
+        )
 
     def set_result(self, *, is_done, output=b""):
         self.state.result = ItemResult(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
@@ -88,6 +88,17 @@
             seconds = self.gateway.reactor.seconds() - started
             self.gateway.metrics.record("held", seconds)
 
+    def release_blocked(self, parts):
+        """Release the requests whose prompts contain blocked parts.
+
+        Parameters
+        ----------
+        parts : frozenset of int
+        """
+        for relay in list(self.waiting):
+            if parts.issubset(relay.head.shared_parts):
+                self.waiting.pop(relay).callback(None)
+
     def schedule_check(self):
         if self.check_call is None and self.waiting:
             self.check_call = self.gateway.reactor.callLater(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -82,6 +82,7 @@
         self.upstream = None
         self.upstream_load = {}
         self.reply = None
+        self.exposure = None
 
     @property
     def target_at(self):
@@ -100,14 +101,18 @@
         ------
         OverloadedError
             No upstream has run the request.
+        PromptPartBlockedError
+            Upstreams have ended with a part of its prompt.
         OutcomeUnknownError
             An upstream may have run it; nothing was sent to the client.
         StreamLostError
             A part of the answer was sent and no upstream delivers the rest.
         """
+        self.require_allowed()
         if self.route.kind is RouteKind.STREAM and not self.is_resumed():
             await self.gateway.held.wait(self)
         while True:
+            self.require_allowed()
             self.upstream = self.choose()
             self.upstream_load = self.gateway.placement.describe(self.upstream)
             if self.upstream_load["report_age"] is not None:
@@ -123,6 +128,12 @@
                 self.finish_failed(error)
                 return
 
+    def require_allowed(self):
+        """Raise PromptPartBlockedError if the prompt may not be sent."""
+        self.gateway.guard.require_allowed(
+            self.head.shared_parts, outcome=self.outcome
+        )
+
     def is_resumed(self):
         """Return whether the client resumes an earlier answer."""
         return self.head.resume_after is not None
@@ -157,7 +168,15 @@
         )
         self.sends += 1
         has_begun = self.delivery.has_begun
-        with self.gateway.placement.track_online(upstream):
+        guard = self.gateway.guard
+        with (
+            self.gateway.placement.track_online(upstream),
+            guard.track(
+                upstream,
+                request=self.head.identifier,
+                parts=self.head.shared_parts,
+            ) as self.exposure,
+        ):
             try:
                 error = await run_attempt(
                     self.gateway.pool,
@@ -173,11 +192,13 @@
                         EVENT_PAUSE_TIMEOUT_S if self.can_fail_over() else None
                     ),
                     may_abandon=self.may_abandon,
+                    on_start=self.exposure.set_abort,
                 )
             except UpstreamUnavailableError as unsent:
                 error = unsent
         if error is None:
             error = self.check_answer()
+        guard.note_result(self.exposure, error, self.reply)
         self.gateway.metrics.count_send(error, is_resumed=has_begun)
         if error is not None:
             self.record_failure(error)
@@ -214,6 +235,7 @@
 
     def handle_data(self, data):
         """Forward or buffer bytes of an answer's body."""
+        self.gateway.guard.note_data(self.exposure)
         if self.is_stream():
             events = self.delivery.forward_events(data, self.reply)
             self.gateway.metrics.events += events
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -23,6 +23,9 @@
         Running and waiting requests and slots, at the time of the answer.
     is_leaving : bool
         True when the upstream states that it is shutting down.
+    is_delimited : bool
+        True when the head tells how the body ends; without, it ends with the
+        connection.
     headers : list of (bytes, bytes)
         Headers that are forwarded unchanged, without hop-by-hop headers.
     """
@@ -34,6 +37,7 @@
         "is_ambiguous",
         "load",
         "is_leaving",
+        "is_delimited",
         "headers",
     )
 
@@ -46,6 +50,7 @@
         is_ambiguous,
         load,
         is_leaving,
+        is_delimited,
         headers,
     ):
         self.status = status
@@ -54,6 +59,7 @@
         self.is_ambiguous = is_ambiguous
         self.load = load
         self.is_leaving = is_leaving
+        self.is_delimited = is_delimited
         self.headers = headers
 
     @property
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -6,12 +6,17 @@
 
 from hollyspan_core.errors import PeerMessageError
 
+from ..crashes.notices import BlockNotice
+from ..crashes.notices import EndNotice
+from ..crashes.notices import SurvivalNotice
 from .message import FleetMessage
 from .message import UpstreamLoad
 from .message import UpstreamTotal
 
 __all__ = ["decode_message", "encode_message"]
 
+MAX_AGE_MS = 2**32 - 1
+
 # The import hook of pycapnp would search all of sys.path for schemas.
 capnp.remove_import_hook()
 
@@ -68,6 +73,8 @@
         wire.heard = list(message.live_workers)
     if message.departures:
         wire.departures = list(message.departures)
+    if message.ends or message.survivals or message.blocks:
+        encode_notices(wire, message)
     return wire.to_bytes_packed()
 
 
@@ -108,6 +115,7 @@
         )
         if message.is_full:
             read_state(message, wire)
+        read_notices(message, wire)
         return message
     except (capnp.KjException, ValueError) as error:
         raise PeerMessageError("a datagram cannot be decoded") from error
@@ -134,5 +142,58 @@
     ]
 
 
+def encode_notices(wire, message):
+    """Encode the notices about ended upstreams and blocked parts."""
+    wire.ends = [
+        {
+            "upstream": notice.upstream,
+            "ageMs": encode_age(notice.age),
+            "requests": [list(parts) for parts in notice.requests],
+        }
+        for notice in message.ends
+    ]
+    wire.survivals = [
+        {"parts": list(notice.parts), "ageMs": encode_age(notice.age)}
+        for notice in message.survivals
+    ]
+    wire.blocks = [
+        {
+            "parts": list(notice.parts),
+            "ageMs": encode_age(notice.age),
+            "failedTrials": notice.failed_trials,
+        }
+        for notice in message.blocks
+    ]
+
+
+def read_notices(message, wire):
+    """Read the notices, which any message may carry."""
+    message.ends = [
+        EndNotice(
+            upstream=end.upstream,
+            requests=[tuple(parts) for parts in end.requests],
+            age=end.ageMs / 1000,
+        )
+        for end in wire.ends
+    ]
+    message.survivals = [
+        SurvivalNotice(parts=tuple(survival.parts), age=survival.ageMs / 1000)
+        for survival in wire.survivals
+    ]
+    message.blocks = [
+        BlockNotice(
+            parts=tuple(block.parts),
+            age=block.ageMs / 1000,
+            failed_trials=block.failedTrials,
+        )
+        for block in wire.blocks
+    ]
+
+
+def encode_age(seconds):
+    """Return an age in whole milliseconds, up to about 49 days."""
+    return min(MAX_AGE_MS, max(0, round(seconds * 1000)))
+
+
 def read_reported(load):
     return (load.running, load.waiting) if load.isReported else None
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -19,6 +19,23 @@
   batch @2 :UInt16;       # batch items in flight, sent by all gateways
 }
 
+struct End {
+  upstream @0 :UInt64;    # its incarnation
+  ageMs @1 :UInt32;
+  requests @2 :List(List(UInt64)); # shared parts of the prompts in flight
+}
+
+struct Survival {
+  parts @0 :List(UInt64); # shared parts of a prompt
+  ageMs @1 :UInt32;
+}
+
+struct Block {
+  parts @0 :List(UInt64); # no prompt may contain all of these
+  ageMs @1 :UInt32;
+  failedTrials @2 :UInt16;
+}
+
 struct FleetMessage {
   sender @0 :UInt64;
   incarnation @1 :UInt64;   # start time, microseconds since the epoch
@@ -38,4 +55,8 @@
   beatMs @14 :UInt16;       # time until the next full message, milliseconds
   totals @15 :List(Total);  # for other regions: the load of the sender's
   departures @16 :List(UInt64); # incarnations that announced their shutdown
+  # Set in any message.
+  ends @17 :List(End);
+  survivals @18 :List(Survival);
+  blocks @19 :List(Block);
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -102,6 +102,9 @@
     departures : list of int, optional
         Keys of the upstreams' incarnations that have announced their shutdown
         in an answer, to the sender or to one of its peers.
+    ends : list of EndNotice, optional
+    survivals : list of SurvivalNotice, optional
+    blocks : list of BlockNotice, optional
     """
 
     __slots__ = (
@@ -122,6 +125,9 @@
         "heartbeat_seconds",
         "totals",
         "departures",
+        "ends",
+        "survivals",
+        "blocks",
     )
 
     def __init__(
@@ -144,6 +150,9 @@
         heartbeat_seconds=0.0,
         totals=(),
         departures=(),
+        ends=(),
+        survivals=(),
+        blocks=(),
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -162,3 +171,6 @@
         self.heartbeat_seconds = heartbeat_seconds
         self.totals = totals
         self.departures = departures
+        self.ends = ends
+        self.survivals = survivals
+        self.blocks = blocks
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -0,0 +1,72 @@
+"""Block of requests by the parts of their prompts."""
+
+__all__ = ["PartBlock", "choose_trial_delay"]
+
+# Time until a request is let through as a trial, multiplied after each trial
+# that has ended an upstream: a trial costs the requests that run beside it.
+FIRST_TRIAL_DELAY_S = 30.0
+TRIAL_DELAY_FACTOR = 4
+MAX_TRIAL_DELAY_S = 3600.0
+
+
+class PartBlock:
+    """Parts that no prompt may contain together.
+
+    Parameters
+    ----------
+    parts : frozenset of int
+    at : float
+        Time of the decision, or of the last trial that failed, seconds.
+    failed_trials : int, optional
+        Number of trials that have ended an upstream.
+
+    Attributes
+    ----------
+    is_tried : bool
+        True while a trial is in flight at this gateway.
+    """
+
+    __slots__ = ("parts", "at", "failed_trials", "is_tried")
+
+    def __init__(self, *, parts, at, failed_trials=0):
+        self.parts = parts
+        self.at = at
+        self.failed_trials = failed_trials
+        self.is_tried = False
+
+    @property
+    def trial_at(self):
+        """Time from which a request may be let through as a trial."""
+        return self.at + choose_trial_delay(self.failed_trials)
+
+
+def choose_trial_delay(failed_trials):
+    """Choose the time from a block or a failed trial to the next trial.
+
+    Parameters
+    ----------
+    failed_trials : int
+
+    Returns
+    -------
+    float
+        Seconds.
+
+    Notes
+    -----
+    The half-open state of a circuit breaker [1]_, with exponential back-off.
+
+    References
+    ----------
+    .. [1] M. Nygard, "Release It!", 2nd edition, Pragmatic Bookshelf 2018,
+       chapter 5.
+
+    Examples
+    --------
+    >>> choose_trial_delay(0), choose_trial_delay(1), choose_trial_delay(9)
+    (30.0, 120.0, 3600.0)
+    """
+    return min(
+        MAX_TRIAL_DELAY_S,
+        FIRST_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials,
+    )
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -0,0 +1,147 @@
+"""Tests of which parts of prompts are blocked after ends of upstreams."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollyspan_policy.crashes import choose_blocks
+from hollyspan_policy.crashes import CrashEvidence
+from hollyspan_policy.crashes import list_implicated_parts
+from hollyspan_policy.crashes import narrow_block
+
+COMMON, FATAL, BESIDE = 1, 2, 3
+
+
+def collect(*ends, survivals=()):
+    """Return the evidence of ends, one a second, and of survivals."""
+    evidence = CrashEvidence()
+    for number, requests in enumerate(ends):
+        evidence.note_end(number, requests, at=10.0 + number)
+    for part, at in survivals:
+        evidence.note_survival((part,), at=at)
+    return evidence
+
+
+def choose(evidence, *, blocked=()):
+    ends = evidence.list_ends(now=20.0)
+    return choose_blocks(ends, survivals=evidence.survivals, blocked=blocked)
+
+
+def test_a_part_of_three_ends_is_blocked():
+    ends = [[(COMMON, FATAL)], [(COMMON, FATAL, 8)], [(COMMON, FATAL)]]
+    evidence = collect(*ends, survivals=[(COMMON, 12.0)])
+    assert choose(evidence) == [frozenset({FATAL})]
+
+
+def test_two_ends_are_not_enough():
+    evidence = collect([(FATAL,)], [(FATAL,)])
+    assert choose(evidence) == []
+    implicated = list_implicated_parts(
+        evidence.list_ends(now=20.0), survivals={}
+    )
+    assert implicated == {FATAL}
+
+
+def test_parts_that_always_come_together_are_blocked_together():
+    evidence = collect(*[[(COMMON, FATAL)]] * 3)
+    assert choose(evidence) == [frozenset({COMMON, FATAL})]
+
+
+def test_a_part_that_was_survived_since_is_not_blocked():
+    evidence = collect(*[[(FATAL,)]] * 5, survivals=[(FATAL, 14.5)])
+    assert choose(evidence) == []
+
+
+def test_upstreams_lost_together_block_no_usual_part():
+    # All end at the same moment, each with requests that have just begun.
+    evidence = CrashEvidence()
+    evidence.note_survival((COMMON,), at=9.0)
+    for number in range(20):
+        requests = [(COMMON, 100 + number), (COMMON, 200 + number)]
+        evidence.note_end(number, requests, at=10.0)
+    assert choose(evidence) == []
+
+
+def test_a_request_that_only_ran_beside_is_not_blocked():
+    # It was sent again and met the fatal part three times.
+    ends = [[(FATAL, n), (BESIDE,)] for n in (7, 8, 9)]
+    assert choose(collect(*ends)) == []
+    ends.append([(FATAL, 10)])
+    evidence = collect(*ends)
+    assert choose(evidence) == [frozenset({FATAL})]
+    assert choose(evidence, blocked=[frozenset({FATAL})]) == []
+
+
+def test_parts_that_nothing_tells_apart_are_blocked_after_five_ends():
+    ends = [[(FATAL, n), (BESIDE, 20 + n)] for n in range(10, 15)]
+    chosen = choose(collect(*ends))
+    assert set(chosen) == {frozenset({FATAL}), frozenset({BESIDE})}
+
+
+def test_the_narrower_of_two_explanations_is_blocked():
+    # Requests with the common part alone were in flight as well.
+    ends = [[(COMMON, FATAL), (COMMON, n)] for n in (7, 8, 9)]
+    assert choose(collect(*ends)) == [frozenset({FATAL})]
+
+
+def test_two_fatal_parts_are_both_blocked():
+    ends = [[(COMMON, FATAL)]] * 3 + [[(COMMON, BESIDE)]] * 3
+    evidence = collect(*ends, survivals=[(COMMON, 15.0)])
+    chosen = choose(evidence)
+    assert set(chosen) == {frozenset({FATAL}), frozenset({BESIDE})}
+
+
+def test_a_block_shrinks_to_the_parts_that_were_not_survived():
+    both = frozenset({COMMON, FATAL})
+    assert narrow_block(both, at=10.0, survivals={COMMON: 11.0}) == {FATAL}
+    survivals = {COMMON: 11.0, FATAL: 11.0}
+    assert narrow_block(both, at=10.0, survivals=survivals) == both
+
+
+def test_evidence_is_bounded_and_ends():
+    evidence = CrashEvidence()
+    for number in range(1000):
+        requests = [(number, other) for other in range(200)]
+        evidence.note_end(number, requests, at=float(number))
+        evidence.note_survival(range(number * 10, number * 10 + 10), at=1.0)
+    assert len(evidence.ends) <= 64
+    assert max(len(end.requests) for end in evidence.ends.values()) <= 64
+    assert len(evidence.survivals) <= 4096
+    assert evidence.list_ends(now=3000.0) == []
+    assert evidence.ends == {}
+
+
+@given(
+    st.lists(
+        st.lists(st.sampled_from(range(10, 16)), max_size=6),
+        min_size=3,
+        max_size=8,
+    ),
+    st.sets(st.sampled_from(range(10, 16))),
+)
+def test_the_fatal_part_is_blocked_and_survived_parts_are_not(
+    others, survived
+):
+    ends = [
+        [(COMMON, FATAL), *((COMMON, other) for other in beside)]
+        for beside in others
+    ]
+    survivals = [(part, 30.0) for part in (COMMON, *survived)]
+    chosen = choose(collect(*ends, survivals=survivals))
+    blocked = frozenset().union(*chosen)
+    assert not blocked & {COMMON, *survived}
+    is_ambiguous = any(
+        all(other in beside for beside in others)
+        for other in range(10, 16)
+        if other not in survived
+    )
+    assert FATAL in blocked or (is_ambiguous and len(ends) < 5)
+
+
+@given(st.permutations(range(4)))
+def test_the_order_of_reports_does_not_matter(order):
+    evidence = CrashEvidence()
+    for number in order:
+        evidence.note_end(number, [(COMMON, FATAL)], at=10.0 + number)
+        evidence.note_end(number, [(COMMON, FATAL)], at=11.0 + number)
+        evidence.note_survival((COMMON,), at=13.0 - number)
+    assert choose(evidence) == [frozenset({FATAL})]
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -101,6 +101,7 @@
         for other in self.network.gateways.values():
             other.peers.add(members)
         gateway.peers.startProtocol()
+        gateway.guard.records.start()
         self.list_upstreams(gateway)
         return gateway
 
@@ -198,7 +199,7 @@
             Last event that the client has received.
         """
         gateway = gateway or self.random.choice(self.gateways)
-        request = MemoryRequest(reactor=self.reactor)
+        request = MemoryRequest(reactor=self.reactor, identifier=identifier)
         head = build_head(identifier, shared_parts=parts, resume_after=resume)
         work = defer.ensureDeferred(gateway.online.answer(request, head))
         request.on_disconnect = work.cancel
--- a/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
@@ -1,6 +1,6 @@
 """In-memory connections to upstreams, for tests that provide the answers."""
 
-from hollyspan_core.errors import UpstreamUnreachableError
+from hollyspan_core.errors import UpstreamConnectionRefusedError
 
 __all__ = ["MemoryConnection", "MemoryPool"]
 
@@ -28,9 +28,12 @@
 
     async def acquire(self, address, *, timeout=1.0):
         if address in self.unreachable:
-            raise UpstreamUnreachableError("connection refused")
+            raise UpstreamConnectionRefusedError("connection refused")
         return MemoryConnection(pool=self, address=address)
 
+    async def open_idle(self, address):
+        await self.acquire(address)
+
     def drop_address(self, address):
         pass
 
--- a/packages/hollyspan_standins/hollyspan_standins/memory/request.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/request.py
@@ -8,7 +8,8 @@
 class MemoryRequest:
     """Request of a client that records its answer."""
 
-    def __init__(self, *, reactor, body=b"{}"):
+    def __init__(self, *, reactor, body=b"{}", identifier=None):
+        self.identifier = identifier
         self.content = types.SimpleNamespace(getvalue=lambda: body)
         self.arrived_at = reactor.seconds()
         self.is_open = True
