Take no answer without a length as complete when its upstream has ended

What callers could get: a stream, or an item's result, cut short as if complete. An answer may have neither a length nor chunks and end with its connection; when the upstream ends, the connection closes the same way. A stream that closed right after its head became a complete answer without an event, an item a result without output.

Cause: the close of such a connection was always the end of the answer.

Change: after such an answer the gateway opens a connection to the upstream. If it is refused, and the upstream had not announced its shutdown, the answer was broken off: a stream goes on elsewhere, a request that may run once has an unknown outcome. A stream without any event is no answer. Other answers are not delayed.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/__init__.py
@@ -4,5 +4,12 @@
 from .notices import BlockNotice
 from .notices import EndNotice
 from .notices import SurvivalNotice
+from .undelimited import check_undelimited_end
 
-__all__ = ["BlockNotice", "EndNotice", "PartGuard", "SurvivalNotice"]
+__all__ = [
+    "BlockNotice",
+    "EndNotice",
+    "PartGuard",
+    "SurvivalNotice",
+    "check_undelimited_end",
+]
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/undelimited.py
@@ -0,0 +1,34 @@
+"""Check of answers that end with their connection."""
+
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import UpstreamConnectionRefusedError
+from hollyspan_core.errors import UpstreamUnavailableError
+
+__all__ = ["check_undelimited_end"]
+
+
+async def check_undelimited_end(pool, upstream, reply):
+    """Check whether an answer ended because its upstream has.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    upstream : Upstream
+    reply : UpstreamReply
+        Head of the answer.
+
+    Returns
+    -------
+    StreamLostError or None
+        None for an answer that tells its own end, and while the upstream still
+        accepts connections or has announced its shutdown.
+    """
+    if reply.is_delimited or not upstream.accepts_work:
+        return None
+    try:
+        await pool.open_idle(upstream.entry.address)
+    except UpstreamConnectionRefusedError:
+        return StreamLostError("the answer ended with its upstream")
+    except UpstreamUnavailableError:
+        return None
+    return None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -9,6 +9,7 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.events import EventParser
 
+from ..crashes import check_undelimited_end
 from ..http1 import run_attempt
 from ..online.head import format_parts
 from ..online.head import RequestHead
@@ -137,6 +138,10 @@
                     pause_timeout=STALL_TIMEOUT_S,
                     on_start=self.exposure.set_abort,
                 )
+            if error is None:
+                error = await check_undelimited_end(
+                    self.gateway.pool, self.upstream, self.reply
+                )
             if error is None:
                 error = self.evaluate_reply()
             guard.note_result(self.exposure, error, self.reply)
@@ -172,6 +177,8 @@
         if self.reply.is_success:
             if self.parser.buffer:
                 return StreamLostError("the stream ended within an event")
+            if not (self.reply.is_delimited or state.event_data):
+                return StreamLostError("the stream ended without an event")
             self.set_result(is_done=True, output=b"\n".join(state.event_data))
             return None
         if self.reply.has_not_run:
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -9,6 +9,7 @@
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..crashes import check_undelimited_end
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .delivery import Delivery
@@ -197,7 +198,9 @@
             except UpstreamUnavailableError as unsent:
                 error = unsent
         if error is None:
-            error = self.check_answer()
+            error = self.check_answer() or await check_undelimited_end(
+                self.gateway.pool, upstream, self.reply
+            )
         guard.note_result(self.exposure, error, self.reply)
         self.gateway.metrics.count_send(error, is_resumed=has_begun)
         if error is not None:
@@ -256,6 +259,12 @@
         if self.is_stream():
             if self.delivery.has_partial_event:
                 return StreamLostError("the stream ended within an event")
+            if not (
+                self.reply.is_delimited
+                or self.delivery.has_begun
+                or self.is_resumed()
+            ):
+                return StreamLostError("the stream ended without an event")
             return None
         if (
             self.delivery.has_begun
