Check the owner of a block twice a second, and remove refuted records at once

A refused request hashed all gateways of the fleet once its block was due for a trial. The record of a block was not removed from the store if this gateway's mirror had not seen it yet, and a narrower block made each gateway remove the wider one's record; now only the gateway that narrows it does.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -14,12 +14,12 @@
 from hollyspan_policy.crashes import list_implicated_parts
 from hollyspan_policy.crashes import narrow_block
 from hollyspan_policy.crashes import PartBlock
-from hollyspan_policy.ownership import choose_owner
 
 from .detector import EndDetector
 from .exposure import Exposure
 from .news import CrashNews
 from .records import BlockRecords
+from .records import build_key
 
 __all__ = ["PartGuard"]
 
@@ -28,6 +28,9 @@
 # answer, so that few gateways give it.
 DECISION_DELAY_S = 0.2
 MAX_SURVIVAL_DELAY_S = 0.1
+# Shortest time between two checks whether a block is owned here, which take
+# time for each gateway of the fleet.
+OWNER_CHECK_INTERVAL_S = 0.5
 # Limit on the memory; the oldest block is forgotten.
 MAX_BLOCKS = 64
 # Shortest retry-after time of a refused request.
@@ -98,14 +101,13 @@
 
     def may_try(self, block):
         """Return whether a request may be let through as a trial here."""
-        if block.is_tried or self.gateway.reactor.seconds() < block.trial_at:
+        now = self.gateway.reactor.seconds()
+        if block.is_tried or now < block.trial_at:
             return False
-        peers = self.gateway.peers
-        live = [peer.identifier for peer in peers.list_live()]
-        duty = " ".join(map(str, sorted(block.parts)))
-        return choose_owner(duty, [*live, peers.identifier]) == (
-            peers.identifier
-        )
+        if now >= block.next_check_at:
+            block.next_check_at = now + OWNER_CHECK_INTERVAL_S
+            block.is_owned = self.records.is_owner(build_key(block.parts))
+        return block.is_owned
 
     def require_allowed(self, parts, *, outcome=Outcome.NOT_RUN):
         """Raise PromptPartBlockedError for a prompt that may not be sent.
@@ -214,11 +216,11 @@
             block.parts, at=block.at, survivals=self.evidence.survivals
         )
         if parts != block.parts:
-            self.publish_block(
-                self.add_block(
-                    parts, at=block.at, failed_trials=block.failed_trials
-                )
+            narrower = self.add_block(
+                parts, at=block.at, failed_trials=block.failed_trials
             )
+            self.publish_block(narrower)
+            self.records.remove(block)
 
     def publish_block(self, block):
         """Tell a block to the other gateways and to the store."""
@@ -308,7 +310,6 @@
         for wider in list(self.blocks.values()):
             if parts < wider.parts:
                 self.remove_block(wider, reason="narrowed")
-                self.records.remove(wider)
         self.blocks[parts] = block
         eliot.log_message("part:blocked", **describe(block))
         if len(self.blocks) > MAX_BLOCKS:
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -12,7 +12,7 @@
 from ..clock import wait
 from ..store import Mirror
 
-__all__ = ["BlockRecords"]
+__all__ = ["BlockRecords", "build_key"]
 
 BLOCKS_PREFIX = "hs/x/"
 # Delay of the readers of the store that write a block in place of its owner.
@@ -87,7 +87,7 @@
                 await wait(self.gateway.reactor, RETRY_DELAY_S)
 
     async def erase(self, key):
-        while key in self.mirror.entries:
+        while True:
             try:
                 await self.gateway.store.remove([key])
                 return
@@ -96,6 +96,7 @@
                 await wait(self.gateway.reactor, RETRY_DELAY_S)
 
     def is_owner(self, key):
+        """Return whether this gateway owns the block with a key."""
         peers = self.gateway.peers
         live = [peer.identifier for peer in peers.list_live()]
         return choose_owner(key, [*live, peers.identifier]) == peers.identifier
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -24,15 +24,28 @@
     ----------
     is_tried : bool
         True while a trial is in flight at this gateway.
+    is_owned : bool
+        Whether this gateway lets trials through, as of the last check.
+    next_check_at : float
+        Time of the next check of the owner, seconds.
     """
 
-    __slots__ = ("parts", "at", "failed_trials", "is_tried")
+    __slots__ = (
+        "parts",
+        "at",
+        "failed_trials",
+        "is_tried",
+        "is_owned",
+        "next_check_at",
+    )
 
     def __init__(self, *, parts, at, failed_trials=0):
         self.parts = parts
         self.at = at
         self.failed_trials = failed_trials
         self.is_tried = False
+        self.is_owned = False
+        self.next_check_at = 0.0
 
     @property
     def trial_at(self):
