--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -234,3 +234,31 @@
     request = fleet.request("s", (COMMON,), gateway=gateway)
     fleet.advance(1.5)
     assert request.status == 200 and request.is_ended
+
+
+def test_a_blocked_request_is_not_held(blocked_fleet):
+    gateway, *_ = blocked_fleet.gateways
+    for upstream in gateway.directory.upstreams.values():
+        upstream.set_peer_load("p", (14, 0))
+    request = blocked_fleet.request("n", (FATAL,), gateway=gateway)
+    assert is_refused_unsent(blocked_fleet, request)
+
+
+def test_one_trial_is_made_at_a_time(blocked_fleet):
+    blocked_fleet.advance(31.0)
+    ended = len(blocked_fleet.ended)
+    for number in range(8):
+        for gateway in blocked_fleet.gateways:
+            blocked_fleet.request(f"n{number}", (FATAL,), gateway=gateway)
+    blocked_fleet.advance(1.0)
+    assert len(blocked_fleet.ended) == ended + 1
+
+
+def test_an_end_is_told_before_the_next_heartbeat(fleet):
+    fleet.advance(1.0)
+    gateway, *others = fleet.gateways
+    gateway.peers.heartbeat_call.cancel()
+    gateway.peers.heartbeat_call = None
+    fleet.request("n", (FATAL,), gateway=gateway)
+    fleet.advance(0.1)
+    assert all(other.guard.evidence.ends for other in others)
