Withdraw a block whose record an operator removes, at all gateways

A gateway that had not seen the removal yet announced the block in its heartbeats, and the others took it up again. A removal now counts as a refutation, which heartbeats carry. A narrower block is written before the wider one's record is removed, so that this removal withdraws nothing else. The test, with one gateway that does not see the removal, fails without the refutation.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -208,6 +208,13 @@
             self.narrow(block)
         return bool(refuted)
 
+    def apply_removal(self, block):
+        """Withdraw a block whose record was removed from the store."""
+        now = self.gateway.reactor.seconds()
+        self.remove_block(block, reason="removed")
+        self.evidence.note_survival(block.parts, at=now)
+        self.news.note_refutation(block.parts, at=now)
+
     def narrow(self, block):
         """Limit a block to the parts that no upstream has survived."""
         if len(block.parts) == 1:
@@ -219,8 +226,8 @@
             narrower = self.add_block(
                 parts, at=block.at, failed_trials=block.failed_trials
             )
-            self.publish_block(narrower)
-            self.records.remove(block)
+            self.news.tell_block(narrower)
+            self.records.replace(block, narrower)
 
     def publish_block(self, block):
         """Tell a block to the other gateways and to the store."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -67,6 +67,10 @@
         self.unsent_survivals.add(parts)
         self.schedule_send()
 
+    def note_refutation(self, parts, *, at):
+        """Include a refutation that all gateways read in heartbeats."""
+        remember(self.survivals, tuple(sorted(parts)), at)
+
     def tell_block(self, block):
         """Tell of a new block or a failed trial."""
         self.unsent_blocks.add(block.parts)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -59,6 +59,10 @@
         """Write a block, or leave it to the gateway that owns it."""
         self.start_work(self.write(block))
 
+    def replace(self, block, narrower):
+        """Write a narrower block and remove the one that it replaces."""
+        self.start_work(self.write_and_erase(block, narrower))
+
     def remove(self, block):
         """Remove a block that a survival seen here has refuted."""
         self.start_work(self.erase(build_key(block.parts)))
@@ -72,6 +76,15 @@
             await wait(self.gateway.reactor, SUBSTITUTE_DELAY_S)
             if key in self.mirror.entries or not self.mirror.must_watch():
                 return
+        await self.put(block)
+
+    async def write_and_erase(self, block, narrower):
+        # In this order, since a removal alone withdraws the block.
+        await self.put(narrower)
+        await self.erase(build_key(block.parts))
+
+    async def put(self, block):
+        key = build_key(block.parts)
         age = self.gateway.reactor.seconds() - block.at
         content = {
             "parts": sorted(block.parts),
@@ -127,7 +140,7 @@
         for key, parts in self.seen.items():
             block = self.guard.blocks.get(parts)
             if key not in stored and block is not None:
-                self.guard.remove_block(block, reason="removed")
+                self.guard.apply_removal(block)
         self.seen = stored
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -262,3 +262,15 @@
     fleet.request("n", (FATAL,), gateway=gateway)
     fleet.advance(0.1)
     assert all(other.guard.evidence.ends for other in others)
+
+
+def test_a_block_that_is_removed_from_the_store_does_not_return(
+    blocked_fleet, wire
+):
+    keys = [key for key in wire.entries if key.startswith("hs/x/")]
+    assert keys
+    # One gateway does not see the removal.
+    blocked_fleet.gateways[3].guard.records.mirror.stop()
+    wire.change({}, removed=keys)
+    blocked_fleet.advance(5.0)
+    assert not any(gateway.guard.blocks for gateway in blocked_fleet.gateways)
