Reproduce rate limits that upstreams name and the fleet exceeds

In the fleet in memory, seven gateways and six upstreams of which four accept two requests a second, these get 35 in 4 s (17 allowed).

--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -45,6 +45,9 @@
     network : MemoryNetwork
     fatal_parts : set of int
         Parts of prompts that end each upstream that begins to answer them.
+    rate_limits : dict
+        Requests a second that an upstream accepts from all gateways, by name;
+        it names them in its answers.
     sent : list of Send
         Everything that was sent to upstreams, in order.
     ended : list of (float, str)
@@ -62,6 +65,7 @@
         self.random = random.Random(1)
         self.upstreams = {}
         self.fatal_parts = set()
+        self.rate_limits = {}
         self.sent = []
         self.ended = []
         self.started_count = 0
@@ -147,7 +151,11 @@
             return
         resume = send.connection.headers[b"resume"]
         send.last_event = 0 if resume == b"None" else int(resume)
-        send.connection.answer(200, is_complete=False)
+        headers = []
+        if send.upstream in self.rate_limits:
+            limit = self.rate_limits[send.upstream]
+            headers.append((b"limit", str(limit).encode()))
+        send.connection.answer(200, headers=headers, is_complete=False)
         self.continue_answer(send)
 
     def continue_answer(self, send):
