Divide the rate limits that upstreams name among the gateways of the fleet

Cause: no code read the limit. The class is a limit that each machine keeps alone: with the limit at each gateway, the fleet would exceed it by their number.

Change: the platform's header becomes the rate limit of a reply. A change is told with the upstream's load to the other gateways, with the age of the answer, so that the newest answer holds everywhere; it ends with an answer that names none, or with the incarnation. hollyspan_policy.rates divides the limit among a few gateways, one for each request a second and one more, in turn over all limited upstreams of the service; all compute the same from the live gateways. Each keeps a token bucket. Placement passes over an upstream without a token; if all have a limit, new requests wait for a token while they can still be answered and are refused at once otherwise, answers that have begun may go on one request ahead, and batch work has one place of each limit. A gateway that shuts down leaves its share to the others.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from hollyspan_core.errors import ConfigurationInvalidError
 from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.rates import RateSharer
 
 from .crashes import PartGuard
 from .http1 import ConnectionPool
@@ -95,6 +96,8 @@
             find_region=settings.find_region,
             has_current_remote_load=lambda: self.peers.broadcasts_load(),
             on_change=self.handle_load_change,
+            identifier=build_identifier(hash_parts(settings.instance)),
+            list_sharers=self.list_sharers,
         )
         self.batch_placement = BatchPlacement(
             placement=self.placement,
@@ -174,6 +177,7 @@
     def drain(self):
         """Report not ready from now on, to the other gateways too."""
         self.draining_since = self.reactor.seconds()
+        self.placement.rate_limits.schedule_update()
         self.peers.send_full(self.peers.list_live())
 
     def wall_clock(self):
@@ -280,6 +284,9 @@
                 upstream=upstream.entry.key,
                 online=upstream.count_online(),
                 batch=upstream.count_batch(),
+                limit=upstream.rate_limit.build_report(
+                    now=self.reactor.seconds()
+                ),
             )
             for upstream in self.directory.upstreams.values()
             if upstream.region == self.peers.region
@@ -309,6 +316,10 @@
             upstream = self.directory.by_key.get(total.upstream)
             if upstream is not None:
                 upstream.set_region_total(total.online, total.batch, now=now)
+                if total.limit is not None:
+                    self.placement.rate_limits.apply_report(
+                        upstream, total.limit
+                    )
         self.guard.news.apply(message)
         if message.is_full:
             self.refresh.compare_revisions(peer, message)
@@ -319,6 +330,8 @@
             upstream.record_report(*load.reported, now=now)
         if load.is_unreachable:
             self.directory.note_reported_unreachable(upstream)
+        if load.limit is not None:
+            self.placement.rate_limits.apply_report(upstream, load.limit)
 
     @property
     def configuration_revision(self):
@@ -332,9 +345,31 @@
             for name in list(upstream.peer_loads):
                 if name not in live:
                     upstream.remove_peer_load(name)
+        self.placement.rate_limits.schedule_update()
         if self.worker is not None:
             self.update_workers()
 
+    def list_sharers(self):
+        """Return the gateways that share the rate limits of upstreams."""
+        sharers = [
+            RateSharer(
+                identifier=peer.identifier,
+                region=peer.region,
+                runs_batch=peer.runs_batch,
+            )
+            for peer in self.peers.list_live()
+            if not peer.is_leaving
+        ]
+        if not self.is_draining:
+            sharers.append(
+                RateSharer(
+                    identifier=self.peers.identifier,
+                    region=self.peers.region,
+                    runs_batch=self.settings.runs_batch,
+                )
+            )
+        return sharers
+
     def update_workers(self):
         """Read results again when items may have moved to other workers."""
         workers = frozenset(self.list_workers())
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -397,3 +397,35 @@
     first.exchange.on_data(helpers.build_events(2, 2))
     first.exchange.on_end()
     assert list_results(wire) == {"j0": (True, b"t1\nt2")}
+
+
+def limit_upstreams(gateway, reactor, names, *, rate=2.0):
+    for name in names:
+        gateway.placement.rate_limits.note_answer(
+            gateway.directory.upstreams[name], rate
+        )
+    reactor.advance(1.5)
+
+
+def test_items_run_on_upstreams_without_a_limit(build_worker, submit, reactor):
+    gateway = build_worker()
+    limit_upstreams(gateway, reactor, ["u1"])
+    submit(3)
+    reactor.advance(1.0)
+    limited = gateway.directory.upstreams["u1"].entry.address
+    assert len(gateway.pool.sent) == 3
+    assert all(sent.address != limited for sent in gateway.pool.sent)
+
+
+def test_items_share_the_limits_of_a_service_without_other_upstreams(
+    build_worker, submit, reactor
+):
+    gateway = build_worker()
+    limit_upstreams(gateway, reactor, ["u1", "u2"])
+    submit(30)
+    reactor.advance(0.1)
+    started = len(gateway.pool.sent)
+    for _ in range(20):
+        reactor.advance(0.1)
+    # Two upstreams with two requests a second each.
+    assert 6 <= len(gateway.pool.sent) - started <= 10
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
@@ -39,12 +39,14 @@
         self.waiting = {}
         self.check_call = None
 
-    def must_hold(self, relay):
+    def must_hold(self, relay, *, ahead=0):
         """Return whether a request has to be held now.
 
         Parameters
         ----------
         relay : Relay
+        ahead : int, optional
+            Number of requests that are held already.
 
         Returns
         -------
@@ -57,6 +59,7 @@
             relay.service,
             seconds_to_target=relay.target_at - now,
             seconds_left=relay.deadline - now,
+            ahead=ahead,
         )
 
     async def wait(self, relay):
@@ -66,7 +69,10 @@
         ----------
         relay : Relay
         """
-        if len(self.waiting) >= MAX_HELD_REQUESTS or not self.must_hold(relay):
+        ahead = len(self.waiting)
+        if ahead >= MAX_HELD_REQUESTS or not self.must_hold(
+            relay, ahead=ahead
+        ):
             return
         started = self.gateway.reactor.seconds()
         eliot.log_message(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -147,6 +147,7 @@
             excluded=self.tried,
             outcome=self.outcome,
             seconds_left=self.deadline - self.gateway.reactor.seconds(),
+            is_continued=self.is_resumed() or self.delivery.has_begun,
         )
 
     async def send(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -23,6 +23,9 @@
         Running and waiting requests and slots, at the time of the answer.
     is_leaving : bool
         True when the upstream states that it is shutting down.
+    rate_limit : float or None
+        Requests a second that the upstream accepts from all gateways
+        together; None while it names no limit.
     is_delimited : bool
         True when the head tells how the body ends; without, it ends with the
         connection.
@@ -37,6 +40,7 @@
         "is_ambiguous",
         "load",
         "is_leaving",
+        "rate_limit",
         "is_delimited",
         "headers",
     )
@@ -50,6 +54,7 @@
         is_ambiguous,
         load,
         is_leaving,
+        rate_limit,
         is_delimited,
         headers,
     ):
@@ -59,6 +64,7 @@
         self.is_ambiguous = is_ambiguous
         self.load = load
         self.is_leaving = is_leaving
+        self.rate_limit = rate_limit
         self.is_delimited = is_delimited
         self.headers = headers
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -9,6 +9,7 @@
 from ..crashes.notices import BlockNotice
 from ..crashes.notices import EndNotice
 from ..crashes.notices import SurvivalNotice
+from ..upstreams.rate_limit import LimitReport
 from .message import FleetMessage
 from .message import UpstreamLoad
 from .message import UpstreamTotal
@@ -58,6 +59,7 @@
             encoded.batch = load.batch
             encoded.isUnreachable = load.is_unreachable
             encoded.departure = load.departure
+            encode_limit(encoded, load.limit)
             if load.reported is not None:
                 encoded.isReported = True
                 encoded.running, encoded.waiting = load.reported
@@ -67,6 +69,7 @@
             encoded.upstream = total.upstream
             encoded.online = total.online
             encoded.batch = total.batch
+            encode_limit(encoded, total.limit)
     if message.items:
         wire.items = list(message.items)
     if message.live_workers:
@@ -109,6 +112,7 @@
                     reported=read_reported(load),
                     is_unreachable=load.isUnreachable,
                     departure=load.departure,
+                    limit=read_limit(load),
                 )
                 for load in wire.loads
             ],
@@ -136,7 +140,10 @@
     message.heartbeat_seconds = wire.beatMs / 1000
     message.totals = [
         UpstreamTotal(
-            upstream=total.upstream, online=total.online, batch=total.batch
+            upstream=total.upstream,
+            online=total.online,
+            batch=total.batch,
+            limit=read_limit(total),
         )
         for total in wire.totals
     ]
@@ -190,6 +197,28 @@
     ]
 
 
+def encode_limit(wire, report):
+    """Encode what an upstream has said of its rate limit."""
+    if report is None:
+        return
+    limit = wire.init("limit")
+    limit.ageMs = encode_age(report.age)
+    if report.per_second is not None:
+        limit.isSet = True
+        limit.perSecond = report.per_second
+
+
+def read_limit(wire):
+    """Return the LimitReport in a load or a total, None without one."""
+    if not wire._has("limit"):
+        return None
+    limit = wire.limit
+    return LimitReport(
+        per_second=limit.perSecond if limit.isSet else None,
+        age=limit.ageMs / 1000,
+    )
+
+
 def encode_age(seconds):
     """Return an age in whole milliseconds, up to about 49 days."""
     return min(MAX_AGE_MS, max(0, round(seconds * 1000)))
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -11,12 +11,20 @@
   waiting @5 :UInt16;     # requests in its queue
   isUnreachable @6 :Bool; # the sender has just failed to connect to it
   departure @7 :UInt64;   # incarnation that has just announced its shutdown
+  limit @8 :Limit;
 }
 
 struct Total {
   upstream @0 :UInt64;
   online @1 :UInt16;      # online requests in flight, sent by all gateways
   batch @2 :UInt16;       # batch items in flight, sent by all gateways
+  limit @3 :Limit;
+}
+
+struct Limit {            # of the requests that an upstream accepts
+  isSet @0 :Bool;         # false: it has ended its limit
+  perSecond @1 :Float64;
+  ageMs @2 :UInt32;       # since the answer that said so
 }
 
 struct End {
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
@@ -60,7 +60,11 @@
             keys = frozenset(peer.key for peer in recipients)
             recipients_by_keys[keys] = recipients
             loads.setdefault(keys, []).append(
-                build_load(upstream, include_report=True)
+                build_load(
+                    upstream,
+                    now=self.table.reactor.seconds(),
+                    include_report=True,
+                )
             )
         for keys, recipients in recipients_by_keys.items():
             message = self.table.build_message(
@@ -91,12 +95,13 @@
         )
 
 
-def build_load(upstream, *, include_report=False):
+def build_load(upstream, *, now, include_report=False):
     """Return the load of an upstream from this gateway.
 
     Parameters
     ----------
     upstream : Upstream
+    now : float
     include_report : bool, optional
         Include the load that the upstream last reported, its failed
         connection and its departure, unless they have been sent before, and
@@ -106,6 +111,7 @@
         upstream=upstream.entry.key,
         online=upstream.online,
         batch=upstream.batch,
+        limit=upstream.rate_limit.build_report(now=now),
     )
     if include_report:
         load.reported, upstream.unsent_report = upstream.unsent_report, None
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -20,6 +20,8 @@
     departure : int, optional
         Key of its incarnation when it has just announced its shutdown to the
         sender, else 0.
+    limit : LimitReport, optional
+        What it has last said of its rate limit.
     """
 
     __slots__ = (
@@ -29,6 +31,7 @@
         "reported",
         "is_unreachable",
         "departure",
+        "limit",
     )
 
     def __init__(
@@ -40,6 +43,7 @@
         reported=None,
         is_unreachable=False,
         departure=0,
+        limit=None,
     ):
         self.upstream = upstream
         self.online = online
@@ -47,6 +51,7 @@
         self.reported = reported
         self.is_unreachable = is_unreachable
         self.departure = departure
+        self.limit = limit
 
 
 class UpstreamTotal:
@@ -58,14 +63,17 @@
         Hash of its name.
     online, batch : int
         Online requests and batch items in flight.
+    limit : LimitReport, optional
+        What it has last said of its rate limit.
     """
 
-    __slots__ = ("upstream", "online", "batch")
+    __slots__ = ("upstream", "online", "batch", "limit")
 
-    def __init__(self, *, upstream, online, batch):
+    def __init__(self, *, upstream, online, batch, limit=None):
         self.upstream = upstream
         self.online = online
         self.batch = batch
+        self.limit = limit
 
 
 class FleetMessage:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -220,7 +220,10 @@
         """Send the load and state of this gateway."""
         heartbeat_seconds = self.get_heartbeat_interval()
         state = {
-            "loads": [build_load(upstream) for upstream in self.list_loads()],
+            "loads": [
+                build_load(upstream, now=self.reactor.seconds())
+                for upstream in self.list_loads()
+            ],
             "is_full": True,
             "wants_reply": wants_reply,
             "live_workers": self.list_live_worker_keys(),
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -6,14 +6,41 @@
 import pytest
 
 from hollyspan_core.errors import PeerMessageError
+from hollyspan_gateway.crashes import BlockNotice
+from hollyspan_gateway.crashes import EndNotice
+from hollyspan_gateway.crashes import SurvivalNotice
 from hollyspan_gateway.peers import decode_message
 from hollyspan_gateway.peers import encode_message
 from hollyspan_gateway.peers import FleetMessage
 from hollyspan_gateway.peers import UpstreamLoad
 from hollyspan_gateway.peers import UpstreamTotal
+from hollyspan_gateway.upstreams import LimitReport
 
 HASHES = st.integers(0, 2**64 - 1)
 COUNTS = st.integers(0, 2**16 - 1)
+AGES = st.integers(0, 2**32 - 1).map(lambda ms: ms / 1000)
+LIMITS = st.none() | st.builds(
+    LimitReport, per_second=st.none() | st.floats(0, 1e6), age=AGES
+)
+PARTS = st.lists(HASHES, max_size=3).map(tuple)
+NOTICES = {
+    "ends": st.lists(
+        st.builds(
+            EndNotice,
+            upstream=HASHES,
+            requests=st.lists(PARTS, max_size=3),
+            age=AGES,
+        ),
+        max_size=2,
+    ),
+    "survivals": st.lists(
+        st.builds(SurvivalNotice, parts=PARTS, age=AGES), max_size=2
+    ),
+    "blocks": st.lists(
+        st.builds(BlockNotice, parts=PARTS, age=AGES, failed_trials=COUNTS),
+        max_size=2,
+    ),
+}
 LOADS = st.builds(
     UpstreamLoad,
     upstream=HASHES,
@@ -22,8 +49,15 @@
     reported=st.none() | st.tuples(COUNTS, COUNTS),
     is_unreachable=st.booleans(),
     departure=HASHES,
+    limit=LIMITS,
+)
+TOTALS = st.builds(
+    UpstreamTotal,
+    upstream=HASHES,
+    online=COUNTS,
+    batch=COUNTS,
+    limit=LIMITS,
 )
-TOTALS = st.builds(UpstreamTotal, upstream=HASHES, online=COUNTS, batch=COUNTS)
 # Only full messages carry the state of the sender.
 CHANGES = st.builds(
     FleetMessage,
@@ -32,6 +66,7 @@
     sequence=HASHES,
     is_full=st.just(False),
     loads=st.lists(LOADS, max_size=4),
+    **NOTICES,
 )
 FULL_MESSAGES = st.builds(
     FleetMessage,
@@ -50,11 +85,21 @@
     live_workers=st.lists(HASHES, max_size=4),
     totals=st.lists(TOTALS, max_size=4),
     departures=st.lists(HASHES, max_size=4),
+    **NOTICES,
+)
+MESSAGE_TYPES = (
+    BlockNotice,
+    EndNotice,
+    FleetMessage,
+    LimitReport,
+    SurvivalNotice,
+    UpstreamLoad,
+    UpstreamTotal,
 )
 
 
 def describe(value):
-    if isinstance(value, (FleetMessage, UpstreamLoad, UpstreamTotal)):
+    if isinstance(value, MESSAGE_TYPES):
         return {
             name: describe(getattr(value, name)) for name in value.__slots__
         }
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
@@ -5,6 +5,8 @@
 from .directory import Directory
 from .directory import EXPIRY_GRACE_S
 from .placement import Placement
+from .rate_limit import LimitReport
+from .rate_limits import RateLimits
 from .upstream import Upstream
 from .upstream import UpstreamEntry
 
@@ -13,7 +15,9 @@
     "Departures",
     "Directory",
     "EXPIRY_GRACE_S",
+    "LimitReport",
     "Placement",
+    "RateLimits",
     "Upstream",
     "UpstreamEntry",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -97,6 +97,7 @@
     @contextlib.contextmanager
     def track(self, upstream):
         """Count a batch item as in flight at an upstream."""
+        upstream.rate_limit.spend(now=self.placement.reactor.seconds())
         upstream.batch += 1
         self.placement.on_change(upstream, is_batch_only=True)
         try:
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -118,6 +118,9 @@
             region = hash_parts(self.find_region(entry.data_centre))
             upstream = Upstream(entry=entry, region=region)
             upstream.has_departed = entry.incarnation_key in self.departures
+            if existing is not None:
+                # Reports about the earlier incarnation do not apply.
+                upstream.rate_limit.seen_at = self.reactor.seconds()
             self.upstreams[name] = upstream
             self.by_key[entry.key] = upstream
             log_change("upstream:listed", entry)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -10,10 +10,13 @@
 from hollyspan_policy.admission import decide_admission
 from hollyspan_policy.admission import must_hold
 from hollyspan_policy.hashing import hash_to_fraction
+from hollyspan_policy.rates import must_hold_for_rate
 from hollyspan_policy.routing import choose_fastest_upstream
 from hollyspan_policy.routing import estimate_wait
 from hollyspan_policy.routing import UpstreamView
 
+from .rate_limits import RateLimits
+
 __all__ = ["Placement"]
 
 # Mean time that an online request occupies a slot, assumed until the gateway
@@ -41,6 +44,13 @@
     on_change : callable
         Called with an Upstream whose counts have changed; `is_batch_only`
         is true if only the count of batch items has.
+    identifier : str
+    list_sharers : callable
+        See `RateLimits`.
+
+    Attributes
+    ----------
+    rate_limits : RateLimits
     """
 
     def __init__(
@@ -52,6 +62,8 @@
         find_region,
         has_current_remote_load,
         on_change,
+        identifier,
+        list_sharers,
     ):
         self.reactor = reactor
         self.directory = directory
@@ -61,8 +73,26 @@
         self.has_current_remote_load = has_current_remote_load
         self.on_change = on_change
         self.service_seconds = INITIAL_SERVICE_TIME_S
+        self.rate_limits = RateLimits(
+            reactor=reactor,
+            directory=directory,
+            identifier=identifier,
+            list_sharers=list_sharers,
+            on_change=lambda upstream: on_change(
+                upstream, is_batch_only=False
+            ),
+        )
 
-    def choose(self, service, *, key, excluded, outcome, seconds_left):
+    def choose(
+        self,
+        service,
+        *,
+        key,
+        excluded,
+        outcome,
+        seconds_left,
+        is_continued=False,
+    ):
         """Choose the upstream for an online request.
 
         Parameters
@@ -76,6 +106,9 @@
             Whether the request may have run.
         seconds_left : float
             Time until the request's deadline.
+        is_continued : bool, optional
+            True when its answer has begun; it may then be sent ahead of the
+            rate limits if all upstreams have one.
 
         Returns
         -------
@@ -87,6 +120,8 @@
             No upstream can accept the request now.
         """
         views = self.build_views(service)
+        if not views and is_continued:
+            views = self.build_views(service, is_continued=True)
         admission = decide_admission(
             views,
             service_seconds=self.service_seconds,
@@ -116,7 +151,7 @@
             )
         return self.directory.upstreams[view.name]
 
-    def must_hold(self, service, *, seconds_to_target, seconds_left):
+    def must_hold(self, service, *, seconds_to_target, seconds_left, ahead=0):
         """Return whether to hold a new request rather than queue it.
 
         Parameters
@@ -124,13 +159,24 @@
         service : str
         seconds_to_target, seconds_left : float
             See `hollyspan_policy.admission.must_hold`.
+        ahead : int, optional
+            Number of requests that are held already.
 
         Returns
         -------
         bool
         """
+        views = self.build_views(service)
+        if not views:
+            first_wait, rate = self.rate_limits.measure_wait(service)
+            return must_hold_for_rate(
+                first_wait=first_wait,
+                rate=rate,
+                ahead=ahead,
+                seconds_left=seconds_left,
+            )
         return must_hold(
-            self.build_views(service),
+            views,
             service_seconds=self.service_seconds,
             seconds_to_target=seconds_to_target,
             seconds_left=seconds_left,
@@ -175,6 +221,7 @@
             and not other.waiting
             and other.count_online() + other.hidden < other.entry.slots
             and other.suspect_until <= now
+            and other.rate_limit.may_send(now=now)
             for other in self.directory.list_usable(upstream.entry.service)
             if other.entry.name not in excluded
         )
@@ -209,10 +256,16 @@
         """Return whether a data centre is in this gateway's region."""
         return self.find_region(data_centre) == self.region
 
-    def build_views(self, service, *, include_suspects=True):
-        """Return the views of the upstreams of a service."""
+    def build_views(
+        self, service, *, include_suspects=True, is_continued=False
+    ):
+        """Return the views of the upstreams that a request may be sent to."""
         now = self.reactor.seconds()
-        upstreams = self.directory.list_usable(service)
+        upstreams = [
+            each
+            for each in self.directory.list_usable(service)
+            if each.rate_limit.may_send(now=now, is_continued=is_continued)
+        ]
         unsuspected = [each for each in upstreams if each.suspect_until <= now]
         if unsuspected or not include_suspects:
             upstreams = unsuspected
@@ -240,6 +293,7 @@
     def track_online(self, upstream):
         """Count an online request as in flight at an upstream."""
         started = self.reactor.seconds()
+        upstream.rate_limit.spend(now=started)
         upstream.online += 1
         self.on_change(upstream, is_batch_only=False)
         try:
@@ -256,6 +310,7 @@
         """Record what an answer tells of its upstream and end a back-off."""
         if reply.is_leaving:
             self.directory.note_departure(upstream)
+        self.rate_limits.note_answer(upstream, reply.rate_limit)
         if reply.load is not None:
             running, waiting, _ = reply.load
             upstream.record_report(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -5,6 +5,8 @@
 from hollyspan_policy.batch import SlotTurns
 from hollyspan_policy.hashing import hash_parts
 
+from .rate_limit import RateLimit
+
 __all__ = ["Upstream", "UpstreamEntry"]
 
 # Validity of an upstream's load report: the time after which most of the
@@ -125,6 +127,8 @@
         or at a peer.
     has_unsent_departure : bool
         True when this was not sent to peers yet.
+    rate_limit : RateLimit
+        Limit on the requests from all gateways, and this gateway's share.
     """
 
     __slots__ = (
@@ -149,6 +153,7 @@
         "has_unsent_failure",
         "has_departed",
         "has_unsent_departure",
+        "rate_limit",
     )
 
     def __init__(self, *, entry, region):
@@ -173,6 +178,7 @@
         self.has_unsent_failure = False
         self.has_departed = False
         self.has_unsent_departure = False
+        self.rate_limit = RateLimit()
 
     @property
     def accepts_work(self):
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -63,6 +63,7 @@
             is_ambiguous=status == 503 and b"not-run" not in values,
             load=load and tuple(int(part) for part in load.split(b",")),
             is_leaving=b"leaving" in values,
+            rate_limit=float(values[b"limit"]) if b"limit" in values else None,
             is_delimited=b"undelimited" not in values,
             headers=list(headers),
         )
--- a/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
@@ -67,6 +67,8 @@
                 len(fleet.gateways)
             ),
             on_change=self.handle_load_change,
+            identifier=name,
+            list_sharers=list,
         )
         self.batch_placement = BatchPlacement(
             placement=self.placement, gateway=name
