Save the limits of upstreams for waves, and give batch work a place of each

Each share may save the requests of two seconds, at most four gateways share a limit so that their bursts stay within it, and other upstreams are preferred by 0.04 s while a limited one saves. Batch work has one place of each limit and uses these upstreams first.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -98,6 +98,7 @@
             on_change=self.handle_load_change,
             identifier=build_identifier(hash_parts(settings.instance)),
             list_sharers=self.list_sharers,
+            has_batch_work=self.has_batch_work,
         )
         self.batch_placement = BatchPlacement(
             placement=self.placement,
@@ -370,6 +371,10 @@
             )
         return sharers
 
+    def has_batch_work(self, service):
+        """Return whether a batch route leads to a service."""
+        return self.routes is not None and self.routes.has_batch_work(service)
+
     def update_workers(self):
         """Read results again when items may have moved to other workers."""
         workers = frozenset(self.list_workers())
--- a/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
@@ -2,6 +2,8 @@
 
 from hollyspan_policy.hashing import hash_to_fraction
 
+from .route import RouteKind
+
 __all__ = ["RouteTable", "choose_service"]
 
 
@@ -40,6 +42,19 @@
             for route in prefixes.values()
         ]
 
+    def has_batch_work(self, service):
+        """Return whether a batch route leads to a service.
+
+        Parameters
+        ----------
+        service : str
+        """
+        return any(
+            route.kind is RouteKind.BATCH
+            and any(name == service for name, _ in route.services)
+            for route in self.list_routes()
+        )
+
     def find(self, host, path):
         """Return the route with the longest prefix of a path, or None.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -61,21 +61,33 @@
                 now=placement.reactor.seconds(),
             )
 
-        view = choose_batch_upstream(
-            placement.build_views(service, include_suspects=False),
-            data_centre=placement.data_centre,
-            is_same_region=placement.is_same_region,
-            has_current_remote_load=placement.has_current_remote_load(),
-            headroom_fraction=0.0 if is_urgent else BATCH_HEADROOM_SHARE,
-            count_startable=count_startable,
-            seed=key,
-        )
+        def choose(views, headroom_fraction):
+            return choose_batch_upstream(
+                views,
+                data_centre=placement.data_centre,
+                is_same_region=placement.is_same_region,
+                has_current_remote_load=placement.has_current_remote_load(),
+                headroom_fraction=headroom_fraction,
+                count_startable=count_startable,
+                seed=key,
+            )
+
+        views = placement.build_views(service, include_suspects=False)
+        # Online requests use few of the slots of a limited upstream.
+        view = choose(
+            [view for view in views if self.is_limited(view)], 0.0
+        ) or choose(views, 0.0 if is_urgent else BATCH_HEADROOM_SHARE)
         if view is None:
             return None
         upstream = placement.directory.upstreams[view.name]
         upstream.turns.record_start()
         return upstream
 
+    def is_limited(self, view):
+        """Return whether an upstream names a rate limit."""
+        upstream = self.placement.directory.upstreams[view.name]
+        return upstream.rate_limit.per_second is not None
+
     def count_excess(self, upstream):
         """Return how many items this gateway must preempt at an upstream."""
         batch = {
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -24,6 +24,9 @@
 INITIAL_SERVICE_TIME_S = 0.7
 # Weight of one measured service time in the exponential moving average.
 SERVICE_TIME_WEIGHT = 0.05
+# Delay that is accepted at other upstreams while a limited one saves requests
+# for the next wave: more than between regions, less than that of a preemption.
+RESERVE_COST_S = 0.04
 # Mean retry-after time of rejected clients: about the time that one online
 # request occupies a slot.
 RETRY_AFTER_S = 0.6
@@ -45,7 +48,7 @@
         Called with an Upstream whose counts have changed; `is_batch_only`
         is true if only the count of batch items has.
     identifier : str
-    list_sharers : callable
+    list_sharers, has_batch_work : callable
         See `RateLimits`.
 
     Attributes
@@ -64,6 +67,7 @@
         on_change,
         identifier,
         list_sharers,
+        has_batch_work,
     ):
         self.reactor = reactor
         self.directory = directory
@@ -78,6 +82,7 @@
             directory=directory,
             identifier=identifier,
             list_sharers=list_sharers,
+            has_batch_work=has_batch_work,
             on_change=lambda upstream: on_change(
                 upstream, is_batch_only=False
             ),
@@ -287,6 +292,9 @@
             batch=batch,
             waiting=upstream.waiting if has_recent_report else 0,
             hidden=upstream.hidden if has_recent_report else 0,
+            reserve_cost=(
+                RESERVE_COST_S if upstream.rate_limit.is_saving(now=now) else 0
+            ),
         )
 
     @contextlib.contextmanager
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/rate_limit.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/rate_limit.py
@@ -84,6 +84,10 @@
             now=now, is_continued=is_continued
         )
 
+    def is_saving(self, *, now):
+        """Return whether requests that are not sent now are saved."""
+        return self.bucket is not None and not self.bucket.is_full(now=now)
+
     def spend(self, *, now):
         """Count a request that this gateway sends."""
         if self.bucket is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/rate_limits.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/rate_limits.py
@@ -26,6 +26,8 @@
     list_sharers : callable
         Returns the live gateways that are not shutting down, a list of
         RateSharer.
+    has_batch_work : callable
+        Returns whether a service has batch work.
     on_change : callable
         Called with an Upstream whose limit has changed in an answer.
 
@@ -41,17 +43,26 @@
         "directory",
         "identifier",
         "list_sharers",
+        "has_batch_work",
         "on_change",
         "update_call",
     )
 
     def __init__(
-        self, *, reactor, directory, identifier, list_sharers, on_change
+        self,
+        *,
+        reactor,
+        directory,
+        identifier,
+        list_sharers,
+        has_batch_work,
+        on_change,
     ):
         self.reactor = reactor
         self.directory = directory
         self.identifier = identifier
         self.list_sharers = list_sharers
+        self.has_batch_work = has_batch_work
         self.on_change = on_change
         self.update_call = None
 
@@ -96,12 +107,9 @@
         """Compute the shares from the limits and the live gateways."""
         self.update_call = None
         limited = {}
-        unlimited = set()
         for upstream in self.directory.upstreams.values():
             if upstream.rate_limit.per_second is not None:
                 limited.setdefault(upstream.entry.service, []).append(upstream)
-            elif upstream.accepts_work:
-                unlimited.add(upstream.entry.service)
         if not limited:
             return
         sharers = self.list_sharers()
@@ -117,7 +125,7 @@
                     for upstream in upstreams
                 ],
                 sharers=sharers,
-                is_batch_included=service not in unlimited,
+                is_batch_included=self.has_batch_work(service),
             )
             for upstream in upstreams:
                 share = shares[upstream.entry.name].get(self.identifier, 0.0)
--- a/packages/hollyspan_policy/hollyspan_policy/rates/bucket.py
+++ b/packages/hollyspan_policy/hollyspan_policy/rates/bucket.py
@@ -4,9 +4,9 @@
 
 __all__ = ["RateBucket"]
 
-# Requests that may be sent at once after a pause. With the debt of all daemons
-# that share a limit, this is about as many as it allows in two seconds.
-CAPACITY = 1.0
+# Time whose requests may be sent at once after a pause, at least one request:
+# the limits of some upstreams last through a wave of online requests.
+BURST_S = 2.0
 # Requests that may be sent ahead of the rate when answers that have begun must
 # go on.
 MAX_DEBT = 1.0
@@ -38,9 +38,19 @@
     def refill(self, *, now):
         """Add the tokens of the time that has passed."""
         elapsed = max(0.0, now - self.updated_at)
-        self.tokens = min(CAPACITY, self.tokens + elapsed * self.rate)
+        self.tokens = min(self.capacity, self.tokens + elapsed * self.rate)
         self.updated_at = now
 
+    @property
+    def capacity(self):
+        """Most requests that may be sent at once."""
+        return max(1.0, BURST_S * self.rate)
+
+    def is_full(self, *, now):
+        """Return whether a request that is not sent now is lost."""
+        self.refill(now=now)
+        return self.tokens >= self.capacity
+
     def set_rate(self, rate, *, now):
         """Set another rate from now on."""
         self.refill(now=now)
--- a/packages/hollyspan_policy/hollyspan_policy/rates/share.py
+++ b/packages/hollyspan_policy/hollyspan_policy/rates/share.py
@@ -7,6 +7,11 @@
 __all__ = ["LimitedUpstream", "RateSharer", "divide_rate_limits"]
 
 
+# Most daemons that share a limit. Each may send one request at once after a
+# pause and one ahead of its share.
+MAX_PLACES = 4
+
+
 class LimitedUpstream:
     """An upstream that accepts a limited rate of requests.
 
@@ -53,9 +58,8 @@
     sharers : list of RateSharer
         The live daemons that are not shutting down.
     is_batch_included : bool, optional
-        Whether batch work has a share, for services all of whose upstreams
-        are limited. Else only daemons that run none share the limits, unless
-        there are no others.
+        Whether the service has batch work. Else only daemons that run none
+        share the limits, unless there are no others.
 
     Returns
     -------
@@ -69,10 +73,13 @@
     three requests a second. Equal shares of all daemons would let each send
     once in minutes, whatever its load, and every burst of one request by each
     would exceed the limit many times. A limit is therefore divided among a
-    few daemons: one for each request a second, and one more, in the upstream's
-    region if there are enough. The places of all upstreams are dealt out in
-    turn to the daemons in the order of their hashes, so that each daemon has
-    about as many. All daemons compute the same shares without messages.
+    few daemons: one for each request a second and one more, four at most, in
+    the upstream's region if there are enough. The places of all upstreams are
+    dealt out in turn to the daemons in the order of their hashes, so that each
+    daemon has about as many. All daemons compute the same shares without
+    messages. One place of each upstream, or all places of each fourth where
+    there is only one, go to batch work: its long runs use the slots that such
+    an upstream has left over with the fewest requests.
 
     Examples
     --------
@@ -85,14 +92,18 @@
     online = sort_sharers(each for each in sharers if not each.runs_batch)
     turns = {}
     shares = {}
-    for upstream in sorted(upstreams, key=lambda each: each.name):
-        places = 1 + math.floor(upstream.per_second)
-        shares[upstream.name] = found = {}
-        if not online or not (is_batch_included and batch and places > 1):
-            deal(found, upstream, online or batch, turns, places, 1.0)
-            continue
-        deal(found, upstream, batch, turns, 1, 1 / places)
-        deal(found, upstream, online, turns, places - 1, 1 - 1 / places)
+    if not online or not is_batch_included:
+        online, batch = online or batch, []
+    upstreams = sorted(upstreams, key=lambda each: each.name)
+    for number, upstream in enumerate(upstreams):
+        places = min(MAX_PLACES, 1 + math.floor(upstream.per_second))
+        batch_places = 1 if batch else 0
+        if places == 1 and number % MAX_PLACES:
+            batch_places = 0
+        shares[upstream.name] = {
+            **deal(upstream, batch, turns, batch_places, places),
+            **deal(upstream, online, turns, places - batch_places, places),
+        }
     return shares
 
 
@@ -102,18 +113,20 @@
     )
 
 
-def deal(found, upstream, sharers, turns, places, fraction):
-    """Give a fraction of a limit to the daemons whose turn it is."""
+def deal(upstream, sharers, turns, places, all_places):
+    """Give some of the places of a limit to the daemons whose turn it is."""
     near = [each for each in sharers if each.region == upstream.region]
     region = None
     if len(near) >= places:
         sharers, region = near, upstream.region
-    if not sharers:
-        return
+    if not sharers or not places:
+        return {}
+    share = upstream.per_second * places / all_places
     places = min(places, len(sharers))
     key = region, sharers[0].runs_batch
     first = turns.get(key, 0)
     turns[key] = first + places
-    for turn in range(first, first + places):
-        identifier = sharers[turn % len(sharers)].identifier
-        found[identifier] = upstream.per_second * fraction / places
+    return {
+        sharers[turn % len(sharers)].identifier: share / places
+        for turn in range(first, first + places)
+    }
--- a/packages/hollyspan_policy/hollyspan_policy/routing/proximity.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/proximity.py
@@ -64,6 +64,7 @@
                 if has_current_remote_load
                 else OTHER_REGION_COST_S + STALE_LOAD_COST_S
             )
+    start += view.reserve_cost
     return start + COST_PER_STREAM_S * (view.online + view.batch)
 
 
--- a/packages/hollyspan_policy/hollyspan_policy/routing/view.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/view.py
@@ -27,6 +27,9 @@
         owner of the upstream would preempt them.
     serving : bool
         False when the upstream is leaving or unreachable.
+    reserve_cost : float
+        Delay in seconds that is accepted elsewhere to keep this upstream in
+        reserve.
     """
 
     __slots__ = (
@@ -40,6 +43,7 @@
         "hidden",
         "batch_yields",
         "serving",
+        "reserve_cost",
     )
 
     def __init__(
@@ -55,6 +59,7 @@
         hidden=0,
         batch_yields=True,
         serving=True,
+        reserve_cost=0.0,
     ):
         self.name = name
         self.data_centre = data_centre
@@ -66,3 +71,4 @@
         self.hidden = hidden
         self.batch_yields = batch_yields
         self.serving = serving
+        self.reserve_cost = reserve_cost
--- a/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
@@ -69,6 +69,7 @@
             on_change=self.handle_load_change,
             identifier=name,
             list_sharers=list,
+            has_batch_work=lambda service: True,
         )
         self.batch_placement = BatchPlacement(
             placement=self.placement, gateway=name
