Take no load and no limit from the answer of another upstream

An address that a new upstream has taken over answers 421 with the headers of that upstream. Its load was recorded for the one that the request was meant for, and its rate limit, or the lack of one, would be. The test fails without the check.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -16,6 +16,9 @@
     has_not_run : bool
         True when the upstream states that it has not run the request and
         will not.
+    is_misdirected : bool
+        True when another upstream answered, at the address that it has taken
+        over.
     is_ambiguous : bool
         True for a status that implies that the request has not run, from an
         upstream that does not state so; it must not be forwarded.
@@ -37,6 +40,7 @@
         "status",
         "identifier",
         "has_not_run",
+        "is_misdirected",
         "is_ambiguous",
         "load",
         "is_leaving",
@@ -51,6 +55,7 @@
         status,
         identifier,
         has_not_run,
+        is_misdirected,
         is_ambiguous,
         load,
         is_leaving,
@@ -61,6 +66,7 @@
         self.status = status
         self.identifier = identifier
         self.has_not_run = has_not_run
+        self.is_misdirected = is_misdirected
         self.is_ambiguous = is_ambiguous
         self.load = load
         self.is_leaving = is_leaving
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -316,6 +316,8 @@
 
     def note_reply(self, upstream, reply):
         """Record what an answer tells of its upstream and end a back-off."""
+        if reply.is_misdirected:
+            return
         if reply.is_leaving:
             self.directory.note_departure(upstream)
         self.rate_limits.note_answer(upstream, reply.rate_limit)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -102,3 +102,15 @@
     assert gateway.batch_placement.count_excess(upstream) == 0
     upstream.record_report(8, 3, now=reactor.seconds())
     assert gateway.batch_placement.count_excess(upstream) == 2
+
+
+def test_an_answer_of_another_upstream_tells_nothing(gateway, reactor):
+    upstream = gateway.directory.upstreams["u1"]
+    gateway.placement.rate_limits.note_answer(upstream, 2.0)
+    reactor.advance(0.1)
+    reply = gateway.dialect.decode_reply(
+        421, [(b"limit", b"9"), (b"load", b"8,4,8"), (b"not-run", b"1")]
+    )
+    gateway.placement.note_reply(upstream, reply)
+    assert upstream.rate_limit.per_second == 2.0
+    assert upstream.waiting == 0
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -60,6 +60,7 @@
             status=status,
             identifier=identifier and identifier.decode(),
             has_not_run=b"not-run" in values,
+            is_misdirected=status == 421,
             is_ambiguous=status == 503 and b"not-run" not in values,
             load=load and tuple(int(part) for part in load.split(b",")),
             is_leaving=b"leaving" in values,
