--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -1,20 +1,25 @@
 """Tests of the placement of requests and items by load."""
 
 import contextlib
+import types
 
 import pytest
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import OverloadedError
+from hollyspan_gateway.peers import FleetMessage
+from hollyspan_gateway.peers import UpstreamTotal
+from hollyspan_gateway.upstreams import LimitReport
 
 
-def choose(gateway, key="q"):
+def choose(gateway, key="q", **options):
     return gateway.placement.choose(
         "m",
         key=key,
         excluded=(),
         outcome=Outcome.NOT_RUN,
         seconds_left=5.0,
+        **options,
     )
 
 
@@ -114,3 +119,57 @@
     gateway.placement.note_reply(upstream, reply)
     assert upstream.rate_limit.per_second == 2.0
     assert upstream.waiting == 0
+
+
+@pytest.fixture
+def limited(gateway, reactor):
+    """A gateway whose upstreams both name limits, with nothing left."""
+    for upstream in gateway.directory.upstreams.values():
+        gateway.placement.rate_limits.note_answer(upstream, 2.0)
+    reactor.advance(0.1)
+    return gateway
+
+
+def test_nothing_is_sent_before_the_shares_are_computed(gateway):
+    upstream = gateway.directory.upstreams["u1"]
+    gateway.placement.rate_limits.note_answer(upstream, 2.0)
+    assert choose(gateway) is not upstream
+    assert not upstream.rate_limit.may_send(now=gateway.reactor.seconds() + 9)
+
+
+def test_only_answers_that_have_begun_are_sent_ahead_of_the_limits(limited):
+    with pytest.raises(OverloadedError):
+        choose(limited)
+    upstream = choose(limited, is_continued=True)
+    with limited.placement.track_online(upstream):
+        assert choose(limited, is_continued=True) is not upstream
+
+
+def test_an_upstream_without_requests_left_is_no_alternative(limited, reactor):
+    first, second = limited.directory.upstreams.values()
+    second.record_report(1, 0, now=reactor.seconds())
+    assert not limited.placement.has_free_alternative(first, excluded=())
+    reactor.advance(0.6)
+    second.record_report(1, 0, now=reactor.seconds())
+    assert limited.placement.has_free_alternative(first, excluded=())
+
+
+def test_a_limit_of_another_region_comes_with_its_totals(gateway, reactor):
+    report = LimitReport(per_second=3.0, age=0.5)
+    upstream = gateway.directory.upstreams["u1"]
+    message = FleetMessage(
+        sender=1,
+        incarnation=2,
+        sequence=3,
+        is_full=True,
+        loads=[],
+        totals=[
+            UpstreamTotal(
+                upstream=upstream.entry.key, online=1, batch=0, limit=report
+            )
+        ],
+    )
+    change = types.SimpleNamespace(upstreams=())
+    gateway.apply_message(None, message, change)
+    assert upstream.rate_limit.per_second == 3.0
+    assert upstream.rate_limit.seen_at == reactor.seconds() - 0.5
--- a/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_proximity.py
+++ b/packages/hollyspan_policy/hollyspan_policy/routing/tests/test_proximity.py
@@ -73,3 +73,9 @@
     # A remote free slot is still preferred to a queue in the same region.
     local = build_view("n", online=9)
     assert choose([local, remote], has_current_remote_load=False) == "f"
+
+
+def test_an_upstream_in_reserve_is_chosen_rather_than_a_queue():
+    reserve = build_view("n", reserve_cost=0.04)
+    assert choose([reserve, build_view("f", "b")]) == "f"
+    assert choose([reserve, build_view("f", "b", online=9)]) == "n"
