Remove the record of a refuted block once, count blocks in the metrics

Each gateway that heard of the survival removed the record: a call of the store by each daemon of the fleet. The gateway that sees the survival removes it. The test counts the writes and fails with the removal at each gateway.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -182,20 +182,24 @@
         if not parts:
             return
         now = self.gateway.reactor.seconds()
-        if self.apply_survival(parts, at=now):
+        refuted = self.apply_survival(parts, at=now)
+        if refuted:
             self.news.tell_survival(parts, at=now)
+        for block in refuted:
+            # The others read the removal.
+            self.records.remove(block)
 
     def apply_survival(self, parts, *, at):
-        """Withdraw what a survival contradicts.
+        """Withdraw what a survival, here or at a peer, contradicts.
 
         Returns
         -------
-        bool
-            True when a block was withdrawn.
+        list of PartBlock
+            The blocks that were withdrawn.
         """
         self.evidence.note_survival(parts, at=at)
         if not self.blocks:
-            return False
+            return []
         refuted = [
             block
             for block in self.blocks.values()
@@ -203,10 +207,9 @@
         ]
         for block in refuted:
             self.remove_block(block, reason="survived")
-            self.records.remove(block)
         for block in list(self.blocks.values()):
             self.narrow(block)
-        return bool(refuted)
+        return refuted
 
     def apply_removal(self, block):
         """Withdraw a block whose record was removed from the store."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -134,6 +134,7 @@
     add("configuration_version", lambda: gateway.configuration_version or 0)
     add("peers_live", lambda: len(gateway.peers.list_live()))
     add("upstreams", lambda: len(gateway.directory.upstreams))
+    add("parts_blocked", lambda: len(gateway.guard.blocks))
     add("connections_opened", lambda: gateway.pool.opened)
     for name, mirror in gateway.mirrors.items():
         add(f"{name}_connected", lambda m=mirror: int(m.is_connected))
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -274,3 +274,16 @@
     wire.change({}, removed=keys)
     blocked_fleet.advance(5.0)
     assert not any(gateway.guard.blocks for gateway in blocked_fleet.gateways)
+
+
+def test_one_gateway_removes_the_record_of_a_refuted_block(
+    blocked_fleet, wire
+):
+    blocked_fleet.fatal_parts.clear()
+    commits = wire.calls.count("commit")
+    blocked_fleet.advance(31.0)
+    for gateway in blocked_fleet.gateways:
+        blocked_fleet.request("n", (FATAL,), gateway=gateway)
+    blocked_fleet.advance(2.0)
+    assert not any(gateway.guard.blocks for gateway in blocked_fleet.gateways)
+    assert wire.calls.count("commit") == commits + 1
