Divide the same limits at all gateways after changes of upstreams and restarts

The places of all limited upstreams of a service are dealt out in turn, so that gateways must know the same limited upstreams. The list of upstreams now leads to new shares, and in a small fleet full messages name all limits. A gauge counts limited upstreams. The test fails without either.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -239,6 +239,7 @@
                 self.apply_upstreams,
                 mirror,
             )
+        self.placement.rate_limits.schedule_update()
         if self.worker is not None:
             self.worker.schedule(0.0)
 
@@ -271,11 +272,18 @@
         }
 
     def list_loads(self):
-        """Return the upstreams with work of this gateway in flight."""
+        """Return the upstreams that full messages tell of.
+
+        These are the ones with work of this gateway in flight and, in a small
+        fleet, the limited ones, so that all gateways divide the same limits.
+        """
+        tells_limits = self.peers.broadcasts_load()
         return [
             upstream
             for upstream in self.directory.upstreams.values()
-            if upstream.online or upstream.batch
+            if upstream.online
+            or upstream.batch
+            or (tells_limits and upstream.rate_limit.per_second is not None)
         ]
 
     def list_totals(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -134,6 +134,7 @@
     add("configuration_version", lambda: gateway.configuration_version or 0)
     add("peers_live", lambda: len(gateway.peers.list_live()))
     add("upstreams", lambda: len(gateway.directory.upstreams))
+    add("upstreams_limited", lambda: count_limited(gateway))
     add("parts_blocked", lambda: len(gateway.guard.blocks))
     add("connections_opened", lambda: gateway.pool.opened)
     for name, mirror in gateway.mirrors.items():
@@ -141,6 +142,14 @@
         add(f"{name}_revision", lambda m=mirror: m.revision)
 
 
+def count_limited(gateway):
+    """Return the number of upstreams that name a rate limit."""
+    return sum(
+        upstream.rate_limit.per_second is not None
+        for upstream in gateway.directory.upstreams.values()
+    )
+
+
 def read_peak_memory():
     """Return the peak resident memory of the process in bytes."""
     usage = process_resource.getrusage(process_resource.RUSAGE_SELF)
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_rate_limits.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_rate_limits.py
@@ -1,5 +1,7 @@
 """Tests with upstreams that name the rate of requests that they accept."""
 
+import types
+
 import pytest
 
 from hollyspan_standins.memory import MemoryFleet
@@ -210,3 +212,39 @@
     report.age += 0.5
     gateway.placement.rate_limits.apply_report(upstream, report)
     assert upstream.rate_limit.per_second is None
+
+
+def find_shares(fleet):
+    """Return the sums of all gateways' shares by upstream."""
+    shares = {}
+    for gateway in fleet.gateways:
+        for name, upstream in gateway.directory.upstreams.items():
+            bucket = upstream.rate_limit.bucket
+            if bucket is not None:
+                shares[name] = shares.get(name, 0.0) + bucket.rate
+    return shares
+
+
+def test_the_shares_make_up_the_limits_after_each_change(fleet):
+    run_load(fleet, 3.0)
+    expected = {name: LIMIT for name in ("u1", "u2", "u3", "u4")}
+    assert find_shares(fleet) == pytest.approx(expected)
+    fleet.restart_gateway(2)
+    # The requests in flight end as well.
+    fleet.advance(6.0)
+    assert find_shares(fleet) == pytest.approx(expected)
+    for gateway in fleet.gateways:
+        mirror = gateway.upstreams_mirror
+        mirror.entries = {
+            f"upstreams/{name}": types.SimpleNamespace(key=f"upstreams/{name}")
+            for name in fleet.upstreams
+            if name != "u1"
+        }
+        gateway.apply_upstreams(mirror)
+    del expected["u1"]
+    fleet.advance(0.5)
+    assert find_shares(fleet) == pytest.approx(expected)
+    # Nothing is in flight that would tell it the limits.
+    fleet.restart_gateway(3)
+    fleet.advance(1.0)
+    assert find_shares(fleet) == pytest.approx(expected)
