Cut off answers of upstreams that do not end

An upstream in trouble may send bytes without end. A stream was bounded by its events and a head by the parser, but an answer that is sent as a whole, also one with an error status, was collected until the deadline, and an item's run that received comments or an error page without end never ended. Both are cut off after 4 MB.

--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
@@ -175,3 +175,14 @@
         HEAD + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
     )
     assert not opened.is_usable()
+
+
+def test_a_head_without_end_is_a_failure(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange())
+    opened.dataReceived(HEAD)
+    for _ in range(64):
+        if not opened.transport.is_aborted:
+            opened.dataReceived(b"x" * 1024)
+    assert opened.transport.is_aborted
+    assert [each.code for each in answer.failures] == ["stream_malformed"]
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -21,6 +21,9 @@
 # A run that receives no byte for this long is abandoned and the item started
 # again: forty times the usual time between two events.
 STALL_TIMEOUT_S = 1.0
+# Limit on the bytes of a run, far above the output of an item; an upstream in
+# trouble may send bytes without end.
+MAX_RUN_BYTES = 4 * 1024 * 1024
 # HTTP statuses of an upstream: the item can never succeed; this run failed.
 UNPROCESSABLE_STATUS = 422
 FAILED_STATUS = 500
@@ -61,6 +64,7 @@
         "started",
         "initial_event_count",
         "exposure",
+        "received_bytes",
     )
 
     def __init__(self, *, gateway, state, upstream, host, max_failures):
@@ -76,6 +80,7 @@
         self.started = gateway.reactor.seconds()
         self.initial_event_count = len(state.event_data)
         self.exposure = None
+        self.received_bytes = 0
 
     def start(self):
         """Start the run.
@@ -158,6 +163,11 @@
 
     def handle_data(self, data):
         self.gateway.guard.note_data(self.exposure)
+        self.received_bytes += len(data)
+        if self.received_bytes > MAX_RUN_BYTES:
+            raise StreamMalformedError(
+                f"an answer exceeds {MAX_RUN_BYTES} bytes"
+            )
         if self.reply.is_success:
             self.parser.feed(data)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -442,3 +442,18 @@
             connection.exchange.on_data(b": comment\n\n")
     # Two upstreams with two requests a second each.
     assert 4 <= len(gateway.pool.sent) - started <= 6
+
+
+@pytest.mark.parametrize("status", (200, 500))
+def test_a_run_whose_answer_does_not_end_is_cut_off(
+    build_worker, submit, reactor, status
+):
+    gateway = build_worker()
+    submit(1)
+    connection = gateway.pool.last
+    connection.answer(status, is_complete=False)
+    for _ in range(20):
+        if not connection.is_cancelled:
+            connection.exchange.on_data(b": comment\n\n" * 100_000)
+    assert connection.is_cancelled
+    assert list_results(gateway.store.wire) == {}
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/delivery.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/delivery.py
@@ -1,9 +1,15 @@
 """Delivery of an answer to a client."""
 
+from hollyspan_core.errors import StreamMalformedError
+
 from .events import EventSplitter
 
 __all__ = ["Delivery"]
 
+# Limit on an answer that is sent as a whole, far above the answers of plain
+# services; an upstream in trouble may send bytes without end.
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+
 
 class Delivery:
     """Forwards an answer to the client and times it.
@@ -29,6 +35,7 @@
         "clock",
         "splitter",
         "parts",
+        "buffered_bytes",
         "first_event",
         "last_forwarded_at",
         "longest_pause",
@@ -39,6 +46,7 @@
         self.clock = clock
         self.splitter = EventSplitter(last_id=resume_after)
         self.parts = []
+        self.buffered_bytes = 0
         self.first_event = None
         self.last_forwarded_at = None
         self.longest_pause = 0.0
@@ -61,11 +69,24 @@
     def discard_unsent(self):
         """Discard received data that was not sent to the client."""
         self.parts = []
+        self.buffered_bytes = 0
         self.splitter.remainder = b""
 
     def buffer(self, data):
-        """Buffer a part of an answer that is sent as a whole."""
+        """Buffer a part of an answer that is sent as a whole.
+
+        Raises
+        ------
+        StreamMalformedError
+            The answer is too large.
+        """
         self.parts.append(data)
+        self.buffered_bytes += len(data)
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+            self.discard_unsent()
+            raise StreamMalformedError(
+                f"an answer exceeds {MAX_BUFFERED_BYTES} bytes"
+            )
 
     def forward_events(self, data, reply):
         """Forward the events that are complete.
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -311,3 +311,30 @@
     relay = start()
     assert len(gateway.pool.sent) == sent
     assert find_error(relay).outcome is Outcome.NOT_RUN
+
+
+MEGABYTE = 1024 * 1024
+
+
+@pytest.mark.parametrize("status", (200, 500))
+def test_an_answer_without_end_is_cut_off(start, gateway, status):
+    relay = start(kind=RouteKind.ONCE, is_resumable=False)
+    connection = gateway.pool.last
+    connection.answer(status, is_complete=False)
+    for _ in range(20):
+        if connection.is_cancelled:
+            break
+        connection.exchange.on_data(b"x" * MEGABYTE)
+    assert connection.is_cancelled
+    assert find_error(relay).outcome is Outcome.UNKNOWN
+    assert relay.delivery.parts == []
+
+
+def test_a_stream_without_end_of_an_event_is_cut_off(start, gateway):
+    start(max_attempts=1)
+    connection = gateway.pool.last
+    connection.answer(200, is_complete=False)
+    for _ in range(3):
+        if not connection.is_cancelled:
+            connection.exchange.on_data(b"x" * MEGABYTE)
+    assert connection.is_cancelled
