--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -0,0 +1,130 @@
+"""Blocked parts of prompts and the trials of these blocks."""
+
+import eliot
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import PromptPartBlockedError
+from hollyspan_policy.crashes import PartBlock
+
+from .records import build_key
+
+__all__ = ["BlockList", "describe_block"]
+
+# Shortest time between two checks whether a block is owned here, which take
+# time for each gateway of the fleet.
+OWNER_CHECK_INTERVAL_S = 0.5
+# Limit on the memory; the oldest block is forgotten.
+MAX_BLOCKS = 64
+# Shortest retry-after time of a refused request.
+MIN_RETRY_AFTER_S = 1.0
+
+
+class BlockList:
+    """Blocks in force at one gateway.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    is_owner : callable
+        Called with a block's key, returns whether its trials are made here.
+    on_block : callable
+        Called with each new PartBlock.
+
+    Attributes
+    ----------
+    blocks : dict
+        PartBlock by its parts, the oldest first.
+    """
+
+    __slots__ = ("reactor", "is_owner", "on_block", "blocks")
+
+    def __init__(self, *, reactor, is_owner, on_block):
+        self.reactor = reactor
+        self.is_owner = is_owner
+        self.on_block = on_block
+        self.blocks = {}
+
+    def find(self, parts):
+        """Return the block that a prompt falls under, or None."""
+        for block in self.blocks.values():
+            if block.parts.issubset(parts):
+                return block
+        return None
+
+    def may_send(self, parts):
+        """Return whether a prompt may be sent to an upstream now."""
+        if not self.blocks:
+            return True
+        block = self.find(parts)
+        return block is None or self.may_try(block)
+
+    def may_try(self, block):
+        """Return whether a request may be let through as a trial here."""
+        now = self.reactor.seconds()
+        if block.is_tried or now < block.trial_at:
+            return False
+        if now >= block.next_check_at:
+            block.next_check_at = now + OWNER_CHECK_INTERVAL_S
+            block.is_owned = self.is_owner(build_key(block.parts))
+        return block.is_owned
+
+    def require_allowed(self, parts, *, outcome):
+        """Raise PromptPartBlockedError for a prompt that may not be sent."""
+        if not self.may_send(parts):
+            raise self.build_error(self.find(parts), outcome=outcome)
+
+    def build_error(self, block, *, outcome=Outcome.UNKNOWN):
+        """Return the error of a request that falls under a block."""
+        remaining = block.trial_at - self.reactor.seconds()
+        return PromptPartBlockedError(
+            "upstreams have ended as they answered prompts with this part",
+            outcome=outcome,
+            retry_after=max(MIN_RETRY_AFTER_S, remaining),
+        )
+
+    def add(self, parts, *, at, failed_trials=0):
+        """Block parts.
+
+        Parameters
+        ----------
+        parts : frozenset of int
+        at : float
+            Time of the decision or of the last failed trial.
+        failed_trials : int, optional
+
+        Returns
+        -------
+        PartBlock
+            An earlier one if that blocks the same prompts.
+        """
+        block = self.find(parts)
+        if block is not None:
+            if block.parts == parts:
+                block.at = max(block.at, at)
+                block.failed_trials = max(block.failed_trials, failed_trials)
+            return block
+        for wider in list(self.blocks.values()):
+            if parts < wider.parts:
+                self.remove(wider, reason="narrowed")
+        block = PartBlock(parts=parts, at=at, failed_trials=failed_trials)
+        self.blocks[parts] = block
+        eliot.log_message("part:blocked", **describe_block(block))
+        if len(self.blocks) > MAX_BLOCKS:
+            self.remove(next(iter(self.blocks.values())), reason="too many")
+        self.on_block(block)
+        return block
+
+    def remove(self, block, *, reason):
+        """Let the prompts with these parts through again."""
+        if self.blocks.pop(block.parts, None) is not None:
+            eliot.log_message(
+                "part:unblocked", reason=reason, **describe_block(block)
+            )
+
+
+def describe_block(block):
+    """Return the fields of a block for a log line."""
+    return {
+        "parts": [f"{part:016x}" for part in sorted(block.parts)],
+        "failed_trials": block.failed_trials,
+    }
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -5,21 +5,19 @@
 
 import eliot
 
-from hollyspan_core.errors import Outcome
-from hollyspan_core.errors import PromptPartBlockedError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamStalledError
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import list_implicated_parts
 from hollyspan_policy.crashes import narrow_block
-from hollyspan_policy.crashes import PartBlock
 
+from .block_list import BlockList
+from .block_list import describe_block
 from .detector import EndDetector
 from .exposure import Exposure
 from .news import CrashNews
 from .records import BlockRecords
-from .records import build_key
 
 __all__ = ["PartGuard"]
 
@@ -28,13 +26,6 @@
 # answer, so that few gateways give it.
 DECISION_DELAY_S = 0.2
 MAX_SURVIVAL_DELAY_S = 0.1
-# Shortest time between two checks whether a block is owned here, which take
-# time for each gateway of the fleet.
-OWNER_CHECK_INTERVAL_S = 0.5
-# Limit on the memory; the oldest block is forgotten.
-MAX_BLOCKS = 64
-# Shortest retry-after time of a refused request.
-MIN_RETRY_AFTER_S = 1.0
 
 
 class PartGuard:
@@ -48,8 +39,7 @@
     ----------
     evidence : CrashEvidence
         From all gateways.
-    blocks : dict
-        PartBlock by its parts, the oldest first.
+    block_list : BlockList
     exposures : set of Exposure
         All requests and items in flight from this gateway.
 
@@ -65,11 +55,11 @@
     __slots__ = (
         "gateway",
         "evidence",
-        "blocks",
         "exposures",
         "detector",
         "news",
         "records",
+        "block_list",
         "decision_call",
         "survival_call",
     )
@@ -77,58 +67,22 @@
     def __init__(self, *, gateway):
         self.gateway = gateway
         self.evidence = CrashEvidence()
-        self.blocks = {}
         self.exposures = set()
         self.detector = EndDetector(gateway=gateway, on_end=self.handle_end)
         self.news = CrashNews(gateway=gateway)
         self.records = BlockRecords(gateway=gateway, guard=self)
+        self.block_list = BlockList(
+            reactor=gateway.reactor,
+            is_owner=self.records.is_owner,
+            on_block=self.break_off,
+        )
         self.decision_call = None
         self.survival_call = None
 
-    def find_block(self, parts):
-        """Return the block that a prompt falls under, or None."""
-        for block in self.blocks.values():
-            if block.parts.issubset(parts):
-                return block
-        return None
-
-    def may_send(self, parts):
-        """Return whether a prompt may be sent to an upstream now."""
-        if not self.blocks:
-            return True
-        block = self.find_block(parts)
-        return block is None or self.may_try(block)
-
-    def may_try(self, block):
-        """Return whether a request may be let through as a trial here."""
-        now = self.gateway.reactor.seconds()
-        if block.is_tried or now < block.trial_at:
-            return False
-        if now >= block.next_check_at:
-            block.next_check_at = now + OWNER_CHECK_INTERVAL_S
-            block.is_owned = self.records.is_owner(build_key(block.parts))
-        return block.is_owned
-
-    def require_allowed(self, parts, *, outcome=Outcome.NOT_RUN):
-        """Raise PromptPartBlockedError for a prompt that may not be sent.
-
-        Parameters
-        ----------
-        parts : tuple of int
-            Shared parts of the prompt.
-        outcome : Outcome, optional
-            Whether the request may have run.
-        """
-        if not self.may_send(parts):
-            raise self.build_error(self.find_block(parts), outcome=outcome)
-
-    def build_error(self, block, *, outcome):
-        remaining = block.trial_at - self.gateway.reactor.seconds()
-        return PromptPartBlockedError(
-            "upstreams have ended as they answered prompts with this part",
-            outcome=outcome,
-            retry_after=max(MIN_RETRY_AFTER_S, remaining),
-        )
+    @property
+    def blocks(self):
+        """PartBlock by its parts, the oldest first."""
+        return self.block_list.blocks
 
     @contextlib.contextmanager
     def track(self, upstream, *, request, parts):
@@ -140,10 +94,12 @@
         """
         exposure = Exposure(upstream=upstream, request=request, parts=parts)
         self.exposures.add(exposure)
-        block = self.find_block(parts) if self.blocks else None
+        block = self.block_list.find(parts) if self.blocks else None
         if block is not None:
             block.is_tried = True
-            eliot.log_message("part:tried", request=request, **describe(block))
+            eliot.log_message(
+                "part:tried", request=request, **describe_block(block)
+            )
         try:
             yield exposure
         finally:
@@ -206,7 +162,7 @@
             if at > block.at and block.parts.issubset(parts)
         ]
         for block in refuted:
-            self.remove_block(block, reason="survived")
+            self.block_list.remove(block, reason="survived")
         for block in list(self.blocks.values()):
             self.narrow(block)
         return refuted
@@ -214,7 +170,7 @@
     def apply_removal(self, block):
         """Withdraw a block whose record was removed from the store."""
         now = self.gateway.reactor.seconds()
-        self.remove_block(block, reason="removed")
+        self.block_list.remove(block, reason="removed")
         self.evidence.note_survival(block.parts, at=now)
         self.news.note_refutation(block.parts, at=now)
 
@@ -226,7 +182,7 @@
             block.parts, at=block.at, survivals=self.evidence.survivals
         )
         if parts != block.parts:
-            narrower = self.add_block(
+            narrower = self.block_list.add(
                 parts, at=block.at, failed_trials=block.failed_trials
             )
             self.news.tell_block(narrower)
@@ -293,41 +249,7 @@
         for parts in choose_blocks(
             ends, survivals=self.evidence.survivals, blocked=self.blocks
         ):
-            self.publish_block(self.add_block(parts, at=now))
-
-    def add_block(self, parts, *, at, failed_trials=0):
-        """Block parts, and break off what is in flight with them.
-
-        Parameters
-        ----------
-        parts : frozenset of int
-        at : float
-            Time of the decision or of the last failed trial.
-        failed_trials : int, optional
-
-        Returns
-        -------
-        PartBlock
-            An earlier one if that blocks the same prompts.
-        """
-        block = self.find_block(parts)
-        if block is not None:
-            if block.parts == parts:
-                block.at = max(block.at, at)
-                block.failed_trials = max(block.failed_trials, failed_trials)
-            return block
-        block = PartBlock(parts=parts, at=at, failed_trials=failed_trials)
-        for wider in list(self.blocks.values()):
-            if parts < wider.parts:
-                self.remove_block(wider, reason="narrowed")
-        self.blocks[parts] = block
-        eliot.log_message("part:blocked", **describe(block))
-        if len(self.blocks) > MAX_BLOCKS:
-            self.remove_block(
-                next(iter(self.blocks.values())), reason="too many"
-            )
-        self.break_off(block)
-        return block
+            self.publish_block(self.block_list.add(parts, at=now))
 
     def extend_block(self, block, *, now):
         """Extend a block under which one more upstream has ended."""
@@ -339,7 +261,7 @@
 
     def break_off(self, block):
         """Break off the blocked requests that are held or in flight."""
-        error = self.build_error(block, outcome=Outcome.UNKNOWN)
+        error = self.block_list.build_error(block)
         for exposure in list(self.exposures):
             if (
                 block.parts.issubset(exposure.parts)
@@ -349,24 +271,9 @@
                 exposure.abort(error)
         self.gateway.held.release_blocked(block.parts)
 
-    def remove_block(self, block, *, reason):
-        """Let the prompts with these parts through again."""
-        if self.blocks.pop(block.parts, None) is not None:
-            eliot.log_message(
-                "part:unblocked", reason=reason, **describe(block)
-            )
-
 
 def is_broken_off(error):
     """Return whether an upstream may have ended in the midst of an answer."""
     return isinstance(error, StreamLostError) and not isinstance(
         error, StreamStalledError
     )
-
-
-def describe(block):
-    """Return the fields of a block for a log line."""
-    return {
-        "parts": [f"{part:016x}" for part in sorted(block.parts)],
-        "failed_trials": block.failed_trials,
-    }
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -174,7 +174,7 @@
             parts = frozenset(notice.parts)
             at = now - notice.age
             if not self.is_refuted(parts, since=at):
-                guard.add_block(
+                guard.block_list.add(
                     parts, at=at, failed_trials=notice.failed_trials
                 )
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -136,7 +136,9 @@
             at = now - max(0.0, age)
             stored[key] = parts
             if not self.guard.news.is_refuted(parts, since=at):
-                self.guard.add_block(parts, at=at, failed_trials=failed_trials)
+                self.guard.block_list.add(
+                    parts, at=at, failed_trials=failed_trials
+                )
         for key, parts in self.seen.items():
             block = self.guard.blocks.get(parts)
             if key not in stored and block is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -103,7 +103,7 @@
         requests = {(number, other) for other in range(40)}
         gateway.guard.news.tell_end(number, requests, at=reactor.seconds())
         gateway.guard.news.tell_survival((number,), at=reactor.seconds())
-        gateway.guard.add_block(frozenset({number}), at=reactor.seconds())
+        gateway.guard.block_list.add(frozenset({number}), at=reactor.seconds())
     message = gateway.peers.build_message(
         loads=[], is_full=True, **gateway.describe()
     )
@@ -115,14 +115,14 @@
 
 def test_blocks_are_bounded(gateway, reactor):
     for number in range(200):
-        gateway.guard.add_block(frozenset({number}), at=reactor.seconds())
+        gateway.guard.block_list.add(frozenset({number}), at=reactor.seconds())
     assert len(gateway.guard.blocks) <= 64
     assert frozenset({199}) in gateway.guard.blocks
 
 
 def test_an_older_block_does_not_return_after_a_survival(gateway, reactor):
     at = reactor.seconds()
-    gateway.guard.add_block(frozenset({PART}), at=at)
+    gateway.guard.block_list.add(frozenset({PART}), at=at)
     reactor.advance(1.0)
     gateway.guard.handle_survival((PART,))
     assert not gateway.guard.blocks
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -79,7 +79,7 @@
 
 
 def test_the_other_items_of_its_job_are_run(gateway, submit, reactor):
-    gateway.guard.add_block(frozenset({FATAL}), at=reactor.seconds())
+    gateway.guard.block_list.add(frozenset({FATAL}), at=reactor.seconds())
     submit(FATAL, 7, 8)
     reactor.advance(0.5)
     parts = {sent.headers[b"parts"] for sent in gateway.pool.sent}
@@ -87,7 +87,7 @@
 
 
 def test_a_blocked_item_ends_with_its_retention_time(gateway, submit, reactor):
-    gateway.guard.add_block(frozenset({FATAL}), at=reactor.seconds())
+    gateway.guard.block_list.add(frozenset({FATAL}), at=reactor.seconds())
     submit(FATAL, retained=5.0)
     (job_state,) = gateway.worker.catalogue.list_incomplete()
     for _ in range(60):
@@ -102,7 +102,7 @@
     submit(FATAL, FATAL)
     first, second = gateway.pool.sent
     first.answer(200, body=helpers.build_events(1, 1), is_complete=False)
-    gateway.guard.add_block(frozenset({FATAL}), at=reactor.seconds())
+    gateway.guard.block_list.add(frozenset({FATAL}), at=reactor.seconds())
     assert second.is_cancelled
     assert not first.is_cancelled
     reactor.advance(0.6)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -231,7 +231,7 @@
         if now >= job.retained_until + MAX_CLOCK_SKEW_S:
             self.give_up(state, "the job's retention time is over")
             return
-        if not self.gateway.guard.may_send(state.shared_parts):
+        if not self.gateway.guard.block_list.may_send(state.shared_parts):
             return
         service = choose_service(route, state.item.identifier)
         upstream = self.gateway.batch_placement.choose(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -131,7 +131,7 @@
 
     def require_allowed(self):
         """Raise PromptPartBlockedError if the prompt may not be sent."""
-        self.gateway.guard.require_allowed(
+        self.gateway.guard.block_list.require_allowed(
             self.head.shared_parts, outcome=self.outcome
         )
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -98,7 +98,7 @@
     gateway, *_ = blocked_fleet.gateways
     gateway.guard.blocks.clear()
     request = blocked_fleet.request("n", (5, FATAL), gateway=gateway)
-    gateway.guard.add_block(
+    gateway.guard.block_list.add(
         frozenset({FATAL}), at=blocked_fleet.reactor.seconds()
     )
     blocked_fleet.advance(0.1)
@@ -112,7 +112,9 @@
         upstream.set_peer_load("p", (14, 0))
     request = fleet.request("n", (FATAL,), gateway=gateway)
     assert gateway.held.waiting
-    gateway.guard.add_block(frozenset({FATAL}), at=fleet.reactor.seconds())
+    gateway.guard.block_list.add(
+        frozenset({FATAL}), at=fleet.reactor.seconds()
+    )
     assert is_refused_unsent(fleet, request)
 
 
