Give a single limit below one request a second to online requests

Each fourth such limit goes to batch work; the first of them was taken, so that a service with fewer than four limited upstreams left online requests without the first. The new assertion fails with the count from zero.

--- a/packages/hollyspan_policy/hollyspan_policy/rates/share.py
+++ b/packages/hollyspan_policy/hollyspan_policy/rates/share.py
@@ -6,7 +6,6 @@
 
 __all__ = ["LimitedUpstream", "RateSharer", "divide_rate_limits"]
 
-
 # Most daemons that share a limit. Each may send one request at once after a
 # pause and one ahead of its share.
 MAX_PLACES = 4
@@ -95,7 +94,7 @@
     if not online or not is_batch_included:
         online, batch = online or batch, []
     upstreams = sorted(upstreams, key=lambda each: each.name)
-    for number, upstream in enumerate(upstreams):
+    for number, upstream in enumerate(upstreams, 1):
         places = min(MAX_PLACES, 1 + math.floor(upstream.per_second))
         batch_places = 1 if batch else 0
         if places == 1 and number % MAX_PLACES:
@@ -108,6 +107,7 @@
 
 
 def sort_sharers(sharers):
+    """Return daemons in the order in which places are dealt out."""
     return sorted(
         sharers, key=lambda each: hash_parts("rate", each.identifier)
     )
--- a/packages/hollyspan_policy/hollyspan_policy/rates/tests/test_share.py
+++ b/packages/hollyspan_policy/hollyspan_policy/rates/tests/test_share.py
@@ -82,6 +82,13 @@
     holders = [name for found in shares.values() for name in found]
     assert sum(name.startswith("w") for name in holders) == 2
     assert len(holders) == 8
+    # A single limit goes to online requests.
+    (found,) = divide_rate_limits(
+        build_upstreams(0.5),
+        sharers=build_sharers(3, 2),
+        is_batch_included=True,
+    ).values()
+    assert not any(name.startswith("w") for name in found)
 
 
 def test_the_places_are_spread_evenly():
