Let one gateway tell all others of a block

Each gateway that decided a block sent it to all live gateways: with 390 of them, some 150,000 datagrams for one decision that all take from the same reports. The block's owner sends it; heartbeats repeat it and the store keeps it, as before. Found on reading the change again.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -18,6 +18,7 @@
 from .exposure import Exposure
 from .news import CrashNews
 from .records import BlockRecords
+from .records import build_key
 
 __all__ = ["PartGuard"]
 
@@ -189,9 +190,14 @@
             self.records.replace(block, narrower)
 
     def publish_block(self, block):
-        """Tell a block to the other gateways and to the store."""
+        """Tell a block to the other gateways and to the store.
+
+        The others decide from the same reports; heartbeats repeat the block.
+        One message to all is enough for those that have missed reports.
+        """
         self.records.store(block)
-        self.news.tell_block(block)
+        if self.records.is_owner(build_key(block.parts)):
+            self.news.tell_block(block)
 
     def handle_end(self, upstream, exposures):
         """Report an upstream that has ended with requests in flight."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -289,3 +289,28 @@
     blocked_fleet.advance(2.0)
     assert not any(gateway.guard.blocks for gateway in blocked_fleet.gateways)
     assert wire.calls.count("commit") == commits + 1
+
+
+def count_messages_with_blocks(fleet):
+    """Record the messages that tell a block outside heartbeats, by sender."""
+    senders = []
+    for gateway in fleet.gateways:
+        send = gateway.peers.send
+
+        def record(peers, message, gateway=gateway, send=send):
+            if message.blocks and not message.is_full:
+                senders.append(gateway.settings.instance)
+            send(peers, message)
+
+        gateway.peers.send = record
+    return senders
+
+
+def test_one_gateway_tells_all_others_of_a_block(fleet):
+    senders = count_messages_with_blocks(fleet)
+    for number, gateway in enumerate(fleet.gateways):
+        fleet.request(f"n{number}", (FATAL,), gateway=gateway)
+        fleet.advance(0.3)
+    fleet.advance(2.0)
+    assert all(gateway.guard.blocks for gateway in fleet.gateways)
+    assert len(senders) == 1
