Log the fingerprint of requests whose attempt failed

Cause: the log of an upstream that ended named the prompt parts of the requests in flight and their identifiers, which are new with each repetition. Whether the same request was in flight at several ends (hypothesis 1) could not be told from a part that many requests name (hypothesis 3).

No decision uses it yet.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -110,6 +110,7 @@
             prompt_tokens=0,
             output_tokens=0,
             shared_parts=self.state.shared_parts,
+            fingerprint=0,
             forwarded=self.gateway.dialect.encode_item_headers(
                 self.state.item, self.host
             ),
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
@@ -1,6 +1,6 @@
 """Head of a client's request."""
 
-__all__ = ["RequestHead", "format_parts"]
+__all__ = ["RequestHead", "format_fingerprint", "format_parts"]
 
 
 class RequestHead:
@@ -24,6 +24,9 @@
     shared_parts : tuple of int
         Hashes of the parts of the prompt that other requests may share, in
         order.
+    fingerprint : int
+        Hash of path, caller and body, the same when the request comes again;
+        0 for an item of a job.
     forwarded : list of (bytes, bytes)
         Headers that are forwarded unchanged.
     """
@@ -38,6 +41,7 @@
         "prompt_tokens",
         "output_tokens",
         "shared_parts",
+        "fingerprint",
         "forwarded",
     )
 
@@ -53,6 +57,7 @@
         prompt_tokens,
         output_tokens,
         shared_parts,
+        fingerprint,
         forwarded,
     ):
         self.identifier = identifier
@@ -64,6 +69,7 @@
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.shared_parts = shared_parts
+        self.fingerprint = fingerprint
         self.forwarded = forwarded
 
     @property
@@ -72,6 +78,11 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
+def format_fingerprint(fingerprint):
+    """Return a request's fingerprint as text, for log lines."""
+    return f"{fingerprint:016x}"
+
+
 def format_parts(parts):
     """Return hashes of prompt parts as text, for log lines."""
     return [f"{part:016x}" for part in parts]
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -13,6 +13,7 @@
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .delivery import Delivery
+from .head import format_fingerprint
 from .head import format_parts
 from .reply import check_identifier
 
@@ -333,5 +334,6 @@
             sends=self.sends,
             refusals=self.refusals,
             parts=format_parts(self.head.shared_parts),
+            fingerprint=format_fingerprint(self.head.fingerprint),
             **self.upstream_load,
         )
--- a/packages/hollyspan_policy/hollyspan_policy/hashing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/hashing.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-__all__ = ["hash_to_fraction", "hash_parts"]
+__all__ = ["hash_content", "hash_to_fraction", "hash_parts"]
 
 HASH_RANGE = 2.0**64
 
@@ -27,6 +27,26 @@
     return xxhash.xxh3_64_intdigest(content)
 
 
+def hash_content(*fields):
+    """Return the 64-bit hash of a sequence of byte strings.
+
+    Parameters
+    ----------
+    *fields : bytes
+        Only the last one may contain zero bytes.
+
+    Returns
+    -------
+    int
+
+    Examples
+    --------
+    >>> hash_content(b"/a", b"body") == hash_content(b"/a", b"other")
+    False
+    """
+    return xxhash.xxh3_64_intdigest(b"\0".join(fields))
+
+
 def hash_to_fraction(*parts):
     """Return a pseudo-random number determined by a sequence of strings.
 
--- a/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
@@ -8,6 +8,7 @@
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_gateway.routes import RouteTable
 from hollyspan_gateway.upstreams import UpstreamEntry
+from hollyspan_policy.hashing import hash_parts
 
 __all__ = [
     "build_entry",
@@ -84,7 +85,12 @@
     )
 
 
-def build_head(identifier="q1", *, resume_after=None, shared_parts=()):
+def build_head(
+    identifier="q1", *, resume_after=None, shared_parts=(), fingerprint=None
+):
+    """Build the head of a request; by default no other request is like it."""
+    if fingerprint is None:
+        fingerprint = hash_parts("body", identifier)
     return RequestHead(
         identifier=identifier,
         host="h",
@@ -95,6 +101,7 @@
         prompt_tokens=0,
         output_tokens=0,
         shared_parts=shared_parts,
+        fingerprint=fingerprint,
         forwarded=[],
     )
 
