--- a/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
@@ -8,7 +8,6 @@
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_gateway.routes import RouteTable
 from hollyspan_gateway.upstreams import UpstreamEntry
-from hollyspan_policy.hashing import hash_parts
 
 __all__ = [
     "build_entry",
@@ -86,11 +85,8 @@
 
 
 def build_head(
-    identifier="q1", *, resume_after=None, shared_parts=(), fingerprint=None
+    identifier="q1", *, resume_after=None, shared_parts=(), fingerprint=0
 ):
-    """Build the head of a request; by default no other request is like it."""
-    if fingerprint is None:
-        fingerprint = hash_parts("body", identifier)
     return RequestHead(
         identifier=identifier,
         host="h",
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -39,6 +39,7 @@
             (b"deadline", str(deadline_seconds).encode()),
             (b"resume", str(resume_after).encode()),
             (b"parts", " ".join(map(str, head.shared_parts)).encode()),
+            (b"fingerprint", str(head.fingerprint).encode()),
         ]
 
     @staticmethod
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from hollyspan_core.errors import StreamLostError
+from hollyspan_policy.hashing import hash_parts
 
 from .builders import build_entry
 from .builders import build_events
@@ -45,6 +46,8 @@
     network : MemoryNetwork
     fatal_parts : set of int
         Parts of prompts that end each upstream that begins to answer them.
+    fatal_bodies : set of str
+        Bodies of requests that end each upstream that begins to answer them.
     rate_limits : dict
         Requests a second that an upstream accepts from all gateways, by name;
         it names them in its answers.
@@ -65,6 +68,7 @@
         self.random = random.Random(1)
         self.upstreams = {}
         self.fatal_parts = set()
+        self.fatal_bodies = set()
         self.rate_limits = {}
         self.sent = []
         self.ended = []
@@ -146,7 +150,8 @@
     def begin_answer(self, send):
         if not send.is_open():
             return
-        if self.fatal_parts.intersection(send.parts):
+        if self.is_fatal(send):
+            send.has_ended_upstream = send.upstream in self.upstreams
             self.end_upstream(send.upstream)
             return
         resume = send.connection.headers[b"resume"]
@@ -158,6 +163,13 @@
         send.connection.answer(200, headers=headers, is_complete=False)
         self.continue_answer(send)
 
+    def is_fatal(self, send):
+        """Return whether a request ends the upstream that begins it."""
+        fatal = {hash_parts(body) for body in self.fatal_bodies}
+        return send.fingerprint in fatal or bool(
+            self.fatal_parts.intersection(send.parts)
+        )
+
     def continue_answer(self, send):
         if not send.is_open():
             return
@@ -193,7 +205,9 @@
                     StreamLostError("connection closed")
                 )
 
-    def request(self, identifier, parts=(), *, gateway=None, resume=None):
+    def request(
+        self, identifier, parts=(), *, gateway=None, resume=None, body=None
+    ):
         """Send a client's request and return its MemoryRequest.
 
         Parameters
@@ -205,10 +219,18 @@
             A random one by default.
         resume : int, optional
             Last event that the client has received.
+        body : str, optional
+            The same for a request that comes again; by default no other
+            request has it.
         """
         gateway = gateway or self.random.choice(self.gateways)
         request = MemoryRequest(reactor=self.reactor, identifier=identifier)
-        head = build_head(identifier, shared_parts=parts, resume_after=resume)
+        head = build_head(
+            identifier,
+            shared_parts=parts,
+            resume_after=resume,
+            fingerprint=hash_parts(body or f"body of {identifier}"),
+        )
         work = defer.ensureDeferred(gateway.online.answer(request, head))
         request.on_disconnect = work.cancel
         work.addErrback(gateway.online.handle_failure, request, head)
@@ -219,6 +241,14 @@
         for _ in range(round(seconds / CLOCK_STEP_S)):
             self.reactor.advance(CLOCK_STEP_S)
 
+    def list_sends_of(self, body, *, after=0.0):
+        """Return the sends of requests with a body after a time."""
+        return [
+            send
+            for send in self.sent
+            if send.fingerprint == hash_parts(body) and send.time > after
+        ]
+
     def list_sends(self, part, *, after=0.0):
         """Return the sends with a part in their prompts after a time."""
         return [
@@ -237,6 +267,7 @@
         Time of sending, reactor seconds.
     parts : tuple of int
         Shared parts of its prompt.
+    fingerprint : int
     last_event : int
         Last event that was sent.
     """
@@ -247,8 +278,10 @@
         "upstream",
         "connection",
         "parts",
+        "fingerprint",
         "last_event",
         "is_ended",
+        "has_ended_upstream",
     )
 
     def __init__(self, *, time, gateway, upstream, connection):
@@ -258,8 +291,10 @@
         self.connection = connection
         parts = connection.headers[b"parts"].split()
         self.parts = tuple(int(part) for part in parts)
+        self.fingerprint = int(connection.headers[b"fingerprint"])
         self.last_event = 0
         self.is_ended = False
+        self.has_ended_upstream = False
 
     def is_open(self):
         """Return whether the gateway still waits for the answer."""
