Do not send a failed trial on while its upstream is checked

What callers saw: each trial of a block could end two upstreams. The attempt after the first found the block's trial due, since the check whether the upstream has ended takes a round trip and the trial was no longer in flight.

Cause: a trial ended with its attempt, not with the verdict on it.

Change: no further trial for two seconds after one has ended.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -61,7 +61,7 @@
     def may_try(self, block):
         """Return whether a request may be let through as a trial here."""
         now = self.reactor.seconds()
-        if block.is_tried or now < block.trial_at:
+        if not block.is_trial_due(now=now):
             return False
         if now >= block.next_check_at:
             block.next_check_at = now + OWNER_CHECK_INTERVAL_S
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -120,7 +120,7 @@
         finally:
             self.exposures.discard(exposure)
             if block is not None:
-                block.is_tried = False
+                block.end_trial(now=self.gateway.reactor.seconds())
 
     def note_data(self, exposure):
         """Note bytes of the answer to a tracked request."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hollyspan_gateway.clock import wait
 from hollyspan_standins.memory import MemoryFleet
 
 COMMON = 1
@@ -203,6 +204,31 @@
         assert is_served(request)
 
 
+def test_a_failed_trial_is_not_sent_on_while_its_upstream_is_checked(
+    blocked_fleet,
+):
+    # The check takes longer than the trial's next attempt would.
+    for gateway in blocked_fleet.gateways:
+        delay_checks(gateway, seconds=0.1)
+    blocked_fleet.advance(31.0)
+    sends = len(blocked_fleet.sent)
+    for number in range(20):
+        blocked_fleet.request(f"n{number}", body="f0")
+        blocked_fleet.advance(0.2)
+    assert len(blocked_fleet.sent) == sends + 1
+
+
+def delay_checks(gateway, *, seconds):
+    """Delay the connections that tell whether an upstream has ended."""
+    open_idle = gateway.pool.open_idle
+
+    async def open_later(address):
+        await wait(gateway.reactor, seconds)
+        return await open_idle(address)
+
+    gateway.pool.open_idle = open_later
+
+
 def test_a_fatal_part_is_blocked_though_each_request_comes_again(fleet):
     # Each request by itself would be blocked after three ends.
     fleet.fatal_bodies.clear()
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -7,6 +7,8 @@
 FIRST_TRIAL_DELAY_S = 30.0
 TRIAL_DELAY_FACTOR = 4
 MAX_TRIAL_DELAY_S = 3600.0
+# Time after a trial in which its upstream's end, if it is one, is detected.
+TRIAL_CHECK_S = 2.0
 
 
 class Block:
@@ -25,6 +27,8 @@
     ----------
     is_tried : bool
         True while a trial is in flight at this gateway.
+    checked_until : float
+        Time until which the last trial may turn out to have failed, seconds.
     is_owned : bool
         Whether this gateway lets trials through, as of the last check.
     next_check_at : float
@@ -36,6 +40,7 @@
         "at",
         "failed_trials",
         "is_tried",
+        "checked_until",
         "is_owned",
         "next_check_at",
     )
@@ -45,6 +50,7 @@
         self.at = at
         self.failed_trials = failed_trials
         self.is_tried = False
+        self.checked_until = 0.0
         self.is_owned = False
         self.next_check_at = 0.0
 
@@ -53,6 +59,17 @@
         """Time from which a request may be let through as a trial."""
         return self.at + choose_trial_delay(self.failed_trials)
 
+    def is_trial_due(self, *, now):
+        """Return whether a request may be let through as a trial."""
+        return not self.is_tried and now >= max(
+            self.trial_at, self.checked_until
+        )
+
+    def end_trial(self, *, now):
+        """Note that a trial is no longer in flight."""
+        self.is_tried = False
+        self.checked_until = now + TRIAL_CHECK_S
+
 
 def choose_trial_delay(failed_trials):
     """Choose the time from a block or a failed trial to the next trial.
