Run an item ever more rarely whose upstreams end before an event

What users would see: an item that ends its upstreams and names no blocked part is started again 0.15 s after each end, for as long as it is owed.

Cause: the delay of a failed run does not depend on how often that happened. Items have no fingerprint, since most are broken off beside other requests and must not wait for a trial.

Change: from the third run in a row that is broken off before an event the delay doubles, up to 10 s; an event ends the row. The item stays owed.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -130,6 +130,21 @@
     assert len(gateway.pool.sent) == 4
 
 
+def test_an_item_without_parts_that_ends_upstreams_is_run_ever_more_rarely(
+    gateway, submit, reactor
+):
+    submit(7)
+    (state,) = gateway.worker.running.values()
+    state.shared_parts = ()
+    for _ in range(300):
+        if state.run is not None:
+            break_upstream(gateway, gateway.pool.last)
+            gateway.pool.unreachable.clear()
+        reactor.advance(0.1)
+    assert len(gateway.pool.sent) <= 12
+    assert state.result is None
+
+
 def test_answers_with_an_error_check_no_upstream(gateway, submit, reactor):
     submit(FATAL)
     gateway.pool.unreachable.add(gateway.pool.last.address)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -21,6 +21,8 @@
         True once its result is in the store.
     failures : int
         Number of runs that failed at the upstream, status 500.
+    lost_runs : int
+        Number of runs in a row that were broken off before an event.
     event_data : list of bytes
         Data of the events received so far.
     last_event : int or None
@@ -44,6 +46,7 @@
         "shared_parts",
         "has_result",
         "failures",
+        "lost_runs",
         "event_data",
         "last_event",
         "run",
@@ -60,6 +63,7 @@
         self.shared_parts = shared_parts
         self.has_result = False
         self.failures = 0
+        self.lost_runs = 0
         self.event_data = []
         self.last_event = None
         self.run = None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -215,6 +215,11 @@
         )
 
     def report_failure(self, error):
+        has_events = len(self.state.event_data) > self.initial_event_count
+        if has_events:
+            self.state.lost_runs = 0
+        elif isinstance(error, StreamLostError):
+            self.state.lost_runs += 1
         self.gateway.placement.note_failure(self.upstream, error)
         eliot.log_message(
             "item:run_failed",
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -7,6 +7,7 @@
 from hollyspan_policy.batch import rank_item
 from hollyspan_policy.batch import RunTimeEstimator
 from hollyspan_policy.ownership import choose_owner
+from hollyspan_policy.retries import compute_backoff
 
 from ..routes import choose_service
 from ..routes import RouteKind
@@ -27,8 +28,11 @@
 # finds items whose retry delay is over and slots whose release no message
 # announced.
 SCHEDULING_INTERVAL_S = 0.1
-# Delay before an item is run again after a failed run.
+# Delay before an item is run again after a failed run. From the third one in a
+# row that was broken off before an event it doubles: the item itself may have
+# ended its upstreams.
 RETRY_DELAY_S = 0.15
+MAX_RETRY_DELAY_S = 10.0
 # A run that is preempted sooner than this has used a slot that the next online
 # request needs; the item is delayed as after a failed run.
 MIN_RUN_S = 0.2
@@ -285,7 +289,9 @@
             self.observe_run(run, state)
             self.store_result(state)
         elif not run.is_preempted or self.is_short(run):
-            state.not_before = self.gateway.reactor.seconds() + RETRY_DELAY_S
+            state.not_before = (
+                self.gateway.reactor.seconds() + choose_retry_delay(state)
+            )
         self.notify_if_drained()
         self.schedule(0.0)
 
@@ -346,3 +352,15 @@
             )
             self.gateway.metrics.count_item("preempted")
             state.run.cancel()
+
+
+def choose_retry_delay(state):
+    """Return the time in seconds until an item is run again."""
+    if state.lost_runs < 2:
+        return RETRY_DELAY_S
+    return compute_backoff(
+        state.lost_runs - 1,
+        seed=state.item.identifier,
+        base=RETRY_DELAY_S,
+        limit=MAX_RETRY_DELAY_S,
+    )
