--- a/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
@@ -18,6 +18,9 @@
         Time that the client waits for the answer.
     resume_after : int or None
         Identifier of the last event that the client has received.
+    resumes : str or None
+        Identifier of the attempt that brought the client the first event of
+        the stream that it resumes.
     prompt_tokens, output_tokens : int
         Tokens of the prompt and the most tokens to generate; 0 when
         unknown.
@@ -38,6 +41,7 @@
         "target",
         "deadline_seconds",
         "resume_after",
+        "resumes",
         "prompt_tokens",
         "output_tokens",
         "shared_parts",
@@ -54,6 +58,7 @@
         target,
         deadline_seconds,
         resume_after,
+        resumes,
         prompt_tokens,
         output_tokens,
         shared_parts,
@@ -66,6 +71,7 @@
         self.target = target
         self.deadline_seconds = deadline_seconds
         self.resume_after = resume_after
+        self.resumes = resumes
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.shared_parts = shared_parts
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -336,5 +336,7 @@
             refusals=self.refusals,
             parts=format_parts(self.head.shared_parts),
             fingerprint=format_fingerprint(self.head.fingerprint),
+            resumes=self.head.resumes,
+            version=self.upstream.entry.version,
             **self.upstream_load,
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -157,6 +157,8 @@
             request=relay.head.identifier,
             route=relay.route.name,
             upstream=relay.upstream.entry.name,
+            version=relay.upstream.entry.version,
+            resumes=relay.head.resumes,
             status=relay.reply.status,
             first_event=relay.delivery.first_event,
             longest_pause=round(relay.delivery.longest_pause, 4),
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -254,4 +254,5 @@
         upstream=entry.name,
         service=entry.service,
         data_centre=entry.data_centre,
+        version=entry.version,
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -36,6 +36,8 @@
         False once the upstream has announced its shutdown.
     started_at_ms : int or None
         Start time, Unix milliseconds.
+    version : str, optional
+        Version of its software.
 
     Attributes
     ----------
@@ -53,6 +55,7 @@
         "slots",
         "is_ready",
         "started_at_ms",
+        "version",
         "key",
         "incarnation_key",
     )
@@ -67,6 +70,7 @@
         slots,
         is_ready,
         started_at_ms=None,
+        version="",
     ):
         self.name = name
         self.service = service
@@ -75,6 +79,7 @@
         self.slots = slots
         self.is_ready = is_ready
         self.started_at_ms = started_at_ms
+        self.version = version
         self.key = hash_parts(name)
         self.incarnation_key = hash_parts(name, str(started_at_ms))
 
--- a/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
@@ -85,7 +85,12 @@
 
 
 def build_head(
-    identifier="q1", *, resume_after=None, shared_parts=(), fingerprint=0
+    identifier="q1",
+    *,
+    resume_after=None,
+    resumes=None,
+    shared_parts=(),
+    fingerprint=0,
 ):
     return RequestHead(
         identifier=identifier,
@@ -94,6 +99,7 @@
         target=b"/s/x",
         deadline_seconds=5.0,
         resume_after=resume_after,
+        resumes=resumes,
         prompt_tokens=0,
         output_tokens=0,
         shared_parts=shared_parts,
