Failing tests: streams and texts of items hold events of two versions

Ten upstreams of two versions and six gateways: upstreams end under streams, clients leave and come back at other gateways, gateways are killed, a version is gone, a gateway is cut off, datagrams are lost, nobody knows the stream; items whose upstream ends, whose version is gone or full. Seen on this code: events of two versions in each case, and streams that nobody knows go on.

--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
@@ -0,0 +1,124 @@
+"""Tests that the text of an item comes from one software version."""
+
+import pytest
+
+from hollyspan_core.errors import StreamLostError
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.routes import RouteKind
+
+VERSIONS = {"u1": "v1", "u2": "v2", "u3": "v1", "u4": "v2"}
+
+
+@pytest.fixture
+def gateway(build_gateway, helpers):
+    """A gateway that runs items on upstreams of two versions."""
+    route = helpers.build_route(host="h", prefix="/b/", kind=RouteKind.BATCH)
+    gateway = build_gateway(routes=[route], upstreams=())
+    gateway.worker = Worker(gateway=gateway)
+    gateway.worker.start()
+    return gateway
+
+
+@pytest.fixture
+def list_upstreams(gateway, helpers, reactor):
+    """Return a function that lists upstreams, as the store does."""
+
+    def update(*names):
+        entries = {
+            name: helpers.build_entry(
+                name, port=int(name[1:]), slots=1, version=VERSIONS[name]
+            )
+            for name in names
+        }
+        gateway.directory.update(entries)
+        # Entries that vanish together are kept for a while.
+        reactor.advance(3.0)
+        gateway.directory.update(entries)
+        reactor.advance(0.2)
+
+    return update
+
+
+@pytest.fixture
+def submit(store, run, reactor):
+    """Return a function that stores a job with one item."""
+
+    def create(*, due=60.0):
+        now = reactor.seconds()
+        item = Item(identifier="j0", path="/b/x", headers=[], body=b"")
+        job = Job(
+            identifier="j",
+            host="h",
+            path="/b/",
+            submitted=now,
+            due=now + due,
+            retained_until=now + 100.0,
+            items=[item],
+        )
+        run(store.create(encode_job(job)))
+        reactor.advance(0.2)
+
+    return create
+
+
+def read_send(gateway, number=-1):
+    """Return version, name and first event of a send, by default the last."""
+    headers = gateway.pool.sent[number].headers
+    name = headers[b"upstream"].decode()
+    return VERSIONS[name], name, headers[b"resume"]
+
+
+def break_off(gateway, reactor, helpers, *, events):
+    connection = gateway.pool.last
+    body = helpers.build_events(1, events)
+    connection.answer(200, body=body, is_complete=False)
+    connection.exchange.on_failure(StreamLostError("connection closed"))
+    reactor.advance(0.5)
+
+
+@pytest.mark.parametrize("first", ["u1", "u2"])
+def test_an_item_goes_on_at_the_version_of_its_text(
+    gateway, list_upstreams, submit, reactor, helpers, first
+):
+    list_upstreams(first)
+    submit()
+    version, _, _ = read_send(gateway)
+    list_upstreams(*VERSIONS)
+    break_off(gateway, reactor, helpers, events=3)
+    assert read_send(gateway)[::2] == (version, b"3")
+
+
+def test_an_item_starts_over_when_the_version_of_its_text_is_gone(
+    gateway, list_upstreams, submit, reactor, helpers
+):
+    list_upstreams("u1")
+    submit()
+    connection = gateway.pool.last
+    connection.answer(200, body=helpers.build_events(1, 3), is_complete=False)
+    list_upstreams("u2")
+    connection.exchange.on_failure(StreamLostError("connection closed"))
+    reactor.advance(0.5)
+    assert read_send(gateway) == ("v2", "u2", b"None")
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 2))
+    (job_state,) = gateway.worker.catalogue.list_incomplete() or (None,)
+    assert (
+        job_state is None or job_state.items["j0"].result.output == b"t1\nt2"
+    )
+
+
+@pytest.mark.parametrize(("due", "is_sent"), [(60.0, False), (10.0, True)])
+def test_an_item_waits_for_the_version_of_its_text_until_it_is_urgent(
+    gateway, list_upstreams, submit, reactor, helpers, due, is_sent
+):
+    list_upstreams("u1")
+    submit(due=due)
+    list_upstreams("u1", "u2")
+    # The only upstream of its version is full.
+    gateway.directory.upstreams["u1"].set_peer_load("p", (1, 0))
+    break_off(gateway, reactor, helpers, events=3)
+    assert len(gateway.pool.sent) == (2 if is_sent else 1)
+    if is_sent:
+        assert read_send(gateway) == ("v2", "u2", b"None")
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -0,0 +1,261 @@
+"""Tests that no stream holds events of two software versions."""
+
+import re
+
+import pytest
+
+from hollyspan_standins.memory import MemoryFleet
+
+STEP_S = 0.05
+VERSIONS = ("v1", "v2")
+
+
+@pytest.fixture
+def build_fleet(reactor, build_gateway):
+    def build(*, upstreams=10):
+        fleet = MemoryFleet(
+            reactor=reactor,
+            build_gateway=build_gateway,
+            upstreams=upstreams,
+            versions=VERSIONS,
+            options={"runs_batch": False},
+        )
+        for _ in range(6):
+            fleet.add_gateway()
+        fleet.advance(1.0)
+        return fleet
+
+    return build
+
+
+@pytest.fixture
+def fleet(build_fleet):
+    return build_fleet()
+
+
+class Client:
+    """Client of one stream, which takes it up again.
+
+    Attributes
+    ----------
+    requests : list of MemoryRequest
+        Its attempts.
+    """
+
+    def __init__(self, *, fleet, name, gateway=None):
+        self.fleet = fleet
+        self.name = name
+        self.requests = [fleet.request(name, gateway=gateway)]
+
+    @property
+    def written(self):
+        """Everything that it has received of the stream."""
+        return b"".join(
+            request.written
+            for request in self.requests
+            if request.status == 200
+        )
+
+    def list_events(self):
+        """Return version and number of each event received."""
+        events = re.findall(rb"data: (v\d)(\d+)\n", self.written)
+        return [(version, int(number)) for version, number in events]
+
+    def count_versions(self):
+        return len({version for version, _ in self.list_events()})
+
+    def leave(self):
+        self.requests[-1].is_open = False
+        self.requests[-1].on_disconnect()
+
+    def resume(self, gateway=None):
+        """Take the stream up again, at a random gateway by default."""
+        events = self.list_events()
+        self.requests.append(
+            self.fleet.request(
+                f"{self.name}r{len(self.requests)}",
+                gateway=gateway,
+                resume=events[-1][1] if events else None,
+                resumes=self.name if events else None,
+            )
+        )
+
+    def is_served(self):
+        last = self.requests[-1]
+        return last.status == 200 and last.is_ended and not last.is_aborted
+
+    def is_refused(self):
+        last = self.requests[-1]
+        return last.status == 503 and last.written == b"not_run"
+
+
+def start_streams(fleet, count, *, gateway=None, name="q"):
+    clients = []
+    for number in range(count):
+        clients.append(
+            Client(fleet=fleet, name=f"{name}{number}", gateway=gateway)
+        )
+        fleet.advance(STEP_S)
+    return clients
+
+
+def resume_broken(fleet, clients):
+    """Let the clients come back whose stream was broken off after an event.
+
+    Returns
+    -------
+    list of Client
+    """
+    broken = [
+        client
+        for client in clients
+        if client.list_events()
+        and not client.is_served()
+        and not client.requests[-1].is_open
+    ]
+    for client in broken:
+        client.resume()
+    return broken
+
+
+def change_gateways(fleet, clients):
+    """Let clients leave in mid-stream and come back at other gateways.
+
+    Returns
+    -------
+    list of Client
+    """
+    gone = [
+        client
+        for client in clients
+        if client.list_events() and not client.is_served()
+    ]
+    for client in gone:
+        client.leave()
+    fleet.advance(0.1)
+    for client in gone:
+        client.resume()
+        fleet.advance(STEP_S)
+    fleet.advance(2.0)
+    return gone
+
+
+def count_served(clients):
+    return sum(client.is_served() for client in clients)
+
+
+def test_streams_go_on_at_their_version_within_an_answer(fleet):
+    clients = []
+    for number in range(12):
+        clients += start_streams(fleet, 12, name=f"q{number}n")
+        fleet.end_upstream(fleet.random.choice(list(fleet.upstreams)))
+    fleet.advance(2.0)
+    assert [client.count_versions() for client in clients] == [1] * 144
+    assert count_served(clients) > 0.9 * len(clients)
+
+
+def test_clients_that_come_back_elsewhere_go_on_at_the_same_version(fleet):
+    clients = start_streams(fleet, 60)
+    gone = change_gateways(fleet, clients)
+    assert {client.count_versions() for client in clients} == {1}
+    assert len(gone) > 10
+    assert count_served(gone) > 0.95 * len(gone)
+
+
+def test_streams_of_gateways_that_were_killed_go_on_elsewhere(fleet):
+    clients = []
+    resumed = []
+    for number in range(6):
+        clients += start_streams(fleet, 20, name=f"q{number}n")
+        killed = fleet.gateways[number]
+        fleet.kill_gateway(number)
+        for client in clients:
+            if client.requests[-1].gateway is killed:
+                client.requests[-1].abort()
+        resumed += resume_broken(fleet, clients)
+        fleet.advance(0.5)
+        fleet.restart_gateway(number)
+    fleet.advance(2.0)
+    assert {client.count_versions() for client in clients} == {1}
+    assert len(resumed) > 10
+    assert count_served(resumed) > 0.9 * len(resumed)
+
+
+def test_streams_of_a_version_that_is_gone_are_refused_at_once(fleet):
+    clients = start_streams(fleet, 20)
+    fleet.restarts = False
+    for name in list(fleet.upstreams):
+        if fleet.versions[name] == "v1":
+            fleet.end_upstream(name)
+    fleet.advance(0.1)
+    resumed = resume_broken(fleet, clients)
+    fleet.advance(0.3)
+    assert resumed
+    assert all(client.is_refused() for client in resumed)
+    fleet.advance(2.0)
+    assert {client.count_versions() for client in clients} == {1}
+
+
+def test_a_stream_that_nobody_knows_is_refused_at_once(fleet):
+    for gateway in fleet.gateways:
+        request = fleet.request("n", gateway=gateway, resume=3, resumes="m")
+        fleet.advance(0.3)
+        assert (request.status, request.written) == (503, b"not_run")
+
+
+def test_streams_of_a_gateway_that_is_cut_off_are_never_joined(fleet):
+    *others, isolated = fleet.gateways
+    fleet.network.isolate(1005)
+    fleet.advance(2.0)
+    clients = start_streams(fleet, 10, gateway=isolated)
+    clients += start_streams(fleet, 10, gateway=others[0], name="o")
+    fleet.advance(0.3)
+    for client in clients[:10]:
+        client.leave()
+        client.resume(gateway=others[1])
+    for client in clients[10:]:
+        client.leave()
+        client.resume(gateway=isolated)
+    fleet.advance(2.0)
+    assert {client.count_versions() for client in clients} == {1}
+
+
+def test_a_gateway_goes_on_with_its_own_streams_without_peers(fleet):
+    isolated = fleet.gateways[-1]
+    fleet.network.isolate(1005)
+    fleet.advance(2.0)
+    clients = start_streams(fleet, 10, gateway=isolated)
+    fleet.advance(0.2)
+    for client in clients:
+        if not client.is_served():
+            client.leave()
+            client.resume(gateway=isolated)
+    fleet.advance(2.0)
+    assert count_served(clients) == 10
+    assert {client.count_versions() for client in clients} == {1}
+
+
+def test_a_stream_without_an_event_begins_at_any_version(build_fleet):
+    fleet = build_fleet(upstreams=2)
+    first, last = fleet.upstreams
+    assert fleet.versions[first] != fleet.versions[last]
+    clients = [Client(fleet=fleet, name=f"q{number}") for number in range(8)]
+    fleet.end_upstream(first)
+    fleet.advance(2.0)
+    assert count_served(clients) == 8
+
+
+def test_streams_go_on_when_datagrams_are_lost(fleet):
+    for gateway in fleet.gateways:
+        transport = gateway.peers.transport
+        write = transport.write
+
+        def write_some(datagram, address, write=write):
+            if fleet.random.random() < 0.7:
+                write(datagram, address)
+
+        transport.write = write_some
+    clients = start_streams(fleet, 60)
+    gone = change_gateways(fleet, clients)
+    assert {client.count_versions() for client in clients} == {1}
+    assert count_served(gone) > 0.9 * len(gone)
--- a/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/builders.py
@@ -108,8 +108,8 @@
     )
 
 
-def build_events(first, last):
+def build_events(first, last, *, text="t"):
     return b"".join(
-        b"id: %d\ndata: t%d\n\n" % (number, number)
+        b"id: %d\ndata: %s%d\n\n" % (number, text.encode(), number)
         for number in range(first, last + 1)
     )
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -37,6 +37,8 @@
         `runs_batch`.
     upstreams : int, optional
         Number of upstreams.
+    versions : sequence of str, optional
+        Software versions of the upstreams, in turn.
     options : dict, optional
         More keywords for `build_gateway`.
 
@@ -51,6 +53,9 @@
     rate_limits : dict
         Requests a second that an upstream accepts from all gateways, by name;
         it names them in its answers.
+    versions : dict
+        Software version of each upstream that was started, by name; each
+        event tells that of its upstream.
     sent : list of Send
         Everything that was sent to upstreams, in order.
     ended : list of (float, str)
@@ -59,7 +64,15 @@
         Whether ended upstreams start again.
     """
 
-    def __init__(self, *, reactor, build_gateway, upstreams=6, options=None):
+    def __init__(
+        self,
+        *,
+        reactor,
+        build_gateway,
+        upstreams=6,
+        versions=("v1",),
+        options=None,
+    ):
         self.reactor = reactor
         self.build_gateway = build_gateway
         self.options = options or {}
@@ -67,6 +80,7 @@
         self.network = MemoryNetwork()
         self.random = random.Random(1)
         self.upstreams = {}
+        self.versions = {}
         self.fatal_parts = set()
         self.fatal_bodies = set()
         self.rate_limits = {}
@@ -76,7 +90,9 @@
         self.request_count = 0
         self.restarts = True
         for number in range(upstreams):
-            self.start_upstream(port=number + 1)
+            self.start_upstream(
+                port=number + 1, version=versions[number % len(versions)]
+            )
 
     def add_gateway(self, **options):
         """Add a gateway, which greets the others."""
@@ -85,6 +101,16 @@
         self.gateways.append(gateway)
         return gateway
 
+    def kill_gateway(self, number):
+        """End a gateway's process without a word to the others."""
+        gateway = self.gateways[number]
+        gateway.peers.stopProtocol()
+        gateway.peers.transport = None
+        self.network.gateways.pop(1000 + number)
+        for send in self.sent:
+            if send.gateway is gateway:
+                send.is_ended = True
+
     def restart_gateway(self, number, **options):
         """Replace a gateway by a new process of the same name."""
         self.gateways[number].peers.stopProtocol()
@@ -117,7 +143,7 @@
     def list_upstreams(self, gateway):
         """Tell a gateway which upstreams there are, as the store does."""
         entries = {
-            name: build_entry(name, port=port)
+            name: build_entry(name, port=port, version=self.versions[name])
             for name, port in self.upstreams.items()
         }
         gateway.directory.update(entries)
@@ -125,10 +151,12 @@
             (ADDRESS, port) for port in self.upstreams.values()
         }
 
-    def start_upstream(self, *, port):
+    def start_upstream(self, *, port, version="v1"):
         """Start an upstream and list it at all gateways."""
         self.started_count += 1
-        self.upstreams[f"u{self.started_count}"] = port
+        name = f"u{self.started_count}"
+        self.upstreams[name] = port
+        self.versions[name] = version
         for gateway in self.gateways:
             self.list_upstreams(gateway)
 
@@ -179,7 +207,11 @@
             send.connection.exchange.on_end()
             return
         send.last_event += 1
-        event = build_events(send.last_event, send.last_event)
+        event = build_events(
+            send.last_event,
+            send.last_event,
+            text=self.versions[send.upstream],
+        )
         send.connection.exchange.on_data(event)
         self.reactor.callLater(EVENT_INTERVAL_S, self.continue_answer, send)
 
@@ -193,7 +225,10 @@
             gateway.pool.unreachable.add((ADDRESS, port))
         if self.restarts:
             self.reactor.callLater(
-                RESTART_DELAY_S, lambda: self.start_upstream(port=port)
+                RESTART_DELAY_S,
+                lambda: self.start_upstream(
+                    port=port, version=self.versions[name]
+                ),
             )
         self.break_connections(name)
 
@@ -207,7 +242,14 @@
                 )
 
     def request(
-        self, identifier, parts=(), *, gateway=None, resume=None, body=None
+        self,
+        identifier,
+        parts=(),
+        *,
+        gateway=None,
+        resume=None,
+        resumes=None,
+        body=None,
     ):
         """Send a client's request and return its MemoryRequest.
 
@@ -220,6 +262,8 @@
             A random one by default.
         resume : int, optional
             Last event that the client has received.
+        resumes : str, optional
+            Identifier of the request that brought its first event.
         body : str, optional
             The same for a request that comes again; by default no other
             request has it.
@@ -227,10 +271,12 @@
         gateway = gateway or self.random.choice(self.gateways)
         self.request_count += 1
         request = MemoryRequest(reactor=self.reactor, identifier=identifier)
+        request.gateway = gateway
         head = build_head(
             identifier,
             shared_parts=parts,
             resume_after=resume,
+            resumes=resumes,
             fingerprint=hash_parts(body or f"request {self.request_count}"),
         )
         work = defer.ensureDeferred(gateway.online.answer(request, head))
--- a/packages/hollyspan_standins/hollyspan_standins/memory/request.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/request.py
@@ -10,6 +10,7 @@
 
     def __init__(self, *, reactor, body=b"{}", identifier=None):
         self.identifier = identifier
+        self.gateway = None
         self.content = types.SimpleNamespace(getvalue=lambda: body)
         self.arrived_at = reactor.seconds()
         self.is_open = True
