Let a stream go on only at the software version that began it

Cause: where a stream goes on was chosen by load alone, within an answer, at the gateway to which a client comes back, and for items. The class: work that is taken up again by somebody who does not know what began it.

Change: the gateway that forwards the first event tells three keepers, chosen by the stream's identifier, which version wrote it. A gateway to which a client comes back with a stream that it does not know asks the keepers, or all of a small fleet. If nobody knows it, or no upstream of the version accepts work, the request is refused at once as not run. Within an answer and for an item the version is remembered with the events; an item starts over when its version is gone or, if its job is due, has no place. Streams begin rather not at a version that a single upstream serves.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -34,6 +34,7 @@
 from .request import RequestBlockedError
 from .request import RouteNotFoundError
 from .request import ServiceNotFoundError
+from .request import StreamVersionError
 from .store import LeaseLostError
 from .store import StoreConflictError
 from .store import StoreHistoryLostError
@@ -97,6 +98,7 @@
     "StreamLostError",
     "StreamMalformedError",
     "StreamStalledError",
+    "StreamVersionError",
     "UpstreamAnswerError",
     "UpstreamConnectionRefusedError",
     "UpstreamLeavingError",
--- a/packages/hollyspan_core/hollyspan_core/errors/request.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/request.py
@@ -22,11 +22,12 @@
     "ModelNotFoundError",
     "OutcomeUnknownError",
     "OverloadedError",
-    "RequestBlockedError",
     "QuotaExceededError",
     "RateLimitError",
+    "RequestBlockedError",
     "RouteNotFoundError",
     "ServiceNotFoundError",
+    "StreamVersionError",
 ]
 
 
@@ -197,6 +198,15 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class StreamVersionError(HollyspanError):
+    """The stream cannot go on at the software version that began it."""
+
+    status = 503
+    kind = "server_error"
+    code = "stream_version_unavailable"
+    default_outcome = Outcome.NOT_RUN
+
+
 class QuotaExceededError(HollyspanError):
     """The job does not fit under the limit on waiting tokens now."""
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -23,6 +23,7 @@
 from .retirement import Retirement
 from .store import Mirror
 from .store_reading import StoreReading
+from .streams import StreamVersions
 from .upstreams import BatchPlacement
 from .upstreams import Directory
 from .upstreams import EXPIRY_GRACE_S
@@ -113,6 +114,9 @@
             describe=self.describe,
             list_loads=self.list_loads,
             list_totals=self.list_totals,
+            on_streams=lambda peer, message: self.stream_versions.apply(
+                peer, message
+            ),
             on_message=self.apply_message,
             on_membership=self.update_membership,
         )
@@ -139,6 +143,7 @@
             "upstreams": self.upstreams_mirror,
         }
         self.guard = RequestGuard(gateway=self)
+        self.stream_versions = StreamVersions(gateway=self)
         self.retirement = Retirement(gateway=self)
         self.refresh = Refresh(gateway=self)
         self.quotas = QuotaLedger(gateway=self)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -27,6 +27,8 @@
         Data of the events received so far.
     last_event : int or None
         Number of the last event received.
+    version : int or None
+        Key of the software version that has written them.
     run : ItemRun or None
         The current run.
     result : ItemResult or None
@@ -49,6 +51,7 @@
         "lost_runs",
         "event_data",
         "last_event",
+        "version",
         "run",
         "result",
         "not_before",
@@ -66,6 +69,7 @@
         self.lost_runs = 0
         self.event_data = []
         self.last_event = None
+        self.version = None
         self.run = None
         self.result = None
         self.not_before = 0.0
@@ -76,6 +80,7 @@
         """Discard the events received, so that the next run starts over."""
         self.event_data = []
         self.last_event = None
+        self.version = None
 
 
 class JobState:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -180,6 +180,7 @@
         if last is not None and number != last + 1:
             raise StreamMalformedError(f"event {number} follows {last}")
         self.state.last_event = number
+        self.state.version = self.upstream.entry.version_key
         self.state.event_data.append(data)
 
     def evaluate_reply(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
@@ -33,11 +33,11 @@
             )
             for name in names
         }
-        gateway.directory.update(entries)
-        # Entries that vanish together are kept for a while.
-        reactor.advance(3.0)
-        gateway.directory.update(entries)
-        reactor.advance(0.2)
+        recheck_at = gateway.directory.update(entries)
+        if recheck_at is not None:
+            # Entries that vanish together are kept for a while.
+            reactor.advance(recheck_at - reactor.seconds() + 0.1)
+            gateway.directory.update(entries)
 
     return update
 
@@ -109,7 +109,7 @@
     )
 
 
-@pytest.mark.parametrize(("due", "is_sent"), [(60.0, False), (10.0, True)])
+@pytest.mark.parametrize(("due", "is_sent"), [(60.0, False), (7.0, True)])
 def test_an_item_waits_for_the_version_of_its_text_until_it_is_urgent(
     gateway, list_upstreams, submit, reactor, helpers, due, is_sent
 ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -237,13 +237,8 @@
             return
         if not self.gateway.guard.block_list.may_send(state.shared_parts):
             return
-        service = choose_service(route, state.item.identifier)
-        upstream = self.gateway.batch_placement.choose(
-            service,
-            key=state.item.identifier,
-            is_urgent=job.due - now < URGENT_SLACK_S,
-            find_rank=self.ranks.find,
-        )
+        is_urgent = job.due - now < URGENT_SLACK_S
+        upstream = self.choose_upstream(state, route, is_urgent=is_urgent)
         if upstream is None:
             return
         state.run = ItemRun(
@@ -267,6 +262,48 @@
         )
         state.run.start().addBoth(self.finish_run, state)
 
+    def choose_upstream(self, state, route, *, is_urgent):
+        """Choose the upstream for an item, None without a place for it.
+
+        Notes
+        -----
+        A text goes on at the version that began it. It is dropped when no
+        upstream has that version, and when the job is due before a place
+        there may become free.
+        """
+        service = choose_service(route, state.item.identifier)
+
+        def choose(version):
+            return self.gateway.batch_placement.choose(
+                service,
+                key=state.item.identifier,
+                is_urgent=is_urgent,
+                find_rank=self.ranks.find,
+                version=version,
+            )
+
+        placement = self.gateway.placement
+        if state.version is not None and not placement.serves_version(
+            service, state.version
+        ):
+            self.discard_text(state, "its version is gone")
+        upstream = choose(state.version)
+        if upstream is None and state.version is not None and is_urgent:
+            upstream = choose(None)
+            if upstream is not None:
+                self.discard_text(state, "its version has no place")
+        return upstream
+
+    def discard_text(self, state, reason):
+        eliot.log_message(
+            "item:text_discarded",
+            job=state.job_state.job.identifier,
+            item=state.item.identifier,
+            reason=reason,
+            last_event=state.last_event,
+        )
+        state.discard_output()
+
     def give_up(self, state, reason):
         eliot.log_message(
             "item:given_up",
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -6,6 +6,7 @@
 from hollyspan_core.errors import OutcomeUnknownError
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamVersionError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 
@@ -32,6 +33,9 @@
 # that the pause including a failover stays below the 400 ms of the strictest
 # route.
 EVENT_PAUSE_TIMEOUT_S = 0.25
+# Mean time to come back for a client whose stream cannot go on: it can begin
+# anew at once.
+RESTART_RETRY_AFTER_S = 0.1
 
 
 class Relay:
@@ -59,6 +63,9 @@
     upstream_load : dict
         Estimated load of the upstream at the time of its choice, for log
         lines.
+    version : int or None
+        Key of the software version at which the stream has to go on; None
+        while it has no event.
     delivery : Delivery
         Delivery of the answer to the client.
     """
@@ -76,6 +83,7 @@
         self.sends = 0
         self.refusals = 0
         self.tried = set()
+        self.version = None
         self.delivery = Delivery(
             request=request,
             clock=gateway.reactor.seconds,
@@ -103,6 +111,8 @@
         ------
         OverloadedError
             No upstream has run the request.
+        StreamVersionError
+            The version that began the resumed stream is not known or gone.
         RequestBlockedError
             Upstreams have ended with it or with a part of its prompt.
         OutcomeUnknownError
@@ -111,8 +121,11 @@
             A part of the answer was sent and no upstream delivers the rest.
         """
         self.require_allowed()
-        if self.route.kind is RouteKind.STREAM and not self.is_resumed():
-            await self.gateway.held.wait(self)
+        if self.route.kind is RouteKind.STREAM:
+            if self.is_resumed():
+                await self.find_version()
+            else:
+                await self.gateway.held.wait(self)
         while True:
             self.require_allowed()
             self.upstream = self.choose()
@@ -140,11 +153,40 @@
         """Return whether the client resumes an earlier answer."""
         return self.head.resume_after is not None
 
+    async def find_version(self):
+        """Find the version at which the client's stream has to go on."""
+        stream = self.head.resumes
+        versions = self.gateway.stream_versions
+        if stream is not None:
+            self.version = await versions.find(stream)
+        if self.version is None:
+            raise self.build_version_error("is not known")
+        if not self.gateway.placement.serves_version(
+            self.service, self.version
+        ):
+            raise self.build_version_error("is not served any more")
+
+    def fix_version(self):
+        """Fix the version of a stream that has sent its first event."""
+        self.version = self.upstream.entry.version_key
+        if self.route.is_repeatable:
+            self.gateway.stream_versions.begin(
+                self.head.identifier, self.version
+            )
+
+    def build_version_error(self, reason):
+        return StreamVersionError(
+            f"the version that began the stream {reason}; begin anew",
+            outcome=self.outcome,
+            retry_after=RESTART_RETRY_AFTER_S,
+        )
+
     def choose(self):
         """Choose the next upstream or reject the request."""
         return self.gateway.placement.choose(
             self.service,
             key=self.head.identifier,
+            version=self.version,
             excluded=self.tried,
             outcome=self.outcome,
             seconds_left=self.deadline - self.gateway.reactor.seconds(),
@@ -221,7 +263,7 @@
     def may_abandon(self):
         """Return whether another upstream has shown free capacity."""
         return self.gateway.placement.has_free_alternative(
-            self.upstream, excluded=self.tried
+            self.upstream, version=self.version, excluded=self.tried
         )
 
     def find_first_event_timeout(self):
@@ -245,6 +287,8 @@
         if self.is_stream():
             events = self.delivery.forward_events(data, self.reply)
             self.gateway.metrics.events += events
+            if events and self.version is None:
+                self.fix_version()
         else:
             self.delivery.buffer(data)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_held.py
@@ -7,16 +7,23 @@
 from hollyspan_gateway.online.relay import Relay
 from hollyspan_gateway.routes import RouteKind
 
+# Client attempt that resumes the stream of another one.
+RESUMED = {"resume_after": 3, "resumes": "q0"}
+
 
 @pytest.fixture
 def start(gateway, reactor, helpers):
     """Return a function that starts a relay."""
 
-    def begin(*, name="q", seconds=5.0, resume_after=None, **changes):
+    def begin(
+        *, name="q", seconds=5.0, resume_after=None, resumes=None, **changes
+    ):
         relay = Relay(
             gateway=gateway,
             request=helpers.build_request(reactor=reactor),
-            head=helpers.build_head(name, resume_after=resume_after),
+            head=helpers.build_head(
+                name, resume_after=resume_after, resumes=resumes
+            ),
             route=helpers.build_route(**changes),
             service="m",
             body=b"body",
@@ -130,10 +137,12 @@
 
 @pytest.mark.parametrize(
     "changes",
-    [{"resume_after": 3}, {"kind": RouteKind.ONCE}, {"latency_target": 9.0}],
+    [RESUMED, {"kind": RouteKind.ONCE}, {"latency_target": 9.0}],
 )
 def test_requests_that_are_never_held(start, fill, gateway, changes):
     fill(14)
+    upstream, *_ = gateway.directory.upstreams.values()
+    gateway.stream_versions.begin("q0", upstream.entry.version_key)
     start(**changes)
     assert len(gateway.pool.sent) == 1
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -13,13 +13,15 @@
 def start(gateway, reactor, helpers):
     """Return a function that starts a relay and collects its result."""
 
-    def begin(*, resume_after=None, **changes):
+    def begin(*, resume_after=None, resumes=None, **changes):
         route = helpers.build_route(**changes)
         request = helpers.build_request(reactor=reactor)
         relay = Relay(
             gateway=gateway,
             request=request,
-            head=helpers.build_head(resume_after=resume_after),
+            head=helpers.build_head(
+                resume_after=resume_after, resumes=resumes
+            ),
             route=route,
             service="m",
             body=b"body",
@@ -228,7 +230,9 @@
         upstream.record_report(8, 4, now=reactor.seconds())
     reactor.advance(0.25)
     # A resumed stream is sent at any load.
-    relay = start(resume_after=3)
+    upstream, *_ = gateway.directory.upstreams.values()
+    gateway.stream_versions.begin("q0", upstream.entry.version_key)
+    relay = start(resume_after=3, resumes="q0")
     assert relay.upstream_load["online"] == 8
     assert relay.upstream_load["batch"] == 1
     assert relay.upstream_load["hidden"] == 12 - 9 - 1
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -9,6 +9,7 @@
 from ..crashes.notices import BlockNotice
 from ..crashes.notices import EndNotice
 from ..crashes.notices import SurvivalNotice
+from ..streams.notice import StreamNotice
 from ..upstreams.rate_limit import LimitReport
 from .message import FleetMessage
 from .message import UpstreamLoad
@@ -78,6 +79,13 @@
         wire.departures = list(message.departures)
     if message.ends or message.survivals or message.blocks:
         encode_notices(wire, message)
+    if message.streams:
+        wire.streams = [
+            {"stream": notice.stream, "version": notice.version}
+            for notice in message.streams
+        ]
+    if message.asked_streams:
+        wire.askedStreams = list(message.asked_streams)
     return wire.to_bytes_packed()
 
 
@@ -197,6 +205,11 @@
         )
         for block in wire.blocks
     ]
+    message.streams = [
+        StreamNotice(stream=notice.stream, version=notice.version)
+        for notice in wire.streams
+    ]
+    message.asked_streams = list(wire.askedStreams)
 
 
 def encode_limit(wire, report):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -45,6 +45,11 @@
   failedTrials @2 :UInt16;
 }
 
+struct Stream {
+  stream @0 :UInt64;      # hash of the request that began it
+  version @1 :UInt64;     # key of the version that did; 0: not known
+}
+
 struct FleetMessage {
   sender @0 :UInt64;
   incarnation @1 :UInt64;   # start time, microseconds since the epoch
@@ -68,4 +73,6 @@
   ends @17 :List(End);
   survivals @18 :List(Survival);
   blocks @19 :List(Block);
+  streams @20 :List(Stream);
+  askedStreams @21 :List(UInt64); # streams whose version the sender asks for
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -113,6 +113,9 @@
     ends : list of EndNotice, optional
     survivals : list of SurvivalNotice, optional
     blocks : list of BlockNotice, optional
+    streams : list of StreamNotice, optional
+    asked_streams : list of int, optional
+        Hashes of the streams whose version the sender asks for.
     """
 
     __slots__ = (
@@ -136,6 +139,8 @@
         "ends",
         "survivals",
         "blocks",
+        "streams",
+        "asked_streams",
     )
 
     def __init__(
@@ -161,6 +166,8 @@
         ends=(),
         survivals=(),
         blocks=(),
+        streams=(),
+        asked_streams=(),
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -182,3 +189,5 @@
         self.ends = ends
         self.survivals = survivals
         self.blocks = blocks
+        self.streams = streams
+        self.asked_streams = asked_streams
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -55,6 +55,9 @@
         Returns the upstreams with requests in flight.
     list_totals : callable
         Returns an UpstreamTotal for each upstream of the same region.
+    on_streams : callable
+        Called with a Peer and its FleetMessage, whatever the message's place
+        in their order.
     on_message : callable
         Called with a Peer, its FleetMessage and the PeerChange.
     on_membership : callable
@@ -81,6 +84,7 @@
         describe,
         list_loads,
         list_totals,
+        on_streams,
         on_message,
         on_membership,
     ):
@@ -93,6 +97,7 @@
         self.describe = describe
         self.list_loads = list_loads
         self.list_totals = list_totals
+        self.on_streams = on_streams
         self.on_message = on_message
         self.on_membership = on_membership
         self.peers = {}
@@ -308,6 +313,7 @@
         now = self.reactor.seconds()
         was_live = peer.is_live(now)
         change = peer.apply(message, now=now)
+        self.on_streams(peer, message)
         if change is None:
             return
         if message.wants_reply:
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -170,8 +170,9 @@
         killed = fleet.gateways[number]
         fleet.kill_gateway(number)
         for client in clients:
-            if client.requests[-1].gateway is killed:
-                client.requests[-1].abort()
+            request = client.requests[-1]
+            if request.gateway is killed and request.is_open:
+                request.abort()
         resumed += resume_broken(fleet, clients)
         fleet.advance(0.5)
         fleet.restart_gateway(number)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -30,7 +30,7 @@
         self.placement = placement
         self.gateway = gateway
 
-    def choose(self, service, *, key, is_urgent, find_rank):
+    def choose(self, service, *, key, is_urgent, find_rank, version=None):
         """Choose the upstream for an item.
 
         Parameters
@@ -43,6 +43,8 @@
         find_rank : callable
             Called with an Upstream, returns the rank of this gateway among
             those that run items there, and their number.
+        version : int, optional
+            Key of the software version at which the item has to go on.
 
         Returns
         -------
@@ -72,7 +74,9 @@
                 seed=key,
             )
 
-        views = placement.build_views(service, include_suspects=False)
+        views = placement.build_views(
+            service, version=version, include_suspects=False
+        )
         # Online requests use few of the slots of a limited upstream.
         view = choose(
             [view for view in views if self.is_limited(view)], 0.0
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -1,5 +1,6 @@
 """Placement of online requests on upstreams."""
 
+import collections
 import contextlib
 import math
 
@@ -14,6 +15,7 @@
 from hollyspan_policy.routing import choose_fastest_upstream
 from hollyspan_policy.routing import estimate_wait
 from hollyspan_policy.routing import UpstreamView
+from hollyspan_policy.streams import find_scarce_versions
 
 from .rate_limits import RateLimits
 
@@ -27,6 +29,9 @@
 # Delay that is accepted at other upstreams while a limited one saves requests
 # for the next wave: more than between regions, less than that of a preemption.
 RESERVE_COST_S = 0.04
+# The same while only one upstream has the software version: a stream that
+# begins there cannot go on elsewhere.
+SCARCE_VERSION_COST_S = 0.04
 # Mean retry-after time of rejected clients: about the time that one online
 # request occupies a slot.
 RETRY_AFTER_S = 0.6
@@ -96,6 +101,7 @@
         excluded,
         outcome,
         seconds_left,
+        version=None,
         is_continued=False,
     ):
         """Choose the upstream for an online request.
@@ -111,6 +117,8 @@
             Whether the request may have run.
         seconds_left : float
             Time until the request's deadline.
+        version : int, optional
+            Key of the software version at which it has to go on.
         is_continued : bool, optional
             True when its answer has begun; it may then be sent ahead of the
             rate limits if all upstreams have one.
@@ -124,9 +132,11 @@
         OverloadedError
             No upstream can accept the request now.
         """
-        views = self.build_views(service)
+        views = self.build_views(service, version=version)
         if not views and is_continued:
-            views = self.build_views(service, is_continued=True)
+            views = self.build_views(
+                service, version=version, is_continued=True
+            )
         admission = decide_admission(
             views,
             service_seconds=self.service_seconds,
@@ -156,6 +166,13 @@
             )
         return self.directory.upstreams[view.name]
 
+    def serves_version(self, service, version):
+        """Return whether an upstream of a version accepts new work."""
+        return any(
+            upstream.entry.version_key == version
+            for upstream in self.directory.list_usable(service)
+        )
+
     def must_hold(self, service, *, seconds_to_target, seconds_left, ahead=0):
         """Return whether to hold a new request rather than queue it.
 
@@ -203,7 +220,7 @@
         view = self.build_view(upstream, self.reactor.seconds())
         return estimate_wait(view, service_seconds=self.service_seconds)
 
-    def has_free_alternative(self, upstream, *, excluded):
+    def has_free_alternative(self, upstream, *, excluded, version=None):
         """Return whether another upstream is likely to answer sooner.
 
         Parameters
@@ -212,6 +229,8 @@
             Silent upstream at which a request waits.
         excluded : collection of str
             Names of the upstreams that the request was sent to.
+        version : int, optional
+            Key of the software version at which it has to go on.
 
         Returns
         -------
@@ -229,6 +248,7 @@
             and other.rate_limit.may_send(now=now)
             for other in self.directory.list_usable(upstream.entry.service)
             if other.entry.name not in excluded
+            and version in (None, other.entry.version_key)
         )
 
     def describe(self, upstream):
@@ -262,21 +282,36 @@
         return self.find_region(data_centre) == self.region
 
     def build_views(
-        self, service, *, include_suspects=True, is_continued=False
+        self,
+        service,
+        *,
+        version=None,
+        include_suspects=True,
+        is_continued=False,
     ):
         """Return the views of the upstreams that a request may be sent to."""
         now = self.reactor.seconds()
         upstreams = [
             each
             for each in self.directory.list_usable(service)
-            if each.rate_limit.may_send(now=now, is_continued=is_continued)
+            if version in (None, each.entry.version_key)
+            and each.rate_limit.may_send(now=now, is_continued=is_continued)
         ]
         unsuspected = [each for each in upstreams if each.suspect_until <= now]
         if unsuspected or not include_suspects:
             upstreams = unsuspected
-        return [self.build_view(upstream, now) for upstream in upstreams]
+        counts = collections.Counter(
+            upstream.entry.version_key for upstream in upstreams
+        )
+        scarce = find_scarce_versions(counts)
+        return [
+            self.build_view(
+                upstream, now, is_scarce=upstream.entry.version_key in scarce
+            )
+            for upstream in upstreams
+        ]
 
-    def build_view(self, upstream, now):
+    def build_view(self, upstream, now, *, is_scarce=False):
         """Return the view of one upstream."""
         has_recent_report = upstream.has_recent_report(now=now)
         online, batch = upstream.count_online(), upstream.count_batch()
@@ -292,9 +327,9 @@
             batch=batch,
             waiting=upstream.waiting if has_recent_report else 0,
             hidden=upstream.hidden if has_recent_report else 0,
-            reserve_cost=(
-                RESERVE_COST_S if upstream.rate_limit.is_saving(now=now) else 0
-            ),
+            reserve_cost=RESERVE_COST_S
+            * upstream.rate_limit.is_saving(now=now)
+            + SCARCE_VERSION_COST_S * is_scarce,
         )
 
     @contextlib.contextmanager
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -41,6 +41,8 @@
 
     Attributes
     ----------
+    version_key : int
+        Hash of service and version.
     key : int
         Hash of its name, which identifies it in messages to peers.
     incarnation_key : int
@@ -56,6 +58,7 @@
         "is_ready",
         "started_at_ms",
         "version",
+        "version_key",
         "key",
         "incarnation_key",
     )
@@ -80,6 +83,7 @@
         self.is_ready = is_ready
         self.started_at_ms = started_at_ms
         self.version = version
+        self.version_key = hash_parts(service, version)
         self.key = hash_parts(name)
         self.incarnation_key = hash_parts(name, str(started_at_ms))
 
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/tests/test_keepers.py
@@ -0,0 +1,40 @@
+"""Tests of the gateways that remember which version began a stream."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollyspan_policy.streams import choose_keepers
+from hollyspan_policy.streams import choose_respondents
+from hollyspan_policy.streams import find_scarce_versions
+
+GATEWAYS = [f"{number:016x}" for number in range(390)]
+STREAMS = st.integers(min_value=0, max_value=2**64 - 1)
+
+
+@given(STREAMS, st.sets(st.sampled_from(GATEWAYS), max_size=3))
+def test_a_gateway_asks_the_keepers_though_some_have_failed(stream, failed):
+    told = set(choose_keepers(stream, GATEWAYS[1:]))
+    live = [each for each in GATEWAYS[2:] if each not in failed]
+    asked = set(choose_respondents(stream, live))
+    assert told & set(live) <= asked
+    assert len(told) == 3 and len(asked) <= 8
+
+
+def test_streams_are_kept_by_all_gateways_alike():
+    gateways = GATEWAYS[:39]
+    counts = dict.fromkeys(gateways, 0)
+    for stream in range(13_000):
+        for keeper in choose_keepers(stream, gateways):
+            counts[keeper] += 1
+    assert max(counts.values()) < 1.3 * min(counts.values())
+
+
+def test_a_small_fleet_asks_everybody():
+    assert set(choose_respondents(7, GATEWAYS[:9])) == set(GATEWAYS[:9])
+    assert choose_keepers(7, []) == choose_respondents(7, []) == []
+
+
+def test_versions_with_one_upstream_are_scarce_beside_others():
+    assert find_scarce_versions({1: 2, 2: 1, 3: 1}) == {2, 3}
+    assert find_scarce_versions({1: 1}) == set()
+    assert find_scarce_versions({}) == set()
