Let streams go on whose clients do not name them

Cause: a stream was known by the identifier of that attempt alone.

Change: it is known by the request's fingerprint as well. All that may know it are asked, and a fingerprint under which streams of several versions have begun tells nothing. A small fleet tells three keepers both keys in one message; a large one tells three keepers the identifier and two the fingerprint.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -155,10 +155,7 @@
 
     async def find_version(self):
         """Find the version at which the client's stream has to go on."""
-        stream = self.head.resumes
-        versions = self.gateway.stream_versions
-        if stream is not None:
-            self.version = await versions.find(stream)
+        self.version = await self.gateway.stream_versions.find(self.head)
         if self.version is None:
             raise self.build_version_error("is not known")
         if not self.gateway.placement.serves_version(
@@ -170,9 +167,7 @@
         """Fix the version of a stream that has sent its first event."""
         self.version = self.upstream.entry.version_key
         if self.route.is_repeatable:
-            self.gateway.stream_versions.begin(
-                self.head.identifier, self.version
-            )
+            self.gateway.stream_versions.begin(self.head, self.version)
 
     def build_version_error(self, reason):
         return StreamVersionError(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_held.py
@@ -6,6 +6,7 @@
 from hollyspan_gateway.online import held
 from hollyspan_gateway.online.relay import Relay
 from hollyspan_gateway.routes import RouteKind
+from hollyspan_standins.memory import build_head
 
 # Client attempt that resumes the stream of another one.
 RESUMED = {"resume_after": 3, "resumes": "q0"}
@@ -142,7 +143,7 @@
 def test_requests_that_are_never_held(start, fill, gateway, changes):
     fill(14)
     upstream, *_ = gateway.directory.upstreams.values()
-    gateway.stream_versions.begin("q0", upstream.entry.version_key)
+    gateway.stream_versions.begin(build_head("q0"), upstream.entry.version_key)
     start(**changes)
     assert len(gateway.pool.sent) == 1
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -7,6 +7,7 @@
 from hollyspan_core.errors import StreamLostError
 from hollyspan_gateway.online.relay import Relay
 from hollyspan_gateway.routes import RouteKind
+from hollyspan_standins.memory import build_head
 
 
 @pytest.fixture
@@ -231,7 +232,7 @@
     reactor.advance(0.25)
     # A resumed stream is sent at any load.
     upstream, *_ = gateway.directory.upstreams.values()
-    gateway.stream_versions.begin("q0", upstream.entry.version_key)
+    gateway.stream_versions.begin(build_head("q0"), upstream.entry.version_key)
     relay = start(resume_after=3, resumes="q0")
     assert relay.upstream_load["online"] == 8
     assert relay.upstream_load["batch"] == 1
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -81,7 +81,7 @@
         encode_notices(wire, message)
     if message.streams:
         wire.streams = [
-            {"stream": notice.stream, "version": notice.version}
+            {"key": notice.key, "version": notice.version}
             for notice in message.streams
         ]
     if message.asked_streams:
@@ -206,7 +206,7 @@
         for block in wire.blocks
     ]
     message.streams = [
-        StreamNotice(stream=notice.stream, version=notice.version)
+        StreamNotice(key=notice.key, version=notice.version)
         for notice in wire.streams
     ]
     message.asked_streams = list(wire.askedStreams)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -46,8 +46,8 @@
 }
 
 struct Stream {
-  stream @0 :UInt64;      # hash of the request that began it
-  version @1 :UInt64;     # key of the version that did; 0: not known
+  key @0 :UInt64;         # hash of the request's identifier, or fingerprint
+  version @1 :UInt64;     # that began it; 0: not known, all ones: several
 }
 
 struct FleetMessage {
@@ -74,5 +74,5 @@
   survivals @18 :List(Survival);
   blocks @19 :List(Block);
   streams @20 :List(Stream);
-  askedStreams @21 :List(UInt64); # streams whose version the sender asks for
+  askedStreams @21 :List(UInt64); # keys of streams whose version it asks for
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -115,7 +115,7 @@
     blocks : list of BlockNotice, optional
     streams : list of StreamNotice, optional
     asked_streams : list of int, optional
-        Hashes of the streams whose version the sender asks for.
+        Keys of the streams whose version the sender asks for.
     """
 
     __slots__ = (
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -14,6 +14,7 @@
 from hollyspan_gateway.peers import FleetMessage
 from hollyspan_gateway.peers import UpstreamLoad
 from hollyspan_gateway.peers import UpstreamTotal
+from hollyspan_gateway.streams import StreamNotice
 from hollyspan_gateway.upstreams import LimitReport
 
 HASHES = st.integers(0, 2**64 - 1)
@@ -41,6 +42,10 @@
         st.builds(BlockNotice, keys=PARTS, age=AGES, failed_trials=COUNTS),
         max_size=2,
     ),
+    "streams": st.lists(
+        st.builds(StreamNotice, key=HASHES, version=HASHES), max_size=2
+    ),
+    "asked_streams": st.lists(HASHES, max_size=2),
 }
 LOADS = st.builds(
     UpstreamLoad,
@@ -93,6 +98,7 @@
     EndNotice,
     FleetMessage,
     LimitReport,
+    StreamNotice,
     SurvivalNotice,
     UpstreamLoad,
     UpstreamTotal,
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/notice.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/notice.py
@@ -8,14 +8,16 @@
 
     Parameters
     ----------
-    stream : int
-        Hash of the identifier of the request that began it.
+    key : int
+        Hash of the identifier of the request that began the stream, or the
+        request's fingerprint.
     version : int
-        Key of the version; 0 if the sender does not know it.
+        Key of the version; 0 if the sender does not know it, the largest
+        number if streams of several versions have begun under the key.
     """
 
-    __slots__ = ("stream", "version")
+    __slots__ = ("key", "version")
 
-    def __init__(self, *, stream, version):
-        self.stream = stream
+    def __init__(self, *, key, version):
+        self.key = key
         self.version = version
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/question.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/question.py
@@ -6,25 +6,31 @@
 
 
 class Question:
-    """Waits for the first gateway that knows a stream.
+    """Waits for the gateways that may know a stream.
 
     Parameters
     ----------
     pending : set of str
         Identifiers of the gateways that have not answered yet.
+    takes_first : bool
+        False to wait for all of them, since they may know different streams.
 
     Attributes
     ----------
+    versions : set of int
+        The answers of those that know it.
     waiting : list of Deferred
-        They fire with the version's key, or None if nobody knows it.
+        They fire with the version's key, or None if it was not learned.
     call : IDelayedCall or None
         The next repetition, or the end of the wait.
     """
 
-    __slots__ = ("pending", "waiting", "call")
+    __slots__ = ("pending", "takes_first", "versions", "waiting", "call")
 
-    def __init__(self, *, pending):
+    def __init__(self, *, pending, takes_first):
         self.pending = pending
+        self.takes_first = takes_first
+        self.versions = set()
         self.waiting = []
         self.call = None
 
@@ -34,11 +40,39 @@
         self.waiting.append(deferred)
         return deferred
 
-    def end(self, version):
-        """Answer all that wait."""
+    def note_answer(self, identifier, version):
+        """Note an answer.
+
+        Parameters
+        ----------
+        identifier : str
+            Of the gateway.
+        version : int
+            0 if it does not know the stream.
+
+        Returns
+        -------
+        bool
+            True when no other answer is needed.
+        """
+        self.pending.discard(identifier)
+        if version:
+            self.versions.add(version)
+            return self.takes_first or not self.pending
+        return not self.pending
+
+    def end(self):
+        """Give the answer to all that wait.
+
+        Returns
+        -------
+        int or None
+        """
         if self.call is not None:
             self.call.cancel()
             self.call = None
+        version = self.versions.pop() if len(self.versions) == 1 else None
         waiting, self.waiting = self.waiting, []
         for deferred in waiting:
             deferred.callback(version)
+        return version
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
@@ -9,16 +9,18 @@
 from .notice import StreamNotice
 from .question import Question
 
-__all__ = ["StreamVersions", "hash_stream"]
+__all__ = ["StreamVersions"]
 
 # Time for which a stream is remembered, longer than any client waits for one.
 RECORD_TTL_S = 120.0
 # Limit on the memory; the oldest streams are forgotten.
-MAX_RECORDS = 8192
+MAX_RECORDS = 16384
 # Time after which a question is repeated, above a round trip between regions,
 # and the number of times it is asked.
 ANSWER_TIMEOUT_S = 0.08
-MAX_QUESTIONS = 3
+MAX_QUESTIONS = 2
+# Value of a key under which streams of several versions have begun.
+AMBIGUOUS = 2**64 - 1
 
 
 class StreamVersions:
@@ -31,9 +33,9 @@
     Attributes
     ----------
     records : dict
-        (version, time) by the stream's hash, the oldest first.
+        (version, time) by the stream's key, the oldest first.
     questions : dict
-        Question by the stream's hash.
+        Question by the stream's key.
 
     Notes
     -----
@@ -42,6 +44,11 @@
     event tells a few others, the stream's keepers. A gateway to which a client
     comes back asks them. If none answers that it knows the stream, the version
     cannot be learned.
+
+    The keys of a stream are the hash of the identifier of the request that
+    began it, which most clients name when they resume it, and the request's
+    fingerprint for those that do not. A fingerprint under which streams of
+    several versions have begun tells nothing.
     """
 
     __slots__ = ("gateway", "records", "questions")
@@ -51,33 +58,39 @@
         self.records = {}
         self.questions = {}
 
-    def begin(self, identifier, version):
+    def begin(self, head, version):
         """Note the version of a stream that begins here and tell its keepers.
 
         Parameters
         ----------
-        identifier : str
-            Of the request that began the stream.
+        head : RequestHead
         version : int
             Key of the version.
         """
-        stream = hash_stream(identifier)
-        self.note(stream, version)
+        stream = hash_stream(head.identifier)
         peers = {
             peer.identifier: peer
             for peer in self.gateway.peers.list_live()
             if not peer.is_leaving
         }
-        self.send(
-            [peers[keeper] for keeper in choose_keepers(stream, peers)],
-            streams=[StreamNotice(stream=stream, version=version)],
-        )
-
-    def note(self, stream, version):
+        self.note(stream, version)
+        self.note(head.fingerprint, version)
+        keepers = choose_keepers(stream, head.fingerprint, peers)
+        recipients = {}
+        for identifier, keys in keepers.items():
+            recipients.setdefault(keys, []).append(peers[identifier])
+        for keys, group in recipients.items():
+            notices = [StreamNotice(key=key, version=version) for key in keys]
+            self.send(group, streams=notices)
+
+    def note(self, key, version):
         """Remember the version of a stream."""
         now = self.gateway.reactor.seconds()
-        self.records.pop(stream, None)
-        self.records[stream] = (version, now)
+        known = self.find_known(key)
+        self.records.pop(key, None)
+        if known not in (None, version):
+            version = AMBIGUOUS
+        self.records[key] = (version, now)
         while len(self.records) > MAX_RECORDS or self.is_oldest_expired(now):
             del self.records[next(iter(self.records))]
 
@@ -85,69 +98,70 @@
         _, noted_at = next(iter(self.records.values()))
         return now - noted_at > RECORD_TTL_S
 
-    def find_known(self, stream):
-        """Return the version of a stream that is known here, or None."""
-        version, _ = self.records.get(stream, (None, 0.0))
+    def find_known(self, key):
+        """Return the version that is known here, AMBIGUOUS, or None."""
+        version, _ = self.records.get(key, (None, 0.0))
         return version
 
-    async def find(self, identifier):
-        """Find the version that began a stream.
+    async def find(self, head):
+        """Find the version that began the stream that a request resumes.
 
         Parameters
         ----------
-        identifier : str
-            Of the request that began the stream.
+        head : RequestHead
 
         Returns
         -------
         int or None
-            Key of the version; None if neither this gateway nor one that
-            answers knows it.
+            Key of the version; None if it cannot be learned.
         """
-        stream = hash_stream(identifier)
-        version = self.find_known(stream)
-        if version is not None:
-            return version
-        if stream in self.questions:
-            return await self.questions[stream].wait()
+        is_named = head.resumes is not None
+        key = hash_stream(head.resumes) if is_named else head.fingerprint
+        known = self.find_known(key)
+        if known == AMBIGUOUS:
+            return None
+        if known is not None and is_named:
+            return known
+        if key in self.questions:
+            return await self.questions[key].wait()
         live = [peer.identifier for peer in self.gateway.peers.list_live()]
-        respondents = choose_respondents(stream, live)
+        respondents = choose_respondents(key, live)
         if not respondents:
-            return None
-        question = self.questions[stream] = Question(pending=set(respondents))
+            return known
+        question = Question(pending=set(respondents), takes_first=is_named)
+        if known is not None:
+            question.versions.add(known)
+        self.questions[key] = question
         answer = question.wait()
-        self.send_question(stream, question, remaining=MAX_QUESTIONS)
+        self.send_question(key, question, remaining=MAX_QUESTIONS)
         return await answer
 
-    def send_question(self, stream, question, *, remaining):
+    def send_question(self, key, question, *, remaining):
         question.call = None
         if remaining == 0:
-            self.end_question(stream, question, None)
+            self.end_question(key, question)
             return
         question.call = self.gateway.reactor.callLater(
             ANSWER_TIMEOUT_S,
             self.send_question,
-            stream,
+            key,
             question,
             remaining=remaining - 1,
         )
         peers = self.gateway.peers.list_live()
         self.send(
             [peer for peer in peers if peer.identifier in question.pending],
-            asked_streams=[stream],
+            asked_streams=[key],
         )
 
-    def end_question(self, stream, question, version):
-        if self.questions.get(stream) is not question:
-            return
-        del self.questions[stream]
+    def end_question(self, key, question):
+        del self.questions[key]
+        unanswered = len(question.pending)
+        version = question.end()
         if version is None:
             eliot.log_message(
-                "stream:unknown",
-                stream=f"{stream:016x}",
-                unanswered=len(question.pending),
+                "stream:unknown", stream=f"{key:016x}", unanswered=unanswered
             )
-        question.end(version)
 
     def apply(self, peer, message):
         """Apply what a peer tells of streams, and answer what it asks.
@@ -162,23 +176,19 @@
             self.send(
                 [peer],
                 streams=[
-                    StreamNotice(
-                        stream=stream, version=self.find_known(stream) or 0
-                    )
-                    for stream in message.asked_streams
+                    StreamNotice(key=key, version=self.find_known(key) or 0)
+                    for key in message.asked_streams
                 ],
             )
 
     def apply_notice(self, peer, notice):
-        question = self.questions.get(notice.stream)
         if notice.version:
-            self.note(notice.stream, notice.version)
-            if question is not None:
-                self.end_question(notice.stream, question, notice.version)
-        elif question is not None:
-            question.pending.discard(peer.identifier)
-            if not question.pending:
-                self.end_question(notice.stream, question, None)
+            self.note(notice.key, notice.version)
+        question = self.questions.get(notice.key)
+        if question is not None and question.note_answer(
+            peer.identifier, notice.version
+        ):
+            self.end_question(notice.key, question)
 
     def send(self, peers, **fields):
         if not peers:
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -40,12 +40,16 @@
     ----------
     requests : list of MemoryRequest
         Its attempts.
+    names_stream : bool
+        Whether it names the attempt that began the stream.
     """
 
     def __init__(self, *, fleet, name, gateway=None):
         self.fleet = fleet
         self.name = name
-        self.requests = [fleet.request(name, gateway=gateway)]
+        self.body = f"body of {name}"
+        self.names_stream = True
+        self.requests = [fleet.request(name, gateway=gateway, body=self.body)]
 
     @property
     def written(self):
@@ -76,7 +80,8 @@
                 f"{self.name}r{len(self.requests)}",
                 gateway=gateway,
                 resume=events[-1][1] if events else None,
-                resumes=self.name if events else None,
+                resumes=self.name if events and self.names_stream else None,
+                body=self.body,
             )
         )
 
@@ -260,3 +265,38 @@
     gone = change_gateways(fleet, clients)
     assert {client.count_versions() for client in clients} == {1}
     assert count_served(gone) > 0.9 * len(gone)
+
+
+def test_streams_of_clients_that_do_not_name_them_go_on(fleet):
+    clients = start_streams(fleet, 60)
+    for client in clients:
+        client.names_stream = False
+    gone = change_gateways(fleet, clients)
+    assert {client.count_versions() for client in clients} == {1}
+    assert count_served(gone) > 0.95 * len(gone)
+
+
+def test_a_request_that_began_streams_of_two_versions_tells_no_version(fleet):
+    clients = []
+    while len({client.written[:14] for client in clients}) < 2:
+        client = Client(fleet=fleet, name=f"q{len(clients)}")
+        client.leave()
+        client.names_stream = False
+        client.body = "the same body"
+        client.requests = [fleet.request(client.name, body=client.body)]
+        clients.append(client)
+        fleet.advance(0.2)
+    for client in clients:
+        client.leave()
+    first, last = clients[0], clients[-1]
+    for client in (first, last):
+        client.resume()
+    fleet.advance(0.5)
+    assert first.is_refused() and last.is_refused()
+    first.names_stream = last.names_stream = True
+    for client in (first, last):
+        client.requests.pop()
+        client.resume()
+    fleet.advance(2.0)
+    assert first.is_served() and last.is_served()
+    assert first.count_versions() == last.count_versions() == 1
--- a/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
@@ -10,24 +10,30 @@
 # Gateways that are told of a stream: two of them may restart, or one restart
 # and one datagram be lost, while the client is on its way back.
 KEEPERS = 3
+# In a large fleet, those that are told of it by the request's fingerprint, for
+# the callers that do not name the stream.
+FINGERPRINT_KEEPERS = 2
 # Gateways that are asked in a large fleet: keepers move down by one place for
 # each gateway that appears, and up for each that fails.
 RESPONDENTS = 8
 
 
-def choose_keepers(stream, gateways):
+def choose_keepers(stream, fingerprint, gateways):
     """Choose the gateways that are told which version began a stream.
 
     Parameters
     ----------
     stream : int
         Hash of the identifier of the request that began it.
-    gateways : iterable of str
+    fingerprint : int
+        Of the request.
+    gateways : collection of str
         Identifiers of the live gateways but the one that tells.
 
     Returns
     -------
-    list of str
+    dict
+        Tuple of the keys that a gateway is told, by its identifier.
 
     Notes
     -----
@@ -42,18 +48,28 @@
 
     Examples
     --------
-    >>> len(choose_keepers(7, ["a", "b", "c", "d", "e"]))
-    3
+    >>> keepers = choose_keepers(7, 8, ["a", "b", "c", "d", "e"])
+    >>> len(keepers), set(keepers.values())
+    (3, {(7, 8)})
     """
-    return choose_first(stream, gateways, KEEPERS)
+    if is_small_fleet(len(gateways)):
+        # All are asked; those that are told alike know of two versions.
+        keepers = choose_first(fingerprint, gateways, KEEPERS)
+        return dict.fromkeys(keepers, (stream, fingerprint))
+    keys = dict.fromkeys(choose_first(stream, gateways, KEEPERS), (stream,))
+    for name in choose_first(fingerprint, gateways, FINGERPRINT_KEEPERS):
+        keys[name] = (*keys.get(name, ()), fingerprint)
+    return keys
 
 
-def choose_respondents(stream, gateways):
+def choose_respondents(key, gateways):
     """Choose the gateways that are asked for a stream's version.
 
     Parameters
     ----------
-    stream : int
+    key : int
+        Hash of the identifier of the request that began it, or the request's
+        fingerprint.
     gateways : collection of str
         Identifiers of the live gateways but the one that asks.
 
@@ -69,11 +85,11 @@
     """
     if is_small_fleet(len(gateways)):
         return list(gateways)
-    return choose_first(stream, gateways, RESPONDENTS)
+    return choose_first(key, gateways, RESPONDENTS)
 
 
-def choose_first(stream, gateways, count):
-    duty = f"{stream:016x}"
+def choose_first(key, gateways, count):
+    duty = f"{key:016x}"
     return heapq.nlargest(
         count, gateways, key=lambda name: (hash_parts(duty, name), name)
     )
