Resume a stream at the service that its version belongs to

What callers would see: on a route with weighted services an attempt that resumes a stream drew its service anew, by its own identifier, so that the stream went on at another service, or, since versions count, was refused.

Cause: the service was chosen before it was known who began the stream.

Found on reading.

Result: the new test, one of its two cases failed before; the gateway's unit tests pass.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -158,10 +158,16 @@
         self.version = await self.gateway.stream_versions.find(self.head)
         if self.version is None:
             raise self.build_version_error("is not known")
-        if not self.gateway.placement.serves_version(
-            self.service, self.version
-        ):
+        services = [
+            service
+            for service, weight in self.route.services
+            if weight > 0
+            and self.gateway.placement.serves_version(service, self.version)
+        ]
+        if not services:
             raise self.build_version_error("is not served any more")
+        # The version tells the service, which is drawn for each attempt.
+        self.service = services[0]
 
     def fix_version(self):
         """Fix the version of a stream that has sent its first event."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -111,7 +111,7 @@
             request=request,
             head=head,
             route=route,
-            service=choose_service(route, head.resumes or head.identifier),
+            service=choose_service(route, head.identifier),
             body=request.content.getvalue(),
             deadline=request.arrived_at + min(wait, route.timeout),
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -343,3 +343,19 @@
         if not connection.is_cancelled:
             connection.exchange.on_data(b"x" * MEGABYTE)
     assert connection.is_cancelled
+
+
+@pytest.mark.parametrize("service", ["m", "n"])
+def test_a_resumed_stream_stays_with_its_service(
+    start, gateway, helpers, service
+):
+    entries = {
+        name: helpers.build_entry(name, port=port, service=each)
+        for port, (name, each) in enumerate((("u1", "m"), ("u2", "n")), 1)
+    }
+    gateway.directory.update(entries)
+    (entry,) = [each for each in entries.values() if each.service == service]
+    gateway.stream_versions.begin(build_head("q0"), entry.version_key)
+    services = [("m", 1), ("n", 1)]
+    start(resume_after=3, resumes="q0", services=services)
+    assert gateway.pool.last.address == entry.address
