Let an item wait for the version of its text as long as writing it took

What callers would see: an overdue item loses its text each time it is preempted while two versions serve and only the other one has a free place, and may never end.

Found on reading.

Change: it is dropped when its version has had no place for as long as it takes to write the text again. Gateways ask all others in fleets of up to 48, so that two that disagree on whether a fleet is small still find the keepers.

Ruled out: waiting for ever, since a version may keep a single upstream that online requests fill.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -33,6 +33,8 @@
         The current run.
     result : ItemResult or None
         The final result; None until the item is done or given up.
+    stopped_at : float
+        End of the last run, reactor seconds.
     not_before : float
         Time before which the item is not started again, reactor seconds.
     owner : str or None
@@ -54,6 +56,7 @@
         "version",
         "run",
         "result",
+        "stopped_at",
         "not_before",
         "owner",
         "owner_workers",
@@ -72,6 +75,7 @@
         self.version = None
         self.run = None
         self.result = None
+        self.stopped_at = 0.0
         self.not_before = 0.0
         self.owner = None
         self.owner_workers = None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -8,6 +8,7 @@
 from hollyspan_policy.batch import RunTimeEstimator
 from hollyspan_policy.ownership import choose_owner
 from hollyspan_policy.retries import compute_backoff
+from hollyspan_policy.streams import must_start_over
 
 from ..routes import choose_service
 from ..routes import RouteKind
@@ -237,8 +238,9 @@
             return
         if not self.gateway.guard.block_list.may_send(state.shared_parts):
             return
-        is_urgent = job.due - now < URGENT_SLACK_S
-        upstream = self.choose_upstream(state, route, is_urgent=is_urgent)
+        upstream = self.choose_upstream(
+            state, route, is_urgent=job.due - now < URGENT_SLACK_S
+        )
         if upstream is None:
             return
         state.run = ItemRun(
@@ -268,8 +270,8 @@
         Notes
         -----
         A text goes on at the version that began it. It is dropped when no
-        upstream has that version, and when the job is due before a place
-        there may become free.
+        upstream has that version, or when none of these has had a place for
+        as long as it takes to write it again.
         """
         service = choose_service(route, state.item.identifier)
 
@@ -288,12 +290,19 @@
         ):
             self.discard_text(state, "its version is gone")
         upstream = choose(state.version)
-        if upstream is None and state.version is not None and is_urgent:
+        if upstream is None and self.must_start_over(state):
             upstream = choose(None)
             if upstream is not None:
                 self.discard_text(state, "its version has no place")
         return upstream
 
+    def must_start_over(self, state):
+        """Return whether an item has waited for its version long enough."""
+        return state.version is not None and must_start_over(
+            waited=self.gateway.reactor.seconds() - state.stopped_at,
+            rewrite_seconds=len(state.event_data) * self.times.event_seconds,
+        )
+
     def discard_text(self, state, reason):
         eliot.log_message(
             "item:text_discarded",
@@ -321,6 +330,7 @@
         if failure is not None and not failure.check(defer.CancelledError):
             eliot.write_failure(failure)
         run, state.run = state.run, None
+        state.stopped_at = self.gateway.reactor.seconds()
         self.running.pop(state.key, None)
         if state.result is not None:
             self.observe_run(run, state)
--- a/packages/hollyspan_policy/hollyspan_policy/streams/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/__init__.py
@@ -3,5 +3,11 @@
 from .keepers import choose_keepers
 from .keepers import choose_respondents
 from .versions import find_scarce_versions
+from .versions import must_start_over
 
-__all__ = ["choose_keepers", "choose_respondents", "find_scarce_versions"]
+__all__ = [
+    "choose_keepers",
+    "choose_respondents",
+    "find_scarce_versions",
+    "must_start_over",
+]
--- a/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
@@ -16,6 +16,9 @@
 # Gateways that are asked in a large fleet: keepers move down by one place for
 # each gateway that appears, and up for each that fails.
 RESPONDENTS = 8
+# Up to this number all are asked, twice as many as in a small fleet: gateways
+# may disagree on whether the fleet is small.
+MAX_ALL_ASKED = 48
 
 
 def choose_keepers(stream, fingerprint, gateways):
@@ -76,14 +79,14 @@
     Returns
     -------
     list of str
-        All of a small fleet, among them the one that began the stream.
+        In a small fleet all, among them the one that began the stream.
 
     Examples
     --------
     >>> sorted(choose_respondents(7, ["a", "b", "c", "d", "e"]))
     ['a', 'b', 'c', 'd', 'e']
     """
-    if is_small_fleet(len(gateways)):
+    if len(gateways) <= MAX_ALL_ASKED:
         return list(gateways)
     return choose_first(key, gateways, RESPONDENTS)
 
--- a/packages/hollyspan_policy/hollyspan_policy/streams/tests/test_keepers.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/tests/test_keepers.py
@@ -42,6 +42,13 @@
     assert not choose_keepers(7, 8, []) and not choose_respondents(7, [])
 
 
+def test_a_fleet_that_is_small_for_some_gateways_only_asks_everybody():
+    told = choose_keepers(7, 8, GATEWAYS[:23])
+    assert set(told) <= set(
+        choose_respondents(7, GATEWAYS[1:27]) + GATEWAYS[:1]
+    )
+
+
 def test_versions_with_one_upstream_are_scarce_beside_others():
     assert find_scarce_versions({1: 2, 2: 1, 3: 1}) == {2, 3}
     assert find_scarce_versions({1: 1}) == set()
