--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -5,6 +5,7 @@
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamVersionError
 from hollyspan_gateway.online.relay import Relay
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_standins.memory import build_head
@@ -359,3 +360,25 @@
     services = [("m", 1), ("n", 1)]
     start(resume_after=3, resumes="q0", services=services)
     assert gateway.pool.last.address == entry.address
+
+
+def test_a_stream_does_not_go_on_at_a_service_without_weight(
+    start, gateway, helpers
+):
+    entry = helpers.build_entry("u1", service="n")
+    gateway.directory.update({"u1": entry})
+    gateway.stream_versions.begin(build_head("q0"), entry.version_key)
+    relay = start(resume_after=3, resumes="q0", services=[("m", 1), ("n", 0)])
+    (failure,) = relay.ends
+    assert failure.check(StreamVersionError)
+
+
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_only_resumable_streams_are_remembered(
+    start, gateway, helpers, is_resumable
+):
+    start(is_resumable=is_resumable)
+    gateway.pool.last.answer(
+        200, body=helpers.build_events(1, 1), is_complete=False
+    )
+    assert bool(gateway.stream_versions.records) is is_resumable
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/tests/test_versions.py
@@ -0,0 +1,143 @@
+"""Tests of what gateways remember, tell and ask of streams."""
+
+import pytest
+from twisted.internet import defer
+
+from hollyspan_gateway.peers import encode_message
+from hollyspan_gateway.peers import FleetMessage
+from hollyspan_gateway.streams import StreamNotice
+from hollyspan_gateway.streams import versions
+from hollyspan_standins.memory import build_entry
+from hollyspan_standins.memory import build_head
+from hollyspan_standins.memory import MemoryFleet
+
+FINGERPRINT = 77
+FIRST, SECOND = 5, 6
+
+
+@pytest.fixture
+def fleet(reactor, build_gateway):
+    fleet = MemoryFleet(reactor=reactor, build_gateway=build_gateway)
+    for _ in range(3):
+        fleet.add_gateway()
+    fleet.advance(0.5)
+    return fleet
+
+
+@pytest.fixture
+def find(fleet):
+    """Return a function that finds a version at the first gateway."""
+
+    def find_version(head, *, seconds=0.3):
+        results = []
+        defer.ensureDeferred(
+            fleet.gateways[0].stream_versions.find(head)
+        ).addBoth(results.append)
+        fleet.advance(seconds)
+        return results
+
+    return find_version
+
+
+def build_unnamed_head():
+    return build_head("q2", resume_after=3, fingerprint=FINGERPRINT)
+
+
+def note(gateway, version):
+    gateway.stream_versions.note(FINGERPRINT, version)
+
+
+def test_gateways_that_know_different_versions_tell_none(fleet, find):
+    note(fleet.gateways[1], FIRST)
+    note(fleet.gateways[2], SECOND)
+    assert find(build_unnamed_head()) == [None]
+
+
+def test_a_gateway_asks_the_others_about_a_fingerprint_that_it_knows(
+    fleet, find
+):
+    note(fleet.gateways[0], FIRST)
+    assert find(build_unnamed_head()) == [FIRST]
+    note(fleet.gateways[2], SECOND)
+    assert find(build_unnamed_head()) == [None]
+
+
+def test_a_gateway_without_peers_knows_its_own_streams(fleet, find):
+    note(fleet.gateways[0], FIRST)
+    fleet.network.isolate(1000)
+    fleet.advance(2.0)
+    assert find(build_unnamed_head(), seconds=0.0) == [FIRST]
+
+
+def test_both_who_wait_for_a_question_get_its_answer(fleet, reactor):
+    fleet.network.isolate(1000)
+    asking = fleet.gateways[0].stream_versions
+    results = []
+    for _ in range(2):
+        head = build_head("q2", resume_after=3, resumes="q1")
+        defer.ensureDeferred(asking.find(head)).addBoth(results.append)
+    assert len(asking.questions) == 1
+    fleet.advance(0.2)
+    assert results == [None, None]
+    assert not asking.questions
+
+
+def test_a_question_is_repeated_when_it_is_lost(fleet, find):
+    note(fleet.gateways[1], FIRST)
+    transport = fleet.gateways[0].peers.transport
+    write = transport.write
+    lost = []
+
+    def lose_first(datagram, address):
+        if len(lost) < 2:
+            lost.append(address)
+        else:
+            write(datagram, address)
+
+    transport.write = lose_first
+    assert find(build_unnamed_head()) == [FIRST]
+
+
+def test_a_late_notice_counts(fleet):
+    sender, receiver, _ = fleet.gateways
+    message = FleetMessage(
+        sender=sender.peers.key,
+        incarnation=0,
+        sequence=0,
+        is_full=False,
+        loads=[],
+        streams=[StreamNotice(key=FINGERPRINT, version=FIRST)],
+    )
+    receiver.peers.datagramReceived(
+        encode_message(message), ("10.0.0.1", 1000)
+    )
+    assert receiver.stream_versions.find_known(FINGERPRINT) == FIRST
+
+
+def test_a_gateway_that_shuts_down_is_no_keeper(fleet):
+    first, second, third = fleet.gateways
+    second.drain()
+    first.stream_versions.begin(build_head("q1", fingerprint=7), FIRST)
+    assert not second.stream_versions.records
+    assert third.stream_versions.find_known(7) == FIRST
+
+
+def test_records_are_bounded_in_number_and_time(fleet, monkeypatch):
+    known = fleet.gateways[0].stream_versions
+    monkeypatch.setattr(versions, "MAX_RECORDS", 3)
+    for key in range(1, 6):
+        known.note(key, FIRST)
+    assert list(known.records) == [3, 4, 5]
+    fleet.advance(versions.RECORD_TTL_S - 1.0)
+    known.note(3, FIRST)
+    fleet.advance(2.0)
+    known.note(9, FIRST)
+    assert list(known.records) == [3, 9]
+
+
+def test_the_same_version_of_two_services_has_two_keys():
+    keys = {
+        build_entry("u", service=service, version="v1").version_key
+        for service in "ab"
+    }
+    assert len(keys) == 2
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_placement.py
@@ -173,3 +173,42 @@
     gateway.apply_message(None, message, change)
     assert upstream.rate_limit.per_second == 3.0
     assert upstream.rate_limit.seen_at == reactor.seconds() - 0.5
+
+
+def list_versions(gateway, helpers, **versions):
+    """List upstreams with a version each."""
+    gateway.directory.update(
+        {
+            name: helpers.build_entry(name, port=port, version=version)
+            for port, (name, version) in enumerate(versions.items(), 1)
+        }
+    )
+    return gateway.directory.upstreams
+
+
+def test_streams_begin_rather_where_another_upstream_has_the_version(
+    gateway, helpers
+):
+    upstreams = list_versions(gateway, helpers, u1="v1", u2="v2", u3="v2")
+    chosen = {choose(gateway, str(key)) for key in range(8)}
+    assert chosen == {upstreams["u2"], upstreams["u3"]}
+    for name in ("u2", "u3"):
+        upstreams[name].set_peer_load("p", (9, 0))
+    assert choose(gateway) is upstreams["u1"]
+
+
+def test_a_silent_stream_moves_only_to_an_upstream_of_its_version(
+    gateway, helpers, reactor
+):
+    upstreams = list_versions(gateway, helpers, u1="v1", u2="v2", u3="v1")
+    first, second, third = upstreams.values()
+    second.record_report(0, 0, now=reactor.seconds())
+
+    def has_alternative():
+        return gateway.placement.has_free_alternative(
+            first, excluded=("u1",), version=first.entry.version_key
+        )
+
+    assert not has_alternative()
+    third.record_report(0, 0, now=reactor.seconds())
+    assert has_alternative()
