--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -151,3 +151,13 @@
     gateway.pool.last.answer(500)
     reactor.advance(0.1)
     assert not gateway.guard.evidence.ends
+
+
+def test_an_event_ends_a_row_of_broken_runs(gateway, submit, reactor, helpers):
+    submit(7)
+    (state,) = gateway.worker.running.values()
+    state.lost_runs = 5
+    connection = gateway.pool.last
+    connection.answer(200, body=helpers.build_events(1, 1), is_complete=False)
+    connection.exchange.on_failure(StreamLostError("connection closed"))
+    assert state.lost_runs == 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
@@ -139,3 +139,28 @@
     upstream.set_peer_load("p", (0, 0))
     reactor.advance(0.2)
     assert read_send(gateway) == ("v1", "u1", b"100")
+
+
+def test_a_long_text_of_a_version_that_is_gone_is_dropped_at_once(
+    gateway, list_upstreams, submit, reactor, helpers
+):
+    list_upstreams("u1")
+    submit()
+    list_upstreams("u1", "u2")
+    gateway.directory.note_reported_departure(
+        gateway.directory.upstreams["u1"].entry.incarnation_key
+    )
+    break_off(gateway, reactor, helpers, events=100)
+    assert read_send(gateway) == ("v2", "u2", b"None")
+
+
+def test_an_item_that_has_started_over_may_begin_at_any_version(
+    gateway, list_upstreams, submit, reactor, helpers
+):
+    list_upstreams("u1")
+    submit()
+    break_off(gateway, reactor, helpers, events=3)
+    (state,) = gateway.worker.running.values()
+    assert state.version is not None
+    state.discard_output()
+    assert state.version is None
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
@@ -242,3 +242,17 @@
         fleet.request(f"s{number}", (COMMON,))
     at, _ = fleet.ended[:5][-1]
     assert len(fleet.list_sends(2, after=at + CONTACT_S)) <= MAX_LATE_SENDS
+
+
+def test_a_held_request_is_refused_when_it_is_blocked(fleet):
+    gateway, *_ = fleet.gateways
+    for upstream in gateway.directory.upstreams.values():
+        upstream.set_peer_load("p", (14, 0))
+    request = fleet.request("n", (COMMON,), body="f0", gateway=gateway)
+    assert gateway.held.waiting
+    (relay,) = gateway.held.waiting
+    gateway.guard.block_list.add(
+        frozenset({relay.head.fingerprint}), at=fleet.reactor.seconds()
+    )
+    assert (request.status, request.written) == (503, b"not_run")
+    assert not fleet.sent
