--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -382,3 +382,42 @@
         200, body=helpers.build_events(1, 1), is_complete=False
     )
     assert bool(gateway.stream_versions.records) is is_resumable
+
+
+@pytest.mark.parametrize(("version", "sends"), [("v1", 2), ("v2", 1)])
+def test_a_silent_stream_moves_only_within_its_version(
+    start, gateway, helpers, reactor, version, sends
+):
+    gateway.directory.update(
+        {
+            "u1": helpers.build_entry("u1", port=1, version="v1"),
+            "u2": helpers.build_entry("u2", port=2, version=version),
+        }
+    )
+    upstreams = gateway.directory.upstreams
+    upstreams["u2"].set_peer_load("p", (9, 0))
+    start()
+    gateway.pool.last.answer(
+        200, body=helpers.build_events(1, 1), is_complete=False
+    )
+    upstreams["u2"].set_peer_load("p", (0, 0))
+    for _ in range(8):
+        upstreams["u2"].record_report(0, 0, now=reactor.seconds())
+        reactor.advance(0.05)
+    first, *_ = gateway.pool.sent
+    assert first.is_cancelled is (sends == 2)
+    assert len(gateway.pool.sent) == sends
+
+
+def test_a_lone_gateway_resumes_its_own_stream_for_an_unnamed_attempt(
+    gateway,
+):
+    upstream, *_ = gateway.directory.upstreams.values()
+    head = build_head("q0", fingerprint=7)
+    gateway.stream_versions.begin(head, upstream.entry.version_key)
+    found = []
+    again = build_head("q1", resume_after=3, fingerprint=7)
+    defer.ensureDeferred(gateway.stream_versions.find(again)).addCallback(
+        found.append
+    )
+    assert found == [upstream.entry.version_key]
