--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/__init__.py
@@ -1,4 +1,4 @@
-"""Ended upstreams and the prompts that have ended them."""
+"""Ended upstreams and the requests that have ended them."""
 
 from .guard import RequestGuard
 from .notices import BlockNotice
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -23,7 +23,7 @@
 __all__ = ["RequestGuard"]
 
 # Time from a report to the decision, in which other gateways can answer that
-# upstreams have survived the parts, and the longest random delay of such an
+# upstreams have survived the keys, and the longest random delay of such an
 # answer, so that few gateways give it.
 DECISION_DELAY_S = 0.2
 MAX_SURVIVAL_DELAY_S = 0.1
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -157,15 +157,7 @@
 
 
 def test_the_part_is_blocked_when_datagrams_are_lost(fleet):
-    for gateway in fleet.gateways:
-        transport = gateway.peers.transport
-        write = transport.write
-
-        def write_some(datagram, address, write=write):
-            if fleet.random.random() < 0.7:
-                write(datagram, address)
-
-        transport.write = write_some
+    fleet.lose_datagrams()
     run_load(fleet, 12.0)
     assert len(find_late_sends(fleet)) <= MAX_LATE_SENDS
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_rate_limits.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_rate_limits.py
@@ -127,15 +127,7 @@
 
 
 def test_a_limit_holds_when_datagrams_are_lost(fleet, reactor):
-    for gateway in fleet.gateways:
-        transport = gateway.peers.transport
-        write = transport.write
-
-        def write_some(datagram, address, write=write):
-            if fleet.random.random() < 0.7:
-                write(datagram, address)
-
-        transport.write = write_some
+    fleet.lose_datagrams()
     started = reactor.seconds()
     run_load(fleet, 12.0)
     assert list_exceeded(fleet, after=started + CONTACT_S) == {}
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
@@ -179,15 +179,7 @@
 
 
 def test_a_repeated_request_is_blocked_when_datagrams_are_lost(fleet):
-    for gateway in fleet.gateways:
-        transport = gateway.peers.transport
-        write = transport.write
-
-        def write_some(datagram, address, write=write):
-            if fleet.random.random() < 0.7:
-                write(datagram, address)
-
-        transport.write = write_some
+    fleet.lose_datagrams()
     run_load(fleet, 12.0, name_parts=name_no_parts)
     late = [count_late_sends(fleet, body) for body in FATAL_BODIES]
     assert max(late) <= MAX_LATE_SENDS
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -252,15 +252,7 @@
 
 
 def test_streams_go_on_when_datagrams_are_lost(fleet):
-    for gateway in fleet.gateways:
-        transport = gateway.peers.transport
-        write = transport.write
-
-        def write_some(datagram, address, write=write):
-            if fleet.random.random() < 0.7:
-                write(datagram, address)
-
-        transport.write = write_some
+    fleet.lose_datagrams()
     clients = start_streams(fleet, 60)
     gone = change_gateways(fleet, clients)
     assert {client.count_versions() for client in clients} == {1}
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -24,6 +24,8 @@
 # Time from the end of an upstream to the start of the next one at its address.
 RESTART_DELAY_S = 2.0
 CLOCK_STEP_S = 0.01
+# Share of the datagrams that is lost when some are.
+LOST_SHARE = 0.3
 
 
 class MemoryFleet:
@@ -101,6 +103,18 @@
         self.gateways.append(gateway)
         return gateway
 
+    def lose_datagrams(self):
+        """Lose a share of the datagrams of all gateways from now on."""
+        for gateway in self.gateways:
+            transport = gateway.peers.transport
+            write = transport.write
+
+            def write_some(datagram, address, write=write):
+                if self.random.random() >= LOST_SHARE:
+                    write(datagram, address)
+
+            transport.write = write_some
+
     def kill_gateway(self, number):
         """End a gateway's process without a word to the others."""
         gateway = self.gateways[number]
