--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -12,12 +12,12 @@
 
 @pytest.fixture
 def build_fleet(reactor, build_gateway):
-    def build(*, upstreams=10):
+    def build(*, upstreams=10, versions=VERSIONS):
         fleet = MemoryFleet(
             reactor=reactor,
             build_gateway=build_gateway,
             upstreams=upstreams,
-            versions=VERSIONS,
+            versions=versions,
             options={"runs_batch": False},
         )
         for _ in range(6):
@@ -292,3 +292,21 @@
     fleet.advance(2.0)
     assert first.is_served() and last.is_served()
     assert first.count_versions() == last.count_versions() == 1
+
+
+def test_streams_go_on_after_a_restart_of_all_while_one_version_serves(
+    build_fleet,
+):
+    fleet = build_fleet(versions=("v1",))
+    clients = start_streams(fleet, 20)
+    for number in range(len(fleet.gateways)):
+        fleet.kill_gateway(number)
+    for client in clients:
+        if client.requests[-1].is_open:
+            client.requests[-1].abort()
+    for number in range(len(fleet.gateways)):
+        fleet.restart_gateway(number)
+    fleet.advance(0.3)
+    resumed = resume_broken(fleet, clients)
+    fleet.advance(2.0)
+    assert count_served(resumed) > 0.9 * len(resumed) > 5
