Block a part when two requests with it have been blocked

What callers would see: prompts with one part that ends upstreams, each sent more than twice, a few seconds apart: each request was blocked by itself after three or four ends, and the part only after the third request, which has four sends later than 3 s after the fifth end (three allowed).

Cause: a blocked request counted as one end against its parts.

Change: a blocked request counts for one and a half ends, so that two of them, or one and two ends of another, block a part that no upstream has survived.

--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_repeated_requests.py
@@ -248,3 +248,20 @@
     )
     assert (request.status, request.written) == (503, b"not_run")
     assert not fleet.sent
+
+
+def test_a_fatal_part_is_blocked_though_its_requests_come_slowly(fleet):
+    # Each request has been blocked by itself before the next one comes.
+    fleet.fatal_bodies.clear()
+    fleet.fatal_parts.add(2)
+    for number in range(6):
+        for repetition in range(2):
+            fleet.request(
+                f"q{number}r{repetition}", (COMMON, 2), body=f"b{number}"
+            )
+            fleet.advance(0.1)
+        for other in range(8):
+            fleet.request(f"s{number}n{other}", (COMMON,))
+            fleet.advance(0.5)
+    at, _ = fleet.ended[:5][-1]
+    assert len(fleet.list_sends(2, after=at + CONTACT_S)) <= MAX_LATE_SENDS
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -44,8 +44,8 @@
     it, are sent again and may be in flight at the next end too. The keys are
     chosen as in a greedy cover of the ends [2]_: the key with the most ends
     explains these, and the others must be explained without them. A request
-    explains its own ends better than its parts do; several blocked requests
-    with a part speak against the part, once each.
+    explains its own ends better than its parts do; two blocked requests with
+    a part speak against the part.
 
     References
     ----------
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/group.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/group.py
@@ -5,6 +5,9 @@
 # A request that was sent to several upstreams by itself tells less about its
 # parts than different requests do: so many of its ends count against these.
 MAX_ENDS_PER_REQUEST = 2
+# Ends for which a request counts that was blocked by itself: two of them, or
+# one and two ends of another request, are enough against a part.
+ENDS_PER_BLOCKED_REQUEST = 1.5
 
 
 class KeyGroup:
@@ -25,7 +28,7 @@
         The causes among the occurrences.
     block : frozenset of int
         The keys to block: the request itself if the group has only one.
-    count : int
+    count : float
         Number of ends that count against the keys.
     """
 
@@ -36,17 +39,22 @@
         self.keys = keys
         self.causes = {cause for cause, _ in occurrences}
         self.block = frozenset(keys & fingerprints or keys)
-        self.count = len(self.causes)
-        if not keys & fingerprints:
-            self.count = min(self.count, self.count_by_request(fingerprints))
-
-    def count_by_request(self, fingerprints):
-        """Return the number of ends, limited for each request."""
+        if keys & fingerprints:
+            self.count = len(self.causes)
+        else:
+            self.count = self.count_ends_of_part(fingerprints)
+
+    def count_ends_of_part(self, fingerprints):
+        """Return the number of ends that count against a part."""
+        blocked = sum(isinstance(cause, frozenset) for cause in self.causes)
         causes = {}
         for cause, request in self.occurrences:
-            request_keys = frozenset(fingerprints.intersection(request))
-            causes.setdefault(request_keys, set()).add(cause)
-        return sum(
+            if not isinstance(cause, frozenset):
+                request_keys = frozenset(fingerprints.intersection(request))
+                causes.setdefault(request_keys, set()).add(cause)
+        by_request = sum(
             min(len(found), MAX_ENDS_PER_REQUEST) if request else len(found)
             for request, found in causes.items()
         )
+        ends = min(len(self.causes) - blocked, by_request)
+        return ENDS_PER_BLOCKED_REQUEST * blocked + ends
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -140,6 +140,15 @@
     assert choose(evidence, blocked=[*blocked, frozenset({FATAL})]) == []
 
 
+def test_a_part_of_two_blocked_requests_is_blocked():
+    ends = [[(FATAL, -1)]] * 4 + [[(FATAL, -2)]] * 4
+    evidence = collect_repeated(*ends)
+    assert choose(evidence, blocked=[frozenset({-1})]) == [
+        frozenset({-2}),
+        frozenset({FATAL}),
+    ]
+
+
 def test_several_requests_that_end_upstreams_together_are_blocked():
     # Each of them explains the ends of the others.
     ends = [[(-1,), (-2,), (-3,)]] * 5
