Start an item over when all upstreams of its version break off each run

What callers would see: an item that never ends.

Cause: a text is kept as long as its version accepts work.

Change: after three runs in a row that are broken off before an event it is dropped, and the item starts over at any version.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
@@ -164,3 +164,22 @@
     assert state.version is not None
     state.discard_output()
     assert state.version is None
+
+
+def test_an_item_starts_over_when_its_version_breaks_every_run(
+    gateway, list_upstreams, submit, reactor, helpers
+):
+    list_upstreams("u1")
+    submit()
+    list_upstreams("u1", "u2")
+    break_off(gateway, reactor, helpers, events=3)
+    # The only upstream of its version breaks off each run before an event.
+    for _ in range(40):
+        version, _, _ = read_send(gateway)
+        if version == "v2":
+            break
+        gateway.pool.last.exchange.on_failure(
+            StreamLostError("connection closed")
+        )
+        reactor.advance(0.5)
+    assert read_send(gateway) == ("v2", "u2", b"None")
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -34,6 +34,9 @@
 # ended its upstreams.
 RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 10.0
+# Runs in a row that were broken off before an event, after which a text is
+# dropped, since all upstreams of its version may break off each run.
+MAX_LOST_RUNS = 3
 # A run that is preempted sooner than this has used a slot that the next online
 # request needs; the item is delayed as after a failed run.
 MIN_RUN_S = 0.2
@@ -284,11 +287,12 @@
                 version=version,
             )
 
-        placement = self.gateway.placement
-        if state.version is not None and not placement.serves_version(
-            service, state.version
-        ):
-            self.discard_text(state, "its version is gone")
+        if state.version is not None:
+            placement = self.gateway.placement
+            if not placement.serves_version(service, state.version):
+                self.discard_text(state, "its version is gone")
+            elif state.lost_runs >= MAX_LOST_RUNS:
+                self.discard_text(state, "its version breaks each run")
         upstream = choose(state.version)
         if upstream is None and self.must_start_over(state):
             upstream = choose(None)
