Run an item elsewhere than at the upstream that has broken off its last run

Change: the item remembers where its last run failed and takes that upstream only if no other one has a free slot.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -33,6 +33,8 @@
         The current run.
     result : ItemResult or None
         The final result; None until the item is done or given up.
+    broken_at : str or None
+        Name of the upstream at which the last run failed.
     stopped_at : float
         End of the last run, reactor seconds.
     not_before : float
@@ -56,6 +58,7 @@
         "version",
         "run",
         "result",
+        "broken_at",
         "stopped_at",
         "not_before",
         "owner",
@@ -75,6 +78,7 @@
         self.version = None
         self.run = None
         self.result = None
+        self.broken_at = None
         self.stopped_at = 0.0
         self.not_before = 0.0
         self.owner = None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -217,6 +217,7 @@
         )
 
     def report_failure(self, error):
+        self.state.broken_at = self.upstream.entry.name
         has_events = len(self.state.event_data) > self.initial_event_count
         if has_events:
             self.state.lost_runs = 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
@@ -183,3 +183,17 @@
         )
         reactor.advance(0.5)
     assert read_send(gateway) == ("v2", "u2", b"None")
+
+
+def test_an_item_avoids_the_upstream_that_has_broken_off_its_last_run(
+    gateway, list_upstreams, submit, reactor, helpers
+):
+    list_upstreams("u1")
+    submit()
+    list_upstreams("u1", "u3")
+    # The other upstream of its version is the more loaded one.
+    for upstream in gateway.directory.upstreams.values():
+        upstream.entry.slots = 8
+    gateway.directory.upstreams["u3"].set_peer_load("p", (5, 0))
+    break_off(gateway, reactor, helpers, events=3)
+    assert read_send(gateway) == ("v1", "u3", b"3")
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -285,6 +285,7 @@
                 is_urgent=is_urgent,
                 find_rank=self.ranks.find,
                 version=version,
+                avoided=state.broken_at,
             )
 
         if state.version is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -30,7 +30,16 @@
         self.placement = placement
         self.gateway = gateway
 
-    def choose(self, service, *, key, is_urgent, find_rank, version=None):
+    def choose(
+        self,
+        service,
+        *,
+        key,
+        is_urgent,
+        find_rank,
+        version=None,
+        avoided=None,
+    ):
         """Choose the upstream for an item.
 
         Parameters
@@ -45,6 +54,8 @@
             those that run items there, and their number.
         version : int, optional
             Key of the software version at which the item has to go on.
+        avoided : str, optional
+            Name of an upstream to use only if no other one has a free slot.
 
         Returns
         -------
@@ -77,10 +88,14 @@
         views = placement.build_views(
             service, version=version, include_suspects=False
         )
+        others = [view for view in views if view.name != avoided]
+        headroom = 0.0 if is_urgent else BATCH_HEADROOM_SHARE
         # Online requests use few of the slots of a limited upstream.
-        view = choose(
-            [view for view in views if self.is_limited(view)], 0.0
-        ) or choose(views, 0.0 if is_urgent else BATCH_HEADROOM_SHARE)
+        view = (
+            choose([view for view in others if self.is_limited(view)], 0.0)
+            or choose(others, headroom)
+            or choose(views, headroom)
+        )
         if view is None:
             return None
         upstream = placement.directory.upstreams[view.name]
