Refuse a stream as of no known version when another gateway finds it ambiguous

The answer that streams of several versions have begun under a fingerprint was taken for a version of its own. The request was refused all the same, with the reason that the version is gone.

--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/notice.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/notice.py
@@ -1,6 +1,9 @@
 """What gateways tell each other about streams."""
 
-__all__ = ["StreamNotice"]
+__all__ = ["AMBIGUOUS_VERSION", "StreamNotice"]
+
+# Value of a key under which streams of several versions have begun.
+AMBIGUOUS_VERSION = 2**64 - 1
 
 
 class StreamNotice:
@@ -12,8 +15,8 @@
         Hash of the identifier of the request that began the stream, or the
         request's fingerprint.
     version : int
-        Key of the version; 0 if the sender does not know it, the largest
-        number if streams of several versions have begun under the key.
+        Key of the version; 0 if the sender does not know it, or
+        AMBIGUOUS_VERSION.
     """
 
     __slots__ = ("key", "version")
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/question.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/question.py
@@ -2,6 +2,8 @@
 
 from twisted.internet import defer
 
+from .notice import AMBIGUOUS_VERSION
+
 __all__ = ["Question"]
 
 
@@ -71,7 +73,10 @@
         if self.call is not None:
             self.call.cancel()
             self.call = None
-        version = self.versions.pop() if len(self.versions) == 1 else None
+        is_known = len(self.versions) == 1
+        version = self.versions.pop() if is_known else None
+        if version == AMBIGUOUS_VERSION:
+            version = None
         waiting, self.waiting = self.waiting, []
         for deferred in waiting:
             deferred.callback(version)
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/tests/test_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/tests/test_versions.py
@@ -114,6 +114,15 @@
     assert receiver.stream_versions.find_known(FINGERPRINT) == FIRST
 
 
+def test_an_ambiguous_answer_tells_no_version(fleet, find):
+    second = fleet.gateways[1]
+    note(second, FIRST)
+    note(second, SECOND)
+    assert find(build_unnamed_head()) == [None]
+    # Now it is known here, too.
+    assert find(build_unnamed_head()) == [None]
+
+
 def test_a_gateway_that_shuts_down_is_no_keeper(fleet):
     first, second, third = fleet.gateways
     second.drain()
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.streams import choose_keepers
 from hollyspan_policy.streams import choose_respondents
 
+from .notice import AMBIGUOUS_VERSION
 from .notice import StreamNotice
 from .question import Question
 
@@ -19,8 +20,6 @@
 # and the number of times it is asked.
 ANSWER_TIMEOUT_S = 0.08
 MAX_QUESTIONS = 2
-# Value of a key under which streams of several versions have begun.
-AMBIGUOUS = 2**64 - 1
 
 
 class StreamVersions:
@@ -89,7 +88,7 @@
         known = self.find_known(key)
         self.records.pop(key, None)
         if known not in (None, version):
-            version = AMBIGUOUS
+            version = AMBIGUOUS_VERSION
         self.records[key] = (version, now)
         while len(self.records) > MAX_RECORDS or self.is_oldest_expired(now):
             del self.records[next(iter(self.records))]
@@ -99,7 +98,7 @@
         return now - noted_at > RECORD_TTL_S
 
     def find_known(self, key):
-        """Return the version that is known here, AMBIGUOUS, or None."""
+        """Return the version that is known here, None without one."""
         version, _ = self.records.get(key, (None, 0.0))
         return version
 
@@ -118,10 +117,8 @@
         is_named = head.resumes is not None
         key = hash_stream(head.resumes) if is_named else head.fingerprint
         known = self.find_known(key)
-        if known == AMBIGUOUS:
-            return None
         if known is not None and is_named:
-            return known
+            return None if known == AMBIGUOUS_VERSION else known
         if key in self.questions:
             return await self.questions[key].wait()
         live = [peer.identifier for peer in self.gateway.peers.list_live()]
