Count notices of ended upstreams whatever the order of their messages

Cause: a message that a newer one had overtaken was dropped whole, with the ends, survivals and blocks in it, though these count in any order and heartbeats bring them again only up to a second later; notices of streams had a way of their own around that. Change: one handler for all notices, for each message that can be read. The new test failed with one of two ends.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -153,3 +153,20 @@
     gateway.guard.records.start()
     reactor.advance(0.1)
     assert set(gateway.guard.blocks) == {frozenset({7})}
+
+
+def test_a_late_notice_of_an_end_counts(gateway):
+    peer_key = 7
+    for sequence in (2, 1):
+        message = FleetMessage(
+            sender=peer_key,
+            incarnation=1,
+            sequence=sequence,
+            is_full=False,
+            loads=[],
+            ends=[EndNotice(upstream=sequence, requests=[(PART,)], age=0.0)],
+        )
+        gateway.peers.datagramReceived(
+            encode_message(message), ("10.0.0.7", 1)
+        )
+    assert set(gateway.guard.evidence.ends) == {1, 2}
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -114,9 +114,7 @@
             describe=self.describe,
             list_loads=self.list_loads,
             list_totals=self.list_totals,
-            on_streams=lambda peer, message: self.stream_versions.apply(
-                peer, message
-            ),
+            on_notices=self.apply_notices,
             on_message=self.apply_message,
             on_membership=self.update_membership,
         )
@@ -306,6 +304,11 @@
             if upstream.region == self.peers.region
         ]
 
+    def apply_notices(self, peer, message):
+        """Apply what a peer tells of ended upstreams, blocks and streams."""
+        self.guard.news.apply(message)
+        self.stream_versions.apply(peer, message)
+
     def apply_message(self, peer, message, change):
         """Apply the loads in a peer's message and compare revisions."""
         now = self.reactor.seconds()
@@ -334,7 +337,6 @@
                     self.placement.rate_limits.apply_report(
                         upstream, total.limit
                     )
-        self.guard.news.apply(message)
         if message.is_full:
             self.refresh.compare_revisions(peer, message)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -55,9 +55,9 @@
         Returns the upstreams with requests in flight.
     list_totals : callable
         Returns an UpstreamTotal for each upstream of the same region.
-    on_streams : callable
-        Called with a Peer and its FleetMessage, whatever the message's place
-        in their order.
+    on_notices : callable
+        Called with a Peer and its FleetMessage, also when a newer message has
+        arrived before: notices count in any order.
     on_message : callable
         Called with a Peer, its FleetMessage and the PeerChange.
     on_membership : callable
@@ -84,7 +84,7 @@
         describe,
         list_loads,
         list_totals,
-        on_streams,
+        on_notices,
         on_message,
         on_membership,
     ):
@@ -97,7 +97,7 @@
         self.describe = describe
         self.list_loads = list_loads
         self.list_totals = list_totals
-        self.on_streams = on_streams
+        self.on_notices = on_notices
         self.on_message = on_message
         self.on_membership = on_membership
         self.peers = {}
@@ -313,7 +313,7 @@
         now = self.reactor.seconds()
         was_live = peer.is_live(now)
         change = peer.apply(message, now=now)
-        self.on_streams(peer, message)
+        self.on_notices(peer, message)
         if change is None:
             return
         if message.wants_reply:
