--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -5,6 +5,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import RequestBlockedError
 from hollyspan_policy.crashes import Block
+from hollyspan_policy.hashing import format_hash
 
 from .records import build_key
 
@@ -126,6 +127,6 @@
 def describe_block(block):
     """Return the fields of a block for a log line."""
     return {
-        "parts": [f"{key:016x}" for key in sorted(block.keys)],
+        "parts": [format_hash(key) for key in sorted(block.keys)],
         "failed_trials": block.failed_trials,
     }
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
@@ -3,10 +3,12 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamConnectionRefusedError
 from hollyspan_core.errors import UpstreamUnavailableError
 
-__all__ = ["EndDetector"]
+__all__ = ["EndDetector", "is_broken_off"]
 
 # Limit on the lost exposures that are kept until an upstream's check ends.
 MAX_LOST = 64
@@ -73,3 +75,10 @@
                 reason=error.message,
             )
         self.lost.pop(upstream)
+
+
+def is_broken_off(error):
+    """Return whether an upstream may have ended in the midst of an answer."""
+    return isinstance(error, StreamLostError) and not isinstance(
+        error, StreamStalledError
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -5,8 +5,6 @@
 
 import eliot
 
-from hollyspan_core.errors import StreamLostError
-from hollyspan_core.errors import StreamStalledError
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import list_implicated_keys
@@ -15,6 +13,7 @@
 from .block_list import BlockList
 from .block_list import describe_block
 from .detector import EndDetector
+from .detector import is_broken_off
 from .exposure import Exposure
 from .news import CrashNews
 from .records import BlockRecords
@@ -296,10 +295,3 @@
             ):
                 exposure.abort(error)
         self.gateway.held.release_blocked(block.keys)
-
-
-def is_broken_off(error):
-    """Return whether an upstream may have ended in the midst of an answer."""
-    return isinstance(error, StreamLostError) and not isinstance(
-        error, StreamStalledError
-    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -105,19 +105,15 @@
         """Send the notices that were not sent yet to all live gateways."""
         self.send_call = None
         table = self.gateway.peers
-        message = table.build_message(
-            loads=[],
-            is_full=False,
-            **self.build_notices(
-                ends=self.unsent_ends,
-                survivals=self.unsent_survivals,
-                blocks=self.unsent_blocks,
-            ),
+        notices = self.build_notices(
+            ends=self.unsent_ends,
+            survivals=self.unsent_survivals,
+            blocks=self.unsent_blocks,
         )
         self.unsent_ends = set()
         self.unsent_survivals = set()
         self.unsent_blocks = set()
-        table.send(table.list_live(), message)
+        table.send_change(table.list_live(), **notices)
 
     def describe(self):
         """Return the notices for a full message to peers."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/head.py
@@ -1,6 +1,8 @@
 """Head of a client's request."""
 
-__all__ = ["RequestHead", "format_fingerprint", "format_parts"]
+from hollyspan_policy.hashing import format_hash
+
+__all__ = ["RequestHead", "format_parts"]
 
 
 class RequestHead:
@@ -91,11 +93,6 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
-def format_fingerprint(fingerprint):
-    """Return a request's fingerprint as text, for log lines."""
-    return f"{fingerprint:016x}"
-
-
 def format_parts(parts):
     """Return hashes of prompt parts as text, for log lines."""
-    return [f"{part:016x}" for part in parts]
+    return [format_hash(part) for part in parts]
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -9,12 +9,12 @@
 from hollyspan_core.errors import StreamVersionError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_policy.hashing import format_hash
 
 from ..crashes import check_undelimited_end
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .delivery import Delivery
-from .head import format_fingerprint
 from .head import format_parts
 from .reply import check_identifier
 
@@ -169,11 +169,11 @@
         # The version tells the service, which is drawn for each attempt.
         self.service = services[0]
 
-    def fix_version(self):
-        """Fix the version of a stream that has sent its first event."""
+    def pin_version(self):
+        """Note the version of a stream that has sent its first event."""
         self.version = self.upstream.entry.version_key
         if self.route.is_repeatable:
-            self.gateway.stream_versions.begin(self.head, self.version)
+            self.gateway.stream_versions.announce(self.head, self.version)
 
     def build_version_error(self, reason):
         return StreamVersionError(
@@ -289,7 +289,7 @@
             events = self.delivery.forward_events(data, self.reply)
             self.gateway.metrics.events += events
             if events and self.version is None:
-                self.fix_version()
+                self.pin_version()
         else:
             self.delivery.buffer(data)
 
@@ -380,7 +380,7 @@
             sends=self.sends,
             refusals=self.refusals,
             parts=format_parts(self.head.shared_parts),
-            fingerprint=format_fingerprint(self.head.fingerprint),
+            fingerprint=format_hash(self.head.fingerprint),
             resumes=self.head.resumes,
             version=self.upstream.entry.version,
             **self.upstream_load,
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_held.py
@@ -143,7 +143,9 @@
 def test_requests_that_are_never_held(start, fill, gateway, changes):
     fill(14)
     upstream, *_ = gateway.directory.upstreams.values()
-    gateway.stream_versions.begin(build_head("q0"), upstream.entry.version_key)
+    gateway.stream_versions.announce(
+        build_head("q0"), upstream.entry.version_key
+    )
     start(**changes)
     assert len(gateway.pool.sent) == 1
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -233,7 +233,9 @@
     reactor.advance(0.25)
     # A resumed stream is sent at any load.
     upstream, *_ = gateway.directory.upstreams.values()
-    gateway.stream_versions.begin(build_head("q0"), upstream.entry.version_key)
+    gateway.stream_versions.announce(
+        build_head("q0"), upstream.entry.version_key
+    )
     relay = start(resume_after=3, resumes="q0")
     assert relay.upstream_load["online"] == 8
     assert relay.upstream_load["batch"] == 1
@@ -356,7 +358,7 @@
     }
     gateway.directory.update(entries)
     (entry,) = [each for each in entries.values() if each.service == service]
-    gateway.stream_versions.begin(build_head("q0"), entry.version_key)
+    gateway.stream_versions.announce(build_head("q0"), entry.version_key)
     services = [("m", 1), ("n", 1)]
     start(resume_after=3, resumes="q0", services=services)
     assert gateway.pool.last.address == entry.address
@@ -367,7 +369,7 @@
 ):
     entry = helpers.build_entry("u1", service="n")
     gateway.directory.update({"u1": entry})
-    gateway.stream_versions.begin(build_head("q0"), entry.version_key)
+    gateway.stream_versions.announce(build_head("q0"), entry.version_key)
     relay = start(resume_after=3, resumes="q0", services=[("m", 1), ("n", 0)])
     (failure,) = relay.ends
     assert failure.check(StreamVersionError)
@@ -414,7 +416,7 @@
 ):
     upstream, *_ = gateway.directory.upstreams.values()
     head = build_head("q0", fingerprint=7)
-    gateway.stream_versions.begin(head, upstream.entry.version_key)
+    gateway.stream_versions.announce(head, upstream.entry.version_key)
     found = []
     again = build_head("q1", resume_after=3, fingerprint=7)
     defer.ensureDeferred(gateway.stream_versions.find(again)).addCallback(
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
@@ -67,10 +67,7 @@
                 )
             )
         for keys, recipients in recipients_by_keys.items():
-            message = self.table.build_message(
-                loads=loads[keys], is_full=False
-            )
-            self.table.send(recipients, message)
+            self.table.send_change(recipients, loads=loads[keys])
 
     def choose_load_recipients(self, upstream, live, *, is_batch_only):
         """Return the live gateways that receive a change of load.
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -1,5 +1,7 @@
 """State of another gateway."""
 
+from hollyspan_policy.hashing import format_hash
+
 __all__ = ["Peer", "PeerChange", "build_identifier", "parse_identifier"]
 
 # Assumed for a gateway that has not announced its heartbeat interval yet.
@@ -151,7 +153,7 @@
 
 def build_identifier(key):
     """Return the key of a gateway as text."""
-    return f"{key:016x}"
+    return format_hash(key)
 
 
 def parse_identifier(identifier):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -276,6 +276,12 @@
             return []
         return [peer.key for peer in self.list_live() if peer.runs_batch]
 
+    def send_change(self, peers, *, loads=(), **fields):
+        """Send what has changed, without the rest of the state."""
+        self.send(
+            peers, self.build_message(loads=loads, is_full=False, **fields)
+        )
+
     def build_message(self, **state):
         self.sequence += 1
         return FleetMessage(
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/tests/test_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/tests/test_versions.py
@@ -126,7 +126,7 @@
 def test_a_gateway_that_shuts_down_is_no_keeper(fleet):
     first, second, third = fleet.gateways
     second.drain()
-    first.stream_versions.begin(build_head("q1", fingerprint=7), FIRST)
+    first.stream_versions.announce(build_head("q1", fingerprint=7), FIRST)
     assert not second.stream_versions.records
     assert third.stream_versions.find_known(7) == FIRST
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
@@ -2,6 +2,7 @@
 
 import eliot
 
+from hollyspan_policy.hashing import format_hash
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.streams import choose_keepers
 from hollyspan_policy.streams import choose_respondents
@@ -57,8 +58,8 @@
         self.records = {}
         self.questions = {}
 
-    def begin(self, head, version):
-        """Note the version of a stream that begins here and tell its keepers.
+    def announce(self, head, version):
+        """Remember which version began a stream here and tell its keepers.
 
         Parameters
         ----------
@@ -80,7 +81,7 @@
             recipients.setdefault(keys, []).append(peers[identifier])
         for keys, group in recipients.items():
             notices = [StreamNotice(key=key, version=version) for key in keys]
-            self.send(group, streams=notices)
+            self.gateway.peers.send_change(group, streams=notices)
 
     def note(self, key, version):
         """Remember the version of a stream."""
@@ -146,7 +147,7 @@
             remaining=remaining - 1,
         )
         peers = self.gateway.peers.list_live()
-        self.send(
+        self.gateway.peers.send_change(
             [peer for peer in peers if peer.identifier in question.pending],
             asked_streams=[key],
         )
@@ -157,7 +158,9 @@
         version = question.end()
         if version is None:
             eliot.log_message(
-                "stream:unknown", stream=f"{key:016x}", unanswered=unanswered
+                "stream:unknown",
+                stream=format_hash(key),
+                unanswered=unanswered,
             )
 
     def apply(self, peer, message):
@@ -170,7 +173,7 @@
         for notice in message.streams:
             self.apply_notice(peer, notice)
         if message.asked_streams:
-            self.send(
+            self.gateway.peers.send_change(
                 [peer],
                 streams=[
                     StreamNotice(key=key, version=self.find_known(key) or 0)
@@ -187,13 +190,6 @@
         ):
             self.end_question(notice.key, question)
 
-    def send(self, peers, **fields):
-        if not peers:
-            return
-        table = self.gateway.peers
-        message = table.build_message(loads=[], is_full=False, **fields)
-        table.send(peers, message)
-
 
 def hash_stream(identifier):
     """Return the hash of the identifier of the request that began a stream."""
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -169,8 +169,6 @@
             for key in request:
                 if has_survived(key, at=end.at, survivals=survivals):
                     continue
-                if cause != number and key in fingerprints:
-                    continue
                 occurrences.setdefault(key, set()).add((cause, request))
     groups = {}
     for key, found in occurrences.items():
--- a/packages/hollyspan_policy/hollyspan_policy/hashing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/hashing.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-__all__ = ["hash_content", "hash_to_fraction", "hash_parts"]
+__all__ = ["format_hash", "hash_content", "hash_parts", "hash_to_fraction"]
 
 HASH_RANGE = 2.0**64
 
@@ -65,3 +65,22 @@
     True
     """
     return hash_parts(*parts) / HASH_RANGE
+
+
+def format_hash(value):
+    """Return a 64-bit hash as text, for names and log lines.
+
+    Parameters
+    ----------
+    value : int
+
+    Returns
+    -------
+    str
+
+    Examples
+    --------
+    >>> format_hash(255)
+    '00000000000000ff'
+    """
+    return f"{value:016x}"
--- a/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
@@ -1,9 +1,8 @@
 """Choice of the gateways that remember a stream."""
 
-import heapq
-
-from ..hashing import hash_parts
+from ..hashing import format_hash
 from ..membership import is_small_fleet
+from ..ownership import rank_owners
 
 __all__ = ["choose_keepers", "choose_respondents"]
 
@@ -41,13 +40,8 @@
     Notes
     -----
     Load pattern: 2,400 streams a second begin at 390 gateways, few of them
-    are taken up again, each at any gateway. Rendezvous hashing [1]_ lets each
-    gateway compute the same keepers from the stream's identifier.
-
-    References
-    ----------
-    .. [1] D. Thaler, C. Ravishankar, "Using name-based mappings to increase
-       hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+    are taken up again, each at any gateway. Rendezvous hashing lets each
+    gateway compute the same keepers from the stream's keys.
 
     Examples
     --------
@@ -92,7 +86,4 @@
 
 
 def choose_first(key, gateways, count):
-    duty = f"{key:016x}"
-    return heapq.nlargest(
-        count, gateways, key=lambda name: (hash_parts(duty, name), name)
-    )
+    return rank_owners(format_hash(key), gateways)[:count]
