--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -0,0 +1,113 @@
+"""Where an item runs, and when it is run again."""
+
+import eliot
+
+from hollyspan_policy.retries import compute_backoff
+from hollyspan_policy.streams import must_start_over
+
+__all__ = ["ItemPlacement", "choose_retry_delay"]
+
+# Delay before an item is run again after a failed run. From the third one in a
+# row that was broken off before an event it doubles: the item itself may have
+# ended its upstreams.
+RETRY_DELAY_S = 0.15
+MAX_RETRY_DELAY_S = 10.0
+# Runs in a row that were broken off before an event, after which a text is
+# dropped, since all upstreams of its version may break off each run.
+MAX_LOST_RUNS = 3
+
+
+class ItemPlacement:
+    """Chooses upstreams for items, and what becomes of their texts.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    times : RunTimeEstimator
+    find_rank : callable
+        See `BatchPlacement.choose`.
+    """
+
+    __slots__ = ("gateway", "times", "find_rank")
+
+    def __init__(self, *, gateway, times, find_rank):
+        self.gateway = gateway
+        self.times = times
+        self.find_rank = find_rank
+
+    def choose(self, state, service, *, is_urgent):
+        """Choose the upstream for an item.
+
+        Parameters
+        ----------
+        state : ItemState
+        service : str
+        is_urgent : bool
+
+        Returns
+        -------
+        Upstream or None
+            None without a place for it.
+
+        Notes
+        -----
+        A text goes on at the version that began it. It is dropped when no
+        upstream has that version, when these have broken off several runs in
+        a row before an event, or when none of them has had a place for as
+        long as it takes to write it again.
+        """
+        if state.version is not None:
+            if not self.gateway.placement.serves_version(
+                service, state.version
+            ):
+                discard_text(state, "its version is gone")
+            elif state.lost_runs >= MAX_LOST_RUNS:
+                discard_text(state, "its version breaks each run")
+
+        def choose_at(version):
+            return self.gateway.batch_placement.choose(
+                service,
+                key=state.item.identifier,
+                is_urgent=is_urgent,
+                find_rank=self.find_rank,
+                version=version,
+                avoided=state.broken_at,
+            )
+
+        upstream = choose_at(state.version)
+        if upstream is None and self.must_start_over(state):
+            upstream = choose_at(None)
+            if upstream is not None:
+                discard_text(state, "its version has no place")
+        return upstream
+
+    def must_start_over(self, state):
+        """Return whether an item has waited for its version long enough."""
+        return state.version is not None and must_start_over(
+            waited=self.gateway.reactor.seconds() - state.stopped_at,
+            rewrite_seconds=len(state.event_data) * self.times.event_seconds,
+        )
+
+
+def discard_text(state, reason):
+    """Drop the text of an item, so that it starts over."""
+    eliot.log_message(
+        "item:text_discarded",
+        job=state.job_state.job.identifier,
+        item=state.item.identifier,
+        reason=reason,
+        last_event=state.last_event,
+    )
+    state.discard_output()
+
+
+def choose_retry_delay(state):
+    """Return the time in seconds until an item is run again."""
+    if state.lost_runs < 2:
+        return RETRY_DELAY_S
+    return compute_backoff(
+        state.lost_runs - 1,
+        seed=state.item.identifier,
+        base=RETRY_DELAY_S,
+        limit=MAX_RETRY_DELAY_S,
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -7,13 +7,13 @@
 from hollyspan_policy.batch import rank_item
 from hollyspan_policy.batch import RunTimeEstimator
 from hollyspan_policy.ownership import choose_owner
-from hollyspan_policy.retries import compute_backoff
-from hollyspan_policy.streams import must_start_over
 
 from ..routes import choose_service
 from ..routes import RouteKind
 from .catalogue import JobCatalogue
 from .item import ItemResult
+from .item_placement import choose_retry_delay
+from .item_placement import ItemPlacement
 from .job_remover import JobRemover
 from .ranks import WorkerRanks
 from .releases import ReleaseWriter
@@ -29,14 +29,6 @@
 # finds items whose retry delay is over and slots whose release no message
 # announced.
 SCHEDULING_INTERVAL_S = 0.1
-# Delay before an item is run again after a failed run. From the third one in a
-# row that was broken off before an event it doubles: the item itself may have
-# ended its upstreams.
-RETRY_DELAY_S = 0.15
-MAX_RETRY_DELAY_S = 10.0
-# Runs in a row that were broken off before an event, after which a text is
-# dropped, since all upstreams of its version may break off each run.
-MAX_LOST_RUNS = 3
 # A run that is preempted sooner than this has used a slot that the next online
 # request needs; the item is delayed as after a failed run.
 MIN_RUN_S = 0.2
@@ -82,6 +74,9 @@
         )
         self.schedule_call = None
         self.ranks = WorkerRanks(gateway=gateway)
+        self.placement = ItemPlacement(
+            gateway=gateway, times=self.times, find_rank=self.ranks.find
+        )
         self.catalogue = JobCatalogue(
             gateway=gateway,
             on_change=lambda: self.schedule(0.0),
@@ -241,8 +236,10 @@
             return
         if not self.gateway.guard.block_list.may_send(state.shared_parts):
             return
-        upstream = self.choose_upstream(
-            state, route, is_urgent=job.due - now < URGENT_SLACK_S
+        upstream = self.placement.choose(
+            state,
+            choose_service(route, state.item.identifier),
+            is_urgent=job.due - now < URGENT_SLACK_S,
         )
         if upstream is None:
             return
@@ -267,57 +264,6 @@
         )
         state.run.start().addBoth(self.finish_run, state)
 
-    def choose_upstream(self, state, route, *, is_urgent):
-        """Choose the upstream for an item, None without a place for it.
-
-        Notes
-        -----
-        A text goes on at the version that began it. It is dropped when no
-        upstream has that version, or when none of these has had a place for
-        as long as it takes to write it again.
-        """
-        service = choose_service(route, state.item.identifier)
-
-        def choose(version):
-            return self.gateway.batch_placement.choose(
-                service,
-                key=state.item.identifier,
-                is_urgent=is_urgent,
-                find_rank=self.ranks.find,
-                version=version,
-                avoided=state.broken_at,
-            )
-
-        if state.version is not None:
-            placement = self.gateway.placement
-            if not placement.serves_version(service, state.version):
-                self.discard_text(state, "its version is gone")
-            elif state.lost_runs >= MAX_LOST_RUNS:
-                self.discard_text(state, "its version breaks each run")
-        upstream = choose(state.version)
-        if upstream is None and self.must_start_over(state):
-            upstream = choose(None)
-            if upstream is not None:
-                self.discard_text(state, "its version has no place")
-        return upstream
-
-    def must_start_over(self, state):
-        """Return whether an item has waited for its version long enough."""
-        return state.version is not None and must_start_over(
-            waited=self.gateway.reactor.seconds() - state.stopped_at,
-            rewrite_seconds=len(state.event_data) * self.times.event_seconds,
-        )
-
-    def discard_text(self, state, reason):
-        eliot.log_message(
-            "item:text_discarded",
-            job=state.job_state.job.identifier,
-            item=state.item.identifier,
-            reason=reason,
-            last_event=state.last_event,
-        )
-        state.discard_output()
-
     def give_up(self, state, reason):
         eliot.log_message(
             "item:given_up",
@@ -404,15 +350,3 @@
             )
             self.gateway.metrics.count_item("preempted")
             state.run.cancel()
-
-
-def choose_retry_delay(state):
-    """Return the time in seconds until an item is run again."""
-    if state.lost_runs < 2:
-        return RETRY_DELAY_S
-    return compute_backoff(
-        state.lost_runs - 1,
-        seed=state.item.identifier,
-        base=RETRY_DELAY_S,
-        limit=MAX_RETRY_DELAY_S,
-    )
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/origin.py
@@ -0,0 +1,47 @@
+"""Service and version at which a resumed stream has to go on."""
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StreamVersionError
+
+__all__ = ["find_origin"]
+
+# Time to come back for a client whose stream cannot go on: it can begin anew
+# at once.
+RESTART_RETRY_AFTER_S = 0.1
+
+
+async def find_origin(gateway, head, route):
+    """Find out where the stream that a request resumes has to go on.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    head : RequestHead
+    route : Route
+
+    Returns
+    -------
+    (str, int)
+        Service and key of the version that began the stream.
+
+    Raises
+    ------
+    StreamVersionError
+        The version is not known, or no upstream of it accepts work.
+    """
+    version = await gateway.stream_versions.find(head)
+    if version is None:
+        raise build_error("is not known")
+    # The version tells the service, which is drawn for each attempt.
+    for service, weight in route.services:
+        if weight > 0 and gateway.placement.serves_version(service, version):
+            return service, version
+    raise build_error("is not served any more")
+
+
+def build_error(reason):
+    return StreamVersionError(
+        f"the version that began the stream {reason}; begin anew",
+        outcome=Outcome.NOT_RUN,
+        retry_after=RESTART_RETRY_AFTER_S,
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -6,7 +6,6 @@
 from hollyspan_core.errors import OutcomeUnknownError
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StreamLostError
-from hollyspan_core.errors import StreamVersionError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_policy.hashing import format_hash
@@ -16,6 +15,7 @@
 from ..routes import RouteKind
 from .delivery import Delivery
 from .head import format_parts
+from .origin import find_origin
 from .reply import check_identifier
 
 __all__ = ["Relay"]
@@ -33,9 +33,6 @@
 # that the pause including a failover stays below the 400 ms of the strictest
 # route.
 EVENT_PAUSE_TIMEOUT_S = 0.25
-# Mean time to come back for a client whose stream cannot go on: it can begin
-# anew at once.
-RESTART_RETRY_AFTER_S = 0.1
 
 
 class Relay:
@@ -123,7 +120,9 @@
         self.require_allowed()
         if self.route.kind is RouteKind.STREAM:
             if self.is_resumed():
-                await self.find_version()
+                self.service, self.version = await find_origin(
+                    self.gateway, self.head, self.route
+                )
             else:
                 await self.gateway.held.wait(self)
         while True:
@@ -153,35 +152,12 @@
         """Return whether the client resumes an earlier answer."""
         return self.head.resume_after is not None
 
-    async def find_version(self):
-        """Find the version at which the client's stream has to go on."""
-        self.version = await self.gateway.stream_versions.find(self.head)
-        if self.version is None:
-            raise self.build_version_error("is not known")
-        services = [
-            service
-            for service, weight in self.route.services
-            if weight > 0
-            and self.gateway.placement.serves_version(service, self.version)
-        ]
-        if not services:
-            raise self.build_version_error("is not served any more")
-        # The version tells the service, which is drawn for each attempt.
-        self.service = services[0]
-
     def pin_version(self):
         """Note the version of a stream that has sent its first event."""
         self.version = self.upstream.entry.version_key
         if self.route.is_repeatable:
             self.gateway.stream_versions.announce(self.head, self.version)
 
-    def build_version_error(self, reason):
-        return StreamVersionError(
-            f"the version that began the stream {reason}; begin anew",
-            outcome=self.outcome,
-            retry_after=RESTART_RETRY_AFTER_S,
-        )
-
     def choose(self):
         """Choose the next upstream or reject the request."""
         return self.gateway.placement.choose(
