Keep the newest survival of a key whatever the order of messages

Cause: a gateway that is about to tell that upstreams have survived a key received another's older survival of it, which took the place of its own; the newer one was never told, and the others counted the end against the key.

Change: a survival only replaces an older one, as in the evidence itself.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -67,13 +67,17 @@
 
     def tell_survival(self, keys, *, at):
         """Tell that an upstream has survived a request."""
-        remember(self.survivals, keys, at)
+        self.remember_survival(keys, at)
         self.unsent_survivals.add(keys)
         self.schedule_send()
 
     def note_refutation(self, keys, *, at):
         """Include a refutation that all gateways read in heartbeats."""
-        remember(self.survivals, tuple(sorted(keys)), at)
+        self.remember_survival(tuple(sorted(keys)), at)
+
+    def remember_survival(self, keys, at):
+        # Messages come in any order, and heartbeats repeat old ones.
+        remember(self.survivals, keys, max(at, self.survivals.get(keys, at)))
 
     def tell_block(self, block):
         """Tell of a new block or a failed trial."""
@@ -176,7 +180,7 @@
         for notice in message.survivals:
             at = now - notice.age
             if notice.age < REPETITION_S:
-                remember(self.survivals, notice.keys, at)
+                self.remember_survival(notice.keys, at)
             guard.apply_survival(notice.keys, at=at)
         for notice in message.blocks:
             keys = frozenset(notice.keys)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -113,6 +113,28 @@
     assert gateway.describe()["ends"] == []
 
 
+def test_an_older_survival_of_a_peer_does_not_replace_a_newer_one(
+    gateway, reactor
+):
+    now = reactor.seconds()
+    news = gateway.guard.news
+    news.tell_survival((PART,), at=now - 0.1)
+    message = FleetMessage(
+        sender=1,
+        incarnation=2,
+        sequence=3,
+        is_full=False,
+        loads=[],
+        survivals=[SurvivalNotice(keys=(PART,), age=4.0)],
+    )
+    news.apply(message)
+    (survival,) = gateway.describe()["survivals"]
+    assert survival.age == pytest.approx(0.1)
+    news.tell_survival((PART,), at=now - 2.0)
+    news.note_refutation({PART}, at=now - 3.0)
+    assert news.list_told()[PART] == now - 0.1
+
+
 def test_blocks_are_bounded(gateway, reactor):
     for number in range(200):
         gateway.guard.block_list.add(frozenset({number}), at=reactor.seconds())
