Record versions in the store for streams that no gateway remembers

Cause: what began a stream is known to gateways only, and all of them ended.

Change: the versions at which a route's streams can begin are recorded in the platform's store, by three gateways, the second and third one only if those before it have failed. The record outlasts its version by the time for which streams are remembered. Where no gateway knows a stream, the records of its route are read once for all requests that wait; a single one, which is also all that serves, has begun the stream. A record written again is not removed by a gateway that has missed the return of its version: it compares the time in it and its revision.

The fleet in memory drops lost upstreams when their grace period ends, as the gateway does, and killed gateways reach no store.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -219,6 +219,7 @@
                 routes=len(table.list_routes()),
                 was=None if current is None else current.version,
             )
+        self.stream_versions.version_records.schedule_update()
 
     def apply_upstreams(self, mirror):
         """Update the directory from the mirrored entries of upstreams."""
@@ -243,6 +244,7 @@
                 mirror,
             )
         self.placement.rate_limits.schedule_update()
+        self.stream_versions.version_records.schedule_update()
         if self.worker is not None:
             self.worker.schedule(0.0)
 
@@ -362,6 +364,7 @@
                 if name not in live:
                     upstream.remove_peer_load(name)
         self.placement.rate_limits.schedule_update()
+        self.stream_versions.version_records.schedule_reassignment()
         if self.worker is not None:
             self.update_workers()
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/origin.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/origin.py
@@ -30,6 +30,8 @@
         The version is not known, or no upstream of it accepts work.
     """
     version = await gateway.stream_versions.find(head)
+    if version is None:
+        version = await gateway.stream_versions.search.find(route)
     if version is None:
         raise build_error("is not known")
     # The version tells the service, which is drawn for each attempt.
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
@@ -221,6 +221,19 @@
         """
         await self.write({}, {}, removed=keys)
 
+    async def remove_unchanged(self, entry):
+        """Remove a key unless it was written since it was read.
+
+        Parameters
+        ----------
+        entry : Entry
+
+        Raises
+        ------
+        StoreUnavailableError
+        """
+        await self.write({entry.key: entry.revision}, {}, removed=[entry.key])
+
     async def write(self, expected, values, *, removed=()):
         """Send a conditional write, retrying until its outcome is known."""
         is_ambiguous = False
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
@@ -10,6 +10,8 @@
 from .notice import AMBIGUOUS_VERSION
 from .notice import StreamNotice
 from .question import Question
+from .records import VersionRecords
+from .search import VersionSearch
 
 __all__ = ["StreamVersions"]
 
@@ -36,6 +38,9 @@
         (version, time) by the stream's key, the oldest first.
     questions : dict
         Question by the stream's key.
+    version_records : VersionRecords
+    search : VersionSearch
+        For the streams that no gateway remembers.
 
     Notes
     -----
@@ -51,12 +56,24 @@
     several versions have begun tells nothing.
     """
 
-    __slots__ = ("gateway", "records", "questions")
+    __slots__ = (
+        "gateway",
+        "records",
+        "questions",
+        "version_records",
+        "search",
+    )
 
     def __init__(self, *, gateway):
         self.gateway = gateway
         self.records = {}
         self.questions = {}
+        self.version_records = VersionRecords(
+            gateway=gateway, ttl=RECORD_TTL_S
+        )
+        self.search = VersionSearch(
+            gateway=gateway, records=self.version_records
+        )
 
     def announce(self, head, version):
         """Remember which version began a stream here and tell its keepers.
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -276,12 +276,14 @@
     assert first.count_versions() == last.count_versions() == 1
 
 
-def test_streams_go_on_after_a_restart_of_all_while_one_version_serves(
-    build_fleet,
-):
-    fleet = build_fleet(gateways=6, upstreams=10)
-    fleet.advance(1.0)
-    clients = start_streams(fleet, 20)
+def restart_all(fleet, clients):
+    """Let all gateways start again at once, and their clients come back.
+
+    Returns
+    -------
+    list of Client
+        Those whose stream had begun and has not ended.
+    """
     for number in range(len(fleet.gateways)):
         fleet.kill_gateway(number)
     for client in clients:
@@ -291,5 +293,52 @@
         fleet.restart_gateway(number)
     fleet.advance(0.3)
     resumed = resume_broken(fleet, clients)
+    fleet.advance(0.7)
+    return resumed
+
+
+def test_streams_go_on_after_a_restart_of_all_while_one_version_serves(
+    build_fleet,
+):
+    fleet = build_fleet(gateways=6, upstreams=10)
+    fleet.advance(1.0)
+    clients = start_streams(fleet, 20)
+    resumed = restart_all(fleet, clients)
     fleet.advance(2.0)
     assert count_served(resumed) > 0.9 * len(resumed) > 5
+
+
+def test_streams_of_two_versions_are_refused_after_a_restart_of_all(fleet):
+    clients = start_streams(fleet, 20)
+    resumed = restart_all(fleet, clients)
+    assert len(resumed) > 5
+    assert all(client.is_refused() for client in resumed)
+
+
+@pytest.mark.parametrize("has_store", [True, False])
+def test_streams_of_a_version_that_is_gone_are_not_joined_after_a_restart(
+    build_fleet, wire, has_store
+):
+    fleet = build_fleet(gateways=6, upstreams=10)
+    fleet.restarts = False
+    fleet.advance(1.0)
+    clients = start_streams(fleet, 20)
+    for name, port in list(fleet.upstreams.items()):
+        fleet.end_upstream(name)
+        fleet.start_upstream(port=port, version="v2")
+    wire.is_down = not has_store
+    resumed = restart_all(fleet, clients)
+    assert len(resumed) > 5
+    assert all(client.is_refused() for client in resumed)
+
+
+def test_streams_are_refused_after_a_restart_of_all_without_the_store(
+    build_fleet, wire
+):
+    fleet = build_fleet(gateways=6, upstreams=10)
+    fleet.advance(1.0)
+    clients = start_streams(fleet, 20)
+    wire.is_down = True
+    resumed = restart_all(fleet, clients)
+    assert len(resumed) > 5
+    assert all(client.is_refused() for client in resumed)
--- a/packages/hollyspan_policy/hollyspan_policy/streams/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/__init__.py
@@ -2,12 +2,18 @@
 
 from .keepers import choose_keepers
 from .keepers import choose_respondents
+from .records import choose_only_version
+from .records import choose_write_delay
+from .records import is_record_expired
 from .versions import find_scarce_versions
 from .versions import must_start_over
 
 __all__ = [
     "choose_keepers",
+    "choose_only_version",
     "choose_respondents",
+    "choose_write_delay",
     "find_scarce_versions",
+    "is_record_expired",
     "must_start_over",
 ]
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from hollyspan_core.errors import StreamLostError
+from hollyspan_gateway.store import Store
 from hollyspan_policy.hashing import hash_parts
 
 from .builders import build_entry
@@ -14,6 +15,7 @@
 from .network import MemoryNetwork
 from .request import MemoryRequest
 from .send import Send
+from .wire import MemoryWire
 
 __all__ = ["MemoryFleet"]
 
@@ -122,6 +124,7 @@
         gateway.peers.stopProtocol()
         gateway.peers.transport = None
         self.network.gateways.pop(1000 + number)
+        gateway.store = build_dead_store(self.reactor)
         for send in self.sent:
             if send.gateway is gateway:
                 send.is_ended = True
@@ -161,7 +164,11 @@
             name: build_entry(name, port=port, version=self.versions[name])
             for name, port in self.upstreams.items()
         }
-        gateway.directory.update(entries)
+        recheck_at = gateway.directory.update(entries)
+        if recheck_at is not None:
+            delay = recheck_at - self.reactor.seconds()
+            self.reactor.callLater(delay, self.list_upstreams, gateway)
+        gateway.stream_versions.version_records.schedule_update()
         gateway.pool.unreachable -= {
             (ADDRESS, port) for port in self.upstreams.values()
         }
@@ -319,3 +326,10 @@
             for send in self.sent
             if part in send.parts and send.time > after
         ]
+
+
+def build_dead_store(reactor):
+    """Return the store of a gateway that has ended: nothing reaches it."""
+    wire = MemoryWire(reactor=reactor)
+    wire.is_down = True
+    return Store(wire=wire, reactor=reactor, create_token=bytes)
