--- a/packages/hollyspan_standins/hollyspan_standins/deployment/errors.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/errors.py
@@ -2,7 +2,7 @@
 
 from ..common import StandinError
 
-__all__ = ["CallError", "NotReadyError", "ProcessExitedError"]
+__all__ = ["CallError", "NoPortError", "NotReadyError", "ProcessExitedError"]
 
 LOG_TAIL_CHARACTERS = 2000
 
@@ -14,6 +14,10 @@
         super().__init__(f"{url}: {reason}")
 
 
+class NoPortError(StandinError):
+    """No port is free for a process."""
+
+
 class NotReadyError(StandinError):
     """A process did not become ready in time."""
 
