--- a/packages/hollyspan_entry/hollyspan_entry/http/site.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/site.py
@@ -20,16 +20,20 @@
         True once each connection is closed after its current request.
     connections : set of HTTPChannel
         Open connections.
+    accepted : int
+        Number of connections accepted since the start.
     """
 
     def __init__(self, root, **options):
         super().__init__(root, **options)
         self.is_closing = False
         self.connections = set()
+        self.accepted = 0
 
     def buildProtocol(self, addr):
         connection = super().buildProtocol(addr)
         self.connections.add(connection)
+        self.accepted += 1
         connection_lost = connection.connectionLost
 
         def remove_connection(reason):
