Accept what has come before a gateway exits

What callers would see: requests sent in the last turn of a gateway's loop before it exits are reset, and a connection just made is closed before its first request. The balancer sends such requests when it or the gateway gets no processor for a while.

Cause: the check that finds nothing in flight ended the process in the same turn, and idle connections were closed however new they were.

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -251,6 +251,7 @@
         self.gateway = gateway
         self.site = gateway.site
         self.started_at = None
+        self.was_drained = False
 
     def request_shutdown(self):
         """Schedule the shutdown; called from a signal handler."""
@@ -277,7 +278,12 @@
         """Exit when nothing is in flight or the grace period is over."""
         elapsed = self.reactor.seconds() - self.started_at
         limit = self.gateway.settings.grace_seconds - EXIT_MARGIN_S
-        if elapsed < limit and not self.is_drained(elapsed):
+        is_drained = self.is_drained(elapsed)
+        # Connections that came since the last turn of the loop are accepted
+        # before the second check.
+        is_final = is_drained and self.was_drained
+        self.was_drained = is_drained
+        if elapsed < limit and not is_final:
             self.reactor.callLater(DRAIN_CHECK_INTERVAL_S, self.check)
             return
         eliot.log_message("gateway:stopping", seconds=elapsed)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -6,6 +6,10 @@
 
 __all__ = ["ClientRequest", "ClientSite"]
 
+# Time in which a new connection brings its first request: several round trips
+# between regions.
+FIRST_REQUEST_S = 0.5
+
 
 class ClientRequest(http.Request):
     """Request whose body is kept in memory.
@@ -158,12 +162,16 @@
         self.timeOut = limits.idle_seconds
 
     def close_idle(self):
-        """Close idle connections now and busy ones after their request."""
+        """Close idle connections now and busy ones after their request.
+
+        A new connection is left the time to send its first request.
+        """
         self.is_closing = True
+        now = self.reactor.seconds()
         for channel in list(self.channels):
             if channel.requests:
                 channel.persistent = False
-            else:
+            elif now - channel.opened_at >= FIRST_REQUEST_S:
                 channel.loseConnection()
 
 
@@ -171,6 +179,7 @@
     """Connection that is registered with its site."""
 
     def connectionMade(self):
+        self.opened_at = self.factory.reactor.seconds()
         self.factory.channels.add(self)
         self.transport.setTcpNoDelay(True)
         super().connectionMade()
