Tests: an engine of the stream tests has a loopback address of its own

What was seen: test_unreachable_engine_raises_stream_lost once, "did not catch an error, instead got None", beside other deployments and a soak.

Cause: an engine that listens at a port of the usual address gets the calls that daemons of other tests go on sending to an engine that has ended there. Each call takes one of the ten breaks that the test prepares, and the stream then finds none. Evidence: with six such calls beside it the test fails with the same message.

--- a/packages/hollyspan_entry/hollyspan_entry/streams/tests/conftest.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/conftest.py
@@ -12,6 +12,7 @@
 from hollyspan_core.settings.timing import Timing
 from hollyspan_entry.upstreams import Upstream
 from hollyspan_entry.upstreams import UpstreamRegistry
+from hollyspan_standins.deployment import choose_loopback_address
 
 
 class ScriptedEngine(resource.Resource):
@@ -81,6 +82,7 @@
 
     def __init__(self):
         self.ports = []
+        self.address = choose_loopback_address()
         self.pool = client.HTTPConnectionPool(reactor, persistent=False)
         timing = Timing(connect_timeout=1.0, order_timeout=1.0)
         self.runtime = types.SimpleNamespace(
@@ -93,14 +95,14 @@
     def start(self, *, count=5, **script):
         engine = ScriptedEngine(events=build_events(count), **script)
         site = server.Site(engine)
-        port = reactor.listenTCP(0, site, interface="127.0.0.1")
+        port = reactor.listenTCP(0, site, interface=self.address)
         self.ports.append(port)
         upstream = Upstream(
             name=f"engine-{len(self.ports)}",
             kind="engine",
             service="m",
             data_centre="a",
-            address="127.0.0.1",
+            address=self.address,
             port=port.getHost().port,
             slots=4,
         )
--- a/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
@@ -1,6 +1,7 @@
 import json
 
 from twisted.internet import defer
+from twisted.internet import error as network_error
 from twisted.internet import reactor
 from twisted.internet import task
 from twisted.trial import unittest
@@ -173,6 +174,18 @@
         self.assertEqual(self.get_offsets(), [1, 2])
         self.assertEqual([m for m, _ in engine.calls], ["POST"] + ["GET"] * 5)
 
+    async def test_an_engine_gets_no_calls_meant_for_another_program(self):
+        # A daemon of another test goes on calling an engine that has ended.
+        engine, upstream = self.harness.start(break_offsets=[2] + [0] * 9)
+        url = f"http://127.0.0.1:{upstream.port}/v1/streams/other?offset=0"
+        for _ in range(5):
+            await self.assertFailure(
+                self.harness.runtime.agent.request(b"GET", url.encode()),
+                network_error.ConnectionRefusedError,
+            )
+        await self.assertFailure(self.start_stream(upstream), StreamLostError)
+        self.assertEqual(len(engine.calls), 6)
+
     async def test_cancel_stream(self):
         _, upstream = self.harness.start()
         offset = await cancel_stream(
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/__init__.py
@@ -11,6 +11,7 @@
 from .deployment import Deployment
 from .deployment import read_json_lines
 from .errors import CallError
+from .errors import NoPortError
 from .errors import NotReadyError
 from .errors import ProcessExitedError
 from .launch import open_deployment
@@ -19,6 +20,7 @@
 from .layout import build_trust_layouts
 from .layout import DataCentreLayout
 from .links import LINK_KINDS
+from .ports import choose_loopback_address
 from .ports import pick_port
 from .process import Process
 from .regions import count_traffic
@@ -29,6 +31,7 @@
     "CallError",
     "Deployment",
     "LINK_KINDS",
+    "NoPortError",
     "NotReadyError",
     "DataCentreLayout",
     "Process",
@@ -38,6 +41,7 @@
     "build_cooperative_layouts",
     "build_layouts",
     "build_trust_layouts",
+    "choose_loopback_address",
     "count_traffic",
     "fetch_json",
     "is_answering",
--- a/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/ports.py
@@ -7,7 +7,7 @@
 
 from .errors import NoPortError
 
-__all__ = ["ADDRESS", "pick_port"]
+__all__ = ["ADDRESS", "choose_loopback_address", "pick_port"]
 
 ADDRESS = "127.0.0.1"
 # Below the ephemeral port range, so that the system does not assign a port to
@@ -58,6 +58,22 @@
     raise NoPortError("all ports of this program are in use")
 
 
+def choose_loopback_address():
+    """Return a random address of this machine but the usual one.
+
+    Returns
+    -------
+    str
+
+    Notes
+    -----
+    Programs go on calling the addresses of processes that have ended. A server
+    with an address of its own gets none of these calls, whatever its port.
+    """
+    first, second, third = (1 + secrets.randbelow(62) for _ in range(3))
+    return f"127.{first}.{second}.{third}"
+
+
 @functools.cache
 def claim_block():
     """Claim a block of ports that no other program has, at the first call.
