--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -5,6 +5,7 @@
 
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
+from hollyspan_policy.crashes import EndRecord
 from hollyspan_policy.crashes import list_implicated_keys
 from hollyspan_policy.crashes import narrow_block
 
@@ -211,3 +212,16 @@
         evidence.note_end(number, [(COMMON, FATAL)], at=11.0 + number)
         evidence.note_survival((COMMON,), at=13.0 - number)
     assert choose(evidence) == [frozenset({FATAL})]
+
+
+def test_a_part_of_two_requests_is_blocked_though_another_ran_beside_one():
+    common, part, first, second, beside = range(1, 6)
+    ends = [EndRecord(at=float(at)) for at in range(8)]
+    for end in ends[:4]:
+        end.requests = {(common, part, first), (common, beside)}
+        end.fingerprints = {first, beside}
+    for end in ends[4:]:
+        end.requests = {(common, part, second)}
+        end.fingerprints = {second}
+    blocks = choose_blocks(ends, survivals={common: 8.0})
+    assert frozenset({part}) in blocks
