--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -30,6 +30,17 @@
     return begin
 
 
+def build_message(**notices):
+    return FleetMessage(
+        sender=1,
+        incarnation=2,
+        sequence=3,
+        is_full=False,
+        loads=[],
+        **notices,
+    )
+
+
 def fail(connection, error):
     connection.pool.unreachable.add(connection.address)
     connection.exchange.on_failure(error)
@@ -78,12 +89,7 @@
 
 
 def test_notices_survive_encoding():
-    message = FleetMessage(
-        sender=1,
-        incarnation=2,
-        sequence=3,
-        is_full=False,
-        loads=[],
+    message = build_message(
         ends=[EndNotice(upstream=4, requests=[(5, PART), (6,)], age=0.25)],
         survivals=[SurvivalNotice(keys=(5,), age=1.5)],
         blocks=[BlockNotice(keys=(PART,), age=1e9, failed_trials=2)],
@@ -119,12 +125,7 @@
     now = reactor.seconds()
     news = gateway.guard.news
     news.tell_survival((PART,), at=now - 0.1)
-    message = FleetMessage(
-        sender=1,
-        incarnation=2,
-        sequence=3,
-        is_full=False,
-        loads=[],
+    message = build_message(
         survivals=[SurvivalNotice(keys=(PART,), age=4.0)],
     )
     news.apply(message)
@@ -148,12 +149,7 @@
     reactor.advance(1.0)
     gateway.guard.handle_survival((PART,))
     assert not gateway.guard.blocks
-    message = FleetMessage(
-        sender=1,
-        incarnation=2,
-        sequence=3,
-        is_full=False,
-        loads=[],
+    message = build_message(
         blocks=[BlockNotice(keys=(PART,), age=1.0, failed_trials=0)],
     )
     gateway.guard.news.apply(message)
