Log what a peer says of an unreachable upstream

A gateway passed over upstreams for a second on a peer's word, and no line told. The hypotheses of the incident (no other way than the gateway's own links, peers' words, lack of capacity) cannot be told apart without it.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -328,7 +328,9 @@
             else:
                 upstream.set_peer_load(peer.identifier, load)
             if key in message_loads:
-                self.apply_load_report(upstream, message_loads[key], now=now)
+                self.apply_load_report(
+                    upstream, message_loads[key], peer=peer, now=now
+                )
             if self.worker is not None:
                 self.worker.preempt_items(upstream)
         for total in message.totals:
@@ -342,12 +344,14 @@
         if message.is_full:
             self.refresh.compare_revisions(peer, message)
 
-    def apply_load_report(self, upstream, load, *, now):
+    def apply_load_report(self, upstream, load, *, peer, now):
         """Apply an upstream's load report or failure sent by a peer."""
         if load.reported is not None:
             upstream.record_report(*load.reported, now=now)
         if load.is_unreachable:
-            self.directory.note_reported_unreachable(upstream)
+            self.directory.note_reported_unreachable(
+                upstream, peer=peer.identifier
+            )
         if load.limit is not None:
             self.placement.rate_limits.apply_report(upstream, load.limit)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -219,10 +219,24 @@
         upstream.has_unsent_failure = True
         self.note_failure(upstream, first_backoff=UNREACHABLE_BACKOFF_S)
 
-    def note_reported_unreachable(self, upstream):
-        """Back off from an upstream that a peer reported as unreachable."""
+    def note_reported_unreachable(self, upstream, *, peer=None):
+        """Back off from an upstream that a peer reported as unreachable.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        peer : str, optional
+            Identifier of the peer, for the log.
+        """
         now = self.reactor.seconds()
-        if now - upstream.reported_at < RECENT_REPORT_AGE_S:
+        is_ignored = now - upstream.reported_at < RECENT_REPORT_AGE_S
+        eliot.log_message(
+            "upstream:reported_unreachable",
+            upstream=upstream.entry.name,
+            peer=peer,
+            is_ignored=is_ignored,
+        )
+        if is_ignored:
             return
         upstream.suspect_until = max(
             upstream.suspect_until, now + PEER_REPORT_BACKOFF_S
