Failing tests: callers of gateways that have lost their links to upstreams

The fleet in memory gets links from single gateways to upstreams that hang, are reset or refused, or keep old connections and refuse new ones, upstreams that are silent for a while, idle connections, and calls between gateways.

--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
@@ -0,0 +1,171 @@
+"""Tests with gateways that have lost their links to upstreams."""
+
+import pytest
+
+from hollyspan_standins.memory import LinkState
+
+STEP_S = 0.05
+# Callers of a machine without links are served as well as others, whose
+# service is that of a calm day.
+MIN_SERVED_SHARE = 0.95
+LOST_STATES = [
+    LinkState.HANGS,
+    LinkState.RESET,
+    LinkState.REFUSES,
+    LinkState.KEEPS_OLD,
+]
+
+
+@pytest.fixture
+def fleet(build_fleet):
+    fleet = build_fleet(gateways=5, upstreams=6)
+    run_load(fleet, 2.0, name="warm")
+    return fleet
+
+
+def run_load(fleet, seconds, *, gateways=None, name="q"):
+    """Send requests to the gateways in turn and return them."""
+    gateways = gateways or fleet.gateways
+    requests = []
+    for number in range(round(seconds / STEP_S)):
+        requests.append(
+            fleet.request(
+                f"{name}{number}", gateway=gateways[number % len(gateways)]
+            )
+        )
+        fleet.advance(STEP_S)
+    return requests
+
+
+def find_served_shares(requests, cut_off):
+    """Return the served shares at cut-off gateways and at the others."""
+    groups = [
+        [each for each in requests if (each.gateway in cut_off) is is_cut_off]
+        for is_cut_off in (True, False)
+    ]
+    return [
+        sum(each.is_served() for each in group) / len(group)
+        for group in groups
+    ]
+
+
+@pytest.mark.parametrize("state", LOST_STATES)
+@pytest.mark.parametrize("count", [1, 4])
+def test_callers_of_gateways_without_links_are_served_like_others(
+    fleet, state, count
+):
+    cut_off = fleet.gateways[:count]
+    for gateway in cut_off:
+        fleet.set_links(gateway, state)
+    requests = run_load(fleet, 12.0)
+    fleet.advance(6.0)
+    for share in find_served_shares(requests, cut_off):
+        assert share > MIN_SERVED_SHARE
+
+
+@pytest.mark.parametrize("state", LOST_STATES)
+def test_upstreams_that_most_gateways_cannot_reach_are_used_by_others(
+    fleet, state
+):
+    for gateway in fleet.gateways[:4]:
+        fleet.set_links(gateway, state)
+    fleet.advance(0.5)
+    requests = run_load(fleet, 8.0, gateways=fleet.gateways[4:])
+    fleet.advance(3.0)
+    assert all(request.is_served() for request in requests)
+    sends = [send for send in fleet.sent if send.gateway is fleet.gateways[4]]
+    assert {send.upstream for send in sends} == set(fleet.upstreams)
+
+
+@pytest.mark.parametrize("state", LOST_STATES)
+def test_callers_are_served_when_links_to_most_upstreams_are_lost(
+    fleet, state
+):
+    cut_off = fleet.gateways[:3]
+    for gateway in cut_off:
+        fleet.set_links(gateway, state, ports=(1, 2, 3, 4, 5))
+    requests = run_load(fleet, 8.0)
+    fleet.advance(6.0)
+    for share in find_served_shares(requests, cut_off):
+        assert share > MIN_SERVED_SHARE
+
+
+@pytest.mark.parametrize("state", LOST_STATES)
+def test_later_requests_of_a_cut_do_not_wait_for_lost_links(fleet, state):
+    gateway = fleet.gateways[0]
+    fleet.set_links(gateway, state)
+    run_load(fleet, 1.0)
+    requests = run_load(fleet, 6.0, gateways=[gateway], name="r")
+    fleet.advance(3.0)
+    late = [
+        each
+        for each in requests
+        if each.begun_at is None or each.begun_at - each.arrived_at > 0.3
+    ]
+    assert not late
+
+
+@pytest.mark.parametrize("state", LOST_STATES)
+def test_lost_links_are_no_ends_of_upstreams(fleet, state):
+    for _ in range(4):
+        for gateway in fleet.gateways[:2]:
+            fleet.set_links(gateway, state)
+        run_load(fleet, 1.5)
+        for gateway in fleet.gateways[:2]:
+            fleet.restore_links(gateway)
+        run_load(fleet, 1.0)
+    for gateway in fleet.gateways:
+        assert not gateway.guard.evidence.ends
+        assert not gateway.guard.blocks
+
+
+@pytest.mark.parametrize("state", LOST_STATES)
+def test_restored_links_are_used_again_without_a_lost_request(fleet, state):
+    gateway = fleet.gateways[0]
+    fleet.set_links(gateway, state)
+    run_load(fleet, 5.0)
+    fleet.restore_links(gateway)
+    fleet.advance(1.0)
+    requests = run_load(fleet, 3.0, gateways=[gateway], name="r")
+    fleet.advance(3.0)
+    assert all(request.is_served() for request in requests)
+    names = {request.identifier.encode() for request in requests}
+    direct = [
+        send
+        for send in fleet.sent
+        if send.connection.headers[b"id"] in names and send.gateway is gateway
+    ]
+    assert len(direct) == len(requests)
+
+
+def test_callers_are_served_when_cuts_follow_each_other(fleet):
+    requests = []
+    for number, state in enumerate(LOST_STATES * 2):
+        cut_off = [fleet.gateways[(number + i) % 5] for i in range(3)]
+        for gateway in cut_off:
+            fleet.set_links(gateway, state)
+        requests += run_load(fleet, 2.0, name=f"q{number}-")
+        for gateway in cut_off:
+            fleet.restore_links(gateway)
+    fleet.advance(6.0)
+    served = sum(request.is_served() for request in requests)
+    assert served > MIN_SERVED_SHARE * len(requests)
+
+
+def test_a_silent_second_of_an_upstream_is_no_lost_link(fleet):
+    requests = []
+    for name in list(fleet.upstreams)[:3]:
+        fleet.silent_upstreams.add(name)
+        requests += run_load(fleet, 1.0, name=name)
+        fleet.silent_upstreams.clear()
+        requests += run_load(fleet, 1.0, name=f"{name}-")
+    fleet.advance(6.0)
+    assert all(request.is_served() for request in requests)
+
+
+def test_no_stream_of_a_gateway_that_loses_its_links_is_broken_off(fleet):
+    gateway = fleet.gateways[0]
+    requests = run_load(fleet, 0.5, gateways=[gateway])
+    fleet.set_links(gateway, LinkState.HANGS)
+    fleet.advance(4.0)
+    assert all(request.is_served() for request in requests)
--- a/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
@@ -8,12 +8,14 @@
 from .builders import build_table
 from .dialect import PlainDialect
 from .fleet import MemoryFleet
+from .links import LinkState
 from .network import MemoryNetwork
 from .pool import MemoryPool
 from .request import MemoryRequest
 from .wire import MemoryWire
 
 __all__ = [
+    "LinkState",
     "MemoryFleet",
     "MemoryNetwork",
     "MemoryPool",
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -11,8 +11,12 @@
 from .builders import build_entry
 from .builders import build_events
 from .builders import build_head
+from .links import Links
+from .links import LinkState
 from .network import ADDRESS
+from .network import find_host
 from .network import MemoryNetwork
+from .peer_call import PeerCall
 from .request import MemoryRequest
 from .send import Send
 from .wire import MemoryWire
@@ -51,6 +55,12 @@
     ----------
     gateways : list of Gateway
     network : MemoryNetwork
+    links : Links
+        From gateways to upstreams.
+    peer_calls : list of PeerCall
+        Everything that gateways have asked each other over HTTP.
+    silent_upstreams : set of str
+        Names of upstreams that send nothing, and go on when they are removed.
     fatal_parts : set of int
         Parts of prompts that end each upstream that begins to answer them.
     fatal_bodies : set of str
@@ -83,6 +93,9 @@
         self.options = options or {}
         self.gateways = []
         self.network = MemoryNetwork()
+        self.links = Links()
+        self.peer_calls = []
+        self.silent_upstreams = set()
         self.random = random.Random(1)
         self.upstreams = {}
         self.versions = {}
@@ -125,6 +138,9 @@
         gateway.peers.transport = None
         self.network.gateways.pop(1000 + number)
         gateway.store = build_dead_store(self.reactor)
+        for call in self.peer_calls:
+            if gateway in (call.target, call.connection.pool.gateway):
+                call.break_off()
         for send in self.sent:
             if send.gateway is gateway:
                 send.is_ended = True
@@ -143,13 +159,18 @@
         gateway = self.build_gateway(
             name=name, upstreams=(), **{**self.options, **options}
         )
-        gateway.pool.on_send = lambda sent: self.handle_send(gateway, sent)
-        gateway.pool.unreachable = {
-            (ADDRESS, number) for number in range(1, 100)
-        }
+        pool = gateway.pool
+        pool.gateway = gateway
+        pool.on_send = lambda sent: self.handle_send(gateway, sent)
+        pool.unreachable = {(ADDRESS, number) for number in range(1, 100)}
+        pool.drops_new = lambda address: self.links.drops_new(
+            gateway, address[1]
+        )
+        pool.refuses_new = lambda address: self.refuses_new(gateway, address)
         self.network.join(gateway, port)
         members = {
-            f"g{other}": (ADDRESS, other) for other in self.network.gateways
+            f"g{other}": (find_host(other), other)
+            for other in self.network.gateways
         }
         for other in self.network.gateways.values():
             other.peers.add(members)
@@ -182,8 +203,76 @@
         for gateway in self.gateways:
             self.list_upstreams(gateway)
 
+    def find_gateway(self, host):
+        """Return the live gateway at an address, None without one."""
+        for port, gateway in self.network.gateways.items():
+            if find_host(port) == host:
+                return gateway
+        return None
+
+    def refuses_new(self, gateway, address):
+        """Return whether a new connection to an address is refused."""
+        host, port = address
+        if host != ADDRESS:
+            return self.find_gateway(host) is None
+        return self.links.refuses_new(gateway, port)
+
+    def set_links(self, gateway, state, *, ports=None):
+        """Set the state of a gateway's links to upstreams.
+
+        Parameters
+        ----------
+        gateway : Gateway
+        state : LinkState
+        ports : collection of int, optional
+            Ports of the upstreams; all by default.
+        """
+        for port in ports or range(1, 100):
+            self.links.set(gateway, port, state)
+        for send in self.sent:
+            port = send.connection.address[1]
+            if (
+                send.gateway is gateway
+                and send.is_open()
+                and self.links.breaks_open(gateway, port)
+            ):
+                send.is_ended = True
+                send.connection.exchange.on_failure(
+                    StreamLostError("connection reset")
+                )
+        for address in list(gateway.pool.idle):
+            if address[0] == ADDRESS and self.links.breaks_open(
+                gateway, address[1]
+            ):
+                gateway.pool.drop_address(address)
+
+    def restore_links(self, gateway):
+        """Make a gateway's links to upstreams whole again."""
+        self.set_links(gateway, LinkState.WHOLE)
+
+    def is_held_up(self, send):
+        """Return whether the bytes of an answer do not arrive now."""
+        return send.upstream in self.silent_upstreams or self.links.hangs(
+            send.gateway, send.connection.address[1]
+        )
+
+    def start_peer_call(self, gateway, connection):
+        """Let another gateway answer a call."""
+        ports = {each: port for port, each in self.network.gateways.items()}
+        call = PeerCall(
+            reactor=self.reactor,
+            connection=connection,
+            sender=find_host(ports[gateway]),
+            target=self.find_gateway(connection.address[0]),
+        )
+        self.peer_calls.append(call)
+        call.start()
+
     def handle_send(self, gateway, connection):
         """Let the upstream at an address answer a request."""
+        if connection.address[0] != ADDRESS:
+            self.start_peer_call(gateway, connection)
+            return
         names = [
             name
             for name, port in self.upstreams.items()
@@ -201,6 +290,9 @@
     def begin_answer(self, send):
         if not send.is_open():
             return
+        if self.is_held_up(send):
+            self.reactor.callLater(START_DELAY_S, self.begin_answer, send)
+            return
         if self.is_fatal(send):
             send.has_ended_upstream = send.upstream in self.upstreams
             self.end_upstream(send.upstream)
@@ -224,9 +316,14 @@
     def continue_answer(self, send):
         if not send.is_open():
             return
+        if self.is_held_up(send):
+            self.reactor.callLater(
+                EVENT_INTERVAL_S, self.continue_answer, send
+            )
+            return
         if send.last_event >= EVENTS_PER_ANSWER:
             send.is_ended = True
-            send.connection.exchange.on_end()
+            send.connection.end()
             return
         send.last_event += 1
         event = build_events(
@@ -245,6 +342,7 @@
         self.ended.append((self.reactor.seconds(), name))
         for gateway in self.gateways:
             gateway.pool.unreachable.add((ADDRESS, port))
+            gateway.pool.drop_address((ADDRESS, port))
         if self.restarts:
             self.reactor.callLater(
                 RESTART_DELAY_S,
--- a/packages/hollyspan_standins/hollyspan_standins/memory/network.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/network.py
@@ -1,8 +1,10 @@
 """In-memory network that carries the datagrams of several gateways."""
 
-__all__ = ["MemoryNetwork"]
+__all__ = ["ADDRESS", "MemoryNetwork", "find_host"]
 
+# Of all upstreams, which have ports of their own.
 ADDRESS = "10.0.0.1"
+FIRST_GATEWAY_PORT = 1000
 
 
 class MemoryNetwork:
@@ -47,4 +49,11 @@
         self.network.delivered.append((self.port, address[1]))
         target = self.network.gateways.get(address[1])
         if target is not None:
-            target.peers.datagramReceived(datagram, (ADDRESS, self.port))
+            source = (find_host(self.port), self.port)
+            target.peers.datagramReceived(datagram, source)
+
+
+def find_host(port):
+    """Return the address of the gateway with a port."""
+    number = port - FIRST_GATEWAY_PORT
+    return f"10.1.{number // 250}.{number % 250 + 1}"
--- a/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
@@ -1,9 +1,15 @@
 """In-memory connections to upstreams, for tests that provide the answers."""
 
+import collections
+
 from hollyspan_core.errors import UpstreamConnectionRefusedError
+from hollyspan_core.errors import UpstreamUnreachableError
+from hollyspan_gateway.clock import wait
 
 __all__ = ["MemoryConnection", "MemoryPool"]
 
+CONNECT_TIMEOUT_S = 0.3
+
 
 class MemoryPool:
     """Connection pool that records requests for the test to answer.
@@ -15,6 +21,11 @@
         `exchange` can be inspected.
     unreachable : set of (str, int)
         Addresses that refuse connections.
+    idle : collections.Counter
+        Number of idle connections by address.
+    drops_new, refuses_new : callable
+        Called with an address; return whether new connections time out or
+        are refused.
     on_send : callable
         Called with each connection that carries a request.
     """
@@ -24,18 +35,35 @@
         self.sent = []
         self.unreachable = set()
         self.opened = 0
+        self.idle = collections.Counter()
+        self.drops_new = lambda address: False
+        self.refuses_new = lambda address: False
         self.on_send = lambda connection: None
 
-    async def acquire(self, address, *, timeout=1.0):
-        if address in self.unreachable:
-            raise UpstreamConnectionRefusedError("connection refused")
+    async def acquire(self, address, *, timeout=CONNECT_TIMEOUT_S):
+        if self.idle[address] and address not in self.unreachable:
+            self.idle[address] -= 1
+        else:
+            await self.open(address, timeout=timeout)
         return MemoryConnection(pool=self, address=address)
 
+    async def open(self, address, *, timeout=CONNECT_TIMEOUT_S):
+        if address in self.unreachable or self.refuses_new(address):
+            raise UpstreamConnectionRefusedError("connection refused")
+        if self.drops_new(address):
+            await wait(self.reactor, timeout)
+            raise UpstreamUnreachableError("connection timed out")
+        self.opened += 1
+
     async def open_idle(self, address):
-        await self.acquire(address)
+        await self.open(address)
+        self.idle[address] += 1
+
+    def has_idle(self, address):
+        return self.idle[address] > 0
 
     def drop_address(self, address):
-        pass
+        self.idle.pop(address, None)
 
     def close(self):
         pass
@@ -53,6 +81,7 @@
         self.address = address
         self.exchange = None
         self.is_cancelled = False
+        self.on_cancel = lambda: None
 
     def send(self, exchange):
         self.exchange = exchange
@@ -61,6 +90,12 @@
 
     def cancel(self):
         self.is_cancelled = True
+        self.on_cancel()
+
+    def end(self):
+        """Complete the answer; the connection can be used again."""
+        self.pool.idle[self.address] += 1
+        self.exchange.on_end()
 
     @property
     def headers(self):
@@ -72,4 +107,4 @@
         if body and not self.is_cancelled:
             self.exchange.on_data(body)
         if is_complete and not self.is_cancelled:
-            self.exchange.on_end()
+            self.end()
--- a/packages/hollyspan_standins/hollyspan_standins/memory/request.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/request.py
@@ -9,6 +9,7 @@
     """Request of a client that records its answer."""
 
     def __init__(self, *, reactor, body=b"{}", identifier=None):
+        self.reactor = reactor
         self.identifier = identifier
         self.gateway = None
         self.content = types.SimpleNamespace(getvalue=lambda: body)
@@ -17,6 +18,7 @@
         self.is_too_large = False
         self.on_disconnect = None
         self.status = None
+        self.begun_at = None
         self.written = b""
         self.is_ended = False
         self.is_aborted = False
@@ -24,6 +26,7 @@
     def begin(self, status, headers):
         assert self.status is None
         self.status = status
+        self.begun_at = self.reactor.seconds()
 
     def write(self, data):
         assert self.status is not None
@@ -34,6 +37,13 @@
         self.written += body
         self.end()
 
+    def setHeader(self, name, value):
+        pass
+
+    def is_served(self):
+        """Return whether the answer is a complete success."""
+        return self.is_ended and self.status == 200
+
     def end(self):
         self.is_ended = True
         self.is_open = False
