--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -11,6 +11,7 @@
 from .peer import PeerAuthenticationError
 from .peer import PeerMessageError
 from .peer import PeerUnavailableError
+from .peer import PeerUnknownError
 from .request import AuthenticationError
 from .request import BatchNotFoundError
 from .request import BatchStateError
@@ -84,6 +85,7 @@
     "PeerAuthenticationError",
     "PeerMessageError",
     "PeerUnavailableError",
+    "PeerUnknownError",
     "RateLimitError",
     "RouteNotFoundError",
     "ServiceNotFoundError",
--- a/packages/hollyspan_core/hollyspan_core/errors/peer.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/peer.py
@@ -8,6 +8,7 @@
     "PeerAuthenticationError",
     "PeerMessageError",
     "PeerUnavailableError",
+    "PeerUnknownError",
 ]
 
 
@@ -27,6 +28,15 @@
     code = "peer_digest_invalid"
 
 
+class PeerUnknownError(HollyspanError):
+    """A request is forwarded by somebody who is no known gateway."""
+
+    status = 403
+    kind = "authentication_error"
+    code = "peer_unknown"
+    default_outcome = Outcome.NOT_RUN
+
+
 class PeerUnavailableError(HollyspanError):
     """A peer cannot be reached."""
 
--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -81,7 +81,7 @@
             metrics=Metrics(),
             incarnation=incarnation,
         )
-        gateway.pool = MemoryPool(reactor=reactor)
+        gateway.use_pool(MemoryPool(reactor=reactor))
         gateway.wall_clock = reactor.seconds
         gateway.routes = build_table(routes or [build_route()])
         gateway.upstreams_mirror.is_connected = True
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
@@ -29,6 +29,8 @@
         Arrival of the first bytes of the answer, reactor seconds.
     has_survived : bool
         True once the upstream has survived it.
+    is_movable : bool
+        Whether it can go on at another upstream, also over another gateway.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "abort",
         "first_data_at",
         "has_survived",
+        "is_movable",
     )
 
     def __init__(self, *, upstream, request, keys, fingerprint):
@@ -49,6 +52,7 @@
         self.abort = None
         self.first_data_at = math.inf
         self.has_survived = False
+        self.is_movable = False
 
     def set_abort(self, abort):
         """Set the function that breaks off the attempt."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -123,6 +123,7 @@
 
     def note_data(self, exposure):
         """Note bytes of the answer to a tracked request."""
+        self.gateway.reach.note_data(exposure.upstream)
         if exposure.note_data(now=self.gateway.reactor.seconds()):
             self.handle_survival(exposure.keys)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -17,6 +17,8 @@
 from .gateway import MEMBERS_PREFIX
 from .jobs.worker import Worker
 from .metrics import Metrics
+from .online.forwarded import FORWARDED_PATH
+from .online.peer_requests import answer_forwarded
 from .online.server import ClientSite
 from .peers import JOB_READS_PATH
 from .peers import snapshots
@@ -139,6 +141,9 @@
         target = request.uri.removeprefix(JOB_READS_PATH).decode("latin-1")
         gateway.reading.answer_peer(request, target)
         return
+    if request.uri.startswith(FORWARDED_PATH):
+        answer_forwarded(gateway, request, idle_seconds=IDLE_TIMEOUT_S)
+        return
     mirror = gateway.mirrors.get(
         request.uri.removeprefix(snapshots.SNAPSHOTS_PATH).decode("latin-1")
     )
@@ -182,9 +187,10 @@
     internal = ClientSite(
         reactor=reactor,
         handle=lambda request: answer_internal(gateway, request),
-        body_limit=0,
+        body_limit=INITIAL_BODY_LIMIT_BYTES,
         idle_seconds=IDLE_TIMEOUT_S,
     )
+    gateway.internal_site = internal
     for port in (settings.snapshot_port, settings.metrics_port):
         reactor.listenTCP(port, internal, interface=settings.ip)
     reactor.listenUDP(settings.peer_port, gateway.peers, interface=settings.ip)
@@ -295,6 +301,8 @@
         worker = self.gateway.worker
         if worker is not None and (worker.running or worker.storing):
             return False
+        if self.gateway.forwarding.running:
+            return False
         if self.site is None:
             return True
         if elapsed < BALANCER_DETECTION_S:
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -13,6 +13,7 @@
 from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
 from .jobs.submissions import Submissions
+from .online.forwarding import Forwarding
 from .online.held import HeldRequests
 from .online.service import OnlineService
 from .peers import build_identifier
@@ -28,6 +29,7 @@
 from .upstreams import Directory
 from .upstreams import EXPIRY_GRACE_S
 from .upstreams import Placement
+from .upstreams import Reach
 
 __all__ = ["Gateway"]
 
@@ -36,6 +38,8 @@
 # the balancer needs two failed health checks, sent once a second, to notice.
 # Requests accepted later could be cut off by the end of the grace period.
 DRAIN_ACCEPT_S = 3.0
+# What a forwarded request has in its head beyond the client's.
+FORWARDED_HEADER_BYTES = 512
 # Upper limit on this time as a share of the grace period.
 MAX_DRAIN_ACCEPT_SHARE = 0.5
 
@@ -62,6 +66,8 @@
         Time at which the shutdown was requested, reactor seconds.
     site : ClientSite or None
         Server for clients; None for a gateway that only runs items.
+    internal_site : ClientSite or None
+        Server for the other gateways.
     read_metrics : callable or None
         Returns the metrics as text; None until the first scrape.
     worker : Worker or None
@@ -82,13 +88,18 @@
         self.draining_since = None
         self.read_metrics = None
         self.site = None
+        self.internal_site = None
         self.worker = None
         self.workers = frozenset()
-        self.pool = ConnectionPool(reactor=reactor)
+        self.reach = Reach(gateway=self)
+        self.use_pool(ConnectionPool(reactor=reactor))
         self.directory = Directory(
             reactor=reactor,
             find_region=settings.find_region,
             on_leaving=self.close_upstream_connections,
+            on_change=lambda upstream: self.handle_load_change(
+                upstream, is_batch_only=False
+            ),
         )
         self.placement = Placement(
             reactor=reactor,
@@ -100,6 +111,8 @@
             identifier=build_identifier(hash_parts(settings.instance)),
             list_sharers=self.list_sharers,
             has_batch_work=self.has_batch_work,
+            is_lost=self.reach.is_lost,
+            on_link_failure=self.reach.note_failure,
         )
         self.batch_placement = BatchPlacement(
             placement=self.placement,
@@ -148,8 +161,14 @@
         self.submissions = Submissions(gateway=self)
         self.reading = JobReadService(gateway=self)
         self.held = HeldRequests(gateway=self)
+        self.forwarding = Forwarding(gateway=self)
         self.online = OnlineService(gateway=self)
 
+    def use_pool(self, pool):
+        """Use a pool for all connections to upstreams and peers."""
+        self.pool = pool
+        pool.on_open = self.reach.note_open
+
     @property
     def configuration_version(self):
         """Version of the configuration in force, None without one."""
@@ -184,6 +203,15 @@
         self.placement.rate_limits.schedule_update()
         self.peers.send_full(self.peers.list_live())
 
+    def announce_reach(self):
+        """Tell the peers that the links were lost, or work again."""
+        self.placement.rate_limits.schedule_update()
+        if self.worker is not None:
+            self.update_workers()
+        # In a large fleet the next heartbeats carry it.
+        if self.peers.broadcasts_load():
+            self.peers.send_full(self.peers.list_live())
+
     def wall_clock(self):
         """Return the Unix time in seconds."""
         return time.time()
@@ -212,6 +240,10 @@
             self.quotas.note_limits(table.list_routes())
             if self.site is not None:
                 self.site.apply_limits(table.limits)
+            if self.internal_site is not None:
+                self.internal_site.apply_size_limits(
+                    table.limits, header_margin=FORWARDED_HEADER_BYTES
+                )
             eliot.log_message(
                 "configuration:in_force",
                 version=table.version,
@@ -269,6 +301,8 @@
             "runs_batch": worker is not None and not worker.is_stopping,
             "is_leaving": self.is_draining,
             "reaches_store": self.upstreams_mirror.is_connected,
+            "runs_online": self.settings.client_port is not None,
+            "lost_share": self.reach.measure_lost_share(),
             "items": list(worker.running) if worker is not None else [],
             "departures": self.directory.departures.list_announced(
                 now=self.reactor.seconds()
@@ -314,6 +348,8 @@
     def apply_message(self, peer, message, change):
         """Apply the loads in a peer's message and compare revisions."""
         now = self.reactor.seconds()
+        if message.is_full and message.lost_share:
+            self.directory.discard_doubts(peer.identifier)
         reported = [load.departure for load in message.loads if load.departure]
         for key in (*message.departures, *reported):
             self.directory.note_reported_departure(key)
@@ -348,7 +384,8 @@
         """Apply an upstream's load report or failure sent by a peer."""
         if load.reported is not None:
             upstream.record_report(*load.reported, now=now)
-        if load.is_unreachable:
+            upstream.link.note_answer_elsewhere(now=now)
+        if load.is_unreachable and not peer.lost_share:
             self.directory.note_reported_unreachable(
                 upstream, peer=peer.identifier
             )
@@ -381,9 +418,9 @@
                 runs_batch=peer.runs_batch,
             )
             for peer in self.peers.list_live()
-            if not peer.is_leaving
+            if not peer.is_leaving and not peer.is_cut_off
         ]
-        if not self.is_draining:
+        if not self.is_draining and not self.reach.is_confirmed:
             sharers.append(
                 RateSharer(
                     identifier=self.peers.identifier,
@@ -409,9 +446,11 @@
         workers = [
             peer.identifier
             for peer in self.peers.list_workers()
-            if peer.reaches_store and not peer.is_leaving
+            if peer.reaches_store
+            and not peer.is_leaving
+            and not peer.is_cut_off
         ]
-        if not self.worker.is_stopping:
+        if not self.worker.is_stopping and not self.reach.is_confirmed:
             workers.append(self.peers.identifier)
         return workers
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -20,14 +20,17 @@
     ----------
     opened : int
         Number of connections opened so far.
+    on_open : callable
+        Called with the address of each connection that was opened.
     """
 
-    __slots__ = ("reactor", "idle", "opened")
+    __slots__ = ("reactor", "idle", "opened", "on_open")
 
     def __init__(self, *, reactor):
         self.reactor = reactor
         self.idle = {}
         self.opened = 0
+        self.on_open = lambda address: None
 
     async def acquire(self, address, *, timeout=CONNECT_TIMEOUT_S):
         """Return a connection to an address, an idle one if available.
@@ -80,8 +83,15 @@
         connection = await connect(self.reactor, *address, timeout=timeout)
         connection.on_free = lambda freed: self.add_idle(address, freed)
         connection.on_lost = lambda lost: self.remove_idle(address, lost)
+        self.on_open(address)
         return connection
 
+    def has_idle(self, address):
+        """Return whether a request can be sent without a new connection."""
+        return any(
+            connection.is_usable() for connection in self.idle.get(address, ())
+        )
+
     def add_idle(self, address, connection):
         self.idle.setdefault(address, []).append(connection)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -132,6 +132,7 @@
                     keys=self.state.shared_parts,
                 ) as self.exposure,
             ):
+                self.exposure.is_movable = True
                 error = await run_attempt(
                     self.gateway.pool,
                     address=self.upstream.entry.address,
@@ -158,6 +159,7 @@
             self.report_failure(error)
 
     def handle_reply(self, status, headers):
+        self.gateway.reach.note_data(self.upstream)
         reply = self.gateway.dialect.decode_reply(status, headers)
         check_identifier(reply, self.state.item.identifier)
         self.gateway.placement.note_reply(self.upstream, reply)
@@ -223,7 +225,9 @@
             self.state.lost_runs = 0
         elif isinstance(error, StreamLostError):
             self.state.lost_runs += 1
-        self.gateway.placement.note_failure(self.upstream, error)
+        self.gateway.placement.note_failure(
+            self.upstream, error, waited_since=self.started
+        )
         eliot.log_message(
             "item:run_failed",
             job=self.state.job_state.job.identifier,
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -0,0 +1,146 @@
+"""Format of the requests that one gateway forwards to another."""
+
+import json
+
+from hollyspan_core.errors import InvalidRequestError
+from hollyspan_core.errors import PeerAnswerError
+from hollyspan_core.errors import PeerMessageError
+
+__all__ = [
+    "FAILURE_HEADER",
+    "FORWARDED_PATH",
+    "ForwardedOptions",
+    "VERSION_HEADER",
+    "build_target",
+    "decode_failure",
+    "encode_failure",
+    "parse_target",
+]
+
+# Path prefix of the requests; the options and the client's target follow.
+FORWARDED_PATH = b"/requests/"
+# Headers of the answers: which software version writes the stream, and that
+# the gateway has failed, not the upstream.
+VERSION_HEADER = b"hollyspan-version"
+FAILURE_HEADER = b"hollyspan-failure"
+
+
+class ForwardedOptions:
+    """What a gateway tells of a request that it forwards.
+
+    Parameters
+    ----------
+    version : int or None
+        Key of the software version at which the stream has to go on; None
+        while it has no event.
+    attempts : int
+        Number of upstreams at which the request may still run.
+    """
+
+    __slots__ = ("version", "attempts")
+
+    def __init__(self, *, version, attempts):
+        self.version = version
+        self.attempts = attempts
+
+
+def build_target(options, target):
+    """Return the path of a forwarded request.
+
+    Parameters
+    ----------
+    options : ForwardedOptions
+    target : bytes
+        Path and query of the client's request.
+
+    Returns
+    -------
+    bytes
+
+    Examples
+    --------
+    >>> build_target(ForwardedOptions(version=None, attempts=2), b"/s/x")
+    b'/requests/0/2/s/x'
+    """
+    return FORWARDED_PATH + b"%x/%d%s" % (
+        options.version or 0,
+        options.attempts,
+        target,
+    )
+
+
+def parse_target(uri):
+    """Return the options and the client's target of a forwarded request.
+
+    Parameters
+    ----------
+    uri : bytes
+
+    Returns
+    -------
+    (ForwardedOptions, bytes)
+
+    Raises
+    ------
+    InvalidRequestError
+        The path is malformed.
+
+    Examples
+    --------
+    >>> options, target = parse_target(b"/requests/ff/2/s/x?y=1")
+    >>> options.version, options.attempts, target
+    (255, 2, b'/s/x?y=1')
+    """
+    parts = uri.removeprefix(FORWARDED_PATH).split(b"/", 2)
+    try:
+        version, attempts, path = parts
+        options = ForwardedOptions(
+            version=int(version, 16) or None, attempts=int(attempts)
+        )
+    except ValueError as error:
+        raise InvalidRequestError(
+            f"malformed path of a forwarded request: {uri!r}"
+        ) from error
+    if options.attempts < 1:
+        raise InvalidRequestError("a forwarded request without attempts")
+    return options, b"/" + path
+
+
+def encode_failure(error):
+    """Return status, headers and body of a failure of this gateway.
+
+    Parameters
+    ----------
+    error : HollyspanError
+    """
+    document = {
+        "message": error.message,
+        "type": error.kind,
+        "code": error.code,
+        "outcome": error.outcome.value,
+        "retry_after": error.retry_after,
+    }
+    return (
+        error.status,
+        [(FAILURE_HEADER, b"1")],
+        json.dumps(document).encode(),
+    )
+
+
+def decode_failure(status, body):
+    """Return the failure of another gateway.
+
+    Parameters
+    ----------
+    status : int
+    body : bytes
+
+    Returns
+    -------
+    HollyspanError
+    """
+    try:
+        content = json.loads(body)
+        return PeerAnswerError(content=content, status=status)
+    except (ValueError, AttributeError) as error:
+        return PeerMessageError(f"malformed failure of a peer: {error!r}")
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
@@ -52,7 +52,7 @@
         -------
         bool
         """
-        if self.gateway.is_draining:
+        if self.gateway.is_draining or relay.must_hop():
             return False
         now = self.gateway.reactor.seconds()
         return self.gateway.placement.must_hold(
@@ -60,6 +60,7 @@
             seconds_to_target=relay.target_at - now,
             seconds_left=relay.deadline - now,
             ahead=ahead,
+            can_forward=relay.can_hop(),
         )
 
     async def wait(self, relay):
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -0,0 +1,182 @@
+"""One attempt to let another gateway run a request."""
+
+import eliot
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import PeerUnavailableError
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import UpstreamUnavailableError
+
+from ..http1 import run_attempt
+from .forwarded import build_target
+from .forwarded import decode_failure
+from .forwarded import FAILURE_HEADER
+from .forwarded import ForwardedOptions
+from .forwarded import VERSION_HEADER
+from .reply import check_identifier
+
+__all__ = ["Hop"]
+
+# Time without a byte after which the peer's heartbeats decide whether it is
+# still there: longer than it takes to move a stream to another upstream.
+QUIET_CHECK_S = 0.6
+# Failures for which another gateway may run the request.
+UNTAKEN_CODES = frozenset(
+    (
+        "configuration_missing",
+        "draining",
+        "peer_unknown",
+        "route_not_found",
+        "upstream_unreachable",
+    )
+)
+
+
+class Hop:
+    """Attempt to let a peer run what is left of a request.
+
+    Parameters
+    ----------
+    relay : Relay
+    peer : Peer
+
+    Attributes
+    ----------
+    has_failed : bool
+        True when the peer itself has failed the request.
+    failure_parts : list of bytes
+        Body of its failure.
+    version : int or None
+        Key of the version that writes the stream.
+
+    Notes
+    -----
+    The peer admits, holds, places and retries the request like one of its
+    own clients, and counts it. It never forwards it again.
+    """
+
+    __slots__ = ("relay", "peer", "has_failed", "failure_parts", "version")
+
+    def __init__(self, *, relay, peer):
+        self.relay = relay
+        self.peer = peer
+        self.has_failed = False
+        self.failure_parts = []
+        self.version = None
+
+    async def run(self):
+        """Forward the request and its answer.
+
+        Returns
+        -------
+        HollyspanError or None
+            None when a complete answer arrived that the client can receive.
+        """
+        relay = self.relay
+        gateway = relay.gateway
+        relay.reply = None
+        relay.delivery.discard_unsent()
+        options = ForwardedOptions(
+            version=relay.version,
+            attempts=max(1, relay.route.max_attempts - relay.count_attempts()),
+        )
+        eliot.log_message(
+            "request:forwarded",
+            request=relay.head.identifier,
+            peer=self.peer.identifier,
+            last_event=relay.delivery.last_event,
+            sends=relay.sends,
+        )
+        is_repeatable = relay.route.is_repeatable
+        relay.sends += 1
+        with gateway.forwarding.track(self.peer):
+            try:
+                error = await run_attempt(
+                    gateway.pool,
+                    address=(
+                        self.peer.address[0],
+                        gateway.settings.snapshot_port,
+                    ),
+                    method=relay.head.method,
+                    target=build_target(options, relay.head.target),
+                    headers=gateway.dialect.encode_headers(
+                        relay.head,
+                        upstream=None,
+                        deadline_seconds=relay.measure_time_left(),
+                        resume_after=relay.delivery.last_event,
+                    ),
+                    body=relay.body,
+                    on_reply=self.handle_reply,
+                    on_data=self.handle_data,
+                    first_byte_timeout=(
+                        QUIET_CHECK_S if is_repeatable else None
+                    ),
+                    pause_timeout=QUIET_CHECK_S if is_repeatable else None,
+                    may_abandon=self.is_peer_gone,
+                )
+            except UpstreamUnavailableError as unsent:
+                error = PeerUnavailableError(
+                    unsent.message, outcome=Outcome.NOT_RUN
+                )
+        if error is None:
+            error = self.check_answer()
+        if error is not None and error.outcome is Outcome.NOT_RUN:
+            relay.sends -= 1
+        if isinstance(error, PeerUnavailableError):
+            gateway.forwarding.avoid(self.peer)
+        return error
+
+    def is_peer_gone(self):
+        """Return whether the peer is not live any more."""
+        return not self.peer.is_live(self.relay.gateway.reactor.seconds())
+
+    def handle_reply(self, status, headers):
+        values = dict(headers)
+        self.has_failed = FAILURE_HEADER in values
+        if VERSION_HEADER in values:
+            self.version = int(values[VERSION_HEADER], 16)
+        reply = self.relay.gateway.dialect.decode_reply(
+            status,
+            [
+                (name, value)
+                for name, value in headers
+                if name not in (FAILURE_HEADER, VERSION_HEADER)
+            ],
+        )
+        check_identifier(reply, self.relay.head.identifier)
+        self.relay.reply = reply
+
+    def handle_data(self, data):
+        relay = self.relay
+        if self.has_failed:
+            self.failure_parts.append(data)
+        elif relay.is_stream():
+            events = relay.delivery.forward_events(data, relay.reply)
+            relay.gateway.metrics.events += events
+            if events and relay.version is None:
+                relay.version = self.version
+        else:
+            relay.delivery.buffer(data)
+
+    def check_answer(self):
+        """Return an error if the client must not receive a complete answer."""
+        relay = self.relay
+        if self.has_failed:
+            error = decode_failure(
+                relay.reply.status, b"".join(self.failure_parts)
+            )
+            if (
+                error.outcome is Outcome.NOT_RUN
+                and error.code in UNTAKEN_CODES
+            ):
+                return PeerUnavailableError(
+                    f"the peer did not take it: {error.code}",
+                    outcome=error.outcome,
+                )
+            return error
+        if relay.is_stream():
+            if relay.delivery.has_partial_event:
+                return StreamLostError("the stream ended within an event")
+        elif relay.delivery.has_begun:
+            return StreamLostError(f"the peer answered {relay.reply.status}")
+        return None
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/origin.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/origin.py
@@ -3,7 +3,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamVersionError
 
-__all__ = ["find_origin"]
+__all__ = ["find_origin", "find_service"]
 
 # Time to come back for a client whose stream cannot go on: it can begin anew
 # at once.
@@ -34,10 +34,21 @@
         version = await gateway.stream_versions.search.find(route)
     if version is None:
         raise build_error("is not known")
+    return find_service(gateway, route, version), version
+
+
+def find_service(gateway, route, version):
+    """Return the service of a route whose upstreams serve a version.
+
+    Raises
+    ------
+    StreamVersionError
+        No upstream of the version accepts work.
+    """
     # The version tells the service, which is drawn for each attempt.
     for service, weight in route.services:
         if weight > 0 and gateway.placement.serves_version(service, version):
-            return service, version
+            return service
     raise build_error("is not served any more")
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -5,17 +5,24 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import OutcomeUnknownError
 from hollyspan_core.errors import OverloadedError
+from hollyspan_core.errors import PeerAnswerError
+from hollyspan_core.errors import PeerUnavailableError
 from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_core.errors import UpstreamUnreachableError
 from hollyspan_policy.hashing import format_hash
 
 from ..crashes import check_undelimited_end
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .delivery import Delivery
+from .forwarded import VERSION_HEADER
 from .head import format_parts
+from .hop import Hop
 from .origin import find_origin
+from .origin import find_service
 from .reply import check_identifier
 
 __all__ = ["Relay"]
@@ -23,6 +30,11 @@
 # Refusals by upstreams that are tolerated before a request fails: one refusal
 # can be chance, three mean that the service is full.
 MAX_REFUSALS = 3
+# Gateways that are asked to run a request. The first one mostly does.
+MAX_HOPS = 3
+# Sends over links that turned out to be lost, which do not count as attempts
+# of the request.
+MAX_LOST_SENDS = 2
 # Error statuses that another upstream might not return for the same request.
 RETRIED_STATUSES = (500, 502)
 # Timeout of a stream's first event beyond the expected wait for a slot:
@@ -48,11 +60,21 @@
     body : bytes
     deadline : float
         Time at which the request times out, reactor seconds.
+    options : ForwardedOptions, optional
+        For a request of another gateway.
 
     Attributes
     ----------
+    max_attempts : int
+        Number of upstreams at which it may run.
     sends : int
         Number of sends to upstreams that may have run the request.
+    lost_sends : int
+        Number of those over links that are lost.
+    asked_peers : set of str
+        Identifiers of the gateways that were asked to run it.
+    peer : Peer or None
+        Gateway that was asked last, if it was the last attempt.
     refusals : int
         Number of sends to upstreams that have certainly not run it.
     tried : set of str
@@ -68,7 +90,16 @@
     """
 
     def __init__(
-        self, *, gateway, request, head, route, service, body, deadline
+        self,
+        *,
+        gateway,
+        request,
+        head,
+        route,
+        service,
+        body,
+        deadline,
+        options=None,
     ):
         self.gateway = gateway
         self.request = request
@@ -77,10 +108,18 @@
         self.service = service
         self.body = body
         self.deadline = deadline
+        self.is_forwarded = options is not None
+        self.max_attempts = route.max_attempts
+        self.version = None
+        if options is not None:
+            self.max_attempts = min(options.attempts, route.max_attempts)
+            self.version = options.version
         self.sends = 0
+        self.lost_sends = 0
         self.refusals = 0
         self.tried = set()
-        self.version = None
+        self.asked_peers = set()
+        self.peer = None
         self.delivery = Delivery(
             request=request,
             clock=gateway.reactor.seconds,
@@ -90,6 +129,7 @@
         self.upstream_load = {}
         self.reply = None
         self.exposure = None
+        self.sent_at = 0.0
 
     @property
     def target_at(self):
@@ -118,22 +158,17 @@
             A part of the answer was sent and no upstream delivers the rest.
         """
         self.require_allowed()
-        if self.route.kind is RouteKind.STREAM:
-            if self.is_resumed():
-                self.service, self.version = await find_origin(
-                    self.gateway, self.head, self.route
-                )
-            else:
-                await self.gateway.held.wait(self)
+        if self.version is not None:
+            self.service = find_service(self.gateway, self.route, self.version)
+        elif (
+            self.route.kind is RouteKind.STREAM
+            and not self.is_resumed()
+            and not self.must_hop()
+        ):
+            await self.gateway.held.wait(self)
         while True:
             self.require_allowed()
-            self.upstream = self.choose()
-            self.upstream_load = self.gateway.placement.describe(self.upstream)
-            if self.upstream_load["report_age"] is not None:
-                self.gateway.metrics.record(
-                    "report_age", self.upstream_load["report_age"]
-                )
-            error = await self.send()
+            error = await self.attempt()
             if error is None:
                 self.finish()
                 return
@@ -142,6 +177,57 @@
                 self.finish_failed(error)
                 return
 
+    async def attempt(self):
+        """Let an upstream or another gateway run the request once."""
+        if not self.must_hop():
+            await self.require_origin()
+            self.upstream = self.choose()
+            if not (
+                self.gateway.reach.is_lost(self.upstream) and self.can_hop()
+            ):
+                return await self.send()
+        peer = self.gateway.forwarding.choose(
+            self.head.identifier, excluded=self.asked_peers
+        )
+        if peer is None:
+            await self.require_origin()
+            self.upstream = self.choose()
+            return await self.send()
+        self.peer = peer
+        self.asked_peers.add(peer.identifier)
+        return await Hop(relay=self, peer=peer).run()
+
+    async def require_origin(self):
+        """Find the version at which a resumed stream has to go on."""
+        if (
+            self.version is None
+            and self.is_resumed()
+            and self.route.kind is RouteKind.STREAM
+        ):
+            self.service, self.version = await find_origin(
+                self.gateway, self.head, self.route
+            )
+
+    def can_hop(self):
+        """Return whether another gateway can run the request."""
+        return (
+            not self.is_forwarded
+            and len(self.asked_peers) < MAX_HOPS
+            and self.gateway.forwarding.is_possible()
+        )
+
+    def must_hop(self):
+        """Return whether only another gateway can run the request."""
+        return self.gateway.reach.is_cut_off and self.can_hop()
+
+    def measure_time_left(self):
+        """Return the seconds until the deadline."""
+        return self.deadline - self.gateway.reactor.seconds()
+
+    def count_attempts(self):
+        """Return the number of upstreams at which it may have run."""
+        return self.sends - min(self.lost_sends, MAX_LOST_SENDS)
+
     def require_allowed(self):
         """Raise RequestBlockedError if the request may not be sent."""
         self.gateway.guard.block_list.require_allowed(
@@ -160,15 +246,22 @@
 
     def choose(self):
         """Choose the next upstream or reject the request."""
-        return self.gateway.placement.choose(
+        upstream = self.gateway.placement.choose(
             self.service,
             key=self.head.identifier,
             version=self.version,
             excluded=self.tried,
             outcome=self.outcome,
-            seconds_left=self.deadline - self.gateway.reactor.seconds(),
+            seconds_left=self.measure_time_left(),
             is_continued=self.is_resumed() or self.delivery.has_begun,
+            can_forward=self.can_hop(),
         )
+        self.upstream_load = self.gateway.placement.describe(upstream)
+        if self.upstream_load["report_age"] is not None:
+            self.gateway.metrics.record(
+                "report_age", self.upstream_load["report_age"]
+            )
+        return upstream
 
     async def send(self):
         """Send the request to the chosen upstream once.
@@ -179,13 +272,15 @@
             None when a complete answer arrived that the client can receive.
         """
         upstream = self.upstream
+        self.peer = None
         self.tried.add(upstream.entry.name)
+        self.sent_at = self.gateway.reactor.seconds()
         self.reply = None
         self.delivery.discard_unsent()
         headers = self.gateway.dialect.encode_headers(
             self.head,
             upstream=upstream.entry.name,
-            deadline_seconds=self.deadline - self.gateway.reactor.seconds(),
+            deadline_seconds=self.measure_time_left(),
             resume_after=self.delivery.last_event,
         )
         self.sends += 1
@@ -200,6 +295,7 @@
                 fingerprint=self.head.fingerprint,
             ) as self.exposure,
         ):
+            self.exposure.is_movable = self.route.is_repeatable
             try:
                 error = await run_attempt(
                     self.gateway.pool,
@@ -234,11 +330,16 @@
         return (
             self.route.kind is RouteKind.STREAM
             and self.route.is_repeatable
-            and self.sends < self.route.max_attempts
+            and self.count_attempts() < self.max_attempts
         )
 
     def may_abandon(self):
-        """Return whether another upstream has shown free capacity."""
+        """Return whether another upstream has shown free capacity.
+
+        Another gateway is asked instead if none is heard here.
+        """
+        if self.can_hop() and self.gateway.reach.is_quiet(since=self.sent_at):
+            return True
         return self.gateway.placement.has_free_alternative(
             self.upstream, version=self.version, excluded=self.tried
         )
@@ -254,7 +355,12 @@
     def handle_reply(self, status, headers):
         """Decode the head of an answer and record the reported load."""
         reply = self.gateway.dialect.decode_reply(status, headers)
+        self.gateway.reach.note_data(self.upstream)
         check_identifier(reply, self.head.identifier)
+        if self.is_forwarded and not self.delivery.has_begun:
+            self.request.setHeader(
+                VERSION_HEADER, b"%x" % self.upstream.entry.version_key
+            )
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
 
@@ -302,10 +408,15 @@
         return None
 
     def record_failure(self, error):
+        self.gateway.placement.note_failure(
+            self.upstream, error, waited_since=self.sent_at
+        )
+        is_lost = self.can_hop() and self.gateway.reach.is_lost(self.upstream)
         if error.outcome is Outcome.NOT_RUN:
             self.sends -= 1
-            self.refusals += 1
-        self.gateway.placement.note_failure(self.upstream, error)
+            self.refusals += not is_lost
+        elif isinstance(error, StreamStalledError):
+            self.lost_sends += is_lost
 
     def finish(self):
         """End the answer."""
@@ -318,7 +429,11 @@
         """Return whether the request may be sent to another upstream."""
         if self.gateway.reactor.seconds() >= self.deadline:
             return False
-        if self.sends >= self.route.max_attempts:
+        if isinstance(error, PeerUnavailableError):
+            return True
+        if isinstance(error, PeerAnswerError):
+            return False
+        if self.count_attempts() >= self.max_attempts:
             return False
         if error.outcome is Outcome.NOT_RUN:
             return self.refusals <= MAX_REFUSALS
@@ -334,8 +449,12 @@
         ):
             self.finish()
             return
+        if isinstance(error, PeerAnswerError):
+            raise error
         if self.sends:
             raise OutcomeUnknownError(f"the upstream failed: {error.message}")
+        if self.is_forwarded and self.gateway.reach.is_cut_off:
+            raise UpstreamUnreachableError("the links are lost here, too")
         raise OverloadedError(
             f"no upstream accepted the request: {error.message}",
             outcome=Outcome.NOT_RUN,
@@ -344,11 +463,20 @@
             ),
         )
 
+    def describe_place(self):
+        """Return where the last attempt was made, for a log line."""
+        if self.peer is not None:
+            return {"peer": self.peer.identifier}
+        return {
+            "upstream": self.upstream.entry.name,
+            "version": self.upstream.entry.version,
+        }
+
     def log_failure(self, error):
         eliot.log_message(
             "request:attempt_failed",
             request=self.head.identifier,
-            upstream=self.upstream.entry.name,
+            **self.describe_place(),
             code=error.code,
             reason=error.message,
             outcome=error.outcome.value,
@@ -358,6 +486,5 @@
             parts=format_parts(self.head.shared_parts),
             fingerprint=format_hash(self.head.fingerprint),
             resumes=self.head.resumes,
-            version=self.upstream.entry.version,
             **self.upstream_load,
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -157,10 +157,21 @@
         ----------
         limits : Limits
         """
-        self.body_limit = limits.body_bytes
-        self.header_limit = limits.header_bytes
+        self.apply_size_limits(limits)
         self.timeOut = limits.idle_seconds
 
+    def apply_size_limits(self, limits, *, header_margin=0):
+        """Apply the configured limits on the size of requests.
+
+        Parameters
+        ----------
+        limits : Limits
+        header_margin : int, optional
+            Bytes by which a head may be longer.
+        """
+        self.body_limit = limits.body_bytes
+        self.header_limit = limits.header_bytes + header_margin
+
     def close_idle(self):
         """Close idle connections now and busy ones after their request.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -1,5 +1,7 @@
 """Handling of clients' requests, from arrival to the last byte."""
 
+import contextlib
+
 import eliot
 from twisted.internet import defer
 
@@ -15,6 +17,7 @@
 from ..http1 import answer_internal_error
 from ..routes import choose_service
 from ..routes import RouteKind
+from .forwarded import encode_failure
 from .relay import Relay
 
 __all__ = ["OnlineService"]
@@ -39,15 +42,17 @@
     def __init__(self, *, gateway):
         self.gateway = gateway
 
-    def handle(self, request):
+    def handle(self, request, *, options=None):
         """Start to answer one request.
 
         Parameters
         ----------
         request : ClientRequest
+        options : ForwardedOptions, optional
+            For a request that another gateway forwards.
         """
         head = self.gateway.dialect.decode_head(request)
-        work = defer.ensureDeferred(self.answer(request, head))
+        work = defer.ensureDeferred(self.answer(request, head, options))
         request.on_disconnect = work.cancel
         work.addErrback(self.handle_failure, request, head)
 
@@ -66,7 +71,13 @@
     def measure_elapsed(self, request):
         return round(self.gateway.reactor.seconds() - request.arrived_at, 4)
 
-    async def answer(self, request, head):
+    async def answer(self, request, head, options=None):
+        with contextlib.ExitStack() as stack:
+            if options is not None:
+                stack.enter_context(self.gateway.forwarding.track_running())
+            await self.answer_tracked(request, head, options)
+
+    async def answer_tracked(self, request, head, options):
         relay = None
         try:
             if request.is_too_large:
@@ -81,11 +92,11 @@
             if route.kind is RouteKind.BATCH:
                 await self.gateway.submissions.handle(request, head, route)
                 return
-            relay = self.create_relay(request, head, route)
+            relay = self.create_relay(request, head, route, options)
             await self.run_to_deadline(relay)
             self.log_answered(relay)
         except HollyspanError as error:
-            self.answer_error(request, head, relay, error)
+            self.answer_error(request, head, relay, error, options)
 
     def find_route(self, head):
         """Return the route of a request, or raise an error without one."""
@@ -102,7 +113,7 @@
             raise InvalidRequestError("the request has no identifier")
         return route
 
-    def create_relay(self, request, head, route):
+    def create_relay(self, request, head, route, options):
         wait = head.deadline_seconds
         if wait is None:
             wait = DEFAULT_DEADLINE_S
@@ -114,6 +125,7 @@
             service=choose_service(route, head.identifier),
             body=request.content.getvalue(),
             deadline=request.arrived_at + min(wait, route.timeout),
+            options=options,
         )
 
     async def run_to_deadline(self, relay):
@@ -128,7 +140,7 @@
                 "the deadline of the request has passed", outcome=relay.outcome
             ) from timeout
 
-    def answer_error(self, request, head, relay, error):
+    def answer_error(self, request, head, relay, error, options):
         """Send the final answer of a failed request."""
         eliot.log_message(
             "request:failed",
@@ -139,6 +151,7 @@
             retry_after=error.retry_after,
             configuration=self.gateway.configuration_version,
             seconds=self.measure_elapsed(request),
+            is_forwarded=options is not None,
         )
         kind = {} if relay is None else {"kind": relay.route.kind.value}
         self.gateway.metrics.count_request(error.code, **kind)
@@ -147,8 +160,12 @@
             # complete.
             request.abort()
             return
-        status, headers, body = self.gateway.dialect.encode_failure(error)
-        request.answer(status, headers, body)
+        encode = (
+            self.gateway.dialect.encode_failure
+            if options is None
+            else encode_failure
+        )
+        request.answer(*encode(error))
 
     def log_answered(self, relay):
         seconds = self.measure_elapsed(relay.request)
@@ -156,8 +173,8 @@
             "request:answered",
             request=relay.head.identifier,
             route=relay.route.name,
-            upstream=relay.upstream.entry.name,
-            version=relay.upstream.entry.version,
+            **relay.describe_place(),
+            is_forwarded=relay.is_forwarded,
             resumes=relay.head.resumes,
             status=relay.reply.status,
             first_event=relay.delivery.first_event,
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -1,5 +1,6 @@
 """Encoding and decoding of messages between gateways."""
 
+import math
 from pathlib import Path
 
 import capnp
@@ -51,6 +52,9 @@
         wantsReply=message.wants_reply,
         region=message.region,
         beatMs=round(message.heartbeat_seconds * 1000),
+        runsOnline=message.runs_online,
+        # Less than one in a hundred counts, too.
+        lostPercent=math.ceil(message.lost_share * 100),
     )
     if message.loads:
         loads = wire.init("loads", len(message.loads))
@@ -146,6 +150,8 @@
     message.region = wire.region
     message.departures = list(wire.departures)
     message.heartbeat_seconds = wire.beatMs / 1000
+    message.runs_online = wire.runsOnline
+    message.lost_share = wire.lostPercent / 100
     message.totals = [
         UpstreamTotal(
             upstream=total.upstream,
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -75,4 +75,7 @@
   blocks @19 :List(Block);
   streams @20 :List(Stream);
   askedStreams @21 :List(UInt64); # keys of streams whose version it asks for
+  # In full messages only.
+  runsOnline @22 :Bool;     # it runs requests, also those of other gateways
+  lostPercent @23 :UInt8;   # of the upstreams that it cannot reach
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -104,6 +104,10 @@
         Hash of the sender's region.
     heartbeat_seconds : float, optional
         Time until the next full message.
+    runs_online : bool, optional
+        Whether the sender runs requests, also those of other gateways.
+    lost_share : float, optional
+        Share of the upstreams that the sender cannot reach, 0 to 1.
     totals : list of UpstreamTotal, optional
         Total loads of the upstreams of the sender's region, for gateways of
         other regions.
@@ -134,6 +138,8 @@
         "live_workers",
         "region",
         "heartbeat_seconds",
+        "runs_online",
+        "lost_share",
         "totals",
         "departures",
         "ends",
@@ -161,6 +167,8 @@
         live_workers=(),
         region=0,
         heartbeat_seconds=0.0,
+        runs_online=False,
+        lost_share=0.0,
         totals=(),
         departures=(),
         ends=(),
@@ -184,6 +192,8 @@
         self.live_workers = live_workers
         self.region = region
         self.heartbeat_seconds = heartbeat_seconds
+        self.runs_online = runs_online
+        self.lost_share = lost_share
         self.totals = totals
         self.departures = departures
         self.ends = ends
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -10,6 +10,9 @@
 # between regions.
 MAX_MISSED_HEARTBEATS = 3
 MAX_ONE_WAY_DELAY_S = 0.1
+# Share of the upstreams up to which a gateway that cannot reach them still
+# does its part of the fleet's work.
+MAX_LOST_SHARE = 0.5
 
 
 class PeerChange:
@@ -59,6 +62,10 @@
         Hash of the region's name, 0 before its first full message.
     heartbeat_seconds : float
         Time between its full messages, as announced in them.
+    runs_online : bool
+        Whether it runs requests, also those of other gateways.
+    lost_share : float
+        Share of the upstreams that it cannot reach, 0 to 1.
     """
 
     __slots__ = (
@@ -76,6 +83,8 @@
         "live_workers",
         "region",
         "heartbeat_seconds",
+        "runs_online",
+        "lost_share",
     )
 
     def __init__(self, *, key, address):
@@ -93,6 +102,8 @@
         self.live_workers = frozenset()
         self.region = 0
         self.heartbeat_seconds = INITIAL_HEARTBEAT_INTERVAL_S
+        self.runs_online = False
+        self.lost_share = 0.0
 
     def apply(self, message, *, now):
         """Update the state from a message.
@@ -125,6 +136,8 @@
             self.live_workers = frozenset(message.live_workers)
             self.region = message.region
             self.heartbeat_seconds = message.heartbeat_seconds
+            self.runs_online = message.runs_online
+            self.lost_share = message.lost_share
         for load in message.loads:
             self.loads[load.upstream] = (load.online, load.batch)
         return PeerChange(
@@ -141,12 +154,18 @@
             + MAX_ONE_WAY_DELAY_S
         )
 
+    @property
+    def is_cut_off(self):
+        """True when it cannot reach most of the upstreams."""
+        return self.lost_share > MAX_LOST_SHARE
+
     def get_role(self):
         """Return the state that the membership of the fleet depends on."""
         return (
             self.runs_batch,
             self.is_leaving,
             self.reaches_store,
+            self.is_cut_off,
             self.live_workers,
         )
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -366,7 +366,13 @@
     def check_membership(self):
         """Report a change of the live gateways or of their roles."""
         live = frozenset(
-            (peer.key, peer.runs_batch, peer.is_leaving, peer.reaches_store)
+            (
+                peer.key,
+                peer.runs_batch,
+                peer.is_leaving,
+                peer.reaches_store,
+                peer.is_cut_off,
+            )
             for peer in {*self.list_live(), *self.list_workers()}
         )
         if live == self.live:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -146,11 +146,13 @@
     run_heartbeats(fleet, reactor, 0.6)
     upstream = fleet[3].directory.upstreams["u1"]
     fleet[3].placement.note_failure(
-        upstream, UpstreamUnreachableError("no connection")
+        upstream,
+        UpstreamUnreachableError("no connection"),
+        waited_since=reactor.seconds(),
     )
     reactor.advance(0.02)
-    suspect = fleet[0].directory.upstreams["u1"].suspect_until
-    assert suspect > reactor.seconds()
+    suspect = fleet[0].directory.upstreams["u1"]
+    assert suspect.is_suspect(now=reactor.seconds())
 
 
 def test_reordered_messages_are_ignored(fleet, reactor):
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
@@ -34,6 +34,7 @@
         gateway = types.SimpleNamespace(
             site=self.site,
             worker=None,
+            forwarding=types.SimpleNamespace(running=0),
             settings=types.SimpleNamespace(grace_seconds=8.0),
             drain=lambda: None,
             peers=types.SimpleNamespace(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/__init__.py
@@ -7,6 +7,7 @@
 from .placement import Placement
 from .rate_limit import LimitReport
 from .rate_limits import RateLimits
+from .reach import Reach
 from .upstream import Upstream
 from .upstream import UpstreamEntry
 
@@ -18,6 +19,7 @@
     "LimitReport",
     "Placement",
     "RateLimits",
+    "Reach",
     "Upstream",
     "UpstreamEntry",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -40,6 +40,8 @@
         Returns the region of a data centre.
     on_leaving : callable
         Called with an Upstream that no longer accepts new work.
+    on_change : callable
+        Called with an Upstream of which the peers are to be told.
 
     Attributes
     ----------
@@ -53,15 +55,17 @@
         "reactor",
         "find_region",
         "on_leaving",
+        "on_change",
         "upstreams",
         "by_key",
         "departures",
     )
 
-    def __init__(self, *, reactor, find_region, on_leaving):
+    def __init__(self, *, reactor, find_region, on_leaving, on_change):
         self.reactor = reactor
         self.find_region = find_region
         self.on_leaving = on_leaving
+        self.on_change = on_change
         self.upstreams = {}
         self.by_key = {}
         self.departures = Departures()
@@ -216,31 +220,43 @@
 
     def note_unreachable(self, upstream):
         """Back off from an upstream after a failed connection attempt."""
-        upstream.has_unsent_failure = True
         self.note_failure(upstream, first_backoff=UNREACHABLE_BACKOFF_S)
 
-    def note_reported_unreachable(self, upstream, *, peer=None):
+    def tell_unreachable(self, upstream):
+        """Tell the peers of a failed connection attempt."""
+        upstream.has_unsent_failure = True
+        self.on_change(upstream)
+
+    def note_reported_unreachable(self, upstream, *, peer):
         """Back off from an upstream that a peer reported as unreachable.
 
         Parameters
         ----------
         upstream : Upstream
-        peer : str, optional
-            Identifier of the peer, for the log.
+        peer : str
+            Identifier of the peer.
+
+        Notes
+        -----
+        The peer's own link may be lost. Its word counts until the upstream
+        answers anybody, or the peer tells of lost links.
         """
         now = self.reactor.seconds()
-        is_ignored = now - upstream.reported_at < RECENT_REPORT_AGE_S
+        last_sign = max(upstream.reported_at, upstream.link.alive_at)
+        is_ignored = now - last_sign < RECENT_REPORT_AGE_S
         eliot.log_message(
             "upstream:reported_unreachable",
             upstream=upstream.entry.name,
             peer=peer,
             is_ignored=is_ignored,
         )
-        if is_ignored:
-            return
-        upstream.suspect_until = max(
-            upstream.suspect_until, now + PEER_REPORT_BACKOFF_S
-        )
+        if not is_ignored:
+            upstream.link.doubts[peer] = now + PEER_REPORT_BACKOFF_S
+
+    def discard_doubts(self, peer):
+        """Discard what a peer without links has told of upstreams."""
+        for upstream in self.upstreams.values():
+            upstream.link.doubts.pop(peer, None)
 
     def note_failure(self, upstream, *, first_backoff=SUSPECT_BACKOFF_S):
         """Back off from an upstream after a failed send."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -5,6 +5,7 @@
 import math
 
 from hollyspan_core.errors import OverloadedError
+from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.errors import UpstreamUnreachableError
@@ -32,6 +33,8 @@
 # The same while only one upstream has the software version: a stream that
 # begins there cannot go on elsewhere.
 SCARCE_VERSION_COST_S = 0.04
+# The same for one that only other gateways reach: the way over one of them.
+FORWARDING_COST_S = 0.02
 # Mean retry-after time of rejected clients: about the time that one online
 # request occupies a slot.
 RETRY_AFTER_S = 0.6
@@ -55,6 +58,10 @@
     identifier : str
     list_sharers, has_batch_work : callable
         See `RateLimits`.
+    is_lost : callable
+        Called with an Upstream, returns whether only other gateways reach it.
+    on_link_failure : callable
+        See `Reach.note_failure`.
 
     Attributes
     ----------
@@ -73,6 +80,8 @@
         identifier,
         list_sharers,
         has_batch_work,
+        is_lost,
+        on_link_failure,
     ):
         self.reactor = reactor
         self.directory = directory
@@ -81,6 +90,8 @@
         self.region = find_region(data_centre)
         self.has_current_remote_load = has_current_remote_load
         self.on_change = on_change
+        self.is_lost = is_lost
+        self.on_link_failure = on_link_failure
         self.service_seconds = INITIAL_SERVICE_TIME_S
         self.rate_limits = RateLimits(
             reactor=reactor,
@@ -103,6 +114,7 @@
         seconds_left,
         version=None,
         is_continued=False,
+        can_forward=False,
     ):
         """Choose the upstream for an online request.
 
@@ -122,6 +134,9 @@
         is_continued : bool, optional
             True when its answer has begun; it may then be sent ahead of the
             rate limits if all upstreams have one.
+        can_forward : bool, optional
+            True when another gateway can run the request, at an upstream that
+            this one does not reach.
 
         Returns
         -------
@@ -132,10 +147,15 @@
         OverloadedError
             No upstream can accept the request now.
         """
-        views = self.build_views(service, version=version)
+        views = self.build_views(
+            service, version=version, can_forward=can_forward
+        )
         if not views and is_continued:
             views = self.build_views(
-                service, version=version, is_continued=True
+                service,
+                version=version,
+                is_continued=True,
+                can_forward=can_forward,
             )
         admission = decide_admission(
             views,
@@ -173,7 +193,15 @@
             for upstream in self.directory.list_usable(service)
         )
 
-    def must_hold(self, service, *, seconds_to_target, seconds_left, ahead=0):
+    def must_hold(
+        self,
+        service,
+        *,
+        seconds_to_target,
+        seconds_left,
+        ahead=0,
+        can_forward=False,
+    ):
         """Return whether to hold a new request rather than queue it.
 
         Parameters
@@ -183,12 +211,14 @@
             See `hollyspan_policy.admission.must_hold`.
         ahead : int, optional
             Number of requests that are held already.
+        can_forward : bool, optional
+            See `choose`.
 
         Returns
         -------
         bool
         """
-        views = self.build_views(service)
+        views = self.build_views(service, can_forward=can_forward)
         if not views:
             first_wait, rate = self.rate_limits.measure_wait(service)
             return must_hold_for_rate(
@@ -244,7 +274,8 @@
             other.has_recent_report(now=now)
             and not other.waiting
             and other.count_online() + other.hidden < other.entry.slots
-            and other.suspect_until <= now
+            and not other.is_suspect(now=now)
+            and not self.is_lost(other)
             and other.rate_limit.may_send(now=now)
             for other in self.directory.list_usable(upstream.entry.service)
             if other.entry.name not in excluded
@@ -288,8 +319,15 @@
         version=None,
         include_suspects=True,
         is_continued=False,
+        can_forward=False,
     ):
-        """Return the views of the upstreams that a request may be sent to."""
+        """Return the views of the upstreams that a request may be sent to.
+
+        Notes
+        -----
+        Those that only other gateways reach are among them if one of these
+        can run the request, or if nothing else is left.
+        """
         now = self.reactor.seconds()
         upstreams = [
             each
@@ -297,7 +335,12 @@
             if version in (None, each.entry.version_key)
             and each.rate_limit.may_send(now=now, is_continued=is_continued)
         ]
-        unsuspected = [each for each in upstreams if each.suspect_until <= now]
+        lost = {each for each in upstreams if self.is_lost(each)}
+        unsuspected = [
+            each
+            for each in upstreams
+            if (can_forward if each in lost else not each.is_suspect(now=now))
+        ]
         if unsuspected or not include_suspects:
             upstreams = unsuspected
         counts = collections.Counter(
@@ -306,12 +349,15 @@
         scarce = find_scarce_versions(counts)
         return [
             self.build_view(
-                upstream, now, is_scarce=upstream.entry.version_key in scarce
+                upstream,
+                now,
+                is_scarce=upstream.entry.version_key in scarce,
+                is_lost=upstream in lost,
             )
             for upstream in upstreams
         ]
 
-    def build_view(self, upstream, now, *, is_scarce=False):
+    def build_view(self, upstream, now, *, is_scarce=False, is_lost=False):
         """Return the view of one upstream."""
         has_recent_report = upstream.has_recent_report(now=now)
         online, batch = upstream.count_online(), upstream.count_batch()
@@ -329,7 +375,8 @@
             hidden=upstream.hidden if has_recent_report else 0,
             reserve_cost=RESERVE_COST_S
             * upstream.rate_limit.is_saving(now=now)
-            + SCARCE_VERSION_COST_S * is_scarce,
+            + SCARCE_VERSION_COST_S * is_scarce
+            + FORWARDING_COST_S * is_lost,
         )
 
     @contextlib.contextmanager
@@ -367,10 +414,29 @@
         if not reply.has_not_run:
             self.directory.note_success(upstream)
 
-    def note_failure(self, upstream, error):
-        """Back off from an upstream if a send failed because of it."""
-        if isinstance(error, UpstreamUnreachableError):
+    def note_failure(self, upstream, error, *, waited_since):
+        """Back off from an upstream if a send failed because of it.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        error : HollyspanError
+        waited_since : float
+            Start of the send, reactor seconds.
+        """
+        is_unconnected = isinstance(error, UpstreamUnreachableError)
+        if is_unconnected or isinstance(error, StreamLostError):
+            is_sudden = isinstance(error, StreamLostError) and not isinstance(
+                error, StreamStalledError
+            )
+            self.on_link_failure(
+                upstream,
+                is_unconnected=is_unconnected,
+                waited_since=(
+                    self.reactor.seconds() if is_sudden else waited_since
+                ),
+            )
+        if is_unconnected:
             self.directory.note_unreachable(upstream)
-            self.on_change(upstream, is_batch_only=False)
         elif isinstance(error, (UpstreamUnavailableError, StreamStalledError)):
             self.directory.note_failure(upstream)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -0,0 +1,285 @@
+"""Which upstreams this gateway's own links reach."""
+
+import math
+
+import eliot
+from twisted.internet import defer
+
+from hollyspan_core.errors import StreamStalledError
+from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_policy.reach import has_lost_links
+from hollyspan_policy.reach import is_link_lost
+
+__all__ = ["Reach"]
+
+# Interval between two rounds of probes, short compared with the seconds for
+# which links are lost, and the probes in a round.
+PROBE_INTERVAL_S = 0.25
+PROBES_AT_ONCE = 4
+# Failed connection attempts to as many upstreams may be the gateway's own.
+MIN_UNCONNECTED_UPSTREAMS = 2
+
+
+class Reach:
+    """Tells lost links of this gateway from ended upstreams.
+
+    Parameters
+    ----------
+    gateway : Gateway
+
+    Attributes
+    ----------
+    heard_at : float
+        Arrival of the last bytes from any upstream, reactor seconds.
+    is_cut_off : bool
+        True while no upstream seems to be reached.
+    is_confirmed : bool
+        True once a probe has failed, too.
+    failed : dict
+        Upstreams at which attempts have failed since the last bytes from any
+        upstream, by name.
+    unconnected : dict
+        Those to which no connection could be opened since one was, by name.
+    broken : dict
+        Upstreams whose links have failed since they last worked, by name.
+
+    Notes
+    -----
+    What a gateway sees of an upstream is also what it sees of its own links.
+    A failure is blamed on the link if the upstream answers others after it,
+    or if no upstream is heard. Probes find out when a link works again.
+    """
+
+    __slots__ = (
+        "gateway",
+        "heard_at",
+        "is_cut_off",
+        "is_confirmed",
+        "failed",
+        "unconnected",
+        "broken",
+        "probing",
+        "probe_call",
+    )
+
+    def __init__(self, *, gateway):
+        self.gateway = gateway
+        self.heard_at = -math.inf
+        self.is_cut_off = False
+        self.is_confirmed = False
+        self.failed = {}
+        self.unconnected = {}
+        self.broken = {}
+        self.probing = set()
+        self.probe_call = None
+
+    @property
+    def cannot_connect(self):
+        """True while new connections seem to fail whatever the upstream."""
+        return len(self.unconnected) >= MIN_UNCONNECTED_UPSTREAMS
+
+    def note_data(self, upstream):
+        """Note the arrival of bytes of an answer."""
+        link = upstream.link
+        link.heard_at = self.heard_at = self.gateway.reactor.seconds()
+        link.failed_at = None
+        if self.failed:
+            self.failed.clear()
+            if self.is_cut_off:
+                self.end_cut()
+
+    def note_failure(self, upstream, *, is_unconnected, waited_since):
+        """Note an attempt that failed at an upstream or on the way.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        is_unconnected : bool
+            True when no connection could be opened.
+        waited_since : float
+            Time since which the attempt has waited for bytes.
+        """
+        now = self.gateway.reactor.seconds()
+        name = upstream.entry.name
+        link = upstream.link
+        if is_unconnected:
+            self.unconnected[name] = upstream
+            if link.unconnected_at is None:
+                link.unconnected_at = waited_since
+        elif link.failed_at is None:
+            link.failed_at = now
+        self.failed[name] = self.broken[name] = upstream
+        quiet_seconds = now - max(waited_since, self.heard_at)
+        if not self.is_cut_off and has_lost_links(
+            failed=len(self.failed), quiet_seconds=quiet_seconds
+        ):
+            self.begin_cut()
+        if is_unconnected and not (
+            self.cannot_connect or self.is_lost(upstream)
+        ):
+            self.gateway.directory.tell_unreachable(upstream)
+        self.schedule_probes()
+
+    def is_quiet(self, *, since):
+        """Return whether no upstream was heard while an attempt waited."""
+        quiet_since = max(since, self.heard_at)
+        return has_lost_links(
+            failed=1,
+            quiet_seconds=self.gateway.reactor.seconds() - quiet_since,
+        )
+
+    def note_open(self, address):
+        """Note that a connection to an address was established."""
+        if not self.broken:
+            return
+        reached = [
+            upstream
+            for upstream in self.gateway.directory.upstreams.values()
+            if upstream.entry.address == address
+        ]
+        if not reached:
+            # Of a peer.
+            return
+        unconnected, self.unconnected = self.unconnected, {}
+        for upstream in reached:
+            unconnected.pop(upstream.entry.name, None)
+            if upstream.entry.name in self.broken:
+                self.restore(upstream)
+        self.failed.clear()
+        if self.is_cut_off:
+            self.end_cut()
+        # These fail alone.
+        for upstream in unconnected.values():
+            self.gateway.directory.tell_unreachable(upstream)
+
+    def restore(self, upstream):
+        """Note that the link to an upstream works."""
+        upstream.link.restore()
+        self.broken.pop(upstream.entry.name, None)
+        self.gateway.directory.note_success(upstream)
+        eliot.log_message("link:restored", upstream=upstream.entry.name)
+
+    def is_lost(self, upstream):
+        """Return whether an upstream can be reached by other gateways only."""
+        if self.is_cut_off:
+            return True
+        if not self.broken:
+            return False
+        link = upstream.link
+        if is_link_lost(
+            failed_at=link.failed_at, alive_at=link.answered_elsewhere_at
+        ):
+            return True
+        if link.unconnected_at is None and not self.cannot_connect:
+            return False
+        if self.gateway.pool.has_idle(upstream.entry.address):
+            return False
+        return self.cannot_connect or is_link_lost(
+            failed_at=link.unconnected_at, alive_at=link.alive_at
+        )
+
+    def measure_lost_share(self):
+        """Return the share of the upstreams that are not reached, 0 to 1."""
+        upstreams = self.gateway.directory.upstreams.values()
+        if self.is_cut_off:
+            return 1.0 if self.is_confirmed else 0.0
+        if not self.broken or not upstreams:
+            return 0.0
+        return sum(map(self.is_lost, upstreams)) / len(upstreams)
+
+    def begin_cut(self):
+        self.is_cut_off = True
+        self.is_confirmed = False
+        eliot.log_message("links:lost", upstreams=list(self.failed))
+
+    def end_cut(self):
+        self.is_cut_off = False
+        was_confirmed, self.is_confirmed = self.is_confirmed, False
+        eliot.log_message("links:restored", was_confirmed=was_confirmed)
+        if was_confirmed:
+            self.gateway.announce_reach()
+
+    def confirm_cut(self):
+        """Take it as certain that no upstream is reached."""
+        self.is_confirmed = True
+        eliot.log_message("links:confirmed_lost")
+        self.gateway.announce_reach()
+        self.move_attempts()
+
+    def move_attempts(self):
+        """Break off the attempts that another gateway can make instead."""
+        for exposure in list(self.gateway.guard.exposures):
+            if exposure.is_movable and exposure.abort is not None:
+                exposure.abort(StreamStalledError("the links are lost"))
+
+    def schedule_probes(self, delay=0.0):
+        if self.probe_call is None:
+            self.probe_call = self.gateway.reactor.callLater(
+                delay, self.send_probes
+            )
+
+    def send_probes(self):
+        """Probe some links that may be lost, and again later."""
+        self.probe_call = None
+        directory = self.gateway.directory
+        for name, upstream in list(self.broken.items()):
+            if directory.upstreams.get(name) is not upstream or not (
+                upstream.link.is_broken
+            ):
+                del self.broken[name]
+                self.failed.pop(name, None)
+                self.unconnected.pop(name, None)
+        suspected = list(filter(self.is_lost, self.broken.values()))
+        if self.is_cut_off or self.cannot_connect:
+            suspected = self.list_others() + suspected
+        if not suspected:
+            if self.is_cut_off:
+                self.end_cut()
+            return
+        for upstream in suspected[:PROBES_AT_ONCE]:
+            self.start_probe(upstream)
+        self.schedule_probes(PROBE_INTERVAL_S)
+
+    def list_others(self):
+        """Return an upstream whose link has not failed, in turn."""
+        others = [
+            upstream
+            for name, upstream in self.gateway.directory.upstreams.items()
+            if name not in self.broken and upstream.accepts_work
+        ]
+        if not others:
+            return []
+        turn = self.gateway.reactor.seconds() / PROBE_INTERVAL_S
+        return [others[int(turn) % len(others)]]
+
+    def start_probe(self, upstream):
+        name = upstream.entry.name
+        if name in self.probing:
+            return
+        # The next round begins with the others.
+        if name in self.broken:
+            self.broken[name] = self.broken.pop(name)
+        self.probing.add(name)
+        work = defer.ensureDeferred(self.probe(upstream))
+        work.addErrback(eliot.write_failure)
+
+    async def probe(self, upstream):
+        """Open a connection, which is kept for later requests."""
+        try:
+            await self.gateway.pool.open_idle(upstream.entry.address)
+        except UpstreamUnavailableError as error:
+            eliot.log_message(
+                "link:probe_failed",
+                upstream=upstream.entry.name,
+                reason=error.message,
+            )
+            # One that has failed before may have ended.
+            is_other = upstream.entry.name not in self.broken
+            if self.is_cut_off and not self.is_confirmed:
+                if is_other or not self.list_others():
+                    self.confirm_cut()
+            return
+        finally:
+            self.probing.discard(upstream.entry.name)
+        if self.broken and self.probe_call is not None:
+            self.probe_call.reset(0.0)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -16,6 +16,7 @@
         reactor=reactor,
         find_region=lambda data_centre: data_centre,
         on_leaving=lambda upstream: departed.append(upstream.entry.name),
+        on_change=lambda upstream: None,
     )
 
 
@@ -101,11 +102,11 @@
     directory.update({"u": helpers.build_entry("u")})
     upstream = directory.upstreams["u"]
     upstream.record_report(1, 0, now=reactor.seconds())
-    directory.note_reported_unreachable(upstream)
-    assert upstream.suspect_until <= reactor.seconds()
+    directory.note_reported_unreachable(upstream, peer="p")
+    assert not upstream.is_suspect(now=reactor.seconds())
     reactor.advance(0.5)
-    directory.note_reported_unreachable(upstream)
-    assert upstream.suspect_until > reactor.seconds()
+    directory.note_reported_unreachable(upstream, peer="p")
+    assert upstream.is_suspect(now=reactor.seconds())
 
 
 def test_an_unreachable_upstream_has_a_longer_backoff(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -5,6 +5,7 @@
 from hollyspan_policy.batch import SlotTurns
 from hollyspan_policy.hashing import hash_parts
 
+from .link import Link
 from .rate_limit import RateLimit
 
 __all__ = ["Upstream", "UpstreamEntry"]
@@ -138,6 +139,8 @@
         True when this was not sent to peers yet.
     rate_limit : RateLimit
         Limit on the requests from all gateways, and this gateway's share.
+    link : Link
+        This gateway's link to it.
     """
 
     __slots__ = (
@@ -163,6 +166,7 @@
         "has_departed",
         "has_unsent_departure",
         "rate_limit",
+        "link",
     )
 
     def __init__(self, *, entry, region):
@@ -188,6 +192,11 @@
         self.has_departed = False
         self.has_unsent_departure = False
         self.rate_limit = RateLimit()
+        self.link = Link()
+
+    def is_suspect(self, *, now):
+        """Return whether it gets no new work after failures."""
+        return self.suspect_until > now or self.link.is_doubted(now=now)
 
     @property
     def accepts_work(self):
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -1,5 +1,6 @@
 """A simple wire format for tests."""
 
+from hollyspan_gateway.online import RequestHead
 from hollyspan_gateway.online import UpstreamReply
 
 from .builders import build_entry
@@ -35,13 +36,36 @@
     def encode_headers(head, *, upstream, deadline_seconds, resume_after):
         return [
             (b"id", head.identifier.encode()),
-            (b"upstream", upstream.encode()),
+            (b"upstream", (upstream or "").encode()),
+            (b"resumes", (head.resumes or "").encode()),
             (b"deadline", str(deadline_seconds).encode()),
             (b"resume", str(resume_after).encode()),
             (b"parts", " ".join(map(str, head.shared_parts)).encode()),
             (b"fingerprint", str(head.fingerprint).encode()),
         ]
 
+    @staticmethod
+    def decode_head(request):
+        values = {
+            name.lower(): lines[0].decode()
+            for name, lines in request.requestHeaders.getAllRawHeaders()
+        }
+        resume = values[b"resume"]
+        return RequestHead(
+            identifier=values[b"id"],
+            host="h",
+            method=request.method,
+            target=request.uri,
+            deadline_seconds=float(values[b"deadline"]),
+            resume_after=None if resume == "None" else int(resume),
+            resumes=values[b"resumes"] or None,
+            prompt_tokens=0,
+            output_tokens=0,
+            shared_parts=tuple(map(int, values[b"parts"].split())),
+            fingerprint=int(values[b"fingerprint"]),
+            forwarded=[],
+        )
+
     @staticmethod
     def encode_item_headers(item, host):
         return []
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -163,8 +163,8 @@
         pool.gateway = gateway
         pool.on_send = lambda sent: self.handle_send(gateway, sent)
         pool.unreachable = {(ADDRESS, number) for number in range(1, 100)}
-        pool.drops_new = lambda address: self.links.drops_new(
-            gateway, address[1]
+        pool.drops_new = lambda address: (
+            address[0] == ADDRESS and self.links.drops_new(gateway, address[1])
         )
         pool.refuses_new = lambda address: self.refuses_new(gateway, address)
         self.network.join(gateway, port)
@@ -259,11 +259,22 @@
     def start_peer_call(self, gateway, connection):
         """Let another gateway answer a call."""
         ports = {each: port for port, each in self.network.gateways.items()}
+        if gateway not in ports:
+            # Its process has ended.
+            return
+        target = self.find_gateway(connection.address[0])
+        if target is None:
+            self.reactor.callLater(
+                START_DELAY_S,
+                connection.exchange.on_failure,
+                StreamLostError("connection closed"),
+            )
+            return
         call = PeerCall(
             reactor=self.reactor,
             connection=connection,
             sender=find_host(ports[gateway]),
-            target=self.find_gateway(connection.address[0]),
+            target=target,
         )
         self.peer_calls.append(call)
         call.start()
--- a/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
@@ -39,6 +39,7 @@
         self.drops_new = lambda address: False
         self.refuses_new = lambda address: False
         self.on_send = lambda connection: None
+        self.on_open = lambda address: None
 
     async def acquire(self, address, *, timeout=CONNECT_TIMEOUT_S):
         if self.idle[address] and address not in self.unreachable:
@@ -54,6 +55,7 @@
             await wait(self.reactor, timeout)
             raise UpstreamUnreachableError("connection timed out")
         self.opened += 1
+        self.on_open(address)
 
     async def open_idle(self, address):
         await self.open(address)
--- a/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
@@ -57,6 +57,7 @@
             reactor=fleet.clock,
             find_region=fleet.find_region,
             on_leaving=lambda upstream: None,
+            on_change=lambda upstream: None,
         )
         self.placement = Placement(
             reactor=fleet.clock,
@@ -70,6 +71,8 @@
             identifier=name,
             list_sharers=list,
             has_batch_work=lambda service: True,
+            is_lost=lambda upstream: False,
+            on_link_failure=lambda upstream, **evidence: None,
         )
         self.batch_placement = BatchPlacement(
             placement=self.placement, gateway=name
