Take an upstream for ended only if other gateways are refused, too

A gateway whose links are refused reported each upstream as ended by the requests in flight there, so that sound prompts could be blocked in the whole fleet.

Cause: a refused connection was taken for the end of the process. Evidence: test_lost_links_are_no_ends_of_upstreams with refused links, listed until now. Change: two other gateways connect to the upstream, an indirect probe; while the gateway's links are in doubt, it first finds out about these.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
@@ -8,10 +8,18 @@
 from hollyspan_core.errors import UpstreamConnectionRefusedError
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..clock import wait
+from ..indirect_probes import IndirectResult
+from ..indirect_probes import probe_indirectly
+
 __all__ = ["EndDetector", "is_broken_off"]
 
 # Limit on the lost exposures that are kept until an upstream's check ends.
 MAX_LOST = 64
+# Time in which probes show whether the gateway has lost its links: that of a
+# connection attempt and some round trips.
+LINKS_DECISION_S = 0.5
+LINKS_CHECK_INTERVAL_S = 0.02
 
 
 class EndDetector:
@@ -33,7 +41,8 @@
     -----
     A connection may break for many reasons. Only an upstream whose process has
     ended refuses the next one; a connection that is accepted is kept for later
-    requests.
+    requests. A link that is lost may refuse it, too, so other gateways have to
+    see the same.
     """
 
     __slots__ = ("gateway", "on_end", "lost")
@@ -58,9 +67,10 @@
 
     async def check(self, upstream):
         try:
-            await self.gateway.pool.open_idle(upstream.entry.address)
-        except UpstreamConnectionRefusedError:
+            reason = await self.find_other_cause(upstream)
+        finally:
             exposures = self.lost.pop(upstream)
+        if reason is None:
             eliot.log_message(
                 "upstream:ended",
                 upstream=upstream.entry.name,
@@ -68,13 +78,38 @@
             )
             self.on_end(upstream, exposures)
             return
+        eliot.log_message(
+            "upstream:not_ended", upstream=upstream.entry.name, reason=reason
+        )
+
+    async def find_other_cause(self, upstream):
+        """Return why an upstream is not known to have ended, or None."""
+        reach = self.gateway.reach
+        started_at = self.gateway.reactor.seconds()
+        while reach.is_cut_off:
+            elapsed = self.gateway.reactor.seconds() - started_at
+            if reach.is_confirmed or elapsed > LINKS_DECISION_S:
+                return "the links are lost"
+            await wait(self.gateway.reactor, LINKS_CHECK_INTERVAL_S)
+        started_at = self.gateway.reactor.seconds()
+        try:
+            await self.gateway.pool.open_idle(upstream.entry.address)
+            return "it accepts connections"
+        except UpstreamConnectionRefusedError:
+            result = await probe_indirectly(self.gateway, upstream)
         except UpstreamUnavailableError as error:
-            eliot.log_message(
-                "upstream:unchecked",
-                upstream=upstream.entry.name,
-                reason=error.message,
+            return error.message
+        if result is IndirectResult.ACCEPTS:
+            upstream.link.note_answer_elsewhere(
+                now=self.gateway.reactor.seconds()
+            )
+            reach.note_failure(
+                upstream, is_unconnected=True, waited_since=started_at
             )
-        self.lost.pop(upstream)
+            return "other gateways reach it"
+        if result is IndirectResult.UNKNOWN:
+            return "no other gateway can tell"
+        return None
 
 
 def is_broken_off(error):
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -15,6 +15,8 @@
 from .clock import wait
 from .gateway import Gateway
 from .gateway import MEMBERS_PREFIX
+from .indirect_probes import answer_indirect_probe
+from .indirect_probes import INDIRECT_PROBES_PATH
 from .jobs.worker import Worker
 from .metrics import Metrics
 from .online.forwarded import FORWARDED_PATH
@@ -144,6 +146,9 @@
     if request.uri.startswith(FORWARDED_PATH):
         answer_forwarded(gateway, request, idle_seconds=IDLE_TIMEOUT_S)
         return
+    if request.uri.startswith(INDIRECT_PROBES_PATH):
+        answer_indirect_probe(gateway, request)
+        return
     mirror = gateway.mirrors.get(
         request.uri.removeprefix(snapshots.SNAPSHOTS_PATH).decode("latin-1")
     )
