Failing tests: a later run tells the version of a stream that was forgotten

All or most gateways are killed, or forget old streams. Another client then sends the same request anew, which begins at another version; a client that does not name its stream takes up the earlier one and gets the rest from that version.

--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from hollyspan_gateway.streams import versions
+
 STEP_S = 0.05
 VERSIONS = ("v1", "v2")
 
@@ -342,3 +344,109 @@
     resumed = restart_all(fleet, clients)
     assert len(resumed) > 5
     assert all(client.is_refused() for client in resumed)
+
+
+def repeat_requests(fleet, clients):
+    """Let another client send each request anew and read two events."""
+    for client in clients:
+        other = Client(fleet=fleet, name=f"{client.name}o")
+        other.leave()
+        other.requests = [fleet.request(other.name, body=client.body)]
+        fleet.advance(STEP_S)
+    fleet.advance(0.2)
+
+
+def resume_unnamed(fleet, clients):
+    """Let clients come back that do not name their streams.
+
+    Returns
+    -------
+    list of Client
+    """
+    for client in clients:
+        client.names_stream = False
+        client.resume()
+    fleet.advance(2.0)
+    return clients
+
+
+def break_off(clients):
+    """End the clients' streams that have begun, and return these clients."""
+    begun = [
+        client
+        for client in clients
+        if client.list_events() and client.requests[-1].is_open
+    ]
+    for client in begun:
+        client.leave()
+    return begun
+
+
+@pytest.mark.parametrize("has_store", [True, False])
+def test_a_later_run_does_not_tell_the_version_of_an_earlier_one(
+    fleet, wire, has_store
+):
+    clients = start_streams(fleet, 30)
+    for number in range(len(fleet.gateways)):
+        fleet.kill_gateway(number)
+    begun = break_off(clients)
+    for number in range(len(fleet.gateways)):
+        fleet.restart_gateway(number)
+    fleet.advance(0.5)
+    wire.is_down = not has_store
+    repeat_requests(fleet, begun)
+    resumed = resume_unnamed(fleet, begun)
+    assert len(resumed) > 5
+    assert {client.count_versions() for client in resumed} == {1}
+    assert all(client.is_refused() for client in resumed)
+
+
+def test_a_later_run_tells_nothing_when_most_gateways_were_killed(fleet):
+    clients = start_streams(fleet, 30)
+    for number in range(5):
+        fleet.kill_gateway(number)
+    begun = break_off(clients)
+    fleet.advance(2.0)
+    repeat_requests(fleet, begun)
+    resumed = resume_unnamed(fleet, begun)
+    assert {client.count_versions() for client in resumed} == {1}
+
+
+def test_a_later_run_tells_nothing_of_streams_that_were_forgotten(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(versions, "MAX_RECORDS", 4)
+    begun = break_off(start_streams(fleet, 20))
+    repeat_requests(fleet, begun)
+    resumed = resume_unnamed(fleet, begun)
+    assert len(resumed) > 5
+    assert {client.count_versions() for client in resumed} == {1}
+
+
+def test_streams_of_one_version_go_on_unnamed_after_a_restart_of_all(
+    build_fleet,
+):
+    fleet = build_fleet(gateways=6, upstreams=10)
+    fleet.advance(1.0)
+    clients = start_streams(fleet, 30)
+    for number in range(len(fleet.gateways)):
+        fleet.kill_gateway(number)
+    begun = break_off(clients)
+    for number in range(len(fleet.gateways)):
+        fleet.restart_gateway(number)
+    fleet.advance(0.5)
+    repeat_requests(fleet, begun)
+    resumed = resume_unnamed(fleet, begun)
+    assert count_served(resumed) > 0.9 * len(resumed) > 5
+
+
+def test_unnamed_streams_go_on_when_two_gateways_were_killed(fleet):
+    clients = start_streams(fleet, 30)
+    for number in range(2):
+        fleet.kill_gateway(number)
+        fleet.restart_gateway(number)
+    begun = break_off(clients)
+    fleet.advance(0.5)
+    resumed = resume_unnamed(fleet, begun)
+    assert {client.count_versions() for client in resumed} == {1}
+    assert count_served(resumed) > 0.9 * len(resumed) > 5
