Report the requests at an upstream's end at once, and count the end when another gateway sees it

Cause: since a gateway reported an end only after another one had been refused, too. The reports of some came after the decision, or not at all, and the requests of the others alone spoke against the shared part. Change: the requests are told at once with the end in doubt, which counts once another gateway was refused, once the store has dropped the upstream's entry, or if there is no other gateway. A gateway that decides whether its own links are lost answers a probe when it knows.

The test of lost links asks now for ends that count, as ends in doubt are told, too.

Gateways connect from their own address, by which peers know them. A gateway that is cut off does not own blocks, as it could let no trial through.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
@@ -8,7 +8,6 @@
 from hollyspan_core.errors import UpstreamConnectionRefusedError
 from hollyspan_core.errors import UpstreamUnavailableError
 
-from ..clock import wait
 from ..indirect_probes import IndirectResult
 from ..indirect_probes import probe_indirectly
 
@@ -16,10 +15,6 @@
 
 # Limit on the lost exposures that are kept until an upstream's check ends.
 MAX_LOST = 64
-# Time in which probes show whether the gateway has lost its links: that of a
-# connection attempt and some round trips.
-LINKS_DECISION_S = 0.5
-LINKS_CHECK_INTERVAL_S = 0.02
 
 
 class EndDetector:
@@ -31,6 +26,8 @@
     on_end : callable
         Called with the Upstream and the exposures that its end has broken
         off.
+    on_confirmed : callable
+        Called with an Upstream whose end another gateway has seen, too.
 
     Attributes
     ----------
@@ -41,15 +38,17 @@
     -----
     A connection may break for many reasons. Only an upstream whose process has
     ended refuses the next one; a connection that is accepted is kept for later
-    requests. A link that is lost may refuse it, too, so other gateways have to
-    see the same.
+    requests. A link that is lost may refuse it, too, so another gateway has to
+    see the same. The requests are reported before: with those of some gateways
+    only, the decision which of them is to blame could go wrong.
     """
 
-    __slots__ = ("gateway", "on_end", "lost")
+    __slots__ = ("gateway", "on_end", "on_confirmed", "lost")
 
-    def __init__(self, *, gateway, on_end):
+    def __init__(self, *, gateway, on_end, on_confirmed):
         self.gateway = gateway
         self.on_end = on_end
+        self.on_confirmed = on_confirmed
         self.lost = {}
 
     def note_lost(self, exposure):
@@ -66,50 +65,52 @@
         )
 
     async def check(self, upstream):
+        reach = self.gateway.reach
+        started_at = self.gateway.reactor.seconds()
+        is_refused = False
         try:
-            reason = await self.find_other_cause(upstream)
-        finally:
-            exposures = self.lost.pop(upstream)
-        if reason is None:
+            if not reach.is_cut_off:
+                await self.gateway.pool.open_idle(upstream.entry.address)
+                return
+        except UpstreamConnectionRefusedError:
+            is_refused = True
+        except UpstreamUnavailableError as error:
             eliot.log_message(
-                "upstream:ended",
+                "upstream:unchecked",
                 upstream=upstream.entry.name,
-                requests=[exposure.request for exposure in exposures],
+                reason=error.message,
             )
-            self.on_end(upstream, exposures)
             return
+        finally:
+            exposures = self.lost.pop(upstream)
         eliot.log_message(
-            "upstream:not_ended", upstream=upstream.entry.name, reason=reason
+            "upstream:seems_ended",
+            upstream=upstream.entry.name,
+            is_refused=is_refused,
+            requests=[exposure.request for exposure in exposures],
         )
+        self.on_end(upstream, exposures)
+        if is_refused:
+            reach.note_failure(
+                upstream, is_unconnected=True, waited_since=started_at
+            )
+            await self.confirm(upstream)
 
-    async def find_other_cause(self, upstream):
-        """Return why an upstream is not known to have ended, or None."""
-        reach = self.gateway.reach
-        started_at = self.gateway.reactor.seconds()
-        while reach.is_cut_off:
-            elapsed = self.gateway.reactor.seconds() - started_at
-            if reach.is_confirmed or elapsed > LINKS_DECISION_S:
-                return "the links are lost"
-            await wait(self.gateway.reactor, LINKS_CHECK_INTERVAL_S)
-        started_at = self.gateway.reactor.seconds()
-        try:
-            await self.gateway.pool.open_idle(upstream.entry.address)
-            return "it accepts connections"
-        except UpstreamConnectionRefusedError:
-            result = await probe_indirectly(self.gateway, upstream)
-        except UpstreamUnavailableError as error:
-            return error.message
+    async def confirm(self, upstream):
+        """Let other gateways tell whether an upstream has ended."""
+        result = await probe_indirectly(self.gateway, upstream)
+        if result in (None, IndirectResult.REFUSES):
+            self.on_confirmed(upstream)
+            return
         if result is IndirectResult.ACCEPTS:
             upstream.link.note_answer_elsewhere(
                 now=self.gateway.reactor.seconds()
             )
-            reach.note_failure(
-                upstream, is_unconnected=True, waited_since=started_at
-            )
-            return "other gateways reach it"
-        if result is IndirectResult.UNKNOWN:
-            return "no other gateway can tell"
-        return None
+        eliot.log_message(
+            "upstream:end_in_doubt",
+            upstream=upstream.entry.name,
+            others=result.value,
+        )
 
 
 def is_broken_off(error):
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -26,6 +26,8 @@
 # answer, so that few gateways give it.
 DECISION_DELAY_S = 0.2
 MAX_SURVIVAL_DELAY_S = 0.1
+# Limit on the ends that are not confirmed yet; the oldest are forgotten.
+MAX_SEEN_ENDS = 64
 
 
 class RequestGuard:
@@ -42,6 +44,9 @@
     block_list : BlockList
     exposures : set of Exposure
         All requests and items in flight from this gateway.
+    seen_ends : dict
+        Keys of the requests that ends have broken off here, by the key of the
+        upstream's incarnation, until the ends are confirmed.
 
     Notes
     -----
@@ -56,6 +61,7 @@
         "gateway",
         "evidence",
         "exposures",
+        "seen_ends",
         "detector",
         "news",
         "records",
@@ -68,7 +74,12 @@
         self.gateway = gateway
         self.evidence = CrashEvidence()
         self.exposures = set()
-        self.detector = EndDetector(gateway=gateway, on_end=self.handle_end)
+        self.seen_ends = {}
+        self.detector = EndDetector(
+            gateway=gateway,
+            on_end=self.handle_end,
+            on_confirmed=self.confirm_end,
+        )
         self.news = CrashNews(gateway=gateway)
         self.records = BlockRecords(gateway=gateway, guard=self)
         self.block_list = BlockList(
@@ -214,10 +225,16 @@
             self.news.tell_block(block)
 
     def handle_end(self, upstream, exposures):
-        """Report an upstream that has ended with requests in flight."""
+        """Report an upstream that seems to have ended, with its requests.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        exposures : list of Exposure
+            Those that its end has broken off.
+        """
         gateway = self.gateway
         gateway.directory.note_unreachable(upstream)
-        gateway.handle_load_change(upstream, is_batch_only=False)
         now = gateway.reactor.seconds()
         suspects = [
             exposure
@@ -226,22 +243,61 @@
         ]
         requests = {exposure.keys for exposure in suspects}
         fingerprints = {exposure.fingerprint for exposure in suspects} - {0}
+        if not requests:
+            return
+        key = upstream.entry.incarnation_key
+        self.seen_ends[key] = requests
+        if len(self.seen_ends) > MAX_SEEN_ENDS:
+            del self.seen_ends[next(iter(self.seen_ends))]
+        self.news.tell_end(key, requests, fingerprints=fingerprints, at=now)
+        self.apply_end(
+            key,
+            requests,
+            fingerprints=fingerprints,
+            at=now,
+            is_confirmed=False,
+        )
+
+    def confirm_end(self, upstream):
+        """Count the end of an upstream, which other gateways see, too.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        """
+        key = upstream.entry.incarnation_key
+        if not self.evidence.is_in_doubt(key):
+            return
+        eliot.log_message(
+            "upstream:end_confirmed", upstream=upstream.entry.name
+        )
+        now = self.gateway.reactor.seconds()
+        self.apply_end(key, (), at=now, is_confirmed=True)
+        self.news.tell_confirmation(key)
+
+    def extend_blocks(self, key):
+        """Extend the blocks under which an upstream has ended here."""
+        requests = self.seen_ends.pop(key, ())
+        now = self.gateway.reactor.seconds()
         for block in list(self.blocks.values()):
             if any(block.keys.issubset(keys) for keys in requests):
                 self.extend_block(block, now=now)
-        if requests:
-            key = upstream.entry.incarnation_key
-            self.news.tell_end(
-                key, requests, fingerprints=fingerprints, at=now
-            )
-            self.apply_end(key, requests, fingerprints=fingerprints, at=now)
 
-    def apply_end(self, key, requests, *, at, fingerprints=frozenset()):
+    def apply_end(
+        self, key, requests, *, at, is_confirmed, fingerprints=frozenset()
+    ):
         """Apply a report, here or of a peer, and decide a little later."""
         if not self.evidence.note_end(
-            key, requests, fingerprints=fingerprints, at=at
+            key,
+            requests,
+            fingerprints=fingerprints,
+            at=at,
+            is_confirmed=is_confirmed,
         ):
             return
+        if self.evidence.is_in_doubt(key):
+            return
+        self.extend_blocks(key)
         reactor = self.gateway.reactor
         if self.decision_call is None:
             self.decision_call = reactor.callLater(
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -65,6 +65,12 @@
         self.unsent_ends.add(key)
         self.schedule_send()
 
+    def tell_confirmation(self, key):
+        """Tell that an end is confirmed, if it was seen here."""
+        if key in self.ends:
+            self.unsent_ends.add(key)
+            self.schedule_send()
+
     def tell_survival(self, keys, *, at):
         """Tell that an upstream has survived a request."""
         self.remember_survival(keys, at)
@@ -140,6 +146,7 @@
     def build_notices(self, *, ends, survivals, blocks):
         now = self.gateway.reactor.seconds()
         known_blocks = self.gateway.guard.blocks
+        evidence = self.gateway.guard.evidence
         return {
             "ends": [
                 EndNotice(
@@ -147,6 +154,7 @@
                     requests=requests,
                     fingerprints=sorted(fingerprints),
                     age=now - at,
+                    is_confirmed=not evidence.is_in_doubt(key),
                 )
                 for key, (requests, fingerprints, at) in limit_notices(
                     self.ends, ends, count=count_keys_of_end
@@ -176,6 +184,7 @@
                 notice.requests,
                 fingerprints=notice.fingerprints,
                 at=now - notice.age,
+                is_confirmed=notice.is_confirmed,
             )
         for notice in message.survivals:
             at = now - notice.age
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
@@ -16,15 +16,26 @@
         Those of the keys that belong to one request alone.
     age : float
         Time since the end, seconds.
+    is_confirmed : bool
+        False while the gateway's link may be to blame.
     """
 
-    __slots__ = ("upstream", "requests", "fingerprints", "age")
-
-    def __init__(self, *, upstream, requests, age, fingerprints=()):
+    __slots__ = (
+        "upstream",
+        "requests",
+        "fingerprints",
+        "age",
+        "is_confirmed",
+    )
+
+    def __init__(
+        self, *, upstream, requests, age, fingerprints=(), is_confirmed=True
+    ):
         self.upstream = upstream
         self.requests = requests
         self.fingerprints = fingerprints
         self.age = age
+        self.is_confirmed = is_confirmed
 
 
 class SurvivalNotice:
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -109,10 +109,19 @@
                 await wait(self.gateway.reactor, RETRY_DELAY_S)
 
     def is_owner(self, key):
-        """Return whether this gateway owns the block with a key."""
+        """Return whether this gateway owns the block with a key.
+
+        One that reaches no upstream could let no trial through.
+        """
         peers = self.gateway.peers
-        live = [peer.identifier for peer in peers.list_live()]
-        return choose_owner(key, [*live, peers.identifier]) == peers.identifier
+        able = [
+            peer.identifier
+            for peer in peers.list_live()
+            if not peer.is_cut_off
+        ]
+        if not self.gateway.reach.is_confirmed:
+            able.append(peers.identifier)
+        return choose_owner(key, able) == peers.identifier
 
     def apply(self, mirror):
         """Apply the blocks in the store, and withdraw those removed."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -92,11 +92,11 @@
         self.worker = None
         self.workers = frozenset()
         self.reach = Reach(gateway=self)
-        self.use_pool(ConnectionPool(reactor=reactor))
+        self.use_pool(ConnectionPool(reactor=reactor, source_ip=settings.ip))
         self.directory = Directory(
             reactor=reactor,
             find_region=settings.find_region,
-            on_leaving=self.close_upstream_connections,
+            on_leaving=self.handle_leaving_upstream,
             on_change=lambda upstream: self.handle_load_change(
                 upstream, is_batch_only=False
             ),
@@ -280,9 +280,12 @@
         if self.worker is not None:
             self.worker.schedule(0.0)
 
-    def close_upstream_connections(self, upstream):
-        """Close the idle connections to a departing upstream."""
+    def handle_leaving_upstream(self, upstream):
+        """Close the idle connections to an upstream that leaves or is gone."""
         self.pool.drop_address(upstream.entry.address)
+        if upstream.entry.name not in self.directory.upstreams:
+            # The store has not heard of it for some time either.
+            self.guard.confirm_end(upstream)
 
     def handle_load_change(self, upstream, *, is_batch_only):
         """Queue a change of this gateway's load for peers; preempt items."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -28,7 +28,7 @@
 IDLE_MARGIN_S = 0.5
 
 
-def connect(reactor, host, port, *, timeout):
+def connect(reactor, host, port, *, timeout, source_ip=None):
     """Open a connection.
 
     Parameters
@@ -39,6 +39,8 @@
     port : int
     timeout : float
         Connection timeout in seconds.
+    source_ip : str, optional
+        Address of this machine to connect from.
 
     Returns
     -------
@@ -46,7 +48,10 @@
         Fails with UpstreamUnreachableError.
     """
     factory = ClientFactory(reactor=reactor)
-    reactor.connectTCP(host, port, factory, timeout=timeout)
+    source = None if source_ip is None else (source_ip, 0)
+    reactor.connectTCP(
+        host, port, factory, timeout=timeout, bindAddress=source
+    )
     return factory.opened
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -15,6 +15,8 @@
     Parameters
     ----------
     reactor : twisted reactor
+    source_ip : str, optional
+        Address of this machine to connect from, by which peers know it.
 
     Attributes
     ----------
@@ -24,10 +26,11 @@
         Called with the address of each connection that was opened.
     """
 
-    __slots__ = ("reactor", "idle", "opened", "on_open")
+    __slots__ = ("reactor", "source_ip", "idle", "opened", "on_open")
 
-    def __init__(self, *, reactor):
+    def __init__(self, *, reactor, source_ip=None):
         self.reactor = reactor
+        self.source_ip = source_ip
         self.idle = {}
         self.opened = 0
         self.on_open = lambda address: None
@@ -80,7 +83,9 @@
 
     async def open(self, address, *, timeout):
         self.opened += 1
-        connection = await connect(self.reactor, *address, timeout=timeout)
+        connection = await connect(
+            self.reactor, *address, timeout=timeout, source_ip=self.source_ip
+        )
         connection.on_free = lambda freed: self.add_idle(address, freed)
         connection.on_lost = lambda lost: self.remove_idle(address, lost)
         self.on_open(address)
--- a/packages/hollyspan_gateway/hollyspan_gateway/indirect_probes.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/indirect_probes.py
@@ -10,6 +10,7 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_policy.hashing import format_hash
 
+from .clock import wait
 from .peers.calls import call_peer
 
 __all__ = [
@@ -24,7 +25,11 @@
 # for their answers: a connection attempt and several round trips between
 # regions.
 ASKED_GATEWAYS = 2
-ANSWER_TIMEOUT_S = 0.5
+ANSWER_TIMEOUT_S = 1.0
+# Time in which probes show whether a gateway has lost its links: that of a
+# connection attempt and some round trips.
+LINKS_DECISION_S = 0.4
+LINKS_CHECK_INTERVAL_S = 0.02
 
 
 class IndirectResult(enum.Enum):
@@ -50,6 +55,7 @@
     except ValueError:
         request.answer(http.BAD_REQUEST, [], b"")
         return
+    await wait_decided(gateway)
     result = IndirectResult.UNKNOWN
     if upstream is not None and not gateway.reach.is_cut_off:
         try:
@@ -66,6 +72,18 @@
     request.answer(http.OK, [], result.value.encode())
 
 
+async def wait_decided(gateway):
+    """Wait until it is certain whether this gateway's own links are lost."""
+    reactor = gateway.reactor
+    until = reactor.seconds() + LINKS_DECISION_S
+    while (
+        gateway.reach.is_cut_off
+        and not gateway.reach.is_confirmed
+        and reactor.seconds() < until
+    ):
+        await wait(reactor, LINKS_CHECK_INTERVAL_S)
+
+
 async def probe_indirectly(gateway, upstream):
     """Let other gateways connect to an upstream.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -175,6 +175,7 @@
             "ageMs": encode_age(notice.age),
             "requests": [list(keys) for keys in notice.requests],
             "fingerprints": list(notice.fingerprints),
+            "isConfirmed": notice.is_confirmed,
         }
         for notice in message.ends
     ]
@@ -200,6 +201,7 @@
             requests=[tuple(keys) for keys in end.requests],
             fingerprints=list(end.fingerprints),
             age=end.ageMs / 1000,
+            is_confirmed=end.isConfirmed,
         )
         for end in wire.ends
     ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -32,6 +32,7 @@
   ageMs @1 :UInt32;
   requests @2 :List(List(UInt64)); # keys of the requests in flight
   fingerprints @3 :List(UInt64);   # the keys that belong to one request
+  isConfirmed @4 :Bool;   # false: the sender's link may be to blame
 }
 
 struct Survival {
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
@@ -115,7 +115,8 @@
             fleet.restore_links(gateway)
         run_load(fleet, 1.0)
     for gateway in fleet.gateways:
-        assert not gateway.guard.evidence.ends
+        now = fleet.reactor.seconds()
+        assert not gateway.guard.evidence.list_ends(now=now)
         assert not gateway.guard.blocks
 
 
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
@@ -38,7 +38,9 @@
         self.ends = {}
         self.survivals = {}
 
-    def note_end(self, key, requests, *, at, fingerprints=()):
+    def note_end(
+        self, key, requests, *, at, fingerprints=(), is_confirmed=True
+    ):
         """Add the end of an upstream.
 
         Parameters
@@ -51,6 +53,8 @@
             Time of the end; of several reports the first holds.
         fingerprints : iterable of int, optional
             Those of the keys that belong to one request alone.
+        is_confirmed : bool, optional
+            False if the link of the daemon that reports it may be to blame.
 
         Returns
         -------
@@ -62,13 +66,18 @@
             record = self.ends[key] = EndRecord(at=at)
             if len(self.ends) > MAX_ENDS:
                 del self.ends[next(iter(self.ends))]
-        known = len(record.requests)
+        known = len(record.requests), record.is_confirmed
+        record.is_confirmed |= is_confirmed
         fingerprints = frozenset(fingerprints)
         for keys in requests:
             if keys and len(record.requests) < MAX_REQUESTS_PER_END:
                 record.requests.add(keys)
                 record.fingerprints |= fingerprints.intersection(keys)
-        return len(record.requests) > known
+        return (len(record.requests), record.is_confirmed) != known
+
+    def is_in_doubt(self, key):
+        """Return whether an end was reported and not confirmed yet."""
+        return key in self.ends and not self.ends[key].is_confirmed
 
     def note_survival(self, keys, *, at):
         """Add a request that its upstream has survived.
@@ -85,8 +94,8 @@
             del self.survivals[next(iter(self.survivals))]
 
     def list_ends(self, *, now):
-        """Return the ends that still count, the oldest first."""
+        """Return the confirmed ends that still count, the oldest first."""
         for key, record in list(self.ends.items()):
             if now - record.at > EVIDENCE_TTL_S:
                 del self.ends[key]
-        return list(self.ends.values())
+        return [each for each in self.ends.values() if each.is_confirmed]
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/record.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/record.py
@@ -18,11 +18,14 @@
         to answer.
     fingerprints : set of int
         The keys that belong to one request alone.
+    is_confirmed : bool
+        False while the link of those that have seen it may be to blame.
     """
 
-    __slots__ = ("at", "requests", "fingerprints")
+    __slots__ = ("at", "requests", "fingerprints", "is_confirmed")
 
     def __init__(self, *, at):
         self.at = at
+        self.is_confirmed = False
         self.requests = set()
         self.fingerprints = set()
