--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -107,13 +107,13 @@
 def build_fleet(reactor, build_gateway):
     """Return a function that builds gateways and upstreams in memory."""
 
-    def build(*, gateways=4, upstreams=6, versions=("v1",)):
+    def build(*, gateways=4, upstreams=6, versions=("v1",), **options):
         fleet = MemoryFleet(
             reactor=reactor,
             build_gateway=build_gateway,
             upstreams=upstreams,
             versions=versions,
-            options={"runs_batch": False},
+            options={"runs_batch": False, **options},
         )
         for _ in range(gateways):
             fleet.add_gateway()
--- a/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/__init__.py
@@ -10,6 +10,7 @@
 from .fleet import MemoryFleet
 from .links import LinkState
 from .network import MemoryNetwork
+from .peer_call import PeerCall
 from .pool import MemoryPool
 from .request import MemoryRequest
 from .wire import MemoryWire
@@ -18,6 +19,7 @@
     "LinkState",
     "MemoryFleet",
     "MemoryNetwork",
+    "PeerCall",
     "MemoryPool",
     "MemoryRequest",
     "MemoryWire",
