Block a part that explains two requests' ends beside an ambiguous one

Cause: the decision looked only at the keys with the most ends. When another request was in flight beside the first at all of its ends, the two were ambiguous, and the part that the first shares with a blocked request, with fewer ends, was passed over. Change: if the best explanations are ambiguous, the only one that explains all of their ends and more is blocked, if it has enough ends itself.

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -214,11 +214,40 @@
         for group in best
         if not any(other.occurrences < group.occurrences for other in best)
     ]
-    return [
+    chosen = [
         group
         for group in best
         if most >= MIN_AMBIGUOUS_ENDS or not is_ambiguous(group, best)
     ]
+    return chosen or choose_wider_groups(groups, best)
+
+
+def choose_wider_groups(groups, ambiguous):
+    """Return the group that explains what several others do, and more.
+
+    Parameters
+    ----------
+    groups : list of KeyGroup
+    ambiguous : list of KeyGroup
+        Those with the most ends, each of which explains these as well.
+
+    Returns
+    -------
+    list of KeyGroup
+        Empty unless one group is the only such explanation.
+
+    Notes
+    -----
+    A part that two requests share has fewer ends against it than each request
+    by itself, but explains the ends of both.
+    """
+    wider = [
+        group
+        for group in groups
+        if group.count >= MIN_ENDS
+        and all(group.causes > other.causes for other in ambiguous)
+    ]
+    return wider if len(wider) == 1 else []
 
 
 def is_ambiguous(group, others):
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -225,3 +225,25 @@
         end.fingerprints = {second}
     blocks = choose_blocks(ends, survivals={common: 8.0})
     assert frozenset({part}) in blocks
+
+
+def test_a_part_is_not_blocked_for_one_request_that_another_ran_beside():
+    common, part, first, beside = range(1, 5)
+    ends = [EndRecord(at=float(at)) for at in range(4)]
+    for end in ends:
+        end.requests = {(common, part, first), (common, beside)}
+        end.fingerprints = {first, beside}
+    assert choose_blocks(ends, survivals={common: 4.0}) == []
+
+
+def test_two_parts_that_explain_the_same_ends_are_not_told_apart():
+    common, part, other, first, second, beside = range(1, 7)
+    ends = [EndRecord(at=float(at)) for at in range(8)]
+    for end in ends[:4]:
+        end.requests = {(part, first), (other, beside)}
+        end.fingerprints = {first, beside}
+    for end in ends[4:]:
+        end.requests = {(part, other, second)}
+        end.fingerprints = {second}
+    blocks = choose_blocks(ends, survivals={common: 8.0})
+    assert blocks == [frozenset({second})]
