Tell the gateway that forwards a request of an upstream's shutdown

An upstream that announces its shutdown in an answer was known to the gateway that ran the request, and to the one that forwarded it only with a later message; in a large fleet that can be later than nothing new may be sent there. A header between gateways tells it. Whether a request could be forwarded is asked only while a link has failed, since the question looks at all peers.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -10,6 +10,7 @@
     "FAILURE_HEADER",
     "FORWARDED_PATH",
     "ForwardedOptions",
+    "LEAVING_HEADER",
     "VERSION_HEADER",
     "build_target",
     "decode_failure",
@@ -19,9 +20,11 @@
 
 # Path prefix of the requests; the options and the client's target follow.
 FORWARDED_PATH = b"/requests/"
-# Headers of the answers: which software version writes the stream, and that
-# the gateway has failed, not the upstream.
+# Headers of the answers: which software version writes the stream, which
+# upstream's incarnation has announced its shutdown, and that the gateway has
+# failed, not the upstream.
 VERSION_HEADER = b"hollyspan-version"
+LEAVING_HEADER = b"hollyspan-leaving"
 FAILURE_HEADER = b"hollyspan-failure"
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/held.py
@@ -60,7 +60,7 @@
             seconds_to_target=relay.target_at - now,
             seconds_left=relay.deadline - now,
             ahead=ahead,
-            can_forward=relay.can_hop(),
+            can_forward=relay.may_hop(),
         )
 
     async def wait(self, relay):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -12,6 +12,7 @@
 from .forwarded import decode_failure
 from .forwarded import FAILURE_HEADER
 from .forwarded import ForwardedOptions
+from .forwarded import LEAVING_HEADER
 from .forwarded import VERSION_HEADER
 from .reply import check_identifier
 
@@ -20,6 +21,7 @@
 # Time without a byte after which the peer's heartbeats decide whether it is
 # still there: longer than it takes to move a stream to another upstream.
 QUIET_CHECK_S = 0.6
+INTERNAL_HEADERS = frozenset((FAILURE_HEADER, LEAVING_HEADER, VERSION_HEADER))
 # Failures for which another gateway may run the request.
 UNTAKEN_CODES = frozenset(
     (
@@ -135,13 +137,13 @@
         self.has_failed = FAILURE_HEADER in values
         if VERSION_HEADER in values:
             self.version = int(values[VERSION_HEADER], 16)
+        if LEAVING_HEADER in values:
+            self.relay.gateway.directory.note_reported_departure(
+                int(values[LEAVING_HEADER], 16)
+            )
         reply = self.relay.gateway.dialect.decode_reply(
             status,
-            [
-                (name, value)
-                for name, value in headers
-                if name not in (FAILURE_HEADER, VERSION_HEADER)
-            ],
+            [each for each in headers if each[0] not in INTERNAL_HEADERS],
         )
         check_identifier(reply, self.relay.head.identifier)
         self.relay.reply = reply
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -18,6 +18,7 @@
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .delivery import Delivery
+from .forwarded import LEAVING_HEADER
 from .forwarded import VERSION_HEADER
 from .head import format_parts
 from .hop import Hop
@@ -216,6 +217,10 @@
             and self.gateway.forwarding.is_possible()
         )
 
+    def may_hop(self):
+        """Return whether a lost link can lead over another gateway."""
+        return self.gateway.reach.has_trouble and self.can_hop()
+
     def must_hop(self):
         """Return whether only another gateway can run the request."""
         return self.gateway.reach.is_cut_off and self.can_hop()
@@ -254,7 +259,7 @@
             outcome=self.outcome,
             seconds_left=self.measure_time_left(),
             is_continued=self.is_resumed() or self.delivery.has_begun,
-            can_forward=self.can_hop(),
+            can_forward=self.may_hop(),
         )
         self.upstream_load = self.gateway.placement.describe(upstream)
         if self.upstream_load["report_age"] is not None:
@@ -358,12 +363,19 @@
         self.gateway.reach.note_data(self.upstream)
         check_identifier(reply, self.head.identifier)
         if self.is_forwarded and not self.delivery.has_begun:
-            self.request.setHeader(
-                VERSION_HEADER, b"%x" % self.upstream.entry.version_key
-            )
+            self.set_headers_for_peer(reply)
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
 
+    def set_headers_for_peer(self, reply):
+        """Tell the gateway that forwards the request of its upstream."""
+        entry = self.upstream.entry
+        self.request.setHeader(VERSION_HEADER, b"%x" % entry.version_key)
+        if reply.is_leaving:
+            self.request.setHeader(
+                LEAVING_HEADER, b"%x" % entry.incarnation_key
+            )
+
     def handle_data(self, data):
         """Forward or buffer bytes of an answer's body."""
         self.gateway.guard.note_data(self.exposure)
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
@@ -303,3 +303,34 @@
     sent = len(fleet.sent) - sent_before
     # Eight a second for eight seconds; half again and five more at most.
     assert 0.7 * 64 < sent < 1.5 * 64 + 5
+
+
+def test_an_upstream_that_announces_its_shutdown_is_known_over_the_hop(fleet):
+    request = send(fleet)
+    fleet.advance(0.02)
+    (sent,) = find_sends(fleet, request)
+    for gateway in fleet.gateways[1:]:
+        # Its word does not arrive otherwise.
+        gateway.peers.transport = None
+    sent.connection.answer(
+        200, headers=[(b"leaving", b"1")], is_complete=False
+    )
+    sent.connection.exchange.on_data(b"id: 1\ndata: v11\n\n")
+    fleet.advance(0.02)
+    upstream = fleet.gateways[0].directory.upstreams[sent.upstream]
+    assert upstream.has_departed
+
+
+def test_internal_headers_do_not_reach_clients_or_upstreams(fleet):
+    request = send(fleet)
+    fleet.advance(2.0)
+    assert request.is_served()
+    assert not [
+        name for name, _ in request.headers if name.startswith(b"hollyspan")
+    ]
+    (sent,) = find_sends(fleet, request)
+    assert not [
+        name
+        for name in sent.connection.headers
+        if name.startswith(b"hollyspan")
+    ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -73,6 +73,11 @@
         self.probing = set()
         self.probe_call = None
 
+    @property
+    def has_trouble(self):
+        """True while a link has failed and not worked since."""
+        return self.is_cut_off or bool(self.broken)
+
     @property
     def cannot_connect(self):
         """True while new connections seem to fail whatever the upstream."""
--- a/packages/hollyspan_standins/hollyspan_standins/memory/request.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/request.py
@@ -18,6 +18,7 @@
         self.is_too_large = False
         self.on_disconnect = None
         self.status = None
+        self.headers = []
         self.begun_at = None
         self.written = b""
         self.is_ended = False
@@ -26,6 +27,7 @@
     def begin(self, status, headers):
         assert self.status is None
         self.status = status
+        self.headers = list(headers)
         self.begun_at = self.reactor.seconds()
 
     def write(self, data):
