--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hollyspan_gateway.streams import versions
+from hollyspan_policy.hashing import hash_parts
 
 STEP_S = 0.05
 VERSIONS = ("v1", "v2")
@@ -450,3 +451,17 @@
     resumed = resume_unnamed(fleet, begun)
     assert {client.count_versions() for client in resumed} == {1}
     assert count_served(resumed) > 0.9 * len(resumed) > 5
+
+
+def test_an_ambiguous_stream_is_refused_though_one_version_is_recorded(
+    build_fleet,
+):
+    fleet = build_fleet(gateways=4, upstreams=4)
+    fleet.advance(1.0)
+    clients = break_off(start_streams(fleet, 8))
+    for client in clients:
+        for gateway in fleet.gateways:
+            gateway.stream_versions.note(hash_parts(client.body), 7)
+    resumed = resume_unnamed(fleet, clients)
+    assert len(resumed) > 5
+    assert all(client.is_refused() for client in resumed)
