Probe each link that has failed until it works; confirm a cut only after a quiet time

On reading: a link that failed once, and whose upstream answered others later, was taken for lost without a probe, so that requests went over peers for good. A cut was certain with one refused probe, which an upstream that ended in the same moment refuses as well; all streams were then moved. A gateway that had lost the links to most upstreams told the others of each one, and of no lost share while it seemed cut off.

Evidence: test_a_link_that_failed_once_is_used_again fails on the code before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
@@ -170,3 +170,34 @@
     fleet.set_links(gateway, LinkState.HANGS)
     fleet.advance(4.0)
     assert all(request.is_served() for request in requests)
+
+
+def test_a_link_that_failed_once_is_used_again(fleet):
+    gateway, *others = fleet.gateways
+    fleet.set_links(gateway, LinkState.REFUSES, ports=(1,))
+    run_load(fleet, 0.5, gateways=[gateway])
+    fleet.restore_links(gateway)
+    # The others are answered later than the link has failed.
+    run_load(fleet, 3.0, gateways=others, name="o")
+    assert not gateway.reach.has_trouble
+    requests = run_load(fleet, 3.0, gateways=[gateway], name="r")
+    assert not any(
+        call.getHeader("id") in {request.identifier for request in requests}
+        for call in fleet.peer_calls
+    )
+
+
+def test_upstreams_that_end_together_break_off_no_other_stream(fleet):
+    gateway = fleet.gateways[0]
+    run_load(fleet, 0.5, gateways=[gateway])
+    for name in list(fleet.upstreams)[:4]:
+        fleet.end_upstream(name)
+    open_sends = [
+        send
+        for send in fleet.sent
+        if send.gateway is gateway and send.is_open()
+    ]
+    assert open_sends
+    fleet.advance(1.0)
+    assert not any(send.connection.is_cancelled for send in open_sends)
+    assert not gateway.reach.is_cut_off
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -33,6 +33,8 @@
         Arrival of the last bytes from any upstream, reactor seconds.
     is_cut_off : bool
         True while no upstream seems to be reached.
+    cut_off_at : float
+        Time from which this has been so, reactor seconds.
     is_confirmed : bool
         True once a probe has failed, too.
     failed : dict
@@ -54,6 +56,7 @@
         "gateway",
         "heard_at",
         "is_cut_off",
+        "cut_off_at",
         "is_confirmed",
         "failed",
         "unconnected",
@@ -66,6 +69,7 @@
         self.gateway = gateway
         self.heard_at = -math.inf
         self.is_cut_off = False
+        self.cut_off_at = -math.inf
         self.is_confirmed = False
         self.failed = {}
         self.unconnected = {}
@@ -88,6 +92,8 @@
         link = upstream.link
         link.heard_at = self.heard_at = self.gateway.reactor.seconds()
         link.failed_at = None
+        if link.doubts:
+            link.doubts.clear()
         if self.failed:
             self.failed.clear()
             if self.is_cut_off:
@@ -120,7 +126,7 @@
         ):
             self.begin_cut()
         if is_unconnected and not (
-            self.cannot_connect or self.is_lost(upstream)
+            self.is_cut_off or self.cannot_connect or self.has_lost_link()
         ):
             self.gateway.directory.tell_unreachable(upstream)
         self.schedule_probes()
@@ -166,8 +172,10 @@
 
     def is_lost(self, upstream):
         """Return whether an upstream can be reached by other gateways only."""
-        if self.is_cut_off:
-            return True
+        return self.is_cut_off or self.is_link_lost(upstream)
+
+    def is_link_lost(self, upstream):
+        """Return whether the link to one upstream seems to be lost."""
         if not self.broken:
             return False
         link = upstream.link
@@ -183,16 +191,21 @@
             failed_at=link.unconnected_at, alive_at=link.alive_at
         )
 
+    def has_lost_link(self):
+        """Return whether the link to some upstream seems to be lost."""
+        return any(map(self.is_link_lost, self.broken.values()))
+
     def measure_lost_share(self):
         """Return the share of the upstreams that are not reached, 0 to 1."""
         upstreams = self.gateway.directory.upstreams.values()
-        if self.is_cut_off:
-            return 1.0 if self.is_confirmed else 0.0
+        if self.is_confirmed:
+            return 1.0
         if not self.broken or not upstreams:
             return 0.0
-        return sum(map(self.is_lost, upstreams)) / len(upstreams)
+        return sum(map(self.is_link_lost, upstreams)) / len(upstreams)
 
     def begin_cut(self):
+        self.cut_off_at = self.gateway.reactor.seconds()
         self.is_cut_off = True
         self.is_confirmed = False
         eliot.log_message("links:lost", upstreams=list(self.failed))
@@ -205,7 +218,17 @@
             self.gateway.announce_reach()
 
     def confirm_cut(self):
-        """Take it as certain that no upstream is reached."""
+        """Take it as certain that no upstream is reached.
+
+        Not before streams would have brought bytes: upstreams may have ended
+        in the same moment.
+        """
+        if (
+            not self.is_cut_off
+            or self.is_confirmed
+            or not self.is_quiet(since=self.cut_off_at)
+        ):
+            return
         self.is_confirmed = True
         eliot.log_message("links:confirmed_lost")
         self.gateway.announce_reach()
@@ -237,13 +260,13 @@
         suspected = list(filter(self.is_lost, self.broken.values()))
         if self.is_cut_off or self.cannot_connect:
             suspected = self.list_others() + suspected
-        if not suspected:
-            if self.is_cut_off:
-                self.end_cut()
-            return
+        if self.is_cut_off and not suspected:
+            self.end_cut()
         for upstream in suspected[:PROBES_AT_ONCE]:
             self.start_probe(upstream)
-        self.schedule_probes(PROBE_INTERVAL_S)
+        # A link may turn out to be lost later, when others are answered.
+        if self.has_trouble:
+            self.schedule_probes(PROBE_INTERVAL_S)
 
     def list_others(self):
         """Return an upstream whose link has not failed, in turn."""
@@ -280,9 +303,8 @@
             )
             # One that has failed before may have ended.
             is_other = upstream.entry.name not in self.broken
-            if self.is_cut_off and not self.is_confirmed:
-                if is_other or not self.list_others():
-                    self.confirm_cut()
+            if is_other or not self.list_others():
+                self.confirm_cut()
             return
         finally:
             self.probing.discard(upstream.entry.name)
