Forward again what a peer could not run; let a stream go on ahead of a limit

Cause: a peer with lost links of its own tried them for a forwarded request, and its failure with an unknown outcome was final, though the request may be repeated. Change: such a peer does not take the request; a failure with an unknown outcome is tried at another peer within the attempts, which the peer counts and tells.

Found by test_a_broken_stream_goes_on_though_all_limits_are_used with this change: a stream that has begun was broken off, though limited upstreams could have taken it ahead of their share, when the others had all been tried. These are looked at now in this case, too.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -109,12 +109,14 @@
     return options, b"/" + path
 
 
-def encode_failure(error):
+def encode_failure(error, *, attempts=0):
     """Return status, headers and body of a failure of this gateway.
 
     Parameters
     ----------
     error : HollyspanError
+    attempts : int, optional
+        Number of upstreams at which the request may have run.
     """
     document = {
         "message": error.message,
@@ -122,6 +124,7 @@
         "code": error.code,
         "outcome": error.outcome.value,
         "retry_after": error.retry_after,
+        "attempts": attempts,
     }
     return (
         error.status,
@@ -140,10 +143,16 @@
 
     Returns
     -------
-    HollyspanError
+    (HollyspanError, int)
+        The failure, and the number of upstreams at which the request may
+        have run.
     """
     try:
         content = json.loads(body)
-        return PeerAnswerError(content=content, status=status)
-    except (ValueError, AttributeError) as error:
-        return PeerMessageError(f"malformed failure of a peer: {error!r}")
+        return (
+            PeerAnswerError(content=content, status=status),
+            int(content["attempts"]),
+        )
+    except (ValueError, LookupError, TypeError, AttributeError) as error:
+        malformed = PeerMessageError(f"malformed failure of a peer: {error!r}")
+        return malformed, 1
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -164,9 +164,11 @@
         """Return an error if the client must not receive a complete answer."""
         relay = self.relay
         if self.has_failed:
-            error = decode_failure(
+            error, attempts = decode_failure(
                 relay.reply.status, b"".join(self.failure_parts)
             )
+            # One is counted for the hop.
+            relay.sends += max(1, attempts) - 1
             if (
                 error.outcome is Outcome.NOT_RUN
                 and error.code in UNTAKEN_CODES
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -183,9 +183,10 @@
         if not self.must_hop():
             await self.require_origin()
             self.upstream = self.choose()
-            if not (
-                self.gateway.reach.is_lost(self.upstream) and self.can_hop()
-            ):
+            is_lost = self.gateway.reach.is_lost(self.upstream)
+            if is_lost and self.is_forwarded and not self.sends:
+                raise UpstreamUnreachableError("the links are lost here, too")
+            if not is_lost or not self.can_hop():
                 return await self.send()
         peer = self.gateway.forwarding.choose(
             self.head.identifier, excluded=self.asked_peers
@@ -443,7 +444,11 @@
             return False
         if isinstance(error, PeerUnavailableError):
             return True
-        if isinstance(error, PeerAnswerError):
+        if (
+            isinstance(error, PeerAnswerError)
+            and error.outcome is Outcome.NOT_RUN
+        ):
+            # What the peer has refused, another one would refuse as well.
             return False
         if self.count_attempts() >= self.max_attempts:
             return False
@@ -461,7 +466,9 @@
         ):
             self.finish()
             return
-        if isinstance(error, PeerAnswerError):
+        if isinstance(error, PeerAnswerError) and not (
+            self.sends and error.outcome is Outcome.NOT_RUN
+        ):
             raise error
         if self.sends:
             raise OutcomeUnknownError(f"the upstream failed: {error.message}")
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -160,12 +160,12 @@
             # complete.
             request.abort()
             return
-        encode = (
-            self.gateway.dialect.encode_failure
-            if options is None
-            else encode_failure
-        )
-        request.answer(*encode(error))
+        if options is None:
+            answer = self.gateway.dialect.encode_failure(error)
+        else:
+            attempts = 0 if relay is None else relay.count_attempts()
+            answer = encode_failure(error, attempts=attempts)
+        request.answer(*answer)
 
     def log_answered(self, relay):
         seconds = self.measure_elapsed(relay.request)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -150,13 +150,6 @@
         views = self.build_views(
             service, version=version, can_forward=can_forward
         )
-        if not views and is_continued:
-            views = self.build_views(
-                service,
-                version=version,
-                is_continued=True,
-                can_forward=can_forward,
-            )
         admission = decide_admission(
             views,
             service_seconds=self.service_seconds,
@@ -169,7 +162,26 @@
                 outcome=outcome,
                 retry_after=admission.retry_after,
             )
-        view = choose_fastest_upstream(
+        view = self.choose_view(views, key=key, excluded=excluded)
+        if view is None and is_continued:
+            views = self.build_views(
+                service,
+                version=version,
+                is_continued=True,
+                can_forward=can_forward,
+            )
+            view = self.choose_view(views, key=key, excluded=excluded)
+        if view is None:
+            raise OverloadedError(
+                "no upstream of the service accepts new work",
+                outcome=outcome,
+                retry_after=self.choose_retry_after(key),
+            )
+        return self.directory.upstreams[view.name]
+
+    def choose_view(self, views, *, key, excluded):
+        """Return the view of the upstream to send to, or None."""
+        return choose_fastest_upstream(
             views,
             data_centre=self.data_centre,
             is_same_region=self.is_same_region,
@@ -178,13 +190,6 @@
             excluded=excluded,
             seed=key,
         )
-        if view is None:
-            raise OverloadedError(
-                "no upstream of the service accepts new work",
-                outcome=outcome,
-                retry_after=self.choose_retry_after(key),
-            )
-        return self.directory.upstreams[view.name]
 
     def serves_version(self, service, version):
         """Return whether an upstream of a version accepts new work."""
