End a cut when a probe succeeds, also after the upstreams that failed have gone

Cause: a worker failed at an upstream whose entry the store had just dropped, and counted as cut off. No upstream with a failed link was left, and in that case an opened connection was not looked at: the cut never ended. The worker ran no item, and told the others of no lost share, so that they left it its items. Change: an opened connection to an upstream ends a cut whatever has failed, and a failure at an upstream that has gone is not blamed on the links. A seeded test loses links, ends and silences upstreams in series and checks that nothing lasts.

--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
@@ -1,5 +1,7 @@
 """Tests with gateways that have lost their links to upstreams."""
 
+import random
+
 import pytest
 
 from hollyspan_standins.memory import LinkState
@@ -201,3 +203,81 @@
     fleet.advance(1.0)
     assert not any(send.connection.is_cancelled for send in open_sends)
     assert not gateway.reach.is_cut_off
+
+
+def test_a_failure_at_an_upstream_that_has_gone_does_not_last(fleet):
+    gateway = fleet.gateways[0]
+    upstream = gateway.directory.upstreams["u1"]
+    fleet.restarts = False
+    fleet.end_upstream("u1")
+    gateway.directory.remove(upstream)
+    # The attempt began before the store dropped the entry.
+    gateway.reach.note_failure(
+        upstream,
+        is_unconnected=True,
+        waited_since=fleet.reactor.seconds() - 0.3,
+    )
+    fleet.advance(1.0)
+    assert not gateway.reach.has_trouble
+    request = fleet.request("q", gateway=gateway)
+    fleet.advance(1.5)
+    assert request.is_served()
+    assert not any(
+        call.getHeader("id") == request.identifier for call in fleet.peer_calls
+    )
+
+
+@pytest.mark.parametrize("name", ["u1", "u2"])
+def test_a_cut_ends_when_the_upstreams_that_failed_have_gone(fleet, name):
+    gateway = fleet.gateways[0]
+    upstream = gateway.directory.upstreams[name]
+    fleet.advance(2.0)
+    gateway.reach.note_failure(
+        upstream,
+        is_unconnected=True,
+        waited_since=fleet.reactor.seconds() - 0.3,
+    )
+    assert gateway.reach.is_cut_off
+    fleet.restarts = False
+    fleet.end_upstream(name)
+    gateway.directory.remove(upstream)
+    fleet.advance(1.0)
+    assert not gateway.reach.has_trouble
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_nothing_lasts_of_links_that_are_lost_in_series(fleet, seed):
+    draw = random.Random(seed)
+    for number in range(40):
+        gateway = draw.choice(fleet.gateways)
+        kind = draw.randrange(4)
+        if kind == 0:
+            ports = draw.choice([None, (1,), (1, 2, 3, 4, 5)])
+            fleet.set_links(gateway, draw.choice(LOST_STATES), ports=ports)
+        elif kind == 1:
+            fleet.restore_links(gateway)
+        elif kind == 2 and fleet.upstreams:
+            fleet.end_upstream(draw.choice(list(fleet.upstreams)))
+            fleet.advance(draw.choice([0.0, 0.1]))
+            for each in fleet.gateways:
+                fleet.list_upstreams(each)
+        else:
+            name = draw.choice([*fleet.upstreams, "none"])
+            fleet.silent_upstreams ^= {name}
+        run_load(fleet, 0.2, name=f"q{number}-")
+    fleet.silent_upstreams.clear()
+    for gateway in fleet.gateways:
+        fleet.restore_links(gateway)
+    fleet.advance(8.0)
+    for gateway in fleet.gateways:
+        assert not gateway.reach.is_cut_off
+        assert not gateway.reach.cannot_connect
+        assert not gateway.reach.measure_lost_share()
+    requests = run_load(fleet, 3.0, name="r")
+    fleet.advance(2.0)
+    assert not any(each.reach.has_trouble for each in fleet.gateways)
+    assert all(request.is_served() for request in requests)
+    assert not any(
+        call.getHeader("id") in {request.identifier for request in requests}
+        for call in fleet.peer_calls
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -112,6 +112,9 @@
         """
         now = self.gateway.reactor.seconds()
         name = upstream.entry.name
+        if self.gateway.directory.upstreams.get(name) is not upstream:
+            # It has gone, and is probed no more.
+            return
         link = upstream.link
         if is_unconnected:
             self.unconnected[name] = upstream
@@ -141,7 +144,7 @@
 
     def note_open(self, address):
         """Note that a connection to an address was established."""
-        if not self.broken:
+        if not self.has_trouble:
             return
         reached = [
             upstream
