Do not take an upstream that leaves after a cut for one that has ended

Found on reading the change: ends in doubt, of a gateway whose links were refused, stayed in the evidence for ten minutes and counted as soon as the store dropped the upstream's entry. A release after a cut would have made ends of all of them, and sound prompts could be blocked.

Evidence: test_upstreams_that_leave_after_a_cut_have_not_ended, both cases fail on the code before. Change: a dropped entry confirms an end only within 5 s of it, and not if the upstream had announced its shutdown.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -26,6 +26,9 @@
 # answer, so that few gateways give it.
 DECISION_DELAY_S = 0.2
 MAX_SURVIVAL_DELAY_S = 0.1
+# Time in which the store drops the entry of an upstream that has ended: three
+# of its heartbeats, and some for their transport.
+ENTRY_EXPIRY_S = 5.0
 # Limit on the ends that are not confirmed yet; the oldest are forgotten.
 MAX_SEEN_ENDS = 64
 
@@ -275,6 +278,13 @@
         self.apply_end(key, (), at=now, is_confirmed=True)
         self.news.tell_confirmation(key)
 
+    def confirm_recent_end(self, upstream):
+        """Count an end that was seen shortly before its entry was dropped."""
+        record = self.evidence.ends.get(upstream.entry.incarnation_key)
+        now = self.gateway.reactor.seconds()
+        if record is not None and now - record.at < ENTRY_EXPIRY_S:
+            self.confirm_end(upstream)
+
     def extend_blocks(self, key):
         """Extend the blocks under which an upstream has ended here."""
         requests = self.seen_ends.pop(key, ())
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -283,9 +283,10 @@
     def handle_leaving_upstream(self, upstream):
         """Close the idle connections to an upstream that leaves or is gone."""
         self.pool.drop_address(upstream.entry.address)
-        if upstream.entry.name not in self.directory.upstreams:
+        is_gone = upstream.entry.name not in self.directory.upstreams
+        if is_gone and upstream.accepts_work:
             # The store has not heard of it for some time either.
-            self.guard.confirm_end(upstream)
+            self.guard.confirm_recent_end(upstream)
 
     def handle_load_change(self, upstream, *, is_batch_only):
         """Queue a change of this gateway's load for peers; preempt items."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
@@ -281,3 +281,20 @@
         call.getHeader("id") in {request.identifier for request in requests}
         for call in fleet.peer_calls
     )
+
+
+@pytest.mark.parametrize("announces", [True, False])
+def test_upstreams_that_leave_after_a_cut_have_not_ended(fleet, announces):
+    gateway = fleet.gateways[0]
+    run_load(fleet, 0.5, gateways=[gateway])
+    fleet.set_links(gateway, LinkState.REFUSES)
+    fleet.advance(3.0)
+    fleet.restore_links(gateway)
+    fleet.advance(1.0 if announces else 10.0)
+    for each in fleet.gateways:
+        for upstream in list(each.directory.upstreams.values()):
+            upstream.has_departed = announces
+            each.directory.remove(upstream)
+    for each in fleet.gateways:
+        now = fleet.reactor.seconds()
+        assert not each.guard.evidence.list_ends(now=now)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -170,9 +170,9 @@
         """Remove an upstream from the directory."""
         del self.upstreams[upstream.entry.name]
         del self.by_key[upstream.entry.key]
-        upstream.entry.is_ready = False
         log_change("upstream:gone", upstream.entry)
         self.on_leaving(upstream)
+        upstream.entry.is_ready = False
 
     def list_usable(self, service):
         """Return the upstreams of a service that accept new work.
