--- a/review/3/case.py
+++ b/review/3/case.py
@@ -122,7 +122,7 @@
     if holes:
         deployment.note_broken(
             f"ORDER: {holes} of {state['sent']} streams end as complete and "
-            "events"
+            "lack events"
         )
 
 
