--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -27,6 +27,14 @@
     return "\n".join(f"{path} {number}" for number in range(1, count + 1))
 
 
+async def read_ahead(reader):
+    """Return the first byte of the next request, nothing at the end."""
+    try:
+        return await reader.read(1)
+    except ConnectionError:
+        return b""
+
+
 class Run:
     """One request at a replica."""
 
@@ -86,6 +94,7 @@
         self.waiting = 0
         self.is_listed = False
         self.runs = []
+        self.writers = set()
         self.server = None
         self.address = None
         self.beat = None
@@ -129,6 +138,7 @@
 
     async def serve(self, reader, writer):
         first = b""
+        self.writers.add(writer)
         try:
             while (request := await read_head(reader, first)) is not None:
                 first = b""
@@ -140,31 +150,25 @@
                     continue
                 work = asyncio.create_task(self.answer(request, writer))
                 # The run is dropped when the connection closes.
-                closed = asyncio.create_task(reader.read(1))
+                ahead = asyncio.create_task(read_ahead(reader))
                 done, _ = await asyncio.wait(
-                    {work, closed}, return_when=asyncio.FIRST_COMPLETED
+                    {work, ahead}, return_when=asyncio.FIRST_COMPLETED
                 )
+                ahead.cancel()
                 if work not in done:
                     work.cancel()
-                    closed.exception()
                     return
                 if work.result() is False:
-                    closed.cancel()
-                    await asyncio.gather(closed, return_exceptions=True)
                     return
-                if not closed.done():
-                    closed.cancel()
-                await asyncio.wait({closed})
-                if not closed.cancelled():
-                    if closed.exception() is not None:
-                        return
-                    # The first byte of the next request, or the end.
-                    first = closed.result()
+                await asyncio.wait({ahead})
+                if not ahead.cancelled():
+                    first = ahead.result()
                     if not first:
                         return
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request, writer):
@@ -235,6 +239,12 @@
     def reset(self, writer):
         reset(writer)
 
+    def stop(self):
+        """End like a process that exits: close all connections."""
+        self.server.close()
+        for writer in list(self.writers):
+            reset(writer)
+
 
 def describe(document):
     """Return a document as one line of JSON."""
