--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """A worker that was frozen gives up items of a route that is new to it."""
 
 import asyncio
+import os
 from pathlib import Path
 import secrets
 import sys
@@ -120,4 +121,10 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).resolve().parent, case))
+    sys.exit(
+        run_case(
+            Path(__file__).resolve().parent,
+            case,
+            has_trouble=os.environ.get("TROUBLE", "1") != "0",
+        )
+    )
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """Events before a wrong one are lost when the stream moves on."""
 
 import asyncio
+import os
 from pathlib import Path
 import sys
 
@@ -127,4 +128,10 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).resolve().parent, case))
+    sys.exit(
+        run_case(
+            Path(__file__).resolve().parent,
+            case,
+            has_trouble=os.environ.get("TROUBLE", "1") != "0",
+        )
+    )
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -172,8 +172,8 @@
         Broken rules.
     """
 
-    def __init__(self, *, folder, temporary):
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, *, folder, temporary, has_trouble):
+        self.has_trouble = has_trouble
         self.started_at = time.monotonic()
         self.file = open(folder / "record.txt", "w", encoding="utf-8")
         self.folder = temporary
@@ -386,7 +386,7 @@
         return results
 
 
-def run_case(folder, case):
+def run_case(folder, case, *, has_trouble):
     """Run a case and return its exit code.
 
     Parameters
@@ -395,9 +395,13 @@
         Receives record.txt.
     case : coroutine function
         Called with the Deployment.
+    has_trouble : bool
+        False to run the case without its disruption.
     """
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
-    deployment = Deployment(folder=folder, temporary=temporary)
+    deployment = Deployment(
+        folder=folder, temporary=temporary, has_trouble=has_trouble
+    )
 
     async def run():
         await deployment.start_store()
