Give items up only on routes as new as their job

Cause: a worker follows configuration and jobs by independent watches. After a pause it can know a job whose route its copy of the configuration does not hold yet, and it stored the final result on that copy.

Change: a job state carries the revision of the store at which its job was created. A missing route counts as ended only if the copy of the configuration reflects that revision and is complete; otherwise the configuration is read anew. A configuration or route that cannot be read makes the copy incomplete: items wait, and requests without a route get 503 in place of 404.

Ruled out: a route missing in the store, a wrong owner of the items.

The stand-in's watch returned on changes of other keys, unlike the store's; it waits on now.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -62,6 +62,8 @@
     ----------
     routes : RouteTable or None
         The configuration in force.
+    has_unread_configuration : bool
+        True when the newest configuration cannot be read.
     draining_since : float or None
         Time at which the shutdown was requested, reactor seconds.
     site : ClientSite or None
@@ -85,6 +87,7 @@
         self.dialect = dialect
         self.metrics = metrics
         self.routes = None
+        self.has_unread_configuration = False
         self.draining_since = None
         self.read_metrics = None
         self.site = None
@@ -174,6 +177,18 @@
         """Version of the configuration in force, None without one."""
         return None if self.routes is None else self.routes.version
 
+    @property
+    def has_complete_routes(self):
+        """True when the routes are all those that the store is known to hold.
+
+        A request or item without a route is then known to have none.
+        """
+        return (
+            self.routes is not None
+            and self.routes.is_complete
+            and not self.has_unread_configuration
+        )
+
     @property
     def is_ready(self):
         """True when clients can be served."""
@@ -223,6 +238,7 @@
                 table = self.dialect.decode_configuration(entry)
             except ConfigurationInvalidError as error:
                 # The configuration in force stays in force.
+                self.has_unread_configuration = True
                 eliot.log_message(
                     "configuration:invalid",
                     revision=entry.revision,
@@ -233,6 +249,7 @@
             if table is None:
                 self.retirement.apply_order(entry)
                 continue
+            self.has_unread_configuration = False
             current = self.routes
             if current is not None and table.revision <= current.revision:
                 continue
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -126,7 +126,11 @@
                 identifier, entry, has_read_results=False
             )
             return
-        job_state = JobState(job=job, has_read_results=has_read_results)
+        job_state = JobState(
+            job=job,
+            revision=entry.revision,
+            has_read_results=has_read_results,
+        )
         for item in job.items:
             key = hash_parts(identifier, item.identifier)
             job_state.items[item.identifier] = ItemState(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -97,6 +97,8 @@
     Parameters
     ----------
     job : Job
+    revision : int
+        Revision of the store at which the job was created.
     has_read_results : bool
         True when the results in the store have been read.
 
@@ -115,6 +117,7 @@
 
     __slots__ = (
         "job",
+        "revision",
         "items",
         "is_ended",
         "has_read_results",
@@ -122,8 +125,9 @@
         "is_released",
     )
 
-    def __init__(self, *, job, has_read_results):
+    def __init__(self, *, job, revision, has_read_results):
         self.job = job
+        self.revision = revision
         self.items = {}
         self.is_ended = False
         self.has_read_results = has_read_results
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -70,7 +70,7 @@
 def finish_item(gateway, job):
     """Start to store the result of a job's item; return a Deferred."""
     state = ItemState(
-        job_state=JobState(job=job, has_read_results=True),
+        job_state=JobState(job=job, revision=1, has_read_results=True),
         item=job.items[0],
         key=1,
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota_machine.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota_machine.py
@@ -192,7 +192,7 @@
         job = self.draw_stored_job(data)
         item = data.draw(st.sampled_from(job.items))
         state = ItemState(
-            job_state=JobState(job=job, has_read_results=True),
+            job_state=JobState(job=job, revision=1, has_read_results=True),
             item=item,
             key=1,
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hollyspan_core.errors import ConfigurationInvalidError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
@@ -374,7 +375,79 @@
 ):
     gateway = build_worker()
     gateway.routes = helpers.build_table([])
+    gateway.configuration_mirror.start()
     submit()
+    reactor.advance(0.2)
+    assert list_results(wire) == {"j0": (False, b"")}
+
+
+@pytest.fixture
+def build_watching_worker(build_worker, batch_route, helpers, wire):
+    """Return a function that starts a worker that watches its routes.
+
+    The configuration in the store is ``routes`` with the batch route,
+    ``none`` without routes, or one that cannot be read.
+    """
+
+    def decode(entry):
+        content = entry.content.decode()
+        if content not in ("routes", "none"):
+            raise ConfigurationInvalidError("unreadable")
+        routes = [batch_route] if content == "routes" else []
+        return helpers.build_table(routes, revision=entry.revision)
+
+    def build():
+        wire.change({"configuration": bytes(16) + b"none"})
+        gateway = build_worker()
+        gateway.routes = None
+        gateway.dialect.decode_configuration = decode
+        gateway.configuration_mirror.start()
+        return gateway
+
+    return build
+
+
+# Failure: a worker that has not read a new route yet gave its items up.
+def test_items_wait_for_a_route_that_is_newer_than_the_workers_copy(
+    build_watching_worker, submit, wire, reactor, helpers
+):
+    gateway = build_watching_worker()
+    gateway.configuration_mirror.stop()
+    wire.change({"configuration": bytes(16) + b"routes"})
+    submit()
+    reactor.advance(1.0)
+    assert list_results(wire) == {}
+    gateway.configuration_mirror.is_stopped = False
+    gateway.configuration_mirror.start()
+    reactor.advance(1.0)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 2))
+    assert list_results(wire) == {"j0": (True, b"t1\nt2")}
+
+
+def test_items_whose_route_has_ended_are_given_up_after_a_single_read(
+    build_watching_worker, submit, wire, reactor
+):
+    build_watching_worker()
+    listings = wire.calls.count("read_page")
+    submit(3)
+    reactor.advance(1.0)
+    assert list_results(wire) == dict.fromkeys(
+        ("j0", "j1", "j2"), (False, b"")
+    )
+    assert wire.calls.count("read_page") == listings + 1
+
+
+# Failure: items of a route that only a newer build can read are given up.
+def test_items_wait_while_the_newest_configuration_cannot_be_read(
+    build_watching_worker, submit, wire, reactor
+):
+    build_watching_worker()
+    wire.change({"configuration": bytes(16) + b"from a newer build"})
+    submit()
+    reactor.pump([0.2] * 20)
+    assert list_results(wire) == {}
+    wire.change({"configuration": bytes(16) + b"none"})
+    reactor.pump([0.2] * 5)
     assert list_results(wire) == {"j0": (False, b"")}
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -4,6 +4,7 @@
 from twisted.internet import defer
 
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_policy.batch import has_route_ended
 from hollyspan_policy.batch import rank_item
 from hollyspan_policy.batch import RunTimeEstimator
 from hollyspan_policy.ownership import choose_owner
@@ -229,7 +230,7 @@
         route = self.gateway.routes.find(job.host, state.item.path)
         now = self.gateway.wall_clock()
         if route is None or route.kind is not RouteKind.BATCH:
-            self.give_up(state, "no batch route for the item")
+            self.handle_missing_route(state)
             return
         if now >= job.retained_until + MAX_CLOCK_SKEW_S:
             self.give_up(state, "the job's retention time is over")
@@ -264,6 +265,25 @@
         )
         state.run.start().addBoth(self.finish_run, state)
 
+    def handle_missing_route(self, state):
+        """Give an item up if its route has ended, or read the routes anew."""
+        accepted_at = state.job_state.revision
+        if has_route_ended(
+            accepted_at=accepted_at,
+            read_up_to=self.gateway.configuration_mirror.revision,
+            is_complete=self.gateway.has_complete_routes,
+        ):
+            self.give_up(state, "no batch route for the item")
+            return
+        if self.gateway.configuration_mirror.refresh():
+            eliot.log_message(
+                "item:route_unknown",
+                job=state.job_state.job.identifier,
+                item=state.item.identifier,
+                accepted_at=accepted_at,
+                configuration=self.gateway.configuration_version,
+            )
+
     def give_up(self, state, reason):
         eliot.log_message(
             "item:given_up",
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -107,6 +107,11 @@
                 outcome=Outcome.NOT_RUN,
             )
         route = table.find(head.host, head.path)
+        if route is None and not self.gateway.has_complete_routes:
+            raise ConfigurationMissingError(
+                "the newest configuration cannot be read",
+                outcome=Outcome.NOT_RUN,
+            )
         if route is None:
             raise RouteNotFoundError("no route for this host and path")
         if not head.identifier:
--- a/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/routes/table.py
@@ -21,15 +21,34 @@
     limits : Limits
     services : frozenset of str
         Names of the services in the configuration.
+    is_complete : bool, optional
+        False if the configuration has routes that cannot be read.
     """
 
-    __slots__ = ("version", "revision", "limits", "services", "by_host")
-
-    def __init__(self, *, version, revision, routes, limits, services):
+    __slots__ = (
+        "version",
+        "revision",
+        "limits",
+        "services",
+        "is_complete",
+        "by_host",
+    )
+
+    def __init__(
+        self,
+        *,
+        version,
+        revision,
+        routes,
+        limits,
+        services,
+        is_complete=True,
+    ):
         self.version = version
         self.revision = revision
         self.limits = limits
         self.services = services
+        self.is_complete = is_complete
         self.by_host = {}
         for route in routes:
             self.by_host.setdefault(route.host, {})[route.prefix] = route
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -103,11 +103,18 @@
             self.follower.cancel()
 
     def refresh(self):
-        """Cancel the watch and read all entries; a peer has newer ones."""
+        """Cancel the watch and read all entries, since there are newer ones.
+
+        Returns
+        -------
+        bool
+            False if they are to be read anyway.
+        """
         if self.needs_listing or self.is_stopped:
-            return
+            return False
         self.needs_listing = True
         self.follower.cancel()
+        return True
 
     def apply_snapshot(self, page, *, connected_seconds=None):
         """Replace the entries by a peer's snapshot if it is newer.
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -5,6 +5,7 @@
 from .baselines import allow_fixed
 from .baselines import allow_none
 from .baselines import BATCH_POLICIES
+from .ended_route import has_route_ended
 from .headroom import compute_quantile_level
 from .headroom import split_reserve
 from .online_load import OnlineLoad
@@ -42,6 +43,7 @@
     "count_turn_slots",
     "count_excess",
     "count_free_slots",
+    "has_route_ended",
     "rank_item",
     "split_reserve",
 ]
--- a/packages/hollyspan_standins/hollyspan_standins/memory/wire.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/wire.py
@@ -85,10 +85,16 @@
         self.check("watch")
         if after < self.compacted_revision:
             raise StoreHistoryLostError("compacted")
-        if not self.find_events(prefix, after):
+        end = self.reactor.seconds() + seconds
+        while (
+            not self.find_events(prefix, after)
+            and self.reactor.seconds() < end
+        ):
             changed = defer.Deferred()
             self.waiting.append(changed)
-            call = self.reactor.callLater(seconds, self.wake, changed)
+            call = self.reactor.callLater(
+                end - self.reactor.seconds(), self.wake, changed
+            )
             await changed
             if call.active():
                 call.cancel()
