Forward the sound events that come together with wrong bytes

Cause: the splitter moved its last identifier with each event that it checked and raised at a malformed one, so the sound events of the same read were counted and never returned. The stream then went on elsewhere behind events that its client had not received.

Change: the splitter returns the sound events before the first malformed one, counts these alone and keeps the error; relay and hop raise it after they have forwarded the events and noted their version. An event without an identifier, or with one of more than 12 digits, is malformed.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/delivery.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/delivery.py
@@ -70,7 +70,7 @@
         """Discard received data that was not sent to the client."""
         self.parts = []
         self.buffered_bytes = 0
-        self.splitter.remainder = b""
+        self.splitter.discard_rest()
 
     def buffer(self, data):
         """Buffer a part of an answer that is sent as a whole.
@@ -91,6 +91,8 @@
     def forward_events(self, data, reply):
         """Forward the events that are complete.
 
+        What follows them may be malformed, see `require_sound`.
+
         Parameters
         ----------
         data : bytes
@@ -111,6 +113,16 @@
                 self.request.write(complete)
         return self.splitter.count - before
 
+    def require_sound(self):
+        """Raise an error if the bytes behind the last event are malformed.
+
+        Raises
+        ------
+        StreamMalformedError
+        """
+        if self.splitter.error is not None:
+            raise self.splitter.error
+
     def begin(self, reply):
         """Send the head of a stream unless it was sent before."""
         if not self.has_begun:
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/events.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/events.py
@@ -6,7 +6,10 @@
 
 # Far above the size of an event with one piece of text.
 MAX_EVENT_BYTES = 1_000_000
+MAX_ID_DIGITS = 12
 ID_PREFIX = b"id:"
+COMMENT_PREFIX = b":"
+SEPARATOR = b"\n\n"
 
 
 class EventSplitter:
@@ -23,14 +26,23 @@
     last_id : int or None
     count : int
         Number of events returned.
+    error : StreamMalformedError or None
+        What is wrong with the bytes behind the events returned: an event is
+        missing, repeated, too large or without an identifier.
     """
 
-    __slots__ = ("last_id", "remainder", "count")
+    __slots__ = ("last_id", "remainder", "count", "error")
 
     def __init__(self, *, last_id=None):
         self.last_id = last_id
         self.remainder = b""
         self.count = 0
+        self.error = None
+
+    def discard_rest(self):
+        """Discard what follows the events returned, and its error."""
+        self.remainder = b""
+        self.error = None
 
     def feed(self, data):
         """Add received bytes and return the events that they complete.
@@ -42,40 +54,61 @@
         Returns
         -------
         bytes
-
-        Raises
-        ------
-        StreamMalformedError
-            An event is missing, repeated or too large.
+            The events before the first malformed one, see `error`.
         """
-        data = self.remainder + data
-        end = data.rfind(b"\n\n") + 2
-        if end < 2:
-            self.remainder = data
-            self.check_size()
+        if self.error is not None:
             return b""
-        complete, self.remainder = data[:end], data[end:]
-        self.check_size()
-        for event in complete[:-2].split(b"\n\n"):
-            self.check_event(event)
-        return complete
-
-    def check_size(self):
-        if len(self.remainder) > MAX_EVENT_BYTES:
-            raise StreamMalformedError(
-                f"an event exceeds {MAX_EVENT_BYTES} bytes"
-            )
-
-    def check_event(self, event):
-        self.count += 1
-        number = parse_event_id(event)
-        if number is None:
-            return
-        if self.last_id is not None and number != self.last_id + 1:
-            raise StreamMalformedError(
-                f"event {number} follows event {self.last_id}"
-            )
-        self.last_id = number
+        *events, self.remainder = (self.remainder + data).split(SEPARATOR)
+        sound_count = len(events)
+        try:
+            for index, event in enumerate(events):
+                sound_count = index
+                self.last_id = find_next_id(event, last_id=self.last_id)
+                sound_count = index + 1
+            check_size(self.remainder)
+        except StreamMalformedError as error:
+            self.error = error
+            self.remainder = b""
+        self.count += sound_count
+        return b"".join(event + SEPARATOR for event in events[:sound_count])
+
+
+def check_size(event):
+    if len(event) > MAX_EVENT_BYTES:
+        raise StreamMalformedError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+
+
+def find_next_id(event, *, last_id):
+    """Return the identifier of the last event once this one is returned.
+
+    Parameters
+    ----------
+    event : bytes
+    last_id : int or None
+        Identifier of the event before; None to accept any.
+
+    Raises
+    ------
+    StreamMalformedError
+        The event does not follow.
+    """
+    check_size(event)
+    number = parse_event_id(event)
+    if number is None:
+        if not is_comment(event):
+            raise StreamMalformedError("an event has no id")
+        return last_id
+    if last_id is not None and number != last_id + 1:
+        raise StreamMalformedError(f"event {number} follows event {last_id}")
+    return number
+
+
+def is_comment(event):
+    """Return whether an event has no fields."""
+    return all(
+        not line or line.startswith(COMMENT_PREFIX)
+        for line in event.split(b"\n")
+    )
 
 
 def parse_event_id(event):
@@ -83,7 +116,7 @@
     for line in event.split(b"\n"):
         if line.startswith(ID_PREFIX):
             value = line[len(ID_PREFIX) :].strip()
-            if not value.isdigit():
+            if not value.isdigit() or len(value) > MAX_ID_DIGITS:
                 raise StreamMalformedError("the id of an event is no number")
             return int(value)
     return None
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -157,6 +157,7 @@
             relay.gateway.metrics.events += events
             if events and relay.version is None:
                 relay.version = self.version
+            relay.delivery.require_sound()
         else:
             relay.delivery.buffer(data)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -385,6 +385,7 @@
             self.gateway.metrics.events += events
             if events and self.version is None:
                 self.pin_version()
+            self.delivery.require_sound()
         else:
             self.delivery.buffer(data)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -105,6 +105,51 @@
     assert find_error(relay).code == "stream_lost"
 
 
+# Failure: events that came together with wrong bytes were missing in a stream
+# that went on elsewhere and ended as complete.
+def test_events_before_wrong_bytes_are_forwarded_and_the_stream_goes_on(
+    start, gateway, helpers
+):
+    relay = start()
+    first = gateway.pool.last
+    first.answer(
+        200,
+        body=helpers.build_events(1, 3) + b"id: x\ndata: wrong\n\n",
+        is_complete=False,
+    )
+    assert first.is_cancelled
+    assert relay.request.written == helpers.build_events(1, 3)
+    second = gateway.pool.last
+    assert second.headers[b"resume"] == b"3"
+    second.answer(200, body=helpers.build_events(4, 5))
+    assert relay.request.written == helpers.build_events(1, 5)
+    assert relay.request.is_ended
+
+
+# Failure: the same where the wrong bytes come with the first event, whose
+# version the stream has to keep.
+def test_a_stream_keeps_its_version_if_wrong_bytes_follow_its_first_event(
+    start, gateway, helpers
+):
+    gateway.directory.update(
+        {
+            name: helpers.build_entry(name, port=port, version=version)
+            for port, (name, version) in enumerate(
+                [("u1", "v1"), ("u2", "v2"), ("u3", "v1"), ("u4", "v2")], 1
+            )
+        }
+    )
+    relay = start()
+    first = gateway.pool.last
+    version = relay.upstream.entry.version
+    first.answer(
+        200, body=helpers.build_events(1, 1) + b"wrong\n\n", is_complete=False
+    )
+    assert gateway.pool.last is not first
+    assert relay.upstream.entry.version == version
+    assert relay.request.written == helpers.build_events(1, 1)
+
+
 def test_a_stream_that_ends_within_an_event_fails(start, gateway, helpers):
     relay = start(max_attempts=1)
     gateway.pool.last.answer(200, body=helpers.build_events(1, 2)[:-2])
