Take an answer only for the request that it names

Cause: an answer without an identifier was taken as the answer to whichever request waited, and one that named another request ended the attempt though the awaited answer followed. An item that is sent again on the connection of its failed run could not be told from a late copy of that failure.

Change: http1 checks each answer of an upstream against the request that waits. One without an identifier counts on a connection that has carried no other request only. One that names another request is read past, up to three in a row, and the awaited answer behind it is delivered. A request is not sent over a connection that has carried the same identifier. A hop looks at what a peer tells of a departure after it knows the answer to be its own.

The check moved from the relay and the items' runs into the attempt, where it sees the connection.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -43,6 +43,7 @@
 from .store import StoreReplyLostError
 from .store import StoreUnavailableError
 from .store import StoreValueTooLargeError
+from .upstream import AnswerMisplacedError
 from .upstream import StreamCancelledError
 from .upstream import StreamLostError
 from .upstream import StreamMalformedError
@@ -54,6 +55,7 @@
 from .upstream import UpstreamUnreachableError
 
 __all__ = [
+    "AnswerMisplacedError",
     "AuthenticationError",
     "BatchNotFoundError",
     "BatchStateError",
--- a/packages/hollyspan_core/hollyspan_core/errors/upstream.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/upstream.py
@@ -4,6 +4,7 @@
 from .base import Outcome
 
 __all__ = [
+    "AnswerMisplacedError",
     "StreamCancelledError",
     "StreamLostError",
     "StreamMalformedError",
@@ -95,6 +96,14 @@
     code = "stream_malformed"
 
 
+class AnswerMisplacedError(StreamMalformedError):
+    """An answer came that belongs to another request."""
+
+    status = 502
+    kind = "server_error"
+    code = "answer_misplaced"
+
+
 class UpstreamAnswerError(HollyspanError):
     """The upstream answered with an error.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
@@ -4,6 +4,7 @@
 from .connection import ClientConnection
 from .connection import connect
 from .exchange import Exchange
+from .identity import check_answer_identity
 from .internal_error import answer_internal_error
 from .pool import ConnectionPool
 
@@ -12,6 +13,7 @@
     "ConnectionPool",
     "Exchange",
     "answer_internal_error",
+    "check_answer_identity",
     "connect",
     "run_attempt",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -1,11 +1,14 @@
 """A single attempt to send a request to an upstream."""
 
+import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import AnswerMisplacedError
 from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import StreamStalledError
 
 from .exchange import Exchange
+from .identity import check_answer_identity
 
 __all__ = ["run_attempt"]
 
@@ -27,6 +30,8 @@
     pause_timeout=None,
     may_abandon=None,
     on_start=None,
+    identifier=None,
+    read_identifier=None,
 ):
     """Send a request once and report its answer as it arrives.
 
@@ -51,6 +56,11 @@
     on_start : callable, optional
         Called, before the request is sent, with a function that aborts the
         attempt with a HollyspanError.
+    identifier : str, optional
+        Identifier of the request.
+    read_identifier : callable, optional
+        Returns the identifier of a request in the headers of its answer, or
+        None. Without it any answer is accepted.
 
     Returns
     -------
@@ -67,7 +77,7 @@
     Cancelling the wait closes the connection, which ends the work at the
     upstream.
     """
-    connection = await pool.acquire(address)
+    connection = await pool.acquire(address, identifier=identifier)
     done = defer.Deferred()
     stall = StallTimer(reactor=pool.reactor, seconds=first_byte_timeout)
 
@@ -90,6 +100,26 @@
 
         return call
 
+    def handle_head(status, headers):
+        if read_identifier is not None:
+            try:
+                check_answer_identity(
+                    read_identifier(headers),
+                    identifier,
+                    is_first=connection.is_first_request,
+                )
+            except AnswerMisplacedError:
+                if not connection.skip_answer():
+                    raise
+                eliot.log_message(
+                    "answer:skipped",
+                    request=identifier,
+                    answers=read_identifier(headers),
+                    status=status,
+                )
+                return
+        on_reply(status, headers)
+
     def handle_data(data):
         stall.restart(pause_timeout)
         on_data(data)
@@ -106,10 +136,11 @@
         target=target,
         headers=headers,
         body=body,
-        on_head=guard(on_reply),
+        on_head=guard(handle_head),
         on_data=guard(handle_data),
         on_end=lambda: end(None),
         on_failure=end,
+        identifier=identifier,
     )
     if on_start is not None:
         on_start(abort)
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -1,5 +1,6 @@
 """Persistent HTTP/1.1 client connection."""
 
+import collections
 import socket
 
 import h11
@@ -26,6 +27,12 @@
 # reused, since the peer may be closing it; several times the longest round
 # trip.
 IDLE_MARGIN_S = 0.5
+# Identifiers of requests that a connection remembers: those of far more
+# seconds than pass until a request comes again.
+REMEMBERED_IDENTIFIERS = 32
+# Limits on the answers to other requests that are read past.
+MAX_SKIPPED_ANSWERS = 3
+MAX_SKIPPED_BYTES = 1_000_000
 
 
 def connect(reactor, host, port, *, timeout, source_ip=None):
@@ -98,6 +105,8 @@
     usable_until : float or None
         Time after which the connection is not reused, since the peer may
         close it as idle, reactor seconds.
+    is_first_request : bool
+        True while the connection has carried at most one request.
     """
 
     def __init__(self, *, reactor, opened):
@@ -110,6 +119,11 @@
         self.usable_until = None
         self.idle_seconds = None
         self.is_lost = False
+        self.identifiers = collections.deque(maxlen=REMEMBERED_IDENTIFIERS)
+        self.is_first_request = True
+        self.is_skipping = False
+        self.skipped_answers = 0
+        self.skipped_bytes = 0
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -126,7 +140,14 @@
         ----------
         exchange : Exchange
         """
+        self.is_first_request = not self.identifiers
+        self.identifiers.append(exchange.identifier)
+        self.skipped_answers = self.skipped_bytes = 0
         self.exchange = exchange
+        self.transport.write(self.encode_request(exchange))
+
+    def encode_request(self, exchange):
+        """Return the bytes of a request, whose answer the parser awaits."""
         headers = list(exchange.headers)
         headers.append((b"Content-Length", b"%d" % len(exchange.body)))
         head = h11.Request(
@@ -135,8 +156,27 @@
         content = self.parser.send(head)
         if exchange.body:
             content += self.parser.send(h11.Data(data=exchange.body))
-        content += self.parser.send(h11.EndOfMessage())
-        self.transport.write(content)
+        return content + self.parser.send(h11.EndOfMessage())
+
+    def has_carried(self, identifier):
+        """Return whether a request was sent here before, None for no one."""
+        return identifier is not None and identifier in self.identifiers
+
+    def skip_answer(self):
+        """Read past an answer whose head names another request.
+
+        Returns
+        -------
+        bool
+            False if the awaited answer cannot be expected to follow.
+        """
+        if self.is_first_request or (
+            self.skipped_answers >= MAX_SKIPPED_ANSWERS
+        ):
+            return False
+        self.skipped_answers += 1
+        self.is_skipping = True
+        return True
 
     def dataReceived(self, data):
         if self.exchange is None:
@@ -160,7 +200,9 @@
             self.fail(StreamMalformedError(f"malformed answer: {fault}"))
 
     def handle_event(self, event):
-        if isinstance(event, h11.Data):
+        if self.is_skipping:
+            self.skip_event(event)
+        elif isinstance(event, h11.Data):
             self.exchange.on_data(bytes(event.data))
         elif isinstance(event, h11.Response):
             self.idle_seconds = parse_keep_alive_timeout(event.headers)
@@ -168,6 +210,32 @@
         elif isinstance(event, h11.EndOfMessage):
             self.finish()
 
+    def skip_event(self, event):
+        """Read past a part of an answer, and await the next one behind it."""
+        if isinstance(event, h11.Data):
+            self.skipped_bytes += len(event.data)
+            if self.skipped_bytes > MAX_SKIPPED_BYTES:
+                self.fail(
+                    StreamMalformedError(
+                        "an answer to another request exceeds "
+                        f"{MAX_SKIPPED_BYTES} bytes"
+                    )
+                )
+        elif isinstance(event, h11.EndOfMessage):
+            self.is_skipping = False
+            trailing, is_closed = self.parser.trailing_data
+            if is_closed or self.parser.their_state is not h11.DONE:
+                self.fail(
+                    StreamLostError(
+                        "connection closed behind an answer to another request"
+                    )
+                )
+                return
+            self.parser = h11.Connection(h11.CLIENT)
+            self.encode_request(self.exchange)
+            if trailing:
+                self.parser.receive_data(trailing)
+
     def finish(self):
         exchange, self.exchange = self.exchange, None
         trailing, is_closed = self.parser.trailing_data
@@ -191,6 +259,7 @@
     def cancel(self):
         """Cancel the request and close the connection."""
         self.exchange = None
+        self.is_skipping = False
         self.abort()
 
     def abort(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/exchange.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/exchange.py
@@ -21,6 +21,8 @@
         Called once without arguments when the answer is complete.
     on_failure : callable
         Called once with a HollyspanError when the answer cannot be completed.
+    identifier : str, optional
+        Identifier of the request, which its answer repeats.
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         "on_data",
         "on_end",
         "on_failure",
+        "identifier",
     )
 
     def __init__(
@@ -45,6 +48,7 @@
         on_data,
         on_end,
         on_failure,
+        identifier=None,
     ):
         self.method = method
         self.target = target
@@ -54,3 +58,4 @@
         self.on_data = on_data
         self.on_end = on_end
         self.on_failure = on_failure
+        self.identifier = identifier
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -35,7 +35,9 @@
         self.opened = 0
         self.on_open = lambda address: None
 
-    async def acquire(self, address, *, timeout=CONNECT_TIMEOUT_S):
+    async def acquire(
+        self, address, *, timeout=CONNECT_TIMEOUT_S, identifier=None
+    ):
         """Return a connection to an address, an idle one if available.
 
         Parameters
@@ -44,6 +46,10 @@
             IP address and port.
         timeout : float, optional
             Timeout in seconds for a new connection.
+        identifier : str, optional
+            Identifier of the request. A connection that has carried it before
+            is not returned, since a late copy of that answer could not be
+            told from the answer to this request.
 
         Returns
         -------
@@ -55,11 +61,13 @@
             No connection could be established; the outcome is ``not_run``.
         """
         connections = self.idle.get(address, [])
-        while connections:
-            connection = connections.pop()
-            if connection.is_usable():
+        for connection in reversed(list(connections)):
+            if not connection.is_usable():
+                connections.remove(connection)
+                connection.abort()
+            elif not connection.has_carried(identifier):
+                connections.remove(connection)
                 return connection
-            connection.abort()
         return await self.open(address, timeout=timeout)
 
     async def open_idle(self, address):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -13,7 +13,6 @@
 from ..http1 import run_attempt
 from ..online.head import format_parts
 from ..online.head import RequestHead
-from ..online.reply import check_identifier
 from .item import ItemResult
 
 __all__ = ["ItemRun"]
@@ -145,6 +144,8 @@
                     first_byte_timeout=STALL_TIMEOUT_S,
                     pause_timeout=STALL_TIMEOUT_S,
                     on_start=self.exposure.set_abort,
+                    identifier=self.state.item.identifier,
+                    read_identifier=self.gateway.dialect.read_identifier,
                 )
             if error is None:
                 error = await check_undelimited_end(
@@ -161,7 +162,6 @@
     def handle_reply(self, status, headers):
         self.gateway.reach.note_data(self.upstream)
         reply = self.gateway.dialect.decode_reply(status, headers)
-        check_identifier(reply, self.state.item.identifier)
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -2,6 +2,7 @@
 
 import eliot
 
+from hollyspan_core.errors import AnswerMisplacedError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import PeerUnavailableError
 from hollyspan_core.errors import StreamLostError
@@ -14,7 +15,6 @@
 from .forwarded import ForwardedOptions
 from .forwarded import LEAVING_HEADER
 from .forwarded import VERSION_HEADER
-from .reply import check_identifier
 
 __all__ = ["Hop"]
 
@@ -133,6 +133,11 @@
         return not self.peer.is_live(self.relay.gateway.reactor.seconds())
 
     def handle_reply(self, status, headers):
+        dialect = self.relay.gateway.dialect
+        # A failure of the peer itself names no request.
+        found = dialect.read_identifier(headers)
+        if found not in (None, self.relay.head.identifier):
+            raise AnswerMisplacedError("the answer belongs to another request")
         values = dict(headers)
         self.has_failed = FAILURE_HEADER in values
         if VERSION_HEADER in values:
@@ -141,12 +146,10 @@
             self.relay.gateway.directory.note_reported_departure(
                 int(values[LEAVING_HEADER], 16)
             )
-        reply = self.relay.gateway.dialect.decode_reply(
+        self.relay.reply = dialect.decode_reply(
             status,
             [each for each in headers if each[0] not in INTERNAL_HEADERS],
         )
-        check_identifier(reply, self.relay.head.identifier)
-        self.relay.reply = reply
 
     def handle_data(self, data):
         relay = self.relay
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -24,7 +24,6 @@
 from .hop import Hop
 from .origin import find_origin
 from .origin import find_service
-from .reply import check_identifier
 
 __all__ = ["Relay"]
 
@@ -318,6 +317,8 @@
                     ),
                     may_abandon=self.may_abandon,
                     on_start=self.exposure.set_abort,
+                    identifier=self.head.identifier,
+                    read_identifier=self.gateway.dialect.read_identifier,
                 )
             except UpstreamUnavailableError as unsent:
                 error = unsent
@@ -362,7 +363,6 @@
         """Decode the head of an answer and record the reported load."""
         reply = self.gateway.dialect.decode_reply(status, headers)
         self.gateway.reach.note_data(self.upstream)
-        check_identifier(reply, self.head.identifier)
         if self.is_forwarded and not self.delivery.has_begun:
             self.set_headers_for_peer(reply)
         self.gateway.placement.note_reply(self.upstream, reply)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -1,8 +1,6 @@
 """Head of an upstream's answer."""
 
-from hollyspan_core.errors import StreamMalformedError
-
-__all__ = ["UpstreamReply", "check_identifier"]
+__all__ = ["UpstreamReply"]
 
 
 class UpstreamReply:
@@ -11,8 +9,6 @@
     Parameters
     ----------
     status : int
-    identifier : str or None
-        Identifier of the request that the answer belongs to.
     has_not_run : bool
         True when the upstream states that it has not run the request and
         will not.
@@ -38,7 +34,6 @@
 
     __slots__ = (
         "status",
-        "identifier",
         "has_not_run",
         "is_misdirected",
         "is_ambiguous",
@@ -53,7 +48,6 @@
         self,
         *,
         status,
-        identifier,
         has_not_run,
         is_misdirected,
         is_ambiguous,
@@ -64,7 +58,6 @@
         headers,
     ):
         self.status = status
-        self.identifier = identifier
         self.has_not_run = has_not_run
         self.is_misdirected = is_misdirected
         self.is_ambiguous = is_ambiguous
@@ -78,9 +71,3 @@
     def is_success(self):
         """True for a status of 2xx."""
         return 200 <= self.status < 300
-
-
-def check_identifier(reply, identifier):
-    """Raise StreamMalformedError for an answer to another request."""
-    if reply.identifier not in (None, identifier):
-        raise StreamMalformedError("the answer belongs to another request")
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -76,14 +76,17 @@
             int(value) for name, value in item.headers if name == "part"
         )
 
+    @staticmethod
+    def read_identifier(headers):
+        value = dict(headers).get(b"id")
+        return None if value is None else value.decode()
+
     @staticmethod
     def decode_reply(status, headers):
         values = dict(headers)
-        identifier = values.get(b"id")
         load = values.get(b"load")
         return UpstreamReply(
             status=status,
-            identifier=identifier and identifier.decode(),
             has_not_run=b"not-run" in values,
             is_misdirected=status == 421,
             is_ambiguous=status == 503 and b"not-run" not in values,
--- a/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
@@ -41,7 +41,9 @@
         self.on_send = lambda connection: None
         self.on_open = lambda address: None
 
-    async def acquire(self, address, *, timeout=CONNECT_TIMEOUT_S):
+    async def acquire(
+        self, address, *, timeout=CONNECT_TIMEOUT_S, identifier=None
+    ):
         if self.idle[address] and address not in self.unreachable:
             self.idle[address] -= 1
         else:
@@ -83,6 +85,7 @@
         self.address = address
         self.exchange = None
         self.is_cancelled = False
+        self.is_first_request = True
         self.on_cancel = lambda: None
 
     def send(self, exchange):
@@ -90,6 +93,9 @@
         self.pool.sent.append(self)
         self.pool.on_send(self)
 
+    def skip_answer(self):
+        return False
+
     def cancel(self):
         self.is_cancelled = True
         self.on_cancel()
