Read documents of other programs so that a bad one stops nothing else

Cause: json.loads raises RecursionError, which no decoder expected, so that the whole list was not applied, at each change anew.

A mirror whose entries could not be applied reads them again. A request that HTTP does not allow to be sent is answered 400.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -6,6 +6,7 @@
 from .configuration import ConfigurationInvalidError
 from .configuration import ConfigurationMissingError
 from .configuration import SettingsInvalidError
+from .document import DocumentInvalidError
 from .instances import InstanceListError
 from .peer import PeerAnswerError
 from .peer import PeerAuthenticationError
@@ -37,6 +38,7 @@
 from .request import ServiceNotFoundError
 from .request import StreamVersionError
 from .store import LeaseLostError
+from .store import RecordUnreadableError
 from .store import StoreConflictError
 from .store import StoreHistoryLostError
 from .store import StoreKeyExistsError
@@ -64,6 +66,7 @@
     "ConfigurationInvalidError",
     "ConfigurationMissingError",
     "DeadlineError",
+    "DocumentInvalidError",
     "DrainingError",
     "DuplicateItemError",
     "FileInUseError",
@@ -89,6 +92,7 @@
     "PeerUnavailableError",
     "PeerUnknownError",
     "RateLimitError",
+    "RecordUnreadableError",
     "RouteNotFoundError",
     "ServiceNotFoundError",
     "SettingsInvalidError",
--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "LeaseLostError",
+    "RecordUnreadableError",
     "StoreConflictError",
     "StoreHistoryLostError",
     "StoreKeyExistsError",
@@ -70,6 +71,14 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class RecordUnreadableError(HollyspanError):
+    """A record in the store cannot be read, as one of a newer build."""
+
+    status = 503
+    kind = "server_error"
+    code = "record_unreadable"
+
+
 class StoreHistoryLostError(HollyspanError):
     """The store no longer retains the changes after a revision."""
 
--- a/packages/hollyspan_entry/hollyspan_entry/jobs/results/results.py
+++ b/packages/hollyspan_entry/hollyspan_entry/jobs/results/results.py
@@ -78,7 +78,7 @@
         return None
     try:
         body = json.loads(error.body[:MAX_ERROR_BODY_BYTES])
-    except ValueError:
+    except (ValueError, RecursionError):
         body = None
     return {
         "status_code": status,
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -5,6 +5,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.documents import parse_document
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.ownership import choose_owner
@@ -129,11 +130,16 @@
         stored = {}
         for key, entry in mirror.entries.items():
             try:
-                content = json.loads(entry.content)
+                content = parse_document(entry.content)
                 keys = frozenset(int(each) for each in content["parts"])
                 age = self.gateway.wall_clock() - float(content["blocked_at"])
                 failed_trials = int(content["failed_trials"])
-            except (ValueError, LookupError, TypeError) as error:
+            except (
+                ArithmeticError,
+                LookupError,
+                TypeError,
+                ValueError,
+            ) as error:
                 eliot.log_message(
                     "part:unreadable_record", key=key, reason=repr(error)
                 )
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -245,9 +245,14 @@
         gateway.stream_versions.note_first_start()
     members = {}
     for entry in page.entries:
-        host, _, port = entry.content.decode().rpartition(":")
         name = entry.key.removeprefix(MEMBERS_PREFIX)
-        members[name] = (host, int(port))
+        try:
+            host, _, port = entry.content.decode().rpartition(":")
+            members[name] = (host, int(port))
+        except ValueError as error:
+            eliot.log_message(
+                "member:unreadable", member=name, reason=repr(error)
+            )
     gateway.peers.add(members)
     eliot.log_message("member:registered", known=len(page.entries))
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -1,10 +1,12 @@
 """A single attempt to send a request to an upstream."""
 
 import eliot
+import h11
 from twisted.internet import defer
 
 from hollyspan_core.errors import AnswerMisplacedError
 from hollyspan_core.errors import HollyspanError
+from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import StreamStalledError
 
 from .exchange import Exchange
@@ -69,6 +71,8 @@
 
     Raises
     ------
+    InvalidRequestError
+        HTTP does not allow a part of the request; nothing was sent.
     UpstreamUnavailableError
         Nothing was sent.
 
@@ -144,7 +148,14 @@
     )
     if on_start is not None:
         on_start(abort)
-    connection.send(exchange)
+    try:
+        connection.send(exchange)
+    except h11.LocalProtocolError as error:
+        stall.stop()
+        connection.cancel()
+        raise InvalidRequestError(
+            f"the request cannot be sent: {error}"
+        ) from error
     try:
         return await done
     except defer.CancelledError:
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -8,6 +8,7 @@
 from twisted.internet import error
 from twisted.internet import protocol
 
+from hollyspan_core.documents import parse_integer
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamConnectionRefusedError
@@ -314,6 +315,6 @@
             continue
         for part in value.split(b","):
             key, _, number = part.strip().partition(b"=")
-            if key.lower() == b"timeout" and number.isdigit():
-                return int(number)
+            if key.lower() == b"timeout":
+                return parse_integer(number)
     return None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -3,6 +3,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import RecordUnreadableError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.hashing import hash_parts
 
@@ -115,17 +116,22 @@
                 self.ended.discard(identifier)
 
     async def load_job_state(self, identifier, entry, *, has_read_results):
-        try:
-            job = await read_record(self.gateway.store, identifier, entry)
-        except StoreUnavailableError as error:
-            eliot.log_message(
-                "job:unreadable", job=identifier, reason=error.message
-            )
-            await wait(self.gateway.reactor, READ_RETRY_DELAY_S)
-            await self.load_job_state(
-                identifier, entry, has_read_results=False
-            )
-            return
+        job = None
+        while job is None:
+            try:
+                job = await read_record(self.gateway.store, identifier, entry)
+            except StoreUnavailableError as error:
+                eliot.log_message(
+                    "job:unreadable", job=identifier, reason=error.message
+                )
+                await wait(self.gateway.reactor, READ_RETRY_DELAY_S)
+                has_read_results = False
+            except RecordUnreadableError as error:
+                # Its placeholder stays, so that it is not read again.
+                eliot.log_message(
+                    "job:unreadable", job=identifier, reason=error.message
+                )
+                return
         job_state = JobState(
             job=job,
             revision=entry.revision,
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/loading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/loading.py
@@ -1,5 +1,7 @@
 """Reading of jobs' records from the store."""
 
+from hollyspan_core.errors import RecordUnreadableError
+
 from .records import build_job_key
 from .records import decode_job
 from .records import list_part_keys
@@ -22,6 +24,7 @@
 
     Raises
     ------
+    RecordUnreadableError
     StoreUnavailableError
     """
     entry = await store.get(build_job_key(identifier))
@@ -43,10 +46,21 @@
     Returns
     -------
     Job
+
+    Raises
+    ------
+    RecordUnreadableError
+    StoreUnavailableError
     """
+    if not entry.content:
+        raise RecordUnreadableError(f"the record of job {identifier} is empty")
     count = entry.content[0]
     content = entry.content[1:]
     for key in list_part_keys(identifier, count):
         part = await store.get(key)
+        if part is None:
+            raise RecordUnreadableError(
+                f"a part of the record of job {identifier} is missing"
+            )
         content += part.content
     return decode_job(identifier, content)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota_records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota_records.py
@@ -2,6 +2,7 @@
 
 import json
 
+from hollyspan_core.documents import parse_document
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.quota import Share
 
@@ -68,7 +69,7 @@
 def decode_releases(content):
     """Decode the tokens by share that a gateway has released."""
     return {
-        int(share): tokens for share, tokens in json.loads(content).items()
+        int(share): tokens for share, tokens in parse_document(content).items()
     }
 
 
@@ -96,7 +97,7 @@
     for entry in entries:
         index = indices.get(entry.key)
         if index is not None:
-            shares[index] = Share(**json.loads(entry.content))
+            shares[index] = Share(**parse_document(entry.content))
             revisions[index] = entry.revision
             continue
         for share, tokens in decode_releases(entry.content).items():
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -4,6 +4,9 @@
 import json
 import zlib
 
+from hollyspan_core.documents import parse_document
+from hollyspan_core.errors import RecordUnreadableError
+
 from .item import Item
 from .item import ItemResult
 from .job import Job
@@ -131,26 +134,44 @@
     Returns
     -------
     Job
+
+    Raises
+    ------
+    RecordUnreadableError
     """
-    document = json.loads(zlib.decompress(content))
-    return Job(
-        identifier=identifier,
-        host=document["host"],
-        path=document["path"],
-        submitted=document["submitted"],
-        due=document["due"],
-        retained_until=document["retained_until"],
-        items=[
-            Item(
-                identifier=item["id"],
-                path=item["path"],
-                headers=[tuple(pair) for pair in item["headers"]],
-                body=base64.b64decode(item["body"]),
-                tokens=item.get("tokens", 0),
-            )
-            for item in document["items"]
-        ],
-        reservation=decode_reservation(document.get("reservation")),
+    try:
+        document = parse_document(zlib.decompress(content))
+        return Job(
+            identifier=identifier,
+            host=document["host"],
+            path=document["path"],
+            submitted=document["submitted"],
+            due=document["due"],
+            retained_until=document["retained_until"],
+            items=[decode_item(item) for item in document["items"]],
+            reservation=decode_reservation(document.get("reservation")),
+        )
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+        zlib.error,
+    ) as error:
+        raise RecordUnreadableError(
+            f"the record of job {identifier} cannot be read: {error!r}"
+        ) from error
+
+
+def decode_item(row):
+    """Decode an item in a job's record."""
+    return Item(
+        identifier=row["id"],
+        path=row["path"],
+        headers=[tuple(pair) for pair in row["headers"]],
+        body=base64.b64decode(row["body"]),
+        tokens=row.get("tokens", 0),
     )
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -2,6 +2,7 @@
 
 import json
 
+from hollyspan_core.documents import parse_document
 from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import PeerAnswerError
 from hollyspan_core.errors import PeerMessageError
@@ -15,6 +16,7 @@
     "build_target",
     "decode_failure",
     "encode_failure",
+    "parse_key",
     "parse_target",
 ]
 
@@ -109,6 +111,22 @@
     return options, b"/" + path
 
 
+def parse_key(value):
+    """Return the key in a header of a forwarded answer, None without one.
+
+    Raises
+    ------
+    PeerMessageError
+        It is no hexadecimal number.
+    """
+    if value is None:
+        return None
+    try:
+        return int(value, 16)
+    except ValueError as error:
+        raise PeerMessageError(f"{value[:32]!r} is no key") from error
+
+
 def encode_failure(error, *, attempts=0):
     """Return status, headers and body of a failure of this gateway.
 
@@ -148,7 +166,7 @@
         have run.
     """
     try:
-        content = json.loads(body)
+        content = parse_document(body)
         return (
             PeerAnswerError(content=content, status=status),
             int(content["attempts"]),
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -14,6 +14,7 @@
 from .forwarded import FAILURE_HEADER
 from .forwarded import ForwardedOptions
 from .forwarded import LEAVING_HEADER
+from .forwarded import parse_key
 from .forwarded import VERSION_HEADER
 
 __all__ = ["Hop"]
@@ -140,12 +141,10 @@
             raise AnswerMisplacedError("the answer belongs to another request")
         values = dict(headers)
         self.has_failed = FAILURE_HEADER in values
-        if VERSION_HEADER in values:
-            self.version = int(values[VERSION_HEADER], 16)
-        if LEAVING_HEADER in values:
-            self.relay.gateway.directory.note_reported_departure(
-                int(values[LEAVING_HEADER], 16)
-            )
+        self.version = parse_key(values.get(VERSION_HEADER))
+        departure = parse_key(values.get(LEAVING_HEADER))
+        if departure is not None:
+            self.relay.gateway.directory.note_reported_departure(departure)
         self.relay.reply = dialect.decode_reply(
             status,
             [each for each in headers if each[0] not in INTERNAL_HEADERS],
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
@@ -5,6 +5,7 @@
 
 import eliot
 
+from hollyspan_core.documents import parse_document
 from hollyspan_core.errors import PeerMessageError
 from hollyspan_core.store import Entry
 from hollyspan_core.store import Page
@@ -61,7 +62,7 @@
         The bytes are not a valid snapshot.
     """
     try:
-        document = json.loads(content)
+        document = parse_document(content)
         entries = [
             Entry(
                 key=row["key"],
@@ -76,11 +77,18 @@
         page = Page(
             entries=entries,
             has_more=False,
-            revision=document["revision"],
-            changed_revision=document.get("changed", 0),
+            revision=int(document["revision"]),
+            changed_revision=int(document.get("changed", 0)),
         )
-        return page, document.get("connected_seconds")
-    except (ValueError, KeyError, TypeError) as error:
+        seconds = document.get("connected_seconds")
+        return page, None if seconds is None else float(seconds)
+    except (
+        ArithmeticError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise PeerMessageError(f"malformed snapshot: {error!r}") from error
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -161,6 +161,8 @@
                 self.start()
             return
         eliot.write_failure(failure)
+        # The entries may not have been applied.
+        self.needs_listing = True
         self.reactor.callLater(MAX_BACKOFF_S, self.start)
 
     async def follow_changes(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
@@ -114,3 +114,24 @@
     newer = Page(entries=[], has_more=False, revision=mirror.revision + 1)
     assert mirror.apply_snapshot(newer)
     assert mirror.seen[-1] == []
+
+
+# Failure: entries that could not be applied once were never applied.
+def test_entries_are_read_again_after_a_failure_to_apply_them(
+    store, reactor, wire
+):
+    applied = []
+    faults = [ZeroDivisionError("a fault of the test")]
+
+    def apply(changed):
+        if faults:
+            raise faults.pop()
+        applied.append(sorted(changed.entries))
+
+    mirror = Mirror(store=store, reactor=reactor, prefix="p/", on_change=apply)
+    wire.change({"p/a": VALUE})
+    mirror.start()
+    assert applied == []
+    reactor.advance(1.0)
+    assert applied == [["p/a"]]
+    mirror.stop()
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/records.py
@@ -5,6 +5,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.documents import parse_document
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.hashing import format_hash
@@ -227,8 +228,8 @@
 def read_time(entry):
     """Return the Unix time at which a record was written."""
     try:
-        return float(json.loads(entry.content)["recorded_at"])
-    except (ValueError, LookupError, TypeError) as error:
+        return float(parse_document(entry.content)["recorded_at"])
+    except (ArithmeticError, LookupError, TypeError, ValueError) as error:
         # Removed like one that has been there for long.
         eliot.log_message(
             "stream:unreadable_record", key=entry.key, reason=repr(error)
