Count each send that may have run a request as an attempt

Cause: a gateway that hears nothing from any upstream for 0.15 s takes its links for lost, and up to two sends over lost links did not count; a forwarded request got as many attempts again.

Change: each send counts until it is known not to have run. The lost send of a gateway without links leaves one attempt, which the next gateway makes.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -81,7 +81,7 @@
         relay.delivery.discard_unsent()
         options = ForwardedOptions(
             version=relay.version,
-            attempts=max(1, relay.route.max_attempts - relay.count_attempts()),
+            attempts=max(1, relay.route.max_attempts - relay.sends),
         )
         eliot.log_message(
             "request:forwarded",
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -8,7 +8,6 @@
 from hollyspan_core.errors import PeerAnswerError
 from hollyspan_core.errors import PeerUnavailableError
 from hollyspan_core.errors import StreamLostError
-from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.errors import UpstreamUnreachableError
@@ -32,9 +31,6 @@
 MAX_REFUSALS = 3
 # Gateways that are asked to run a request. The first one mostly does.
 MAX_HOPS = 3
-# Sends over links that turned out to be lost, which do not count as attempts
-# of the request.
-MAX_LOST_SENDS = 2
 # Error statuses that another upstream might not return for the same request.
 RETRIED_STATUSES = (500, 502)
 # Timeout of a stream's first event beyond the expected wait for a slot:
@@ -69,8 +65,6 @@
         Number of upstreams at which it may run.
     sends : int
         Number of sends to upstreams that may have run the request.
-    lost_sends : int
-        Number of those over links that are lost.
     asked_peers : set of str
         Identifiers of the gateways that were asked to run it.
     peer : Peer or None
@@ -115,7 +109,6 @@
             self.max_attempts = min(options.attempts, route.max_attempts)
             self.version = options.version
         self.sends = 0
-        self.lost_sends = 0
         self.refusals = 0
         self.tried = set()
         self.asked_peers = set()
@@ -229,10 +222,6 @@
         """Return the seconds until the deadline."""
         return self.deadline - self.gateway.reactor.seconds()
 
-    def count_attempts(self):
-        """Return the number of upstreams at which it may have run."""
-        return self.sends - min(self.lost_sends, MAX_LOST_SENDS)
-
     def require_allowed(self):
         """Raise RequestBlockedError if the request may not be sent."""
         self.gateway.guard.block_list.require_allowed(
@@ -337,7 +326,7 @@
         return (
             self.route.kind is RouteKind.STREAM
             and self.route.is_repeatable
-            and self.count_attempts() < self.max_attempts
+            and self.sends < self.max_attempts
         )
 
     def may_abandon(self):
@@ -429,8 +418,6 @@
         if error.outcome is Outcome.NOT_RUN:
             self.sends -= 1
             self.refusals += not is_lost
-        elif isinstance(error, StreamStalledError):
-            self.lost_sends += is_lost
 
     def finish(self):
         """End the answer."""
@@ -451,7 +438,7 @@
         ):
             # What the peer has refused, another one would refuse as well.
             return False
-        if self.count_attempts() >= self.max_attempts:
+        if self.sends >= self.max_attempts:
             return False
         if error.outcome is Outcome.NOT_RUN:
             return self.refusals <= MAX_REFUSALS
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -168,7 +168,7 @@
         if options is None:
             answer = self.gateway.dialect.encode_failure(error)
         else:
-            attempts = 0 if relay is None else relay.count_attempts()
+            attempts = 0 if relay is None else relay.sends
             answer = encode_failure(error, attempts=attempts)
         request.answer(*answer)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
@@ -1,5 +1,6 @@
 """Tests with gateways that have lost their links to upstreams."""
 
+import collections
 import random
 
 import pytest
@@ -298,3 +299,27 @@
     for each in fleet.gateways:
         now = fleet.reactor.seconds()
         assert not each.guard.evidence.list_ends(now=now)
+
+
+# Failure: the silence of sound upstreams was taken for lost links, and sends
+# over these did not count as attempts.
+@pytest.mark.parametrize("silent_share", [0.5, 1.0])
+def test_requests_run_at_no_more_upstreams_than_their_route_allows(
+    fleet, silent_share
+):
+    requests = []
+    for number in range(4):
+        requests += run_load(fleet, 0.4, name=f"a{number}-")
+        names = sorted(fleet.upstreams)
+        fleet.silent_upstreams = set(names[: round(silent_share * len(names))])
+        requests += run_load(fleet, 1.3, name=f"b{number}-")
+        fleet.silent_upstreams = set()
+        requests += run_load(fleet, 1.0, name=f"c{number}-")
+    fleet.advance(6.0)
+    reached = collections.defaultdict(set)
+    for send in fleet.sent:
+        reached[send.connection.headers[b"id"]].add(send.upstream)
+    most = max(
+        len(reached[request.identifier.encode()]) for request in requests
+    )
+    assert most == 2
