Read results before taking over items after a pause

A worker that had stood still ran items again whose owners had stored results meanwhile: right after a pause no peer counts as live, and items were taken over before the membership was checked, with which results are read. A job first seen late counted as new.

The round that starts items compares the workers itself, and results of a job that is older than 1 s when first seen are read first.

Two tests of test_worker.py failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -457,11 +457,18 @@
         return self.routes is not None and self.routes.has_batch_work(service)
 
     def update_workers(self):
-        """Read results again when items may have moved to other workers."""
+        """Read results again when items may have moved to other workers.
+
+        Returns
+        -------
+        frozenset of str
+            Identifiers of the gateways that can run items.
+        """
         workers = frozenset(self.list_workers())
         if workers != self.workers:
             self.workers = workers
             self.worker.reread_results()
+        return workers
 
     def list_workers(self):
         """Return the identifiers of the gateways that can run items."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -23,6 +23,9 @@
 __all__ = ["JobCatalogue"]
 
 READ_RETRY_DELAY_S = 0.3
+# A job that is seen for the first time at this age may have results already:
+# many times the delay of a watch, and less than an item takes.
+MAX_NEW_JOB_AGE_S = 1.0
 
 
 class JobCatalogue:
@@ -132,6 +135,9 @@
                     "job:unreadable", job=identifier, reason=error.message
                 )
                 return
+        age = self.gateway.wall_clock() - job.submitted
+        if age > MAX_NEW_JOB_AGE_S:
+            has_read_results = False
         job_state = JobState(
             job=job,
             revision=entry.revision,
@@ -150,7 +156,7 @@
             "job:seen",
             job=identifier,
             items=len(job.items),
-            age=self.gateway.wall_clock() - job.submitted,
+            age=age,
         )
         if build_end_key(identifier) in self.mirror.entries:
             self.mark_ended(identifier)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -311,6 +311,52 @@
     assert len(gateway.pool.sent) == 12
 
 
+def store_result(wire, item):
+    """Store a result as another worker does."""
+    key = f"{build_results_prefix('j')}{item}"
+    wire.change({key: bytes(16) + b"done\nt1"})
+
+
+# Failure: a worker that had stood still ran items again whose owners had
+# stored a result meanwhile.
+def test_items_with_results_are_not_taken_over_after_a_pause(
+    build_worker, submit, reactor, wire
+):
+    gateway = build_worker()
+    gateway.list_workers = lambda: [gateway.peers.identifier, OTHER_WORKER]
+    submit(12, due=5.0)
+    sent = {
+        connection.headers[b"id"].decode() for connection in gateway.pool.sent
+    }
+    for number in range(12):
+        if f"j{number}" not in sent:
+            store_result(wire, f"j{number}")
+    # No membership check comes before the next round.
+    gateway.list_workers = lambda: [gateway.peers.identifier]
+    reactor.advance(5.0)
+    assert {
+        connection.headers[b"id"].decode() for connection in gateway.pool.sent
+    } == sent
+
+
+# Failure: the same for a job that was submitted during the pause.
+def test_items_of_an_older_job_are_run_only_without_a_result(
+    build_worker, submit, reactor, wire
+):
+    gateway = build_worker()
+    gateway.worker.catalogue.mirror.stop()
+    submit(3)
+    reactor.advance(3.0)
+    store_result(wire, "j0")
+    store_result(wire, "j1")
+    gateway.worker.catalogue.mirror.is_stopped = False
+    gateway.worker.catalogue.mirror.start()
+    reactor.advance(0.5)
+    assert [connection.headers[b"id"] for connection in gateway.pool.sent] == [
+        b"j2"
+    ]
+
+
 def test_item_in_flight_at_a_peer_is_not_started(
     build_worker, submit, reactor
 ):
@@ -428,6 +474,7 @@
     build_watching_worker, submit, wire, reactor
 ):
     build_watching_worker()
+    reactor.advance(0.2)
     listings = wire.calls.count("read_page")
     submit(3)
     reactor.advance(1.0)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -152,7 +152,9 @@
             # Results could not be stored; peers that reach the store take
             # the items over.
             return
-        workers = tuple(sorted(self.gateway.list_workers()))
+        # After a pause, peers may count as failed before their membership is
+        # checked; their items have results that are not known here.
+        workers = tuple(sorted(self.gateway.update_workers()))
         self.ranks.update_workers(workers)
         claimed = self.gateway.list_claimed_items()
         self.release_ended_jobs(workers)
