Check the end of an answer without a length at leaving upstreams, too

Cause: such an answer was taken as whole without a check once its upstream had announced its shutdown.

The check by a new connection holds for all upstreams. What may run again goes on elsewhere behind its last event; what may run once is broken off.

Two tests of test_undelimited.py failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_undelimited.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_undelimited.py
@@ -70,19 +70,47 @@
     assert (request.written, request.is_ended) == (body, True)
 
 
-def test_a_leaving_upstream_may_end_after_its_last_answer(
-    gateway, send, helpers
-):
-    request = send()
-    body = helpers.build_events(1, 3)
+def leave_and_end(gateway, body):
     connection = gateway.pool.last
     gateway.pool.unreachable.add(connection.address)
     connection.answer(
         200, headers=[*UNDELIMITED, (b"leaving", b"1")], body=body
     )
+
+
+# Failure: a part of an answer was taken for the whole, since its upstream had
+# announced its shutdown.
+def test_the_rest_of_an_answer_is_asked_for_when_its_leaving_upstream_ends(
+    gateway, send, helpers
+):
+    request = send()
+    leave_and_end(gateway, helpers.build_events(1, 3))
+    assert not request.is_ended
+    assert gateway.pool.last.headers[b"resume"] == b"3"
+    gateway.pool.last.answer(200, body=helpers.build_events(4, 5))
+    assert request.written == helpers.build_events(1, 5)
     assert request.is_ended
 
 
+def test_a_leaving_upstream_may_end_after_its_last_answer(
+    gateway, send, helpers
+):
+    request = send()
+    body = helpers.build_events(1, 3)
+    leave_and_end(gateway, body)
+    gateway.pool.last.answer(200)
+    assert (request.written, request.is_ended) == (body, True)
+
+
+def test_an_answer_that_may_run_once_is_broken_off_with_its_leaving_upstream(
+    gateway, send, helpers
+):
+    request = send(is_resumable=False, max_attempts=1)
+    leave_and_end(gateway, helpers.build_events(1, 3))
+    assert request.is_aborted and not request.is_ended
+    assert len(gateway.pool.sent) == 1
+
+
 def test_a_whole_answer_is_sent_again_when_its_upstream_ends(gateway, send):
     request = send(kind=RouteKind.IDEMPOTENT)
     answer_and_end(gateway, b"half of it")
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/undelimited.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/undelimited.py
@@ -21,9 +21,15 @@
     -------
     StreamLostError or None
         None for an answer that tells its own end, and while the upstream still
-        accepts connections or has announced its shutdown.
+        accepts connections.
+
+    Notes
+    -----
+    A leaving upstream may end right after a whole answer. The answer counts as
+    broken off all the same: one that may run again goes on elsewhere, behind
+    its last event, and nothing is taken for whole that may not be.
     """
-    if reply.is_delimited or not upstream.accepts_work:
+    if reply.is_delimited:
         return None
     try:
         await pool.open_idle(upstream.entry.address)
