Do not take one of two departed upstreams for an expired one

Cause: half of a service's upstreams gone at once counted as an outage, also one of two, and the time for which they are kept counted from the moment at which the gateway learned of it.

Change: entries count as expired if two or more and half of all disappear at once, or the last ones of a service; the time counts from the earliest moment of the change in the store.

The tests of the directory before it are unchanged.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -284,7 +284,9 @@
             # This change is the first answer after an outage.
             expiry_grace_until = self.reactor.seconds() + EXPIRY_GRACE_S
         recheck_at = self.directory.update(
-            entries, expiry_grace_until=expiry_grace_until
+            entries,
+            expiry_grace_until=expiry_grace_until,
+            change_age=mirror.change_age,
         )
         if recheck_at is not None:
             self.reactor.callLater(
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -25,6 +25,11 @@
 # within seconds, which leaves time for these delays.
 COALESCING_DELAY_S = 0.1
 MAX_COALESCING_DELAY_S = 0.4
+# Longest time of a watch that returns changes which were made before it began.
+IMMEDIATE_ANSWER_S = 0.1
+# Age of changes that come with a peer's snapshot or a listing: the delays of
+# the gateway that watches and of this one, which reads its copy.
+MAX_SNAPSHOT_AGE_S = 1.2
 # Back-off after a failed call, doubled up to the maximum, which is short
 # enough to detect the store's return within a second.
 INITIAL_BACKOFF_S = 0.1
@@ -57,6 +62,9 @@
         Store revision that the entries reflect; 0 before the first read.
     changed_revision : int
         Revision of the last known change of the entries.
+    change_age : float
+        Time by which the last changes may be older than their arrival here,
+        seconds.
     is_connected : bool
         True when the last call succeeded.
     reconnected_at : float or None
@@ -83,6 +91,8 @@
         self.entries = {}
         self.revision = 0
         self.changed_revision = 0
+        self.change_age = 0.0
+        self.read_at = reactor.seconds()
         self.is_connected = False
         self.reconnected_at = None
         self.is_stopped = False
@@ -153,6 +163,8 @@
             page.changed_revision,
             *(entry.revision for entry in page.entries),
         )
+        self.change_age = MAX_SNAPSHOT_AGE_S
+        self.read_at = self.reactor.seconds()
         self.on_change(self)
 
     def handle_end(self, failure):
@@ -240,6 +252,7 @@
         self.replace_entries(page)
 
     async def read_changes(self):
+        started_at = self.reactor.seconds()
         page = await self.store.watch(
             self.prefix,
             after=self.revision,
@@ -249,6 +262,12 @@
                 else DISCONNECTED_WATCH_TIMEOUT_S
             ),
         )
+        now = self.reactor.seconds()
+        self.change_age = 0.0
+        if now - started_at < IMMEDIATE_ANSWER_S:
+            # They were made after the answer before this one.
+            self.change_age = now - self.read_at
+        self.read_at = now
         for entry in page.entries:
             if entry.revision:
                 self.entries[entry.key] = entry
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
@@ -135,3 +135,16 @@
     reactor.advance(1.0)
     assert applied == [["p/a"]]
     mirror.stop()
+
+
+def test_the_age_of_changes_includes_the_delay_before_the_watch(
+    mirror, wire, reactor
+):
+    reactor.advance(5.0)
+    wire.change({"p/b": VALUE})
+    assert mirror.change_age == 0.0
+    reactor.advance(0.05)
+    wire.change({"p/c": VALUE})
+    reactor.pump([0.05] * 8)
+    assert "p/c" in mirror.entries
+    assert 0.05 <= mirror.change_age <= MAX_COALESCING_DELAY_S
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -1,8 +1,11 @@
 """Directory of the upstreams of the fleet."""
 
+import collections
+
 import eliot
 
 from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.leases import choose_expired_services
 
 from .departures import Departures
 from .upstream import Upstream
@@ -11,11 +14,9 @@
 
 # Time after an outage of the store in which entries that expired during it are
 # registered again. The platform states about two seconds. The value must stay
-# below the 2.5 s within which new sends to a departed upstream must stop.
+# below the 2.5 s within which new sends to a departed upstream must stop; it
+# counts from the change in the store.
 EXPIRY_GRACE_S = 2.2
-# Missing entries are treated as expired if at least this share of a service's
-# upstreams disappears at once.
-EXPIRY_SHARE = 0.5
 # Back-off after a failed send, doubled with each further one up to the time
 # after which the store removes a crashed upstream's entry, three heartbeats.
 SUSPECT_BACKOFF_S = 0.4
@@ -70,7 +71,7 @@
         self.by_key = {}
         self.departures = Departures()
 
-    def update(self, entries, *, expiry_grace_until=0.0):
+    def update(self, entries, *, expiry_grace_until=0.0, change_age=0.0):
         """Update the directory from the entries in the store.
 
         Parameters
@@ -80,6 +81,8 @@
         expiry_grace_until : float, optional
             Time until which a missing entry may have expired during an outage
             of the store, reactor seconds; such upstreams are kept.
+        change_age : float, optional
+            Time by which the changes may be older than this call, seconds.
 
         Returns
         -------
@@ -102,7 +105,7 @@
                 upstream.kept_until = expiry_grace_until
                 if upstream in expired:
                     upstream.kept_until = max(
-                        expiry_grace_until, now + EXPIRY_GRACE_S
+                        expiry_grace_until, now + EXPIRY_GRACE_S - change_age
                     )
             if now >= upstream.kept_until or not upstream.accepts_work:
                 self.remove(upstream)
@@ -137,34 +140,36 @@
             self.on_leaving(existing)
 
     def find_expired(self, missing):
-        """Return missing upstreams whose entries may have expired.
-
-        Notes
-        -----
-        Entries that expire during an outage of the store disappear together
-        when it returns, and a waiting watch cannot distinguish that from a
-        change. Upstreams that leave disappear one after the other.
-        """
-        expired = []
-        for service in {upstream.entry.service for upstream in missing}:
-            listed = [
-                upstream
-                for upstream in self.upstreams.values()
-                if upstream.entry.service == service
-                and upstream.is_listed
-                and upstream.accepts_work
-            ]
-            vanished = [upstream for upstream in listed if upstream in missing]
-            if vanished and len(vanished) >= EXPIRY_SHARE * len(listed):
-                expired += vanished
-                eliot.log_message(
-                    "upstreams:lapsed",
-                    service=service,
-                    missing=len(vanished),
-                    known=len(listed),
-                    seconds=EXPIRY_GRACE_S,
-                )
-        return expired
+        """Return missing upstreams whose entries may have expired."""
+        vanished = [
+            upstream
+            for upstream in missing
+            if upstream.is_listed and upstream.accepts_work
+        ]
+        if not vanished:
+            return []
+        listed_counts = collections.Counter(
+            upstream.entry.service
+            for upstream in self.upstreams.values()
+            if upstream.is_listed and upstream.accepts_work
+        )
+        vanished_counts = collections.Counter(
+            upstream.entry.service for upstream in vanished
+        )
+        services = choose_expired_services(listed_counts, vanished_counts)
+        for service in sorted(services):
+            eliot.log_message(
+                "upstreams:lapsed",
+                service=service,
+                missing=vanished_counts[service],
+                known=listed_counts[service],
+                seconds=EXPIRY_GRACE_S,
+            )
+        return [
+            upstream
+            for upstream in vanished
+            if upstream.entry.service in services
+        ]
 
     def remove(self, upstream):
         """Remove an upstream from the directory."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -67,6 +67,45 @@
     assert directory.list_usable("m") == []
 
 
+# Failure: one of two upstreams that left counted as expired in an outage, and
+# was used for longer than an upstream that leaves serves.
+def test_one_of_two_upstreams_that_leaves_is_removed_at_once(
+    directory, helpers, departed
+):
+    names = [f"u{number}" for number in range(4)]
+    entries = build_entries(helpers, *names)
+    entries |= {
+        name: helpers.build_entry(name, service="n") for name in ("v", "w")
+    }
+    directory.update(entries)
+    del entries["w"]
+    directory.update(entries)
+    assert departed == ["w"]
+
+
+def test_the_last_upstream_of_a_service_is_kept_for_a_while(
+    directory, helpers, departed
+):
+    entries = build_entries(helpers, "u", "v", "w")
+    entries["x"] = helpers.build_entry("x", service="n")
+    directory.update(entries)
+    del entries["x"]
+    directory.update(entries)
+    assert departed == []
+    assert len(directory.list_usable("n")) == 1
+
+
+def test_the_grace_time_counts_from_the_change_in_the_store(
+    directory, helpers, reactor
+):
+    directory.update(build_entries(helpers, "u", "v"))
+    recheck_at = directory.update({}, change_age=0.4)
+    assert recheck_at - reactor.seconds() + 0.4 < 2.5
+    reactor.advance(2.1)
+    directory.update({}, change_age=0.4)
+    assert directory.list_usable("m") == []
+
+
 def test_an_expired_entry_is_kept_during_the_grace_time(
     directory, helpers, reactor, departed
 ):
