Entry daemon: wait for the head of a resume as long as it may take

test_queued_stream_is_resumed_until_it_starts failed once on a busy machine with 'no connection to engine-1 for a resume'. Cause: the timeout of the head of a resume was the shorter of its own and the time between two events, 0.2 s in that test. A head that came later counted as no connection, and the stream as lost.

The head has its own timeout of 2 s. The daemon's times between events are 5 and 10 s, so only the tests see a difference. The new test fails without the change, with the same message.

--- a/packages/hollyspan_entry/hollyspan_entry/streams/stream_run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/stream_run.py
@@ -264,7 +264,7 @@
                 path=f"/v1/streams/{self.stream_id}?offset={self.offset}",
                 headers=self.headers,
                 body=None,
-                timeout=min(self.idle_timeout, RESUME_TIMEOUT_S),
+                timeout=RESUME_TIMEOUT_S,
             )
         except UpstreamUnavailableError:
             return None
--- a/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
@@ -165,6 +165,27 @@
         await work
         self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
 
+    async def test_resume_is_answered_later_than_an_event_is_awaited(self):
+        """Resume at an engine whose heads take longer than the idle time.
+
+        Failure: the stream counted as lost on a busy machine.
+        """
+        engine, upstream = self.harness.start(silent=True)
+        send = engine.send
+
+        def send_late(request, offset):
+            if request.method == b"POST":
+                request.write(b"")
+                return
+            engine.silent = False
+            reactor.callLater(0.4, send, request, offset)
+
+        engine.send = send_late
+        await self.start_stream(
+            upstream, idle_timeout=0.2, max_initial_resumes=1
+        )
+        self.assertEqual(self.get_offsets(), [1, 2, 3, 4, 5])
+
     async def test_unreachable_engine_raises_stream_lost(self):
         engine, upstream = self.harness.start(break_offsets=[2] + [0] * 9)
         error = await self.assertFailure(
