Keep a stream's version at a gateway that serves no clients, too

In a small fleet one of the three keepers of a stream is a gateway that only runs items, if there is one; all are asked there, so builds that choose otherwise find it as well. A large fleet is as before.

--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -59,6 +59,7 @@
         routes=None,
         runs_batch=True,
         incarnation=1,
+        client_port=1,
     ):
         gateway = Gateway(
             reactor=reactor,
@@ -67,7 +68,7 @@
                 data_centre=data_centre,
                 regions={"a": "r", "b": "r", "far": "s"},
                 ip="10.0.0.9",
-                client_port=1,
+                client_port=client_port,
                 ready_port=2,
                 peer_port=3,
                 snapshot_port=4,
--- a/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/streams/versions.py
@@ -104,7 +104,14 @@
         }
         self.note(stream, version)
         self.note(head.fingerprint, version)
-        keepers = choose_keepers(stream, head.fingerprint, peers)
+        keepers = choose_keepers(
+            stream,
+            head.fingerprint,
+            peers,
+            apart=[
+                name for name, peer in peers.items() if not peer.runs_online
+            ],
+        )
         recipients = {}
         for identifier, keys in keepers.items():
             recipients.setdefault(keys, []).append(peers[identifier])
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stream_versions.py
@@ -465,3 +465,33 @@
     resumed = resume_unnamed(fleet, clients)
     assert len(resumed) > 5
     assert all(client.is_refused() for client in resumed)
+
+
+# Failure: streams were refused after a restart of all gateways that serve
+# clients, though a gateway that only runs items could have known them.
+def test_streams_go_on_after_a_restart_of_all_fronts(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=10, versions=VERSIONS)
+    for _ in range(2):
+        fleet.add_gateway(client_port=None)
+    fleet.advance(1.0)
+    clients = [
+        Client(
+            fleet=fleet,
+            name=f"q{number}",
+            gateway=fleet.gateways[number % 4],
+        )
+        for number in range(40)
+    ]
+    fleet.advance(0.3)
+    for number in range(4):
+        fleet.kill_gateway(number)
+    for client in clients:
+        client.requests[-1].abort()
+    for number in range(4):
+        fleet.restart_gateway(number)
+    fleet.advance(0.3)
+    for number, client in enumerate(clients):
+        client.resume(gateway=fleet.gateways[number % 4])
+    fleet.advance(3.0)
+    assert {client.count_versions() for client in clients} == {1}
+    assert count_served(clients) == len(clients)
--- a/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/keepers.py
@@ -20,7 +20,7 @@
 MAX_ALL_ASKED = 48
 
 
-def choose_keepers(stream, fingerprint, gateways):
+def choose_keepers(stream, fingerprint, gateways, *, apart=()):
     """Choose the gateways that are told which version began a stream.
 
     Parameters
@@ -31,6 +31,8 @@
         Of the request.
     gateways : collection of str
         Identifiers of the live gateways but the one that tells.
+    apart : collection of str, optional
+        Those among them that serve no clients.
 
     Returns
     -------
@@ -41,17 +43,25 @@
     -----
     Load pattern: 2,400 streams a second begin at 390 gateways, few of them
     are taken up again, each at any gateway. Rendezvous hashing lets each
-    gateway compute the same keepers from the stream's keys.
+    gateway compute the same keepers from the stream's keys. In a small fleet
+    all gateways that serve clients may restart at once, so that one keeper is
+    of those that do not.
 
     Examples
     --------
-    >>> keepers = choose_keepers(7, 8, ["a", "b", "c", "d", "e"])
-    >>> len(keepers), set(keepers.values())
-    (3, {(7, 8)})
+    >>> keepers = choose_keepers(7, 8, ["a", "b", "c", "d", "e"], apart=["e"])
+    >>> len(keepers), "e" in keepers, set(keepers.values())
+    (3, True, {(7, 8)})
     """
     if is_small_fleet(len(gateways)):
         # All are asked; those that are told alike know of two versions.
-        keepers = choose_first(fingerprint, gateways, KEEPERS)
+        keepers = choose_first(fingerprint, apart, 1)
+        keepers += [
+            name
+            for name in choose_first(fingerprint, gateways, KEEPERS)
+            if name not in keepers
+        ]
+        keepers = keepers[:KEEPERS]
         return dict.fromkeys(keepers, (stream, fingerprint))
     keys = dict.fromkeys(choose_first(stream, gateways, KEEPERS), (stream,))
     for name in choose_first(fingerprint, gateways, FINGERPRINT_KEEPERS):
--- a/packages/hollyspan_policy/hollyspan_policy/streams/tests/test_keepers.py
+++ b/packages/hollyspan_policy/hollyspan_policy/streams/tests/test_keepers.py
@@ -42,6 +42,14 @@
     assert not choose_keepers(7, 8, []) and not choose_respondents(7, [])
 
 
+def test_one_keeper_of_a_small_fleet_serves_no_clients():
+    gateways, apart = GATEWAYS[:9], GATEWAYS[6:9]
+    for stream in range(50):
+        told = choose_keepers(stream, stream + 1, gateways, apart=apart)
+        assert len(told) == 3 and set(told) & set(apart)
+    assert len(choose_keepers(7, 8, GATEWAYS[:1], apart=GATEWAYS[:1])) == 1
+
+
 def test_a_fleet_that_is_small_for_some_gateways_only_asks_everybody():
     told = choose_keepers(7, 8, GATEWAYS[:23])
     assert set(told) <= set(
