Wait until a process has closed its sockets before checking its end

Cause: an answer without a length ends with its connection, and a new connection tells whether the upstream has ended. A process that exits closes its sockets one after the other, and the check came while the listening one was still open.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_undelimited.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_undelimited.py
@@ -26,10 +26,13 @@
     return begin
 
 
-def answer_and_end(gateway, body):
+def answer_and_end(gateway, body, *, headers=UNDELIMITED):
+    """Answer as an upstream whose listening socket is closed last."""
     connection = gateway.pool.last
+    connection.answer(200, headers=headers, body=body)
+    gateway.reactor.advance(0.01)
     gateway.pool.unreachable.add(connection.address)
-    connection.answer(200, headers=UNDELIMITED, body=body)
+    gateway.reactor.advance(0.05)
 
 
 def test_a_stream_goes_on_elsewhere_when_its_upstream_ends(
@@ -67,15 +70,12 @@
     request = send()
     body = helpers.build_events(1, 3)
     gateway.pool.last.answer(200, headers=UNDELIMITED, body=body)
+    gateway.reactor.advance(0.05)
     assert (request.written, request.is_ended) == (body, True)
 
 
 def leave_and_end(gateway, body):
-    connection = gateway.pool.last
-    gateway.pool.unreachable.add(connection.address)
-    connection.answer(
-        200, headers=[*UNDELIMITED, (b"leaving", b"1")], body=body
-    )
+    answer_and_end(gateway, body, headers=[*UNDELIMITED, (b"leaving", b"1")])
 
 
 # Failure: a part of an answer was taken for the whole, since its upstream had
@@ -151,6 +151,7 @@
         answer_and_end(gateway, helpers.build_events(1, 2))
     else:
         gateway.pool.last.answer(200, headers=UNDELIMITED)
+        reactor.advance(0.05)
     reactor.advance(0.5)
     (job_state,) = gateway.worker.catalogue.list_incomplete()
     assert job_state.items["i"].result is None
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/undelimited.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/undelimited.py
@@ -4,8 +4,14 @@
 from hollyspan_core.errors import UpstreamConnectionRefusedError
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..clock import wait
+
 __all__ = ["check_undelimited_end"]
 
+# Time in which a process that exits closes its sockets, in any order: its
+# connections may end while new ones are still accepted.
+EXIT_TIME_S = 0.02
+
 
 async def check_undelimited_end(pool, upstream, reply):
     """Check whether an answer ended because its upstream has.
@@ -31,6 +37,7 @@
     """
     if reply.is_delimited:
         return None
+    await wait(pool.reactor, EXIT_TIME_S)
     try:
         await pool.open_idle(upstream.entry.address)
     except UpstreamConnectionRefusedError:
