--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_identity.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_identity.py
@@ -4,6 +4,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from hollyspan_core.errors import InvalidRequestError
 from hollyspan_gateway.http1 import connection as module
 from hollyspan_gateway.http1 import ConnectionPool
 from hollyspan_gateway.http1 import pool as pool_module
@@ -170,3 +171,13 @@
     opened[1].dataReceived(build_answer(b"1"))
     assert Attempt(pool, b"2").results == []
     assert len(opened) == 2
+
+
+# Failure: a request that HTTP does not allow to be sent ended with an untyped
+# error, and its connection was never used again or closed.
+def test_a_request_that_cannot_be_sent_is_invalid(pool, opened):
+    attempt = Attempt(pool, b"1\r\n")
+    (result,) = attempt.results
+    assert result.check(InvalidRequestError)
+    assert opened[0].transport.is_aborted
+    assert opened[0].transport.value() == b""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -577,3 +577,19 @@
             connection.exchange.on_data(b": comment\n\n" * 100_000)
     assert connection.is_cancelled
     assert list_results(gateway.store.wire) == {}
+
+
+# Failure: a record that cannot be read ended the reading of jobs without a
+# word, or kept a read of its results from an answer.
+def test_a_job_that_cannot_be_read_stops_no_other_job(
+    build_worker, submit, wire, helpers, reactor
+):
+    gateway = build_worker()
+    wire.change({"hs/j/odd": bytes(16) + b"\x01no record"})
+    wire.change({"hs/j/empty": bytes(16)})
+    wire.change({"hs/j/part": bytes(16) + b"\x02first of two"})
+    reactor.advance(0.5)
+    submit()
+    reactor.advance(0.5)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert list_results(wire) == {"j0": (True, b"t1")}
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_service.py
@@ -78,3 +78,16 @@
     request.on_disconnect()
     assert gateway.pool.last.is_cancelled
     assert request.status is None
+
+
+# Failure: requests of a route that only a newer build can read were answered
+# 404, which clients take as final.
+@pytest.mark.parametrize("state", ["a route", "the configuration"])
+def test_without_all_routes_an_unknown_path_may_be_served_elsewhere(
+    serve, gateway, state
+):
+    gateway.has_unread_configuration = state == "the configuration"
+    gateway.routes.is_complete = state != "a route"
+    gateway.routes.by_host = {}
+    request = serve()
+    assert (request.status, request.written) == (503, b"not_run")
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
@@ -148,3 +148,8 @@
     reactor.pump([0.05] * 8)
     assert "p/c" in mirror.entries
     assert 0.05 <= mirror.change_age <= MAX_COALESCING_DELAY_S
+
+
+def test_changes_of_a_snapshot_may_be_older(mirror, reactor):
+    mirror.apply_snapshot(Page(entries=[], has_more=False, revision=99))
+    assert mirror.change_age == 1.2
