Count an end of an upstream once all gateways could tell of it

Cause: gateways are given 0.2 s to tell what they had in flight at an end before the decision, but the time ran from the first end. A later end counted with the requests of some gateways alone, and the shared part explained one end more than the fatal one.

Change: an end counts 0.2 s after its own first report, and a decision is scheduled for each.

test_an_end_counts_once_all_gateways_had_time_to_tell_of_it fails before and passes now; 71 tests of blocks pass unchanged.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -26,6 +26,8 @@
 # answer, so that few gateways give it.
 DECISION_DELAY_S = 0.2
 MAX_SURVIVAL_DELAY_S = 0.1
+# Rounding of times that are added and subtracted.
+CLOCK_TOLERANCE_S = 0.001
 # Time in which the store drops the entry of an upstream that has ended: three
 # of its heartbeats, and some for their transport.
 ENTRY_EXPIRY_S = 5.0
@@ -338,8 +340,17 @@
         self.decision_call = None
         now = self.gateway.reactor.seconds()
         ends = self.evidence.list_ends(now=now)
+        reported_at = now - DECISION_DELAY_S + CLOCK_TOLERANCE_S
+        # What other gateways had in flight at a later end is not known yet.
+        later = [end.at for end in ends if end.at > reported_at]
+        if later:
+            self.decision_call = self.gateway.reactor.callLater(
+                min(later) + DECISION_DELAY_S - now, self.decide
+            )
         for keys in choose_blocks(
-            ends, survivals=self.evidence.survivals, blocked=self.blocks
+            [end for end in ends if end.at <= reported_at],
+            survivals=self.evidence.survivals,
+            blocked=self.blocks,
         ):
             self.publish_block(self.block_list.add(keys, at=now))
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -188,3 +188,40 @@
             encode_message(message), ("10.0.0.7", 1)
         )
     assert set(gateway.guard.evidence.ends) == {1, 2}
+
+
+# Failure: a part that all prompts share was blocked, since an end counted
+# before the gateway that had the fatal request in flight told of it.
+def test_an_end_counts_once_all_gateways_had_time_to_tell_of_it(
+    gateway, reactor
+):
+    common, fatal, other = 1, 2, 3
+    guard = gateway.guard
+
+    def report(upstream, *requests):
+        guard.apply_end(
+            upstream, requests, at=reactor.seconds(), is_confirmed=True
+        )
+
+    for upstream in (11, 12, 13):
+        report(upstream, (common, fatal), (common, upstream))
+    reactor.advance(0.19)
+    report(14, (common, other))
+    reactor.advance(0.02)
+    assert list(guard.blocks) == [frozenset((fatal,))]
+    report(14, (common, fatal))
+    reactor.advance(1.0)
+    assert list(guard.blocks) == [frozenset((fatal,))]
+
+
+def test_later_ends_are_decided_without_another_report(gateway, reactor):
+    for upstream in (11, 12, 13):
+        gateway.guard.apply_end(
+            upstream,
+            [(upstream, PART)],
+            at=reactor.seconds(),
+            is_confirmed=True,
+        )
+        reactor.advance(0.08)
+    reactor.advance(0.25)
+    assert list(gateway.guard.blocks) == [frozenset((PART,))]
