--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -1,11 +1,14 @@
 """Tests of the relay with upstreams that refuse, fail, stall and answer."""
 
+import types
+
 import pytest
 from twisted.internet import defer
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamVersionError
+from hollyspan_gateway.online.hop import Hop
 from hollyspan_gateway.online.relay import Relay
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_standins.memory import build_head
@@ -471,3 +474,26 @@
     (finding,) = found
     assert finding.is_certain
     assert finding.version == upstream.entry.version_key
+
+
+# Failure: the same over a hop, at whose other end a build may run that
+# forwards wrong bytes.
+def test_events_of_a_peer_before_wrong_bytes_are_forwarded(
+    start, gateway, helpers
+):
+    relay = start()
+    peer = types.SimpleNamespace(
+        identifier="p", address=("10.9.0.1", 1), is_live=lambda now: True
+    )
+    ends = []
+    work = defer.ensureDeferred(Hop(relay=relay, peer=peer).run())
+    work.addBoth(ends.append)
+    gateway.pool.last.answer(
+        200,
+        headers=[(b"hollyspan-version", b"7")],
+        body=helpers.build_events(1, 3) + b"wrong\n\n",
+        is_complete=False,
+    )
+    assert ends[0].code == "stream_malformed"
+    assert relay.request.written == helpers.build_events(1, 3)
+    assert (relay.delivery.last_event, relay.version) == (3, 7)
