--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_identity.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_identity.py
@@ -181,3 +181,14 @@
     assert result.check(InvalidRequestError)
     assert opened[0].transport.is_aborted
     assert opened[0].transport.value() == b""
+
+
+def test_copies_are_counted_for_each_request(pool, opened):
+    Attempt(pool, b"0")
+    opened[0].dataReceived(build_answer(b"0"))
+    for identifier in (b"1", b"2"):
+        attempt = Attempt(pool, identifier)
+        opened[0].dataReceived(build_answer(b"0") * 3)
+        opened[0].dataReceived(build_answer(identifier))
+        assert attempt.results == [None]
+    assert len(opened) == 1
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -476,18 +476,38 @@
     assert finding.version == upstream.entry.version_key
 
 
-# Failure: the same over a hop, at whose other end a build may run that
-# forwards wrong bytes.
-def test_events_of_a_peer_before_wrong_bytes_are_forwarded(
-    start, gateway, helpers
-):
-    relay = start()
+def start_hop(relay):
+    """Let a peer run a request; return the list for its result."""
     peer = types.SimpleNamespace(
         identifier="p", address=("10.9.0.1", 1), is_live=lambda now: True
     )
     ends = []
     work = defer.ensureDeferred(Hop(relay=relay, peer=peer).run())
     work.addBoth(ends.append)
+    return ends
+
+
+def test_what_a_peer_tells_with_another_answer_is_not_taken(start, gateway):
+    relay = start()
+    ends = start_hop(relay)
+    entry = gateway.directory.upstreams["u1"].entry
+    departure = b"%x" % entry.incarnation_key
+    gateway.pool.last.answer(
+        200,
+        headers=[(b"id", b"other"), (b"hollyspan-leaving", departure)],
+        is_complete=False,
+    )
+    assert ends[0].code == "answer_misplaced"
+    assert gateway.directory.upstreams["u1"].accepts_work
+
+
+# Failure: the same over a hop, at whose other end a build may run that
+# forwards wrong bytes.
+def test_events_of_a_peer_before_wrong_bytes_are_forwarded(
+    start, gateway, helpers
+):
+    relay = start()
+    ends = start_hop(relay)
     gateway.pool.last.answer(
         200,
         headers=[(b"hollyspan-version", b"7")],
