--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -28,8 +28,8 @@
 # reused, since the peer may be closing it; several times the longest round
 # trip.
 IDLE_MARGIN_S = 0.5
-# Identifiers of requests that a connection remembers: those of far more
-# seconds than pass until a request comes again.
+# Identifiers of its last requests that a connection remembers. An item comes
+# again within seconds, in which a connection carries a few requests.
 REMEMBERED_IDENTIFIERS = 32
 # Limits on the answers to other requests that are read past.
 MAX_SKIPPED_ANSWERS = 3
@@ -160,7 +160,17 @@
         return content + self.parser.send(h11.EndOfMessage())
 
     def has_carried(self, identifier):
-        """Return whether a request was sent here before, None for no one."""
+        """Return whether a request with an identifier was sent here before.
+
+        Parameters
+        ----------
+        identifier : str or None
+            None for a request without one.
+
+        Returns
+        -------
+        bool
+        """
         return identifier is not None and identifier in self.identifiers
 
     def skip_answer(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -593,3 +593,15 @@
     reactor.advance(0.5)
     gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
     assert list_results(wire) == {"j0": (True, b"t1")}
+
+
+def test_items_without_a_known_route_are_given_up_after_their_retention_time(
+    build_watching_worker, submit, wire, reactor
+):
+    build_watching_worker()
+    wire.change({"configuration": bytes(16) + b"from a newer build"})
+    submit()
+    reactor.pump([0.5] * 120)
+    assert list_results(wire) == {}
+    reactor.pump([0.5] * 12)
+    assert list_results(wire) == {"j0": (False, b"")}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -231,12 +231,12 @@
         job = state.job_state.job
         route = self.gateway.routes.find(job.host, state.item.path)
         now = self.gateway.wall_clock()
-        if route is None or route.kind is not RouteKind.BATCH:
-            self.handle_missing_route(state)
-            return
         if now >= job.retained_until + MAX_CLOCK_SKEW_S:
             self.give_up(state, "the job's retention time is over")
             return
+        if route is None or route.kind is not RouteKind.BATCH:
+            self.handle_missing_route(state)
+            return
         if not self.gateway.guard.block_list.may_send(state.shared_parts):
             return
         upstream = self.placement.choose(
