--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_records.py
@@ -5,7 +5,9 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import pytest
 
+from hollyspan_core.errors import RecordUnreadableError
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import ItemResult
 from hollyspan_gateway.jobs import Job
@@ -80,3 +82,14 @@
     stored = run(load_job(store, "j"))
     assert stored.count_tokens() == 940
     assert (stored.reservation.quota, stored.reservation.share) == ("q", 3)
+
+
+# Failure: a record without all its parts ended with an untyped error, which
+# clients got as an internal one.
+@pytest.mark.parametrize("content", [b"", b"\x02first of two", b"\x01odd"])
+def test_a_record_that_is_not_whole_is_a_typed_error(
+    store, wire, run, content
+):
+    wire.change({"hs/j/j": bytes(16) + content})
+    with pytest.raises(RecordUnreadableError):
+        run(load_job(store, "j"))
