Try an item that cannot be sent more rarely

Its delay grows now as after lost runs, and no upstream is blamed. The new test fails without the change.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -3,6 +3,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamAnswerError
@@ -154,6 +155,11 @@
             if error is None:
                 error = self.evaluate_reply()
             guard.note_result(self.exposure, error, self.reply)
+        except InvalidRequestError as invalid:
+            # The upstream has no part in it; the item is tried more rarely.
+            self.state.lost_runs += 1
+            self.log_failure(invalid)
+            return
         except UpstreamUnavailableError as unavailable:
             error = unavailable
         if error is not None:
@@ -228,6 +234,9 @@
         self.gateway.placement.note_failure(
             self.upstream, error, waited_since=self.started
         )
+        self.log_failure(error)
+
+    def log_failure(self, error):
         eliot.log_message(
             "item:run_failed",
             job=self.state.job_state.job.identifier,
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hollyspan_core.errors import ConfigurationInvalidError
+from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
@@ -605,3 +606,23 @@
     assert list_results(wire) == {}
     reactor.pump([0.5] * 12)
     assert list_results(wire) == {"j0": (False, b"")}
+
+
+# Failure: an item that HTTP does not allow to be sent was tried again each
+# 0.15 s, with a new connection each time.
+def test_an_item_that_cannot_be_sent_is_tried_rarely_and_blames_no_upstream(
+    build_worker, submit, reactor
+):
+    gateway = build_worker()
+    attempts = []
+
+    async def refuse(address, *, timeout=1.0, identifier=None):
+        attempts.append(address)
+        raise InvalidRequestError("a header is not valid")
+
+    gateway.pool.acquire = refuse
+    submit()
+    reactor.pump([0.05] * 600)
+    assert 3 < len(attempts) < 20
+    upstreams = gateway.directory.upstreams.values()
+    assert not any(upstream.failures for upstream in upstreams)
