Read counters of waiting tokens that another build has written

Found on reading: a member that a newer build adds to a share failed each submission with an internal error, and a counter of releases that cannot be read ended the storing of results. The worker's own counter moved to its revision before it was decoded, so that the next write would have replaced what it held.

Unknown members are ignored. A counter that cannot be read refuses jobs as not run, and results wait until it can be. Three tests fail without the change.

--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -77,6 +77,7 @@
     status = 503
     kind = "server_error"
     code = "record_unreadable"
+    default_outcome = Outcome.NOT_RUN
 
 
 class StoreHistoryLostError(HollyspanError):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota_records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota_records.py
@@ -1,8 +1,10 @@
 """Keys and encoding of the counters of waiting tokens in the store."""
 
+import contextlib
 import json
 
 from hollyspan_core.documents import parse_document
+from hollyspan_core.errors import RecordUnreadableError
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.quota import Share
 
@@ -66,11 +68,43 @@
     ).encode()
 
 
+def decode_share(content):
+    """Decode the content of a share's key.
+
+    Raises
+    ------
+    RecordUnreadableError
+    """
+    with guard_decoding():
+        document = parse_document(content)
+        return Share(
+            accepted=document["accepted"], borrowed=document["borrowed"]
+        )
+
+
 def decode_releases(content):
-    """Decode the tokens by share that a gateway has released."""
-    return {
-        int(share): tokens for share, tokens in parse_document(content).items()
-    }
+    """Decode the tokens by share that a gateway has released.
+
+    Raises
+    ------
+    RecordUnreadableError
+    """
+    with guard_decoding():
+        return {
+            int(share): tokens
+            for share, tokens in parse_document(content).items()
+        }
+
+
+@contextlib.contextmanager
+def guard_decoding():
+    """Raise RecordUnreadableError for a counter that cannot be decoded."""
+    try:
+        yield
+    except (AttributeError, LookupError, TypeError, ValueError) as error:
+        raise RecordUnreadableError(
+            f"a counter of waiting tokens cannot be read: {error!r}"
+        ) from error
 
 
 def decode_counters(entries, *, quota, share_count=SHARE_COUNT):
@@ -87,6 +121,11 @@
     (list of Share, list of int, list of int)
         Shares, their revisions, 0 for those that do not exist yet, and the
         released tokens of each share.
+
+    Raises
+    ------
+    RecordUnreadableError
+        Without one of them the tokens cannot be counted.
     """
     shares = [Share() for _ in range(share_count)]
     revisions = [0] * share_count
@@ -97,7 +136,7 @@
     for entry in entries:
         index = indices.get(entry.key)
         if index is not None:
-            shares[index] = Share(**parse_document(entry.content))
+            shares[index] = decode_share(entry.content)
             revisions[index] = entry.revision
             continue
         for share, tokens in decode_releases(entry.content).items():
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
@@ -3,6 +3,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import RecordUnreadableError
 from hollyspan_core.errors import StoreUnavailableError
 
 from ..clock import wait
@@ -203,7 +204,10 @@
                 ][:MAX_RELEASES_PER_WRITE]
                 try:
                     await self.write_releases(quota, releases)
-                except StoreUnavailableError as error:
+                except (
+                    RecordUnreadableError,
+                    StoreUnavailableError,
+                ) as error:
                     eliot.log_message(
                         "release:waits",
                         count=len(self.queue),
@@ -235,8 +239,8 @@
         entry = commit.found.get(key)
         if entry is not None and entry.revision != counter.revision:
             # From before a restart, or a write whose reply was lost.
-            counter.revision = entry.revision
             counter.released = decode_releases(entry.content)
+            counter.revision = entry.revision
         for release in releases:
             if release.key in commit.found:
                 self.finish(release, is_new=False)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -1,10 +1,13 @@
 """Tests of jobs under a limit on waiting tokens."""
 
+import json
+
 import pytest
 from twisted.internet import defer
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import QuotaExceededError
+from hollyspan_core.errors import RecordUnreadableError
 from hollyspan_core.errors import StoreReplyLostError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_gateway.jobs import ItemResult
@@ -13,7 +16,10 @@
 from hollyspan_gateway.jobs.quota import UNSETTLED_LIMIT_S
 from hollyspan_gateway.jobs.quota_records import build_counters_prefix
 from hollyspan_gateway.jobs.quota_records import build_quota_identifier
+from hollyspan_gateway.jobs.quota_records import build_releases_key
 from hollyspan_gateway.jobs.quota_records import decode_counters
+from hollyspan_gateway.jobs.quota_records import decode_releases
+from hollyspan_gateway.jobs.quota_records import encode_releases
 from hollyspan_gateway.jobs.records import build_end_key
 from hollyspan_gateway.jobs.records import build_result_key
 from hollyspan_gateway.jobs.worker import Worker
@@ -262,3 +268,44 @@
     other.worker.start()
     reactor.pump([0.1] * 10)
     assert count_waiting(wire) == 0
+
+
+# Failure: a counter with a member of a newer build, or one that cannot be
+# read, failed submissions with an internal error.
+def test_unknown_members_of_a_share_are_ignored(front, wire, accept):
+    accept(front, "j1", 100)
+    for key, entry in list(wire.entries.items()):
+        if "/c/s/" in key:
+            document = {**json.loads(entry.content), "of a newer build": 1}
+            wire.change({key: bytes(16) + json.dumps(document).encode()})
+    accept(front, "j2", 100)
+
+
+def test_a_job_is_not_run_while_a_share_cannot_be_read(front, wire, accept):
+    accept(front, "j1", 100)
+    for key in list(wire.entries):
+        if "/c/s/" in key:
+            wire.change({key: bytes(16) + b"[]"})
+    with pytest.raises(RecordUnreadableError) as raised:
+        accept(front, "j2", 100)
+    assert raised.value.outcome is Outcome.NOT_RUN
+
+
+# Failure: a result was never stored, or a counter lost what it held, after the
+# worker's own counter could not be read.
+def test_a_result_waits_for_a_counter_that_can_be_read(
+    build_front, wire, accept, reactor
+):
+    worker = build_worker(build_front("w1"))
+    job = accept(worker, "j1", 100)
+    key = build_releases_key(job.reservation.quota, "w1")
+    wire.change({key: bytes(16) + b"[]"})
+    stored = []
+    finish_item(worker, job).addBoth(stored.append)
+    reactor.pump([0.3] * 5)
+    assert stored == [] and wire.entries[key].content == b"[]"
+    wire.change({key: bytes(16) + encode_releases({0: 50})})
+    reactor.pump([0.3] * 5)
+    assert stored == [True]
+    released = decode_releases(wire.entries[key].content)
+    assert sum(released.values()) == 150
