--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_out_of_step.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_out_of_step.py
@@ -105,8 +105,8 @@
     return clients
 
 
-# Failure: a front that was out of step during a release took streams of the
-# new version up at the old one.
+# Guards against streams of a new version that go on at the old one, which was
+# reported of a similar system and not seen here.
 @pytest.mark.parametrize("restarts_keeper", [False, True])
 @pytest.mark.parametrize("names_stream", [True, False])
 @pytest.mark.parametrize(
