--- a/packages/hollyspan_policy/hollyspan_policy/crashes/group.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/group.py
@@ -26,20 +26,30 @@
     ----------
     causes : set
         The causes among the occurrences.
+    is_request : bool
+        Whether one of the keys belongs to one request alone.
     block : frozenset of int
         The keys to block: the request itself if the group has only one.
     count : float
         Number of ends that count against the keys.
     """
 
-    __slots__ = ("occurrences", "keys", "causes", "block", "count")
+    __slots__ = (
+        "occurrences",
+        "keys",
+        "causes",
+        "is_request",
+        "block",
+        "count",
+    )
 
     def __init__(self, *, occurrences, keys, fingerprints):
         self.occurrences = occurrences
         self.keys = keys
         self.causes = {cause for cause, _ in occurrences}
+        self.is_request = bool(keys & fingerprints)
         self.block = frozenset(keys & fingerprints or keys)
-        if keys & fingerprints:
+        if self.is_request:
             self.count = len(self.causes)
         else:
             self.count = self.count_ends_of_part(fingerprints)
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -247,3 +247,84 @@
         end.fingerprints = {second}
     blocks = choose_blocks(ends, survivals={common: 8.0})
     assert blocks == [frozenset({second})]
+
+
+def collect_waves(*waves):
+    """Return ends in waves, a request being a tuple that ends in its key."""
+    ends = []
+    for at, wave in enumerate(waves):
+        for requests in wave:
+            end = EndRecord(at=float(at))
+            end.requests = set(requests)
+            end.fingerprints = {request[-1] for request in requests}
+            ends.append(end)
+    return ends
+
+
+# Failure: a part that all prompts share was blocked, and all requests with it
+# refused, since more requests with it ran beside the fatal ones.
+def test_a_shared_part_is_not_blocked_for_requests_beside_a_fatal_part():
+    first, second = (COMMON, FATAL, -1), (COMMON, FATAL, -2)
+    beside = (COMMON, 5, -5)
+    ends = collect_waves(
+        [
+            [first, beside],
+            [first, beside, (COMMON, 6, -6), (COMMON, 6, -7)],
+            [first, beside, (COMMON, 7, -8)],
+            [first, beside, (COMMON, 8, -9), (COMMON, 5, -10)],
+        ],
+        [[second], [second]],
+    )
+    assert choose_blocks(ends, survivals={}) == [frozenset({FATAL})]
+
+
+# Failure: a sound part was blocked in place of the fatal one, which then was
+# not found, since two requests with it had been sent to the same upstreams.
+def test_a_part_is_not_blocked_while_another_explains_the_same_ends():
+    first, second, third = (COMMON, FATAL, -1), (COMMON, FATAL, -2), -3
+    beside, other = (COMMON, BESIDE, -4), (COMMON, BESIDE, -5)
+    waves = [
+        [
+            [first, beside],
+            [first, beside],
+            [first, beside],
+            [first, beside, (COMMON, BESIDE, -6)],
+        ],
+        [[second, other]] * 3,
+    ]
+    survivals = {COMMON: 2.0}
+    assert choose_blocks(collect_waves(*waves), survivals=survivals) == []
+    waves.append([[(COMMON, FATAL, third)]])
+    assert choose_blocks(collect_waves(*waves), survivals=survivals) == [
+        frozenset({FATAL})
+    ]
+
+
+def test_an_end_of_another_cause_does_not_speak_against_a_shared_part():
+    ends = collect_waves(
+        *([[(COMMON, FATAL, -number)]] for number in range(1, 4)),
+        [[(COMMON, BESIDE, -5)]],
+        [[(COMMON, 6, -6)]],
+    )
+    assert choose_blocks(ends, survivals={}) == [frozenset({FATAL})]
+
+
+@given(
+    st.lists(
+        st.lists(
+            st.lists(st.integers(10, 18), max_size=3), min_size=1, max_size=4
+        ),
+        min_size=3,
+        max_size=6,
+    )
+)
+def test_what_runs_beside_a_fatal_part_does_not_block_a_shared_one(waves):
+    ends = []
+    requests = iter(range(-1, -1000, -1))
+    for at, wave in enumerate(waves):
+        fatal = (COMMON, FATAL, next(requests))
+        for beside in wave:
+            others = [(COMMON, part, next(requests)) for part in beside]
+            ends += collect_waves([[fatal, *others]])
+    blocks = choose_blocks(ends, survivals={})
+    assert frozenset({COMMON}) not in blocks
