Decide on ends after a gateway's own start only

Cause: a restarted front read the reports that its peers repeat.

test_ends_before_the_start_of_a_gateway_block_nothing fails before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -46,6 +46,8 @@
     ----------
     evidence : CrashEvidence
         From all gateways.
+    started_at : float
+        Time from which this gateway has heard of ends, seconds.
     block_list : BlockList
     exposures : set of Exposure
         All requests and items in flight from this gateway.
@@ -64,6 +66,7 @@
 
     __slots__ = (
         "gateway",
+        "started_at",
         "evidence",
         "exposures",
         "seen_ends",
@@ -77,6 +80,7 @@
 
     def __init__(self, *, gateway):
         self.gateway = gateway
+        self.started_at = gateway.reactor.seconds()
         self.evidence = CrashEvidence()
         self.exposures = set()
         self.seen_ends = {}
@@ -336,10 +340,22 @@
             self.news.tell_survival((key,), at=self.evidence.survivals[key])
 
     def decide(self):
-        """Block the requests that the evidence convicts."""
+        """Block the requests that the evidence convicts.
+
+        Notes
+        -----
+        Ends before the start of this gateway do not count: each gateway
+        repeats its own reports only, and those of one that is gone, such as
+        the predecessor of this one, are missing here. The others have
+        decided on them.
+        """
         self.decision_call = None
         now = self.gateway.reactor.seconds()
-        ends = self.evidence.list_ends(now=now)
+        ends = [
+            end
+            for end in self.evidence.list_ends(now=now)
+            if end.at >= self.started_at
+        ]
         reported_at = now - DECISION_DELAY_S + CLOCK_TOLERANCE_S
         # What other gateways had in flight at a later end is not known yet.
         later = [end.at for end in ends if end.at > reported_at]
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -225,3 +225,21 @@
         reactor.advance(0.08)
     reactor.advance(0.25)
     assert list(gateway.guard.blocks) == [frozenset((PART,))]
+
+
+# Failure: a gateway that had been started again blocked a part that all
+# prompts share, since the reports of its predecessor were missing.
+def test_ends_before_the_start_of_a_gateway_block_nothing(gateway, reactor):
+    reactor.advance(1.0)
+    ends = [
+        EndNotice(upstream=n, requests=[(PART, n)], age=5.0) for n in range(6)
+    ]
+    gateway.guard.news.apply(build_message(ends=ends))
+    reactor.advance(1.0)
+    assert not gateway.guard.blocks
+    for end in ends:
+        end.age = 0.5
+        end.upstream += len(ends)
+    gateway.guard.news.apply(build_message(ends=ends))
+    reactor.advance(1.0)
+    assert list(gateway.guard.blocks) == [frozenset((PART,))]
