--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -253,15 +253,21 @@
 
     async def read_changes(self):
         started_at = self.reactor.seconds()
+        watched_from = self.revision
         page = await self.store.watch(
             self.prefix,
-            after=self.revision,
+            after=watched_from,
             seconds=(
                 WATCH_TIMEOUT_S
                 if self.is_connected
                 else DISCONNECTED_WATCH_TIMEOUT_S
             ),
         )
+        if self.revision != watched_from:
+            # A peer's snapshot has come meanwhile and may be newer than some
+            # of these changes.
+            self.needs_listing = page.revision > self.revision
+            return page
         now = self.reactor.seconds()
         self.change_age = 0.0
         if now - started_at < IMMEDIATE_ANSWER_S:
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
@@ -1,6 +1,7 @@
 """Tests of mirrors with outages, silent watches and lost history."""
 
 import pytest
+from twisted.internet import defer
 
 from hollyspan_core.store import Page
 from hollyspan_gateway.store import Mirror
@@ -153,3 +154,37 @@
 def test_changes_of_a_snapshot_may_be_older(mirror, reactor):
     mirror.apply_snapshot(Page(entries=[], has_more=False, revision=99))
     assert mirror.change_age == 1.2
+
+
+# Failure: changes that a watch returned late replaced newer entries, which a
+# peer had sent meanwhile; a removed entry came back for good.
+@pytest.mark.parametrize("later", [0, 1])
+def test_late_changes_of_a_watch_do_not_replace_a_newer_snapshot(
+    mirror, wire, reactor, run, store, later, monkeypatch
+):
+    answers = []
+
+    async def watch_late(prefix, *, after, seconds):
+        answers.append(defer.Deferred())
+        return await answers[-1]
+
+    # The mirror's own watch returns from its first call to the store.
+    with monkeypatch.context() as patch:
+        patch.setattr(wire, "watch", watch_late)
+        wire.change({"p/b": VALUE})
+        reactor.advance(MAX_COALESCING_DELAY_S)
+        (answer,) = answers
+    after = mirror.revision
+    wire.change({"p/d": VALUE})
+    page = run(wire.watch("p/", after=after, seconds=1.0))
+    wire.change({}, ["p/d"])
+    assert mirror.apply_snapshot(run(store.list("p/")))
+    assert mirror.seen[-1] == ["p/a", "p/b"]
+    for number in range(later):
+        wire.change({f"p/e{number}": VALUE})
+        page.revision = wire.revision
+    answer.callback(page)
+    reactor.advance(MAX_COALESCING_DELAY_S)
+    expected = ["p/a", "p/b", *(f"p/e{number}" for number in range(later))]
+    assert sorted(mirror.entries) == expected
+    assert mirror.revision == wire.revision
