Run an item again soon after silences of its upstreams

Cause: the delay before the next run doubled up to ten seconds after runs that were broken off before an event, since the item may have ended its upstreams. A run that was abandoned after a silence counted the same.

Change: after a silence the delay is one second at most.

test_an_item_is_run_again_soon_after_silences fails before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -12,6 +12,9 @@
 # ended its upstreams.
 RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 10.0
+# The same after a run without a byte for a while: an upstream that stands
+# still, or its link, is the more likely cause, and may work again at once.
+MAX_SILENT_RETRY_DELAY_S = 1.0
 # Runs in a row that were broken off before an event, after which a text is
 # dropped, since all upstreams of its version may break off each run.
 MAX_LOST_RUNS = 3
@@ -109,5 +112,7 @@
         state.lost_runs - 1,
         seed=state.item.identifier,
         base=RETRY_DELAY_S,
-        limit=MAX_RETRY_DELAY_S,
+        limit=(
+            MAX_SILENT_RETRY_DELAY_S if state.was_silent else MAX_RETRY_DELAY_S
+        ),
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -23,6 +23,8 @@
         Number of runs that failed at the upstream, status 500.
     lost_runs : int
         Number of runs in a row that were broken off before an event.
+    was_silent : bool
+        True if the last of them was abandoned after a silence.
     event_data : list of bytes
         Data of the events received so far.
     last_event : int or None
@@ -53,6 +55,7 @@
         "has_result",
         "failures",
         "lost_runs",
+        "was_silent",
         "event_data",
         "last_event",
         "version",
@@ -73,6 +76,7 @@
         self.has_result = False
         self.failures = 0
         self.lost_runs = 0
+        self.was_silent = False
         self.event_data = []
         self.last_event = None
         self.version = None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -6,6 +6,7 @@
 from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
+from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.events import EventParser
@@ -226,6 +227,7 @@
 
     def report_failure(self, error):
         self.state.broken_at = self.upstream.entry.name
+        self.state.was_silent = isinstance(error, StreamStalledError)
         has_events = len(self.state.event_data) > self.initial_event_count
         if has_events:
             self.state.lost_runs = 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -626,3 +626,22 @@
     assert 3 < len(attempts) < 20
     upstreams = gateway.directory.upstreams.values()
     assert not any(upstream.failures for upstream in upstreams)
+
+
+# Failure: items whose upstreams had been silent a few times were not run for
+# up to ten seconds, as if they had ended these.
+def test_an_item_is_run_again_soon_after_silences(
+    build_worker, submit, reactor, wire, helpers
+):
+    gateway = build_worker()
+    submit()
+    for _ in range(12):
+        sent = len(gateway.pool.sent)
+        # The run is abandoned after a second.
+        reactor.pump([0.1] * 30)
+        assert len(gateway.pool.sent) > sent
+    assert len(gateway.pool.sent) < 40
+    while gateway.pool.last.is_cancelled:
+        reactor.advance(0.1)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert list_results(wire) == {"j0": (True, b"t1")}
