Pass over preempted runs when a worker stops

Cause: cancelling one run may preempt others; a stopping worker then failed at a run that was gone, and its process waited until it was killed.

Change: runs that are gone are passed over.

test_stopping_cancels_runs_that_preempt_each_other fails before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -645,3 +645,14 @@
         reactor.advance(0.1)
     gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
     assert list_results(wire) == {"j0": (True, b"t1")}
+
+
+# Failure: a stopping process failed at an item that the cancelling of another
+# one had preempted, and waited until it was killed.
+def test_stopping_cancels_runs_that_preempt_each_other(build_worker, submit):
+    gateway = build_worker(upstreams=("u1",), slots=6)
+    submit(6, due=5.0)
+    upstream = gateway.directory.upstreams["u1"]
+    upstream.set_peer_load("p", (4, 0))
+    gateway.worker.stop()
+    assert upstream.batch == 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -100,7 +100,9 @@
             self.schedule_call.cancel()
             self.schedule_call = None
         for state in list(self.running.values()):
-            state.run.cancel()
+            # Cancelling a run may preempt others.
+            if state.run is not None:
+                state.run.cancel()
 
     def schedule(self, seconds):
         """Schedule the next round of starts within some seconds."""
