--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -87,11 +87,6 @@
             "startup",
             lambda: handle_once(shutdown.request_shutdown, (signal.SIGTERM,)),
         )
-        reactor.addSystemEventTrigger(
-            "after",
-            "startup",
-            lambda: signal.signal(signal.SIGHUP, signal.SIG_IGN),
-        )
         eliot.log_message(
             "gateway:started",
             instance=settings.instance,
