Send a read of the store again when its connection fails

What callers saw: 503 store_unavailable for reads of jobs and files right after a data centre's links had healed, once (test_partition.py::test_a_data_centre_that_is_cut_off), though the store answered.

Cause, suspected: a read was sent once. A kept connection that is gone, or one that does not open in time, failed the caller's request.

Refusals of the store are not repeated, and while it is away a read is sent once, as before.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -44,6 +44,7 @@
 from .store import StoreKeyExistsError
 from .store import StoreReplyLostError
 from .store import StoreUnavailableError
+from .store import StoreUnreachableError
 from .store import StoreValueTooLargeError
 from .upstream import AnswerMisplacedError
 from .upstream import StreamCancelledError
@@ -101,6 +102,7 @@
     "StoreKeyExistsError",
     "StoreReplyLostError",
     "StoreUnavailableError",
+    "StoreUnreachableError",
     "StoreValueTooLargeError",
     "StreamCancelledError",
     "StreamLostError",
--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -11,6 +11,7 @@
     "StoreKeyExistsError",
     "StoreReplyLostError",
     "StoreUnavailableError",
+    "StoreUnreachableError",
     "StoreValueTooLargeError",
 ]
 
@@ -23,6 +24,10 @@
     code = "store_unavailable"
 
 
+class StoreUnreachableError(StoreUnavailableError):
+    """A call was never sent, since no connection could be opened in time."""
+
+
 class StoreReplyLostError(StoreUnavailableError):
     """A write may have taken effect; its reply was lost."""
 
--- a/packages/hollyspan_entry/hollyspan_entry/store/client.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/client.py
@@ -13,6 +13,7 @@
 from .codec import decode_entry
 from .codec import encode_bytes
 from .codec import encode_key
+from .reading import send_read
 from .transport import Transport
 from .watch import Watch
 from .writing import delete_key
@@ -64,10 +65,11 @@
 
     Notes
     -----
-    Each method but `watch` returns an awaitable. Reads raise
-    `StoreUnavailableError`. A write whose reply is lost is sent again with
-    the same token until an answer arrives; if none does, it raises
-    `StoreReplyLostError`. A write that was never sent raises
+    Each method but `watch` returns an awaitable. A read whose connection
+    fails is sent again while the store has just answered other calls, and
+    raises `StoreUnavailableError` if it fails again. A write whose reply is
+    lost is sent again with the same token until an answer arrives; if none
+    does, it raises `StoreReplyLostError`. A write that was never sent raises
     `StoreUnavailableError` with the outcome ``not_run``.
     """
 
@@ -93,8 +95,8 @@
         -------
         Entry or None
         """
-        answer = await self.transport.call(
-            "kv/range", {"key": encode_key(key)}
+        answer = await send_read(
+            self.transport, "kv/range", {"key": encode_key(key)}
         )
         pairs = answer.get("kvs", [])
         return decode_entry(pairs[0]) if pairs else None
@@ -117,7 +119,8 @@
         Page
         """
         start = prefix.encode() if after is None else after.encode() + b"\0"
-        answer = await self.transport.call(
+        answer = await send_read(
+            self.transport,
             "kv/range",
             {
                 "key": encode_bytes(start),
--- a/packages/hollyspan_entry/hollyspan_entry/store/transport.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/transport.py
@@ -1,6 +1,7 @@
 """HTTP calls to the store."""
 
 import json
+import math
 
 import treq
 from twisted.internet import defer
@@ -10,6 +11,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StoreReplyLostError
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_core.errors import StoreUnreachableError
 
 __all__ = ["Transport"]
 
@@ -18,6 +20,9 @@
     error.ConnectingCancelledError,
     error.DNSLookupError,
 )
+# Time since an answer after which the store counts as gone, as a multiple of
+# the timeout of a call.
+RECENT_ANSWER_TIMEOUTS = 3
 NO_ANSWER_ERRORS = (
     defer.TimeoutError,
     error.ConnectionLost,
@@ -43,9 +48,18 @@
     ----------
     calls : dict
         Number of calls by path; watches are counted as ``watch``.
+    answered_at : float
+        Time of the last answer, reactor seconds.
     """
 
-    __slots__ = ("url", "reactor", "agent", "timeout", "calls")
+    __slots__ = (
+        "url",
+        "reactor",
+        "agent",
+        "timeout",
+        "calls",
+        "answered_at",
+    )
 
     def __init__(self, *, url, reactor, agent, timeout):
         self.url = url
@@ -53,6 +67,12 @@
         self.agent = agent
         self.timeout = timeout
         self.calls = {}
+        self.answered_at = -math.inf
+
+    def has_answered_lately(self):
+        """Return whether the store has answered a call a short time ago."""
+        age = self.reactor.seconds() - self.answered_at
+        return age < RECENT_ANSWER_TIMEOUTS * self.timeout
 
     def count(self, kind):
         """Count a call of a kind."""
@@ -74,8 +94,10 @@
         ------
         StoreReplyLostError
             The call was sent and may have taken effect.
+        StoreUnreachableError
+            The call was never sent.
         StoreUnavailableError
-            The call was never sent, or was rejected before it took effect.
+            It was rejected before it took effect.
         """
         self.count(path)
         work = defer.ensureDeferred(self.post(path, body))
@@ -83,7 +105,7 @@
         try:
             return await work
         except NOT_SENT_ERRORS as failure:
-            raise StoreUnavailableError(
+            raise StoreUnreachableError(
                 "the store cannot be reached", outcome=Outcome.NOT_RUN
             ) from failure
         except NO_ANSWER_ERRORS as failure:
@@ -106,4 +128,6 @@
             raise StoreUnavailableError(
                 f"the store answered {response.code} to {path}"
             )
-        return json.loads(content)
+        document = json.loads(content)
+        self.answered_at = self.reactor.seconds()
+        return document
