Deployments: show where a process that is not ready waits

A daemon was not ready after 20 s once, with an empty log (test_freed_streams_have_one_result_each, listed). Nothing told where it stood. It is ended with SIGABRT now, and the stacks of its threads go to its log and into the error.

--- a/packages/hollyspan_standins/hollyspan_standins/deployment/process.py
+++ b/packages/hollyspan_standins/hollyspan_standins/deployment/process.py
@@ -1,6 +1,8 @@
 """Child process of the launcher."""
 
+import contextlib
 import json
+import os
 import selectors
 import signal
 import subprocess
@@ -12,6 +14,8 @@
 __all__ = ["Process"]
 
 READY_TIMEOUT_S = 20.0
+# Time in which a process writes its stacks.
+STACKS_TIMEOUT_S = 5.0
 
 
 class Process:
@@ -65,6 +69,7 @@
                 stdout=subprocess.PIPE if self.prints_ready_line else log,
                 stderr=log,
                 start_new_session=True,
+                env={**os.environ, "PYTHONFAULTHANDLER": "1"},
             )
 
     def read_ready_line(self, seconds=READY_TIMEOUT_S):
@@ -72,6 +77,7 @@
         with selectors.DefaultSelector() as selector:
             selector.register(self.child.stdout, selectors.EVENT_READ)
             if not selector.select(seconds):
+                self.write_stacks()
                 raise NotReadyError(
                     name=self.name, seconds=seconds, log=self.log
                 )
@@ -94,11 +100,20 @@
         while not condition():
             self.check_running()
             if time.monotonic() > deadline:
+                self.write_stacks()
                 raise NotReadyError(
                     name=self.name, seconds=seconds, log=self.log
                 )
             time.sleep(0.05)
 
+    def write_stacks(self):
+        """End the process and let it write its stacks to its log."""
+        if self.is_frozen:
+            return
+        self.child.send_signal(signal.SIGABRT)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            self.child.wait(STACKS_TIMEOUT_S)
+
     def kill(self):
         """Kill the process and wait for its exit."""
         if self.is_running:
