Test: claim the port at which an engine must not be called

Traced: the engine listens at an address of its own, and the system may give the same port of the usual address to another program, whose answer came. The test holds that port without listening now; what it asserts is the same.

--- a/packages/hollyspan_entry/hollyspan_entry/streams/tests/conftest.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/conftest.py
@@ -92,10 +92,10 @@
             settings=types.SimpleNamespace(timing=timing),
         )
 
-    def start(self, *, count=5, **script):
+    def start(self, *, count=5, port=0, **script):
         engine = ScriptedEngine(events=build_events(count), **script)
         site = server.Site(engine)
-        port = reactor.listenTCP(0, site, interface=self.address)
+        port = reactor.listenTCP(port, site, interface=self.address)
         self.ports.append(port)
         upstream = Upstream(
             name=f"engine-{len(self.ports)}",
--- a/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/tests/test_run.py
@@ -1,4 +1,5 @@
 import json
+import socket
 
 from twisted.internet import defer
 from twisted.internet import error as network_error
@@ -197,7 +198,13 @@
 
     async def test_an_engine_gets_no_calls_meant_for_another_program(self):
         # A daemon of another test goes on calling an engine that has ended.
-        engine, upstream = self.harness.start(break_offsets=[2] + [0] * 9)
+        claimed = socket.socket()
+        self.addCleanup(claimed.close)
+        # No other program listens at this port of the usual address.
+        claimed.bind(("127.0.0.1", 0))
+        engine, upstream = self.harness.start(
+            port=claimed.getsockname()[1], break_offsets=[2] + [0] * 9
+        )
         url = f"http://127.0.0.1:{upstream.port}/v1/streams/other?offset=0"
         for _ in range(5):
             await self.assertFailure(
