Make up for cancellations that follow the last ones too soon

Cause: after the streams of a silent owner had been cancelled, a round within the next 0.25 s was left out and not made up for. Streams that the owner had started in between kept their slots until another online request came.

Change: such a round is made as soon as it is allowed, while there is online load, and rounds may follow each other by 0.1 s: with the timeout of a notice that is below the promised 0.25 s.

test_streams_started_after_a_cancellation_are_cancelled_too fails without the deferred round.

--- a/packages/hollyspan_entry/hollyspan_entry/peers/notice_answers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/notice_answers.py
@@ -25,9 +25,12 @@
     ----------
     pending_notices : PendingNotices
         Notices sent by this daemon that are not answered yet.
+    deferred : set of (str, str)
+        Owners and their upstreams for which another round of cancellations
+        is due soon.
     """
 
-    __slots__ = ("runtime", "datagrams", "pending_notices")
+    __slots__ = ("runtime", "datagrams", "pending_notices", "deferred")
 
     def __init__(self, *, runtime, datagrams):
         self.runtime = runtime
@@ -36,6 +39,7 @@
             reactor=runtime.reactor,
             on_timeout=self.cancel_streams_of_silent_owner,
         )
+        self.deferred = set()
 
     def send_to(self, instance, datagram):
         """Send a datagram to a daemon of the same data centre.
@@ -111,11 +115,23 @@
 
     def cancel_streams_of_silent_owner(self, owner, upstream):
         """Cancel a silent owner's batch streams if there is online load."""
-        if upstream.online:
-            cancel_peer_batch_streams(
-                self.runtime, upstream=upstream, instance=owner
+        if not upstream.online:
+            return
+        remaining = cancel_peer_batch_streams(
+            self.runtime, upstream=upstream, instance=owner
+        )
+        key = owner, upstream.name
+        if remaining and key not in self.deferred:
+            # The owner may have started streams since the last round.
+            self.deferred.add(key)
+            self.runtime.reactor.callLater(
+                remaining, self.cancel_deferred, owner, upstream
             )
 
+    def cancel_deferred(self, owner, upstream):
+        self.deferred.discard((owner, upstream.name))
+        self.cancel_streams_of_silent_owner(owner, upstream)
+
 
 def list_local_upstreams(runtime):
     """List the upstreams of this daemon's data centre.
--- a/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/tests/test_peers.py
@@ -5,6 +5,7 @@
 from hollyspan_core.messages import InFlight
 from hollyspan_core.messages import UpstreamLoadReport
 from hollyspan_entry.peers.pending_notices import RESEND_DELAY_S
+from hollyspan_entry.streams import batch_cancellation
 
 
 def find_owned(daemon, owner):
@@ -165,3 +166,47 @@
     _, first, _ = pair
     first.datagrams.datagramReceived(b"x" * 40, None)
     assert first.counters.foreign == 1
+
+
+# Failure: streams that a silent owner had started within a quarter of a second
+# after a round of cancellations kept online requests waiting.
+def test_streams_started_after_a_cancellation_are_cancelled_too(
+    pair, monkeypatch
+):
+    network, first, _ = pair
+    cancelled = []
+    monkeypatch.setattr(
+        batch_cancellation,
+        "send_cancel",
+        lambda runtime, *, upstream, stream_id: cancelled.append(stream_id),
+    )
+    upstream = find_owned(first, "b")
+
+    def announce_streams(*numbers):
+        upstream.update_peer_streams(
+            "b",
+            incarnation=first.runtime.members.members["b"].incarnation,
+            highest=max(numbers),
+            running=numbers,
+        )
+
+    def send_online():
+        first.runtime.upstreams.change_online_in_flight(upstream, 1)
+
+    announce_streams(1, 2)
+    send_online()
+    network.clock.advance(0.04)
+    send_online()
+    while not cancelled:
+        network.clock.advance(0.01)
+    assert len(cancelled) == 2 + 2 * upstream.slots
+    announce_streams(40, 41)
+    cancelled.clear()
+    # The second notice is not answered, either.
+    network.clock.pump([0.01] * 15)
+    assert len(cancelled) == 2 + 2 * upstream.slots
+    # Nothing is cancelled once the online requests have ended.
+    announce_streams(80)
+    first.runtime.upstreams.change_online_in_flight(upstream, -2)
+    network.clock.advance(1.0)
+    assert len(cancelled) == 2 + 2 * upstream.slots
--- a/packages/hollyspan_entry/hollyspan_entry/streams/batch_cancellation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/batch_cancellation.py
@@ -1,7 +1,5 @@
 """Cancellation of batch streams that an unresponsive daemon runs."""
 
-import time
-
 import eliot
 
 from hollyspan_policy.batch import choose_orphaned_streams
@@ -11,8 +9,10 @@
 
 __all__ = ["cancel_peer_batch_streams"]
 
-# Minimum time between two cancellation rounds for one daemon's streams.
-MIN_ROUND_INTERVAL_S = 0.25
+# Minimum time between two cancellation rounds for one daemon's streams. With
+# the timeout of a notice it is below the time for which an online request may
+# wait behind batch work, 0.25 s.
+MIN_ROUND_INTERVAL_S = 0.1
 
 
 def cancel_peer_batch_streams(runtime, *, upstream, instance):
@@ -25,18 +25,24 @@
     instance : str
         Daemon that does not answer.
 
+    Returns
+    -------
+    float
+        Seconds until the next round if the last one was too short ago for
+        another now, else 0.
+
     Notes
     -----
     A daemon that is still live treats the cancelled streams as preempted and
     resumes them later, so an unnecessary round loses no results.
     """
-    now = time.monotonic()
+    now = runtime.reactor.seconds()
     streams = get_peer_streams(runtime, upstream, instance)
-    if (
-        streams is None
-        or now - streams.last_cancelled_at < MIN_ROUND_INTERVAL_S
-    ):
-        return
+    if streams is None:
+        return 0.0
+    remaining = streams.last_cancelled_at + MIN_ROUND_INTERVAL_S - now
+    if remaining > 0:
+        return remaining
     streams.last_cancelled_at = now
     numbers = choose_orphaned_streams(
         streams.running, highest=streams.highest, slots=upstream.slots
@@ -57,6 +63,7 @@
             number=number,
         )
         send_cancel(runtime, upstream=upstream, stream_id=stream_id)
+    return 0.0
 
 
 def get_peer_streams(runtime, upstream, instance):
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/peer_streams.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/peer_streams.py
@@ -20,7 +20,7 @@
     Attributes
     ----------
     last_cancelled_at : float
-        Monotonic seconds at which this daemon last cancelled them.
+        Reactor seconds at which this daemon last cancelled them.
     """
 
     __slots__ = ("incarnation", "highest", "running", "last_cancelled_at")
