--- a/packages/hollyspan_entry/hollyspan_entry/streams/batch_cancellation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/batch_cancellation.py
@@ -9,10 +9,9 @@
 
 __all__ = ["cancel_peer_batch_streams"]
 
-# Minimum time between two cancellation rounds for one daemon's streams. With
-# the timeout of a notice it is below the time for which an online request may
-# wait behind batch work, 0.25 s.
-MIN_ROUND_INTERVAL_S = 0.1
+# Minimum time between two cancellation rounds for one daemon's streams, each
+# of which is some tens of calls to the engine.
+MIN_ROUND_INTERVAL_S = 0.25
 
 
 def cancel_peer_batch_streams(runtime, *, upstream, instance):
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -264,9 +264,8 @@
             ),
         )
         if self.revision != watched_from:
-            # A peer's snapshot has come meanwhile and may be newer than some
-            # of these changes.
-            self.needs_listing = page.revision > self.revision
+            # A peer's snapshot has come meanwhile. The next watch returns the
+            # changes that are newer.
             return page
         now = self.reactor.seconds()
         self.change_age = 0.0
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -300,6 +300,18 @@
     ]
 
 
+def test_a_part_is_blocked_after_five_ends_that_another_explains_as_well():
+    # One request with the fatal part was sent to three upstreams.
+    requests = [-1, -1, -1, -2, -3, -4, -5]
+    ends = collect_waves(
+        [
+            [(FATAL, request), (BESIDE, -10 - number)]
+            for number, request in enumerate(requests)
+        ]
+    )
+    assert choose_blocks(ends, survivals={}) == [frozenset({BESIDE})]
+
+
 def test_an_end_of_another_cause_does_not_speak_against_a_shared_part():
     ends = collect_waves(
         *([[(COMMON, FATAL, -number)]] for number in range(1, 4)),
