Try a block at whichever gateway gets requests with it

Cause: trials were left to one gateway, chosen among all. A front runs no items, a worker takes no clients, and requests with a rare part may come to other fronts, so mostly no trial was ever made.

Change: gateways take turns, 3 s for each, fronts and workers apart; a failed trial is told to all and stored by the gateway that has made it.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -11,9 +11,9 @@
 
 __all__ = ["BlockList", "describe_block"]
 
-# Shortest time between two checks whether a block is owned here, which take
-# time for each gateway of the fleet.
-OWNER_CHECK_INTERVAL_S = 0.5
+# Shortest time between two checks of this gateway's turn to try a block, which
+# take time for each gateway of the fleet.
+TURN_CHECK_INTERVAL_S = 0.5
 # Limit on the memory; the oldest block is forgotten.
 MAX_BLOCKS = 64
 # Shortest retry-after time of a refused request.
@@ -26,8 +26,9 @@
     Parameters
     ----------
     reactor : twisted reactor
-    is_owner : callable
-        Called with a block's key, returns whether its trials are made here.
+    find_turn : callable
+        Called with a block's key, returns the number of gateways that may try
+        the block before this one, or None if this one may not.
     on_block : callable
         Called with each new Block.
 
@@ -37,11 +38,11 @@
         Block by its keys, the oldest first.
     """
 
-    __slots__ = ("reactor", "is_owner", "on_block", "blocks")
+    __slots__ = ("reactor", "find_turn", "on_block", "blocks")
 
-    def __init__(self, *, reactor, is_owner, on_block):
+    def __init__(self, *, reactor, find_turn, on_block):
         self.reactor = reactor
-        self.is_owner = is_owner
+        self.find_turn = find_turn
         self.on_block = on_block
         self.blocks = {}
 
@@ -65,9 +66,9 @@
         if not block.is_trial_due(now=now):
             return False
         if now >= block.next_check_at:
-            block.next_check_at = now + OWNER_CHECK_INTERVAL_S
-            block.is_owned = self.is_owner(build_key(block.keys))
-        return block.is_owned
+            block.next_check_at = now + TURN_CHECK_INTERVAL_S
+            block.turn = self.find_turn(build_key(block.keys))
+        return block.is_turn_due(now=now)
 
     def require_allowed(self, keys, *, outcome):
         """Raise RequestBlockedError for a request that may not be sent."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -61,7 +61,7 @@
     of the requests in flight there, decides for itself from the reports of
     all, and tells its decisions to the others and to the store. A block ends
     when a gateway sees that an upstream has survived a request with its keys:
-    one that was in flight, or a trial that the block's owner lets through.
+    one that was in flight, or a trial that one of them lets through.
     """
 
     __slots__ = (
@@ -93,7 +93,7 @@
         self.records = BlockRecords(gateway=gateway, guard=self)
         self.block_list = BlockList(
             reactor=gateway.reactor,
-            is_owner=self.records.is_owner,
+            find_turn=self.records.find_turn,
             on_block=self.break_off,
         )
         self.decision_call = None
@@ -376,7 +376,9 @@
         block.at = now
         if has_failed_trial:
             block.failed_trials += 1
-            self.publish_block(block)
+            self.records.update(block)
+            # The next in turn must not try it again.
+            self.news.tell_block(block)
 
     def break_off(self, block):
         """Break off the blocked requests that are held or in flight."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -9,6 +9,7 @@
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.ownership import choose_owner
+from hollyspan_policy.ownership import rank_owners
 
 from ..clock import wait
 from ..store import Mirror
@@ -60,6 +61,10 @@
         """Write a block, or leave it to the gateway that owns it."""
         self.start_work(self.write(block))
 
+    def update(self, block):
+        """Write a block again after a trial that has failed here."""
+        self.start_work(self.put(block))
+
     def replace(self, block, narrower):
         """Write a narrower block and remove the one that it replaces."""
         self.start_work(self.write_and_erase(block, narrower))
@@ -110,10 +115,7 @@
                 await wait(self.gateway.reactor, RETRY_DELAY_S)
 
     def is_owner(self, key):
-        """Return whether this gateway owns the block with a key.
-
-        One that reaches no upstream could let no trial through.
-        """
+        """Return whether this gateway owns the record of a block."""
         peers = self.gateway.peers
         able = [
             peer.identifier
@@ -124,6 +126,39 @@
             able.append(peers.identifier)
         return choose_owner(key, able) == peers.identifier
 
+    def find_turn(self, key):
+        """Find the turn of this gateway to let requests through as trials.
+
+        Parameters
+        ----------
+        key : str
+            Key of the block's record.
+
+        Returns
+        -------
+        int or None
+            Number of gateways before this one; None if it reaches no
+            upstream.
+
+        Notes
+        -----
+        Requests of clients come to some gateways, and items are run by
+        others. Each kind has turns of its own, those of the latter one later.
+        """
+        gateway = self.gateway
+        if gateway.reach.is_confirmed:
+            return None
+        runs_batch = gateway.settings.runs_batch
+        able = [
+            peer.identifier
+            for peer in gateway.peers.list_live()
+            if peer.runs_batch == runs_batch
+            and not peer.is_cut_off
+            and not peer.is_leaving
+        ]
+        own = gateway.peers.identifier
+        return rank_owners(key, [*able, own]).index(own) + runs_batch
+
     def apply(self, mirror):
         """Apply the blocks in the store, and withdraw those removed."""
         now = self.gateway.reactor.seconds()
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -7,6 +7,7 @@
 from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.peers.peer import Peer
 from hollyspan_gateway.routes import RouteKind
 
 FATAL = 2
@@ -96,6 +97,31 @@
     assert gateway.pool.sent == []
 
 
+# Failure: items with a blocked part were never tried, since a gateway that
+# runs no items was to try it.
+def test_a_blocked_item_is_tried_by_the_gateway_that_runs_it(
+    gateway, submit, reactor, helpers, wire
+):
+    gateway.settings.runs_batch = True
+    fronts = [
+        Peer(key=number, address=("10.0.0.9", number))
+        for number in range(1, 21)
+    ]
+    gateway.peers.list_live = lambda: fronts
+    gateway.guard.block_list.add(frozenset({FATAL}), at=reactor.seconds())
+    submit(FATAL, FATAL)
+    reactor.advance(30.0)
+    assert gateway.pool.sent == []
+    for _ in range(40):
+        if not gateway.pool.sent:
+            reactor.advance(0.1)
+    (trial,) = gateway.pool.sent
+    trial.answer(200, body=helpers.build_events(1, 1))
+    reactor.advance(0.2)
+    assert not gateway.guard.blocks
+    assert len(gateway.pool.sent) == 2
+
+
 def test_a_waiting_run_is_broken_off_and_one_that_writes_is_not(
     gateway, submit, reactor, helpers
 ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -171,6 +171,38 @@
     )
 
 
+# Failure: a block lasted for good if its requests came to other gateways than
+# the one that was to try it.
+@pytest.mark.parametrize("number", range(4))
+def test_a_part_is_tried_at_the_only_gateway_that_gets_requests_with_it(
+    blocked_fleet, number
+):
+    blocked_fleet.fatal_parts.clear()
+    gateway = blocked_fleet.gateways[number]
+    for count in range(90):
+        blocked_fleet.request(f"n{count}", (FATAL,), gateway=gateway)
+        blocked_fleet.advance(0.5)
+    assert not any(each.guard.blocks for each in blocked_fleet.gateways)
+
+
+def test_a_failed_trial_is_known_to_all_gateways(blocked_fleet, wire):
+    ended = len(blocked_fleet.ended)
+    for number in range(100):
+        for gateway in blocked_fleet.gateways:
+            blocked_fleet.request(f"n{number}", (FATAL,), gateway=gateway)
+        blocked_fleet.advance(0.5)
+    assert len(blocked_fleet.ended) == ended + 1
+    for gateway in blocked_fleet.gateways:
+        (block,) = gateway.guard.blocks.values()
+        assert block.failed_trials == 1
+    (record,) = [
+        entry.content
+        for key, entry in wire.entries.items()
+        if key.startswith("hs/x/")
+    ]
+    assert b'"failed_trials": 1' in record
+
+
 def test_failed_trials_become_rarer(blocked_fleet):
     ended = len(blocked_fleet.ended)
     for number in range(280):
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -9,6 +9,9 @@
 MAX_TRIAL_DELAY_S = 3600.0
 # Time after a trial in which its upstream's end, if it is one, is detected.
 TRIAL_CHECK_S = 2.0
+# Time that a gateway leaves to each one before it for a trial: that of a trial
+# and its check.
+TRIAL_TURN_S = 3.0
 
 
 class Block:
@@ -29,10 +32,11 @@
         True while a trial is in flight at this gateway.
     checked_until : float
         Time until which the last trial may turn out to have failed, seconds.
-    is_owned : bool
-        Whether this gateway lets trials through, as of the last check.
+    turn : int or None
+        Number of gateways that may try before this one, as of the last check;
+        None if it makes no trials.
     next_check_at : float
-        Time of the next check of the owner, seconds.
+        Time of the next check of the turn, seconds.
     """
 
     __slots__ = (
@@ -41,7 +45,7 @@
         "failed_trials",
         "is_tried",
         "checked_until",
-        "is_owned",
+        "turn",
         "next_check_at",
     )
 
@@ -51,7 +55,7 @@
         self.failed_trials = failed_trials
         self.is_tried = False
         self.checked_until = 0.0
-        self.is_owned = False
+        self.turn = None
         self.next_check_at = 0.0
 
     @property
@@ -60,11 +64,26 @@
         return self.at + choose_trial_delay(self.failed_trials)
 
     def is_trial_due(self, *, now):
-        """Return whether a request may be let through as a trial."""
+        """Return whether some gateway may let a request through as a trial."""
         return not self.is_tried and now >= max(
             self.trial_at, self.checked_until
         )
 
+    def is_turn_due(self, *, now):
+        """Return whether this gateway may let a request through as a trial.
+
+        Notes
+        -----
+        Load pattern: requests with a part come rarely, or to a few gateways
+        only, and those with parts of batch work to workers alone. The first
+        in turn may never get one, so the others follow it, one at a time.
+        """
+        return (
+            self.is_trial_due(now=now)
+            and self.turn is not None
+            and now >= self.trial_at + self.turn * TRIAL_TURN_S
+        )
+
     def end_trial(self, *, now):
         """Note that a trial is no longer in flight."""
         self.is_tried = False
