--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -11,9 +11,9 @@
 
 __all__ = ["BlockList", "describe_block"]
 
-# Shortest time between two checks of this gateway's turn to try a block, which
+# Shortest time between two checks of this gateway's rank for trials, which
 # take time for each gateway of the fleet.
-TURN_CHECK_INTERVAL_S = 0.5
+RANK_CHECK_INTERVAL_S = 0.5
 # Limit on the memory; the oldest block is forgotten.
 MAX_BLOCKS = 64
 # Shortest retry-after time of a refused request.
@@ -26,7 +26,7 @@
     Parameters
     ----------
     reactor : twisted reactor
-    find_turn : callable
+    find_trial_rank : callable
         Called with a block's key, returns the number of gateways that may try
         the block before this one, or None if this one may not.
     on_block : callable
@@ -38,11 +38,11 @@
         Block by its keys, the oldest first.
     """
 
-    __slots__ = ("reactor", "find_turn", "on_block", "blocks")
+    __slots__ = ("reactor", "find_trial_rank", "on_block", "blocks")
 
-    def __init__(self, *, reactor, find_turn, on_block):
+    def __init__(self, *, reactor, find_trial_rank, on_block):
         self.reactor = reactor
-        self.find_turn = find_turn
+        self.find_trial_rank = find_trial_rank
         self.on_block = on_block
         self.blocks = {}
 
@@ -66,9 +66,9 @@
         if not block.is_trial_due(now=now):
             return False
         if now >= block.next_check_at:
-            block.next_check_at = now + TURN_CHECK_INTERVAL_S
-            block.turn = self.find_turn(build_key(block.keys))
-        return block.is_turn_due(now=now)
+            block.next_check_at = now + RANK_CHECK_INTERVAL_S
+            block.trial_rank = self.find_trial_rank(build_key(block.keys))
+        return block.is_trial_due_here(now=now)
 
     def require_allowed(self, keys, *, outcome):
         """Raise RequestBlockedError for a request that may not be sent."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -94,7 +94,7 @@
         self.records = BlockRecords(gateway=gateway, guard=self)
         self.block_list = BlockList(
             reactor=gateway.reactor,
-            find_turn=self.records.find_turn,
+            find_trial_rank=self.records.find_trial_rank,
             on_block=self.break_off,
         )
         self.decision_call = None
@@ -389,7 +389,7 @@
         if has_failed_trial:
             block.failed_trials += 1
             self.records.update(block)
-            # The next in turn must not try it again.
+            # The gateways of a lower rank must not try it again.
             self.news.tell_block(block)
 
     def break_off(self, block):
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -126,8 +126,8 @@
             able.append(peers.identifier)
         return choose_owner(key, able) == peers.identifier
 
-    def find_turn(self, key):
-        """Find the turn of this gateway to let requests through as trials.
+    def find_trial_rank(self, key):
+        """Find the rank of this gateway for letting a trial through.
 
         Parameters
         ----------
@@ -143,7 +143,7 @@
         Notes
         -----
         Requests of clients come to some gateways, and items are run by
-        others. Each kind has turns of its own, those of the latter one later.
+        others. Each kind is ranked by itself, and the latter begin later.
         """
         gateway = self.gateway
         if gateway.reach.is_confirmed:
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -9,9 +9,9 @@
 MAX_TRIAL_DELAY_S = 3600.0
 # Time after a trial in which its upstream's end, if it is one, is detected.
 TRIAL_CHECK_S = 2.0
-# Time that a gateway leaves to each one before it for a trial: that of a trial
-# and its check.
-TRIAL_TURN_S = 3.0
+# Time that a gateway leaves to each one of a higher rank: that of a trial and
+# its check.
+TRIAL_INTERVAL_S = 3.0
 
 
 class Block:
@@ -32,11 +32,11 @@
         True while a trial is in flight at this gateway.
     checked_until : float
         Time until which the last trial may turn out to have failed, seconds.
-    turn : int or None
+    trial_rank : int or None
         Number of gateways that may try before this one, as of the last check;
         None if it makes no trials.
     next_check_at : float
-        Time of the next check of the turn, seconds.
+        Time of the next check of the rank, seconds.
     """
 
     __slots__ = (
@@ -45,7 +45,7 @@
         "failed_trials",
         "is_tried",
         "checked_until",
-        "turn",
+        "trial_rank",
         "next_check_at",
     )
 
@@ -55,7 +55,7 @@
         self.failed_trials = failed_trials
         self.is_tried = False
         self.checked_until = 0.0
-        self.turn = None
+        self.trial_rank = None
         self.next_check_at = 0.0
 
     @property
@@ -69,19 +69,19 @@
             self.trial_at, self.checked_until
         )
 
-    def is_turn_due(self, *, now):
+    def is_trial_due_here(self, *, now):
         """Return whether this gateway may let a request through as a trial.
 
         Notes
         -----
         Load pattern: requests with a part come rarely, or to a few gateways
         only, and those with parts of batch work to workers alone. The first
-        in turn may never get one, so the others follow it, one at a time.
+        gateway may never get one, so the others follow, one after the other.
         """
         return (
             self.is_trial_due(now=now)
-            and self.turn is not None
-            and now >= self.trial_at + self.turn * TRIAL_TURN_S
+            and self.trial_rank is not None
+            and now >= self.trial_at + self.trial_rank * TRIAL_INTERVAL_S
         )
 
     def end_trial(self, *, now):
