--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -446,6 +446,7 @@
         if is_broken_off(error) and self.gateway.guard.has_ended_upstreams(
             self.head.fingerprint, before=self.request.arrived_at
         ):
+            # The end just seen may tell it from the requests beside it.
             return False
         return self.route.is_repeatable
 
