Limits on what a process reads, and reading in turns of bounded work

Pure limits in hollyspan_policy.intake: bytes and pieces of one message, bytes that all readers keep together, and each sender's share of the loop. hollyspan_core.intake.TurnReader hands received bytes to a parser in slices, one in each turn of the loop.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -8,6 +8,7 @@
 from .configuration import SettingsInvalidError
 from .document import DocumentInvalidError
 from .instances import InstanceListError
+from .intake import IntakeExceededError
 from .peer import PeerAnswerError
 from .peer import PeerAuthenticationError
 from .peer import PeerMessageError
@@ -80,6 +81,7 @@
     "InstanceListError",
     "InstanceStoppedError",
     "InvalidRequestError",
+    "IntakeExceededError",
     "ItemAttemptsError",
     "ItemTimeoutError",
     "LeaseLostError",
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
@@ -0,0 +1,95 @@
+"""Reading of one connection in turns."""
+
+from twisted.internet import task
+from twisted.internet.testing import StringTransport
+
+from hollyspan_core.intake import TurnReader
+from hollyspan_core.intake.turns import SLICE_BYTES
+
+
+class Reader:
+    """A turn reader whose slices and end are recorded."""
+
+    def __init__(self, *, delay=0.0):
+        self.clock = task.Clock()
+        self.transport = StringTransport()
+        self.parsed = []
+        self.ends = []
+        self.delay = delay
+        self.turns = TurnReader(
+            reactor=self.clock,
+            transport=self.transport,
+            parse=self.parse,
+            charge=lambda work: self.delay,
+            on_end=self.ends.append,
+        )
+
+    def parse(self, data):
+        self.parsed.append(data)
+        return 1
+
+    @property
+    def is_paused(self):
+        return self.transport.producerState == "paused"
+
+
+def test_small_data_is_parsed_at_once():
+    reader = Reader()
+    reader.turns.receive(b"abc")
+    assert reader.parsed == [b"abc"]
+    assert not reader.is_paused
+
+
+def test_large_data_is_parsed_a_slice_a_turn():
+    reader = Reader()
+    data = bytes(range(256)) * 48
+    reader.turns.receive(data)
+    assert reader.parsed == [data[:SLICE_BYTES]]
+    assert reader.is_paused
+    reader.clock.pump([0.0] * 3)
+    assert b"".join(reader.parsed) == data
+    assert not reader.is_paused
+
+
+def test_a_sender_over_its_share_is_read_later():
+    reader = Reader(delay=0.5)
+    reader.turns.receive(b"a")
+    reader.turns.receive(b"b")
+    assert reader.parsed == [b"a"]
+    reader.clock.advance(0.4)
+    assert reader.parsed == [b"a"]
+    reader.clock.advance(0.1)
+    assert reader.parsed == [b"a", b"b"]
+
+
+def test_the_end_is_reported_behind_the_bytes_that_wait():
+    reader = Reader()
+    reader.turns.receive(bytes(2 * SLICE_BYTES))
+    reader.turns.end("closed")
+    assert reader.ends == []
+    reader.clock.advance(0)
+    assert reader.ends == ["closed"]
+    assert sum(map(len, reader.parsed)) == 2 * SLICE_BYTES
+
+
+def test_nothing_is_parsed_after_a_stop():
+    reader = Reader()
+    reader.turns.receive(bytes(3 * SLICE_BYTES))
+    reader.turns.stop()
+    reader.clock.pump([0.0] * 3)
+    assert len(reader.parsed) == 1
+    assert reader.turns.pending_bytes == 0
+
+
+def test_a_stop_from_the_parser_ends_the_reading():
+    reader = Reader()
+
+    def parse(data):
+        reader.parsed.append(data)
+        reader.turns.stop()
+        return 1
+
+    reader.turns.parse = parse
+    reader.turns.receive(bytes(3 * SLICE_BYTES))
+    reader.clock.pump([0.0] * 3)
+    assert len(reader.parsed) == 1
--- /dev/null
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -0,0 +1,128 @@
+"""Reading of one connection in slices, each in a turn of the loop."""
+
+import collections
+
+__all__ = ["TurnReader"]
+
+# Bytes that are parsed in one turn. A chunk of one byte takes six bytes.
+SLICE_BYTES = 4096
+
+
+class TurnReader:
+    """Hands received bytes to a parser, a slice in each turn of the loop.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    transport : ITransport
+        Is paused while bytes wait.
+    parse : callable
+        Called with the next bytes; returns the work that they were, in
+        pieces.
+    charge : callable
+        Called with the work of a slice; returns the seconds until the next
+        slice may be read.
+    on_end : callable
+        Called with the reason of the connection's end once all bytes that
+        came before it have been parsed.
+
+    Attributes
+    ----------
+    pending_bytes : int
+        Bytes that wait for their turn.
+
+    Notes
+    -----
+    Bytes that fit into one slice are parsed at once unless the sender has to
+    wait, so that usual traffic is not delayed.
+    """
+
+    __slots__ = (
+        "reactor",
+        "transport",
+        "parse",
+        "charge",
+        "on_end",
+        "slices",
+        "pending_bytes",
+        "turn",
+        "end_reason",
+        "is_parsing",
+        "is_paused",
+    )
+
+    def __init__(self, *, reactor, transport, parse, charge, on_end):
+        self.reactor = reactor
+        self.transport = transport
+        self.parse = parse
+        self.charge = charge
+        self.on_end = on_end
+        self.slices = collections.deque()
+        self.pending_bytes = 0
+        self.turn = None
+        self.end_reason = None
+        self.is_parsing = False
+        self.is_paused = False
+
+    def receive(self, data):
+        """Parse received bytes now or in later turns.
+
+        Parameters
+        ----------
+        data : bytes
+        """
+        for start in range(0, len(data), SLICE_BYTES):
+            self.slices.append(data[start : start + SLICE_BYTES])
+        self.pending_bytes += len(data)
+        if self.turn is None and not self.is_parsing:
+            self.take_turn()
+
+    def end(self, reason):
+        """Report the end of the connection behind the bytes that wait.
+
+        Parameters
+        ----------
+        reason : Failure
+        """
+        self.end_reason = reason
+        if self.turn is None and not self.is_parsing:
+            self.finish()
+
+    def stop(self):
+        """Drop the bytes that wait."""
+        self.slices.clear()
+        self.pending_bytes = 0
+        if self.turn is not None:
+            self.turn.cancel()
+            self.turn = None
+
+    def take_turn(self):
+        """Parse one slice and plan the next turn."""
+        self.turn = None
+        if not self.slices:
+            self.finish()
+            return
+        data = self.slices.popleft()
+        self.pending_bytes -= len(data)
+        self.is_parsing = True
+        try:
+            work = self.parse(data)
+        finally:
+            self.is_parsing = False
+        delay = self.charge(work)
+        if self.slices or delay > 0.0:
+            if self.end_reason is None and not self.is_paused:
+                self.is_paused = True
+                self.transport.pauseProducing()
+            self.turn = self.reactor.callLater(delay, self.take_turn)
+        else:
+            self.finish()
+
+    def finish(self):
+        """Read on, or report the end, when no bytes wait."""
+        if self.end_reason is not None:
+            reason, self.end_reason = self.end_reason, None
+            self.on_end(reason)
+        elif self.is_paused:
+            self.is_paused = False
+            self.transport.resumeProducing()
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
@@ -0,0 +1,65 @@
+"""Limits on what a process reads."""
+
+import pytest
+
+from hollyspan_core.errors import IntakeExceededError
+from hollyspan_policy.intake import ByteBudget
+from hollyspan_policy.intake import IntakeLimits
+from hollyspan_policy.intake import IntakeMeter
+from hollyspan_policy.intake import WorkShares
+
+LIMITS = IntakeLimits(
+    what="an answer", content_bytes=1000, spare_pieces=10, bytes_per_piece=8
+)
+
+
+def test_a_message_within_its_limits_is_read():
+    meter = IntakeMeter(limits=LIMITS)
+    for _ in range(100):
+        meter.count(10)
+    assert meter.content_bytes == 1000
+
+
+def test_too_many_bytes_exceed_the_limits():
+    meter = IntakeMeter(limits=LIMITS)
+    with pytest.raises(IntakeExceededError, match="1000 bytes"):
+        meter.count(1001)
+
+
+def test_pieces_of_one_byte_exceed_the_limits():
+    meter = IntakeMeter(limits=LIMITS)
+    with pytest.raises(IntakeExceededError, match="pieces"):
+        for _ in range(12):
+            meter.count(1)
+
+
+def test_messages_together_exceed_the_budget():
+    budget = ByteBudget(what="answers", limit=100)
+    with budget.open_account() as first, budget.open_account() as second:
+        first(60)
+        with pytest.raises(IntakeExceededError, match="100 bytes in all"):
+            second(60)
+        second(40)
+        first(-60)
+        second(60)
+    assert budget.kept == 0
+
+
+def test_a_sender_within_its_rate_never_waits():
+    shares = WorkShares(rate=100.0, burst=50.0)
+    waits = {shares.charge("a", 10, now=0.1 * n) for n in range(100)}
+    assert waits == {0.0}
+
+
+def test_a_sender_over_its_rate_waits_and_no_other_does():
+    shares = WorkShares(rate=100.0, burst=50.0)
+    assert shares.charge("a", 150, now=0.0) == 1.0
+    assert shares.charge("b", 10, now=0.0) == 0.0
+    assert shares.measure("a", now=1.0) == 0.0
+
+
+def test_a_bounded_number_of_senders_is_remembered():
+    shares = WorkShares(rate=100.0, burst=50.0, max_senders=3)
+    for sender in range(10):
+        shares.charge(sender, 1, now=0.0)
+    assert len(shares.buckets) == 3
