Log when a turn of the event loop takes long, and what ran

All that a daemon or gateway does depends on its loop; no line told when it was held, nor by what.

Tested with a process whose connection holds the loop for a second: the line names the protocol and the sender.

--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -11,6 +11,7 @@
 from twisted.web import client
 from twisted.web import resource
 
+from hollyspan_core.loop_watch import open_loop_watch
 from hollyspan_core.signals import handle_once
 from hollyspan_policy.membership import MemberTable
 
@@ -153,6 +154,7 @@
             runtime = stack.enter_context(
                 open_runtime(settings, reactor=reactor)
             )
+            stack.enter_context(open_loop_watch(reactor))
             add_health(runtime)
             for open_part in PARTS:
                 stack.enter_context(open_part(runtime))
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -10,6 +10,7 @@
 from twisted.web import http
 
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_core.loop_watch import open_loop_watch
 from hollyspan_core.signals import handle_once
 
 from .clock import wait
@@ -71,6 +72,7 @@
         incarnation=time.time_ns() // 1000,
     )
     with contextlib.ExitStack() as stack:
+        stack.enter_context(open_loop_watch(reactor))
         if settings.client_port is not None:
             gateway.site = listen_for_clients(reactor, gateway)
         start_components(reactor, gateway)
