Log why items are open and not running

An item that is not started left no line, so that the hypotheses about items that stay open could not be told apart.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -142,6 +142,7 @@
             job=job,
             revision=entry.revision,
             has_read_results=has_read_results,
+            seen_at=self.gateway.reactor.seconds(),
         )
         for item in job.items:
             key = hash_parts(identifier, item.identifier)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -42,6 +42,8 @@
         End of the last run, reactor seconds.
     not_before : float
         Time before which the item is not started again, reactor seconds.
+    hindrance : str or None
+        Why the last attempt to start it has failed.
     owner : str or None
         Identifier of the gateway that runs the item, among `owner_workers`.
     owner_workers : tuple of str or None
@@ -65,6 +67,7 @@
         "broken_at",
         "stopped_at",
         "not_before",
+        "hindrance",
         "owner",
         "owner_workers",
     )
@@ -86,6 +89,7 @@
         self.broken_at = None
         self.stopped_at = 0.0
         self.not_before = 0.0
+        self.hindrance = None
         self.owner = None
         self.owner_workers = None
 
@@ -106,6 +110,8 @@
         Revision of the store at which the job was created.
     has_read_results : bool
         True when the results in the store have been read.
+    seen_at : float, optional
+        Time at which the job was first seen here, reactor seconds.
 
     Attributes
     ----------
@@ -128,9 +134,11 @@
         "has_read_results",
         "is_reading_results",
         "is_released",
+        "seen_at",
     )
 
-    def __init__(self, *, job, revision, has_read_results):
+    def __init__(self, *, job, revision, has_read_results, seen_at=0.0):
+        self.seen_at = seen_at
         self.job = job
         self.revision = revision
         self.items = {}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -16,6 +16,7 @@
 from .item_placement import choose_retry_delay
 from .item_placement import ItemPlacement
 from .job_remover import JobRemover
+from .open_items import OpenItemLog
 from .ranks import WorkerRanks
 from .releases import ReleaseWriter
 from .result_storage import persist_result
@@ -84,6 +85,7 @@
             on_end=self.stop_job,
         )
         self.remover = JobRemover(gateway=gateway, catalogue=self.catalogue)
+        self.open_items = OpenItemLog(worker=self)
 
     def start(self):
         """Start following the jobs and running items."""
@@ -148,6 +150,7 @@
         """Start items on the free slots, the most urgent first."""
         self.schedule_call = None
         self.schedule(SCHEDULING_INTERVAL_S)
+        self.open_items.log_if_due()
         if self.is_stopping or self.gateway.routes is None:
             return
         if not self.gateway.upstreams_mirror.is_connected:
@@ -237,6 +240,7 @@
             self.give_up(state, "the job's retention time is over")
             return
         if route is None or route.kind is not RouteKind.BATCH:
+            state.hindrance = "no_route"
             self.handle_missing_route(state)
             return
         if not self.gateway.guard.block_list.may_send(state.shared_parts):
@@ -247,7 +251,9 @@
             is_urgent=job.due - now < URGENT_SLACK_S,
         )
         if upstream is None:
+            state.hindrance = "no_slot"
             return
+        state.hindrance = None
         state.run = ItemRun(
             gateway=self.gateway,
             state=state,
