Try a block soon whose upstreams may have ended of another cause

Callers saw items of accepted jobs open at the end that nothing worked on. Cause: upstreams that end together, just after a job's items were sent to them, speak against the part that these items share, which nothing has survived yet. A sound part was blocked so, and tried after 30 s and three more for each gateway before; its items waited longer than they had. The class: what happens together is taken for what happens because of each other.

Three ends within the time that one item needs for two more runs, with no request at two of them, may have another cause. Such a block is tried after 2 s, and after 30 s if that trial ends an upstream as well. A part that does end upstreams costs one more.

test_items_run_again_soon_after_upstreams_have_ended_together failed before (the part is still blocked after 18 s). Ruled out: to count such ends less, since a job whose part ends upstreams would end as many again; and ends by their times alone, which one request that is moved from one upstream to the next at once also leaves (test_failed_trials_become_rarer and three more fail).

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -29,6 +29,9 @@
     find_trial_rank : callable
         Called with a block's key, returns the number of gateways that may try
         the block before this one, or None if this one may not.
+    is_doubtful : callable
+        Called with keys, returns whether the upstreams that ended with them
+        may have ended of another cause.
     on_block : callable
         Called with each new Block.
 
@@ -38,11 +41,18 @@
         Block by its keys, the oldest first.
     """
 
-    __slots__ = ("reactor", "find_trial_rank", "on_block", "blocks")
+    __slots__ = (
+        "reactor",
+        "find_trial_rank",
+        "is_doubtful",
+        "on_block",
+        "blocks",
+    )
 
-    def __init__(self, *, reactor, find_trial_rank, on_block):
+    def __init__(self, *, reactor, find_trial_rank, is_doubtful, on_block):
         self.reactor = reactor
         self.find_trial_rank = find_trial_rank
+        self.is_doubtful = is_doubtful
         self.on_block = on_block
         self.blocks = {}
 
@@ -109,7 +119,12 @@
         for wider in list(self.blocks.values()):
             if keys < wider.keys:
                 self.remove(wider, reason="narrowed")
-        block = Block(keys=keys, at=at, failed_trials=failed_trials)
+        block = Block(
+            keys=keys,
+            at=at,
+            failed_trials=failed_trials,
+            is_doubtful=self.is_doubtful(keys),
+        )
         self.blocks[keys] = block
         eliot.log_message("part:blocked", **describe_block(block))
         if len(self.blocks) > MAX_BLOCKS:
@@ -130,4 +145,5 @@
     return {
         "parts": [format_hash(key) for key in sorted(block.keys)],
         "failed_trials": block.failed_trials,
+        "is_doubtful": block.is_doubtful,
     }
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -9,6 +9,7 @@
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import has_ended_upstreams
+from hollyspan_policy.crashes import have_ended_together
 from hollyspan_policy.crashes import list_implicated_keys
 from hollyspan_policy.crashes import narrow_block
 
@@ -96,6 +97,7 @@
         self.block_list = BlockList(
             reactor=gateway.reactor,
             find_trial_rank=self.records.find_trial_rank,
+            is_doubtful=self.have_ended_together,
             on_block=self.break_off,
         )
         self.decision_call = None
@@ -155,6 +157,14 @@
             before=before,
         )
 
+    def have_ended_together(self, keys):
+        """Return whether the ends with some keys may have another cause."""
+        return have_ended_together(
+            keys,
+            self.evidence.list_ends(now=self.gateway.reactor.seconds()),
+            survivals=self.evidence.survivals,
+        )
+
     def note_data(self, exposure):
         """Note bytes of the answer to a tracked request."""
         self.gateway.reach.note_data(exposure.upstream)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -137,6 +137,64 @@
     assert not gateway.guard.blocks
 
 
+@pytest.fixture
+def lost_items(gateway, submit, reactor, helpers):
+    """Runs of a job's items whose upstreams have ended together.
+
+    Another item's run goes on, so that the gateway's links are sound.
+    """
+    submit(FATAL, FATAL, FATAL, 7)
+    *lost, other = gateway.pool.sent
+    assert len({each.address for each in gateway.pool.sent}) == 4
+    other.answer(200, body=helpers.build_events(1, 1), is_complete=False)
+    for number, each in enumerate(lost, 2):
+        other.exchange.on_data(helpers.build_events(number, number))
+        break_upstream(gateway, each)
+        reactor.advance(0.05)
+    other.exchange.on_data(helpers.build_events(5, 5))
+    other.end()
+    reactor.advance(0.3)
+    assert set(gateway.guard.blocks) == {frozenset({FATAL})}
+    for upstream in list(gateway.directory.upstreams.values()):
+        if upstream.entry.address in gateway.pool.unreachable:
+            gateway.directory.remove(upstream)
+    return lost
+
+
+# Failure: items of a job were open at the end, and nothing worked on them:
+# upstreams had ended together just after the items were sent there.
+def test_items_run_again_soon_after_upstreams_have_ended_together(
+    gateway, lost_items, reactor, helpers
+):
+    answered = len(gateway.pool.sent)
+    for _ in range(180):
+        reactor.advance(0.1)
+        for each in gateway.pool.sent[answered:]:
+            each.answer(200, body=helpers.build_events(1, 1))
+        answered = len(gateway.pool.sent)
+    assert not gateway.guard.blocks
+    assert not gateway.worker.catalogue.list_incomplete()
+
+
+def test_a_part_that_ends_upstreams_together_is_tried_once_soon(
+    gateway, lost_items, reactor
+):
+    sent = len(gateway.pool.sent)
+    for _ in range(250):
+        reactor.advance(0.1)
+        if len(gateway.pool.sent) > sent:
+            break
+    # Others answer.
+    for upstream in gateway.directory.upstreams.values():
+        gateway.reach.note_data(upstream)
+    break_upstream(gateway, gateway.pool.last)
+    for _ in range(250):
+        reactor.advance(0.1)
+    assert len(gateway.pool.sent) == sent + 1
+    (block,) = gateway.guard.blocks.values()
+    assert block.failed_trials == 1
+
+
 def run_until_silent(gateway, reactor, *, count):
     """Let runs fall silent; return the next ones, sent elsewhere."""
     for _ in range(15):
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -5,6 +5,9 @@
 # Time until a request is let through as a trial, multiplied after each trial
 # that has ended an upstream: a trial costs the requests that run beside it.
 FIRST_TRIAL_DELAY_S = 30.0
+# The same for a block whose ends may have another cause: items with a sound
+# part must end long before the operator counts them as lost, after 18 s.
+DOUBTFUL_TRIAL_DELAY_S = 2.0
 TRIAL_DELAY_FACTOR = 4
 MAX_TRIAL_DELAY_S = 3600.0
 # Time after a trial in which its upstream's end, if it is one, is detected.
@@ -25,6 +28,8 @@
         Time of the decision, or of the last trial that failed, seconds.
     failed_trials : int, optional
         Number of trials that have ended an upstream.
+    is_doubtful : bool, optional
+        True if the upstreams may have ended of another cause.
 
     Attributes
     ----------
@@ -43,16 +48,18 @@
         "keys",
         "at",
         "failed_trials",
+        "is_doubtful",
         "is_tried",
         "checked_until",
         "trial_rank",
         "next_check_at",
     )
 
-    def __init__(self, *, keys, at, failed_trials=0):
+    def __init__(self, *, keys, at, failed_trials=0, is_doubtful=False):
         self.keys = keys
         self.at = at
         self.failed_trials = failed_trials
+        self.is_doubtful = is_doubtful
         self.is_tried = False
         self.checked_until = 0.0
         self.trial_rank = None
@@ -61,7 +68,9 @@
     @property
     def trial_at(self):
         """Time from which a request may be let through as a trial."""
-        return self.at + choose_trial_delay(self.failed_trials)
+        return self.at + choose_trial_delay(
+            self.failed_trials, is_doubtful=self.is_doubtful
+        )
 
     def is_trial_due(self, *, now):
         """Return whether some gateway may let a request through as a trial."""
@@ -90,12 +99,15 @@
         self.checked_until = now + TRIAL_CHECK_S
 
 
-def choose_trial_delay(failed_trials):
+def choose_trial_delay(failed_trials, *, is_doubtful=False):
     """Choose the time from a block or a failed trial to the next trial.
 
     Parameters
     ----------
     failed_trials : int
+    is_doubtful : bool, optional
+        Whether the upstreams may have ended of another cause. The first trial
+        tells.
 
     Returns
     -------
@@ -115,7 +127,13 @@
     --------
     >>> choose_trial_delay(0), choose_trial_delay(1), choose_trial_delay(9)
     (30.0, 120.0, 3600.0)
+    >>> [choose_trial_delay(n, is_doubtful=True) for n in range(3)]
+    [2.0, 30.0, 120.0]
     """
+    if is_doubtful:
+        if not failed_trials:
+            return DOUBTFUL_TRIAL_DELAY_S
+        failed_trials -= 1
     return min(
         MAX_TRIAL_DELAY_S,
         FIRST_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials,
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "choose_blocks",
+    "have_ended_together",
     "has_ended_upstreams",
     "list_implicated_keys",
     "narrow_block",
@@ -18,6 +19,9 @@
 # shortly before: upstreams that are lost together end in the midst of requests
 # with the most usual parts.
 SURVIVAL_VALIDITY_S = 2.0
+# Time within which an item that has ended an upstream cannot have ended two
+# more, since it waits for half of it after each run.
+COMMON_CAUSE_S = 0.3
 
 
 def choose_blocks(ends, *, survivals, blocked=()):
@@ -82,6 +86,57 @@
         explained_by += best
 
 
+def have_ended_together(keys, ends, *, survivals):
+    """Return whether the ends with some keys may have one other cause.
+
+    Parameters
+    ----------
+    keys : frozenset of int
+        Those of a block.
+    ends : list of EndRecord
+    survivals : dict
+        Time of the last survival by key.
+
+    Returns
+    -------
+    bool
+        False if one request was in flight at two of them, one after the
+        other.
+
+    Notes
+    -----
+    Load pattern: a rack is lost, or all upstreams of a version end, when the
+    items of a job have just been sent there. The part that they share was in
+    flight at each end, and nothing has survived it yet. A job whose part ends
+    upstreams, and whose items are sent at once, looks the same.
+
+    Examples
+    --------
+    >>> from hollyspan_policy.crashes import EndRecord
+    >>> ends = [EndRecord(at=at) for at in (5.0, 5.1, 5.2, 9.0)]
+    >>> for end, request in zip(ends, ((1,), (1, 2), (1, 2), (2,))):
+    ...     end.requests = {request}
+    >>> have_ended_together(frozenset({1}), ends, survivals={})
+    True
+    >>> have_ended_together(frozenset({2}), ends, survivals={})
+    False
+    """
+    times = []
+    fingerprints = set()
+    for end in ends:
+        requests = set(filter(keys.issubset, end.requests))
+        if not requests or any(
+            has_survived(key, at=end.at, survivals=survivals) for key in keys
+        ):
+            continue
+        times.append(end.at)
+        here = end.fingerprints & set().union(*requests)
+        if here & (fingerprints | keys):
+            return False
+        fingerprints |= here
+    return bool(times) and max(times) - min(times) <= COMMON_CAUSE_S
+
+
 def narrow_block(keys, *, at, survivals):
     """Return the keys of a block that no upstream has survived.
 
