Count the moments at which upstreams have ended, not the ends alone

A block is doubtful while the ends with it fell on fewer moments than it takes ends for a block. Before the first trial of such a block each gateway leaves one second, not three, to each one before it: with many workers, some may have no item of the job.

Items that run or are owned elsewhere are logged from an age of 10 s on, since most of them run.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -9,8 +9,8 @@
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import has_ended_upstreams
-from hollyspan_policy.crashes import have_ended_together
 from hollyspan_policy.crashes import list_implicated_keys
+from hollyspan_policy.crashes import may_be_coincidence
 from hollyspan_policy.crashes import narrow_block
 
 from .block_list import BlockList
@@ -97,7 +97,7 @@
         self.block_list = BlockList(
             reactor=gateway.reactor,
             find_trial_rank=self.records.find_trial_rank,
-            is_doubtful=self.have_ended_together,
+            is_doubtful=self.may_be_coincidence,
             on_block=self.break_off,
         )
         self.decision_call = None
@@ -157,14 +157,21 @@
             before=before,
         )
 
-    def have_ended_together(self, keys):
+    def may_be_coincidence(self, keys):
         """Return whether the ends with some keys may have another cause."""
-        return have_ended_together(
-            keys,
-            self.evidence.list_ends(now=self.gateway.reactor.seconds()),
-            survivals=self.evidence.survivals,
+        return may_be_coincidence(
+            keys, self.list_ends(), survivals=self.evidence.survivals
         )
 
+    def list_ends(self):
+        """Return the ends that all gateways could tell this one of."""
+        now = self.gateway.reactor.seconds()
+        return [
+            end
+            for end in self.evidence.list_ends(now=now)
+            if end.at >= self.started_at
+        ]
+
     def note_data(self, exposure):
         """Note bytes of the answer to a tracked request."""
         self.gateway.reach.note_data(exposure.upstream)
@@ -381,11 +388,7 @@
         """
         self.decision_call = None
         now = self.gateway.reactor.seconds()
-        ends = [
-            end
-            for end in self.evidence.list_ends(now=now)
-            if end.at >= self.started_at
-        ]
+        ends = self.list_ends()
         reported_at = now - DECISION_DELAY_S + CLOCK_TOLERANCE_S
         # What other gateways had in flight at a later end is not known yet.
         later = [end.at for end in ends if end.at > reported_at]
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
@@ -10,10 +10,13 @@
 
 # Items are logged from this age on: several times the usual wait for a slot.
 MIN_AGE_S = 3.0
+# The same for items that another gateway owns or runs: twice the usual run.
+MIN_ELSEWHERE_AGE_S = 10.0
 LOG_INTERVAL_S = 5.0
 # Limits on the lines of one round, and on the time that a round takes.
 MAX_LINES = 16
 MAX_ITEMS = 2_000
+ELSEWHERE = frozenset(("owned_elsewhere", "runs_elsewhere"))
 
 
 class OpenItemLog:
@@ -61,6 +64,8 @@
                 if state.has_result or state.run or age < MIN_AGE_S:
                     continue
                 reason = self.find_reason(state, workers, runners)
+                if age < MIN_ELSEWHERE_AGE_S and reason[0] in ELSEWHERE:
+                    continue
                 key = (job_state.job.identifier, *reason)
                 groups.setdefault(key, []).append((age, state))
         self.next_jobs = jobs
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -4,8 +4,8 @@
 from .block import choose_trial_delay
 from .decision import choose_blocks
 from .decision import has_ended_upstreams
-from .decision import have_ended_together
 from .decision import list_implicated_keys
+from .decision import may_be_coincidence
 from .decision import narrow_block
 from .evidence import CrashEvidence
 from .record import EndRecord
@@ -17,7 +17,7 @@
     "choose_blocks",
     "choose_trial_delay",
     "has_ended_upstreams",
-    "have_ended_together",
     "list_implicated_keys",
+    "may_be_coincidence",
     "narrow_block",
 ]
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -15,6 +15,9 @@
 # Time that a gateway leaves to each one of a higher rank: that of a trial and
 # its check.
 TRIAL_INTERVAL_S = 3.0
+# The same before the first trial of a doubtful block, as for the delay: until
+# an end, which is told at once.
+DOUBTFUL_TRIAL_INTERVAL_S = 1.0
 
 
 class Block:
@@ -72,6 +75,13 @@
             self.failed_trials, is_doubtful=self.is_doubtful
         )
 
+    @property
+    def trial_interval(self):
+        """Time that a gateway leaves to each one of a higher rank."""
+        if self.is_doubtful and not self.failed_trials:
+            return DOUBTFUL_TRIAL_INTERVAL_S
+        return TRIAL_INTERVAL_S
+
     def is_trial_due(self, *, now):
         """Return whether some gateway may let a request through as a trial."""
         return not self.is_tried and now >= max(
@@ -90,7 +100,7 @@
         return (
             self.is_trial_due(now=now)
             and self.trial_rank is not None
-            and now >= self.trial_at + self.trial_rank * TRIAL_INTERVAL_S
+            and now >= self.trial_at + self.trial_rank * self.trial_interval
         )
 
     def end_trial(self, *, now):
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -1,5 +1,7 @@
 """Decision which requests to block."""
 
+import math
+
 from .explanation import choose_best_groups
 from .explanation import MIN_AMBIGUOUS_ENDS
 from .explanation import MIN_ENDS
@@ -7,9 +9,9 @@
 
 __all__ = [
     "choose_blocks",
-    "have_ended_together",
     "has_ended_upstreams",
     "list_implicated_keys",
+    "may_be_coincidence",
     "narrow_block",
 ]
 
@@ -86,8 +88,8 @@
         explained_by += best
 
 
-def have_ended_together(keys, ends, *, survivals):
-    """Return whether the ends with some keys may have one other cause.
+def may_be_coincidence(keys, ends, *, survivals):
+    """Return whether the ends with some keys may have another cause.
 
     Parameters
     ----------
@@ -100,41 +102,46 @@
     Returns
     -------
     bool
-        False if one request was in flight at two of them, one after the
-        other.
+        True if enough upstreams for a block have ended, but at fewer moments.
+        False where some of the ends are not known.
 
     Notes
     -----
     Load pattern: a rack is lost, or all upstreams of a version end, when the
     items of a job have just been sent there. The part that they share was in
     flight at each end, and nothing has survived it yet. A job whose part ends
-    upstreams, and whose items are sent at once, looks the same.
+    upstreams, and whose items are sent at once, looks the same. A request
+    that was in flight at two of the upstreams was sent to the second one
+    after the first had ended.
 
     Examples
     --------
     >>> from hollyspan_policy.crashes import EndRecord
-    >>> ends = [EndRecord(at=at) for at in (5.0, 5.1, 5.2, 9.0)]
-    >>> for end, request in zip(ends, ((1,), (1, 2), (1, 2), (2,))):
+    >>> ends = [EndRecord(at=at) for at in (5.0, 5.1, 5.2, 9.0, 13.0)]
+    >>> for end, request in zip(ends, ((1,), (1, 2), (2,), (1, 2), (2,))):
     ...     end.requests = {request}
-    >>> have_ended_together(frozenset({1}), ends, survivals={})
+    >>> may_be_coincidence(frozenset({1}), ends, survivals={})
     True
-    >>> have_ended_together(frozenset({2}), ends, survivals={})
+    >>> may_be_coincidence(frozenset({2}), ends, survivals={})
     False
     """
-    times = []
+    count = moments = 0
+    began_at = -math.inf
     fingerprints = set()
-    for end in ends:
-        requests = set(filter(keys.issubset, end.requests))
+    for end in sorted(ends, key=lambda end: end.at):
+        requests = list(filter(keys.issubset, end.requests))
         if not requests or any(
             has_survived(key, at=end.at, survivals=survivals) for key in keys
         ):
             continue
-        times.append(end.at)
-        here = end.fingerprints & set().union(*requests)
-        if here & (fingerprints | keys):
-            return False
+        count += 1
+        here = end.fingerprints.intersection(set().union(*requests))
+        if end.at > began_at + COMMON_CAUSE_S or here & fingerprints:
+            moments += 1
+            began_at = end.at
+            fingerprints = set()
         fingerprints |= here
-    return bool(times) and max(times) - min(times) <= COMMON_CAUSE_S
+    return count >= MIN_ENDS > moments
 
 
 def narrow_block(keys, *, at, survivals):
--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_coincidence.py
@@ -0,0 +1,58 @@
+"""Tests of ends of upstreams that may have another cause than requests."""
+
+import pytest
+
+from hollyspan_policy.crashes import Block
+from hollyspan_policy.crashes import EndRecord
+from hollyspan_policy.crashes import may_be_coincidence
+
+PART = 1
+
+
+def build_ends(*ends):
+    """Build ends from (time, fingerprint or None) of a request."""
+    records = []
+    for at, fingerprint in ends:
+        record = EndRecord(at=at)
+        record.requests = {(PART, fingerprint) if fingerprint else (PART,)}
+        record.fingerprints = {fingerprint} - {None}
+        records.append(record)
+    return records
+
+
+@pytest.mark.parametrize(
+    ("ends", "expected"),
+    [
+        ([(5.0, None), (5.1, None), (5.2, None)], True),
+        ([(5.0, 7), (5.1, 8), (5.2, 9)], True),
+        # Two losses of several upstreams.
+        ([(5.0, None), (5.1, None), (9.0, None), (9.1, None)], True),
+        # One request that is moved from one upstream to the next.
+        ([(5.0, 7), (5.1, 7), (5.2, 7)], False),
+        ([(5.0, None), (5.4, None), (5.8, None)], False),
+        # Some of the ends are not known here.
+        ([(5.0, None), (5.1, None)], False),
+        ([], False),
+    ],
+)
+def test_ends_at_few_moments_may_have_another_cause(ends, expected):
+    keys = frozenset({PART})
+    records = build_ends(*ends)
+    assert may_be_coincidence(keys, records, survivals={}) is expected
+
+
+def test_ends_that_were_refuted_do_not_count():
+    records = build_ends((1.0, None), (5.0, None), (5.1, None), (5.2, None))
+    keys = frozenset({PART})
+    assert may_be_coincidence(keys, records, survivals={PART: 2.0})
+    assert not may_be_coincidence(keys, records, survivals={PART: 6.0})
+
+
+def test_a_doubtful_block_is_tried_soon_and_once():
+    block = Block(keys=frozenset({PART}), at=10.0, is_doubtful=True)
+    block.trial_rank = 3
+    assert not block.is_trial_due_here(now=14.9)
+    assert block.is_trial_due_here(now=15.0)
+    block.at, block.failed_trials = 15.0, 1
+    assert not block.is_trial_due_here(now=53.9)
+    assert block.is_trial_due_here(now=54.0)
