A reset that bytes over a newer connection answered no longer counts

Cause: a link kept the mark of an attempt that was closed or reset until a probe restored it. Bytes of an answer left it, since those over an older connection tell nothing of new ones. A later cut, by silence, then held all new connections for 0.1 s and ended in a trial, one request at a time.

Change: connections know when they were opened, and an attempt passes that on. The mark is the time of the last attempt that was closed or reset; bytes clear it if their connection was opened later.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
@@ -25,6 +25,9 @@
     ----------
     abort : callable or None
         Called with a HollyspanError to break off the attempt.
+    opened_at : float
+        Time at which the connection of the attempt was opened, reactor
+        seconds.
     is_in_silence : bool
         True if the upstream seemed to stand still when the request was sent,
         or when it was broken off.
@@ -42,6 +45,7 @@
         "keys",
         "fingerprint",
         "abort",
+        "opened_at",
         "is_in_silence",
         "first_data_at",
         "has_survived",
@@ -54,14 +58,24 @@
         self.keys = keys
         self.fingerprint = fingerprint
         self.abort = None
+        self.opened_at = -math.inf
         self.is_in_silence = False
         self.first_data_at = math.inf
         self.has_survived = False
         self.is_movable = False
 
-    def set_abort(self, abort):
-        """Set the function that breaks off the attempt."""
+    def note_start(self, abort, *, opened_at):
+        """Note the start of the attempt.
+
+        Parameters
+        ----------
+        abort : callable
+            Called with a HollyspanError to break it off.
+        opened_at : float
+            Time at which its connection was opened.
+        """
         self.abort = abort
+        self.opened_at = opened_at
 
     def note_data(self, *, now):
         """Note the arrival of bytes of the answer.
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -157,7 +157,9 @@
 
     def note_data(self, exposure):
         """Note bytes of the answer to a tracked request."""
-        self.gateway.reach.note_data(exposure.upstream)
+        self.gateway.reach.note_data(
+            exposure.upstream, opened_at=exposure.opened_at
+        )
         if exposure.note_data(now=self.gateway.reactor.seconds()):
             self.handle_survival(exposure.keys)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -57,7 +57,8 @@
         Without it, the attempt is aborted.
     on_start : callable, optional
         Called, before the request is sent, with a function that aborts the
-        attempt with a HollyspanError.
+        attempt with a HollyspanError, and the keyword `opened_at`, the time
+        at which its connection was opened.
     identifier : str, optional
         Identifier of the request.
     read_identifier : callable, optional
@@ -147,7 +148,7 @@
         identifier=identifier,
     )
     if on_start is not None:
-        on_start(abort)
+        on_start(abort, opened_at=connection.opened_at)
     try:
         connection.send(exchange)
     except h11.LocalProtocolError as error:
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -106,6 +106,8 @@
     usable_until : float or None
         Time after which the connection is not reused, since the peer may
         close it as idle, reactor seconds.
+    opened_at : float
+        Time at which it was made, reactor seconds.
     held : Deferred or None
         Fires when the wait for a close at once is over.
     is_first_request : bool
@@ -115,6 +117,7 @@
     def __init__(self, *, reactor, opened):
         self.reactor = reactor
         self.opened = opened
+        self.opened_at = reactor.seconds()
         self.parser = h11.Connection(h11.CLIENT)
         self.exchange = None
         self.on_free = None
@@ -130,6 +133,7 @@
         self.skipped_bytes = 0
 
     def connectionMade(self):
+        self.opened_at = self.reactor.seconds()
         self.transport.setTcpNoDelay(True)
         set_keepalive(self.transport.getHandle())
         if self.opened.called:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -146,7 +146,7 @@
                     on_data=self.handle_data,
                     first_byte_timeout=STALL_TIMEOUT_S,
                     pause_timeout=STALL_TIMEOUT_S,
-                    on_start=self.exposure.set_abort,
+                    on_start=self.exposure.note_start,
                     identifier=self.state.item.identifier,
                     read_identifier=self.gateway.dialect.read_identifier,
                 )
@@ -168,7 +168,9 @@
             self.report_failure(error)
 
     def handle_reply(self, status, headers):
-        self.gateway.reach.note_data(self.upstream)
+        self.gateway.reach.note_data(
+            self.upstream, opened_at=self.exposure.opened_at
+        )
         reply = self.gateway.dialect.decode_reply(status, headers)
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -324,7 +324,7 @@
                         EVENT_PAUSE_TIMEOUT_S if self.can_fail_over() else None
                     ),
                     may_abandon=self.may_abandon,
-                    on_start=self.exposure.set_abort,
+                    on_start=self.exposure.note_start,
                     identifier=self.head.identifier,
                     read_identifier=self.gateway.dialect.read_identifier,
                 )
@@ -374,7 +374,9 @@
     def handle_reply(self, status, headers):
         """Decode the head of an answer and record the reported load."""
         reply = self.gateway.dialect.decode_reply(status, headers)
-        self.gateway.reach.note_data(self.upstream)
+        self.gateway.reach.note_data(
+            self.upstream, opened_at=self.exposure.opened_at
+        )
         if self.is_forwarded and not self.delivery.has_begun:
             self.set_headers_for_peer(reply)
         self.gateway.placement.note_reply(self.upstream, reply)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
@@ -28,8 +28,9 @@
     doubts : dict
         Time until which a peer's failed connection attempt counts, by the
         peer's identifier.
-    closes : bool
-        Whether an attempt was closed or reset since it last worked.
+    closed_at : float
+        Time at which an attempt was last closed or reset, since it was
+        restored or an answer came over a connection opened later.
     probation : Probation or None
         Since it was broken off first.
     """
@@ -41,7 +42,7 @@
         "unconnected_at",
         "answered_elsewhere_at",
         "doubts",
-        "closes",
+        "closed_at",
         "probation",
     )
 
@@ -52,9 +53,14 @@
         self.unconnected_at = None
         self.answered_elsewhere_at = -math.inf
         self.doubts = {}
-        self.closes = False
+        self.closed_at = -math.inf
         self.probation = None
 
+    @property
+    def closes(self):
+        """True while new connections may be closed or reset."""
+        return self.closed_at > -math.inf
+
     @property
     def alive_at(self):
         """Time at which the upstream was last known to be alive."""
@@ -93,7 +99,8 @@
         is_closed : bool
             False for silence.
         """
-        self.closes |= is_closed
+        if is_closed:
+            self.closed_at = now
         if self.failed_at is None:
             self.failed_at = now
         if self.probation is None:
@@ -106,7 +113,26 @@
             self.probation.begin_trial(now=now)
         self.failed_at = None
         self.unconnected_at = None
-        self.closes = False
+        self.closed_at = -math.inf
+
+    def note_data(self, *, now, opened_at):
+        """Note the arrival of bytes of an answer.
+
+        Parameters
+        ----------
+        now : float
+        opened_at : float
+            Time at which their connection was opened. Older connections may
+            go on while new ones are reset.
+        """
+        self.heard_at = now
+        self.failed_at = None
+        if opened_at > self.closed_at:
+            self.closed_at = -math.inf
+        if self.doubts:
+            self.doubts.clear()
+        if self.has_relapsed:
+            self.probation.note_data()
 
     def note_answer_elsewhere(self, *, now):
         """Note that the upstream has answered a peer."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -103,15 +103,18 @@
         """True while new connections seem to fail whatever the upstream."""
         return len(self.unconnected) >= MIN_UNCONNECTED_UPSTREAMS
 
-    def note_data(self, upstream):
-        """Note the arrival of bytes of an answer."""
-        link = upstream.link
-        link.heard_at = self.heard_at = self.gateway.reactor.seconds()
-        link.failed_at = None
-        if link.doubts:
-            link.doubts.clear()
-        if link.has_relapsed:
-            link.probation.note_data()
+    def note_data(self, upstream, *, opened_at=math.inf):
+        """Note the arrival of bytes of an answer.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        opened_at : float, optional
+            Time at which their connection was opened; after all failures by
+            default.
+        """
+        self.heard_at = self.gateway.reactor.seconds()
+        upstream.link.note_data(now=self.heard_at, opened_at=opened_at)
         if self.probation.is_on_trial or self.probation.relapses:
             self.probation.note_data()
         if self.failed:
--- a/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
@@ -24,8 +24,8 @@
         `exchange` can be inspected.
     unreachable : set of (str, int)
         Addresses that refuse connections.
-    idle : collections.Counter
-        Number of idle connections by address.
+    idle : dict
+        Times at which the idle connections were opened, by address.
     drops_new, refuses_new, resets_new : callable
         Called with an address; return whether new connections time out, are
         refused, or are accepted and reset at once.
@@ -41,7 +41,7 @@
         self.sent = []
         self.unreachable = set()
         self.opened = 0
-        self.idle = collections.Counter()
+        self.idle = collections.defaultdict(list)
         self.drops_new = lambda address: False
         self.refuses_new = lambda address: False
         self.resets_new = lambda address: False
@@ -52,12 +52,15 @@
     async def acquire(
         self, address, *, timeout=CONNECT_TIMEOUT_S, identifier=None
     ):
-        is_new = not self.idle[address] or address in self.unreachable
+        is_new = not self.has_idle(address) or address in self.unreachable
         if is_new:
             await self.open(address, timeout=timeout)
+            opened_at = self.reactor.seconds()
         else:
-            self.idle[address] -= 1
-        connection = MemoryConnection(pool=self, address=address)
+            opened_at = self.idle[address].pop()
+        connection = MemoryConnection(
+            pool=self, address=address, opened_at=opened_at
+        )
         connection.is_reset = is_new and self.resets_new(address)
         return connection
 
@@ -93,10 +96,10 @@
         await self.open(address, hold_seconds=hold_seconds)
         # One that is reset at once is gone before it is used.
         if not self.resets_new(address):
-            self.idle[address] += 1
+            self.idle[address].append(self.reactor.seconds())
 
     def has_idle(self, address):
-        return self.idle[address] > 0
+        return bool(self.idle.get(address))
 
     def drop_address(self, address):
         self.idle.pop(address, None)
@@ -112,9 +115,10 @@
 class MemoryConnection:
     """A connection for which the test provides the answer."""
 
-    def __init__(self, *, pool, address):
+    def __init__(self, *, pool, address, opened_at):
         self.pool = pool
         self.address = address
+        self.opened_at = opened_at
         self.exchange = None
         self.is_cancelled = False
         self.is_reset = False
@@ -135,7 +139,7 @@
 
     def end(self):
         """Complete the answer; the connection can be used again."""
-        self.pool.idle[self.address] += 1
+        self.pool.idle[self.address].append(self.opened_at)
         self.exchange.on_end()
 
     @property
