Links that never read are found while other gateways are answered

Callers of gateways over whose links connections open and nothing is read were served by chance: each silence began a cut, and the connection of a probe ended it at once. The gateway sent there again, and took requests of other gateways, which waited in their last attempt until their deadline.

Cause: an open connection is taken for a link that works unless an earlier one was closed or reset; silence was never counted, since it may be that of silent upstreams.

Change: another gateway that brings bytes of an answer, since the first attempt here was given up and while nothing is heard here, tells the two apart. Then a cut ends in a trial, and a trial that falls silent is a relapse like one that is closed; the cut is confirmed and peers are told.

Ruled out: answers that peers' load reports tell of as the evidence; not all upstreams report a load, and without a forwarded request none is lost. A trial after each cut by silence: that of silent upstreams needs none.

The keyword is_closed of Probation.note_failure and Reach.begin_cut is now is_conclusive; two test modules name it and are otherwise as before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -151,6 +151,7 @@
             [each for each in headers if each[0] not in INTERNAL_HEADERS],
         )
         if not self.has_failed:
+            relay.gateway.reach.note_answer_elsewhere()
             relay.require_deliverable()
 
     def handle_data(self, data):
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
@@ -80,7 +80,7 @@
     # Two cut-off gateways of which the first one has not heard of the other.
     for gateway in fleet.gateways[1:3]:
         fleet.set_links(gateway, LinkState.HANGS)
-        gateway.reach.begin_cut(is_closed=False)
+        gateway.reach.begin_cut(is_conclusive=False)
     requests = [send(fleet, f"q{number}") for number in range(12)]
     fleet.advance(2.0)
     assert all(request.is_served() for request in requests)
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_lost_links.py
@@ -520,3 +520,34 @@
     fleet.advance(1.0)
     assert not reach.is_cut_off
     assert not reach.probation.is_on_trial
+
+
+# Failure: a gateway over whose links connections open and nothing comes went
+# on sending requests there, and running those of others.
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_silent_links_need_a_trial_while_upstreams_answer_peers(
+    build_fleet, is_answered
+):
+    fleet = build_fleet(gateways=2, upstreams=4)
+    gateway = fleet.gateways[0]
+    reach = gateway.reach
+    first, second, *_ = gateway.directory.upstreams.values()
+    for upstream in (first, second):
+        since = fleet.reactor.seconds()
+        fleet.advance(0.3)
+        reach.note_silence(upstream)
+        reach.note_failure(upstream, is_unconnected=False, waited_since=since)
+        assert reach.is_cut_off
+        if is_answered:
+            fleet.advance(0.01)
+            reach.note_answer_elsewhere()
+        fleet.advance(0.5)
+    assert reach.probation.is_on_trial is is_answered
+    reach.note_failure(
+        second, is_unconnected=False, waited_since=fleet.reactor.seconds()
+    )
+    assert reach.is_cut_off is is_answered
+    assert bool(reach.probation.relapses) is is_answered
+    reach.note_data(first)
+    assert not reach.is_cut_off
+    assert not reach.probation.is_on_trial
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
@@ -105,7 +105,7 @@
             self.failed_at = now
         if self.probation is None:
             self.probation = Probation(seed=seed)
-        self.probation.note_failure(now=now, is_closed=is_closed)
+        self.probation.note_failure(now=now, is_conclusive=is_closed)
 
     def restore(self, *, now):
         """Note that the link works."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/probation.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/probation.py
@@ -93,20 +93,21 @@
         finally:
             self.trials -= is_trial
 
-    def note_failure(self, *, now, is_closed):
+    def note_failure(self, *, now, is_conclusive):
         """Note an attempt that failed.
 
         Parameters
         ----------
         now : float
-        is_closed : bool
-            Whether its connection was closed or reset. Silence may be that of
-            a sound upstream.
+        is_conclusive : bool
+            Whether it shows that links are lost: its connection was closed or
+            reset. Silence may be that of a sound upstream, unless it answers
+            other gateways.
         """
         if not self.is_on_trial:
             return
         self.is_on_trial = False
-        if not is_closed:
+        if not is_conclusive:
             return
         self.relapses += 1
         self.restorable_at = now + compute_backoff(
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -41,6 +41,8 @@
     silent_at : float
         Time at which an attempt was first given up for its silence since
         then.
+    answered_elsewhere_at : float
+        Time at which another gateway last brought bytes of an answer.
     is_cut_off : bool
         True while no upstream seems to be reached.
     cut_off_at : float
@@ -68,6 +70,7 @@
         "gateway",
         "heard_at",
         "silent_at",
+        "answered_elsewhere_at",
         "is_cut_off",
         "cut_off_at",
         "is_confirmed",
@@ -83,6 +86,7 @@
         self.gateway = gateway
         self.heard_at = -math.inf
         self.silent_at = -math.inf
+        self.answered_elsewhere_at = -math.inf
         self.is_cut_off = False
         self.cut_off_at = -math.inf
         self.is_confirmed = False
@@ -151,12 +155,13 @@
             link.note_broken_off(now=now, seed=name, is_closed=is_closed)
         self.failed[name] = self.broken[name] = upstream
         quiet_seconds = now - max(waited_since, self.heard_at)
-        if not self.is_cut_off and has_lost_links(
-            failed=len(self.failed), quiet_seconds=quiet_seconds
+        if not self.is_cut_off and (
+            self.probation.is_on_trial
+            or has_lost_links(
+                failed=len(self.failed), quiet_seconds=quiet_seconds
+            )
         ):
-            self.begin_cut(is_closed=is_closed)
-        elif self.probation.is_on_trial and not self.is_cut_off:
-            self.begin_cut(is_closed=is_closed)
+            self.begin_cut(is_conclusive=is_closed or self.is_deaf())
         if is_unconnected and not (
             self.is_cut_off or self.cannot_connect or self.has_lost_link()
         ):
@@ -184,6 +189,18 @@
             for each in (self, upstream.link)
         )
 
+    def note_answer_elsewhere(self):
+        """Note bytes of an answer that came over another gateway."""
+        self.answered_elsewhere_at = self.gateway.reactor.seconds()
+
+    def is_deaf(self):
+        """Return whether upstreams answer others but not this gateway.
+
+        No upstream has been heard since an attempt was given up, and one has
+        answered another gateway meanwhile.
+        """
+        return self.heard_at < self.silent_at < self.answered_elsewhere_at
+
     def is_quiet(self, *, since):
         """Return whether no upstream was heard while an attempt waited."""
         quiet_since = max(since, self.heard_at)
@@ -249,7 +266,9 @@
         now = self.gateway.reactor.seconds()
         if self.is_cut_off and not self.probation.may_restore(now=now):
             return
-        closes = any(each.link.closes for each in self.broken.values())
+        is_conclusive = self.is_deaf() or any(
+            each.link.closes for each in self.broken.values()
+        )
         unconnected, self.unconnected = self.unconnected, {}
         for upstream in reached:
             unconnected.pop(upstream.entry.name, None)
@@ -261,7 +280,7 @@
         self.failed.clear()
         if self.is_cut_off:
             self.end_cut()
-            if closes:
+            if is_conclusive:
                 self.probation.begin_trial(now=now)
         # These fail alone.
         for upstream in unconnected.values():
@@ -310,9 +329,11 @@
             return 0.0
         return sum(map(self.is_link_lost, upstreams)) / len(upstreams)
 
-    def begin_cut(self, *, is_closed):
+    def begin_cut(self, *, is_conclusive):
         self.cut_off_at = self.gateway.reactor.seconds()
-        self.probation.note_failure(now=self.cut_off_at, is_closed=is_closed)
+        self.probation.note_failure(
+            now=self.cut_off_at, is_conclusive=is_conclusive
+        )
         self.is_cut_off = True
         self.is_confirmed = False
         eliot.log_message("links:lost", upstreams=list(self.failed))
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_probation.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_probation.py
@@ -9,7 +9,7 @@
     for _ in range(5):
         assert probation.may_restore(now=probation.restorable_at)
         probation.begin_trial(now=10.0)
-        probation.note_failure(now=10.0, is_closed=True)
+        probation.note_failure(now=10.0, is_conclusive=True)
         assert not probation.may_restore(now=10.2)
         delays.append(probation.restorable_at - 10.0)
     assert delays[2] > delays[0]
@@ -18,9 +18,9 @@
 
 def test_silence_on_trial_and_failures_before_are_no_relapse():
     probation = Probation(seed="u1")
-    probation.note_failure(now=10.0, is_closed=True)
+    probation.note_failure(now=10.0, is_conclusive=True)
     probation.begin_trial(now=10.0)
-    probation.note_failure(now=10.0, is_closed=False)
+    probation.note_failure(now=10.0, is_conclusive=False)
     assert probation.may_restore(now=10.0)
     assert not probation.relapses
 
@@ -28,12 +28,12 @@
 def test_bytes_of_an_answer_end_a_trial():
     probation = Probation(seed="u1")
     probation.begin_trial(now=10.0)
-    probation.note_failure(now=10.0, is_closed=True)
+    probation.note_failure(now=10.0, is_conclusive=True)
     probation.note_data()
     assert probation.may_restore(now=10.0)
     probation.begin_trial(now=10.0)
     probation.note_data()
-    probation.note_failure(now=10.0, is_closed=True)
+    probation.note_failure(now=10.0, is_conclusive=True)
     assert probation.may_restore(now=10.0)
 
 
