Set aside upstreams that fail each run at once

Each gateway now counts failed runs by what the answers themselves show. After three in a row, of different requests and one after the other, an upstream is set aside for 2 s, doubling up to 30 s, unless no other one is sound; then one repeatable request at a time shows whether it serves. A failed run counts as load for as long as a sound one takes, and does not enter the measured time.

Ruled out: ends of connections before any byte of an answer as evidence.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -157,6 +157,7 @@
             if error is None:
                 error = self.evaluate_reply()
             guard.note_result(self.exposure, error, self.reply)
+            self.note_run(error)
         except InvalidRequestError as invalid:
             # The upstream has no part in it; the item is tried more rarely.
             self.state.lost_runs += 1
@@ -167,6 +168,21 @@
         if error is not None:
             self.report_failure(error)
 
+    def note_run(self, error):
+        """Note what the run tells of the upstream.
+
+        An answer 500 tells that the item fails.
+        """
+        if self.reply is not None and self.reply.status == FAILED_STATUS:
+            return
+        self.gateway.placement.outliers.note_run(
+            self.upstream,
+            error,
+            request=self.state.item.identifier,
+            started_at=self.started,
+            has_answered=self.reply is not None,
+        )
+
     def handle_reply(self, status, headers):
         self.gateway.reach.note_data(self.upstream)
         reply = self.gateway.dialect.decode_reply(status, headers)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -231,11 +231,13 @@
             return True
         return probation.may_try(
             now=self.gateway.reactor.seconds(),
-            is_repeatable=(
-                self.route.is_repeatable and self.sends + 1 < self.max_attempts
-            ),
+            is_repeatable=self.can_run_again(),
         )
 
+    def can_run_again(self):
+        """Return whether the request can run elsewhere if it fails."""
+        return self.route.is_repeatable and self.sends + 1 < self.max_attempts
+
     def measure_time_left(self):
         """Return the seconds until the deadline."""
         return self.deadline - self.gateway.reactor.seconds()
@@ -267,6 +269,7 @@
             seconds_left=self.measure_time_left(),
             is_continued=self.is_resumed() or self.delivery.has_begun,
             can_forward=self.may_hop(),
+            is_repeatable=self.can_run_again(),
         )
         self.upstream_load = self.gateway.placement.describe(upstream)
         if self.upstream_load["report_age"] is not None:
@@ -299,7 +302,7 @@
         has_begun = self.delivery.has_begun
         guard = self.gateway.guard
         with (
-            self.gateway.placement.track_online(upstream),
+            self.gateway.placement.track_online(upstream) as run,
             self.gateway.reach.probation.track(),
             guard.track(
                 upstream,
@@ -330,8 +333,11 @@
                 )
             except UpstreamUnavailableError as unsent:
                 error = unsent
+            if error is None:
+                error = self.check_answer()
+            run.has_failed = self.note_run(error)
         if error is None:
-            error = self.check_answer() or await check_undelimited_end(
+            error = await check_undelimited_end(
                 self.gateway.pool, upstream, self.reply
             )
         guard.note_result(self.exposure, error, self.reply)
@@ -340,6 +346,16 @@
             self.record_failure(error)
         return error
 
+    def note_run(self, error):
+        """Return whether the upstream has failed the run."""
+        return self.gateway.placement.outliers.note_run(
+            self.upstream,
+            error,
+            request=self.head.fingerprint or self.head.identifier,
+            started_at=self.sent_at,
+            has_answered=self.reply is not None,
+        )
+
     def can_fail_over(self):
         """Return whether the request may move from a silent upstream."""
         return (
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -86,7 +86,10 @@
             )
 
         views = placement.build_views(
-            service, version=version, include_suspects=False
+            service,
+            version=version,
+            include_suspects=False,
+            is_repeatable=True,
         )
         others = [view for view in views if view.name != avoided]
         headroom = 0.0 if is_urgent else BATCH_HEADROOM_SHARE
@@ -132,7 +135,8 @@
         upstream.batch += 1
         self.placement.on_change(upstream, is_batch_only=True)
         try:
-            yield
+            with self.placement.outliers.track(upstream):
+                yield
         finally:
             upstream.batch -= 1
             self.placement.on_change(upstream, is_batch_only=True)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/outliers.py
@@ -0,0 +1,172 @@
+"""Upstreams that this gateway sets aside, since they answer wrongly."""
+
+import contextlib
+
+import eliot
+
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamMalformedError
+from hollyspan_core.errors import StreamStalledError
+from hollyspan_core.errors import UpstreamAnswerError
+from hollyspan_policy.outliers import find_outliers
+
+__all__ = ["Outliers"]
+
+CLIENT_ERROR_STATUS = 400
+SERVER_ERROR_STATUS = 500
+
+
+class Outliers:
+    """Notes what runs tell of upstreams and which of these get no new work.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    directory : Directory
+
+    Notes
+    -----
+    Silences, refusals and connections that cannot be opened have back-offs of
+    their own and count neither as failed nor as sound.
+    """
+
+    __slots__ = ("reactor", "directory")
+
+    def __init__(self, *, reactor, directory):
+        self.reactor = reactor
+        self.directory = directory
+
+    def note_run(self, upstream, error, *, request, started_at, has_answered):
+        """Note the end of a run.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        error : HollyspanError or None
+            None for a sound answer.
+        request : hashable
+            Key that the request keeps when it comes again.
+        started_at : float
+            Reactor seconds.
+        has_answered : bool
+            Whether an answer had begun.
+
+        Returns
+        -------
+        bool
+            Whether the upstream failed, by evidence of its own.
+        """
+        record = upstream.outlier
+        now = self.reactor.seconds()
+        if error is None:
+            self.note_sound(upstream)
+            return False
+        if not is_fault(error, has_answered=has_answered):
+            return False
+        if not record.note_failure(request, started_at=started_at, now=now):
+            return False
+        if record.must_set_aside() and self.has_sound_other(upstream):
+            eliot.log_message(
+                "upstream:set_aside",
+                upstream=upstream.entry.name,
+                service=upstream.entry.service,
+                failures=record.failures,
+                seconds=record.set_aside(now=now),
+                code=error.code,
+                reason=error.message,
+            )
+        return True
+
+    @contextlib.contextmanager
+    def track(self, upstream):
+        """Count a run at an upstream on trial."""
+        record = upstream.outlier
+        is_trial = record.is_on_trial(now=self.reactor.seconds())
+        record.trials += is_trial
+        try:
+            yield
+        finally:
+            record.trials -= is_trial
+
+    def note_sound(self, upstream):
+        """Let an upstream that has answered soundly take work again."""
+        record = upstream.outlier
+        if record.periods:
+            eliot.log_message(
+                "upstream:sound",
+                upstream=upstream.entry.name,
+                failures=record.failures,
+                periods=record.periods,
+            )
+        record.clear()
+
+    def has_sound_other(self, upstream):
+        """Return whether another upstream of the service is not failing."""
+        now = self.reactor.seconds()
+        return any(
+            other is not upstream
+            and not other.outlier.is_failing()
+            and not other.is_suspect(now=now)
+            for other in self.directory.list_usable(upstream.entry.service)
+        )
+
+    def find(self, service, *, is_repeatable):
+        """Return the upstreams to which a request is not sent.
+
+        Parameters
+        ----------
+        service : str
+        is_repeatable : bool
+            Whether the request can run elsewhere when it fails.
+
+        Returns
+        -------
+        set of Upstream
+        """
+        now = self.reactor.seconds()
+        records = {
+            upstream: upstream.outlier
+            for upstream in self.directory.list_usable(service)
+            if not upstream.is_suspect(now=now)
+        }
+        outliers = find_outliers(records, now=now, is_repeatable=is_repeatable)
+        if outliers is not None:
+            return outliers
+        for upstream, record in records.items():
+            if record.periods:
+                eliot.log_message(
+                    "upstream:readmitted",
+                    upstream=upstream.entry.name,
+                    service=service,
+                    failures=record.failures,
+                    reason="no upstream of the service is sound",
+                )
+            record.clear()
+        return set()
+
+
+def is_fault(error, *, has_answered):
+    """Return whether an error of a run speaks against its upstream.
+
+    Parameters
+    ----------
+    error : HollyspanError
+    has_answered : bool
+        Whether an answer had begun. Otherwise the end of a connection may
+        come from the link to the upstream as well.
+
+    Returns
+    -------
+    bool
+    """
+    if isinstance(error, UpstreamAnswerError):
+        # Another status says that the request is at fault.
+        status = error.upstream_status
+        return status is not None and (
+            status < CLIENT_ERROR_STATUS or status >= SERVER_ERROR_STATUS
+        )
+    if isinstance(error, StreamStalledError):
+        return False
+    if isinstance(error, StreamLostError):
+        return has_answered
+    return isinstance(error, StreamMalformedError)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -18,6 +18,8 @@
 from hollyspan_policy.routing import UpstreamView
 from hollyspan_policy.streams import find_scarce_versions
 
+from .online_run import OnlineRun
+from .outliers import Outliers
 from .rate_limits import RateLimits
 
 __all__ = ["Placement"]
@@ -35,6 +37,9 @@
 SCARCE_VERSION_COST_S = 0.04
 # The same for one that only other gateways reach: the way over one of them.
 FORWARDING_COST_S = 0.02
+# The same for one whose last run has failed, when the request can run only
+# once: less than a second run would cost.
+DOUBT_COST_S = 0.1
 # Mean retry-after time of rejected clients: about the time that one online
 # request occupies a slot.
 RETRY_AFTER_S = 0.6
@@ -66,6 +71,7 @@
     Attributes
     ----------
     rate_limits : RateLimits
+    outliers : Outliers
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         self.is_lost = is_lost
         self.on_link_failure = on_link_failure
         self.service_seconds = INITIAL_SERVICE_TIME_S
+        self.outliers = Outliers(reactor=reactor, directory=directory)
         self.rate_limits = RateLimits(
             reactor=reactor,
             directory=directory,
@@ -115,6 +122,7 @@
         version=None,
         is_continued=False,
         can_forward=False,
+        is_repeatable=False,
     ):
         """Choose the upstream for an online request.
 
@@ -137,6 +145,9 @@
         can_forward : bool, optional
             True when another gateway can run the request, at an upstream that
             this one does not reach.
+        is_repeatable : bool, optional
+            True when the request can run elsewhere if it fails, so that it
+            may show whether an upstream that was set aside is sound.
 
         Returns
         -------
@@ -148,7 +159,10 @@
             No upstream can accept the request now.
         """
         views = self.build_views(
-            service, version=version, can_forward=can_forward
+            service,
+            version=version,
+            can_forward=can_forward,
+            is_repeatable=is_repeatable,
         )
         admission = decide_admission(
             views,
@@ -169,6 +183,7 @@
                 version=version,
                 is_continued=True,
                 can_forward=can_forward,
+                is_repeatable=is_repeatable,
             )
             view = self.choose_view(views, key=key, excluded=excluded)
         if view is None:
@@ -280,6 +295,7 @@
             and not other.waiting
             and other.count_online() + other.hidden < other.entry.slots
             and not other.is_suspect(now=now)
+            and not other.outlier.periods
             and not self.is_lost(other)
             and other.rate_limit.may_send(now=now)
             for other in self.directory.list_usable(upstream.entry.service)
@@ -325,6 +341,7 @@
         include_suspects=True,
         is_continued=False,
         can_forward=False,
+        is_repeatable=False,
     ):
         """Return the views of the upstreams that a request may be sent to.
 
@@ -341,10 +358,12 @@
             and each.rate_limit.may_send(now=now, is_continued=is_continued)
         ]
         lost = {each for each in upstreams if self.is_lost(each)}
+        outliers = self.outliers.find(service, is_repeatable=is_repeatable)
         unsuspected = [
             each
             for each in upstreams
-            if (can_forward if each in lost else not each.is_suspect(now=now))
+            if each not in outliers
+            and (can_forward if each in lost else not each.is_suspect(now=now))
         ]
         if unsuspected or not include_suspects:
             upstreams = unsuspected
@@ -358,11 +377,22 @@
                 now,
                 is_scarce=upstream.entry.version_key in scarce,
                 is_lost=upstream in lost,
+                is_doubted=(
+                    not is_repeatable and upstream.outlier.is_doubted(now=now)
+                ),
             )
             for upstream in upstreams
         ]
 
-    def build_view(self, upstream, now, *, is_scarce=False, is_lost=False):
+    def build_view(
+        self,
+        upstream,
+        now,
+        *,
+        is_scarce=False,
+        is_lost=False,
+        is_doubted=False,
+    ):
         """Return the view of one upstream."""
         has_recent_report = upstream.has_recent_report(now=now)
         online, batch = upstream.count_online(), upstream.count_batch()
@@ -381,25 +411,44 @@
             reserve_cost=RESERVE_COST_S
             * upstream.rate_limit.is_saving(now=now)
             + SCARCE_VERSION_COST_S * is_scarce
-            + FORWARDING_COST_S * is_lost,
+            + FORWARDING_COST_S * is_lost
+            + DOUBT_COST_S * is_doubted,
         )
 
     @contextlib.contextmanager
     def track_online(self, upstream):
-        """Count an online request as in flight at an upstream."""
-        started = self.reactor.seconds()
-        upstream.rate_limit.spend(now=started)
+        """Count an online request as in flight at an upstream.
+
+        Yields
+        ------
+        OnlineRun
+            With a failed run the request is counted for as long as a sound
+            one takes, so that an upstream that fails at once does not seem
+            to be idle.
+        """
+        run = OnlineRun(started_at=self.reactor.seconds())
+        upstream.rate_limit.spend(now=run.started_at)
         upstream.online += 1
         self.on_change(upstream, is_batch_only=False)
         try:
-            yield
+            with self.outliers.track(upstream):
+                yield run
         finally:
-            upstream.online -= 1
-            elapsed = self.reactor.seconds() - started
-            self.service_seconds += SERVICE_TIME_WEIGHT * (
-                elapsed - self.service_seconds
-            )
-            self.on_change(upstream, is_batch_only=False)
+            elapsed = self.reactor.seconds() - run.started_at
+            if run.has_failed and elapsed < self.service_seconds:
+                self.reactor.callLater(
+                    self.service_seconds - elapsed, self.release, upstream
+                )
+            else:
+                self.service_seconds += SERVICE_TIME_WEIGHT * (
+                    elapsed - self.service_seconds
+                )
+                self.release(upstream)
+
+    def release(self, upstream):
+        """Count an online request as ended."""
+        upstream.online -= 1
+        self.on_change(upstream, is_batch_only=False)
 
     def note_reply(self, upstream, reply):
         """Record what an answer tells of its upstream and end a back-off."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -4,6 +4,7 @@
 
 from hollyspan_policy.batch import SlotTurns
 from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.outliers import OutlierRecord
 
 from .link import Link
 from .rate_limit import RateLimit
@@ -141,6 +142,8 @@
         Limit on the requests from all gateways, and this gateway's share.
     link : Link
         This gateway's link to it.
+    outlier : OutlierRecord
+        Failed runs from this gateway.
     """
 
     __slots__ = (
@@ -167,6 +170,7 @@
         "has_unsent_departure",
         "rate_limit",
         "link",
+        "outlier",
     )
 
     def __init__(self, *, entry, region):
@@ -193,6 +197,7 @@
         self.has_unsent_departure = False
         self.rate_limit = RateLimit()
         self.link = Link()
+        self.outlier = OutlierRecord()
 
     def is_suspect(self, *, now):
         """Return whether it gets no new work after failures."""
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -28,6 +28,8 @@
 # events.
 START_DELAY_S = 0.05
 EVENT_INTERVAL_S = 0.05
+# Time of a faulty upstream until it fails a run.
+FAULT_DELAY_S = 0.002
 EVENTS_PER_ANSWER = 16
 # Time from the end of an upstream to the start of the next one at its address.
 RESTART_DELAY_S = 2.0
@@ -62,6 +64,9 @@
         Everything that gateways have asked each other over HTTP.
     silent_upstreams : set of str
         Names of upstreams that send nothing, and go on when they are removed.
+    faults : dict
+        What upstreams that fail each run do in place of an answer, by name: a
+        function that is called with the connection of a request.
     fatal_parts : set of int
         Parts of prompts that end each upstream that begins to answer them.
     fatal_bodies : set of str
@@ -100,6 +105,7 @@
         self.random = random.Random(1)
         self.upstreams = {}
         self.versions = {}
+        self.faults = {}
         self.fatal_parts = set()
         self.fatal_bodies = set()
         self.rate_limits = {}
@@ -307,8 +313,18 @@
         ):
             self.reactor.callLater(RESET_DELAY_S, self.reset, send)
             return
+        fault = self.faults.get(send.upstream)
+        if fault is not None:
+            self.reactor.callLater(FAULT_DELAY_S, self.fail, send, fault)
+            return
         self.reactor.callLater(START_DELAY_S, self.begin_answer, send)
 
+    def fail(self, send, fault):
+        """Let an upstream fail a run."""
+        if send.is_open():
+            send.is_ended = True
+            fault(send.connection)
+
     def reset(self, send):
         """Reset the connection of a request, which has not run."""
         if send.is_open():
