Let the reader of a connection hold its turns

TurnReader pauses the transport itself, so a reader that is not ready, such as an HTTP client that waits for the receiver of a body, cannot pause it as well. `hold` and `release` let it wait without parsing the bytes that were received; the interface that is there already is unchanged.

--- a/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
@@ -93,3 +93,64 @@
     reader.turns.receive(bytes(3 * SLICE_BYTES))
     reader.clock.pump([0.0] * 3)
     assert len(reader.parsed) == 1
+
+
+def test_nothing_is_parsed_while_the_reader_is_held():
+    reader = Reader()
+    reader.turns.hold()
+    assert reader.is_paused
+    reader.turns.receive(bytes(2 * SLICE_BYTES))
+    reader.clock.pump([1.0] * 3)
+    assert reader.parsed == []
+    reader.turns.release()
+    reader.clock.pump([0.0] * 2)
+    assert len(reader.parsed) == 2
+    assert not reader.is_paused
+
+
+def test_a_hold_from_the_parser_leaves_the_other_slices():
+    reader = Reader()
+
+    def parse(data):
+        reader.parsed.append(data)
+        reader.turns.hold()
+        return 1
+
+    reader.turns.parse = parse
+    reader.turns.receive(bytes(2 * SLICE_BYTES))
+    reader.clock.pump([1.0] * 3)
+    assert len(reader.parsed) == 1
+    reader.turns.release()
+    reader.clock.advance(0)
+    assert len(reader.parsed) == 2
+
+
+def test_a_release_does_not_shorten_the_wait_of_a_sender():
+    reader = Reader(delay=0.5)
+    reader.turns.receive(b"a")
+    reader.turns.hold()
+    reader.turns.receive(b"b")
+    reader.turns.release()
+    reader.clock.advance(0.4)
+    assert reader.parsed == [b"a"]
+    reader.clock.advance(0.1)
+    assert reader.parsed == [b"a", b"b"]
+
+
+def test_the_end_waits_for_bytes_that_are_held():
+    reader = Reader()
+    reader.turns.hold()
+    reader.turns.receive(b"a")
+    reader.turns.end("closed")
+    assert reader.ends == []
+    reader.turns.release()
+    reader.clock.advance(0)
+    assert reader.parsed == [b"a"]
+    assert reader.ends == ["closed"]
+
+
+def test_the_end_is_reported_at_once_to_a_reader_that_is_held():
+    reader = Reader()
+    reader.turns.hold()
+    reader.turns.end("closed")
+    assert reader.ends == ["closed"]
--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -49,6 +49,8 @@
         "end_reason",
         "is_parsing",
         "is_paused",
+        "is_held",
+        "resume_at",
     )
 
     def __init__(self, *, reactor, transport, parse, charge, on_end):
@@ -63,6 +65,8 @@
         self.end_reason = None
         self.is_parsing = False
         self.is_paused = False
+        self.is_held = False
+        self.resume_at = 0.0
 
     def receive(self, data):
         """Parse received bytes now or in later turns.
@@ -74,9 +78,27 @@
         for start in range(0, len(data), SLICE_BYTES):
             self.slices.append(data[start : start + SLICE_BYTES])
         self.pending_bytes += len(data)
-        if self.turn is None and not self.is_parsing:
+        if self.is_held:
+            self.pause()
+        elif self.turn is None and not self.is_parsing:
             self.take_turn()
 
+    def hold(self):
+        """Parse nothing until `release`, since the reader is not ready."""
+        self.is_held = True
+        if self.turn is not None:
+            self.turn.cancel()
+            self.turn = None
+        self.pause()
+
+    def release(self):
+        """Parse on in later turns."""
+        if not self.is_held:
+            return
+        self.is_held = False
+        if not self.is_parsing:
+            self.plan_turn()
+
     def end(self, reason):
         """Report the end of the connection behind the bytes that wait.
 
@@ -85,7 +107,9 @@
         reason : Failure
         """
         self.end_reason = reason
-        if self.turn is None and not self.is_parsing:
+        if self.turn is not None or self.is_parsing:
+            return
+        if not (self.is_held and self.slices):
             self.finish()
 
     def stop(self):
@@ -109,15 +133,27 @@
             work = self.parse(data)
         finally:
             self.is_parsing = False
-        delay = self.charge(work)
+        self.resume_at = self.reactor.seconds() + self.charge(work)
+        if not self.is_held:
+            self.plan_turn()
+        elif self.end_reason is not None and not self.slices:
+            self.finish()
+
+    def plan_turn(self):
+        """Plan the next turn, or read on when no bytes wait."""
+        delay = max(0.0, self.resume_at - self.reactor.seconds())
         if self.slices or delay > 0.0:
-            if self.end_reason is None and not self.is_paused:
-                self.is_paused = True
-                self.transport.pauseProducing()
+            self.pause()
             self.turn = self.reactor.callLater(delay, self.take_turn)
         else:
             self.finish()
 
+    def pause(self):
+        """Let the transport read nothing more."""
+        if self.end_reason is None and not self.is_paused:
+            self.is_paused = True
+            self.transport.pauseProducing()
+
     def finish(self):
         """Read on, or report the end, when no bytes wait."""
         if self.end_reason is not None:
