Limit what a process keeps of one sender

A budget for all bytes that a process keeps can be used up by one program, and its messages then fail those of others. ByteBudget takes a limit for each sender as well; without one it works as before.

--- a/packages/hollyspan_policy/hollyspan_policy/intake/budget.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/budget.py
@@ -16,11 +16,15 @@
         What is kept, for the error.
     limit : int
         Bytes.
+    sender_limit : int, optional
+        Bytes kept of one sender; by default `limit`.
 
     Attributes
     ----------
     kept : int
         Bytes kept at present.
+    kept_by_sender : dict
+        Bytes kept at present of each sender that is known.
 
     Notes
     -----
@@ -28,17 +32,24 @@
     with many connections.
     """
 
-    __slots__ = ("what", "limit", "kept")
+    __slots__ = ("what", "limit", "sender_limit", "kept", "kept_by_sender")
 
-    def __init__(self, *, what, limit):
+    def __init__(self, *, what, limit, sender_limit=None):
         self.what = what
         self.limit = limit
+        self.sender_limit = limit if sender_limit is None else sender_limit
         self.kept = 0
+        self.kept_by_sender = {}
 
     @contextlib.contextmanager
-    def open_account(self):
+    def open_account(self, *, sender=None):
         """Keep bytes until the end of the context.
 
+        Parameters
+        ----------
+        sender : hashable, optional
+            Program that the bytes come from.
+
         Yields
         ------
         callable
@@ -50,14 +61,29 @@
 
         def keep(size):
             nonlocal own
-            if size > 0 and self.kept + size > self.limit:
-                raise IntakeExceededError(
-                    f"{self.what} exceeds {self.limit} bytes in all"
-                )
+            self.change(sender, size)
             own += size
-            self.kept += size
 
         try:
             yield keep
         finally:
-            self.kept -= own
+            self.change(sender, -own)
+
+    def change(self, sender, size):
+        """Keep more bytes of a sender, or fewer if the size is negative."""
+        kept_of_sender = self.kept_by_sender.get(sender, 0) + size
+        if size > 0 and self.kept + size > self.limit:
+            raise IntakeExceededError(
+                f"{self.what} exceeds {self.limit} bytes in all"
+            )
+        if size > 0 and sender is not None:
+            if kept_of_sender > self.sender_limit:
+                raise IntakeExceededError(
+                    f"{self.what} exceeds {self.sender_limit} bytes "
+                    "of one sender"
+                )
+        self.kept += size
+        if sender is not None and kept_of_sender:
+            self.kept_by_sender[sender] = kept_of_sender
+        else:
+            self.kept_by_sender.pop(sender, None)
--- a/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
@@ -63,3 +63,18 @@
     for sender in range(10):
         shares.charge(sender, 1, now=0.0)
     assert len(shares.buckets) == 3
+
+
+def test_one_sender_leaves_room_for_the_others():
+    budget = ByteBudget(what="answers", limit=100, sender_limit=50)
+    with budget.open_account(sender="a") as first:
+        first(40)
+        with budget.open_account(sender="a") as second:
+            with pytest.raises(IntakeExceededError, match="of one sender"):
+                second(20)
+            second(10)
+        with budget.open_account(sender="b") as third:
+            third(50)
+        first(10)
+    assert budget.kept == 0
+    assert budget.kept_by_sender == {}
