Read answers at the entry daemon within limits of bytes and work

Cause: each answer to the daemon had a limit of 64 MB and all together had none; fields of a head, answers to orders and the instance list had none; and the loop parsed all that one read of a socket gave, 10,000 chunks of one byte, in one turn.

Change: hollyspan_entry.intake names all limits in one module and builds the one HTTP client. Its connections are read in slices, each in a turn of the loop, with a share of the work for each program that is read from; a head has 64 kB and a bounded number of lines. Bodies that are collected stop at their limit, at once if the head announces more, and share a budget of which one program has half; the first 64 kB of each are outside of it, so that large bodies leave room for usual ones. Health and load reports have 64 kB, cache events 1 MB, a hash of a block 16 digits, answers to orders and answers that are not used 64 kB, plain services' 16 MB (64 MB before), the list 8 MB. Bytes that wait behind an answer close the connection, since they would be the next request's answer. Both stages of a client's end keep their order.

Ruled out: limits in Twisted's client, which has one for a line only.

--- a/benchmarks/endless_answers.py
+++ b/benchmarks/endless_answers.py
@@ -10,6 +10,7 @@
 from concurrent.futures import ThreadPoolExecutor
 import itertools
 import json
+import os
 from pathlib import Path
 import socketserver
 import subprocess
@@ -113,7 +114,8 @@
                 time.sleep(PAUSE_S)
         except OSError:
             pass
-        print(json.dumps({"path": path, "bytes": sent}), flush=True)
+        line = json.dumps({"path": path, "bytes": sent}) + "\n"
+        os.write(sys.stdout.fileno(), line.encode())
 
 
 def list_events():
--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -8,7 +8,6 @@
 import eliot
 from twisted.internet import defer
 from twisted.internet import task
-from twisted.web import client
 from twisted.web import resource
 
 from hollyspan_core.signals import handle_once
@@ -24,6 +23,7 @@
 from .http import DrainingSite
 from .http import write_json
 from .instances import open_instances
+from .intake import open_agent
 from .jobs import open_jobs
 from .metrics import open_metrics
 from .online import open_online
@@ -32,14 +32,11 @@
 from .runtime import Runtime
 from .services import open_services
 from .store import open_store
-from .upstreams import EndpointFactory
 from .upstreams import open_upstreams
 from .upstreams import UpstreamRegistry
 
 __all__ = ["run_daemon"]
 
-MAX_CONNECTIONS_PER_UPSTREAM = 64
-IDLE_CONNECTION_TIMEOUT_S = 15
 MICROSECONDS_PER_SECOND = 1_000_000
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -48,25 +45,6 @@
     return os.urandom(16)
 
 
-@contextlib.contextmanager
-def open_agent(reactor, *, timeout):
-    pool = client.HTTPConnectionPool(reactor)
-    pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_UPSTREAM
-    # Shorter than the idle timeout of the servers.
-    pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
-    # By default the pool resends a lost GET or DELETE; whether a request may
-    # run twice is decided elsewhere.
-    pool.retryAutomatically = False
-    try:
-        yield client.Agent.usingEndpointFactory(
-            reactor,
-            EndpointFactory(reactor=reactor, timeout=timeout),
-            pool=pool,
-        )
-    finally:
-        pool.closeCachedConnections()
-
-
 @contextlib.contextmanager
 def open_runtime(settings, *, reactor):
     timing = settings.timing
--- a/packages/hollyspan_entry/hollyspan_entry/instances/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/instances/part.py
@@ -3,13 +3,16 @@
 import contextlib
 import time
 
-import treq
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.web import client
 
 from hollyspan_core.errors import InstanceListError
+from hollyspan_core.errors import IntakeExceededError
 
+from ..intake import collect_body
+from ..intake.limits import CONTROL_KEPT
+from ..intake.limits import INSTANCE_LIST
 from ..runtime import open_periodic
 from .reader import parse_slices
 from .registration import Registration
@@ -18,7 +21,6 @@
 
 ENDPOINT_SLICES_PATH = "/apis/discovery.k8s.io/v1/endpointslices"
 REQUEST_TIMEOUT_S = 5.0
-MAX_LIST_BYTES = 8_000_000
 # Limit for the instance list's share of a daemon's control traffic.
 MAX_LIST_BYTES_PER_SECOND = 4_000
 
@@ -89,12 +91,16 @@
         raise InstanceListError(
             "the instance list cannot be reached"
         ) from failure
+    except IntakeExceededError as failure:
+        raise InstanceListError(failure.message) from failure
 
 
 async def fetch(url, *, agent):
-    response = await treq.get(url, agent=agent)
-    content = await treq.content(response)
-    if response.code != 200 or len(content) > MAX_LIST_BYTES:
+    response = await agent.request(b"GET", url.encode())
+    content = await collect_body(
+        response, limits=INSTANCE_LIST, budget=CONTROL_KEPT, sender=url
+    )
+    if response.code != 200:
         raise InstanceListError(
             f"the instance list answered {response.code}, "
             f"{len(content)} bytes"
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
@@ -0,0 +1,86 @@
+"""Limits on all that a daemon reads as a client."""
+
+from hollyspan_policy.intake import ByteBudget
+from hollyspan_policy.intake import IntakeLimits
+
+__all__ = [
+    "ANSWERS_KEPT",
+    "CACHE_EVENTS",
+    "CONTROL_KEPT",
+    "ERROR_ANSWER",
+    "EVENTS_KEPT",
+    "FREE_BYTES",
+    "HEAD",
+    "INSTANCE_LIST",
+    "KEPT_STREAM",
+    "ORDER_ANSWER",
+    "SENDER_BURST_PIECES",
+    "SENDER_PIECES_PER_S",
+    "SERVICE_ANSWER",
+    "STATE_REPORT",
+    "STORE_ANSWER",
+    "STREAM",
+    "UNUSED_ANSWER",
+    "WATCH_LINE",
+]
+
+# What a parser handles at once may be small now and then, but not on average.
+SPARE_PIECES = 4096
+BYTES_PER_PIECE = 16
+
+# Work that one program may cause: 64 streams of 50 tokens a second, each of
+# which is read, is a chunk and is an event.
+SENDER_PIECES_PER_S = 10_000.0
+SENDER_BURST_PIECES = 4_000.0
+
+
+def build_limits(what, content_bytes):
+    return IntakeLimits(
+        what=what,
+        content_bytes=content_bytes,
+        spare_pieces=SPARE_PIECES,
+        bytes_per_piece=BYTES_PER_PIECE,
+    )
+
+
+# A piece of a head is a line.
+HEAD = IntakeLimits(
+    what="the head of an answer",
+    content_bytes=65_536,
+    spare_pieces=256,
+    bytes_per_piece=64,
+)
+STATE_REPORT = build_limits("a report of an upstream's state", 65_536)
+CACHE_EVENTS = build_limits("a list of cache events", 1_000_000)
+ORDER_ANSWER = build_limits("the answer to an order", 65_536)
+ERROR_ANSWER = build_limits("an engine's answer without events", 1_000_000)
+UNUSED_ANSWER = build_limits("an answer that is not used", 65_536)
+SERVICE_ANSWER = build_limits("a plain service's answer", 16_000_000)
+INSTANCE_LIST = build_limits("the instance list", 8_000_000)
+# Eight parts of results of 1 MB each, in base64.
+STORE_ANSWER = build_limits("an answer of the store", 12_000_000)
+# A change of the configuration and of its history, 1 MB each, in base64.
+WATCH_LINE = build_limits("a line of a watch", 4_000_000)
+# A stream is passed on while it is read.
+STREAM = build_limits("a stream", 256_000_000)
+KEPT_STREAM = build_limits("the events of a whole answer", 16_000_000)
+
+# Bytes of each message that are kept without regard to the others, so that
+# large messages leave room for usual ones.
+FREE_BYTES = 65_536
+# Control state and its input have 32 MB.
+CONTROL_KEPT = ByteBudget(
+    what="what is kept of control answers",
+    limit=24_000_000,
+    sender_limit=12_000_000,
+)
+ANSWERS_KEPT = ByteBudget(
+    what="what is kept of answers",
+    limit=32_000_000,
+    sender_limit=16_000_000,
+)
+EVENTS_KEPT = ByteBudget(
+    what="what is kept of events",
+    limit=32_000_000,
+    sender_limit=16_000_000,
+)
--- /dev/null
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_endless_answers.py
@@ -0,0 +1,177 @@
+"""Answers without end, on real sockets.
+
+No time limit of a call is reached in these tests: the limits on bytes and
+pieces end the calls.
+"""
+
+import types
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.trial import unittest
+
+from hollyspan_core.errors import InstanceListError
+from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_core.settings.timing import Timing
+from hollyspan_entry.daemon import open_agent
+from hollyspan_entry.instances import part
+from hollyspan_entry.streams import cancel_stream
+from hollyspan_entry.streams import run
+from hollyspan_entry.upstreams import call
+from hollyspan_entry.upstreams import Upstream
+from hollyspan_entry.upstreams import UpstreamRegistry
+from hollyspan_standins.deployment import choose_loopback_address
+from hollyspan_standins.scripted import EndlessServer
+
+LONG_S = 60.0
+BLOCK = b"x" * 65_536
+HEAD = b"HTTP/1.1 200 OK\r\n"
+ENDLESS_LENGTH = b"Content-Length: 10000000000000\r\n\r\n"
+IN_CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n"
+EVENTS = HEAD + b"Content-Type: text/event-stream\r\n"
+CHUNK = b"%x\r\n%b\r\n" % (len(BLOCK), BLOCK)
+ONE_BYTE_CHUNKS = b"1\r\n:\r\n" * 10_000
+BODIES = {
+    "with a length": (HEAD + ENDLESS_LENGTH, BLOCK),
+    "until close": (HEAD + b"\r\n", BLOCK),
+    "in chunks": (HEAD + IN_CHUNKS, CHUNK),
+    "in chunks of one byte": (HEAD + IN_CHUNKS, ONE_BYTE_CHUNKS),
+    "of an error": (b"HTTP/1.1 500 Error\r\n" + ENDLESS_LENGTH, BLOCK),
+}
+HEADS = {
+    "fields": (HEAD, b"X-Field: x\r\n" * 5000),
+    "informational": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2000),
+}
+
+
+def encode_event(number):
+    return b'id: %d\ndata: {"n": %d}\n\n' % (number, number)
+
+
+def encode_chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    timeout = 30
+
+    def setUp(self):
+        agent = open_agent(reactor, timeout=2.0)
+        self.runtime = types.SimpleNamespace(
+            agent=agent.__enter__(),
+            reactor=reactor,
+            upstreams=UpstreamRegistry(),
+            settings=types.SimpleNamespace(
+                timing=Timing(connect_timeout=LONG_S, order_timeout=LONG_S),
+                instances_url=None,
+            ),
+        )
+        self.addCleanup(agent.__exit__, None, None, None)
+        self.patch(part, "REQUEST_TIMEOUT_S", LONG_S)
+        self.cancelled = []
+        self.patch(
+            run, "send_cancel", lambda _, **names: self.cancelled.append(names)
+        )
+
+    def listen(self, server):
+        """Listen with a server; return the Upstream that leads there."""
+        address = choose_loopback_address()
+        port = reactor.listenTCP(0, server, interface=address)
+        self.addCleanup(port.stopListening)
+        self.addCleanup(server.close)
+        return Upstream(
+            name=f"u-{address}",
+            kind="engine",
+            service="s",
+            data_centre="a",
+            address=address,
+            port=port.getHost().port,
+            slots=1,
+        )
+
+    def flood(self, answer):
+        """Start an endless server; return it and its Upstream."""
+        server = EndlessServer(start=answer[0], block=answer[1])
+        return server, self.listen(server)
+
+    async def send(self, upstream):
+        response = await call.open_response(
+            runtime=self.runtime,
+            upstream=upstream,
+            method=b"POST",
+            path="/x",
+            headers={},
+            body=b"{}",
+            timeout=LONG_S,
+        )
+        return await call.read_content(
+            response, runtime=self.runtime, upstream=upstream, timeout=LONG_S
+        )
+
+    async def assert_fails(self, work, error):
+        return await self.assertFailure(defer.ensureDeferred(work), error)
+
+    async def assert_closed(self, server):
+        """Check that all connections of a server are closed soon."""
+        while any(connection.is_open for connection in server.connections):
+            await wait_briefly()
+
+    # Failure: 64 MB were kept of each body.
+    async def test_bodies(self):
+        for answer in BODIES.values():
+            server, upstream = self.flood(answer)
+            await self.assert_fails(
+                self.send(upstream), UpstreamUnavailableError
+            )
+            await self.assert_closed(server)
+
+    # Failure: fields were kept until the timeout of the call.
+    async def test_heads(self):
+        for answer in HEADS.values():
+            server, upstream = self.flood(answer)
+            await self.assert_fails(
+                self.send(upstream), UpstreamUnavailableError
+            )
+            await self.assert_closed(server)
+
+    # Failure: 64 MB were kept of each report.
+    async def test_reports(self):
+        for answer in BODIES.values():
+            server, upstream = self.flood(answer)
+            await self.assert_fails(
+                call.fetch_json(
+                    runtime=self.runtime,
+                    upstream=upstream,
+                    path="/health",
+                    timeout=LONG_S,
+                ),
+                UpstreamUnavailableError,
+            )
+            await self.assert_closed(server)
+
+    # Failure: answers to orders were read whole.
+    async def test_answers_to_orders(self):
+        for answer in BODIES.values():
+            server, upstream = self.flood(answer)
+            offset = await cancel_stream(
+                runtime=self.runtime, upstream=upstream, stream_id="s"
+            )
+            self.assertIs(offset, None)
+            self.assertEqual(len(server.connections), 1)
+            await self.assert_closed(server)
+
+    # Failure: the list was read whole and measured afterwards.
+    async def test_instance_lists(self):
+        for answer in BODIES.values():
+            server, upstream = self.flood(answer)
+            self.runtime.settings.instances_url = upstream.url
+            await self.assert_fails(
+                part.fetch_list(self.runtime), InstanceListError
+            )
+            await self.assert_closed(server)
+
+
+def wait_briefly():
+    done = defer.Deferred()
+    reactor.callLater(0.01, done.callback, None)
+    return done
--- a/packages/hollyspan_entry/hollyspan_entry/services/call.py
+++ b/packages/hollyspan_entry/hollyspan_entry/services/call.py
@@ -84,7 +84,10 @@
         timeout=timeout,
     )
     content = await read_content(
-        response, runtime=runtime, upstream=upstream, timeout=timeout
+        response,
+        runtime=runtime,
+        upstream=upstream,
+        timeout=timeout,
     )
     if is_leaving_answer(upstream, status=response.code, body=content):
         runtime.upstreams.mark_leaving(upstream.name)
--- a/packages/hollyspan_entry/hollyspan_entry/streams/cancellation.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/cancellation.py
@@ -2,10 +2,17 @@
 
 import json
 
-import treq
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.web import client
+from twisted.web import http_headers
+
+from hollyspan_core.errors import IntakeExceededError
+
+from ..http import BytesProducer
+from ..intake import collect_body
+from ..intake.limits import CONTROL_KEPT
+from ..intake.limits import ORDER_ANSWER
 
 __all__ = ["cancel_stream", "send_cancel"]
 
@@ -46,20 +53,32 @@
             return await work
         except CALL_FAILURES:
             continue
-        except (ValueError, TypeError, KeyError):
+        except (
+            IntakeExceededError,
+            KeyError,
+            OverflowError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ):
             return None
     return None
 
 
 async def post_cancel(runtime, *, upstream, stream_id):
     """Send one cancel request and return the offset in its answer."""
-    response = await treq.post(
-        f"{upstream.url}/v1/streams/{stream_id}/cancel",
-        data=b"{}",
-        headers={"content-type": "application/json"},
-        agent=runtime.agent,
+    response = await runtime.agent.request(
+        b"POST",
+        f"{upstream.url}/v1/streams/{stream_id}/cancel".encode(),
+        http_headers.Headers({b"content-type": [b"application/json"]}),
+        BytesProducer(content=b"{}"),
+    )
+    content = await collect_body(
+        response,
+        limits=ORDER_ANSWER,
+        budget=CONTROL_KEPT,
+        sender=upstream.name,
     )
-    content = await treq.content(response)
     if response.code != 200:
         return None
     return int(json.loads(content)["offset"])
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/__init__.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/__init__.py
@@ -1,13 +1,11 @@
 """State of upstreams and calls to them."""
 
-from .endings import EndpointFactory
 from .peer_load import PeerLoad
 from .polling import open_upstreams
 from .registry import UpstreamRegistry
 from .upstream import Upstream
 
 __all__ = [
-    "EndpointFactory",
     "PeerLoad",
     "Upstream",
     "UpstreamRegistry",
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/call.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/call.py
@@ -8,11 +8,17 @@
 from twisted.web import client
 from twisted.web import http_headers
 
+from hollyspan_core.errors import IntakeExceededError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import UpstreamUnavailableError
 
 from ..http import BytesProducer
-from .body import BodyCollector
+from ..intake import collect_body
+from ..intake.limits import ANSWERS_KEPT
+from ..intake.limits import CONTROL_KEPT
+from ..intake.limits import SERVICE_ANSWER
+from ..intake.limits import STATE_REPORT
+from ..intake.limits import UNUSED_ANSWER
 from .cancellation import forward_cancel
 from .state import mark_unreachable
 from .state import update_state_from_response
@@ -41,7 +47,6 @@
     client.RequestTransmissionFailed,
     client.ResponseFailed,
 )
-MAX_ANSWER_BYTES = 64_000_000
 
 
 async def open_response(
@@ -96,7 +101,15 @@
     return response
 
 
-async def read_content(response, *, runtime, upstream, timeout):
+async def read_content(
+    response,
+    *,
+    runtime,
+    upstream,
+    timeout,
+    limits=SERVICE_ANSWER,
+    budget=ANSWERS_KEPT,
+):
     """Read the complete body of a response.
 
     Parameters
@@ -106,6 +119,9 @@
     upstream : Upstream
     timeout : float
         Seconds.
+    limits : IntakeLimits, optional
+    budget : ByteBudget, optional
+        Limit on all that is kept of such bodies.
 
     Returns
     -------
@@ -116,31 +132,38 @@
     UpstreamUnavailableError
         The connection broke, or the body is too large.
     """
-    collector = BodyCollector(limit=MAX_ANSWER_BYTES)
-    response.deliverBody(collector)
-    collector.done.addTimeout(timeout, runtime.reactor)
     try:
-        content = await collector.done
+        return await collect_body(
+            response,
+            limits=limits,
+            budget=budget,
+            sender=upstream.name,
+            reactor=runtime.reactor,
+            timeout=timeout,
+        )
     except CONNECTION_FAILURES as failure:
         raise UpstreamUnavailableError(
             f"the answer of {upstream.name} broke off"
         ) from failure
-    if content is None:
+    except IntakeExceededError as failure:
         raise UpstreamUnavailableError(
             f"the answer of {upstream.name} is too large"
-        )
-    return content
+        ) from failure
 
 
 async def discard_content(response, *, runtime, upstream, timeout):
     """Read past the body of a response that is not used.
 
-    The parameters are those of `read_content`. A body that breaks off is
-    logged only.
+    The parameters are those of `read_content`. A body that breaks off or is
+    too long is logged only.
     """
     try:
         await read_content(
-            response, runtime=runtime, upstream=upstream, timeout=timeout
+            response,
+            runtime=runtime,
+            upstream=upstream,
+            timeout=timeout,
+            limits=UNUSED_ANSWER,
         )
     except UpstreamUnavailableError as error:
         eliot.log_message(
@@ -165,7 +188,7 @@
     return values[-1].decode("latin-1") if values else None
 
 
-async def fetch_json(*, runtime, upstream, path, timeout):
+async def fetch_json(*, runtime, upstream, path, timeout, limits=STATE_REPORT):
     """Get a JSON object from an upstream.
 
     Parameters
@@ -175,6 +198,7 @@
     path : str
     timeout : float
         Seconds, applied to the head and to the body separately.
+    limits : IntakeLimits, optional
 
     Returns
     -------
@@ -196,7 +220,12 @@
         timeout=timeout,
     )
     content = await read_content(
-        response, runtime=runtime, upstream=upstream, timeout=timeout
+        response,
+        runtime=runtime,
+        upstream=upstream,
+        timeout=timeout,
+        limits=limits,
+        budget=CONTROL_KEPT,
     )
     if response.code != 200:
         return {}
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
@@ -7,6 +7,8 @@
 
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..intake.limits import CACHE_EVENTS
+from ..intake.limits import STATE_REPORT
 from ..runtime import open_periodic
 from .call import fetch_json
 from .state import LEAVING
@@ -15,6 +17,8 @@
 __all__ = ["open_upstreams"]
 
 OTHER_OWNER_EVENT_POLL_INTERVAL_S = 10.0
+# Hexadecimal digits of 64 bits.
+BLOCK_DIGITS = 16
 
 
 @contextlib.contextmanager
@@ -105,13 +109,14 @@
         return
 
 
-async def fetch(runtime, upstream, path):
+async def fetch(runtime, upstream, path, *, limits=STATE_REPORT):
     """Get a JSON object from an upstream within the connect timeout."""
     return await fetch_json(
         runtime=runtime,
         upstream=upstream,
         path=path,
         timeout=runtime.settings.timing.connect_timeout,
+        limits=limits,
     )
 
 
@@ -155,7 +160,10 @@
         next_poll_at[upstream.name] = now + OTHER_OWNER_EVENT_POLL_INTERVAL_S
         after = cursors.get(upstream.name, 0)
         content = await fetch(
-            runtime, upstream, f"/v1/cache/events?after={after}"
+            runtime,
+            upstream,
+            f"/v1/cache/events?after={after}",
+            limits=CACHE_EVENTS,
         )
         events = content.get("events")
         position = content.get("next")
@@ -171,7 +179,7 @@
 def apply_event(affinity, upstream, event):
     """Apply a cache event to the table; ignore a malformed event."""
     try:
-        block = int(event["block"], 16)
+        block = read_block(event["block"])
         kind = event["kind"]
     except (KeyError, TypeError, ValueError):
         return
@@ -179,3 +187,10 @@
         affinity.add(upstream, [block])
     elif kind == "evicted":
         affinity.remove(upstream, [block])
+
+
+def read_block(text):
+    """Return the hash of a block, which the table of prefixes keeps."""
+    if len(text) > BLOCK_DIGITS:
+        raise ValueError("the hash of a block is too long")
+    return int(text, 16)
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/tests/test_call.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/tests/test_call.py
@@ -8,7 +8,7 @@
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import UpstreamUnavailableError
-from hollyspan_entry.daemon import open_agent
+from hollyspan_entry.intake import open_agent
 from hollyspan_entry.upstreams import call
 from hollyspan_entry.upstreams import Upstream
 from hollyspan_entry.upstreams import UpstreamRegistry
--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/tests/test_cut_answers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/tests/test_cut_answers.py
@@ -8,7 +8,8 @@
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import UpstreamUnavailableError
-from hollyspan_entry.daemon import open_agent
+from hollyspan_entry.intake.agent import open_agent
+from hollyspan_entry.intake.limits import SERVICE_ANSWER
 from hollyspan_entry.upstreams import call
 from hollyspan_entry.upstreams import Upstream
 from hollyspan_entry.upstreams import UpstreamRegistry
@@ -122,7 +123,7 @@
         self.assertEqual(await self.send(upstream), BODY)
 
     async def test_a_body_that_is_too_large_is_cut_with_its_connection(self):
-        self.patch(call, "MAX_ANSWER_BYTES", len(BODY) - 1)
+        self.patch(SERVICE_ANSWER, "content_bytes", len(BODY) - 1)
         server, upstream = self.start(
             [ScriptedAnswer(content=UNTIL_CLOSE + BODY)]
         )
