Read the store's answers and watches within limits

Cause: answers of the store were read whole whatever their size, and a line of a watch was kept without a limit and joined with the next bytes at each read, so that its cost grew with the square of its length. A watch that was refused or ended early left its connection open, or read it without end.

The history of the configuration is read in pages.

--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -6,6 +6,7 @@
 __all__ = [
     "LeaseLostError",
     "RecordUnreadableError",
+    "StoreAnswerTooLargeError",
     "StoreConflictError",
     "StoreHistoryLostError",
     "StoreKeyExistsError",
@@ -36,6 +37,14 @@
     code = "store_reply_lost"
 
 
+class StoreAnswerTooLargeError(StoreReplyLostError):
+    """The answer of the store exceeds the limits on what is read."""
+
+    status = 503
+    kind = "server_error"
+    code = "store_reply_lost"
+
+
 class StoreConflictError(HollyspanError):
     """The key was changed by another writer.
 
--- a/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_endless_answers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 pieces end the calls.
 """
 
+import os
 import types
 
 from twisted.internet import defer
@@ -11,10 +12,12 @@
 from twisted.trial import unittest
 
 from hollyspan_core.errors import InstanceListError
+from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.settings.timing import Timing
 from hollyspan_entry.daemon import open_agent
 from hollyspan_entry.instances import part
+from hollyspan_entry.store import open_store
 from hollyspan_entry.streams import cancel_stream
 from hollyspan_entry.streams import run
 from hollyspan_entry.upstreams import call
@@ -116,6 +119,14 @@
         while any(connection.is_open for connection in server.connections):
             await wait_briefly()
 
+    def open_store(self, upstream):
+        return open_store(
+            url=upstream.url,
+            reactor=reactor,
+            timeout=LONG_S,
+            create_token=lambda: os.urandom(16),
+        )
+
     # Failure: 64 MB were kept of each body.
     async def test_bodies(self):
         for answer in BODIES.values():
@@ -170,6 +181,29 @@
             )
             await self.assert_closed(server)
 
+    # Failure: answers of the store were read whole.
+    async def test_answers_of_the_store(self):
+        for answer in BODIES.values():
+            server, upstream = self.flood(answer)
+            with self.open_store(upstream) as store:
+                await self.assert_fails(store.get("a"), StoreUnavailableError)
+            self.assertEqual(len(server.connections), 1)
+            await self.assert_closed(server)
+
+    # Failure: a line was kept without a limit and joined for each read.
+    async def test_watches(self):
+        for answer in BODIES.values():
+            server, upstream = self.flood(answer)
+            lost = defer.Deferred()
+            with self.open_store(upstream) as store:
+                store.watch(
+                    "a",
+                    on_event=self.fail,
+                    on_lost=lambda lost=lost: lost.callback(None),
+                )
+                await lost
+                await self.assert_closed(server)
+
 
 def wait_briefly():
     done = defer.Deferred()
--- a/packages/hollyspan_entry/hollyspan_entry/operators/configuration.py
+++ b/packages/hollyspan_entry/hollyspan_entry/operators/configuration.py
@@ -125,8 +125,14 @@
     """
     newest = get_current(runtime).generation
     oldest = max(1, newest - limit + 1)
-    page = await runtime.store.list(
-        HISTORY_PREFIX, after=build_history_key(oldest - 1), limit=limit
-    )
-    documents = [json.loads(entry.content) for entry in page.entries]
+    after = build_history_key(oldest - 1)
+    documents = []
+    while len(documents) < limit:
+        page = await runtime.store.list(
+            HISTORY_PREFIX, after=after, limit=limit - len(documents)
+        )
+        documents += [json.loads(entry.content) for entry in page.entries]
+        if not page.has_more:
+            break
+        after = page.entries[-1].key
     return documents[::-1]
--- a/packages/hollyspan_entry/hollyspan_entry/store/client.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/client.py
@@ -2,13 +2,13 @@
 
 import contextlib
 
-from twisted.web import client
-
 from hollyspan_core.errors import LeaseLostError
+from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreConflictError
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.store import Page
 
+from ..intake import open_agent
 from .codec import compute_range_end
 from .codec import decode_entry
 from .codec import encode_bytes
@@ -22,6 +22,8 @@
 __all__ = ["Store", "open_store"]
 
 MAX_CONNECTIONS = 8
+# Entries of a list whose answer was too large for more of them.
+FEW_ENTRIES = 8
 
 
 @contextlib.contextmanager
@@ -42,16 +44,13 @@
     ------
     Store
     """
-    pool = client.HTTPConnectionPool(reactor)
-    pool.maxPersistentPerHost = MAX_CONNECTIONS
-    agent = client.Agent(reactor, connectTimeout=timeout, pool=pool)
-    transport = Transport(
-        url=url, reactor=reactor, agent=agent, timeout=timeout
-    )
-    try:
+    with open_agent(
+        reactor, timeout=timeout, max_connections=MAX_CONNECTIONS
+    ) as agent:
+        transport = Transport(
+            url=url, reactor=reactor, agent=agent, timeout=timeout
+        )
         yield Store(transport=transport, create_token=create_token)
-    finally:
-        pool.closeCachedConnections()
 
 
 class Store:
@@ -117,7 +116,24 @@
         Returns
         -------
         Page
+            It has fewer entries than asked for, and more follow, when an
+            answer with all of them exceeds the limits on what is read.
         """
+        for fewer in (FEW_ENTRIES, 1):
+            try:
+                return await self.read_page(
+                    prefix, after=after, limit=limit, keys_only=keys_only
+                )
+            except StoreAnswerTooLargeError:
+                if limit <= fewer:
+                    raise
+                limit = fewer
+        return await self.read_page(
+            prefix, after=after, limit=limit, keys_only=keys_only
+        )
+
+    async def read_page(self, prefix, *, after, limit, keys_only):
+        """Read entries below a prefix with one call."""
         start = prefix.encode() if after is None else after.encode() + b"\0"
         answer = await send_read(
             self.transport,
--- a/packages/hollyspan_entry/hollyspan_entry/store/reading.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/reading.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import task
 
+from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreReplyLostError
 from hollyspan_core.errors import StoreUnreachableError
 
@@ -36,6 +37,8 @@
     for _ in range(MAX_READ_ATTEMPTS - 1):
         try:
             return await transport.call(path, body)
+        except StoreAnswerTooLargeError:
+            raise
         except (StoreReplyLostError, StoreUnreachableError):
             if not transport.has_answered_lately():
                 raise
--- a/packages/hollyspan_entry/hollyspan_entry/store/transport.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/transport.py
@@ -3,16 +3,23 @@
 import json
 import math
 
-import treq
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.web import client
+from twisted.web import http_headers
 
+from hollyspan_core.errors import IntakeExceededError
 from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreReplyLostError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_core.errors import StoreUnreachableError
 
+from ..http import BytesProducer
+from ..intake import collect_body
+from ..intake.limits import CONTROL_KEPT
+from ..intake.limits import STORE_ANSWER
+
 __all__ = ["Transport"]
 
 NOT_SENT_ERRORS = (
@@ -27,9 +34,13 @@
     defer.TimeoutError,
     error.ConnectionLost,
     error.ConnectionDone,
+    client.RequestNotSent,
+    client.RequestTransmissionFailed,
     client.ResponseFailed,
+    RecursionError,
     ValueError,
 )
+HEADERS = {b"Content-Type": [b"application/json"]}
 
 
 class Transport:
@@ -96,6 +107,8 @@
             The call was sent and may have taken effect.
         StoreUnreachableError
             The call was never sent.
+        StoreAnswerTooLargeError
+            The call was made, but its answer is too large to be read.
         StoreUnavailableError
             It was rejected before it took effect.
         """
@@ -112,14 +125,22 @@
             raise StoreReplyLostError(
                 f"no answer from the store to {path}"
             ) from failure
+        except IntakeExceededError as failure:
+            raise StoreAnswerTooLargeError(failure.message) from failure
 
     async def post(self, path, body):
-        response = await treq.post(
-            f"{self.url}/v3/{path}",
-            data=json.dumps(body).encode(),
-            agent=self.agent,
+        response = await self.agent.request(
+            b"POST",
+            f"{self.url}/v3/{path}".encode(),
+            http_headers.Headers(HEADERS),
+            BytesProducer(content=json.dumps(body).encode()),
+        )
+        content = await collect_body(
+            response,
+            limits=STORE_ANSWER,
+            budget=CONTROL_KEPT,
+            sender=self.url,
         )
-        content = await treq.content(response)
         if response.code == 503:
             raise StoreUnavailableError(
                 "the store is out of service", outcome=Outcome.NOT_RUN
