Read streams within limits of bytes and pieces, and keep a bounded part

Cause: the events of an answer that is not streamed, of a recorded one and of an item were kept without a limit, bytes behind [DONE] were read as long as they came, and a stream could consist of chunks of one byte.

Change: a stream has 256 MB over all its connections, and as many pieces as it has sixteenths of its bytes, beside 4,096. What is kept of one answer has 16 MB and shares a budget of 32 MB, of which one engine's streams have half. Behind [DONE] 64 kB are read, and the idle timeout goes on. The answer of a start that is no stream has 1 MB. The errors are those of malformed streams: the caller gets them at once and idempotent requests go to another engine.

Sixteen streams of 1,000 events, each in a chunk of its own, are served whole before and after.

--- a/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_endless_answers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_endless_answers.py
@@ -13,6 +13,7 @@
 
 from hollyspan_core.errors import InstanceListError
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.settings.timing import Timing
 from hollyspan_entry.daemon import open_agent
@@ -20,11 +21,14 @@
 from hollyspan_entry.store import open_store
 from hollyspan_entry.streams import cancel_stream
 from hollyspan_entry.streams import run
+from hollyspan_entry.streams import run_stream
 from hollyspan_entry.upstreams import call
 from hollyspan_entry.upstreams import Upstream
 from hollyspan_entry.upstreams import UpstreamRegistry
 from hollyspan_standins.deployment import choose_loopback_address
 from hollyspan_standins.scripted import EndlessServer
+from hollyspan_standins.scripted import ScriptedAnswer
+from hollyspan_standins.scripted import ScriptedServer
 
 LONG_S = 60.0
 BLOCK = b"x" * 65_536
@@ -111,6 +115,21 @@
             response, runtime=self.runtime, upstream=upstream, timeout=LONG_S
         )
 
+    async def stream(self, upstream, on_event, **options):
+        await run_stream(
+            runtime=self.runtime,
+            upstream=upstream,
+            path="/v1/completions",
+            body={},
+            stream_id="s",
+            key="k",
+            request_class="online",
+            on_event=on_event,
+            idle_timeout=LONG_S,
+            max_initial_resumes=0,
+            **options,
+        )
+
     async def assert_fails(self, work, error):
         return await self.assertFailure(defer.ensureDeferred(work), error)
 
@@ -204,6 +223,81 @@
                 await lost
                 await self.assert_closed(server)
 
+    # Failure: chunks of one byte were read as long as they came.
+    async def test_streams_in_chunks_of_one_byte(self):
+        answer = (EVENTS + IN_CHUNKS, ONE_BYTE_CHUNKS)
+        server, upstream = self.flood(answer)
+        sound = self.start_sound_engine(events=400)
+        numbers = []
+        flooded = self.assert_fails(
+            self.stream(upstream, self.fail), StreamMalformedError
+        )
+        served = self.stream(
+            sound, lambda number, data: numbers.append(number)
+        )
+        await defer.gatherResults(
+            [defer.ensureDeferred(flooded), defer.ensureDeferred(served)]
+        )
+        self.assertEqual(numbers, list(range(1, 401)))
+
+    # Failure: the events of an answer were kept without a limit.
+    async def test_events_that_are_kept(self):
+        data = b"x" * 900_000
+        events = [
+            b"id: %d\ndata: %b\n\n" % (number, data) for number in range(1, 40)
+        ]
+        server = ScriptedServer(
+            answers=[
+                ScriptedAnswer(content=EVENTS + b"\r\n" + b"".join(events))
+            ]
+        )
+        kept = []
+        await self.assert_fails(
+            self.stream(
+                self.listen(server), lambda number, data: kept.append(data)
+            ),
+            StreamMalformedError,
+        )
+        self.assertLessEqual(sum(map(len, kept)), 16_000_000)
+        self.assertEqual(len(self.cancelled), 1)
+
+    # Failure: bytes behind the end of a stream were read as long as they
+    # came.
+    async def test_bytes_behind_a_complete_stream(self):
+        start = EVENTS + b"\r\n" + encode_event(1) + b"data: [DONE]\n\n"
+        server, upstream = self.flood((start, b":\n\n" * 20_000))
+        numbers = []
+        await self.stream(
+            upstream, lambda number, data: numbers.append(number)
+        )
+        self.assertEqual(numbers, [1])
+        await self.assert_closed(server)
+
+    def start_sound_engine(self, *, events):
+        """Start an engine that sends each event in a chunk of its own."""
+        chunks = [encode_chunk(encode_event(n + 1)) for n in range(events)]
+        end = encode_chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n"
+        content = EVENTS + IN_CHUNKS + b"".join(chunks) + end
+        return self.listen(
+            ScriptedServer(answers=[ScriptedAnswer(content=content)])
+        )
+
+    async def test_streams_of_one_event_a_chunk_are_served_whole(self):
+        sound = self.start_sound_engine(events=1000)
+        numbers = [[] for _ in range(16)]
+        await defer.gatherResults(
+            [
+                defer.ensureDeferred(
+                    self.stream(
+                        sound, lambda number, data, to=to: to.append(number)
+                    )
+                )
+                for to in numbers
+            ]
+        )
+        for received in numbers:
+            self.assertEqual(received, list(range(1, 1001)))
+
 
 def wait_briefly():
     done = defer.Deferred()
--- a/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
@@ -110,6 +110,7 @@
             on_event=receiver.receive_event,
             idle_timeout=STREAM_IDLE_TIMEOUT_S,
             on_connection=receiver.apply_backpressure,
+            is_kept=receiver.keeps_events,
             **build_resume_limits(request),
         )
     finally:
--- a/packages/hollyspan_entry/hollyspan_entry/online/receivers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/receivers.py
@@ -30,6 +30,8 @@
 
     __slots__ = ("sink", "write", "first_event_at", "event_count")
 
+    keeps_events = False
+
     def __init__(self, *, sink):
         self.sink = sink
         self.write = None
@@ -83,6 +85,7 @@
     __slots__ = ("sink", "path", "events", "first_event_at")
 
     delivered = False
+    keeps_events = True
 
     def __init__(self, *, sink, path):
         self.sink = sink
--- a/packages/hollyspan_entry/hollyspan_entry/online/recording.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/recording.py
@@ -42,6 +42,8 @@
         "delivered",
     )
 
+    keeps_events = True
+
     def __init__(self, *, path, streamed, live_receiver):
         self.path = path
         self.streamed = streamed
--- a/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
@@ -7,8 +7,12 @@
 from twisted.python import failure
 from twisted.web import client
 
+from ..intake import count_pieces
+from ..intake.limits import UNUSED_ANSWER
+
 __all__ = ["StreamReader"]
 
+EVENT_END = b"\n\n"
 RESPONSE_DONE = failure.Failure(client.ResponseDone())
 
 
@@ -18,6 +22,8 @@
     Parameters
     ----------
     parser : EventParser
+    meter : IntakeMeter
+        Counts what the stream has sent, over all its connections.
     is_done : callable
         Returns True once the stream is complete.
     idle_timeout : float
@@ -36,8 +42,9 @@
         True when the connection was closed after the idle timeout.
     """
 
-    def __init__(self, *, parser, is_done, idle_timeout, clock):
+    def __init__(self, *, parser, meter, is_done, idle_timeout, clock):
         self.parser = parser
+        self.meter = meter
         self.is_done = is_done
         self.idle_timeout = idle_timeout
         self.clock = clock
@@ -48,15 +55,21 @@
         self.paused = False
         self.timer = None
         self.last_read_at = time.monotonic()
+        self.unused_bytes = 0
 
     def connectionMade(self):
         self.timer = self.clock.callLater(self.idle_timeout, self.check_idle)
 
     def dataReceived(self, data):
-        self.last_read_at = time.monotonic()
+        count_pieces(1 + data.count(EVENT_END))
         if self.failed:
             return
+        if self.ended.called:
+            self.skip(data)
+            return
+        self.last_read_at = time.monotonic()
         try:
+            self.meter.count(len(data))
             self.parser.feed(data)
         except Exception as error:
             self.failed = True
@@ -66,6 +79,12 @@
         if self.is_done():
             self.end()
 
+    def skip(self, data):
+        """Read past bytes behind a complete stream, up to a limit."""
+        self.unused_bytes += len(data)
+        if self.unused_bytes > UNUSED_ANSWER.content_bytes:
+            self.abort()
+
     def connectionLost(self, reason=RESPONSE_DONE):
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
--- a/packages/hollyspan_entry/hollyspan_entry/streams/run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/run.py
@@ -1,10 +1,15 @@
 """Execution of a stream on one upstream."""
 
+import contextlib
+
 from hollyspan_core.errors import StreamCancelledError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..intake.keeping import open_keeping
+from ..intake.limits import EVENTS_KEPT
+from ..intake.limits import KEPT_STREAM
 from .cancellation import send_cancel
 from .stream_run import StreamRun
 
@@ -29,6 +34,7 @@
     on_connection=None,
     max_initial_resumes=MAX_INITIAL_RESUMES,
     cancel_on_break=False,
+    is_kept=True,
 ):
     """Run a stream on one upstream until it is complete.
 
@@ -66,6 +72,8 @@
         event.
     cancel_on_break : bool, optional
         Cancel the stream when its connection breaks instead of resuming it.
+    is_kept : bool, optional
+        False when `on_event` passes the events on and keeps none.
 
     Raises
     ------
@@ -82,6 +90,8 @@
     StreamCancelledError
         The connection broke and the stream was cancelled; the engine can
         resume it.
+    IntakeExceededError
+        The stream sends more than may be read, or kept, of it.
     StreamMalformedError
         The bytes are not a valid event stream.
 
@@ -91,24 +101,26 @@
     upstream. Cancelling the awaiting Deferred closes the connection and
     cancels the stream at the engine.
     """
-    run = StreamRun(
-        runtime=runtime,
-        upstream=upstream,
-        stream_id=stream_id,
-        key=key,
-        request_class=request_class,
-        on_event=on_event,
-        offset=offset,
-        idle_timeout=idle_timeout,
-        on_connection=on_connection,
-        max_initial_resumes=max_initial_resumes,
-        cancel_on_break=cancel_on_break,
-    )
     response = None
     try:
-        if not (resume or offset):
-            response = await run.start(path, body)
-        await run.follow(response)
+        with open_event_keeping(upstream, is_kept=is_kept) as keep:
+            run = StreamRun(
+                runtime=runtime,
+                upstream=upstream,
+                stream_id=stream_id,
+                key=key,
+                request_class=request_class,
+                on_event=on_event,
+                keep=keep,
+                offset=offset,
+                idle_timeout=idle_timeout,
+                on_connection=on_connection,
+                max_initial_resumes=max_initial_resumes,
+                cancel_on_break=cancel_on_break,
+            )
+            if not (resume or offset):
+                response = await run.start(path, body)
+            await run.follow(response)
     except (
         StreamCancelledError,
         StreamLostError,
@@ -119,3 +131,12 @@
     except BaseException:
         send_cancel(runtime, upstream=upstream, stream_id=stream_id)
         raise
+
+
+def open_event_keeping(upstream, *, is_kept):
+    """Return the context in which the events of a stream are counted."""
+    if not is_kept:
+        return contextlib.nullcontext(lambda size: None)
+    return open_keeping(
+        limits=KEPT_STREAM, budget=EVENTS_KEPT, sender=upstream.name
+    )
--- a/packages/hollyspan_entry/hollyspan_entry/streams/stream_run.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/stream_run.py
@@ -15,10 +15,13 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.events import ERROR_PREFIXES
 from hollyspan_core.events import EventParser
+from hollyspan_policy.intake import IntakeMeter
 from hollyspan_policy.streams import classify_resume
 from hollyspan_policy.streams import classify_start
 from hollyspan_policy.streams import StreamAnswer
 
+from ..intake.limits import ERROR_ANSWER
+from ..intake.limits import STREAM
 from ..upstreams.call import discard_content
 from ..upstreams.call import open_response
 from ..upstreams.call import read_content
@@ -59,6 +62,8 @@
     upstream : Upstream
     stream_id, key, request_class : str
     on_event : callable
+    keep : callable
+        Called with the size of an event before it is passed on.
     offset : int
     idle_timeout : float
         Seconds.
@@ -82,6 +87,8 @@
         "stream_id",
         "headers",
         "on_event",
+        "keep",
+        "meter",
         "offset",
         "idle_timeout",
         "on_connection",
@@ -101,6 +108,7 @@
         key,
         request_class,
         on_event,
+        keep,
         offset,
         idle_timeout,
         on_connection,
@@ -116,6 +124,8 @@
             b"X-Request-Class": request_class.encode(),
         }
         self.on_event = on_event
+        self.keep = keep
+        self.meter = IntakeMeter(limits=STREAM)
         self.offset = offset
         self.idle_timeout = idle_timeout
         self.on_connection = on_connection
@@ -136,6 +146,7 @@
             raise StreamMalformedError("events of a stream are missing")
         if data.startswith(ERROR_PREFIXES):
             raise build_stream_error(self.upstream, data)
+        self.keep(len(data))
         self.offset = offset
         self.on_event(offset, data)
 
@@ -187,6 +198,7 @@
             runtime=self.runtime,
             upstream=self.upstream,
             timeout=self.idle_timeout,
+            limits=ERROR_ANSWER,
         )
         if is_leaving_answer(
             self.upstream, status=response.code, body=content
@@ -269,6 +281,7 @@
         """Read one connection until it ends."""
         reader = StreamReader(
             parser=EventParser(on_event=self.handle_event),
+            meter=self.meter,
             is_done=lambda: self.done,
             idle_timeout=self.idle_timeout,
             clock=self.runtime.reactor,
