--- a/packages/hollyspan_entry/hollyspan_entry/store/tests/test_reading.py
+++ b/packages/hollyspan_entry/hollyspan_entry/store/tests/test_reading.py
@@ -1,5 +1,7 @@
 """Tests of reads whose connection to the store fails."""
 
+import base64
+import json
 import os
 
 from twisted.internet import reactor
@@ -111,3 +113,75 @@
             self.store_page.status = 503
             await self.assert_unavailable(store)
             assert self.store_page.calls == 2
+
+
+class LargeStore(resource.Resource):
+    """Resource with large values.
+
+    Attributes
+    ----------
+    limits : list of int
+        Number of entries that each call asks for.
+    """
+
+    isLeaf = True
+
+    def __init__(self, *, count, size):
+        super().__init__()
+        self.pairs = [
+            {
+                "key": encode(b"a%03d" % number),
+                "value": encode(bytes(16) + bytes(size)),
+                "mod_revision": "1",
+            }
+            for number in range(count)
+        ]
+        self.limits = []
+
+    def render_POST(self, request):
+        call = json.loads(request.content.read())
+        limit = int(call.get("limit", 1))
+        self.limits.append(limit)
+        start = base64.b64decode(call["key"])
+        following = [
+            pair
+            for pair in self.pairs
+            if base64.b64decode(pair["key"]) >= start
+        ]
+        return json.dumps(
+            {
+                "kvs": following[:limit],
+                "more": len(following) > limit,
+                "header": {"revision": "1"},
+            }
+        ).encode()
+
+
+def encode(data):
+    return base64.b64encode(data).decode()
+
+
+class LargeListTest(unittest.TestCase):
+    timeout = 30
+
+    # An answer with all entries that are asked for exceeds its limit.
+    async def test_a_list_of_large_values_is_read_in_parts(self):
+        page = LargeStore(count=20, size=1_000_000)
+        port = reactor.listenTCP(0, server.Site(page), interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        with open_store(
+            url=f"http://127.0.0.1:{port.getHost().port}",
+            reactor=reactor,
+            timeout=10.0,
+            create_token=lambda: os.urandom(16),
+        ) as store:
+            keys = []
+            after = None
+            while True:
+                part = await store.list("a", after=after, limit=100)
+                keys += [entry.key for entry in part.entries]
+                if not part.has_more:
+                    break
+                after = part.entries[-1].key
+        self.assertEqual(keys, [f"a{number:03d}" for number in range(20)])
+        self.assertEqual(page.limits, [100, 8, 100, 8, 100])
