A common bound on senders over their shares, and a check before each slice

Several faulty senders took a multiple of one share, and each new connection of a sender over its share had one more slice read. WorkShares takes excess_rate, which those over their shares divide; TurnReader takes ask, which is called before each slice, and slice_bytes for content whose size does not determine the work. Nothing read after a stop is parsed.

--- a/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
@@ -93,3 +93,27 @@
     reader.turns.receive(bytes(3 * SLICE_BYTES))
     reader.clock.pump([0.0] * 3)
     assert len(reader.parsed) == 1
+
+
+# Failure: a sender over its share had one more slice read over each new
+# connection.
+def test_the_first_slice_waits_for_the_share_of_its_sender():
+    reader = Reader()
+    waits = [0.5, 0.1, 0.0, 0.0]
+    reader.turns.ask = lambda: waits.pop(0)
+    reader.turns.receive(b"a")
+    assert reader.parsed == []
+    assert reader.is_paused
+    reader.clock.advance(0.5)
+    assert reader.parsed == []
+    reader.clock.advance(0.1)
+    assert reader.parsed == [b"a"]
+    assert not reader.is_paused
+
+
+def test_nothing_is_received_after_a_stop():
+    reader = Reader()
+    reader.turns.stop()
+    reader.turns.receive(b"a")
+    assert reader.parsed == []
+    assert not reader.clock.getDelayedCalls()
--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -25,11 +25,18 @@
     on_end : callable
         Called with the reason of the connection's end once all bytes that
         came before it have been parsed.
+    ask : callable, optional
+        Called before each slice; returns the seconds until it may be read.
+        Without it, the first slice of each connection is read at once, even
+        if the sender has exceeded its share over other connections.
 
     Attributes
     ----------
     pending_bytes : int
         Bytes that wait for their turn.
+    slice_bytes : int
+        Bytes that are parsed in one turn; more than usual where their number
+        does not determine the work.
 
     Notes
     -----
@@ -43,26 +50,32 @@
         "parse",
         "charge",
         "on_end",
+        "ask",
         "slices",
         "pending_bytes",
+        "slice_bytes",
         "turn",
         "end_reason",
         "is_parsing",
         "is_paused",
+        "is_stopped",
     )
 
-    def __init__(self, *, reactor, transport, parse, charge, on_end):
+    def __init__(self, *, reactor, transport, parse, charge, on_end, ask=None):
         self.reactor = reactor
         self.transport = transport
         self.parse = parse
         self.charge = charge
         self.on_end = on_end
+        self.ask = ask
         self.slices = collections.deque()
         self.pending_bytes = 0
+        self.slice_bytes = SLICE_BYTES
         self.turn = None
         self.end_reason = None
         self.is_parsing = False
         self.is_paused = False
+        self.is_stopped = False
 
     def receive(self, data):
         """Parse received bytes now or in later turns.
@@ -71,8 +84,9 @@
         ----------
         data : bytes
         """
-        for start in range(0, len(data), SLICE_BYTES):
-            self.slices.append(data[start : start + SLICE_BYTES])
+        if self.is_stopped:
+            return
+        self.slices.append(data)
         self.pending_bytes += len(data)
         if self.turn is None and not self.is_parsing:
             self.take_turn()
@@ -89,7 +103,8 @@
             self.finish()
 
     def stop(self):
-        """Drop the bytes that wait."""
+        """Drop the bytes that wait and all that are received later."""
+        self.is_stopped = True
         self.slices.clear()
         self.pending_bytes = 0
         if self.turn is not None:
@@ -102,22 +117,40 @@
         if not self.slices:
             self.finish()
             return
-        data = self.slices.popleft()
-        self.pending_bytes -= len(data)
+        delay = 0.0 if self.ask is None else self.ask()
+        if delay > 0.0:
+            self.plan(delay)
+            return
+        data = self.take_slice()
         self.is_parsing = True
         try:
             work = self.parse(data)
         finally:
             self.is_parsing = False
         delay = self.charge(work)
+        if self.is_stopped:
+            return
         if self.slices or delay > 0.0:
-            if self.end_reason is None and not self.is_paused:
-                self.is_paused = True
-                self.transport.pauseProducing()
-            self.turn = self.reactor.callLater(delay, self.take_turn)
+            self.plan(delay)
         else:
             self.finish()
 
+    def take_slice(self):
+        """Remove and return the bytes of the next turn."""
+        data = self.slices.popleft()
+        if len(data) > self.slice_bytes:
+            self.slices.appendleft(data[self.slice_bytes :])
+            data = data[: self.slice_bytes]
+        self.pending_bytes -= len(data)
+        return data
+
+    def plan(self, delay):
+        """Plan the next turn; nothing is received before it."""
+        if self.end_reason is None and not self.is_paused:
+            self.is_paused = True
+            self.transport.pauseProducing()
+        self.turn = self.reactor.callLater(delay, self.take_turn)
+
     def finish(self):
         """Read on, or report the end, when no bytes wait."""
         if self.end_reason is not None:
--- a/packages/hollyspan_policy/hollyspan_policy/intake/shares.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/shares.py
@@ -2,6 +2,10 @@
 
 __all__ = ["WorkShares"]
 
+# Time for which a sender counts among those over their shares after it has
+# used up its own.
+EXCESS_S = 10.0
+
 
 class WorkShares:
     """Divides the work of reading between senders.
@@ -15,21 +19,36 @@
     max_senders : int, optional
         Senders remembered at most; the one that has rested longest is
         forgotten first.
+    excess_rate : float, optional
+        Work that all senders over their shares may cause together, pieces a
+        second; without it, each is limited by itself only.
 
     Notes
     -----
     A sender that exceeds its share is read later, and no other sender waits
     for it. Each sender has a bucket of tokens, which may be overdrawn by one
-    slice, since a slice is counted when it has been read.
+    slice, since a slice is counted when it has been read. Senders over their
+    shares divide `excess_rate`, so that several of them take no multiple of
+    one share.
     """
 
-    __slots__ = ("rate", "burst", "max_senders", "buckets")
+    __slots__ = (
+        "rate",
+        "burst",
+        "max_senders",
+        "excess_rate",
+        "buckets",
+        "excess",
+    )
 
-    def __init__(self, *, rate, burst, max_senders=4096):
+    def __init__(self, *, rate, burst, max_senders=4096, excess_rate=None):
         self.rate = rate
         self.burst = burst
         self.max_senders = max_senders
+        self.excess_rate = excess_rate
         self.buckets = {}
+        # Time at which they used up their shares last, oldest first.
+        self.excess = {}
 
     def charge(self, sender, work, *, now):
         """Charge a sender for work that it has caused.
@@ -52,11 +71,33 @@
         self.buckets.pop(sender, None)
         self.buckets[sender] = (tokens, now)
         if len(self.buckets) > self.max_senders:
-            self.buckets.pop(next(iter(self.buckets)))
-        return max(0.0, -tokens / self.rate)
+            forgotten = next(iter(self.buckets))
+            self.buckets.pop(forgotten)
+            self.excess.pop(forgotten, None)
+        if tokens < 0.0:
+            self.excess.pop(sender, None)
+            self.excess[sender] = now
+        return self.find_wait(sender, now=now)
+
+    def find_wait(self, sender, *, now):
+        """Return the seconds until a sender may be read, 0 for at once."""
+        tokens = self.measure(sender, now=now)
+        return max(0.0, -tokens / self.find_rate(sender, now=now))
+
+    def find_rate(self, sender, *, now):
+        """Return the rate of a sender, in pieces a second."""
+        while self.excess:
+            oldest = next(iter(self.excess))
+            if now - self.excess[oldest] < EXCESS_S:
+                break
+            self.excess.pop(oldest)
+        if self.excess_rate is None or sender not in self.excess:
+            return self.rate
+        return min(self.rate, self.excess_rate / len(self.excess))
 
     def measure(self, sender, *, now):
         """Return the work that a sender may cause now, in pieces."""
         tokens, updated_at = self.buckets.get(sender, (self.burst, now))
         elapsed = max(0.0, now - updated_at)
-        return min(self.burst, tokens + elapsed * self.rate)
+        refill = elapsed * self.find_rate(sender, now=now)
+        return min(self.burst, tokens + refill)
--- a/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
@@ -63,3 +63,28 @@
     for sender in range(10):
         shares.charge(sender, 1, now=0.0)
     assert len(shares.buckets) == 3
+
+
+def test_senders_over_their_shares_have_one_share_together():
+    shares = WorkShares(rate=100.0, burst=50.0, excess_rate=100.0)
+    work = 0
+    for step in range(1000):
+        now = step / 100
+        for sender in range(8):
+            if shares.find_wait(sender, now=now) == 0.0:
+                shares.charge(sender, 5, now=now)
+                work += 5
+        assert shares.charge("usual", 0.5, now=now) == 0.0
+    # Bursts that last for 0.125 s at 500 pieces a second each, beside their
+    # own rates, then the common rate; each bucket is overdrawn by a slice.
+    assert work <= 8 * (50.0 + 0.125 * 100.0 + 5) + 10 * 100.0
+
+
+def test_a_sender_alone_has_its_whole_rate():
+    shares = WorkShares(rate=100.0, burst=50.0, excess_rate=100.0)
+    work = 0
+    for step in range(1000):
+        if shares.find_wait("a", now=step / 100) == 0.0:
+            shares.charge("a", 5, now=step / 100)
+            work += 5
+    assert 1000 <= work <= 1060
