Bound the work and the memory of the answers that a gateway reads

Callers saw a third of the usual answers of sound upstreams while another one sent events in chunks of one byte; the worker lost its store and its peers. Cause: one read of a socket takes 64 kB, all of which was parsed at once, so 10,923 chunks in one turn of the loop; nothing limited the work that one sender causes, nor the bytes that are kept of the store's answers, of peers' answers and of all answers together.

Change: all connections of a pool read in slices (TurnReader). Each address has a share of the loop's work, those over their shares divide one, and each slice waits for it, so that new connections add nothing. http1/kinds.py names the limits of each kind of answer; one with needlessly small pieces, too many bytes or interim answers without end is malformed. Bytes of answers that are kept at once are bounded for each sender and for all; the first 64 kB of an answer are free, so that usual ones never fail for others.

Tests that changed: the stand-in of connect in test_identity takes the new argument; a megabyte there is read over turns, which the test lets pass; the answers in test_cut_heads are awaited by a real Exchange. Ruled out: slices of fixed size alone, since each new connection has a first slice.

--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -2,7 +2,7 @@
 
 import collections
 
-__all__ = ["TurnReader"]
+__all__ = ["SLICE_BYTES", "TurnReader"]
 
 # Bytes that are parsed in one turn. A chunk of one byte takes six bytes.
 SLICE_BYTES = 4096
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -11,6 +11,8 @@
 
 from .exchange import Exchange
 from .identity import check_answer_identity
+from .intake import count_pieces
+from .kinds import PLAIN_ANSWER
 
 __all__ = ["run_attempt"]
 
@@ -34,6 +36,7 @@
     on_start=None,
     identifier=None,
     read_identifier=None,
+    kind=PLAIN_ANSWER,
 ):
     """Send a request once and report its answer as it arrives.
 
@@ -47,7 +50,8 @@
     on_reply : callable
         Called with status and headers; raises to abort the attempt.
     on_data : callable
-        Called with bytes of the body; raises to abort the attempt.
+        Called with bytes of the body; raises to abort the attempt. Returns
+        how many bytes are kept, see `Exchange`.
     first_byte_timeout : float, optional
         Timeout for the first byte of the body.
     pause_timeout : float, optional
@@ -63,6 +67,9 @@
     read_identifier : callable, optional
         Returns the identifier of a request in the headers of its answer, or
         None. Without it any answer is accepted.
+    kind : AnswerKind, optional
+        What is expected as an answer; an answer beyond its limits is
+        malformed.
 
     Returns
     -------
@@ -98,9 +105,10 @@
     def guard(function):
         def call(*arguments):
             try:
-                function(*arguments)
+                return function(*arguments)
             except HollyspanError as error:
                 abort(error)
+                return None
 
         return call
 
@@ -126,7 +134,10 @@
 
     def handle_data(data):
         stall.restart(pause_timeout)
-        on_data(data)
+        kept = on_data(data)
+        # The events before a piece too many have been delivered.
+        exchange.meter.count(len(data), pieces=count_pieces(data))
+        return kept
 
     def handle_stall(seconds):
         if may_abandon is None or may_abandon():
@@ -145,6 +156,7 @@
         on_end=lambda: end(None),
         on_failure=end,
         identifier=identifier,
+        kind=kind,
     )
     if on_start is not None:
         on_start(abort)
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -1,6 +1,7 @@
 """Persistent HTTP/1.1 client connection."""
 
 import collections
+import contextlib
 import socket
 
 import h11
@@ -9,10 +10,20 @@
 from twisted.internet import protocol
 
 from hollyspan_core.documents import parse_integer
+from hollyspan_core.errors import IntakeExceededError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamConnectionRefusedError
 from hollyspan_core.errors import UpstreamUnreachableError
+from hollyspan_core.intake import SLICE_BYTES
+from hollyspan_core.intake import TurnReader
+from hollyspan_policy.intake import IntakeMeter
+
+from .intake import BYTES_PER_WORK
+from .intake import count_pieces
+from .intake import Intake
+from .intake import WORK_PER_TURN
+from .kinds import SKIPPED_ANSWERS
 
 __all__ = ["ClientConnection", "connect"]
 
@@ -31,12 +42,13 @@
 # Identifiers of its last requests that a connection remembers. An item comes
 # again within seconds, in which a connection carries a few requests.
 REMEMBERED_IDENTIFIERS = 32
-# Limits on the answers to other requests that are read past.
+# Limit on the answers to other requests that are read past.
 MAX_SKIPPED_ANSWERS = 3
-MAX_SKIPPED_BYTES = 1_000_000
+# Bytes that are read in one turn of a body that is not parsed.
+PLAIN_SLICE_BYTES = 64 * 1024
 
 
-def connect(reactor, host, port, *, timeout, source_ip=None):
+def connect(reactor, host, port, *, timeout, source_ip=None, intake=None):
     """Open a connection.
 
     Parameters
@@ -49,13 +61,17 @@
         Connection timeout in seconds.
     source_ip : str, optional
         Address of this machine to connect from.
+    intake : Intake, optional
+        Bounds on what is read over all connections.
 
     Returns
     -------
     Deferred of ClientConnection
         Fails with UpstreamUnreachableError.
     """
-    factory = ClientFactory(reactor=reactor)
+    factory = ClientFactory(
+        reactor=reactor, intake=intake, sender=(host, port)
+    )
     source = None if source_ip is None else (source_ip, 0)
     reactor.connectTCP(
         host, port, factory, timeout=timeout, bindAddress=source
@@ -68,12 +84,19 @@
 
     noisy = False
 
-    def __init__(self, *, reactor):
+    def __init__(self, *, reactor, intake, sender):
         self.reactor = reactor
+        self.intake = intake
+        self.sender = sender
         self.opened = defer.Deferred()
 
     def buildProtocol(self, addr):
-        return ClientConnection(reactor=self.reactor, opened=self.opened)
+        return ClientConnection(
+            reactor=self.reactor,
+            opened=self.opened,
+            intake=self.intake,
+            sender=self.sender,
+        )
 
     def clientConnectionFailed(self, connector, reason):
         is_refused = reason.check(error.ConnectionRefusedError)
@@ -95,6 +118,10 @@
     reactor : twisted reactor
     opened : Deferred
         Fires with the connection once it is made.
+    intake : Intake, optional
+        Bounds on what is read over all connections.
+    sender : (str, int), optional
+        Address of the other end.
 
     Attributes
     ----------
@@ -112,9 +139,15 @@
         True while the connection has carried at most one request.
     """
 
-    def __init__(self, *, reactor, opened):
+    def __init__(self, *, reactor, opened, intake=None, sender=None):
         self.reactor = reactor
         self.opened = opened
+        self.intake = intake or Intake(reactor=reactor)
+        self.sender = sender
+        self.turns = None
+        self.work = 0
+        self.account = contextlib.ExitStack()
+        self.note_kept = None
         self.parser = h11.Connection(h11.CLIENT)
         self.exchange = None
         self.on_free = None
@@ -127,9 +160,17 @@
         self.is_first_request = True
         self.is_skipping = False
         self.skipped_answers = 0
-        self.skipped_bytes = 0
+        self.skip_meter = None
 
     def connectionMade(self):
+        self.turns = TurnReader(
+            reactor=self.reactor,
+            transport=self.transport,
+            parse=self.parse,
+            charge=lambda work: self.intake.charge(self.sender, work),
+            on_end=self.handle_end,
+            ask=lambda: self.intake.find_wait(self.sender),
+        )
         self.transport.setTcpNoDelay(True)
         set_keepalive(self.transport.getHandle())
         if self.opened.called:
@@ -146,7 +187,11 @@
         """
         self.is_first_request = not self.identifiers
         self.identifiers.append(exchange.identifier)
-        self.skipped_answers = self.skipped_bytes = 0
+        self.skipped_answers = 0
+        self.skip_meter = IntakeMeter(limits=SKIPPED_ANSWERS.limits)
+        self.note_kept = self.account.enter_context(
+            self.intake.open_account(self.sender)
+        )
         self.exchange = exchange
         self.transport.write(self.encode_request(exchange))
 
@@ -193,11 +238,17 @@
         return True
 
     def dataReceived(self, data):
+        self.turns.receive(data)
+
+    def parse(self, data):
+        """Parse received bytes; return the work that they were."""
+        self.work = WORK_PER_TURN
         if self.exchange is None:
             # Unsolicited bytes: close the connection.
             self.abort()
-            return
-        self.feed(data)
+        else:
+            self.feed(data)
+        return self.work
 
     def feed(self, data):
         try:
@@ -207,6 +258,8 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 self.handle_event(event)
+        except IntakeExceededError as error:
+            self.fail(error)
         except h11.RemoteProtocolError as fault:
             if not data:
                 self.fail(StreamLostError(f"connection closed: {fault}"))
@@ -214,29 +267,46 @@
             self.fail(StreamMalformedError(f"malformed answer: {fault}"))
 
     def handle_event(self, event):
+        size, pieces = measure_event(event)
+        self.work += pieces + size // BYTES_PER_WORK
         if self.is_skipping:
+            self.skip_meter.count(size, pieces=pieces)
             self.skip_event(event)
-        elif isinstance(event, h11.Data):
-            self.exchange.on_data(bytes(event.data))
+            return
+        if isinstance(event, h11.EndOfMessage):
+            self.finish()
+            return
+        if not isinstance(event, h11.Data):
+            self.exchange.meter.count(size, pieces=pieces)
+        if isinstance(event, h11.Data):
+            self.handle_content(bytes(event.data))
         elif isinstance(event, h11.Response):
             self.idle_seconds = parse_keep_alive_timeout(event.headers)
+            self.choose_slice(event.headers)
             self.exchange.on_head(event.status_code, list(event.headers))
-        elif isinstance(event, h11.EndOfMessage):
-            self.finish()
+
+    def handle_content(self, data):
+        """Report a part of the body, and account for what is kept of it."""
+        is_kept = self.exchange.kind.is_kept
+        if is_kept:
+            self.note_kept(self.exchange.meter.content_bytes + len(data))
+        kept = self.exchange.on_data(data)
+        if not is_kept and kept is not None and self.exchange is not None:
+            self.note_kept(kept)
+
+    def choose_slice(self, headers):
+        """Read more of a body in a turn if its size is not its work."""
+        has_events = self.exchange.kind.has_events
+        if not has_events and not any(
+            name == b"transfer-encoding" for name, _ in headers
+        ):
+            self.turns.slice_bytes = PLAIN_SLICE_BYTES
 
     def skip_event(self, event):
         """Read past a part of an answer, and await the next one behind it."""
-        if isinstance(event, h11.Data):
-            self.skipped_bytes += len(event.data)
-            if self.skipped_bytes > MAX_SKIPPED_BYTES:
-                self.fail(
-                    StreamMalformedError(
-                        "an answer to another request exceeds "
-                        f"{MAX_SKIPPED_BYTES} bytes"
-                    )
-                )
-        elif isinstance(event, h11.EndOfMessage):
+        if isinstance(event, h11.EndOfMessage):
             self.is_skipping = False
+            self.turns.slice_bytes = SLICE_BYTES
             trailing, is_closed = self.parser.trailing_data
             if is_closed or self.parser.their_state is not h11.DONE:
                 self.fail(
@@ -250,12 +320,22 @@
             if trailing:
                 self.parser.receive_data(trailing)
 
-    def finish(self):
+    def remove_exchange(self):
+        """Return the request in progress, which is over."""
         exchange, self.exchange = self.exchange, None
+        self.account.close()
+        if self.turns is not None:
+            self.turns.slice_bytes = SLICE_BYTES
+        return exchange
+
+    def finish(self):
+        exchange = self.remove_exchange()
         trailing, is_closed = self.parser.trailing_data
         if (
             trailing
             or is_closed
+            or self.is_lost
+            or self.turns.pending_bytes
             or self.parser.our_state is not h11.DONE
             or self.parser.their_state is not h11.DONE
         ):
@@ -272,16 +352,18 @@
 
     def cancel(self):
         """Cancel the request and close the connection."""
-        self.exchange = None
+        self.remove_exchange()
         self.is_skipping = False
         self.abort()
 
     def abort(self):
         self.is_lost = True
+        if self.turns is not None:
+            self.turns.stop()
         self.transport.abortConnection()
 
     def fail(self, failure):
-        exchange, self.exchange = self.exchange, None
+        exchange = self.remove_exchange()
         self.abort()
         if exchange is not None:
             exchange.on_failure(failure)
@@ -331,6 +413,11 @@
         self.end_hold()
         if self.on_lost is not None:
             self.on_lost(self)
+        if self.turns is not None:
+            self.turns.end(reason)
+
+    def handle_end(self, reason):
+        """End the answer in progress with the connection."""
         if self.exchange is None:
             return
         if reason.check(error.ConnectionDone):
@@ -342,6 +429,16 @@
             )
 
 
+def measure_event(event):
+    """Return the bytes and the pieces of a part of an answer."""
+    if isinstance(event, h11.Data):
+        return len(event.data), count_pieces(event.data)
+    if isinstance(event, h11.EndOfMessage):
+        return 0, 0
+    size = sum(len(name) + len(value) for name, value in event.headers)
+    return size, 1 + len(event.headers)
+
+
 def set_keepalive(handle):
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/exchange.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/exchange.py
@@ -1,5 +1,9 @@
 """One request on a connection and the callbacks for its answer."""
 
+from hollyspan_policy.intake import IntakeMeter
+
+from .kinds import PLAIN_ANSWER
+
 __all__ = ["Exchange"]
 
 
@@ -16,13 +20,22 @@
     on_head : callable
         Called with the status and the list of headers, names in lower case.
     on_data : callable
-        Called with each chunk of bytes of the body.
+        Called with each chunk of bytes of the body; returns the number of
+        bytes that are kept, which counts unless the kind of the answer is
+        kept as a whole.
     on_end : callable
         Called once without arguments when the answer is complete.
     on_failure : callable
         Called once with a HollyspanError when the answer cannot be completed.
     identifier : str, optional
         Identifier of the request, which its answer repeats.
+    kind : AnswerKind, optional
+        What is expected as an answer.
+
+    Attributes
+    ----------
+    meter : IntakeMeter
+        What was read of the answer.
     """
 
     __slots__ = (
@@ -35,6 +48,8 @@
         "on_end",
         "on_failure",
         "identifier",
+        "kind",
+        "meter",
     )
 
     def __init__(
@@ -49,6 +64,7 @@
         on_end,
         on_failure,
         identifier=None,
+        kind=PLAIN_ANSWER,
     ):
         self.method = method
         self.target = target
@@ -59,3 +75,5 @@
         self.on_end = on_end
         self.on_failure = on_failure
         self.identifier = identifier
+        self.kind = kind
+        self.meter = IntakeMeter(limits=kind.limits)
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections by address."""
 
 from .connection import connect
+from .intake import Intake
 
 __all__ = ["ConnectionPool"]
 
@@ -20,6 +21,8 @@
     reactor : twisted reactor
     source_ip : str, optional
         Address of this machine to connect from, by which peers know it.
+    intake : Intake, optional
+        Bounds on what is read over all connections.
 
     Attributes
     ----------
@@ -36,15 +39,17 @@
     __slots__ = (
         "reactor",
         "source_ip",
+        "intake",
         "idle",
         "opened",
         "must_hold",
         "on_open",
     )
 
-    def __init__(self, *, reactor, source_ip=None):
+    def __init__(self, *, reactor, source_ip=None, intake=None):
         self.reactor = reactor
         self.source_ip = source_ip
+        self.intake = intake or Intake(reactor=reactor)
         self.idle = {}
         self.opened = 0
         self.must_hold = lambda address: False
@@ -111,7 +116,11 @@
     def connect(self, address, *, timeout):
         """Return a Deferred of a new connection, see `connect`."""
         return connect(
-            self.reactor, *address, timeout=timeout, source_ip=self.source_ip
+            self.reactor,
+            *address,
+            timeout=timeout,
+            source_ip=self.source_ip,
+            intake=self.intake,
         )
 
     async def open(self, address, *, timeout, hold_seconds=0.0):
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_identity.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_identity.py
@@ -33,9 +33,9 @@
     """Connections opened by the pool, in order."""
     connections = []
 
-    def connect(reactor, host, port, *, timeout, source_ip=None):
+    def connect(reactor, host, port, *, timeout, source_ip=None, intake):
         connection = module.ClientConnection(
-            reactor=reactor, opened=defer.Deferred()
+            reactor=reactor, opened=defer.Deferred(), intake=intake
         )
         connection.makeConnection(Transport())
         connections.append(connection)
@@ -147,6 +147,8 @@
     opened[0].dataReceived(build_answer(b"1"))
     second = Attempt(pool, b"2")
     opened[0].dataReceived(copies)
+    # A megabyte is read over several turns of the loop.
+    pool.reactor.pump([0.0] * 300)
     assert second.statuses == []
     assert second.code in (
         "answer_misplaced",
--- a/packages/hollyspan_gateway/hollyspan_gateway/indirect_probes.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/indirect_probes.py
@@ -11,6 +11,7 @@
 from hollyspan_policy.hashing import format_hash
 
 from .clock import wait
+from .http1 import PROBE
 from .peers.calls import call_peer
 
 __all__ = [
@@ -126,6 +127,7 @@
                     target=INDIRECT_PROBES_PATH
                     + format_hash(upstream.entry.key).encode(),
                     timeout_seconds=ANSWER_TIMEOUT_S,
+                    kind=PROBE,
                 )
             )
             for peer in asked
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -11,6 +11,7 @@
 from hollyspan_core.events import EventParser
 
 from ..crashes import check_undelimited_end
+from ..http1 import ITEM_RUN
 from ..http1 import run_attempt
 from ..online.answers import check_events_end
 from ..online.answers import check_events_head
@@ -23,9 +24,6 @@
 # A run that receives no byte for this long is abandoned and the item started
 # again: forty times the usual time between two events.
 STALL_TIMEOUT_S = 1.0
-# Limit on the bytes of a run, far above the output of an item; an upstream in
-# trouble may send bytes without end.
-MAX_RUN_BYTES = 4 * 1024 * 1024
 # HTTP statuses of an upstream: the item can never succeed; this run failed.
 UNPROCESSABLE_STATUS = 422
 FAILED_STATUS = 500
@@ -66,7 +64,6 @@
         "started",
         "initial_event_count",
         "exposure",
-        "received_bytes",
     )
 
     def __init__(self, *, gateway, state, upstream, host, max_failures):
@@ -82,7 +79,6 @@
         self.started = gateway.reactor.seconds()
         self.initial_event_count = len(state.event_data)
         self.exposure = None
-        self.received_bytes = 0
 
     def start(self):
         """Start the run.
@@ -149,6 +145,7 @@
                     on_start=self.exposure.set_abort,
                     identifier=self.state.item.identifier,
                     read_identifier=self.gateway.dialect.read_identifier,
+                    kind=ITEM_RUN,
                 )
             if error is None:
                 error = await check_undelimited_end(
@@ -178,11 +175,6 @@
 
     def handle_data(self, data):
         self.gateway.guard.note_data(self.exposure)
-        self.received_bytes += len(data)
-        if self.received_bytes > MAX_RUN_BYTES:
-            raise StreamMalformedError(
-                f"an answer exceeds {MAX_RUN_BYTES} bytes"
-            )
         if self.reply.has_events:
             self.parser.feed(data)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/delivery.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/delivery.py
@@ -2,14 +2,14 @@
 
 from hollyspan_core.errors import StreamMalformedError
 
+from ..http1 import PLAIN_ANSWER
 from .answers import check_events_end
 from .events import EventSplitter
 
 __all__ = ["Delivery"]
 
-# Limit on an answer that is sent as a whole, far above the answers of plain
-# services; an upstream in trouble may send bytes without end.
-MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# Limit on an answer that is sent as a whole, also where events were expected.
+MAX_BUFFERED_BYTES = PLAIN_ANSWER.limits.content_bytes
 
 
 class Delivery:
@@ -69,6 +69,11 @@
         """True when the bytes received so far end within an event."""
         return bool(self.splitter.remainder)
 
+    @property
+    def kept_bytes(self):
+        """Received bytes that were not sent to the client."""
+        return self.buffered_bytes + len(self.splitter.remainder)
+
     @property
     def has_new_events(self):
         """True once the current attempt has brought an event."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -3,12 +3,17 @@
 import eliot
 
 from hollyspan_core.errors import AnswerMisplacedError
+from hollyspan_core.errors import IntakeExceededError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import PeerUnavailableError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import UpstreamUnavailableError
 
+from ..http1 import FORWARDED_ANSWER
+from ..http1 import FORWARDED_STREAM
+from ..http1 import MAX_FAILURE_BYTES
 from ..http1 import run_attempt
+from ..routes import RouteKind
 from .forwarded import build_target
 from .forwarded import decode_failure
 from .forwarded import FAILURE_HEADER
@@ -49,6 +54,8 @@
         True when the peer itself has failed the request.
     failure_parts : list of bytes
         Body of its failure.
+    failure_bytes : int
+        Size of that body.
     version : int or None
         Key of the version that writes the stream.
 
@@ -58,13 +65,21 @@
     own clients, and counts it. It never forwards it again.
     """
 
-    __slots__ = ("relay", "peer", "has_failed", "failure_parts", "version")
+    __slots__ = (
+        "relay",
+        "peer",
+        "has_failed",
+        "failure_parts",
+        "failure_bytes",
+        "version",
+    )
 
     def __init__(self, *, relay, peer):
         self.relay = relay
         self.peer = peer
         self.has_failed = False
         self.failure_parts = []
+        self.failure_bytes = 0
         self.version = None
 
     async def run(self):
@@ -116,6 +131,11 @@
                     ),
                     pause_timeout=QUIET_CHECK_S if is_repeatable else None,
                     may_abandon=self.is_peer_gone,
+                    kind=(
+                        FORWARDED_STREAM
+                        if relay.route.kind is RouteKind.STREAM
+                        else FORWARDED_ANSWER
+                    ),
                 )
             except UpstreamUnavailableError as unsent:
                 error = PeerUnavailableError(
@@ -156,6 +176,11 @@
     def handle_data(self, data):
         relay = self.relay
         if self.has_failed:
+            self.failure_bytes += len(data)
+            if self.failure_bytes > MAX_FAILURE_BYTES:
+                raise IntakeExceededError(
+                    f"a peer's failure exceeds {MAX_FAILURE_BYTES} bytes"
+                )
             self.failure_parts.append(data)
         elif relay.is_stream():
             events = relay.delivery.forward_events(data, relay.reply)
@@ -165,6 +190,7 @@
             relay.delivery.require_sound()
         else:
             relay.delivery.buffer(data)
+        return self.failure_bytes + relay.delivery.kept_bytes
 
     def check_answer(self):
         """Return an error if the client must not receive a complete answer."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -15,6 +15,8 @@
 
 from ..crashes import check_undelimited_end
 from ..crashes import is_broken_off
+from ..http1 import EVENT_STREAM
+from ..http1 import PLAIN_ANSWER
 from ..http1 import run_attempt
 from ..routes import RouteKind
 from .answers import check_events_head
@@ -327,6 +329,11 @@
                     on_start=self.exposure.set_abort,
                     identifier=self.head.identifier,
                     read_identifier=self.gateway.dialect.read_identifier,
+                    kind=(
+                        EVENT_STREAM
+                        if self.route.kind is RouteKind.STREAM
+                        else PLAIN_ANSWER
+                    ),
                 )
             except UpstreamUnavailableError as unsent:
                 error = unsent
@@ -400,7 +407,13 @@
             )
 
     def handle_data(self, data):
-        """Forward or buffer bytes of an answer's body."""
+        """Forward or buffer bytes of an answer's body.
+
+        Returns
+        -------
+        int
+            Bytes that are kept.
+        """
         self.gateway.guard.note_data(self.exposure)
         if self.is_stream():
             events = self.delivery.forward_events(data, self.reply)
@@ -410,6 +423,7 @@
             self.delivery.require_sound()
         else:
             self.delivery.buffer(data)
+        return self.delivery.kept_bytes
 
     def is_stream(self):
         """Return whether the answer is streamed to the client."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/calls.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/calls.py
@@ -7,6 +7,7 @@
 from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import PeerUnavailableError
 
+from ..http1 import JOB_READ
 from ..http1 import run_attempt
 
 __all__ = ["JOB_READS_PATH", "call_peer", "fetch_answer"]
@@ -15,7 +16,7 @@
 JOB_READS_PATH = b"/jobs/"
 
 
-async def call_peer(pool, peer, *, port, target, timeout_seconds):
+async def call_peer(pool, peer, *, port, target, timeout_seconds, kind):
     """Send a GET request to a peer.
 
     Parameters
@@ -28,6 +29,8 @@
         Path and query.
     timeout_seconds : float
         Longest wait for the whole reply.
+    kind : AnswerKind
+        What is expected as the reply.
 
     Returns
     -------
@@ -53,6 +56,7 @@
             body=b"",
             on_reply=handle_reply,
             on_data=body_parts.append,
+            kind=kind,
         )
     )
     attempt.addTimeout(timeout_seconds, pool.reactor)
@@ -97,6 +101,7 @@
         port=port,
         target=JOB_READS_PATH + target.encode("latin-1"),
         timeout_seconds=timeout_seconds,
+        kind=JOB_READ,
     )
     if answer is None:
         return None
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
@@ -10,6 +10,7 @@
 from hollyspan_core.store import Entry
 from hollyspan_core.store import Page
 
+from ..http1 import SNAPSHOT
 from .calls import call_peer
 
 __all__ = ["SNAPSHOTS_PATH", "encode_snapshot", "fetch_snapshot"]
@@ -116,6 +117,7 @@
         port=port,
         target=SNAPSHOTS_PATH + name.encode(),
         timeout_seconds=SNAPSHOT_TIMEOUT_S,
+        kind=SNAPSHOT,
     )
     if answer is None:
         return None
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_cut_heads.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_cut_heads.py
@@ -8,6 +8,8 @@
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamLostError
+from hollyspan_gateway.http1 import Exchange
+from hollyspan_gateway.http1 import PROBE
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.records import build_results_prefix
@@ -122,7 +124,7 @@
 def send_first(connection):
     ignore = lambda *_: None  # noqa: E731
     connection.send(
-        types.SimpleNamespace(
+        Exchange(
             method=b"POST",
             target=b"/",
             headers=[(b"Host", b"h")],
@@ -270,7 +272,12 @@
         results = []
         for work in (
             call_peer(
-                pool, peer, port=4, target=b"/x", timeout_seconds=TIMEOUT_S
+                pool,
+                peer,
+                port=4,
+                target=b"/x",
+                timeout_seconds=TIMEOUT_S,
+                kind=PROBE,
             ),
             fetch_snapshot(pool, peer, port=4, name="routes"),
         ):
--- a/packages/hollyspan_standins/hollyspan_standins/memory/byte_pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/byte_pool.py
@@ -32,7 +32,10 @@
 
     def connect(self, address, *, timeout):
         connection = ClientConnection(
-            reactor=self.reactor, opened=defer.Deferred()
+            reactor=self.reactor,
+            opened=defer.Deferred(),
+            intake=self.intake,
+            sender=address,
         )
         connection.makeConnection(
             ByteTransport(on_write=lambda data: self.answer(connection, data))
--- a/packages/hollyspan_standins/hollyspan_standins/memory/raw_pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/raw_pool.py
@@ -41,6 +41,8 @@
             types.SimpleNamespace(
                 write=lambda data: None,
                 abortConnection=self.note_abort,
+                pauseProducing=lambda: None,
+                resumeProducing=lambda: None,
                 setTcpNoDelay=lambda enabled: None,
                 getHandle=lambda: types.SimpleNamespace(
                     setsockopt=lambda level, option, value: None
