Read events in work that is linear in their bytes

One event in many pieces held the loop: both readers of events joined and searched all that was kept of it with each piece.

What is kept grows in place and only new bytes are searched.

--- a/packages/hollyspan_core/hollyspan_core/events/tests/test_parser.py
+++ b/packages/hollyspan_core/hollyspan_core/events/tests/test_parser.py
@@ -62,6 +62,48 @@
     assert parse(*parts) == list(enumerate(datas, 1))
 
 
+# Failure: a growing buffer was joined and searched with each piece.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_the_work_is_linear_in_the_bytes(monkeypatch, line_end):
+    searched = 0
+
+    class Buffer(bytearray):
+        """Buffer that counts the bytes that are searched."""
+
+        def find(self, part, start=0):
+            nonlocal searched
+            searched += len(self) - start
+            return super().find(part, start)
+
+    events = []
+    parser = EventParser(on_event=lambda *event: events.append(event))
+    buffer = parser.buffer = Buffer()
+    content = b"id: 1" + line_end + b"data: " + b"x" * 20_000
+    for start in range(len(content)):
+        parser.feed(content[start : start + 1])
+    # It grows in place, and only the new bytes are searched.
+    assert parser.buffer is buffer
+    assert 0 < searched <= 2 * len(content) + 2
+    parser.feed(line_end * 2)
+    parser.feed(b":")
+    assert events == [(1, b"x" * 20_000)]
+
+
+def test_an_event_of_too_many_lines_is_an_error():
+    lines = b"data: x\n" * 9_999
+    assert len(parse(lines + b"\n")) == 1
+    with pytest.raises(StreamMalformedError):
+        parse(b":\n" * 10_001 + b"\n")
+
+
+def test_a_carriage_return_at_the_end_is_a_partial_event():
+    parser = EventParser(on_event=lambda *event: None)
+    parser.feed(b"id: 1\r\ndata: x\r\n\r\n")
+    assert not parser.has_partial_event
+    parser.feed(b"\r")
+    assert parser.has_partial_event
+
+
 @given(st.lists(st.binary(max_size=60), max_size=5))
 def test_arbitrary_bytes_give_events_or_a_typed_error(parts):
     try:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -196,7 +196,7 @@
             error = check_events_end(
                 self.reply,
                 has_new_events=self.has_new_events(),
-                has_partial_event=bool(self.parser.buffer),
+                has_partial_event=self.parser.has_partial_event,
             )
             if error is not None:
                 return error
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/events.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/events.py
@@ -1,5 +1,7 @@
 """Splitting of an event stream into events without parsing their data."""
 
+import re
+
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.events import has_only_fields
 
@@ -8,9 +10,9 @@
 # Far above the size of an event with one piece of text.
 MAX_EVENT_BYTES = 1_000_000
 MAX_ID_DIGITS = 12
-ID_PREFIX = b"id:"
-COMMENT_PREFIX = b":"
 SEPARATOR = b"\n\n"
+ID_PATTERN = re.compile(rb"^id:([^\n]*)", re.MULTILINE)
+FIELD_PATTERN = re.compile(rb"^[^:\n]", re.MULTILINE)
 
 
 class EventSplitter:
@@ -31,19 +33,23 @@
         What is wrong with the bytes behind the events returned: an event is
         missing, repeated, too large, without an identifier or with a line
         that is no field.
+
+    Notes
+    -----
+    The work is linear in the bytes, however they are divided.
     """
 
     __slots__ = ("last_id", "remainder", "count", "error")
 
     def __init__(self, *, last_id=None):
         self.last_id = last_id
-        self.remainder = b""
+        self.remainder = bytearray()
         self.count = 0
         self.error = None
 
     def discard_rest(self):
         """Discard what follows the events returned, and its error."""
-        self.remainder = b""
+        self.remainder = bytearray()
         self.error = None
 
     def feed(self, data):
@@ -60,7 +66,13 @@
         """
         if self.error is not None:
             return b""
-        *events, self.remainder = (self.remainder + data).split(SEPARATOR)
+        # What was kept has no separator, but may end with half of one.
+        start = max(0, len(self.remainder) - 1)
+        self.remainder += data
+        events = []
+        if self.remainder.find(SEPARATOR, start) >= 0:
+            *events, rest = bytes(self.remainder).split(SEPARATOR)
+            self.remainder = bytearray(rest)
         sound_count = len(events)
         try:
             for index, event in enumerate(events):
@@ -70,7 +82,7 @@
             check_size(self.remainder)
         except StreamMalformedError as error:
             self.error = error
-            self.remainder = b""
+            self.remainder = bytearray()
         self.count += sound_count
         return b"".join(event + SEPARATOR for event in events[:sound_count])
 
@@ -109,18 +121,15 @@
 
 def is_comment(event):
     """Return whether an event has no fields."""
-    return all(
-        not line or line.startswith(COMMENT_PREFIX)
-        for line in event.split(b"\n")
-    )
+    return FIELD_PATTERN.search(event) is None
 
 
 def parse_event_id(event):
     """Return the number in an event's id line, or None."""
-    for line in event.split(b"\n"):
-        if line.startswith(ID_PREFIX):
-            value = line[len(ID_PREFIX) :].strip()
-            if not value.isdigit() or len(value) > MAX_ID_DIGITS:
-                raise StreamMalformedError("the id of an event is no number")
-            return int(value)
-    return None
+    found = ID_PATTERN.search(event)
+    if found is None:
+        return None
+    value = found[1].strip()
+    if not value.isdigit() or len(value) > MAX_ID_DIGITS:
+        raise StreamMalformedError("the id of an event is no number")
+    return int(value)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_events.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_events.py
@@ -92,6 +92,29 @@
     assert splitter.feed(rest) == rest
 
 
+# Failure: a growing buffer was joined and searched with each piece.
+def test_the_work_is_linear_in_the_bytes():
+    searched = 0
+
+    class Buffer(bytearray):
+        """Buffer that counts the bytes that are searched."""
+
+        def find(self, part, start=0):
+            nonlocal searched
+            searched += len(self) - start
+            return super().find(part, start)
+
+    splitter = EventSplitter()
+    buffer = splitter.remainder = Buffer()
+    content = b"id: 1\ndata: " + b"x" * 20_000 + b"\n"
+    for start in range(len(content)):
+        splitter.feed(content[start : start + 1])
+    # It grows in place, and only the new bytes are searched.
+    assert splitter.remainder is buffer
+    assert 0 < searched <= 2 * len(content)
+    assert splitter.feed(b"\n") == content + b"\n"
+
+
 def test_comments_are_returned_at_any_place():
     splitter = EventSplitter(last_id=4)
     assert splitter.feed(b": ping\n\nid: 5\ndata: a\n\n")
