Bound what is kept and parsed of the store's answers

The worker grew by 335 MB in 10 s, 134 MB of it from one connection, when the store's answers did not end: they were collected whole for the time of the call, over any number of connections.

The same call would fail for ever: a mirror and a job's view read all entries in pages then.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -41,6 +41,7 @@
 from .request import StreamVersionError
 from .store import LeaseLostError
 from .store import RecordUnreadableError
+from .store import StoreAnswerTooLargeError
 from .store import StoreConflictError
 from .store import StoreHistoryLostError
 from .store import StoreKeyExistsError
@@ -101,6 +102,7 @@
     "RouteNotFoundError",
     "ServiceNotFoundError",
     "SettingsInvalidError",
+    "StoreAnswerTooLargeError",
     "StoreConflictError",
     "StoreHistoryLostError",
     "StoreKeyExistsError",
--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -6,6 +6,7 @@
 __all__ = [
     "LeaseLostError",
     "RecordUnreadableError",
+    "StoreAnswerTooLargeError",
     "StoreConflictError",
     "StoreHistoryLostError",
     "StoreKeyExistsError",
@@ -36,6 +37,10 @@
     code = "store_reply_lost"
 
 
+class StoreAnswerTooLargeError(StoreReplyLostError):
+    """An answer exceeds what is read; for a watch, pages are read instead."""
+
+
 class StoreConflictError(HollyspanError):
     """The key was changed by another writer.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
@@ -8,16 +8,19 @@
 from .intake import Intake
 from .internal_error import answer_internal_error
 from .kinds import AnswerKind
+from .kinds import count_values
 from .kinds import EVENT_STREAM
 from .kinds import FORWARDED_ANSWER
 from .kinds import FORWARDED_STREAM
 from .kinds import ITEM_RUN
 from .kinds import JOB_READ
+from .kinds import MAX_DOCUMENT_VALUES
 from .kinds import MAX_FAILURE_BYTES
 from .kinds import PLAIN_ANSWER
 from .kinds import PROBE
 from .kinds import SNAPSHOT
 from .kinds import STORE_ANSWER
+from .kinds import STORE_KEPT_BYTES
 from .pool import ConnectionPool
 
 __all__ = [
@@ -26,11 +29,13 @@
     "FORWARDED_STREAM",
     "ITEM_RUN",
     "JOB_READ",
+    "MAX_DOCUMENT_VALUES",
     "MAX_FAILURE_BYTES",
     "PLAIN_ANSWER",
     "PROBE",
     "SNAPSHOT",
     "STORE_ANSWER",
+    "STORE_KEPT_BYTES",
     "AnswerKind",
     "ClientConnection",
     "ConnectionPool",
@@ -39,5 +44,6 @@
     "answer_internal_error",
     "check_answer_identity",
     "connect",
+    "count_values",
     "run_attempt",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/kinds.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/kinds.py
@@ -8,13 +8,16 @@
     "FORWARDED_STREAM",
     "ITEM_RUN",
     "JOB_READ",
+    "MAX_DOCUMENT_VALUES",
     "MAX_FAILURE_BYTES",
     "PLAIN_ANSWER",
     "PROBE",
     "SKIPPED_ANSWERS",
     "SNAPSHOT",
     "STORE_ANSWER",
+    "STORE_KEPT_BYTES",
     "AnswerKind",
+    "count_values",
 ]
 
 MIB = 1024 * 1024
@@ -25,6 +28,10 @@
 BYTES_PER_PIECE = 2
 # Limit on the body in which a peer tells of a failure.
 MAX_FAILURE_BYTES = 64 * 1024
+# Limit on the values of a JSON document, which is parsed in one turn of the
+# loop: that of 10,000 changes of a watch.
+MAX_DOCUMENT_VALUES = 100_000
+VALUE_STARTS = (b",", b"[", b"{")
 
 
 class AnswerKind:
@@ -47,6 +54,25 @@
         self.has_events = has_events
 
 
+def count_values(content):
+    """Return the number of values in a JSON document, at most.
+
+    Parameters
+    ----------
+    content : bytes
+
+    Returns
+    -------
+    int
+
+    Examples
+    --------
+    >>> count_values(b'{"a": [1, 2], "b": {}}')
+    5
+    """
+    return sum(content.count(start) for start in VALUE_STARTS)
+
+
 def build_kind(what, content_bytes, *, is_kept=True, has_events=False):
     """Return a kind with a limit on its bytes."""
     limits = IntakeLimits(
@@ -72,6 +98,8 @@
 )
 # A page has a megabyte and one value of a megabyte more, in base64.
 STORE_ANSWER = build_kind("the store's answer", 8 * MIB)
+# Bytes of the store's answers that are kept at once.
+STORE_KEPT_BYTES = 24 * MIB
 # All entries of a mirror, in base64.
 SNAPSHOT = build_kind("a peer's snapshot", 8 * MIB)
 # An output of an item with each character escaped.
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import defer
 
+from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import ItemResult
@@ -148,3 +149,20 @@
     )
     wait_for(listing, 0)
     assert list_names(watching) == list_names(listing) == sorted(NAMES)
+
+
+# Failure: new results that are too many for one answer would be asked for
+# again and again.
+def test_too_many_new_results_are_read_in_pages(build_view, finish, wire):
+    view = build_view()
+    finish("a")
+    wait_for(view, 0)
+    assert list_names(view) == ["a"]
+    finish("b")
+
+    async def watch(prefix, *, after, seconds):
+        raise StoreAnswerTooLargeError("kv-watch: too many changes")
+
+    wire.watch = watch
+    wait_for(view, 1)
+    assert list_names(view) == ["a", "b"]
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import defer
 
+from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreHistoryLostError
 
 from .records import build_results_prefix
@@ -107,7 +108,7 @@
                 )
                 self.add_page(page)
                 return
-            except StoreHistoryLostError:
+            except (StoreAnswerTooLargeError, StoreHistoryLostError):
                 # Read all results again below.
                 self.revision = 0
         self.add_page(await self.store.list(prefix))
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
@@ -10,6 +10,8 @@
 from hollyspan_core.store import Entry
 from hollyspan_core.store import Page
 
+from ..http1 import count_values
+from ..http1 import MAX_DOCUMENT_VALUES
 from ..http1 import SNAPSHOT
 from .calls import call_peer
 
@@ -62,6 +64,8 @@
     PeerMessageError
         The bytes are not a valid snapshot.
     """
+    if count_values(content) > MAX_DOCUMENT_VALUES:
+        raise PeerMessageError("a snapshot has too many values")
     try:
         document = parse_document(content)
         entries = [
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -5,6 +5,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreHistoryLostError
 from hollyspan_core.errors import StoreUnavailableError
 
@@ -205,6 +206,9 @@
                 self.needs_listing = True
             except StoreUnavailableError as error:
                 self.record_failure(error)
+                if isinstance(error, StoreAnswerTooLargeError):
+                    # The same changes would be too many again.
+                    self.needs_listing = True
                 await wait(self.reactor, self.backoff * random.uniform(0.5, 1))
                 self.backoff = min(MAX_BACKOFF_S, self.backoff * 2)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/tests/test_mirror.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import defer
 
+from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.store import Page
 from hollyspan_gateway.store import Mirror
 
@@ -188,3 +189,25 @@
     expected = ["p/a", "p/b", *(f"p/e{number}" for number in range(later))]
     assert sorted(mirror.entries) == expected
     assert mirror.revision == wire.revision
+
+
+# Failure: changes that are too many for one answer would be asked for again
+# and again.
+def test_entries_are_listed_after_too_many_changes(mirror, wire, reactor):
+    answers = []
+
+    async def watch(prefix, *, after, seconds):
+        answers.append(after)
+        raise StoreAnswerTooLargeError("kv-watch: too many changes")
+
+    usual, wire.watch = wire.watch, watch
+    wire.change({"p/b": VALUE})
+    reactor.advance(MAX_COALESCING_DELAY_S)
+    assert answers
+    wire.watch = usual
+    wire.change({"p/c": VALUE})
+    wire.compacted_revision = 0
+    listed = wire.calls.count("read_page")
+    reactor.pump([0.1] * 20)
+    assert wire.calls.count("read_page") == listed + 1
+    assert sorted(mirror.entries) == ["p/a", "p/b", "p/c"]
