Abandon a run of an item that brings no event for 30 s

An upstream that sent a byte now and then, a comment or a part of an error's body, held an item for as long as it liked: each byte began the wait of one second anew, and only the bytes of a run were limited. A run is abandoned now when it has brought no event for 30 s whatever else it receives, and the item runs again. Slow events are progress. The new test failed before for answers 200 and 500: the run went on after 36 s of comments.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -24,6 +24,9 @@
 # A run that receives no byte for this long is abandoned and the item started
 # again: forty times the usual time between two events.
 STALL_TIMEOUT_S = 1.0
+# Time without an event after which a run is abandoned whatever else it
+# receives: several times a whole run.
+EVENT_TIMEOUT_S = 30.0
 # HTTP statuses of an upstream: the item can never succeed; this run failed.
 UNPROCESSABLE_STATUS = 422
 FAILED_STATUS = 500
@@ -64,6 +67,7 @@
         "started",
         "initial_event_count",
         "exposure",
+        "progress_at",
     )
 
     def __init__(self, *, gateway, state, upstream, host, max_failures):
@@ -79,6 +83,7 @@
         self.started = gateway.reactor.seconds()
         self.initial_event_count = len(state.event_data)
         self.exposure = None
+        self.progress_at = self.started
 
     def start(self):
         """Start the run.
@@ -177,6 +182,9 @@
         self.gateway.guard.note_data(self.exposure)
         if self.reply.has_events:
             self.parser.feed(data)
+        waited = self.gateway.reactor.seconds() - self.progress_at
+        if waited > EVENT_TIMEOUT_S:
+            raise StreamStalledError(f"no event received for {waited:.3f} s")
 
     def handle_event(self, number, data):
         if number is None:
@@ -184,6 +192,7 @@
         last = self.state.last_event
         if last is not None and number != last + 1:
             raise StreamMalformedError(f"event {number} follows {last}")
+        self.progress_at = self.gateway.reactor.seconds()
         self.state.last_event = number
         self.state.version = self.upstream.entry.version_key
         self.state.event_data.append(data)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -580,6 +580,40 @@
     assert list_results(gateway.store.wire) == {}
 
 
+# Failure: an upstream that sent a byte now and then held an item for ever.
+@pytest.mark.parametrize("status", (200, 500))
+def test_a_run_without_events_is_cut_off(
+    build_worker, submit, helpers, reactor, status
+):
+    gateway = build_worker()
+    submit(1)
+    first = gateway.pool.last
+    first.answer(status, is_complete=False)
+    if status == 200:
+        first.exchange.on_data(helpers.build_events(1, 2))
+    for _ in range(40):
+        if not first.is_cancelled:
+            first.exchange.on_data(b": comment\n\n")
+            reactor.advance(0.9)
+    assert first.is_cancelled
+    reactor.advance(1.0)
+    assert gateway.pool.last is not first
+
+
+def test_a_run_with_slow_events_goes_on(
+    build_worker, submit, helpers, reactor, wire
+):
+    gateway = build_worker()
+    submit(1)
+    connection = gateway.pool.last
+    connection.answer(200, is_complete=False)
+    for number in range(1, 50):
+        connection.exchange.on_data(helpers.build_events(number, number))
+        reactor.advance(0.9)
+    connection.end()
+    assert [done for done, _ in list_results(wire).values()] == [True]
+
+
 # Failure: a record that cannot be read ended the reading of jobs without a
 # word, or kept a read of its results from an answer.
 def test_a_job_that_cannot_be_read_stops_no_other_job(
