--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -1,15 +1,15 @@
-"""Reading of one connection in slices, each in a turn of the loop."""
+"""Reading of one connection in slices, in turns of the loop."""
 
 import collections
 
-__all__ = ["TurnReader"]
+__all__ = ["SLICE_BYTES", "TurnReader"]
 
-# Bytes that are parsed in one turn. A chunk of one byte takes six bytes.
+# Bytes that are parsed at once. A chunk of one byte takes six bytes.
 SLICE_BYTES = 4096
 
 
 class TurnReader:
-    """Hands received bytes to a parser, a slice in each turn of the loop.
+    """Hands received bytes to a parser, some in each turn of the loop.
 
     Parameters
     ----------
@@ -20,16 +20,25 @@
         Called with the next bytes; returns the work that they were, in
         pieces.
     charge : callable
-        Called with the work of a slice; returns the seconds until the next
+        Called with the work of a turn; returns the seconds until the next
         slice may be read.
     on_end : callable
         Called with the reason of the connection's end once all bytes that
         came before it have been parsed.
+    ask : callable, optional
+        Called before each turn; returns the seconds until it may begin.
+        Without it, the first slice of each connection is read at once, even
+        if the sender has exceeded its share over other connections.
+    turn_work : int, optional
+        Work after which a turn ends; by default each slice has its own.
 
     Attributes
     ----------
     pending_bytes : int
         Bytes that wait for their turn.
+    slice_bytes : int
+        Bytes that are parsed at once; more than usual where their number
+        does not determine the work.
 
     Notes
     -----
@@ -43,29 +52,47 @@
         "parse",
         "charge",
         "on_end",
+        "ask",
+        "turn_work",
         "slices",
         "pending_bytes",
+        "slice_bytes",
         "turn",
         "end_reason",
         "is_parsing",
         "is_paused",
         "is_held",
+        "is_stopped",
         "resume_at",
     )
 
-    def __init__(self, *, reactor, transport, parse, charge, on_end):
+    def __init__(
+        self,
+        *,
+        reactor,
+        transport,
+        parse,
+        charge,
+        on_end,
+        ask=None,
+        turn_work=1,
+    ):
         self.reactor = reactor
         self.transport = transport
         self.parse = parse
         self.charge = charge
         self.on_end = on_end
+        self.ask = ask
+        self.turn_work = turn_work
         self.slices = collections.deque()
         self.pending_bytes = 0
+        self.slice_bytes = SLICE_BYTES
         self.turn = None
         self.end_reason = None
         self.is_parsing = False
         self.is_paused = False
         self.is_held = False
+        self.is_stopped = False
         self.resume_at = 0.0
 
     def receive(self, data):
@@ -75,8 +102,9 @@
         ----------
         data : bytes
         """
-        for start in range(0, len(data), SLICE_BYTES):
-            self.slices.append(data[start : start + SLICE_BYTES])
+        if self.is_stopped:
+            return
+        self.slices.append(data)
         self.pending_bytes += len(data)
         if self.is_held:
             self.pause()
@@ -113,7 +141,8 @@
             self.finish()
 
     def stop(self):
-        """Drop the bytes that wait."""
+        """Drop the bytes that wait and all that are received later."""
+        self.is_stopped = True
         self.slices.clear()
         self.pending_bytes = 0
         if self.turn is not None:
@@ -121,23 +150,41 @@
             self.turn = None
 
     def take_turn(self):
-        """Parse one slice and plan the next turn."""
+        """Parse slices up to the work of a turn and plan the next turn."""
         self.turn = None
         if not self.slices:
             self.finish()
             return
+        delay = 0.0 if self.ask is None else self.ask()
+        if delay > 0.0:
+            self.resume_at = self.reactor.seconds() + delay
+            self.plan_turn()
+            return
+        work = 0
+        while self.slices and not self.is_held:
+            work += self.parse_slice()
+            if work >= self.turn_work:
+                break
+        self.resume_at = self.reactor.seconds() + self.charge(work)
+        if self.is_stopped:
+            return
+        if not self.is_held:
+            self.plan_turn()
+        elif self.end_reason is not None and not self.slices:
+            self.finish()
+
+    def parse_slice(self):
+        """Parse the next bytes; return their work."""
         data = self.slices.popleft()
+        if len(data) > self.slice_bytes:
+            self.slices.appendleft(data[self.slice_bytes :])
+            data = data[: self.slice_bytes]
         self.pending_bytes -= len(data)
         self.is_parsing = True
         try:
-            work = self.parse(data)
+            return self.parse(data)
         finally:
             self.is_parsing = False
-        self.resume_at = self.reactor.seconds() + self.charge(work)
-        if not self.is_held:
-            self.plan_turn()
-        elif self.end_reason is not None and not self.slices:
-            self.finish()
 
     def plan_turn(self):
         """Plan the next turn, or read on when no bytes wait."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/snapshots.py
@@ -10,6 +10,9 @@
 from hollyspan_core.store import Entry
 from hollyspan_core.store import Page
 
+from ..http1 import count_values
+from ..http1 import MAX_DOCUMENT_VALUES
+from ..http1 import SNAPSHOT
 from .calls import call_peer
 
 __all__ = ["SNAPSHOTS_PATH", "encode_snapshot", "fetch_snapshot"]
@@ -61,6 +64,8 @@
     PeerMessageError
         The bytes are not a valid snapshot.
     """
+    if count_values(content) > MAX_DOCUMENT_VALUES:
+        raise PeerMessageError("a snapshot has too many values")
     try:
         document = parse_document(content)
         entries = [
@@ -116,6 +121,7 @@
         port=port,
         target=SNAPSHOTS_PATH + name.encode(),
         timeout_seconds=SNAPSHOT_TIMEOUT_S,
+        kind=SNAPSHOT,
     )
     if answer is None:
         return None
