Bound what clients and peers make a gateway keep and read

Cause: the server left all bounds but those on single heads and bodies to the framework. Answers were written without regard to whether the client reads; pipelined requests of one read were handled in one turn, and answered while nothing was read; a body over its limit was read on without end; a read in chunks of one byte was parsed at once (0.01 s for 10,000 of them); all bodies together, the time of a head or body that trickles, and the number of connections had no bound. A line over 16 kB closed the connection though the configuration allows longer heads.

Change: hollyspan_gateway.intake.served names the limits; ClientChannel has a module of its own. A client that has left 1 MiB of a stream unread is broken off, and the one with most unread bytes when all have 32 MiB; an answer that is written as a whole is not cut. The next pipelined request waits for the client to read, and for a turn. Heads and chunked bodies are parsed in slices, charged to their connection. Requests in excess get 408, 413 or 503 and have not run. At 2,000 connections of a port the one that has been idle for longest is closed.

Ruled out: heads without end, blank lines, chunk sizes, extensions and trailers, which the framework bounds.

--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -0,0 +1,210 @@
+"""Connection of a client, of the balancer or of a peer."""
+
+import eliot
+from twisted.web import http
+
+from hollyspan_core.errors import IntakeExceededError
+from hollyspan_core.intake import TurnReader
+
+from ..intake import MIN_BODY_RATE
+from ..intake import ReadGate
+
+__all__ = ["ClientChannel"]
+
+
+class ClientChannel(http.HTTPChannel):
+    """Server connection that bounds what it reads and keeps.
+
+    Attributes
+    ----------
+    opened_at, used_at : float
+        Times of its first and latest bytes, reactor seconds.
+
+    Notes
+    -----
+    One request is handled in a turn of the loop, and only once the client
+    has read the answers before it. What has been received is parsed in
+    slices, so that a body in small chunks keeps no other client waiting.
+    """
+
+    def connectionMade(self):
+        self.opened_at = self.used_at = self.factory.reactor.seconds()
+        self.intake = self.factory.intake
+        self.number = next(self.intake.numbers)
+        self.done_request = None
+        self.done_call = None
+        self.arrival_call = None
+        self.is_broken_off = False
+        # Lines may be as long as a head.
+        self.MAX_LENGTH = max(self.MAX_LENGTH, self.totalHeadersSize)
+        self.factory.channels.add(self)
+        self.transport.setTcpNoDelay(True)
+        super().connectionMade()
+        gate = ReadGate(transport=self._networkProducer)
+        self._networkProducer = gate.build_producer("protocol")
+        self.turns = TurnReader(
+            reactor=self.factory.reactor,
+            transport=gate.build_producer("turns"),
+            parse=self.parse,
+            charge=lambda work: self.intake.charge(self.number, work),
+            on_end=lambda reason: None,
+        )
+
+    def dataReceived(self, data):
+        self.used_at = self.factory.reactor.seconds()
+        if not self.turns.pending_bytes and self.is_within_body(len(data)):
+            # Nothing is parsed in it.
+            self.parse(data)
+        else:
+            self.turns.receive(data)
+
+    def is_within_body(self, size):
+        """Return whether received bytes all belong to a body with a length."""
+        decoder = self._transferDecoder
+        return (
+            isinstance(decoder, http._IdentityTransferDecoder)
+            and not self.line_mode
+            and not self._handlingRequest
+            and decoder.contentLength >= size
+        )
+
+    def parse(self, data):
+        """Parse received bytes; return their number of lines."""
+        super().dataReceived(data)
+        if self.transport.disconnecting:
+            self.turns.stop()
+        self.watch_arrival()
+        return data.count(b"\n")
+
+    def watch_arrival(self):
+        """Wait a bounded time for the rest of a request."""
+        is_partial = not self._handlingRequest and bool(
+            self.requests or self._buffer
+        )
+        if not is_partial or self.transport.disconnecting:
+            self.stop_watching()
+        elif self.arrival_call is None:
+            seconds = self.factory.header_seconds
+            if not self.line_mode:
+                seconds += self.factory.body_limit / MIN_BODY_RATE
+            self.arrival_call = self.callLater(seconds, self.end_slow)
+
+    def stop_watching(self):
+        if self.arrival_call is not None:
+            self.arrival_call.cancel()
+            self.arrival_call = None
+
+    def end_slow(self):
+        """Refuse a request that takes too long to arrive."""
+        self.arrival_call = None
+        self.refuse(http.REQUEST_TIMEOUT, "the request arrives too slowly")
+
+    def allHeadersReceived(self):
+        self.stop_watching()
+        super().allHeadersReceived()
+
+    def rawDataReceived(self, data):
+        try:
+            super().rawDataReceived(data)
+        except IntakeExceededError as error:
+            status = (
+                http.REQUEST_ENTITY_TOO_LARGE
+                if self.requests[-1].is_too_large
+                else http.SERVICE_UNAVAILABLE
+            )
+            self.refuse(status, error.message)
+
+    def refuse(self, status, reason):
+        """Refuse a request that has not been read, and close."""
+        eliot.log_message(
+            "client:refused",
+            client=self.transport.getPeer().host,
+            status=status,
+            reason=reason,
+        )
+        self.turns.stop()
+        self.stop_watching()
+        self.transport.write(
+            b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+            % (status, http.RESPONSES[status])
+        )
+        self.loseConnection()
+
+    def requestDone(self, request):
+        waits = self.persistent and (
+            self._waitingForTransport or self._dataBuffer or self._buffer
+        )
+        if not waits:
+            super().requestDone(request)
+            return
+        self.done_request = request
+        if self._savedTimeOut:
+            self.setTimeout(self._savedTimeOut)
+        if not self._waitingForTransport:
+            self.plan_next()
+
+    def plan_next(self):
+        """Handle the next request in a turn of its own."""
+        if self.done_request is not None and self.done_call is None:
+            self.done_call = self.callLater(0, self.finish_done)
+
+    def finish_done(self):
+        """End a request whose answer has left, and parse the next one."""
+        self.done_call = None
+        request, self.done_request = self.done_request, None
+        super().requestDone(request)
+        self.watch_arrival()
+
+    def write(self, data):
+        if self.may_write():
+            super().write(data)
+            self.note_unsent(len(data))
+
+    def writeSequence(self, parts):
+        if self.may_write():
+            super().writeSequence(parts)
+            self.note_unsent(sum(map(len, parts)))
+
+    def may_write(self):
+        """Return whether the client reads; break it off otherwise."""
+        if self.intake.keeps_too_much(self):
+            self.break_off()
+        return not self.is_broken_off
+
+    def note_unsent(self, size):
+        """Count bytes that the client does not read at present."""
+        if self._waitingForTransport:
+            worst = self.intake.keep_unsent(self, size)
+            if worst is not None:
+                worst.break_off()
+
+    def break_off(self):
+        """Close a connection whose client does not read."""
+        if self.is_broken_off:
+            return
+        self.is_broken_off = True
+        eliot.log_message(
+            "client:does_not_read",
+            client=self.transport.getPeer().host,
+            bytes=self.intake.unsent.get(self, 0),
+        )
+        self.intake.release_unsent(self)
+        self.abortConnection()
+
+    def resumeProducing(self):
+        self.intake.release_unsent(self)
+        super().resumeProducing()
+        self.plan_next()
+
+    def connectionLost(self, reason):
+        self.factory.channels.discard(self)
+        self.intake.release_unsent(self)
+        self.turns.stop()
+        self.stop_watching()
+        if self.done_call is not None:
+            self.done_call.cancel()
+            self.done_call = None
+        super().connectionLost(reason)
+
+    def abortConnection(self):
+        self.transport.abortConnection()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -1,14 +1,25 @@
 """HTTP server for clients, the balancer and peers."""
 
+import contextlib
 import io
 
+import eliot
 from twisted.web import http
 
+from hollyspan_core.errors import IntakeExceededError
+
+from ..intake import MAX_CONNECTIONS
+from ..intake import MAX_EXCESS_BODY_BYTES
+from ..intake import ServedIntake
+from .channel import ClientChannel
+
 __all__ = ["ClientRequest", "ClientSite"]
 
 # Time in which a new connection brings its first request: several round trips
 # between regions.
 FIRST_REQUEST_S = 0.5
+# Time in which a head arrives, until a configuration sets one.
+HEADER_TIMEOUT_S = 3.0
 
 
 class ClientRequest(http.Request):
@@ -18,6 +29,8 @@
     ----------
     is_too_large : bool
         True when the body exceeds the limit; the excess is discarded.
+    body_bytes : int
+        Bytes of the body received so far.
     on_disconnect : callable or None
         Called without arguments when the client disconnects before the end of
         the answer.
@@ -28,17 +41,27 @@
     def __init__(self, channel, queued=False):
         super().__init__(channel, queued)
         self.is_too_large = False
+        self.body_bytes = 0
+        self.kept = contextlib.ExitStack()
+        self.keep = None
         self.on_disconnect = None
         self.arrived_at = 0.0
 
     def gotLength(self, length):
         self.content = io.BytesIO()
+        if length != 0:
+            budget = self.channel.factory.intake.bodies
+            self.keep = self.kept.enter_context(budget.open_account())
 
     def handleContentChunk(self, data):
         limit = self.channel.factory.body_limit
-        if self.content.tell() + len(data) > limit:
+        self.body_bytes += len(data)
+        if self.body_bytes > limit:
             self.is_too_large = True
+            if self.body_bytes > limit + MAX_EXCESS_BODY_BYTES:
+                raise IntakeExceededError(f"the body exceeds {limit} bytes")
             return
+        self.keep(len(data))
         self.content.write(data)
 
     def requestReceived(self, command, path, version):
@@ -53,6 +76,7 @@
 
     def connectionLost(self, reason):
         on_disconnect, self.on_disconnect = self.on_disconnect, None
+        self.kept.close()
         super().connectionLost(reason)
         if on_disconnect is not None:
             on_disconnect()
@@ -93,6 +117,7 @@
     def end(self):
         """End the answer."""
         self.on_disconnect = None
+        self.kept.close()
         if self.is_open:
             self.finish()
 
@@ -118,6 +143,10 @@
         Maximum size of a body in bytes.
     header_limit : int
         Maximum size of a head in bytes.
+    header_seconds : float
+        Time in which a head arrives.
+    intake : ServedIntake
+    max_connections : int
     is_closing : bool
         True once each connection is closed after its current request.
     """
@@ -129,10 +158,16 @@
         self.handle = handle
         self.body_limit = body_limit
         self.header_limit = ClientChannel.totalHeadersSize
+        self.header_seconds = HEADER_TIMEOUT_S
+        self.intake = ServedIntake(reactor=reactor)
+        self.max_connections = MAX_CONNECTIONS
         self.is_closing = False
         self.channels = set()
 
     def buildProtocol(self, addr):
+        if len(self.channels) >= self.max_connections:
+            if not self.close_longest_idle():
+                return None
         channel = ClientChannel()
         channel.requestFactory = ClientRequest
         channel.factory = self
@@ -159,6 +194,7 @@
         """
         self.apply_size_limits(limits)
         self.timeOut = limits.idle_seconds
+        self.header_seconds = limits.header_seconds
 
     def apply_size_limits(self, limits, *, header_margin=0):
         """Apply the configured limits on the size of requests.
@@ -172,6 +208,25 @@
         self.body_limit = limits.body_bytes
         self.header_limit = limits.header_bytes + header_margin
 
+    def close_longest_idle(self):
+        """Close the connection that has been idle for longest, for a new one.
+
+        Returns
+        -------
+        bool
+            False if each has a request.
+        """
+        idle = [channel for channel in self.channels if not channel.requests]
+        eliot.log_message(
+            "client:too_many", connections=len(self.channels), idle=len(idle)
+        )
+        if not idle:
+            return False
+        channel = min(idle, key=lambda each: each.used_at)
+        self.channels.discard(channel)
+        channel.loseConnection()
+        return True
+
     def begin_closing(self):
         """Close each connection after its current or next answer.
 
@@ -195,20 +250,3 @@
                 channel.persistent = False
             elif now - channel.opened_at >= FIRST_REQUEST_S:
                 channel.loseConnection()
-
-
-class ClientChannel(http.HTTPChannel):
-    """Connection that is registered with its site."""
-
-    def connectionMade(self):
-        self.opened_at = self.factory.reactor.seconds()
-        self.factory.channels.add(self)
-        self.transport.setTcpNoDelay(True)
-        super().connectionMade()
-
-    def connectionLost(self, reason):
-        self.factory.channels.discard(self)
-        super().connectionLost(reason)
-
-    def abortConnection(self):
-        self.transport.abortConnection()
