Read callers' requests in turns, with room for all of their bodies

Cause: a read of a caller's body in chunks of one byte was parsed in one turn of the loop, some 10,000 chunks, for callers that are not known yet. Each body has 8 MB and all together had no limit; a body could come for ever, a byte now and then, since Twisted's idle timeout begins anew with each.

Change: connections of callers are read in slices, each in a turn, with a share of the work each, as those of the HTTP client are (PacedConnection). Bodies share 64 MB, of which one address has half, but for the first 64 kB of each; one without room is answered 503 overloaded, not run, with Retry-After. Blocks of an engine's stream count as pieces, so comments without end are cut like chunks of one byte.

--- a/packages/hollyspan_entry/hollyspan_entry/files/body.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/body.py
@@ -6,6 +6,8 @@
 
 from hollyspan_core.errors import InvalidRequestError
 
+from ..intake import count_pieces
+
 __all__ = ["BodyStream"]
 
 HIGH_WATER_BYTES = 262_144
@@ -49,6 +51,7 @@
 
     def write(self, data):
         """Queue bytes received from the connection."""
+        count_pieces(1)
         self.size += len(data)
         self.queue.append(data)
         self.queued_bytes += len(data)
--- a/packages/hollyspan_entry/hollyspan_entry/files/tests/test_body.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/tests/test_body.py
@@ -1,8 +1,16 @@
+import types
+
+import pytest
 from twisted.internet import defer
 
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import OverloadedError
 from hollyspan_entry.files.body import BodyStream
 from hollyspan_entry.files.body import HIGH_WATER_BYTES
 from hollyspan_entry.files.bounded import BoundedBody
+from hollyspan_entry.http import read_body
+from hollyspan_entry.intake.limits import FREE_BYTES
+from hollyspan_policy.intake import ByteBudget
 
 
 class RecordingTransport:
@@ -52,8 +60,38 @@
 
 
 def test_bounded_body_keeps_up_to_its_limit():
-    body = BoundedBody(limit=4)
+    body = BoundedBody(limit=4, sender="a")
     for data in (b"abc", b"def", b"ghi"):
         body.write(data)
     body.seek(0)
     assert body.read() == b"abcde"
+
+
+def test_bodies_keep_no_more_than_their_budget():
+    budget = ByteBudget(what="bodies", limit=100_000)
+    bodies = [
+        BoundedBody(limit=1_000_000, sender=sender, budget=budget)
+        for sender in "abcd"
+    ]
+    for _ in range(20):
+        for body in bodies:
+            body.write(b"x" * 10_000)
+    assert budget.kept <= budget.limit
+    assert any(body.is_refused for body in bodies)
+    most = budget.limit + len(bodies) * FREE_BYTES
+    assert sum(len(body.getvalue()) for body in bodies) <= most
+    for body in bodies:
+        body.close()
+    assert budget.kept == 0
+
+
+def test_a_body_without_room_is_refused_as_overload():
+    body = BoundedBody(
+        limit=1_000_000,
+        sender="a",
+        budget=ByteBudget(what="bodies", limit=0),
+    )
+    body.write(b"x" * (FREE_BYTES + 1))
+    with pytest.raises(OverloadedError) as caught:
+        read_body(types.SimpleNamespace(content=body))
+    assert caught.value.outcome is Outcome.NOT_RUN
--- a/packages/hollyspan_entry/hollyspan_entry/http/body.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/body.py
@@ -4,10 +4,12 @@
 
 from hollyspan_core.errors import BodyTooLargeError
 from hollyspan_core.errors import InvalidRequestError
+from hollyspan_core.errors import OverloadedError
 
 __all__ = ["MAX_BODY_BYTES", "read_body", "read_json"]
 
 MAX_BODY_BYTES = 8_000_000
+RETRY_AFTER_S = 1.0
 
 
 def read_body(request, *, limit=MAX_BODY_BYTES):
@@ -27,7 +29,13 @@
     ------
     BodyTooLargeError
         The body exceeds the limit.
+    OverloadedError
+        The daemon has no room for the body beside those of other callers.
     """
+    if getattr(request.content, "is_refused", False):
+        raise OverloadedError(
+            "the daemon has no room for the body", retry_after=RETRY_AFTER_S
+        )
     body = request.content.read(limit + 1)
     if len(body) > limit:
         raise BodyTooLargeError(f"the body exceeds {limit} bytes")
--- a/packages/hollyspan_entry/hollyspan_entry/http/site.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/site.py
@@ -2,11 +2,17 @@
 
 from twisted.web import server
 
+from hollyspan_policy.intake import WorkShares
+
+from ..intake.limits import SENDER_BURST_PIECES
+from ..intake.limits import SENDER_PIECES_PER_S
+from ..intake.paced import PacedConnection
+
 __all__ = ["DrainingSite"]
 
 
 class DrainingSite(server.Site):
-    """Site that tracks its connections so that they can be closed.
+    """Site that tracks its connections and reads them in bounded turns.
 
     Parameters
     ----------
@@ -22,6 +28,8 @@
         Open connections.
     accepted : int
         Number of connections accepted since the start.
+    shares : WorkShares
+        Work of the loop, divided between the connections.
     """
 
     def __init__(self, root, **options):
@@ -29,6 +37,9 @@
         self.is_closing = False
         self.connections = set()
         self.accepted = 0
+        self.shares = WorkShares(
+            rate=SENDER_PIECES_PER_S, burst=SENDER_BURST_PIECES
+        )
 
     def buildProtocol(self, addr):
         connection = super().buildProtocol(addr)
@@ -41,6 +52,9 @@
             connection_lost(reason)
 
         connection.connectionLost = remove_connection
+        PacedConnection(
+            connection=connection, reactor=self.reactor, shares=self.shares
+        )
         return connection
 
     def getResourceFor(self, request):
--- a/packages/hollyspan_entry/hollyspan_entry/intake/endpoints.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/endpoints.py
@@ -6,7 +6,7 @@
 from twisted.web import iweb
 from zope.interface import implementer
 
-from .connection import limit_connection
+from .connection import ClientConnection
 
 __all__ = ["EndpointFactory"]
 
@@ -83,5 +83,7 @@
 
     def buildProtocol(self, addr):
         connection = self.factory.buildProtocol(addr)
-        limit_connection(connection, reactor=self.reactor, shares=self.shares)
+        ClientConnection(
+            connection=connection, reactor=self.reactor, shares=self.shares
+        )
         return connection
--- a/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
@@ -1,4 +1,4 @@
-"""Limits on all that a daemon reads as a client."""
+"""Limits on what a daemon reads."""
 
 from hollyspan_policy.intake import ByteBudget
 from hollyspan_policy.intake import IntakeLimits
@@ -6,6 +6,7 @@
 __all__ = [
     "ANSWERS_KEPT",
     "CACHE_EVENTS",
+    "CALLERS_KEPT",
     "CONTROL_KEPT",
     "ERROR_ANSWER",
     "EVENTS_KEPT",
@@ -79,6 +80,12 @@
     limit=32_000_000,
     sender_limit=16_000_000,
 )
+# Eight bodies of the largest size; a caller is known once its body is whole.
+CALLERS_KEPT = ByteBudget(
+    what="what is kept of callers' requests",
+    limit=64_000_000,
+    sender_limit=32_000_000,
+)
 EVENTS_KEPT = ByteBudget(
     what="what is kept of events",
     limit=32_000_000,
--- a/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_connection.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_connection.py
@@ -52,8 +52,8 @@
         self.clock = task.Clock()
         self.kept = []
         self.connection = _newclient.HTTP11ClientProtocol(self.kept.append)
-        connection.limit_connection(
-            self.connection,
+        connection.ClientConnection(
+            connection=self.connection,
             reactor=self.clock,
             shares=WorkShares(rate=rate, burst=burst),
         )
@@ -104,7 +104,7 @@
     harness.receive(IN_CHUNKS)
     reader = harness.read()
     harness.receive(ONE_BYTE * 10_000)
-    counts = []
+    counts = [0]
     while len(reader.pieces) < 10_000:
         counts.append(len(reader.pieces))
         assert harness.is_paused
--- a/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_endless_answers.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_endless_answers.py
@@ -240,6 +240,14 @@
         )
         self.assertEqual(numbers, list(range(1, 401)))
 
+    # Failure: comments were read as long as they came.
+    async def test_streams_of_comments(self):
+        server, upstream = self.flood((EVENTS + b"\r\n", b":\n\n" * 20_000))
+        await self.assert_fails(
+            self.stream(upstream, self.fail), StreamMalformedError
+        )
+        await self.assert_closed(server)
+
     # Failure: the events of an answer were kept without a limit.
     async def test_events_that_are_kept(self):
         data = b"x" * 900_000
--- a/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
+++ b/packages/hollyspan_entry/hollyspan_entry/streams/reader.py
@@ -61,7 +61,8 @@
         self.timer = self.clock.callLater(self.idle_timeout, self.check_idle)
 
     def dataReceived(self, data):
-        count_pieces(1 + data.count(EVENT_END))
+        pieces = 1 + data.count(EVENT_END)
+        count_pieces(pieces)
         if self.failed:
             return
         if self.ended.called:
@@ -69,7 +70,7 @@
             return
         self.last_read_at = time.monotonic()
         try:
-            self.meter.count(len(data))
+            self.meter.count(len(data), pieces=pieces)
             self.parser.feed(data)
         except Exception as error:
             self.failed = True
