Bound what an unknown program costs at the ports between daemons

Cause: a link awaited a frame of 2 MB from whoever connected, and decoded each further frame that had come with a wrong one. The socket of datagrams is read by bytes in a turn, 256 kB, and empty datagrams have none, so that a turn could last as long as they came.

Change: a first frame has 4 kB until both sides are known; nothing is decoded behind a wrong frame; a turn reads 64 datagrams.

The fixture of the datagrams' tests gets a clock and the transport's maxThroughput.

--- a/packages/hollyspan_entry/hollyspan_entry/peers/datagrams.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/datagrams.py
@@ -10,6 +10,8 @@
 
 __all__ = ["Datagrams"]
 
+MAX_TURN_DATAGRAMS = 64
+
 
 class Datagrams(protocol.DatagramProtocol):
     """Sends and receives peer messages over UDP.
@@ -21,12 +23,16 @@
     counters : PeerCounters
     receive : callable
         Called with each decoded PeerMessage; may raise PeerMessageError.
+    reactor : IReactorTime
     """
 
-    def __init__(self, *, key, counters, receive):
+    def __init__(self, *, key, counters, receive, reactor):
         self.key = key
         self.counters = counters
         self.receive = receive
+        self.reactor = reactor
+        self.turn_datagrams = 0
+        self.max_throughput = None
 
     def encode(self, message):
         """Return a message as a datagram."""
@@ -56,7 +62,26 @@
         self.counters.sent += 1
         self.counters.sent_bytes += len(datagram)
 
+    def limit_turn(self):
+        """Let the socket be read no further in this turn of the loop.
+
+        The transport counts bytes, and empty datagrams have none.
+        """
+        if not self.turn_datagrams:
+            self.max_throughput = self.transport.maxThroughput
+            self.reactor.callLater(0, self.start_turn)
+        self.turn_datagrams += 1
+        if self.turn_datagrams >= MAX_TURN_DATAGRAMS:
+            self.transport.maxThroughput = 0
+
+    def start_turn(self):
+        """Let the socket be read again."""
+        self.turn_datagrams = 0
+        if self.transport is not None:
+            self.transport.maxThroughput = self.max_throughput
+
     def datagramReceived(self, datagram, addr):
+        self.limit_turn()
         self.counters.received += 1
         self.counters.received_bytes += len(datagram)
         try:
--- a/packages/hollyspan_entry/hollyspan_entry/peers/links/link.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/links/link.py
@@ -17,6 +17,8 @@
 __all__ = ["Link"]
 
 MAX_FRAME_BYTES = 2_000_000
+# A hello has some hundred bytes; who sends it is not known yet.
+MAX_HELLO_BYTES = 4_096
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT_S = 5.0
 IDLE_TIMEOUT_S = 60.0
@@ -45,6 +47,8 @@
         answering side.
     frame_bytes : int
         Size of the last received frame.
+    is_refused : bool
+        True once the other side has sent a frame that is damaged or foreign.
 
     Notes
     -----
@@ -54,7 +58,7 @@
     which proves the same for the server.
     """
 
-    MAX_LENGTH = MAX_FRAME_BYTES
+    MAX_LENGTH = MAX_HELLO_BYTES
 
     def __init__(self, *, runtime, is_server, receive, on_end):
         self.runtime = runtime
@@ -68,6 +72,7 @@
         self.peer = None
         self.is_authenticated = False
         self.is_ended = False
+        self.is_refused = False
         self.timer = None
         self.calls = {}
         self.frame_bytes = 0
@@ -116,6 +121,8 @@
         return len(frame)
 
     def stringReceived(self, frame):
+        if self.is_refused:
+            return
         counters = self.runtime.peer_counters
         self.frame_bytes = len(frame)
         counters.received_bytes += len(frame)
@@ -128,10 +135,15 @@
                 self.receive(self, message)
         except PeerAuthenticationError:
             counters.foreign += 1
-            self.transport.abortConnection()
+            self.refuse()
         except PeerMessageError:
             counters.damaged += 1
-            self.transport.abortConnection()
+            self.refuse()
+
+    def refuse(self):
+        """Close the link; what else was received is not decoded."""
+        self.is_refused = True
+        self.transport.abortConnection()
 
     def handle_hello(self, hello):
         """Process a hello message of the other side."""
@@ -160,6 +172,7 @@
     def complete_handshake(self):
         """Mark both sides as authenticated."""
         self.is_authenticated = True
+        self.MAX_LENGTH = MAX_FRAME_BYTES
         self.set_timer(IDLE_TIMEOUT_S)
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
@@ -191,7 +204,7 @@
 
     def lengthLimitExceeded(self, length):
         self.runtime.peer_counters.damaged += 1
-        self.transport.abortConnection()
+        self.refuse()
 
     def connectionLost(self, reason=None):
         self.is_ended = True
--- a/packages/hollyspan_entry/hollyspan_entry/peers/links/tests/test_links.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/links/tests/test_links.py
@@ -289,3 +289,48 @@
     done = defer.Deferred()
     reactor.callLater(seconds, done.callback, None)
     return done
+
+
+class UnknownPeerTest(unittest.TestCase):
+    """A program that is no daemon sends to the port of the links."""
+
+    timeout = 20
+
+    async def start(self):
+        port = reactor.listenTCP(0, protocol.Factory(), interface="127.0.0.1")
+        number = port.getHost().port
+        await port.stopListening()
+        self.runtime = build_runtime("a", port=number, region="r")
+        links = open_links(self.runtime)
+        links.__enter__()
+        self.addCleanup(links.__exit__, None, None, None)
+        other = OtherProgram()
+        await endpoints.connectProtocol(
+            endpoints.TCP4ClientEndpoint(reactor, "127.0.0.1", number), other
+        )
+        return other
+
+    # Failure: a frame of 2 MB was awaited from whoever connected.
+    async def test_a_long_first_frame_is_refused_by_its_length(self):
+        other = await self.start()
+        other.transport.write((100_000).to_bytes(4, "big"))
+        await other.ended
+        self.assertEqual(self.runtime.peer_counters.damaged, 1)
+
+    # Failure: each frame behind the first wrong one was decoded as well.
+    async def test_frames_behind_a_wrong_one_are_not_decoded(self):
+        other = await self.start()
+        other.transport.write(b"\0\0\0\1x" * 1000)
+        await other.ended
+        counters = self.runtime.peer_counters
+        self.assertEqual(counters.damaged + counters.foreign, 1)
+
+
+class OtherProgram(protocol.Protocol):
+    """Connection of a program that is no daemon."""
+
+    def __init__(self):
+        self.ended = defer.Deferred()
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.ended.callback(None)
--- a/packages/hollyspan_entry/hollyspan_entry/peers/part.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/part.py
@@ -56,6 +56,7 @@
         key=settings.peer_key,
         counters=runtime.peer_counters,
         receive=receiver.receive,
+        reactor=runtime.reactor,
     )
     heartbeats = Heartbeats(
         runtime=runtime,
--- a/packages/hollyspan_entry/hollyspan_entry/peers/tests/conftest.py
+++ b/packages/hollyspan_entry/hollyspan_entry/peers/tests/conftest.py
@@ -21,6 +21,8 @@
 from hollyspan_policy.membership import Probes
 
 KEY = b"key"
+# Bytes that a socket is read for in one turn of the loop.
+MAX_THROUGHPUT_BYTES = 262_144
 PORTS = {"a": 7001, "b": 7002}
 
 
@@ -29,6 +31,7 @@
 
     def __init__(self, *, name, network):
         self.network = network
+        self.maxThroughput = MAX_THROUGHPUT_BYTES
         self.runtime = build_runtime(name, clock=network.clock)
         self.runtime.owners = Owners(runtime=self.runtime)
         probes = Probes(silence_timeout=6.0)
@@ -37,7 +40,10 @@
         )
         self.counters = PeerCounters()
         self.datagrams = Datagrams(
-            key=KEY, counters=self.counters, receive=self.receiver.receive
+            key=KEY,
+            counters=self.counters,
+            receive=self.receiver.receive,
+            reactor=network.clock,
         )
         self.datagrams.transport = self
         self.heartbeats = Heartbeats(
