Let slices of little work share a turn of the loop

TurnReader takes the work after which a turn ends; by default each slice has its own turn as before.

--- a/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
@@ -51,6 +51,16 @@
     assert not reader.is_paused
 
 
+def test_slices_of_little_work_share_a_turn():
+    reader = Reader()
+    reader.turns.turn_work = 3
+    reader.turns.receive(bytes(7 * SLICE_BYTES))
+    assert len(reader.parsed) == 3
+    reader.clock.advance(0)
+    assert len(reader.parsed) == 7
+    assert not reader.is_paused
+
+
 def test_a_sender_over_its_share_is_read_later():
     reader = Reader(delay=0.5)
     reader.turns.receive(b"a")
--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -25,6 +25,8 @@
     on_end : callable
         Called with the reason of the connection's end once all bytes that
         came before it have been parsed.
+    turn_work : int, optional
+        Work after which a turn ends; by default each slice has its own.
 
     Attributes
     ----------
@@ -43,6 +45,7 @@
         "parse",
         "charge",
         "on_end",
+        "turn_work",
         "slices",
         "pending_bytes",
         "turn",
@@ -53,12 +56,15 @@
         "resume_at",
     )
 
-    def __init__(self, *, reactor, transport, parse, charge, on_end):
+    def __init__(
+        self, *, reactor, transport, parse, charge, on_end, turn_work=1
+    ):
         self.reactor = reactor
         self.transport = transport
         self.parse = parse
         self.charge = charge
         self.on_end = on_end
+        self.turn_work = turn_work
         self.slices = collections.deque()
         self.pending_bytes = 0
         self.turn = None
@@ -121,23 +127,31 @@
             self.turn = None
 
     def take_turn(self):
-        """Parse one slice and plan the next turn."""
+        """Parse slices up to the work of a turn and plan the next turn."""
         self.turn = None
         if not self.slices:
             self.finish()
             return
+        work = 0
+        while self.slices and not self.is_held:
+            work += self.parse_slice()
+            if work >= self.turn_work:
+                break
+        self.resume_at = self.reactor.seconds() + self.charge(work)
+        if not self.is_held:
+            self.plan_turn()
+        elif self.end_reason is not None and not self.slices:
+            self.finish()
+
+    def parse_slice(self):
+        """Parse one slice; return its work."""
         data = self.slices.popleft()
         self.pending_bytes -= len(data)
         self.is_parsing = True
         try:
-            work = self.parse(data)
+            return self.parse(data)
         finally:
             self.is_parsing = False
-        self.resume_at = self.reactor.seconds() + self.charge(work)
-        if not self.is_held:
-            self.plan_turn()
-        elif self.end_reason is not None and not self.slices:
-            self.finish()
 
     def plan_turn(self):
         """Plan the next turn, or read on when no bytes wait."""
