--- a/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
@@ -21,6 +21,7 @@
     "STATE_REPORT",
     "STORE_ANSWER",
     "STREAM",
+    "TURN_PIECES",
     "UNUSED_ANSWER",
     "WATCH_LINE",
 ]
@@ -33,6 +34,8 @@
 # which is read, is a chunk and is an event.
 SENDER_PIECES_PER_S = 10_000.0
 SENDER_BURST_PIECES = 4_000.0
+# Work of one turn of the loop. A read of 64 kB without small pieces is one.
+TURN_PIECES = 64
 
 
 def build_limits(what, content_bytes):
--- a/packages/hollyspan_entry/hollyspan_entry/intake/paced.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/paced.py
@@ -3,6 +3,7 @@
 from hollyspan_core.intake import TurnReader
 
 from .endings import note_end
+from .limits import TURN_PIECES
 from .tally import get_piece_count
 from .transport import HeldTransport
 
@@ -65,6 +66,7 @@
             parse=self.parse,
             charge=self.charge,
             on_end=self.report_end,
+            turn_work=TURN_PIECES,
         )
         self.transport = HeldTransport(
             transport=transport,
--- a/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_connection.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_connection.py
@@ -15,6 +15,7 @@
 from hollyspan_entry.intake import connection
 from hollyspan_entry.intake import count_pieces
 from hollyspan_entry.intake.limits import HEAD
+from hollyspan_entry.intake.limits import TURN_PIECES
 from hollyspan_policy.intake import ByteBudget
 from hollyspan_policy.intake import IntakeLimits
 from hollyspan_policy.intake import WorkShares
@@ -189,12 +190,12 @@
     harness = Harness()
     harness.receive(HEAD_BYTES + b"\r\n")
     reader = harness.read()
-    harness.receive(b"a" * 3 * SLICE_BYTES)
+    size = (TURN_PIECES + 3) * SLICE_BYTES
+    harness.receive(b"a" * size)
     harness.lose(error.ConnectionDone())
     assert reader.reason is None
-    for _ in range(3):
-        harness.take_turn()
-    assert len(b"".join(reader.pieces)) == 3 * SLICE_BYTES
+    harness.take_turn()
+    assert len(b"".join(reader.pieces)) == size
     assert reader.reason is not None
 
 
