Limit what the operators' client reads of an answer, in bytes and time

Cause: answers were read whole whatever their size, and the time limit of a call ended with the head. Change: 64 MB, and the time limit once more for the body.

--- a/packages/hollyspan_operator/hollyspan_operator/client/operator_client.py
+++ b/packages/hollyspan_operator/hollyspan_operator/client/operator_client.py
@@ -8,12 +8,15 @@
 from twisted.internet import task
 from twisted.web import client
 
+from ..errors import AnswerTooLargeError
 from ..errors import DaemonAnswerError
 from ..errors import DaemonUnreachableError
 
 __all__ = ["OperatorClient", "run_calls"]
 
 CALL_TIMEOUT_S = 20.0
+# Some dozen documents of a configuration at their largest size.
+MAX_ANSWER_BYTES = 64_000_000
 
 UNREACHABLE_ERRORS = (
     error.ConnectError,
@@ -63,6 +66,8 @@
         ------
         DaemonUnreachableError
             The daemon did not answer.
+        AnswerTooLargeError
+            The answer exceeds the limit on what is read.
         DaemonAnswerError
             The daemon refused the request.
         """
@@ -103,13 +108,33 @@
                 reactor=self.reactor,
                 timeout=CALL_TIMEOUT_S,
             )
-            content = await treq.content(response)
+            content = await self.read(response)
         except UNREACHABLE_ERRORS as failure:
             raise DaemonUnreachableError(
                 f"no answer from {self.url}"
             ) from failure
         return decode_answer(response.code, content)
 
+    async def read(self, response):
+        """Return the body of an answer within limits of bytes and time."""
+        parts = []
+        size = 0
+
+        def add(data):
+            nonlocal size
+            size += len(data)
+            if size > MAX_ANSWER_BYTES:
+                raise AnswerTooLargeError(
+                    f"an answer of {self.url} exceeds "
+                    f"{MAX_ANSWER_BYTES} bytes"
+                )
+            parts.append(data)
+
+        work = treq.collect(response, add)
+        work.addTimeout(CALL_TIMEOUT_S, self.reactor)
+        await work
+        return b"".join(parts)
+
 
 def decode_answer(status, content):
     try:
--- a/packages/hollyspan_operator/hollyspan_operator/errors.py
+++ b/packages/hollyspan_operator/hollyspan_operator/errors.py
@@ -3,6 +3,7 @@
 from hollyspan_core.errors import HollyspanError
 
 __all__ = [
+    "AnswerTooLargeError",
     "CommandError",
     "DaemonAnswerError",
     "DaemonUnreachableError",
@@ -90,6 +91,13 @@
     )
 
 
+class AnswerTooLargeError(CommandError):
+    """An answer of a daemon exceeds the limit on what is read."""
+
+    code = "answer_too_large"
+    advice = "ask for fewer entries, or use another daemon"
+
+
 class DaemonAnswerError(CommandError):
     """A daemon refused a request.
 
