--- a/benchmarks/endless_answers.py
+++ b/benchmarks/endless_answers.py
@@ -8,6 +8,7 @@
 import argparse
 import collections
 from concurrent.futures import ThreadPoolExecutor
+import contextlib
 import itertools
 import json
 import os
@@ -70,8 +71,9 @@
     """Connection of the engine that answers without end."""
 
     def handle(self):
-        while self.answer():
-            pass
+        with contextlib.suppress(ConnectionError):
+            while self.answer():
+                pass
 
     def answer(self):
         line = self.rfile.readline().split()
