Join an uploaded line once instead of for each of its pieces

Cause: the splitter of uploads joined an incomplete line with each piece that came, so that the work for a line grew with the square of its length.

--- a/packages/hollyspan_entry/hollyspan_entry/files/splitter.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/splitter.py
@@ -36,7 +36,8 @@
         "checker",
         "chunk_items",
         "on_chunk",
-        "incomplete_line",
+        "parts",
+        "incomplete_bytes",
         "lines",
         "size",
         "items",
@@ -46,7 +47,8 @@
         self.checker = checker
         self.chunk_items = chunk_items
         self.on_chunk = on_chunk
-        self.incomplete_line = b""
+        self.parts = []
+        self.incomplete_bytes = 0
         self.lines = []
         self.size = 0
         self.items = 0
@@ -63,23 +65,35 @@
         InputLineError
             A line is invalid or too long.
         """
-        *lines, self.incomplete_line = (self.incomplete_line + data).split(
-            b"\n"
-        )
+        *lines, rest = data.split(b"\n")
         for line in lines:
-            self.add(line + b"\n")
-        self.check_length(self.incomplete_line)
+            self.keep_part(line)
+            self.add(self.take_line() + b"\n")
+        self.keep_part(rest)
+        self.check_length(self.incomplete_bytes)
 
     def finish(self):
         """Process the last line and emit the last chunk."""
-        if self.incomplete_line:
-            self.add(self.incomplete_line)
-            self.incomplete_line = b""
+        if self.incomplete_bytes:
+            self.add(self.take_line())
         self.flush()
         self.checker.finish()
 
+    def keep_part(self, data):
+        """Keep a part of an incomplete line; the whole is joined once."""
+        if data:
+            self.parts.append(data)
+            self.incomplete_bytes += len(data)
+
+    def take_line(self):
+        """Return the parts of a line that is complete."""
+        line = b"".join(self.parts)
+        self.parts = []
+        self.incomplete_bytes = 0
+        return line
+
     def add(self, line):
-        self.check_length(line)
+        self.check_length(len(line))
         if self.size + len(line) > MAX_CHUNK_BYTES:
             self.flush()
         self.items += self.checker.check(line)
@@ -101,8 +115,8 @@
         self.size = 0
         self.items = 0
 
-    def check_length(self, line):
-        if len(line) > MAX_LINE_BYTES:
+    def check_length(self, size):
+        if size > MAX_LINE_BYTES:
             raise InputLineError(
                 f"line {self.checker.line + 1}: longer than "
                 f"{MAX_LINE_BYTES} bytes",
--- a/packages/hollyspan_entry/hollyspan_entry/files/tests/test_splitter.py
+++ b/packages/hollyspan_entry/hollyspan_entry/files/tests/test_splitter.py
@@ -74,3 +74,15 @@
     with pytest.raises(InputLineError):
         chunk_splitter.feed(content)
         chunk_splitter.finish()
+
+
+# Failure: the whole line was copied for each of its pieces.
+def test_pieces_of_a_line_are_joined_once():
+    chunk_splitter, _ = build_splitter()
+    pieces = [bytes([97 + number % 26]) * 16 for number in range(1000)]
+    for piece in pieces:
+        chunk_splitter.feed(piece)
+    assert chunk_splitter.parts == pieces
+    with pytest.raises(InputLineError, match="longer than"):
+        for _ in range(MAX_LINE_BYTES // 16):
+            chunk_splitter.feed(pieces[0])
