--- a/benchmarks/endless_answers.py
+++ b/benchmarks/endless_answers.py
@@ -8,6 +8,7 @@
 import argparse
 import collections
 from concurrent.futures import ThreadPoolExecutor
+import contextlib
 import itertools
 import json
 import os
@@ -70,8 +71,9 @@
     """Connection of the engine that answers without end."""
 
     def handle(self):
-        while self.answer():
-            pass
+        with contextlib.suppress(ConnectionError):
+            while self.answer():
+                pass
 
     def answer(self):
         line = self.rfile.readline().split()
@@ -254,7 +256,9 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("kinds", nargs="*", choices=KINDS)
+    parser.add_argument(
+        "kinds", nargs="*", metavar="KIND", help=", ".join(KINDS)
+    )
     parser.add_argument("--serve", type=int, help="port of the flood")
     options = parser.parse_args()
     if options.serve:
--- a/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
@@ -1,4 +1,4 @@
-"""Limits on all that a daemon reads as a client."""
+"""Limits on what a daemon reads."""
 
 from hollyspan_policy.intake import ByteBudget
 from hollyspan_policy.intake import IntakeLimits
@@ -6,6 +6,7 @@
 __all__ = [
     "ANSWERS_KEPT",
     "CACHE_EVENTS",
+    "CALLERS_KEPT",
     "CONTROL_KEPT",
     "ERROR_ANSWER",
     "EVENTS_KEPT",
@@ -20,6 +21,7 @@
     "STATE_REPORT",
     "STORE_ANSWER",
     "STREAM",
+    "TURN_PIECES",
     "UNUSED_ANSWER",
     "WATCH_LINE",
 ]
@@ -32,6 +34,8 @@
 # which is read, is a chunk and is an event.
 SENDER_PIECES_PER_S = 10_000.0
 SENDER_BURST_PIECES = 4_000.0
+# Work of one turn of the loop. A read of 64 kB without small pieces is one.
+TURN_PIECES = 64
 
 
 def build_limits(what, content_bytes):
@@ -79,6 +83,12 @@
     limit=32_000_000,
     sender_limit=16_000_000,
 )
+# Eight bodies of the largest size; a caller is known once its body is whole.
+CALLERS_KEPT = ByteBudget(
+    what="what is kept of callers' requests",
+    limit=64_000_000,
+    sender_limit=32_000_000,
+)
 EVENTS_KEPT = ByteBudget(
     what="what is kept of events",
     limit=32_000_000,
--- a/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_connection.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/tests/test_connection.py
@@ -15,6 +15,7 @@
 from hollyspan_entry.intake import connection
 from hollyspan_entry.intake import count_pieces
 from hollyspan_entry.intake.limits import HEAD
+from hollyspan_entry.intake.limits import TURN_PIECES
 from hollyspan_policy.intake import ByteBudget
 from hollyspan_policy.intake import IntakeLimits
 from hollyspan_policy.intake import WorkShares
@@ -52,8 +53,8 @@
         self.clock = task.Clock()
         self.kept = []
         self.connection = _newclient.HTTP11ClientProtocol(self.kept.append)
-        connection.limit_connection(
-            self.connection,
+        connection.ClientConnection(
+            connection=self.connection,
             reactor=self.clock,
             shares=WorkShares(rate=rate, burst=burst),
         )
@@ -104,7 +105,7 @@
     harness.receive(IN_CHUNKS)
     reader = harness.read()
     harness.receive(ONE_BYTE * 10_000)
-    counts = []
+    counts = [0]
     while len(reader.pieces) < 10_000:
         counts.append(len(reader.pieces))
         assert harness.is_paused
@@ -189,12 +190,13 @@
     harness = Harness()
     harness.receive(HEAD_BYTES + b"\r\n")
     reader = harness.read()
-    harness.receive(b"a" * 3 * SLICE_BYTES)
+    size = (TURN_PIECES + 3) * SLICE_BYTES
+    harness.receive(b"a" * size)
     harness.lose(error.ConnectionDone())
     assert reader.reason is None
     for _ in range(3):
         harness.take_turn()
-    assert len(b"".join(reader.pieces)) == 3 * SLICE_BYTES
+    assert len(b"".join(reader.pieces)) == size
     assert reader.reason is not None
 
 
