Let a doubtful block be tried once more before it counts as certain

Two early trials, 2 s after the block and 8 s after one that failed, are, with the first ends, as many moments as three ends one after the other. A part that does end upstreams costs one upstream more.

A gateway that a peer has told of a block before all of its ends kept the long delay; it judges again when it knows them (test_a_block_that_is_told_before_its_ends_is_tried_soon failed before).

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -402,6 +402,10 @@
             blocked=self.blocks,
         ):
             self.publish_block(self.block_list.add(keys, at=now))
+        # Peers may have told a block before all of its ends.
+        for block in self.blocks.values():
+            if not block.is_doubtful and not block.failed_trials:
+                block.is_doubtful = self.may_be_coincidence(block.keys)
 
     def extend_block(self, block, *, now):
         """Extend a block under which one more upstream has ended."""
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -8,6 +8,8 @@
 # The same for a block whose ends may have another cause: items with a sound
 # part must end long before the operator counts them as lost, after 18 s.
 DOUBTFUL_TRIAL_DELAY_S = 2.0
+# Trials of such a block that tell as much as three ends one after the other.
+DOUBTFUL_TRIALS = 2
 TRIAL_DELAY_FACTOR = 4
 MAX_TRIAL_DELAY_S = 3600.0
 # Time after a trial in which its upstream's end, if it is one, is detected.
@@ -15,8 +17,7 @@
 # Time that a gateway leaves to each one of a higher rank: that of a trial and
 # its check.
 TRIAL_INTERVAL_S = 3.0
-# The same before the first trial of a doubtful block, as for the delay: until
-# an end, which is told at once.
+# The same for a doubtful block: the time until an end, which is told at once.
 DOUBTFUL_TRIAL_INTERVAL_S = 1.0
 
 
@@ -78,7 +79,7 @@
     @property
     def trial_interval(self):
         """Time that a gateway leaves to each one of a higher rank."""
-        if self.is_doubtful and not self.failed_trials:
+        if self.is_doubtful and self.failed_trials < DOUBTFUL_TRIALS:
             return DOUBTFUL_TRIAL_INTERVAL_S
         return TRIAL_INTERVAL_S
 
@@ -116,8 +117,8 @@
     ----------
     failed_trials : int
     is_doubtful : bool, optional
-        Whether the upstreams may have ended of another cause. The first trial
-        tells.
+        Whether the upstreams may have ended of another cause. The first
+        trials tell; one of them may meet the next loss of upstreams.
 
     Returns
     -------
@@ -137,13 +138,13 @@
     --------
     >>> choose_trial_delay(0), choose_trial_delay(1), choose_trial_delay(9)
     (30.0, 120.0, 3600.0)
-    >>> [choose_trial_delay(n, is_doubtful=True) for n in range(3)]
-    [2.0, 30.0, 120.0]
+    >>> [choose_trial_delay(n, is_doubtful=True) for n in range(4)]
+    [2.0, 8.0, 30.0, 120.0]
     """
     if is_doubtful:
-        if not failed_trials:
-            return DOUBTFUL_TRIAL_DELAY_S
-        failed_trials -= 1
+        if failed_trials < DOUBTFUL_TRIALS:
+            return DOUBTFUL_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials
+        failed_trials -= DOUBTFUL_TRIALS
     return min(
         MAX_TRIAL_DELAY_S,
         FIRST_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials,
