Withdraw blocks that were decided on a part of the reports

Cause: a gateway decides 0.2 s after the first report on an end. Without the late report on a fatal request the ends speak against what its sound neighbours share. A decision was not revised when the reports came, and was taken over by gateways that had them.

Change: a block without a failed trial is withdrawn, or not taken over, if a narrower group, blocked or chosen from all reports known here, explains its ends; peers and the store learn of it as of a survival. A decision's line has the ends and the reports that it rests on.

Result: three new tests of the guard and one of the decision fail before, as the block of the shared part stays, and pass. A decision on all reports drops none of its own blocks in drawn series.

Ruled out: to drop every block that a decision from the beginning would not make.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -9,8 +9,10 @@
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import has_ended_upstreams
+from hollyspan_policy.crashes import list_explained_blocks
 from hollyspan_policy.crashes import list_implicated_keys
 from hollyspan_policy.crashes import narrow_block
+from hollyspan_policy.hashing import format_hash
 
 from .block_list import BlockList
 from .block_list import describe_block
@@ -373,11 +375,8 @@
         """
         self.decision_call = None
         now = self.gateway.reactor.seconds()
-        ends = [
-            end
-            for end in self.evidence.list_ends(now=now)
-            if end.at >= self.started_at
-        ]
+        self.drop_explained_blocks()
+        ends = self.list_ends(now=now)
         reported_at = now - DECISION_DELAY_S + CLOCK_TOLERANCE_S
         # What other gateways had in flight at a later end is not known yet.
         later = [end.at for end in ends if end.at > reported_at]
@@ -385,13 +384,95 @@
             self.decision_call = self.gateway.reactor.callLater(
                 min(later) + DECISION_DELAY_S - now, self.decide
             )
+        ends = [end for end in ends if end.at <= reported_at]
         for keys in choose_blocks(
-            [end for end in ends if end.at <= reported_at],
-            survivals=self.evidence.survivals,
-            blocked=self.blocks,
+            ends, survivals=self.evidence.survivals, blocked=self.blocks
         ):
+            eliot.log_message(
+                "part:decided",
+                parts=[format_hash(key) for key in sorted(keys)],
+                ages=[round(now - end.at, 3) for end in ends],
+                requests=[len(end.requests) for end in ends],
+                with_parts=[
+                    sum(map(keys.issubset, end.requests)) for end in ends
+                ],
+            )
             self.publish_block(self.block_list.add(keys, at=now))
 
+    def list_ends(self, *, now):
+        """Return the ends since the start of this gateway."""
+        return [
+            end
+            for end in self.evidence.list_ends(now=now)
+            if end.at >= self.started_at
+        ]
+
+    def list_explained(self, blocks):
+        """List the blocks whose ends other keys explain better."""
+        return list_explained_blocks(
+            blocks,
+            self.list_ends(now=self.gateway.reactor.seconds()),
+            survivals=self.evidence.survivals,
+            blocked=self.blocks,
+        )
+
+    def drop_explained_blocks(self):
+        """Withdraw the blocks whose ends other keys explain better.
+
+        They were decided on a part of the reports, here or at a peer. One
+        under which a trial has failed stays.
+        """
+        untried = [
+            keys
+            for keys, block in self.blocks.items()
+            if not block.failed_trials
+        ]
+        for keys in self.list_explained(untried):
+            block = self.blocks[keys]
+            self.block_list.remove(block, reason="explained")
+            self.refute(keys, at=block.at)
+
+    def apply_block(self, keys, *, at, failed_trials):
+        """Apply a block of a peer or of the store.
+
+        Parameters
+        ----------
+        keys : frozenset of int
+        at : float
+            Time of the decision or of the last failed trial.
+        failed_trials : int
+        """
+        if self.news.is_refuted(keys, since=at):
+            return
+        is_untried = keys not in self.blocks and not failed_trials
+        if is_untried and self.list_explained([keys]):
+            eliot.log_message(
+                "part:not_taken_over",
+                parts=[format_hash(key) for key in sorted(keys)],
+            )
+            self.refute(keys, at=at)
+            return
+        self.block_list.add(keys, at=at, failed_trials=failed_trials)
+
+    def refute(self, keys, *, at):
+        """Withdraw a block that was decided on a part of the reports.
+
+        Parameters
+        ----------
+        keys : frozenset of int
+        at : float
+            Time of the decision.
+        """
+        refuted_at = max(
+            self.gateway.reactor.seconds(), at + CLOCK_TOLERANCE_S
+        )
+        self.evidence.note_survival(keys, at=refuted_at)
+        if self.records.is_owner(build_key(keys)):
+            self.news.tell_survival(tuple(sorted(keys)), at=refuted_at)
+        else:
+            self.news.note_refutation(keys, at=refuted_at)
+        self.records.withdraw(keys)
+
     def extend_block(self, block, *, now):
         """Extend a block under which one more upstream has ended."""
         has_failed_trial = now >= block.trial_at
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -192,12 +192,11 @@
                 self.remember_survival(notice.keys, at)
             guard.apply_survival(notice.keys, at=at)
         for notice in message.blocks:
-            keys = frozenset(notice.keys)
-            at = now - notice.age
-            if not self.is_refuted(keys, since=at):
-                guard.block_list.add(
-                    keys, at=at, failed_trials=notice.failed_trials
-                )
+            guard.apply_block(
+                frozenset(notice.keys),
+                at=now - notice.age,
+                failed_trials=notice.failed_trials,
+            )
 
 
 def remember(entries, key, value):
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -73,6 +73,10 @@
         """Remove a block that a survival seen here has refuted."""
         self.start_work(self.erase(build_key(block.keys)))
 
+    def withdraw(self, keys):
+        """Remove a block that the reports of its ends do not support."""
+        self.start_work(self.erase_refuted(keys))
+
     def start_work(self, work):
         defer.ensureDeferred(work).addErrback(eliot.write_failure)
 
@@ -105,6 +109,15 @@
                 eliot.log_message("part:not_stored", reason=error.message)
                 await wait(self.gateway.reactor, RETRY_DELAY_S)
 
+    async def erase_refuted(self, keys):
+        key = build_key(keys)
+        if not self.is_owner(key):
+            await wait(self.gateway.reactor, SUBSTITUTE_DELAY_S)
+            if key not in self.mirror.entries or not self.mirror.must_watch():
+                return
+        if keys not in self.guard.blocks:
+            await self.erase(key)
+
     async def erase(self, key):
         while True:
             try:
@@ -185,10 +198,7 @@
                 continue
             at = now - max(0.0, age)
             stored[key] = keys
-            if not self.guard.news.is_refuted(keys, since=at):
-                self.guard.block_list.add(
-                    keys, at=at, failed_trials=failed_trials
-                )
+            self.guard.apply_block(keys, at=at, failed_trials=failed_trials)
         for key, keys in self.seen.items():
             block = self.guard.blocks.get(keys)
             if key not in stored and block is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -243,3 +243,106 @@
     gateway.guard.news.apply(build_message(ends=ends))
     reactor.advance(1.0)
     assert list(gateway.guard.blocks) == [frozenset((PART,))]
+
+
+COMMON, FATAL = 2**62 + 1, 2**62 + 2
+FIRST, SECOND = 2**61 + 1, 2**61 + 2
+
+
+def find_refused(gateway):
+    """Return the parts with which new requests are refused."""
+    return [
+        part
+        for part in (FATAL, PART)
+        if not gateway.guard.block_list.may_send((COMMON, part, 5))
+    ]
+
+
+def build_waves(ages):
+    """Return the reports of two waves of ends, each with a fatal request.
+
+    Returns
+    -------
+    (list of EndNotice, list of EndNotice)
+        Of the first wave and of the requests that ran beside the second; and
+        of the fatal request of the second wave.
+    """
+    known, late = [], []
+    for wave, (age, fatal) in enumerate(zip(ages, (FIRST, SECOND))):
+        for number in range(4):
+            upstream = 10 * wave + number
+            beside = 100 + upstream
+            known.append(
+                EndNotice(
+                    upstream=upstream,
+                    requests=[(COMMON, beside)],
+                    fingerprints=[beside],
+                    age=age,
+                )
+            )
+            (late if wave else known).append(
+                EndNotice(
+                    upstream=upstream,
+                    requests=[(COMMON, FATAL, fatal)],
+                    fingerprints=[fatal],
+                    age=age,
+                )
+            )
+    return known, late
+
+
+# Failure: a gateway that had fewer of the reports blocked a part that all
+# prompts share, all took the block over, and every stream was refused.
+def test_a_block_ends_with_the_reports_that_explain_its_ends(gateway, reactor):
+    reactor.advance(5.0)
+    news = gateway.guard.news
+    known, late = build_waves((3.1, 0.0))
+    news.apply(build_message(ends=known))
+    reactor.advance(0.25)
+    assert frozenset((COMMON,)) in gateway.guard.blocks
+    for end in late:
+        end.age = 0.3
+    news.apply(build_message(ends=late))
+    reactor.advance(0.25)
+    assert find_refused(gateway) == [FATAL]
+    told = gateway.describe()["survivals"]
+    assert [survival.keys for survival in told] == [(COMMON,)]
+
+
+@pytest.mark.parametrize("seconds", [0.1, 0.5])
+def test_a_block_decided_on_fewer_reports_is_not_taken_over(
+    gateway, reactor, seconds
+):
+    reactor.advance(5.0)
+    news = gateway.guard.news
+    known, late = build_waves((3.1, 0.0))
+    news.apply(build_message(ends=known + late))
+    reactor.advance(seconds)
+    block = BlockNotice(keys=(COMMON,), age=0.0, failed_trials=0)
+    news.apply(build_message(blocks=[block]))
+    assert frozenset((COMMON,)) not in gateway.guard.blocks
+    reactor.advance(0.3)
+    # Heartbeats repeat it.
+    block.age = 0.3
+    news.apply(build_message(blocks=[block]))
+    assert find_refused(gateway) == [FATAL]
+
+
+def test_a_block_is_taken_over_without_the_reports_on_it(gateway, reactor):
+    reactor.advance(5.0)
+    known, _ = build_waves((3.1, 0.0))
+    news = gateway.guard.news
+    news.apply(build_message(ends=known))
+    reactor.advance(0.5)
+    news.apply(
+        build_message(
+            blocks=[BlockNotice(keys=(FATAL,), age=0.0, failed_trials=0)]
+        )
+    )
+    news.apply(
+        build_message(
+            blocks=[BlockNotice(keys=(PART,), age=0.0, failed_trials=0)]
+        )
+    )
+    assert frozenset((FATAL,)) in gateway.guard.blocks
+    assert frozenset((PART,)) in gateway.guard.blocks
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -4,6 +4,7 @@
 from .block import choose_trial_delay
 from .decision import choose_blocks
 from .decision import has_ended_upstreams
+from .decision import list_explained_blocks
 from .decision import list_implicated_keys
 from .decision import narrow_block
 from .evidence import CrashEvidence
@@ -16,6 +17,7 @@
     "choose_blocks",
     "choose_trial_delay",
     "has_ended_upstreams",
+    "list_explained_blocks",
     "list_implicated_keys",
     "narrow_block",
 ]
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -1,6 +1,7 @@
 """Decision which requests to block."""
 
 from .explanation import choose_best_groups
+from .explanation import is_explained_by
 from .explanation import MIN_AMBIGUOUS_ENDS
 from .explanation import MIN_ENDS
 from .group import KeyGroup
@@ -8,6 +9,7 @@
 __all__ = [
     "choose_blocks",
     "has_ended_upstreams",
+    "list_explained_blocks",
     "list_implicated_keys",
     "narrow_block",
 ]
@@ -82,6 +84,69 @@
         explained_by += best
 
 
+def list_explained_blocks(blocks, ends, *, survivals, blocked=()):
+    """List the blocks whose ends other keys explain better.
+
+    Parameters
+    ----------
+    blocks : collection of frozenset of int
+    ends, survivals, blocked
+        As for `choose_blocks`.
+
+    Returns
+    -------
+    list of frozenset of int
+
+    Notes
+    -----
+    Load pattern: the reports on an end come from all daemons, and some may
+    come late to one of them. Without that of a fatal request, what its
+    sound neighbours share explains the end, such as a part of all prompts. A
+    block that the reports known here would not have led to is dropped, if its
+    keys were in flight at ends that a narrower group explains.
+
+    Examples
+    --------
+    >>> from hollyspan_policy.crashes import EndRecord
+    >>> ends = [EndRecord(at=float(at)) for at in range(3)]
+    >>> for end in ends:
+    ...     end.requests = {(1, 2), (1, 3 + int(end.at))}
+    >>> common, fatal = frozenset({1}), frozenset({2})
+    >>> list_explained_blocks(
+    ...     [common, fatal], ends, survivals={}, blocked=[fatal]
+    ... )
+    [frozenset({1})]
+    """
+    if not blocks:
+        return []
+    others = {*blocked, *choose_blocks(ends, survivals=survivals)}
+    others = [gather_group(keys, ends, survivals) for keys in others]
+    explained = []
+    for keys in blocks:
+        group = gather_group(keys, ends, survivals)
+        if any(is_explained_by(group, other) for other in others):
+            explained.append(keys)
+    return explained
+
+
+def gather_group(keys, ends, survivals):
+    """Return the group of given keys, with the requests that have all."""
+    return KeyGroup(
+        occurrences=frozenset(
+            (number, request)
+            for number, end in enumerate(ends)
+            for request in end.requests
+            if keys.issubset(request)
+            and not any(
+                has_survived(key, at=end.at, survivals=survivals)
+                for key in keys
+            )
+        ),
+        keys=keys,
+        fingerprints=set().union(*(end.fingerprints for end in ends)),
+    )
+
+
 def narrow_block(keys, *, at, survivals):
     """Return the keys of a block that no upstream has survived.
 
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/explanation.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/explanation.py
@@ -1,6 +1,11 @@
 """Choice of the keys that explain ends of upstreams best."""
 
-__all__ = ["MIN_AMBIGUOUS_ENDS", "MIN_ENDS", "choose_best_groups"]
+__all__ = [
+    "MIN_AMBIGUOUS_ENDS",
+    "MIN_ENDS",
+    "choose_best_groups",
+    "is_explained_by",
+]
 
 # Ends of upstreams with a key from which on requests with it are blocked.
 MIN_ENDS = 3
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import EndRecord
+from hollyspan_policy.crashes import list_explained_blocks
 from hollyspan_policy.crashes import list_implicated_keys
 from hollyspan_policy.crashes import narrow_block
 
@@ -340,3 +341,61 @@
             ends += collect_waves([[fatal, *others]])
     blocks = choose_blocks(ends, survivals={})
     assert frozenset({COMMON}) not in blocks
+
+
+WAVES = st.lists(
+    st.lists(
+        st.lists(st.integers(10, 18), max_size=3), min_size=1, max_size=4
+    ),
+    min_size=3,
+    max_size=6,
+)
+
+
+def build_waves(waves):
+    """Return ends in waves, each of one fatal request."""
+    ends = []
+    requests = iter(range(-1, -1000, -1))
+    for wave in waves:
+        fatal = (COMMON, FATAL, next(requests))
+        for beside in wave:
+            others = [(COMMON, part, next(requests)) for part in beside]
+            ends += collect_waves([[fatal, *others]])
+    return ends
+
+
+# Failure: a daemon that had fewer of the reports blocked a part that all
+# prompts share, and the block stayed when the other reports came.
+@given(WAVES, st.sets(st.integers(0, 23)), st.booleans())
+def test_late_reports_withdraw_the_block_of_a_shared_part(
+    waves, unreported, is_told
+):
+    ends = build_waves(waves)
+    partial = build_waves(waves)
+    for number in unreported.intersection(range(len(partial))):
+        partial[number].requests = {
+            request
+            for request in partial[number].requests
+            if FATAL not in request
+        }
+    decided = choose_blocks(partial, survivals={})
+    told = choose_blocks(ends, survivals={})
+    explained = list_explained_blocks(
+        decided, ends, survivals={}, blocked=told if is_told else ()
+    )
+    blocks = [keys for keys in decided if keys not in explained]
+    blocks += choose_blocks(ends, survivals={}, blocked=blocks)
+    shared = frozenset({COMMON})
+    if any(keys <= {COMMON, FATAL} for keys in told):
+        assert shared not in blocks
+        if decided == [shared]:
+            assert set(blocks) == set(told)
+
+
+@given(WAVES)
+def test_a_decision_on_all_reports_explains_none_of_its_blocks(waves):
+    ends = build_waves(waves)
+    blocks = choose_blocks(ends, survivals={})
+    assert not list_explained_blocks(
+        blocks, ends, survivals={}, blocked=blocks
+    )
