--- a/packages/hollyspan_gateway/hollyspan_gateway/intake/served.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/intake/served.py
@@ -2,12 +2,18 @@
 
 import itertools
 
+import eliot
+
 from hollyspan_policy.intake import ByteBudget
 from hollyspan_policy.intake import WorkShares
 
 __all__ = [
+    "DatagramIntake",
+    "MALFORMED_DATAGRAM_WORK",
     "MAX_CONNECTIONS",
+    "MAX_DATAGRAM_WORDS",
     "MAX_EXCESS_BODY_BYTES",
+    "MAX_UNREGISTERED_PEERS",
     "MIN_BODY_RATE",
     "ReadGate",
     "ServedIntake",
@@ -31,6 +37,20 @@
 WORK_RATE = 10_000.0
 WORK_BURST = 4_000.0
 EXCESS_WORK_RATE = 20_000.0
+# Content of a datagram, words of eight bytes: a full message on 1,000
+# upstreams, each with a limit, takes 9,000.
+MAX_DATAGRAM_WORDS = 16_384
+# Gateways that send datagrams and are not registered in the store yet.
+MAX_UNREGISTERED_PEERS = 400
+# Datagrams and the loads in them that are read: of one address, which may
+# be that of several gateways, and of all that exceed their share.
+DATAGRAM_RATE = 5_000.0
+DATAGRAM_BURST = 10_000.0
+EXCESS_DATAGRAM_RATE = 5_000.0
+# What one takes that cannot be decoded.
+MALFORMED_DATAGRAM_WORK = 10
+# Interval between two log lines on refused datagrams.
+DATAGRAM_LOG_INTERVAL_S = 10.0
 
 
 class ServedIntake:
@@ -173,3 +193,61 @@
 
     def unregisterProducer(self):
         self.gate.transport.unregisterProducer()
+
+
+class DatagramIntake:
+    """Work that reading datagrams takes, by the address of their sender.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+
+    Attributes
+    ----------
+    refused : dict
+        Datagrams refused since the last log line, and its time, by its type.
+    """
+
+    __slots__ = ("reactor", "shares", "refused")
+
+    def __init__(self, *, reactor):
+        self.reactor = reactor
+        self.shares = WorkShares(
+            rate=DATAGRAM_RATE,
+            burst=DATAGRAM_BURST,
+            excess_rate=EXCESS_DATAGRAM_RATE,
+        )
+        self.refused = {}
+
+    def may_read(self, host):
+        """Return whether a datagram of an address may be read."""
+        now = self.reactor.seconds()
+        if self.shares.find_wait(host, now=now) == 0.0:
+            return True
+        self.refuse(host, "its sender exceeds its share")
+        return False
+
+    def charge(self, host, work):
+        """Charge an address for what has been read."""
+        self.shares.charge(host, work, now=self.reactor.seconds())
+
+    def refuse(self, host, reason, *, message="peer:refused"):
+        """Count a refused datagram, and log it now and then.
+
+        Parameters
+        ----------
+        host : str
+        reason : str
+        message : str, optional
+            Type of the log line.
+        """
+        now = self.reactor.seconds()
+        count, logged_at = self.refused.get(message, (0, None))
+        is_due = (
+            logged_at is None or now - logged_at >= DATAGRAM_LOG_INTERVAL_S
+        )
+        if is_due:
+            eliot.log_message(
+                message, sender=host, reason=reason, count=count + 1
+            )
+        self.refused[message] = (0, now) if is_due else (count + 1, logged_at)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -10,6 +10,7 @@
 from ..crashes.notices import BlockNotice
 from ..crashes.notices import EndNotice
 from ..crashes.notices import SurvivalNotice
+from ..intake import MAX_DATAGRAM_WORDS
 from ..streams.notice import StreamNotice
 from ..upstreams.rate_limit import LimitReport
 from .message import FleetMessage
@@ -111,7 +112,10 @@
         The bytes are not a valid message.
     """
     try:
-        wire = WireMessage.from_bytes_packed(datagram)
+        # A few bytes may name many entries, since zeros are packed.
+        wire = WireMessage.from_bytes_packed(
+            datagram, traversal_limit_in_words=MAX_DATAGRAM_WORDS
+        )
         message = FleetMessage(
             sender=wire.sender,
             incarnation=wire.incarnation,
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -10,6 +10,9 @@
 from hollyspan_policy.membership import count_heartbeats_per_round
 from hollyspan_policy.membership import is_small_fleet
 
+from ..intake import DatagramIntake
+from ..intake import MALFORMED_DATAGRAM_WORK
+from ..intake import MAX_UNREGISTERED_PEERS
 from .codec import decode_message
 from .codec import encode_message
 from .load_broadcast import build_load
@@ -69,6 +72,8 @@
         Identifier of this gateway, the same at its peers.
     peers : dict
         Peer by hash of its name.
+    unregistered : dict
+        Those of which the store has not told, oldest first.
     """
 
     noisy = False
@@ -101,6 +106,8 @@
         self.on_message = on_message
         self.on_membership = on_membership
         self.peers = {}
+        self.unregistered = {}
+        self.intake = DatagramIntake(reactor=reactor)
         self.sequence = 0
         self.heartbeat_count = 0
         # Heartbeats in a round; each live peer receives at least one of them.
@@ -145,6 +152,7 @@
             key = hash_parts(name)
             if key == self.key:
                 continue
+            self.unregistered.pop(key, None)
             if key in self.peers:
                 self.peers[key].address = address
                 continue
@@ -304,17 +312,26 @@
                 )
 
     def datagramReceived(self, datagram, address):
+        host = address[0]
+        if not self.intake.may_read(host):
+            return
         try:
             message = decode_message(datagram)
         except PeerMessageError as error:
-            eliot.log_message("peer:malformed", reason=error.message)
+            self.intake.charge(host, MALFORMED_DATAGRAM_WORK)
+            self.intake.refuse(host, error.message, message="peer:malformed")
             return
+        self.intake.charge(host, 1 + len(message.loads))
         peer = self.peers.get(message.sender)
         if peer is None:
+            if not self.has_place():
+                self.intake.refuse(host, "too many unregistered senders")
+                return
             # The sender's registration has not been read yet; replies go to
             # the datagram's source address.
             peer = Peer(key=message.sender, address=address)
             self.peers[message.sender] = peer
+            self.unregistered[message.sender] = peer
         peer.address = address
         now = self.reactor.seconds()
         was_live = peer.is_live(now)
@@ -328,6 +345,20 @@
         if change.is_membership_change or not was_live:
             self.schedule_membership_check()
 
+    def has_place(self):
+        """Return whether one more unregistered sender can be remembered.
+
+        One that has fallen silent is forgotten for it.
+        """
+        if len(self.unregistered) < MAX_UNREGISTERED_PEERS:
+            return True
+        now = self.reactor.seconds()
+        for key, peer in self.unregistered.items():
+            if not peer.is_live(now):
+                del self.unregistered[key], self.peers[key]
+                return True
+        return False
+
     def queue_reply(self, peer):
         """Reply to a peer that has started, in a large fleet to many at once.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -9,6 +9,7 @@
 from hollyspan_gateway.crashes import BlockNotice
 from hollyspan_gateway.crashes import EndNotice
 from hollyspan_gateway.crashes import SurvivalNotice
+from hollyspan_gateway.peers import codec
 from hollyspan_gateway.peers import decode_message
 from hollyspan_gateway.peers import encode_message
 from hollyspan_gateway.peers import FleetMessage
@@ -142,3 +143,39 @@
     )
     with pytest.raises(PeerMessageError):
         decode_message(encode_message(message)[:20])
+
+
+# Failure: a datagram of 20 kB kept the loop busy for seconds, since packed
+# zeros name half a million loads.
+def test_a_datagram_that_names_too_many_loads_is_malformed():
+    wire = codec.WireMessage.new_message(sender=1)
+    wire.init("loads", 500_000)
+    with pytest.raises(PeerMessageError):
+        decode_message(wire.to_bytes_packed())
+
+
+def test_a_message_on_the_upstreams_of_a_large_fleet_is_decoded():
+    loads = [
+        UpstreamLoad(
+            upstream=2**63 + number,
+            online=3,
+            batch=2,
+            reported=(4, 1),
+            is_unreachable=False,
+            departure=number,
+            limit=LimitReport(per_second=3.5, age=1.0),
+        )
+        for number in range(1000)
+    ]
+    message = FleetMessage(
+        sender=1,
+        incarnation=2,
+        sequence=3,
+        is_full=True,
+        loads=loads,
+        items=list(range(2**63, 2**63 + 200)),
+        live_workers=list(range(2**63, 2**63 + 390)),
+    )
+    found = decode_message(encode_message(message))
+    assert len(found.loads) == 1000
+    assert len(found.live_workers) == 390
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -5,6 +5,9 @@
 import pytest
 
 from hollyspan_core.errors import UpstreamUnreachableError
+from hollyspan_gateway.intake import MAX_UNREGISTERED_PEERS
+from hollyspan_gateway.peers import encode_message
+from hollyspan_gateway.peers import FleetMessage
 from hollyspan_gateway.peers import table
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.membership import count_heartbeats_per_round
@@ -493,3 +496,76 @@
     assert len(checks) == 2
     # Peers of the other region receive the totals too, in a second message.
     assert encoded.count(first.peers.key) <= 2
+
+
+def build_datagram(sender, **fields):
+    return encode_message(
+        FleetMessage(
+            sender=sender,
+            incarnation=1,
+            sequence=1,
+            is_full=True,
+            loads=[],
+            **fields,
+        )
+    )
+
+
+# Failure: each sender in a datagram was remembered for good, and greeted.
+def test_a_bounded_number_of_unregistered_senders_is_remembered(
+    build_gateway, network, reactor
+):
+    gateway = build_gateway(name="a")
+    network.join(gateway, 1)
+    gateway.peers.add({"b": ("10.0.0.1", 2)})
+    for sender in range(1000, 2000):
+        gateway.peers.datagramReceived(
+            build_datagram(sender), ("10.9.0.1", sender)
+        )
+    assert len(gateway.peers.peers) <= 1 + MAX_UNREGISTERED_PEERS
+    reactor.advance(60.0)
+    gateway.peers.datagramReceived(build_datagram(7), ("10.9.0.1", 1))
+    assert 7 in gateway.peers.peers
+    assert gateway.peers.is_known("b")
+    assert len(gateway.peers.peers) <= 1 + MAX_UNREGISTERED_PEERS
+
+
+# Failure: datagrams that cannot be decoded were read, and logged, without end.
+def test_datagrams_of_one_address_are_read_at_a_bounded_rate(
+    build_gateway, network, reactor, monkeypatch
+):
+    gateway = build_gateway(name="a")
+    network.join(gateway, 1)
+    decoded = []
+    decode = table.decode_message
+
+    def count(datagram):
+        decoded.append(datagram)
+        return decode(datagram)
+
+    monkeypatch.setattr(table, "decode_message", count)
+    for number in range(20_000):
+        gateway.peers.datagramReceived(b"garbage", ("10.9.0.1", number))
+    assert len(decoded) < 2000
+    decoded.clear()
+    gateway.peers.datagramReceived(build_datagram(8), ("10.0.0.1", 5))
+    assert len(decoded) == 1
+    assert 8 in gateway.peers.peers
+
+
+def test_garbage_is_logged_now_and_then(
+    build_gateway, network, reactor, monkeypatch
+):
+    gateway = build_gateway(name="a")
+    network.join(gateway, 1)
+    lines = []
+    monkeypatch.setattr(
+        "hollyspan_gateway.intake.served.eliot.log_message",
+        lambda message, **fields: lines.append((message, fields["count"])),
+    )
+    for _ in range(50):
+        gateway.peers.datagramReceived(b"garbage", ("10.9.0.1", 1))
+    reactor.advance(10.0)
+    gateway.peers.datagramReceived(b"garbage", ("10.9.0.1", 1))
+    found = [each for each in lines if each[0] == "peer:malformed"]
+    assert found == [("peer:malformed", 1), ("peer:malformed", 50)]
