--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -25,6 +25,10 @@
     on_end : callable
         Called with the reason of the connection's end once all bytes that
         came before it have been parsed.
+    ask : callable, optional
+        Called before each turn; returns the seconds until it may begin.
+        Without it, the first slice of each connection is read at once, even
+        if the sender has exceeded its share over other connections.
     turn_work : int, optional
         Work after which a turn ends; by default each slice has its own.
 
@@ -32,6 +36,9 @@
     ----------
     pending_bytes : int
         Bytes that wait for their turn.
+    slice_bytes : int
+        Bytes that are parsed at once; more than usual where their number
+        does not determine the work.
 
     Notes
     -----
@@ -45,32 +52,46 @@
         "parse",
         "charge",
         "on_end",
+        "ask",
         "turn_work",
         "slices",
         "pending_bytes",
+        "slice_bytes",
         "turn",
         "end_reason",
         "is_parsing",
         "is_paused",
+        "is_stopped",
         "is_held",
         "resume_at",
     )
 
     def __init__(
-        self, *, reactor, transport, parse, charge, on_end, turn_work=1
+        self,
+        *,
+        reactor,
+        transport,
+        parse,
+        charge,
+        on_end,
+        ask=None,
+        turn_work=1,
     ):
         self.reactor = reactor
         self.transport = transport
         self.parse = parse
         self.charge = charge
         self.on_end = on_end
+        self.ask = ask
         self.turn_work = turn_work
         self.slices = collections.deque()
         self.pending_bytes = 0
+        self.slice_bytes = SLICE_BYTES
         self.turn = None
         self.end_reason = None
         self.is_parsing = False
         self.is_paused = False
+        self.is_stopped = False
         self.is_held = False
         self.resume_at = 0.0
 
@@ -81,8 +102,9 @@
         ----------
         data : bytes
         """
-        for start in range(0, len(data), SLICE_BYTES):
-            self.slices.append(data[start : start + SLICE_BYTES])
+        if self.is_stopped:
+            return
+        self.slices.append(data)
         self.pending_bytes += len(data)
         if self.is_held:
             self.pause()
@@ -119,7 +141,8 @@
             self.finish()
 
     def stop(self):
-        """Drop the bytes that wait."""
+        """Drop the bytes that wait and all that are received later."""
+        self.is_stopped = True
         self.slices.clear()
         self.pending_bytes = 0
         if self.turn is not None:
@@ -132,12 +155,18 @@
         if not self.slices:
             self.finish()
             return
+        delay = 0.0 if self.ask is None else self.ask()
+        if delay > 0.0:
+            self.plan(delay)
+            return
         work = 0
         while self.slices and not self.is_held:
             work += self.parse_slice()
             if work >= self.turn_work:
                 break
         self.resume_at = self.reactor.seconds() + self.charge(work)
+        if self.is_stopped:
+            return
         if not self.is_held:
             self.plan_turn()
         elif self.end_reason is not None and not self.slices:
@@ -145,23 +174,35 @@
 
     def parse_slice(self):
         """Parse one slice; return its work."""
-        data = self.slices.popleft()
-        self.pending_bytes -= len(data)
+        data = self.take_slice()
         self.is_parsing = True
         try:
             return self.parse(data)
         finally:
             self.is_parsing = False
 
+    def take_slice(self):
+        """Remove and return the bytes of the next slice."""
+        data = self.slices.popleft()
+        if len(data) > self.slice_bytes:
+            self.slices.appendleft(data[self.slice_bytes :])
+            data = data[: self.slice_bytes]
+        self.pending_bytes -= len(data)
+        return data
+
     def plan_turn(self):
         """Plan the next turn, or read on when no bytes wait."""
         delay = max(0.0, self.resume_at - self.reactor.seconds())
         if self.slices or delay > 0.0:
-            self.pause()
-            self.turn = self.reactor.callLater(delay, self.take_turn)
+            self.plan(delay)
         else:
             self.finish()
 
+    def plan(self, delay):
+        """Plan the next turn; nothing is received before it."""
+        self.pause()
+        self.turn = self.reactor.callLater(delay, self.take_turn)
+
     def pause(self):
         """Let the transport read nothing more."""
         if self.end_reason is None and not self.is_paused:
