Share the work of reading between all senders over their shares

Cause: each sender over its share had the whole of it, so that eight callers of small pieces caused eight times the work, and a new connection of such a sender had its first slice read at once. Change: senders over their shares have one together, and a turn begins when its sender may be read. test_many_callers_of_small_pieces_have_one_share_together bounds the work of eight callers in a second by one share and a slice for each.

--- a/packages/hollyspan_entry/hollyspan_entry/http/site.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/site.py
@@ -2,10 +2,7 @@
 
 from twisted.web import server
 
-from hollyspan_policy.intake import WorkShares
-
-from ..intake.limits import SENDER_BURST_PIECES
-from ..intake.limits import SENDER_PIECES_PER_S
+from ..intake.limits import build_shares
 from ..intake.paced import PacedConnection
 
 __all__ = ["DrainingSite"]
@@ -37,9 +34,7 @@
         self.is_closing = False
         self.connections = set()
         self.accepted = 0
-        self.shares = WorkShares(
-            rate=SENDER_PIECES_PER_S, burst=SENDER_BURST_PIECES
-        )
+        self.shares = build_shares()
 
     def buildProtocol(self, addr):
         connection = super().buildProtocol(addr)
--- a/packages/hollyspan_entry/hollyspan_entry/http/tests/test_site.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/tests/test_site.py
@@ -9,6 +9,7 @@
 from hollyspan_entry.files.request import BODY_TIMEOUT_S
 from hollyspan_entry.files.request import build_request_factory
 from hollyspan_entry.http import DrainingSite
+from hollyspan_entry.intake.limits import SENDER_PIECES_PER_S
 
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 ONE_BYTE = b"1\r\nx\r\n"
@@ -23,20 +24,24 @@
         return request.content.read()
 
 
+def build_site(clock):
+    return DrainingSite(
+        EchoResource(),
+        requestFactory=build_request_factory(None),
+        reactor=clock,
+    )
+
+
 class Harness:
     """A caller's connection whose other side is played by the test."""
 
-    def __init__(self):
-        self.clock = task.Clock()
-        site = DrainingSite(
-            EchoResource(),
-            requestFactory=build_request_factory(None),
-            reactor=self.clock,
-        )
-        self.connection = site.buildProtocol(None)
+    def __init__(self, *, site=None, port=1):
+        self.site = site or build_site(task.Clock())
+        self.clock = self.site.reactor
+        self.connection = self.site.buildProtocol(None)
         self.connection.callLater = self.clock.callLater
         self.transport = StringTransportWithDisconnection(
-            peerAddress=address.IPv4Address("TCP", "127.0.0.1", 1)
+            peerAddress=address.IPv4Address("TCP", "127.0.0.1", port)
         )
         self.transport.abortConnection = self.transport.loseConnection
         self.transport.protocol = self.connection
@@ -107,3 +112,17 @@
     assert [c.getTime() for c in harness.clock.calls if c.active()] == [
         harness.connection._channel.timeOut
     ]
+
+
+def test_many_callers_of_small_pieces_have_one_share_together():
+    site = build_site(task.Clock())
+    callers = [Harness(site=site, port=port) for port in range(1, 9)]
+    for caller in callers:
+        caller.connection.dataReceived(HEAD + ONE_BYTE * 100_000)
+    read = []
+    for _ in range(400):
+        site.reactor.advance(0.01)
+        read.append(sum(caller.content.tell() for caller in callers))
+    # The last second, when all bursts are used up; a slice for each.
+    overdraft = len(callers) * (SLICE_BYTES // len(ONE_BYTE) + 1)
+    assert read[-1] - read[-101] <= SENDER_PIECES_PER_S + overdraft
--- a/packages/hollyspan_entry/hollyspan_entry/intake/agent.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/agent.py
@@ -4,11 +4,8 @@
 
 from twisted.web import client
 
-from hollyspan_policy.intake import WorkShares
-
 from .endpoints import EndpointFactory
-from .limits import SENDER_BURST_PIECES
-from .limits import SENDER_PIECES_PER_S
+from .limits import build_shares
 
 __all__ = ["open_agent"]
 
@@ -43,7 +40,7 @@
     # By default the pool resends a lost GET or DELETE; whether a request may
     # run twice is decided elsewhere.
     pool.retryAutomatically = False
-    shares = WorkShares(rate=SENDER_PIECES_PER_S, burst=SENDER_BURST_PIECES)
+    shares = build_shares()
     try:
         yield client.Agent.usingEndpointFactory(
             reactor,
--- a/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
@@ -2,6 +2,7 @@
 
 from hollyspan_policy.intake import ByteBudget
 from hollyspan_policy.intake import IntakeLimits
+from hollyspan_policy.intake import WorkShares
 
 __all__ = [
     "ANSWERS_KEPT",
@@ -15,8 +16,6 @@
     "INSTANCE_LIST",
     "KEPT_STREAM",
     "ORDER_ANSWER",
-    "SENDER_BURST_PIECES",
-    "SENDER_PIECES_PER_S",
     "SERVICE_ANSWER",
     "STATE_REPORT",
     "STORE_ANSWER",
@@ -24,6 +23,7 @@
     "TURN_PIECES",
     "UNUSED_ANSWER",
     "WATCH_LINE",
+    "build_shares",
 ]
 
 # What a parser handles at once may be small now and then, but not on average.
@@ -31,13 +31,22 @@
 BYTES_PER_PIECE = 16
 
 # Work that one program may cause: 64 streams of 50 tokens a second, each of
-# which is read, is a chunk and is an event.
+# which is read, is a chunk and is an event. All that exceed it have it once.
 SENDER_PIECES_PER_S = 10_000.0
 SENDER_BURST_PIECES = 4_000.0
 # Work of one turn of the loop. A read of 64 kB without small pieces is one.
 TURN_PIECES = 64
 
 
+def build_shares():
+    """Return the shares of the loop's work for connections of one kind."""
+    return WorkShares(
+        rate=SENDER_PIECES_PER_S,
+        burst=SENDER_BURST_PIECES,
+        excess_rate=SENDER_PIECES_PER_S,
+    )
+
+
 def build_limits(what, content_bytes):
     return IntakeLimits(
         what=what,
--- a/packages/hollyspan_entry/hollyspan_entry/intake/paced.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/paced.py
@@ -66,6 +66,7 @@
             parse=self.parse,
             charge=self.charge,
             on_end=self.report_end,
+            ask=self.ask,
             turn_work=TURN_PIECES,
         )
         self.transport = HeldTransport(
@@ -87,6 +88,10 @@
         self.feed(data)
         return 1 + get_piece_count() - count
 
+    def ask(self):
+        """Return the seconds until the sender may be read."""
+        return self.shares.find_wait(self.sender, now=self.reactor.seconds())
+
     def charge(self, work):
         """Charge the sender for a slice; return the seconds to wait."""
         return self.shares.charge(
