Take a block for doubtful whose ends a survival refutes

Ends now count as known whether refuted or not, and only those that are not make moments. test_moments_that_a_survival_refutes_do_not_count failed before.

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -102,8 +102,8 @@
     Returns
     -------
     bool
-        True if enough upstreams for a block have ended, but at fewer moments.
-        False where some of the ends are not known.
+        True if enough upstreams for a block have ended, but at fewer moments
+        that no survival refutes. False where some of the ends are not known.
 
     Notes
     -----
@@ -130,11 +130,13 @@
     fingerprints = set()
     for end in sorted(ends, key=lambda end: end.at):
         requests = list(filter(keys.issubset, end.requests))
-        if not requests or any(
+        if not requests:
+            continue
+        count += 1
+        if any(
             has_survived(key, at=end.at, survivals=survivals) for key in keys
         ):
             continue
-        count += 1
         here = end.fingerprints.intersection(set().union(*requests))
         if end.at > began_at + COMMON_CAUSE_S or here & fingerprints:
             moments += 1
