Open connections to IP addresses without a thread

Callers of the entry daemon waited for up to a second, seldom, while the engines went on: both daemons of a burst stood still from and to the same moment.

Cause, suspected: each new connection looks its host up in Twisted's thread pool, IP addresses too. The start of a thread waits until that has run, and a thread that is preempted with the interpreter lock keeps the loop out. Neither counts as time in which the loop has no processor.

Change: a resolver returns IP addresses at once; names are looked up as before. The daemon has one thread then, as the design says.

--- a/packages/hollyspan_entry/hollyspan_entry/daemon.py
+++ b/packages/hollyspan_entry/hollyspan_entry/daemon.py
@@ -14,6 +14,7 @@
 from hollyspan_core.signals import handle_once
 from hollyspan_policy.membership import MemberTable
 
+from .addresses import open_address_resolver
 from .burn import open_burn
 from .configurations import ConfigurationHolder
 from .configurations import open_configurations
@@ -150,6 +151,7 @@
 
     async def run(reactor):
         with contextlib.ExitStack() as stack:
+            stack.enter_context(open_address_resolver(reactor))
             runtime = stack.enter_context(
                 open_runtime(settings, reactor=reactor)
             )
