Tell no peer of a block that is dropped on this gateway's reports

Cause: a worker that had stood still for 3 s knew few of the ends. A blocked request in them explained these, so it refuted, for all, the block of the fatal part, which four gateways had decided on with five ends each. A gateway cannot tell whether it knows more than the one that decided.

Change: a block is dropped or declined here only, and nothing is told. Three ends with its keys and with the part that explains them have to be known, and a blocked request explains no part. A survival seen later refutes a block that was declined.

Tests of crashes, ended upstreams and repeated requests: 125 pass.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -37,6 +37,8 @@
 ENTRY_EXPIRY_S = 5.0
 # Limit on the ends that are not confirmed yet; the oldest are forgotten.
 MAX_SEEN_ENDS = 64
+# Limit on the blocks of peers that were not taken over.
+MAX_DECLINED = 64
 
 
 class RequestGuard:
@@ -58,6 +60,9 @@
     seen_ends : dict
         Keys of the requests that ends have broken off here, by the key of the
         upstream's incarnation, until the ends are confirmed.
+    declined : dict
+        Time of the last check of each block that was not taken over, by its
+        keys.
 
     Notes
     -----
@@ -74,6 +79,7 @@
         "evidence",
         "exposures",
         "seen_ends",
+        "declined",
         "detector",
         "news",
         "records",
@@ -88,6 +94,7 @@
         self.evidence = CrashEvidence()
         self.exposures = set()
         self.seen_ends = {}
+        self.declined = {}
         self.detector = EndDetector(
             gateway=gateway,
             on_end=self.handle_end,
@@ -417,10 +424,11 @@
         )
 
     def drop_explained_blocks(self):
-        """Withdraw the blocks whose ends other keys explain better.
+        """End the blocks whose ends other keys explain better, here only.
 
-        They were decided on a part of the reports, here or at a peer. One
-        under which a trial has failed stays.
+        They were decided on a part of the reports. Nothing is told: the peers
+        may have reports that this gateway has not. One under which a trial
+        has failed stays.
         """
         untried = [
             keys
@@ -428,9 +436,7 @@
             if not block.failed_trials
         ]
         for keys in self.list_explained(untried):
-            block = self.blocks[keys]
-            self.block_list.remove(block, reason="explained")
-            self.refute(keys, at=block.at)
+            self.block_list.remove(self.blocks[keys], reason="explained")
 
     def apply_block(self, keys, *, at, failed_trials):
         """Apply a block of a peer or of the store.
@@ -444,34 +450,37 @@
         """
         if self.news.is_refuted(keys, since=at):
             return
-        is_untried = keys not in self.blocks and not failed_trials
-        if is_untried and self.list_explained([keys]):
+        if keys in self.declined and self.has_survived(keys, since=at):
+            self.news.note_refutation(keys, at=self.gateway.reactor.seconds())
+            self.records.withdraw(keys)
+        elif keys in self.blocks or failed_trials or not self.declines(keys):
+            self.declined.pop(keys, None)
+            self.block_list.add(keys, at=at, failed_trials=failed_trials)
+
+    def has_survived(self, keys, *, since):
+        """Return whether an upstream has survived a single key later."""
+        survivals = self.evidence.survivals
+        return len(keys) == 1 and any(
+            survivals.get(key, since) > since for key in keys
+        )
+
+    def declines(self, keys):
+        """Return whether the reports known here explain a block's ends."""
+        now = self.gateway.reactor.seconds()
+        is_new = keys not in self.declined
+        if not is_new and now - self.declined[keys] < DECISION_DELAY_S:
+            return True
+        if not self.list_explained([keys]):
+            return False
+        self.declined[keys] = now
+        if len(self.declined) > MAX_DECLINED:
+            del self.declined[next(iter(self.declined))]
+        if is_new:
             eliot.log_message(
                 "part:not_taken_over",
                 parts=[format_hash(key) for key in sorted(keys)],
             )
-            self.refute(keys, at=at)
-            return
-        self.block_list.add(keys, at=at, failed_trials=failed_trials)
-
-    def refute(self, keys, *, at):
-        """Withdraw a block that was decided on a part of the reports.
-
-        Parameters
-        ----------
-        keys : frozenset of int
-        at : float
-            Time of the decision.
-        """
-        refuted_at = max(
-            self.gateway.reactor.seconds(), at + CLOCK_TOLERANCE_S
-        )
-        self.evidence.note_survival(keys, at=refuted_at)
-        if self.records.is_owner(build_key(keys)):
-            self.news.tell_survival(tuple(sorted(keys)), at=refuted_at)
-        else:
-            self.news.note_refutation(keys, at=refuted_at)
-        self.records.withdraw(keys)
+        return True
 
     def extend_block(self, block, *, now):
         """Extend a block under which one more upstream has ended."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -74,7 +74,7 @@
         self.start_work(self.erase(build_key(block.keys)))
 
     def withdraw(self, keys):
-        """Remove a block that the reports of its ends do not support."""
+        """Remove a block that is not in force here and was survived."""
         self.start_work(self.erase_refuted(keys))
 
     def start_work(self, work):
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -119,12 +119,22 @@
     """
     if not blocks:
         return []
-    others = {*blocked, *choose_blocks(ends, survivals=survivals)}
-    others = [gather_group(keys, ends, survivals) for keys in others]
+    others = [
+        group
+        for group in (
+            gather_group(keys, ends, survivals)
+            for keys in {*blocked, *choose_blocks(ends, survivals=survivals)}
+        )
+        # A part is blocked for more ends than those of one request.
+        if not group.is_request and len(group.causes) >= MIN_ENDS
+    ]
     explained = []
     for keys in blocks:
         group = gather_group(keys, ends, survivals)
-        if any(is_explained_by(group, other) for other in others):
+        # With fewer ends, what the block was decided on is not known here.
+        if len(group.causes) >= MIN_ENDS and any(
+            is_explained_by(group, other) for other in others
+        ):
             explained.append(keys)
     return explained
 
