Move a stream from an upstream that sends only comments

Comments without end began the wait for the next event anew, so that a stream stayed at its upstream until the deadline of the request though another one had room. It moves now after 1 s beyond the expected wait without an event, on the same conditions as after a silence. The new test failed before where an upstream had room, and passes on the old code where none had.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -8,6 +8,7 @@
 from hollyspan_core.errors import PeerAnswerError
 from hollyspan_core.errors import PeerUnavailableError
 from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.errors import UpstreamUnreachableError
@@ -44,6 +45,10 @@
 # that the pause including a failover stays below the 400 ms of the strictest
 # route.
 EVENT_PAUSE_TIMEOUT_S = 0.25
+# Time beyond the expected wait without an event, but with other bytes, after
+# which a stream moves if another upstream has room: comments show that the
+# upstream is there, so that it is longer than after a silence.
+EVENTLESS_TIMEOUT_S = 1.0
 
 
 class Relay:
@@ -126,6 +131,8 @@
         self.reply = None
         self.exposure = None
         self.sent_at = 0.0
+        self.event_due_at = 0.0
+        self.last_event = None
 
     @property
     def target_at(self):
@@ -289,6 +296,12 @@
         self.peer = None
         self.tried.add(upstream.entry.name)
         self.sent_at = self.gateway.reactor.seconds()
+        self.last_event = self.delivery.last_event
+        self.event_due_at = (
+            self.sent_at
+            + EVENTLESS_TIMEOUT_S
+            + (self.find_first_event_timeout() or 0.0)
+        )
         self.reply = None
         self.delivery.start_attempt()
         headers = self.gateway.dialect.encode_headers(
@@ -421,10 +434,24 @@
             if events and self.version is None:
                 self.pin_version()
             self.delivery.require_sound()
+            self.require_progress()
         else:
             self.delivery.buffer(data)
         return self.delivery.kept_bytes
 
+    def require_progress(self):
+        """Raise an error if a stream brings no events, but other bytes."""
+        now = self.gateway.reactor.seconds()
+        if self.delivery.last_event != self.last_event:
+            self.last_event = self.delivery.last_event
+            self.event_due_at = now + EVENTLESS_TIMEOUT_S
+        elif (
+            now > self.event_due_at
+            and self.can_fail_over()
+            and self.may_abandon()
+        ):
+            raise StreamStalledError("no event received, but other bytes")
+
     def is_stream(self):
         """Return whether the answer is streamed to the client."""
         return self.route.kind is RouteKind.STREAM and self.reply.has_events
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_relay.py
@@ -535,3 +535,31 @@
     assert ends[0].code == "stream_malformed"
     assert relay.request.written == helpers.build_events(1, 3)
     assert (relay.delivery.last_event, relay.version) == (3, 7)
+
+
+# Failure: comments without end held a stream until its deadline.
+@pytest.mark.parametrize("sent", [0, 2])
+@pytest.mark.parametrize("is_free", [False, True])
+def test_a_stream_moves_from_an_upstream_that_sends_only_comments(
+    start, gateway, reactor, helpers, sent, is_free
+):
+    relay = start()
+    first = gateway.pool.last
+    first.answer(200, is_complete=False)
+    if sent:
+        first.exchange.on_data(helpers.build_events(1, sent))
+    for _ in range(30):
+        if is_free:
+            for upstream in gateway.directory.upstreams.values():
+                upstream.record_report(0, 0, now=reactor.seconds())
+        if not first.is_cancelled:
+            first.exchange.on_data(b": comment\n\n")
+        reactor.advance(0.1)
+    assert first.is_cancelled == is_free
+    if not is_free:
+        return
+    second = gateway.pool.last
+    assert second is not first
+    second.answer(200, body=helpers.build_events(sent + 1, 5))
+    assert relay.ends == [None]
+    assert relay.request.written.endswith(helpers.build_events(sent + 1, 5))
