--- a/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/limits.py
@@ -15,6 +15,7 @@
     "HEAD",
     "INSTANCE_LIST",
     "KEPT_STREAM",
+    "MIN_CHARGE_PIECES",
     "ORDER_ANSWER",
     "SERVICE_ANSWER",
     "STATE_REPORT",
@@ -34,6 +35,7 @@
 # which is read, is a chunk and is an event. All that exceed it have it once.
 SENDER_PIECES_PER_S = 10_000.0
 SENDER_BURST_PIECES = 4_000.0
+MIN_CHARGE_PIECES = 32
 # Work of one turn of the loop. A read of 64 kB without small pieces is one.
 TURN_PIECES = 64
 
--- a/packages/hollyspan_entry/hollyspan_entry/intake/paced.py
+++ b/packages/hollyspan_entry/hollyspan_entry/intake/paced.py
@@ -3,6 +3,7 @@
 from hollyspan_core.intake import TurnReader
 
 from .endings import note_end
+from .limits import MIN_CHARGE_PIECES
 from .limits import TURN_PIECES
 from .tally import get_piece_count
 from .transport import HeldTransport
@@ -26,6 +27,8 @@
     ----------
     sender : tuple of (str, int)
         Address of the other program.
+    uncharged : int
+        Work that the sender is still to be charged for, pieces.
     is_closing : bool
         True once the connection is closed from this side.
     """
@@ -40,6 +43,7 @@
         "turns",
         "sender",
         "is_closing",
+        "uncharged",
     )
 
     def __init__(self, *, connection, reactor, shares):
@@ -55,6 +59,7 @@
         self.turns = None
         self.sender = None
         self.is_closing = False
+        self.uncharged = 0
 
     def start(self, transport):
         """Begin to read a transport."""
@@ -90,10 +95,19 @@
 
     def ask(self):
         """Return the seconds until the sender may be read."""
+        if self.sender not in self.shares.excess:
+            return 0.0
         return self.shares.find_wait(self.sender, now=self.reactor.seconds())
 
     def charge(self, work):
-        """Charge the sender for a slice; return the seconds to wait."""
+        """Charge the sender for work; return the seconds to wait.
+
+        A little work is charged together with what follows it.
+        """
+        self.uncharged += work
+        if self.uncharged < MIN_CHARGE_PIECES:
+            return 0.0
+        work, self.uncharged = self.uncharged, 0
         return self.shares.charge(
             self.sender, work, now=self.reactor.seconds()
         )
