--- a/packages/hollyspan_core/hollyspan_core/errors/store.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/store.py
@@ -38,11 +38,7 @@
 
 
 class StoreAnswerTooLargeError(StoreReplyLostError):
-    """The answer of the store exceeds the limits on what is read."""
-
-    status = 503
-    kind = "server_error"
-    code = "store_reply_lost"
+    """An answer exceeds what is read; for a watch, pages are read instead."""
 
 
 class StoreConflictError(HollyspanError):
