Send a request again though all other upstreams are backed off from

A safe request whose first attempt was reset was refused with 503 when the other upstreams had a back-off, though these would have answered.

Cause: suspects were taken only if no upstream without a back-off was left; one that the request had been sent to already counted as left, and was excluded afterwards. A new request in the same state was sent to a suspect.

Change: suspects are taken if none is left that the request was not sent to. The limits on attempts and refusals stay.

Ruled out: back-offs that an answer does not end; each answer ended them.

--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -148,7 +148,10 @@
             No upstream can accept the request now.
         """
         views = self.build_views(
-            service, version=version, can_forward=can_forward
+            service,
+            version=version,
+            excluded=excluded,
+            can_forward=can_forward,
         )
         admission = decide_admission(
             views,
@@ -167,6 +170,7 @@
             views = self.build_views(
                 service,
                 version=version,
+                excluded=excluded,
                 is_continued=True,
                 can_forward=can_forward,
             )
@@ -323,6 +327,7 @@
         *,
         version=None,
         include_suspects=True,
+        excluded=(),
         is_continued=False,
         can_forward=False,
     ):
@@ -330,8 +335,9 @@
 
         Notes
         -----
-        Those that only other gateways reach are among them if one of these
-        can run the request, or if nothing else is left.
+        Suspects are among them if nothing is left that the request was not
+        sent to. Those that only other gateways reach are among them if one
+        of these can run the request, or if nothing else is left.
         """
         now = self.reactor.seconds()
         upstreams = [
@@ -346,7 +352,8 @@
             for each in upstreams
             if (can_forward if each in lost else not each.is_suspect(now=now))
         ]
-        if unsuspected or not include_suspects:
+        is_left = any(each.entry.name not in excluded for each in unsuspected)
+        if is_left or not include_suspects:
             upstreams = unsuspected
         counts = collections.Counter(
             upstream.entry.version_key for upstream in upstreams
