--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -383,7 +383,7 @@
         self.decision_call = None
         now = self.gateway.reactor.seconds()
         self.drop_explained_blocks()
-        ends = self.list_ends(now=now)
+        ends = self.list_ends()
         reported_at = now - DECISION_DELAY_S + CLOCK_TOLERANCE_S
         # What other gateways had in flight at a later end is not known yet.
         later = [end.at for end in ends if end.at > reported_at]
@@ -406,8 +406,9 @@
             )
             self.publish_block(self.block_list.add(keys, at=now))
 
-    def list_ends(self, *, now):
-        """Return the ends since the start of this gateway."""
+    def list_ends(self):
+        """Return the ends that all gateways could tell this one of."""
+        now = self.gateway.reactor.seconds()
         return [
             end
             for end in self.evidence.list_ends(now=now)
@@ -418,7 +419,7 @@
         """List the blocks whose ends other keys explain better."""
         return list_explained_blocks(
             blocks,
-            self.list_ends(now=self.gateway.reactor.seconds()),
+            self.list_ends(),
             survivals=self.evidence.survivals,
             blocked=self.blocks,
         )
