--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -161,6 +161,7 @@
         views = self.build_views(
             service,
             version=version,
+            excluded=excluded,
             can_forward=can_forward,
             is_repeatable=is_repeatable,
         )
@@ -181,6 +182,7 @@
             views = self.build_views(
                 service,
                 version=version,
+                excluded=excluded,
                 is_continued=True,
                 can_forward=can_forward,
                 is_repeatable=is_repeatable,
@@ -339,6 +341,7 @@
         *,
         version=None,
         include_suspects=True,
+        excluded=(),
         is_continued=False,
         can_forward=False,
         is_repeatable=False,
@@ -347,8 +350,9 @@
 
         Notes
         -----
-        Those that only other gateways reach are among them if one of these
-        can run the request, or if nothing else is left.
+        Suspects are among them if nothing is left that the request was not
+        sent to. Those that only other gateways reach are among them if one
+        of these can run the request, or if nothing else is left.
         """
         now = self.reactor.seconds()
         upstreams = [
@@ -365,7 +369,8 @@
             if each not in outliers
             and (can_forward if each in lost else not each.is_suspect(now=now))
         ]
-        if unsuspected or not include_suspects:
+        is_left = any(each.entry.name not in excluded for each in unsuspected)
+        if is_left or not include_suspects:
             upstreams = unsuspected
         counts = collections.Counter(
             upstream.entry.version_key for upstream in upstreams
