Let no sender wait for less than a millisecond

A wait below the resolution of the clock was over at the same moment, and asked for again: turns followed each other that read nothing.

--- a/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
@@ -188,3 +188,21 @@
     reader.turns.receive(b"a")
     assert reader.parsed == []
     assert not reader.clock.getDelayedCalls()
+
+
+# Failure: a wait below the clock's resolution was asked for again and again at
+# the same moment.
+def test_a_wait_below_the_resolution_of_the_clock_ends():
+    reader = Reader()
+    reader.clock.advance(1000.0)
+    asked = []
+
+    def ask():
+        asked.append(reader.clock.seconds())
+        assert len(asked) < 10
+        return 1e-15 if asked[-1] < 1000.015 else 0.0
+
+    reader.turns.ask = ask
+    reader.turns.receive(b"a")
+    reader.clock.pump([0.01] * 2)
+    assert reader.parsed == [b"a"]
--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -6,6 +6,9 @@
 
 # Bytes that are parsed at once. A chunk of one byte takes six bytes.
 SLICE_BYTES = 4096
+# Shortest wait of a sender; without one, turns follow each other that read
+# nothing.
+MIN_WAIT_S = 0.001
 
 
 class TurnReader:
@@ -157,7 +160,7 @@
             return
         delay = 0.0 if self.ask is None else self.ask()
         if delay > 0.0:
-            self.resume_at = self.reactor.seconds() + delay
+            self.wait(delay)
             self.plan_turn()
             return
         work = 0
@@ -165,7 +168,7 @@
             work += self.parse_slice()
             if work >= self.turn_work:
                 break
-        self.resume_at = self.reactor.seconds() + self.charge(work)
+        self.wait(self.charge(work))
         if self.is_stopped:
             return
         if not self.is_held:
@@ -173,6 +176,12 @@
         elif self.end_reason is not None and not self.slices:
             self.finish()
 
+    def wait(self, delay):
+        """Begin no turn before some seconds have passed."""
+        if delay > 0.0:
+            delay = max(delay, MIN_WAIT_S)
+        self.resume_at = self.reactor.seconds() + delay
+
     def parse_slice(self):
         """Parse the next bytes; return their work."""
         data = self.slices.popleft()
