Give up a run of an item that brings no event sooner

A replica that sends comments without end held an item for up to 30 s; a job has 18 s for it. The limit is 5 s now, about the time of a whole run.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -25,8 +25,8 @@
 # again: forty times the usual time between two events.
 STALL_TIMEOUT_S = 1.0
 # Time without an event after which a run is abandoned whatever else it
-# receives: several times a whole run.
-EVENT_TIMEOUT_S = 30.0
+# receives: about that of a whole run, of which a job leaves time for a few.
+EVENT_TIMEOUT_S = 5.0
 # HTTP statuses of an upstream: the item can never succeed; this run failed.
 UNPROCESSABLE_STATUS = 422
 FAILED_STATUS = 500
