Parse pipelined requests in the order in which they came

What was kept of the next requests while one was handled was handed to the turns of the connection again, behind the slices that had been received after it. With more than one slice (4,096 bytes) of pipelined requests in a read, their bytes were joined in the wrong order: requests were lost, and bodies could be taken for heads. The kept bytes now go before those that wait.

test_pipelined_requests_longer_than_a_slice_keep_their_order failed before: one of 20 requests arrived.

--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -111,6 +111,21 @@
         elif self.turn is None and not self.is_parsing:
             self.take_turn()
 
+    def put_back(self, data):
+        """Parse bytes again, before those that wait.
+
+        Parameters
+        ----------
+        data : bytes
+            The last ones that were parsed.
+        """
+        if self.is_stopped or not data:
+            return
+        self.slices.appendleft(data)
+        self.pending_bytes += len(data)
+        if not (self.is_held or self.is_parsing or self.turn is not None):
+            self.take_turn()
+
     def hold(self):
         """Parse nothing until `release`, since the reader is not ready."""
         self.is_held = True
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -155,6 +155,11 @@
         super().requestDone(request)
         self.watch_arrival()
 
+    def setLineMode(self, extra=b""):
+        """Parse the next request, which was received before what waits."""
+        self.line_mode = 1
+        self.turns.put_back(extra)
+
     def write(self, data):
         if self.may_write():
             super().write(data)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -206,6 +206,25 @@
     assert transport.value().count(b"200 OK") == 50
 
 
+# Failure: the rest of a slice was parsed behind the slices that followed it.
+def test_pipelined_requests_longer_than_a_slice_keep_their_order():
+    server = Server()
+    channel, transport = server.connect()
+    server.site.handle = lambda request: (
+        server.requests.append(request),
+        request.answer(200, [], b"%d" % len(server.requests)),
+    )
+    body = bytes(3000)
+    head = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n"
+    channel.dataReceived(b"".join(head % n + body for n in range(20)))
+    server.settle(5000)
+    assert [each.uri for each in server.requests] == [
+        b"/%d" % number for number in range(20)
+    ]
+    assert not channel.turns.pending_bytes
+    assert transport.producerState == "producing"
+
+
 # Failure: a read of 64 kB in chunks of one byte was parsed in one turn.
 def test_a_body_in_small_chunks_is_read_in_turns():
     server = Server()
