Read no more of a client that sends while it reads no answer

The base class keeps what a client sends behind a request that is being handled, and pauses the connection at 16 kB, but not while the transport waits for the client to read. Such a client made the gateway keep all that it sent. It is now paused in both cases.

test_a_client_that_sends_but_does_not_read_is_not_read failed before in both cases: 10 MB were kept, the end of the test.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -104,6 +104,9 @@
         super().allHeadersReceived()
 
     def rawDataReceived(self, data):
+        if self._handlingRequest:
+            self.keep_later(data)
+            return
         try:
             super().rawDataReceived(data)
         except IntakeExceededError as error:
@@ -114,6 +117,15 @@
             )
             self.refuse(status, error.message)
 
+    def keep_later(self, data):
+        """Keep the start of later requests, and read no more of them.
+
+        The base class reads on while the client does not read its answer.
+        """
+        self._dataBuffer.append(data)
+        if sum(map(len, self._dataBuffer)) > self._optimisticEagerReadSize:
+            self._networkProducer.pauseProducing()
+
     def refuse(self, status, reason):
         """Refuse a request that has not been read, and close."""
         eliot.log_message(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -377,3 +377,26 @@
         channel, _ = server.connect()
         channel.dataReceived(REQUEST % 1)
     assert server.connect() == (None, None)
+
+
+# Failure: what a client sent while it read no answer was kept without end.
+@pytest.mark.parametrize("is_ended", [False, True])
+def test_a_client_that_sends_but_does_not_read_is_not_read(is_ended):
+    server = Server()
+    request, transport = server.open_stream()
+    request.write(BLOCK + BLOCK)
+    if is_ended:
+        request.end()
+    channel = transport.protocol
+    sent = 0
+    while transport.producerState == "producing" and sent < 10 * MIB:
+        channel.dataReceived(BLOCK)
+        server.settle(100)
+        sent += len(BLOCK)
+    assert sent < MIB
+    transport.read()
+    if not is_ended:
+        assert transport.producerState == "paused"
+        request.end()
+    server.settle()
+    assert transport.disconnecting or transport.producerState == "producing"
