Charge a connection once for lines that wait for their request

Pipelined requests behind one that is handled were charged each time they were handed to the turns, so that 64 kB of them used up the share of their connection with the first few.

test_requests_behind_an_answer_that_is_read_late_are_handled failed before: 3 of 1,000 requests were handled without a wait.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -69,12 +69,18 @@
         )
 
     def parse(self, data):
-        """Parse received bytes; return their number of lines."""
+        """Parse received bytes; return the number of lines parsed.
+
+        What is kept for later requests counts when it is parsed.
+        """
+        lines = 0 if self._handlingRequest else data.count(b"\n")
         super().dataReceived(data)
+        if lines and self._handlingRequest:
+            lines -= sum(part.count(b"\n") for part in self._dataBuffer)
         if self.transport.disconnecting:
             self.turns.stop()
         self.watch_arrival()
-        return data.count(b"\n")
+        return lines
 
     def watch_arrival(self):
         """Wait a bounded time for the rest of a request."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -400,3 +400,27 @@
         request.end()
     server.settle()
     assert transport.disconnecting or transport.producerState == "producing"
+
+
+def test_requests_behind_an_answer_that_is_read_late_are_handled():
+    server = Server()
+    request, transport = server.open_stream()
+    request.write(BLOCK + BLOCK)
+    channel = transport.protocol
+    data = b"".join(REQUEST % n for n in range(2, 1002))
+    channel.dataReceived(data)
+    server.settle()
+    assert transport.producerState == "paused"
+    request.end()
+    server.site.handle = lambda request: (
+        server.requests.append(request),
+        request.answer(200, [], b"x"),
+    )
+    transport.read()
+    for _ in range(200):
+        server.settle(20)
+        transport.read()
+    assert [each.uri for each in server.requests] == [
+        b"/%d" % number for number in range(2, 1002)
+    ]
+    assert transport.producerState == "producing"
