Read no more of a caller that sends while it reads no answer

Twisted's server keeps what a caller sends behind a request that is being handled, and pauses the connection at 16 kB, but not while the caller does not read its answer. Such a caller made the daemon keep all that it sent; an answer that waits for its reader lasts as long as the caller wants. The connection is now paused in both cases.

--- a/packages/hollyspan_entry/hollyspan_entry/http/site.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/site.py
@@ -4,6 +4,7 @@
 
 from ..intake.limits import build_shares
 from ..intake.paced import PacedConnection
+from .channel import build_channel
 
 __all__ = ["DrainingSite"]
 
@@ -29,6 +30,8 @@
         Work of the loop, divided between the connections.
     """
 
+    protocol = staticmethod(build_channel)
+
     def __init__(self, root, **options):
         super().__init__(root, **options)
         self.is_closing = False
--- a/packages/hollyspan_entry/hollyspan_entry/http/tests/test_site.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/tests/test_site.py
@@ -3,6 +3,7 @@
 from twisted.internet import address
 from twisted.internet import task
 from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.web import http
 from twisted.web import resource
 
 from hollyspan_core.intake.turns import SLICE_BYTES
@@ -126,3 +127,42 @@
     # The last second, when all bursts are used up; a slice for each.
     overdraft = len(callers) * (SLICE_BYTES // len(ONE_BYTE) + 1)
     assert read[-1] - read[-101] <= SENDER_PIECES_PER_S + overdraft
+
+
+# Failure: what a caller sent while it read no answer was kept without end.
+def test_a_caller_that_sends_but_does_not_read_is_not_read():
+    harness = Harness()
+    channel = harness.connection._channel
+    requests = []
+    channel.requestFactory = lambda *args: KeptRequest(*args, kept=requests)
+    data = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+    harness.connection.dataReceived(data)
+    assert requests
+    # As the transport does while its buffer is full.
+    harness.transport.producer.pauseProducing()
+    sent = 0
+    while harness.transport.producerState == "producing" and sent < 100:
+        harness.connection.dataReceived(data * 1000)
+        harness.clock.pump([0.0] * 50)
+        sent += 1
+    assert sent < 10
+    harness.transport.producer.resumeProducing()
+    requests[0].finish()
+    harness.clock.pump([0.0] * 50)
+    assert len(requests) == 2
+    while len(requests) <= 1000 * sent:
+        requests[-1].finish()
+        harness.clock.pump([0.0] * 20)
+    requests[-1].finish()
+    assert harness.transport.producerState == "producing"
+
+
+class KeptRequest(http.Request):
+    """Request that a test answers."""
+
+    def __init__(self, *args, kept):
+        super().__init__(*args)
+        self.kept = kept
+
+    def process(self):
+        self.kept.append(self)
