--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -69,12 +69,18 @@
         )
 
     def parse(self, data):
-        """Parse received bytes; return their number of lines."""
+        """Parse received bytes; return the number of lines parsed.
+
+        What is kept for later requests counts when it is parsed.
+        """
+        lines = 0 if self._handlingRequest else data.count(b"\n")
         super().dataReceived(data)
+        if lines and self._handlingRequest:
+            lines -= sum(part.count(b"\n") for part in self._dataBuffer)
         if self.transport.disconnecting:
             self.turns.stop()
         self.watch_arrival()
-        return data.count(b"\n")
+        return lines
 
     def watch_arrival(self):
         """Wait a bounded time for the rest of a request."""
@@ -104,6 +110,9 @@
         super().allHeadersReceived()
 
     def rawDataReceived(self, data):
+        if self._handlingRequest:
+            self.keep_later(data)
+            return
         try:
             super().rawDataReceived(data)
         except IntakeExceededError as error:
@@ -114,6 +123,15 @@
             )
             self.refuse(status, error.message)
 
+    def keep_later(self, data):
+        """Keep the start of later requests, and read no more of them.
+
+        The base class reads on while the client does not read its answer.
+        """
+        self._dataBuffer.append(data)
+        if sum(map(len, self._dataBuffer)) > self._optimisticEagerReadSize:
+            self._networkProducer.pauseProducing()
+
     def refuse(self, status, reason):
         """Refuse a request that has not been read, and close."""
         eliot.log_message(
@@ -155,6 +173,11 @@
         super().requestDone(request)
         self.watch_arrival()
 
+    def setLineMode(self, extra=b""):
+        """Parse the next request, which was received before what waits."""
+        self.line_mode = 1
+        self.turns.put_back(extra)
+
     def write(self, data):
         if self.may_write():
             super().write(data)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -206,6 +206,25 @@
     assert transport.value().count(b"200 OK") == 50
 
 
+# Failure: the rest of a slice was parsed behind the slices that followed it.
+def test_pipelined_requests_longer_than_a_slice_keep_their_order():
+    server = Server()
+    channel, transport = server.connect()
+    server.site.handle = lambda request: (
+        server.requests.append(request),
+        request.answer(200, [], b"%d" % len(server.requests)),
+    )
+    body = bytes(3000)
+    head = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n"
+    channel.dataReceived(b"".join(head % n + body for n in range(20)))
+    server.settle(5000)
+    assert [each.uri for each in server.requests] == [
+        b"/%d" % number for number in range(20)
+    ]
+    assert not channel.turns.pending_bytes
+    assert transport.producerState == "producing"
+
+
 # Failure: a read of 64 kB in chunks of one byte was parsed in one turn.
 def test_a_body_in_small_chunks_is_read_in_turns():
     server = Server()
@@ -293,6 +312,23 @@
     assert server.site.intake.bodies.kept <= BODY_LIMIT
 
 
+# Failure: a few clients that stopped in the middle of long bodies made the
+# gateway refuse the short bodies of all others.
+def test_a_short_body_is_taken_beside_long_ones_that_stall():
+    server = Server(max_all_body_bytes=BODY_LIMIT)
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    for _ in range(2):
+        channel, _ = server.connect()
+        channel.dataReceived(head % BODY_LIMIT)
+        channel.dataReceived(bytes(BODY_LIMIT // 2))
+    channel, transport = server.connect()
+    channel.dataReceived(head % 1000 + bytes(1000))
+    assert not transport.value()
+    (request,) = server.requests
+    assert request.content.getvalue() == bytes(1000)
+    assert server.site.intake.bodies.kept <= BODY_LIMIT
+
+
 # Failure: each byte of a head or a body prolonged the wait for the rest.
 @pytest.mark.parametrize("has_body", [False, True])
 def test_a_request_that_trickles_is_refused(has_body):
@@ -358,3 +394,50 @@
         channel, _ = server.connect()
         channel.dataReceived(REQUEST % 1)
     assert server.connect() == (None, None)
+
+
+# Failure: what a client sent while it read no answer was kept without end.
+@pytest.mark.parametrize("is_ended", [False, True])
+def test_a_client_that_sends_but_does_not_read_is_not_read(is_ended):
+    server = Server()
+    request, transport = server.open_stream()
+    request.write(BLOCK + BLOCK)
+    if is_ended:
+        request.end()
+    channel = transport.protocol
+    sent = 0
+    while transport.producerState == "producing" and sent < 10 * MIB:
+        channel.dataReceived(BLOCK)
+        server.settle(100)
+        sent += len(BLOCK)
+    assert sent < MIB
+    transport.read()
+    if not is_ended:
+        assert transport.producerState == "paused"
+        request.end()
+    server.settle()
+    assert transport.disconnecting or transport.producerState == "producing"
+
+
+def test_requests_behind_an_answer_that_is_read_late_are_handled():
+    server = Server()
+    request, transport = server.open_stream()
+    request.write(BLOCK + BLOCK)
+    channel = transport.protocol
+    data = b"".join(REQUEST % n for n in range(2, 1002))
+    channel.dataReceived(data)
+    server.settle()
+    assert transport.producerState == "paused"
+    request.end()
+    server.site.handle = lambda request: (
+        server.requests.append(request),
+        request.answer(200, [], b"x"),
+    )
+    transport.read()
+    for _ in range(200):
+        server.settle(20)
+        transport.read()
+    assert [each.uri for each in server.requests] == [
+        b"/%d" % number for number in range(2, 1002)
+    ]
+    assert transport.producerState == "producing"
