A wait for a work share always moves the clock

After the share of a sender became 16,000 units a second, test_an_answer_without_end_is_not_kept[chunks] did not end: a bucket overdrawn by a rounding error gave a wait shorter than the clock's resolution, so that the next turn came at the same time and found the same wait. In a process, the loop would have turned in vain until its clock moved. A wait is 1 ms at least now. The new test of WorkShares fails without that; the test that did not end passes.

--- a/packages/hollyspan_policy/hollyspan_policy/intake/shares.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/shares.py
@@ -5,6 +5,8 @@
 # Time for which a sender counts among those over their shares after it has
 # used up its own.
 EXCESS_S = 10.0
+# Shortest wait: a rounding error of the clock must not be a wait of its own.
+MIN_WAIT_S = 0.001
 
 
 class WorkShares:
@@ -82,7 +84,9 @@
     def find_wait(self, sender, *, now):
         """Return the seconds until a sender may be read, 0 for at once."""
         tokens = self.measure(sender, now=now)
-        return max(0.0, -tokens / self.find_rate(sender, now=now))
+        if tokens >= 0.0:
+            return 0.0
+        return max(MIN_WAIT_S, -tokens / self.find_rate(sender, now=now))
 
     def find_rate(self, sender, *, now):
         """Return the rate of a sender, in pieces a second."""
--- a/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
@@ -88,3 +88,14 @@
             shares.charge("a", 5, now=step / 100)
             work += 5
     assert 1000 <= work <= 1060
+
+
+# Failure: a wait was too short to move the clock, and was asked for again and
+# again at the same time.
+def test_a_wait_always_moves_the_clock():
+    shares = WorkShares(rate=16_000.0, burst=8_000.0)
+    now = 1_800_000_000.0
+    shares.charge("a", 8_000 + 1e-6, now=now)
+    wait = shares.find_wait("a", now=now)
+    assert now + wait > now
+    assert shares.find_wait("a", now=now + wait) == 0.0
