Close a connection whose parser fails in a later turn

An exception in a turn that no read started left the connection open, paused and with bytes that nobody parsed. test_a_parser_that_fails_in_a_later_turn_closes_the_connection failed before.

--- a/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/tests/test_turns.py
@@ -1,5 +1,6 @@
 """Reading of one connection in turns."""
 
+import pytest
 from twisted.internet import task
 from twisted.internet.testing import StringTransport
 
@@ -206,3 +207,21 @@
     reader.turns.receive(b"a")
     reader.clock.pump([0.01] * 2)
     assert reader.parsed == [b"a"]
+
+
+# Failure: a connection stayed open and paused when its parser had failed.
+def test_a_parser_that_fails_in_a_later_turn_closes_the_connection():
+    reader = Reader()
+
+    def parse(data):
+        reader.parsed.append(data)
+        if len(reader.parsed) == 2:
+            raise KeyError("unknown")
+        return 1
+
+    reader.turns.parse = parse
+    reader.turns.receive(bytes(4 * SLICE_BYTES))
+    with pytest.raises(KeyError):
+        reader.clock.advance(0)
+    assert reader.transport.disconnecting
+    assert reader.turns.pending_bytes == 0
--- a/packages/hollyspan_core/hollyspan_core/intake/turns.py
+++ b/packages/hollyspan_core/hollyspan_core/intake/turns.py
@@ -207,6 +207,11 @@
         self.is_parsing = True
         try:
             return self.parse(data)
+        except Exception:
+            # Outside of a read nothing else would close the connection.
+            self.stop()
+            self.transport.abortConnection()
+            raise
         finally:
             self.is_parsing = False
 
