Answers that a gateway has no room for do not speak against upstreams

With the budget of all senders used up by others, three sound answers that were cut set their upstream aside. What this process has no room for has an error of its own now. test_a_gateway_without_room_sets_no_upstream_aside failed before.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -9,6 +9,7 @@
 from .document import DocumentInvalidError
 from .instances import InstanceListError
 from .intake import IntakeExceededError
+from .intake import IntakeFullError
 from .peer import PeerAnswerError
 from .peer import PeerAuthenticationError
 from .peer import PeerMessageError
@@ -83,6 +84,7 @@
     "InstanceStoppedError",
     "InvalidRequestError",
     "IntakeExceededError",
+    "IntakeFullError",
     "ItemAttemptsError",
     "ItemTimeoutError",
     "LeaseLostError",
--- a/packages/hollyspan_core/hollyspan_core/errors/intake.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/intake.py
@@ -2,7 +2,7 @@
 
 from .upstream import StreamMalformedError
 
-__all__ = ["IntakeExceededError"]
+__all__ = ["IntakeExceededError", "IntakeFullError"]
 
 
 class IntakeExceededError(StreamMalformedError):
@@ -10,3 +10,7 @@
 
     It keeps the code of malformed answers, which all builds know.
     """
+
+
+class IntakeFullError(IntakeExceededError):
+    """This process keeps too much already; the sender need not be at fault."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_faulty_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_faulty_upstreams.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hollyspan_core.errors import IntakeFullError
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamMalformedError
 
@@ -147,3 +148,18 @@
     fleet.faults.update(dict.fromkeys(fleet.upstreams, send_malformed_head))
     run_load(fleet, 4.0)
     assert placement.service_seconds > before / 2
+
+
+# Failure: answers for which the gateway had no room spoke against upstreams.
+def test_a_gateway_without_room_sets_no_upstream_aside(build_fleet):
+    def cut(connection):
+        connection.exchange.on_failure(IntakeFullError("no room"))
+
+    fleet = build_fleet(gateways=1, upstreams=4)
+    run_load(fleet, 2.0, name="warm")
+    fleet.faults[next(iter(fleet.upstreams))] = cut
+    run_load(fleet, 2.0)
+    directory = fleet.gateways[0].directory
+    assert not any(
+        each.outlier.failures for each in directory.upstreams.values()
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/outliers.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/outliers.py
@@ -4,6 +4,7 @@
 
 import eliot
 
+from hollyspan_core.errors import IntakeFullError
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_policy.outliers import find_outliers
@@ -151,7 +152,8 @@
     Returns
     -------
     bool
-        False for a connection that was lost: the link may be the cause.
+        False for a connection that was lost, since the link may be the
+        cause, and for what this gateway had no room for.
     """
     if isinstance(error, UpstreamAnswerError):
         # Another status says that the request is at fault.
@@ -159,4 +161,6 @@
         return status is not None and (
             status < CLIENT_ERROR_STATUS or status >= SERVER_ERROR_STATUS
         )
-    return isinstance(error, StreamMalformedError)
+    return isinstance(error, StreamMalformedError) and not isinstance(
+        error, IntakeFullError
+    )
--- a/packages/hollyspan_policy/hollyspan_policy/intake/budget.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/budget.py
@@ -3,6 +3,7 @@
 import contextlib
 
 from hollyspan_core.errors import IntakeExceededError
+from hollyspan_core.errors import IntakeFullError
 
 __all__ = ["ByteBudget"]
 
@@ -54,8 +55,8 @@
         ------
         callable
             Called with a number of bytes before they are kept, negative for
-            bytes that are no longer; raises IntakeExceededError when the
-            limit is reached.
+            bytes that are no longer; raises IntakeFullError when the limit
+            is reached, IntakeExceededError when that of the sender is.
         """
         own = 0
 
@@ -73,7 +74,7 @@
         """Keep more bytes of a sender, or fewer if the size is negative."""
         kept_of_sender = self.kept_by_sender.get(sender, 0) + size
         if size > 0 and self.kept + size > self.limit:
-            raise IntakeExceededError(
+            raise IntakeFullError(
                 f"{self.what} exceeds {self.limit} bytes in all"
             )
         if size > 0 and sender is not None:
