Let two reads of large jobs at a peer go on at once

The bytes kept of one sender had the bound of the largest answer, so that the second of two whole reads was cut. Found by reading; the bound is that of two answers now, a quarter of all.

--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/intake.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/intake.py
@@ -21,9 +21,10 @@
 SENDER_WORK_BURST = 8_000.0
 # A fifth of a loop for all senders over their shares.
 EXCESS_WORK_RATE = 20_000.0
-# Bytes of answers that are kept at once: of all senders, and of one.
+# Bytes of answers that are kept at once: of all senders, and of one, such as
+# two reads of large jobs at a peer.
 KEPT_BYTES = 64 * MIB
-KEPT_BYTES_PER_SENDER = 8 * MIB
+KEPT_BYTES_PER_SENDER = 16 * MIB
 # First bytes of each answer, which are not counted: usual answers are
 # shorter, and do not fail when others have used up the bytes to be kept.
 UNCOUNTED_BYTES = 64 * 1024
