Count a block as certain after two early trials that failed

The delays after the two early trials of a doubtful block began anew with 30 s, so that a part that does end upstreams was let through at 2, 10 and 40 s, and once more at 160 s: a fourth request after the fifth end, where three are allowed. They go on with those of a certain block now, 480 s.

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -139,12 +139,10 @@
     >>> choose_trial_delay(0), choose_trial_delay(1), choose_trial_delay(9)
     (30.0, 120.0, 3600.0)
     >>> [choose_trial_delay(n, is_doubtful=True) for n in range(4)]
-    [2.0, 8.0, 30.0, 120.0]
+    [2.0, 8.0, 480.0, 1920.0]
     """
-    if is_doubtful:
-        if failed_trials < DOUBTFUL_TRIALS:
-            return DOUBTFUL_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials
-        failed_trials -= DOUBTFUL_TRIALS
+    if is_doubtful and failed_trials < DOUBTFUL_TRIALS:
+        return DOUBTFUL_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials
     return min(
         MAX_TRIAL_DELAY_S,
         FIRST_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials,
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_coincidence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_coincidence.py
@@ -61,5 +61,6 @@
     assert not block.is_trial_due_here(now=25.9)
     assert block.is_trial_due_here(now=26.0)
     block.at, block.failed_trials = 26.0, 2
-    assert not block.is_trial_due_here(now=64.9)
-    assert block.is_trial_due_here(now=65.0)
+    # Two trials that have ended upstreams leave no doubt.
+    assert not block.is_trial_due_here(now=514.9)
+    assert block.is_trial_due_here(now=515.0)
