Drop no block that has an end of its own

A block counted as explained when a narrower group left fewer than three of its ends. A part that had ended two upstreams alone and three beside a sound part was dropped so and blocked again after the next end: one more request with it was sent on.

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -166,8 +166,9 @@
     Load pattern: the reports on an end come from all daemons, and some may
     come late to one of them. Without that of a fatal request, what its
     sound neighbours share explains the end, such as a part of all prompts. A
-    block that the reports known here would not have led to is dropped, if its
-    keys were in flight at ends that a narrower group explains.
+    block that the reports known here would not have led to is dropped, if a
+    narrower group explains all ends with its keys: one that it leaves may be
+    the work of these keys.
 
     Examples
     --------
@@ -197,7 +198,8 @@
         group = gather_group(keys, ends, survivals)
         # With fewer ends, what the block was decided on is not known here.
         if len(group.causes) >= MIN_ENDS and any(
-            is_explained_by(group, other) for other in others
+            is_explained_by(group, other) and other.causes >= group.causes
+            for other in others
         ):
             explained.append(keys)
     return explained
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -399,3 +399,16 @@
     assert not list_explained_blocks(
         blocks, ends, survivals={}, blocked=blocks
     )
+
+
+# Failure: the block of a fatal part was dropped, since a sound part was beside
+# it at three of its five ends, and one more request was sent on.
+def test_a_block_with_an_end_of_its_own_is_not_explained():
+    sound = 50
+    ends = [EndRecord(at=float(at)) for at in range(5)]
+    for number, end in enumerate(ends):
+        parts = (FATAL,) if number < 2 else (FATAL, sound)
+        end.requests = {(*parts, 1000 + number)}
+    assert not list_explained_blocks(
+        [frozenset({FATAL})], ends, survivals={}, blocked=[frozenset({FATAL})]
+    )
