Give a block's hash that is too long a typed error

A cache event with such a hash is ignored as before, now by DocumentInvalidError rather than by a bare ValueError. Tests of upstreams and intake: 38 passed; an event with 17 digits is ignored.

--- a/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
+++ b/packages/hollyspan_entry/hollyspan_entry/upstreams/polling.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import defer
 
+from hollyspan_core.errors import DocumentInvalidError
 from hollyspan_core.errors import UpstreamUnavailableError
 
 from ..intake.limits import CACHE_EVENTS
@@ -181,7 +182,7 @@
     try:
         block = read_block(event["block"])
         kind = event["kind"]
-    except (KeyError, TypeError, ValueError):
+    except (DocumentInvalidError, KeyError, TypeError, ValueError):
         return
     if kind == "stored":
         affinity.add(upstream, [block])
@@ -192,5 +193,5 @@
 def read_block(text):
     """Return the hash of a block, which the table of prefixes keeps."""
     if len(text) > BLOCK_DIGITS:
-        raise ValueError("the hash of a block is too long")
+        raise DocumentInvalidError("the hash of a block is too long")
     return int(text, 16)
