Tell whether upstreams without some keys ended at the same moment

A rack that is lost, with the items of a job at a few of its upstreams, leaves ends with the job's part and ends without it. The latter tell that something else ended them. The function has no caller yet.

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -2,6 +2,7 @@
 
 from .block import Block
 from .block import choose_trial_delay
+from .common_cause import has_common_cause
 from .decision import choose_blocks
 from .decision import has_ended_upstreams
 from .decision import list_explained_blocks
@@ -17,6 +18,7 @@
     "Block",
     "choose_blocks",
     "choose_trial_delay",
+    "has_common_cause",
     "has_ended_upstreams",
     "list_explained_blocks",
     "list_implicated_keys",
