Try each block soon, by the gateway that has a request

Callers saw items of sound parts open at the end: parts in flight at losses of upstreams at three moments were blocked as certain and tried after 30 s, and each gateway left 1 to 3 s to each one of a higher rank, whether or not that one had a request with the part.

Each block is tried 2 s after it, and 6 s after a trial that has ended an upstream; after two of these, or three trials of any result, rarely as before. The gateway that has a request claims the trial by a conditional write below hs/y/ and tells the others; without the store the gateways begin in turn within 4 s, whatever their number. One whose upstream ended together with others tells nothing, and neither does one that is given up. Runs of items that are trials are not preempted. A trial whose gateway is not heard any longer counts as failed.

Gateways that repeated a block to each other took over the time of the message, which is late by its transport; the time is taken over with new trials only. A survival before a decision refutes a block whose ends it clears.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -7,13 +7,8 @@
 from hollyspan_policy.crashes import Block
 from hollyspan_policy.hashing import format_hash
 
-from .records import build_key
-
 __all__ = ["BlockList", "describe_block"]
 
-# Shortest time between two checks of this gateway's rank for trials, which
-# take time for each gateway of the fleet.
-RANK_CHECK_INTERVAL_S = 0.5
 # Limit on the memory; the oldest block is forgotten.
 MAX_BLOCKS = 64
 # Shortest retry-after time of a refused request.
@@ -26,14 +21,16 @@
     Parameters
     ----------
     reactor : twisted reactor
-    find_trial_rank : callable
-        Called with a block's key, returns the number of gateways that may try
-        the block before this one, or None if this one may not.
+    may_try : callable
+        Called with a block and a request's identifier, returns whether the
+        request may be let through as a trial.
     is_doubtful : callable
         Called with keys, returns whether the upstreams that ended with them
         may have ended of another cause.
     on_block : callable
         Called with each new Block.
+    on_unblock : callable
+        Called with each Block that ends and the `reason`.
 
     Attributes
     ----------
@@ -43,17 +40,19 @@
 
     __slots__ = (
         "reactor",
-        "find_trial_rank",
+        "may_try",
         "is_doubtful",
         "on_block",
+        "on_unblock",
         "blocks",
     )
 
-    def __init__(self, *, reactor, find_trial_rank, is_doubtful, on_block):
+    def __init__(self, *, reactor, may_try, is_doubtful, on_block, on_unblock):
         self.reactor = reactor
-        self.find_trial_rank = find_trial_rank
+        self.may_try = may_try
         self.is_doubtful = is_doubtful
         self.on_block = on_block
+        self.on_unblock = on_unblock
         self.blocks = {}
 
     def find(self, keys):
@@ -63,26 +62,25 @@
                 return block
         return None
 
-    def may_send(self, keys):
-        """Return whether a request may be sent to an upstream now."""
+    def may_send(self, keys, *, request=None):
+        """Return whether a request may be sent to an upstream now.
+
+        Parameters
+        ----------
+        keys : tuple of int
+        request : str, optional
+            Its identifier; without one it cannot be a trial.
+        """
         if not self.blocks:
             return True
         block = self.find(keys)
-        return block is None or self.may_try(block)
-
-    def may_try(self, block):
-        """Return whether a request may be let through as a trial here."""
-        now = self.reactor.seconds()
-        if not block.is_trial_due(now=now):
-            return False
-        if now >= block.next_check_at:
-            block.next_check_at = now + RANK_CHECK_INTERVAL_S
-            block.trial_rank = self.find_trial_rank(build_key(block.keys))
-        return block.is_trial_due_here(now=now)
-
-    def require_allowed(self, keys, *, outcome):
+        if block is None:
+            return True
+        return request is not None and self.may_try(block, request)
+
+    def require_allowed(self, keys, *, outcome, request=None):
         """Raise RequestBlockedError for a request that may not be sent."""
-        if not self.may_send(keys):
+        if not self.may_send(keys, request=request):
             raise self.build_error(self.find(keys), outcome=outcome)
 
     def build_error(self, block, *, outcome=Outcome.UNKNOWN):
@@ -95,15 +93,15 @@
             retry_after=max(MIN_RETRY_AFTER_S, remaining),
         )
 
-    def add(self, keys, *, at, failed_trials=0):
+    def add(self, keys, *, at, failed_trials=0, void_trials=0):
         """Block the requests that have some keys.
 
         Parameters
         ----------
         keys : frozenset of int
         at : float
-            Time of the decision or of the last failed trial.
-        failed_trials : int, optional
+            Time of the decision or of the last trial that it has outlasted.
+        failed_trials, void_trials : int, optional
 
         Returns
         -------
@@ -113,8 +111,11 @@
         block = self.find(keys)
         if block is not None:
             if block.keys == keys:
-                block.at = max(block.at, at)
-                block.failed_trials = max(block.failed_trials, failed_trials)
+                block.merge(
+                    at=at,
+                    failed_trials=failed_trials,
+                    void_trials=void_trials,
+                )
             return block
         for wider in list(self.blocks.values()):
             if keys < wider.keys:
@@ -123,6 +124,7 @@
             keys=keys,
             at=at,
             failed_trials=failed_trials,
+            void_trials=void_trials,
             is_doubtful=self.is_doubtful(keys),
         )
         self.blocks[keys] = block
@@ -136,8 +138,12 @@
         """Let the requests with these keys through again."""
         if self.blocks.pop(block.keys, None) is not None:
             eliot.log_message(
-                "part:unblocked", reason=reason, **describe_block(block)
+                "part:unblocked",
+                reason=reason,
+                age=self.reactor.seconds() - block.decided_at,
+                **describe_block(block),
             )
+            self.on_unblock(block, reason=reason)
 
 
 def describe_block(block):
@@ -145,5 +151,6 @@
     return {
         "parts": [format_hash(key) for key in sorted(block.keys)],
         "failed_trials": block.failed_trials,
+        "void_trials": block.void_trials,
         "is_doubtful": block.is_doubtful,
     }
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -1,6 +1,7 @@
 """Refusal of requests that have ended upstreams."""
 
 import contextlib
+import math
 import random
 
 import eliot
@@ -9,6 +10,7 @@
 from hollyspan_policy.crashes import choose_blocks
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import has_ended_upstreams
+from hollyspan_policy.crashes import is_refuted
 from hollyspan_policy.crashes import list_explained_blocks
 from hollyspan_policy.crashes import list_implicated_keys
 from hollyspan_policy.crashes import may_be_coincidence
@@ -16,13 +18,13 @@
 from hollyspan_policy.hashing import format_hash
 
 from .block_list import BlockList
-from .block_list import describe_block
 from .detector import EndDetector
 from .detector import is_broken_off
 from .exposure import Exposure
 from .news import CrashNews
 from .records import BlockRecords
 from .records import build_key
+from .trials import BlockTrials
 
 __all__ = ["RequestGuard"]
 
@@ -31,6 +33,9 @@
 # answer, so that few gateways give it.
 DECISION_DELAY_S = 0.2
 MAX_SURVIVAL_DELAY_S = 0.1
+# Age up to which a survival may have been unknown to those that have decided
+# on a block: its validity, the three ends and the delays.
+RECALL_S = 10.0
 # Rounding of times that are added and subtracted.
 CLOCK_TOLERANCE_S = 0.001
 # Time in which the store drops the entry of an upstream that has ended: three
@@ -56,6 +61,7 @@
     started_at : float
         Time from which this gateway has heard of ends, seconds.
     block_list : BlockList
+    trials : BlockTrials
     exposures : set of Exposure
         All requests and items in flight from this gateway.
     seen_ends : dict
@@ -85,6 +91,7 @@
         "news",
         "records",
         "block_list",
+        "trials",
         "decision_call",
         "survival_call",
     )
@@ -103,11 +110,13 @@
         )
         self.news = CrashNews(gateway=gateway)
         self.records = BlockRecords(gateway=gateway, guard=self)
+        self.trials = BlockTrials(gateway=gateway, guard=self)
         self.block_list = BlockList(
             reactor=gateway.reactor,
-            find_trial_rank=self.records.find_trial_rank,
+            may_try=self.trials.may_try,
             is_doubtful=self.may_be_coincidence,
             on_block=self.break_off,
+            on_unblock=self.trials.note_unblocked,
         )
         self.decision_call = None
         self.survival_call = None
@@ -142,18 +151,16 @@
         )
         exposure.is_in_silence = self.gateway.reach.is_silent(upstream)
         self.exposures.add(exposure)
-        block = self.block_list.find(keys) if self.blocks else None
-        if block is not None:
-            block.is_tried = True
-            eliot.log_message(
-                "part:tried", request=request, **describe_block(block)
-            )
+        if self.blocks:
+            self.trials.begin(exposure)
         try:
             yield exposure
+        except BaseException as error:
+            self.trials.note_left(exposure, error)
+            raise
         finally:
             self.exposures.discard(exposure)
-            if block is not None:
-                block.end_trial(now=self.gateway.reactor.seconds())
+            self.trials.note_closed(exposure)
 
     def has_ended_upstreams(self, fingerprint, *, before):
         """Return whether a request may have ended upstreams before a time."""
@@ -209,6 +216,7 @@
             if self.gateway.reach.is_silent(exposure.upstream):
                 exposure.is_in_silence = True
             self.detector.note_lost(exposure)
+        self.trials.note_result(exposure, error)
 
     def note_complete(self, exposure):
         if not exposure.has_survived:
@@ -240,14 +248,35 @@
         refuted = [
             block
             for block in self.blocks.values()
-            if at > block.at and block.keys.issubset(keys)
+            if block.keys.issubset(keys)
+            and self.refutes(
+                block.keys,
+                decided_at=block.at,
+                failed_trials=block.failed_trials,
+                survived_at=at,
+            )
         ]
         for block in refuted:
             self.block_list.remove(block, reason="survived")
+            if at <= block.at:
+                self.withdraw(block.keys)
         for block in list(self.blocks.values()):
             self.narrow(block)
         return refuted
 
+    def refutes(self, keys, *, decided_at, failed_trials, survived_at):
+        """Return whether a survival contradicts a block.
+
+        One before the decision does if the ends that are known here are too
+        few without those that it clears, and no trial has failed since.
+        """
+        return is_refuted(
+            keys,
+            [] if failed_trials else self.list_ends(),
+            decided_at=decided_at,
+            survived_at=survived_at,
+        )
+
     def apply_removal(self, block):
         """Withdraw a block whose record was removed from the store."""
         now = self.gateway.reactor.seconds()
@@ -264,7 +293,10 @@
         )
         if keys != block.keys:
             narrower = self.block_list.add(
-                keys, at=block.at, failed_trials=block.failed_trials
+                keys,
+                at=block.at,
+                failed_trials=block.failed_trials,
+                void_trials=block.void_trials,
             )
             self.news.tell_block(narrower)
             self.records.replace(block, narrower)
@@ -344,8 +376,10 @@
         requests = self.seen_ends.pop(key, ())
         now = self.gateway.reactor.seconds()
         for block in list(self.blocks.values()):
-            if any(block.keys.issubset(keys) for keys in requests):
-                self.extend_block(block, now=now)
+            if any(
+                block.keys.issubset(keys) for keys in requests
+            ) and not self.trials.note_end(block, key):
+                block.at = now
 
     def apply_end(
         self, key, requests, *, at, is_confirmed, fingerprints=frozenset()
@@ -451,24 +485,30 @@
         for keys in self.list_explained(untried):
             self.block_list.remove(self.blocks[keys], reason="explained")
 
-    def apply_block(self, keys, *, at, failed_trials):
+    def apply_block(self, keys, *, at, failed_trials, void_trials=0):
         """Apply a block of a peer or of the store.
 
         Parameters
         ----------
         keys : frozenset of int
         at : float
-            Time of the decision or of the last failed trial.
-        failed_trials : int
+            Time of the decision or of the last trial that it has outlasted.
+        failed_trials, void_trials : int
         """
         if self.news.is_refuted(keys, since=at):
             return
-        if keys in self.declined and self.has_survived(keys, since=at):
-            self.news.note_refutation(keys, at=self.gateway.reactor.seconds())
-            self.records.withdraw(keys)
+        if keys not in self.blocks and self.has_survived(keys, since=at):
+            self.withdraw(keys)
         elif keys in self.blocks or failed_trials or not self.declines(keys):
             self.declined.pop(keys, None)
-            self.block_list.add(keys, at=at, failed_trials=failed_trials)
+            if keys not in self.blocks and not failed_trials:
+                self.recall_survival(keys)
+            self.block_list.add(
+                keys,
+                at=at,
+                failed_trials=failed_trials,
+                void_trials=void_trials,
+            )
 
     def has_survived(self, keys, *, since):
         """Return whether an upstream has survived a single key later."""
@@ -477,6 +517,39 @@
             survivals.get(key, since) > since for key in keys
         )
 
+    def recall_survival(self, keys):
+        """Tell of a survival that those who have decided may not know."""
+        now = self.gateway.reactor.seconds()
+        survived = tuple(sorted(keys))
+        for key in survived:
+            at = self.evidence.survivals.get(key, -math.inf)
+            if len(survived) == 1 and now - at < RECALL_S:
+                self.tell_later(survived, at=at)
+
+    def withdraw(self, keys):
+        """Tell that a block which is not in force here was survived."""
+        now = self.gateway.reactor.seconds()
+        self.news.note_refutation(keys, at=now)
+        self.records.withdraw(keys)
+        self.tell_later(tuple(sorted(keys)), at=now)
+
+    def tell_later(self, keys, *, at):
+        """Tell of a survival, unless another gateway does before.
+
+        The delay is random, so that few do.
+        """
+        self.gateway.reactor.callLater(
+            random.uniform(0.0, MAX_SURVIVAL_DELAY_S),
+            self.tell_unless_told,
+            keys,
+            at,
+            self.gateway.reactor.seconds(),
+        )
+
+    def tell_unless_told(self, keys, at, since):
+        if not self.news.has_told(keys, since=since):
+            self.news.tell_survival(keys, at=at)
+
     def declines(self, keys):
         """Return whether the reports known here explain a block's ends."""
         now = self.gateway.reactor.seconds()
@@ -495,16 +568,6 @@
             )
         return True
 
-    def extend_block(self, block, *, now):
-        """Extend a block under which one more upstream has ended."""
-        has_failed_trial = now >= block.trial_at
-        block.at = now
-        if has_failed_trial:
-            block.failed_trials += 1
-            self.records.update(block)
-            # The gateways of a lower rank must not try it again.
-            self.news.tell_block(block)
-
     def break_off(self, block):
         """Break off the blocked requests that are held or in flight."""
         error = self.block_list.build_error(block)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -1,5 +1,7 @@
 """Messages to other gateways about ended upstreams and blocks."""
 
+import math
+
 from .notices import BlockNotice
 from .notices import EndNotice
 from .notices import SurvivalNotice
@@ -32,12 +34,16 @@
         upstream's key.
     survivals : dict
         Time of a survival by the keys, of those told here or by a peer.
+    told : dict
+        Time of the last message about a survival by the keys, sent or
+        received.
     """
 
     __slots__ = (
         "gateway",
         "ends",
         "survivals",
+        "told",
         "unsent_ends",
         "unsent_survivals",
         "unsent_blocks",
@@ -48,6 +54,7 @@
         self.gateway = gateway
         self.ends = {}
         self.survivals = {}
+        self.told = {}
         self.unsent_ends = set()
         self.unsent_survivals = set()
         self.unsent_blocks = set()
@@ -74,9 +81,14 @@
     def tell_survival(self, keys, *, at):
         """Tell that an upstream has survived a request."""
         self.remember_survival(keys, at)
+        remember(self.told, keys, self.gateway.reactor.seconds())
         self.unsent_survivals.add(keys)
         self.schedule_send()
 
+    def has_told(self, keys, *, since):
+        """Return whether a message told of a survival after a time."""
+        return self.told.get(keys, -math.inf) > since
+
     def note_refutation(self, keys, *, at):
         """Include a refutation that all gateways read in heartbeats."""
         self.remember_survival(tuple(sorted(keys)), at)
@@ -86,7 +98,7 @@
         remember(self.survivals, keys, max(at, self.survivals.get(keys, at)))
 
     def tell_block(self, block):
-        """Tell of a new block or a failed trial."""
+        """Tell of a new block, or of a trial that begins or has ended."""
         self.unsent_blocks.add(block.keys)
         self.schedule_send()
 
@@ -169,6 +181,8 @@
                     keys=tuple(sorted(keys)),
                     age=now - block.at,
                     failed_trials=block.failed_trials,
+                    void_trials=block.void_trials,
+                    is_tried=self.gateway.guard.trials.is_tried_here(block),
                 )
                 for keys, block in limit_notices(known_blocks, blocks)
             ],
@@ -188,6 +202,7 @@
             )
         for notice in message.survivals:
             at = now - notice.age
+            remember(self.told, notice.keys, now)
             if notice.age < REPETITION_S:
                 self.remember_survival(notice.keys, at)
             guard.apply_survival(notice.keys, at=at)
@@ -196,6 +211,12 @@
                 frozenset(notice.keys),
                 at=now - notice.age,
                 failed_trials=notice.failed_trials,
+                void_trials=notice.void_trials,
+            )
+            guard.trials.note_elsewhere(
+                frozenset(notice.keys),
+                message.sender,
+                is_tried=notice.is_tried,
             )
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
@@ -64,11 +64,18 @@
     age : float
         Time since the decision or the last failed trial, seconds.
     failed_trials : int
+    void_trials : int, optional
+    is_tried : bool, optional
+        True while the sender makes a trial.
     """
 
-    __slots__ = ("keys", "age", "failed_trials")
+    __slots__ = ("keys", "age", "failed_trials", "void_trials", "is_tried")
 
-    def __init__(self, *, keys, age, failed_trials):
+    def __init__(
+        self, *, keys, age, failed_trials, void_trials=0, is_tried=False
+    ):
         self.keys = keys
         self.age = age
         self.failed_trials = failed_trials
+        self.void_trials = void_trials
+        self.is_tried = is_tried
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -14,9 +14,12 @@
 from ..clock import wait
 from ..store import Mirror
 
-__all__ = ["BlockRecords", "build_key"]
+__all__ = ["BlockRecords", "CLAIMS_PREFIX", "build_key"]
 
 BLOCKS_PREFIX = "hs/x/"
+# Apart from the blocks, since the previous build reads all entries below their
+# prefix as blocks.
+CLAIMS_PREFIX = "hs/y/"
 # Delay of the readers of the store that write a block in place of its owner.
 SUBSTITUTE_DELAY_S = 2.0
 RETRY_DELAY_S = 1.0
@@ -62,7 +65,7 @@
         self.start_work(self.write(block))
 
     def update(self, block):
-        """Write a block again after a trial that has failed here."""
+        """Write a block again after a trial here that it has outlasted."""
         self.start_work(self.put(block))
 
     def replace(self, block, narrower):
@@ -100,6 +103,7 @@
             "parts": sorted(block.keys),
             "blocked_at": self.gateway.wall_clock() - age,
             "failed_trials": block.failed_trials,
+            "void_trials": block.void_trials,
         }
         while block.keys in self.guard.blocks:
             try:
@@ -119,9 +123,10 @@
             await self.erase(key)
 
     async def erase(self, key):
+        claim = key.replace(BLOCKS_PREFIX, CLAIMS_PREFIX, 1)
         while True:
             try:
-                await self.gateway.store.remove([key])
+                await self.gateway.store.remove([key, claim])
                 return
             except StoreUnavailableError as error:
                 eliot.log_message("part:not_removed", reason=error.message)
@@ -139,38 +144,26 @@
             able.append(peers.identifier)
         return choose_owner(key, able) == peers.identifier
 
-    def find_trial_rank(self, key):
-        """Find the rank of this gateway for letting a trial through.
-
-        Parameters
-        ----------
-        key : str
-            Key of the block's record.
+    def find_trial_share(self, block):
+        """Find the place of this gateway among those that may try a block.
 
         Returns
         -------
-        int or None
-            Number of gateways before this one; None if it reaches no
-            upstream.
-
-        Notes
-        -----
-        Requests of clients come to some gateways, and items are run by
-        others. Each kind is ranked by itself, and the latter begin later.
+        float or None
+            Share of the gateways that come before this one; None if it
+            reaches no upstream.
         """
         gateway = self.gateway
         if gateway.reach.is_confirmed:
             return None
-        runs_batch = gateway.settings.runs_batch
         able = [
             peer.identifier
             for peer in gateway.peers.list_live()
-            if peer.runs_batch == runs_batch
-            and not peer.is_cut_off
-            and not peer.is_leaving
+            if not peer.is_cut_off and not peer.is_leaving
         ]
-        own = gateway.peers.identifier
-        return rank_owners(key, [*able, own]).index(own) + runs_batch
+        able.append(gateway.peers.identifier)
+        ranked = rank_owners(build_key(block.keys), able)
+        return ranked.index(gateway.peers.identifier) / len(ranked)
 
     def apply(self, mirror):
         """Apply the blocks in the store, and withdraw those removed."""
@@ -182,6 +175,8 @@
                 keys = frozenset(int(each) for each in content["parts"])
                 age = self.gateway.wall_clock() - float(content["blocked_at"])
                 failed_trials = int(content["failed_trials"])
+                # The previous build does not write it.
+                void_trials = int(content.get("void_trials", 0))
             except (
                 ArithmeticError,
                 LookupError,
@@ -198,7 +193,12 @@
                 continue
             at = now - max(0.0, age)
             stored[key] = keys
-            self.guard.apply_block(keys, at=at, failed_trials=failed_trials)
+            self.guard.apply_block(
+                keys,
+                at=at,
+                failed_trials=failed_trials,
+                void_trials=void_trials,
+            )
         for key, keys in self.seen.items():
             block = self.guard.blocks.get(keys)
             if key not in stored and block is not None:
@@ -206,6 +206,6 @@
         self.seen = stored
 
 
-def build_key(keys):
-    """Return the key of a block in the store."""
-    return f"{BLOCKS_PREFIX}{hash_parts(*map(str, sorted(keys))):016x}"
+def build_key(keys, *, prefix=BLOCKS_PREFIX):
+    """Return the key of a block, or of a claim to its trial, in the store."""
+    return f"{prefix}{hash_parts(*map(str, sorted(keys))):016x}"
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
@@ -0,0 +1,65 @@
+"""One trial of a block and the right to make it."""
+
+__all__ = ["Trial", "TrialGrant"]
+
+
+class TrialGrant:
+    """Right of this gateway to make the next trial of a block.
+
+    Parameters
+    ----------
+    until : float
+        Time until which it holds, reactor seconds.
+    is_claimed : bool
+        Whether the claim is in the store.
+
+    Attributes
+    ----------
+    request : str or None
+        Identifier of the request that is let through with it.
+    """
+
+    __slots__ = ("until", "is_claimed", "request")
+
+    def __init__(self, *, until, is_claimed):
+        self.until = until
+        self.is_claimed = is_claimed
+        self.request = None
+
+
+class Trial:
+    """A request that was let through a block.
+
+    Parameters
+    ----------
+    block : Block
+    grant : TrialGrant
+    exposure : Exposure
+    started_at : float
+        Reactor seconds.
+
+    Attributes
+    ----------
+    has_ended_upstream : bool
+        True once the end of its upstream is known.
+    """
+
+    __slots__ = (
+        "block",
+        "grant",
+        "exposure",
+        "started_at",
+        "has_ended_upstream",
+    )
+
+    def __init__(self, *, block, grant, exposure, started_at):
+        self.block = block
+        self.grant = grant
+        self.exposure = exposure
+        self.started_at = started_at
+        self.has_ended_upstream = False
+
+    @property
+    def upstream_key(self):
+        """Key of the upstream's incarnation."""
+        return self.exposure.upstream.entry.incarnation_key
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -0,0 +1,447 @@
+"""Trials of blocks, one at a time in the fleet."""
+
+import math
+
+import eliot
+from twisted.internet import defer
+
+from hollyspan_core.errors import InvalidRequestError
+from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_policy.crashes import choose_trial_slot
+from hollyspan_policy.crashes import CLAIM_SPREAD_S
+from hollyspan_policy.crashes import has_common_cause
+from hollyspan_policy.crashes import has_request
+from hollyspan_policy.crashes import is_calm
+from hollyspan_policy.crashes import SPREAD_WITHOUT_STORE_S
+
+from .block_list import describe_block
+from .claims import TrialClaims
+from .detector import is_broken_off
+from .trial import Trial
+from .trial import TrialGrant
+
+__all__ = ["BlockTrials"]
+
+# Shortest time between two checks whether a trial is due, which many items
+# ask for.
+CHECK_INTERVAL_S = 0.05
+# Time between two checks of the place of this gateway, which take time for
+# each gateway of the fleet.
+SHARE_CHECK_INTERVAL_S = 0.5
+# Time for which a gateway may use a claim.
+GRANT_S = 2.0
+# Longest time that a request waits for the claim to its trial.
+CLAIM_WAIT_S = 0.5
+# Time after a trial in which its upstream's end, if it is one, is detected.
+TRIAL_CHECK_S = 2.0
+# Time of a trial after which the next one may begin.
+MAX_TRIAL_S = 5.0
+# Time from the end to the verdict, in which other gateways report ends.
+VERDICT_DELAY_S = 0.2
+# Delay of the first repetition of the news of a trial, which may be lost,
+# interval of the others, and time without them after which the gateway that
+# makes it counts as gone.
+FIRST_REPETITION_S = 0.05
+REPETITION_INTERVAL_S = 1.0
+TRIAL_NEWS_EXPIRY_S = 3.5
+# Age up to which an end with the keys may be that of another gateway's trial.
+RECENT_END_S = 1.0
+
+
+class BlockTrials:
+    """Lets requests through blocks and judges what comes of it.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    guard : RequestGuard
+
+    Attributes
+    ----------
+    claims : TrialClaims
+    claiming : set of frozenset of int
+        Keys of the blocks whose trials are being claimed.
+    grants : dict
+        TrialGrant by a block's keys.
+    own : dict
+        Trial that is in flight here, or not judged yet, by a block's keys.
+    elsewhere : dict
+        (peer's key, time of its last message, failed trials) of the trials
+        that peers make, by a block's keys.
+    checked : dict
+        Time of the last check whether a trial is due, by a block's keys.
+    shares : dict
+        Time and result of the last check of this gateway's place, by a
+        block's keys.
+    postponed : dict
+        Number of trials before the one that was postponed, by a block's keys.
+
+    Notes
+    -----
+    The gateway that has a request claims the trial; the others hear of it.
+    """
+
+    __slots__ = (
+        "gateway",
+        "guard",
+        "claims",
+        "claiming",
+        "grants",
+        "own",
+        "elsewhere",
+        "checked",
+        "shares",
+        "postponed",
+    )
+
+    def __init__(self, *, gateway, guard):
+        self.gateway = gateway
+        self.guard = guard
+        self.claims = TrialClaims(gateway=gateway)
+        self.claiming = set()
+        self.grants = {}
+        self.own = {}
+        self.elsewhere = {}
+        self.checked = {}
+        self.shares = {}
+        self.postponed = {}
+
+    def is_tried_here(self, block):
+        """Return whether a trial of a block is in flight here."""
+        return block.keys in self.own
+
+    def may_try(self, block, request):
+        """Return whether a request may be let through as a trial now.
+
+        The trial is claimed when it is due; a later call tells of it.
+        """
+        if self.is_due(block):
+            self.start_claim(block)
+        grant = self.grants.get(block.keys)
+        if grant is None or block.keys in self.own:
+            return False
+        if grant.request not in (None, request):
+            return False
+        grant.request = request
+        return True
+
+    async def claim_for(self, keys):
+        """Wait shortly for the claim if a request can be the trial."""
+        block = self.guard.block_list.find(keys) if self.guard.blocks else None
+        if block is None or not self.is_due(block):
+            return
+        work = self.start_claim(block)
+        waiter = defer.Deferred()
+        timer = self.gateway.reactor.callLater(
+            CLAIM_WAIT_S, waiter.callback, None
+        )
+
+        def resume(_):
+            if timer.active():
+                timer.cancel()
+                waiter.callback(None)
+
+        work.addBoth(resume)
+        try:
+            await waiter
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def is_due(self, block):
+        """Return whether this gateway may claim a trial now."""
+        keys = block.keys
+        now = self.gateway.reactor.seconds()
+        if (
+            now < block.trial_at
+            or keys in self.own
+            or keys in self.grants
+            or keys in self.claiming
+            or now < self.checked.get(keys, 0.0) + CHECK_INTERVAL_S
+        ):
+            return False
+        self.checked[keys] = now
+        return (
+            not self.is_tried_elsewhere(block)
+            and not self.must_postpone(block)
+            and self.has_slot(block)
+        )
+
+    def has_slot(self, block):
+        """Return whether the time of this gateway for a trial has come."""
+        now = self.gateway.reactor.seconds()
+        checked_at, share = self.shares.get(block.keys, (-math.inf, None))
+        if now >= checked_at + SHARE_CHECK_INTERVAL_S:
+            share = self.guard.records.find_trial_share(block)
+            self.shares[block.keys] = now, share
+        return share is not None and now >= block.trial_at + choose_trial_slot(
+            share, has_store=self.claims.has_store()
+        )
+
+    def must_postpone(self, block):
+        """Return whether upstreams are ending, with these keys or others."""
+        now = self.gateway.reactor.seconds()
+        ends = self.guard.evidence.ends.values()
+        if any(
+            now - end.at < RECENT_END_S and has_request(end, block.keys)
+            for end in ends
+        ):
+            return True
+        spread = (
+            CLAIM_SPREAD_S
+            if self.claims.has_store()
+            else SPREAD_WITHOUT_STORE_S
+        )
+        if now >= block.get_latest_trial_time(spread=spread) or is_calm(
+            block.keys, ends, now=now, blocked=self.guard.blocks
+        ):
+            return False
+        if self.postponed.get(block.keys) != block.trial_count:
+            self.postponed[block.keys] = block.trial_count
+            eliot.log_message("part:trial_postponed", **self.describe(block))
+        return True
+
+    def is_tried_elsewhere(self, block):
+        """Return whether a peer makes a trial.
+
+        One whose peer is not heard any longer counts as failed: the upstream
+        may have ended, and nobody else knows with what.
+        """
+        if block.keys not in self.elsewhere:
+            return False
+        _, heard_at, failed_trials = self.elsewhere[block.keys]
+        now = self.gateway.reactor.seconds()
+        if now - heard_at < TRIAL_NEWS_EXPIRY_S:
+            return True
+        del self.elsewhere[block.keys]
+        if block.failed_trials > failed_trials:
+            return False
+        block.note_failed_trial(now=now)
+        eliot.log_message(
+            "part:trial_ended",
+            result="failed",
+            reason="its gateway is gone",
+            **self.describe(block),
+        )
+        self.publish(block)
+        return True
+
+    def note_elsewhere(self, keys, sender, *, is_tried):
+        """Note whether a peer makes a trial, as its message tells."""
+        block = self.guard.blocks.get(keys)
+        if block is None:
+            self.elsewhere.pop(keys, None)
+        elif is_tried:
+            now = self.gateway.reactor.seconds()
+            self.elsewhere[keys] = sender, now, block.failed_trials
+        elif keys in self.elsewhere and self.elsewhere[keys][0] == sender:
+            del self.elsewhere[keys]
+
+    def start_claim(self, block):
+        """Claim the next trial of a block; return a Deferred."""
+        self.claiming.add(block.keys)
+        work = defer.ensureDeferred(self.claim(block))
+        work.addErrback(eliot.write_failure)
+        return work
+
+    async def claim(self, block):
+        trial_count = block.trial_count
+        try:
+            has_claim = await self.claims.acquire(block)
+        finally:
+            self.claiming.discard(block.keys)
+        if has_claim is False:
+            return
+        if has_claim is None and not self.has_slot(block):
+            return
+        is_current = (
+            self.guard.blocks.get(block.keys) is block
+            and block.trial_count == trial_count
+        )
+        if not is_current or self.is_tried_elsewhere(block):
+            if has_claim:
+                self.claims.release(block)
+            return
+        self.grant(
+            block,
+            TrialGrant(
+                until=self.gateway.reactor.seconds() + GRANT_S,
+                is_claimed=bool(has_claim),
+            ),
+        )
+
+    def grant(self, block, grant):
+        """Let a request through until the grant ends."""
+        self.grants[block.keys] = grant
+        delay = max(0.0, grant.until - self.gateway.reactor.seconds())
+        self.gateway.reactor.callLater(delay, self.end_grant, block, grant)
+
+    def end_grant(self, block, grant):
+        """End a grant that no request has used."""
+        if self.grants.get(block.keys) is grant:
+            del self.grants[block.keys]
+            if grant.is_claimed:
+                self.claims.release(block)
+
+    def begin(self, exposure):
+        """Begin a trial if a request is let through with a grant."""
+        for keys, grant in self.grants.items():
+            if grant.request == exposure.request and keys.issubset(
+                exposure.keys
+            ):
+                break
+        else:
+            return
+        block = self.guard.blocks.get(keys)
+        if block is None or keys in self.own:
+            return
+        del self.grants[keys]
+        trial = self.own[keys] = Trial(
+            block=block,
+            grant=grant,
+            exposure=exposure,
+            started_at=self.gateway.reactor.seconds(),
+        )
+        eliot.log_message(
+            "part:tried", request=exposure.request, **self.describe(block)
+        )
+        self.guard.news.tell_block(block)
+        self.gateway.reactor.callLater(
+            FIRST_REPETITION_S, self.repeat_news, trial
+        )
+        self.gateway.reactor.callLater(MAX_TRIAL_S, self.end_unchecked, trial)
+
+    def repeat_news(self, trial):
+        """Tell the others that a trial goes on."""
+        if self.is_open(trial):
+            self.guard.news.tell_block(trial.block)
+            self.gateway.reactor.callLater(
+                REPETITION_INTERVAL_S, self.repeat_news, trial
+            )
+
+    def is_open(self, trial):
+        return self.own.get(trial.block.keys) is trial
+
+    def find(self, exposure):
+        """Return the open trial that a tracked request is, or None."""
+        for trial in self.own.values():
+            if trial.exposure is exposure:
+                return trial
+        return None
+
+    def note_left(self, exposure, error):
+        """Note that a tracked request was given up."""
+        trial = self.find(exposure) if self.own else None
+        if trial is None:
+            return
+        if isinstance(error, (InvalidRequestError, UpstreamUnavailableError)):
+            self.end(trial, "not_sent", reason=error.code)
+        else:
+            self.end(trial, "void", reason="the request was given up")
+
+    def note_closed(self, exposure):
+        """Note that a tracked request is no longer in flight."""
+        trial = self.find(exposure) if self.own else None
+        if trial is not None:
+            self.gateway.reactor.callLater(
+                TRIAL_CHECK_S, self.end_unchecked, trial
+            )
+
+    def note_result(self, exposure, error):
+        """Note how a tracked request has ended."""
+        trial = self.find(exposure) if self.own else None
+        if trial is None:
+            return
+        if is_broken_off(error):
+            # Whether the upstream has ended is being checked.
+            return
+        if isinstance(error, UpstreamUnavailableError):
+            self.end(trial, "not_sent", reason=error.code)
+        else:
+            reason = "no survival" if error is None else error.code
+            self.end(trial, "void", reason=reason)
+
+    def end_unchecked(self, trial):
+        """End a trial that has told nothing in time."""
+        if self.is_open(trial) and not trial.has_ended_upstream:
+            self.end(trial, "void", reason="no result in time")
+
+    def note_end(self, block, upstream_key):
+        """Note the end of an upstream that had a blocked request in flight.
+
+        Returns
+        -------
+        bool
+            Whether it is the trial of this gateway.
+        """
+        trial = self.own.get(block.keys)
+        if trial is None or trial.upstream_key != upstream_key:
+            return False
+        if not trial.has_ended_upstream:
+            trial.has_ended_upstream = True
+            self.gateway.reactor.callLater(VERDICT_DELAY_S, self.judge, trial)
+        return True
+
+    def judge(self, trial):
+        """Judge a trial whose upstream has ended."""
+        if not self.is_open(trial):
+            return
+        evidence = self.guard.evidence
+        end = evidence.ends.get(trial.upstream_key)
+        keys = trial.block.keys
+        if end is not None and has_common_cause(
+            keys, end, evidence.ends.values(), blocked=self.guard.blocks
+        ):
+            self.end(trial, "void", reason="others ended as well")
+        else:
+            self.end(trial, "failed")
+
+    def note_unblocked(self, block, *, reason):
+        """End what belongs to a block that is not in force any longer."""
+        for by_keys in (
+            self.elsewhere,
+            self.checked,
+            self.shares,
+            self.postponed,
+        ):
+            by_keys.pop(block.keys, None)
+        self.grants.pop(block.keys, None)
+        if block.keys in self.own:
+            self.end(self.own[block.keys], reason)
+
+    def end(self, trial, result, *, reason=None):
+        """End a trial: survived, failed, void or not sent."""
+        block = trial.block
+        now = self.gateway.reactor.seconds()
+        del self.own[block.keys]
+        if result == "failed":
+            block.note_failed_trial(now=now)
+        elif result == "void":
+            block.note_void_trial(now=now)
+        eliot.log_message(
+            "part:trial_ended",
+            request=trial.exposure.request,
+            upstream=trial.exposure.upstream.entry.name,
+            result=result,
+            reason=reason,
+            seconds=now - trial.started_at,
+            **self.describe(block),
+        )
+        if block.keys not in self.guard.blocks:
+            return
+        if result == "not_sent":
+            self.guard.news.tell_block(block)
+            trial.grant.request = None
+            self.grant(block, trial.grant)
+        else:
+            self.publish(block)
+
+    def publish(self, block):
+        """Tell the others and the store of a trial that has ended."""
+        self.guard.records.update(block)
+        self.guard.news.tell_block(block)
+
+    def describe(self, block):
+        """Return the fields of a block and its age for a log line."""
+        age = self.gateway.reactor.seconds() - block.decided_at
+        return {**describe_block(block), "age": age}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -102,6 +102,13 @@
         if self.deferred is not None:
             self.deferred.cancel()
 
+    def is_trial(self):
+        """Return whether the run is to show that its part is sound."""
+        return (
+            self.exposure is not None
+            and self.gateway.guard.trials.find(self.exposure) is not None
+        )
+
     async def run(self):
         head = RequestHead(
             identifier=self.state.item.identifier,
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -243,7 +243,9 @@
             state.hindrance = "no_route"
             self.handle_missing_route(state)
             return
-        if not self.gateway.guard.block_list.may_send(state.shared_parts):
+        if not self.gateway.guard.block_list.may_send(
+            state.shared_parts, request=state.item.identifier
+        ):
             return
         upstream = self.placement.choose(
             state,
@@ -360,7 +362,7 @@
             (
                 state
                 for state in self.running.values()
-                if state.run.upstream is upstream
+                if state.run.upstream is upstream and not state.run.is_trial()
             ),
             key=lambda state: self.rank(state, now),
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -160,7 +160,7 @@
         StreamLostError
             A part of the answer was sent and no upstream delivers the rest.
         """
-        self.require_allowed()
+        await self.require_allowed()
         if self.version is not None:
             self.service = find_service(
                 self.gateway, self.route, self.version, outcome=self.outcome
@@ -172,7 +172,7 @@
         ):
             await self.gateway.held.wait(self)
         while True:
-            self.require_allowed()
+            await self.require_allowed()
             error = await self.attempt()
             if error is None:
                 self.finish()
@@ -251,10 +251,14 @@
         """Return the seconds until the deadline."""
         return self.deadline - self.gateway.reactor.seconds()
 
-    def require_allowed(self):
+    async def require_allowed(self):
         """Raise RequestBlockedError if the request may not be sent."""
-        self.gateway.guard.block_list.require_allowed(
-            self.head.keys, outcome=self.outcome
+        guard = self.gateway.guard
+        await guard.trials.claim_for(self.head.keys)
+        guard.block_list.require_allowed(
+            self.head.keys,
+            outcome=self.outcome,
+            request=self.head.identifier,
         )
 
     def is_resumed(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -192,6 +192,8 @@
             "keys": list(notice.keys),
             "ageMs": encode_age(notice.age),
             "failedTrials": notice.failed_trials,
+            "voidTrials": notice.void_trials,
+            "isTried": notice.is_tried,
         }
         for notice in message.blocks
     ]
@@ -218,6 +220,8 @@
             keys=tuple(block.keys),
             age=block.ageMs / 1000,
             failed_trials=block.failedTrials,
+            void_trials=block.voidTrials,
+            is_tried=block.isTried,
         )
         for block in wire.blocks
     ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -44,6 +44,8 @@
   keys @0 :List(UInt64);  # no request may have all of these
   ageMs @1 :UInt32;
   failedTrials @2 :UInt16;
+  voidTrials @3 :UInt16;  # they told nothing
+  isTried @4 :Bool;       # a trial is in flight at the sender
 }
 
 struct Stream {
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -2,7 +2,13 @@
 
 from .block import Block
 from .block import choose_trial_delay
+from .block import choose_trial_slot
+from .block import CLAIM_SPREAD_S
+from .block import is_calm
+from .block import is_refuted
+from .block import SPREAD_WITHOUT_STORE_S
 from .common_cause import has_common_cause
+from .common_cause import has_request
 from .decision import choose_blocks
 from .decision import has_ended_upstreams
 from .decision import list_explained_blocks
@@ -16,10 +22,16 @@
     "CrashEvidence",
     "EndRecord",
     "Block",
+    "CLAIM_SPREAD_S",
+    "SPREAD_WITHOUT_STORE_S",
     "choose_blocks",
     "choose_trial_delay",
+    "choose_trial_slot",
     "has_common_cause",
     "has_ended_upstreams",
+    "has_request",
+    "is_calm",
+    "is_refuted",
     "list_explained_blocks",
     "list_implicated_keys",
     "may_be_coincidence",
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -1,24 +1,39 @@
 """Block of requests by their keys."""
 
-__all__ = ["Block", "choose_trial_delay"]
-
-# Time until a request is let through as a trial, multiplied after each trial
-# that has ended an upstream: a trial costs the requests that run beside it.
-FIRST_TRIAL_DELAY_S = 30.0
-# The same for a block whose ends may have another cause: items with a sound
-# part must end long before the operator counts them as lost, after 18 s.
-DOUBTFUL_TRIAL_DELAY_S = 2.0
-# Trials of such a block that tell as much as three ends one after the other.
-DOUBTFUL_TRIALS = 2
+from .common_cause import has_request
+from .decision import SURVIVAL_VALIDITY_S
+from .explanation import MIN_ENDS
+
+__all__ = [
+    "Block",
+    "choose_trial_delay",
+    "choose_trial_slot",
+    "is_calm",
+    "is_refuted",
+]
+
+# Time until the first trial: the runs beside the ends have gone on elsewhere.
+FIRST_TRIAL_DELAY_S = 2.0
+# Time from a trial that has ended an upstream to the second one.
+SECOND_TRIAL_DELAY_S = 6.0
+# Trials that have ended an upstream each and convict the keys.
+MAX_EARLY_FAILURES = 2
+# All early trials, also those that tell nothing: a request with keys that do
+# end upstreams must not be let through more often.
+MAX_EARLY_TRIALS = 3
+# Time to the next trial after these, multiplied after each one that has ended
+# an upstream: a trial costs the requests that run beside it.
+RARE_TRIAL_DELAY_S = 30.0
 TRIAL_DELAY_FACTOR = 4
 MAX_TRIAL_DELAY_S = 3600.0
-# Time after a trial in which its upstream's end, if it is one, is detected.
-TRIAL_CHECK_S = 2.0
-# Time that a gateway leaves to each one of a higher rank: that of a trial and
-# its check.
-TRIAL_INTERVAL_S = 3.0
-# The same for a doubtful block: the time until an end, which is told at once.
-DOUBTFUL_TRIAL_INTERVAL_S = 1.0
+# Time without ends for other reasons before a trial, and the longest time for
+# which these postpone it, longer after each trial that told nothing.
+CALM_S = 1.0
+MAX_POSTPONEMENT_S = 4.0
+# Time over which gateways that claim trials in the store begin to try, so that
+# few claim the same one, and without the store, so that few trials overlap.
+CLAIM_SPREAD_S = 1.0
+SPREAD_WITHOUT_STORE_S = 4.0
 
 
 class Block:
@@ -29,96 +44,102 @@
     keys : frozenset of int
         Hashes of shared parts of prompts, or the fingerprint of one request.
     at : float
-        Time of the decision, or of the last trial that failed, seconds.
+        Time of the decision, or of the last trial that failed or told
+        nothing, seconds.
     failed_trials : int, optional
         Number of trials that have ended an upstream.
+    void_trials : int, optional
+        Number of trials that told nothing, though an upstream was sent the
+        request.
     is_doubtful : bool, optional
         True if the upstreams may have ended of another cause.
 
     Attributes
     ----------
-    is_tried : bool
-        True while a trial is in flight at this gateway.
-    checked_until : float
-        Time until which the last trial may turn out to have failed, seconds.
-    trial_rank : int or None
-        Number of gateways that may try before this one, as of the last check;
-        None if it makes no trials.
-    next_check_at : float
-        Time of the next check of the rank, seconds.
+    decided_at : float
+        Time from which it is in force here, seconds.
     """
 
     __slots__ = (
         "keys",
         "at",
+        "decided_at",
         "failed_trials",
+        "void_trials",
         "is_doubtful",
-        "is_tried",
-        "checked_until",
-        "trial_rank",
-        "next_check_at",
     )
 
-    def __init__(self, *, keys, at, failed_trials=0, is_doubtful=False):
+    def __init__(
+        self,
+        *,
+        keys,
+        at,
+        failed_trials=0,
+        void_trials=0,
+        is_doubtful=False,
+    ):
         self.keys = keys
         self.at = at
+        self.decided_at = at
         self.failed_trials = failed_trials
+        self.void_trials = void_trials
         self.is_doubtful = is_doubtful
-        self.is_tried = False
-        self.checked_until = 0.0
-        self.trial_rank = None
-        self.next_check_at = 0.0
 
     @property
     def trial_at(self):
         """Time from which a request may be let through as a trial."""
         return self.at + choose_trial_delay(
-            self.failed_trials, is_doubtful=self.is_doubtful
+            self.failed_trials, void_trials=self.void_trials
         )
 
     @property
-    def trial_interval(self):
-        """Time that a gateway leaves to each one of a higher rank."""
-        if self.is_doubtful and self.failed_trials < DOUBTFUL_TRIALS:
-            return DOUBTFUL_TRIAL_INTERVAL_S
-        return TRIAL_INTERVAL_S
-
-    def is_trial_due(self, *, now):
-        """Return whether some gateway may let a request through as a trial."""
-        return not self.is_tried and now >= max(
-            self.trial_at, self.checked_until
-        )
+    def trial_count(self):
+        """Number of trials that an upstream was sent."""
+        return self.failed_trials + self.void_trials
 
-    def is_trial_due_here(self, *, now):
-        """Return whether this gateway may let a request through as a trial.
+    def merge(self, *, at, failed_trials, void_trials):
+        """Take over the trials that a peer or the store knows of.
 
         Notes
         -----
-        Load pattern: requests with a part come rarely, or to a few gateways
-        only, and those with parts of batch work to workers alone. The first
-        gateway may never get one, so the others follow, one after the other.
+        The time is taken over with new trials only: that of a message is late
+        by its transport, and gateways that repeat it to each other would
+        postpone the next trial for ever.
         """
+        if (
+            failed_trials > self.failed_trials
+            or void_trials > self.void_trials
+        ):
+            self.at = max(self.at, at)
+            self.failed_trials = max(self.failed_trials, failed_trials)
+            self.void_trials = max(self.void_trials, void_trials)
+
+    def note_failed_trial(self, *, now):
+        """Count a trial that has ended an upstream."""
+        self.at = now
+        self.failed_trials += 1
+
+    def note_void_trial(self, *, now):
+        """Count a trial that told nothing."""
+        self.at = now
+        self.void_trials += 1
+
+    def get_latest_trial_time(self, *, spread):
+        """Return the time from which ends elsewhere postpone no trial."""
         return (
-            self.is_trial_due(now=now)
-            and self.trial_rank is not None
-            and now >= self.trial_at + self.trial_rank * self.trial_interval
+            self.trial_at
+            + spread
+            + MAX_POSTPONEMENT_S * (1 + self.void_trials)
         )
 
-    def end_trial(self, *, now):
-        """Note that a trial is no longer in flight."""
-        self.is_tried = False
-        self.checked_until = now + TRIAL_CHECK_S
-
 
-def choose_trial_delay(failed_trials, *, is_doubtful=False):
-    """Choose the time from a block or a failed trial to the next trial.
+def choose_trial_delay(failed_trials, *, void_trials=0):
+    """Choose the time from a block or a trial to the next trial.
 
     Parameters
     ----------
     failed_trials : int
-    is_doubtful : bool, optional
-        Whether the upstreams may have ended of another cause. The first
-        trials tell; one of them may meet the next loss of upstreams.
+    void_trials : int, optional
 
     Returns
     -------
@@ -127,7 +148,12 @@
 
     Notes
     -----
-    The half-open state of a circuit breaker [1]_, with exponential back-off.
+    Load patterns: upstreams are lost in series, and a sound part was in flight
+    at each loss; its items have to end some seconds after the last one. Or a
+    part ends each upstream, which must cost few of them. The ends that led to
+    the block look alike, so that trials tell, each one alone in the fleet. The
+    half-open state of a circuit breaker [1]_, with exponential back-off after
+    the early ones.
 
     References
     ----------
@@ -136,14 +162,82 @@
 
     Examples
     --------
-    >>> choose_trial_delay(0), choose_trial_delay(1), choose_trial_delay(9)
-    (30.0, 120.0, 3600.0)
-    >>> [choose_trial_delay(n, is_doubtful=True) for n in range(4)]
-    [2.0, 8.0, 480.0, 1920.0]
+    >>> [choose_trial_delay(count) for count in range(5)]
+    [2.0, 6.0, 480.0, 1920.0, 3600.0]
+    >>> [choose_trial_delay(0, void_trials=count) for count in range(5)]
+    [2.0, 2.0, 2.0, 30.0, 120.0]
     """
-    if is_doubtful and failed_trials < DOUBTFUL_TRIALS:
-        return DOUBTFUL_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials
+    if (
+        failed_trials < MAX_EARLY_FAILURES
+        and failed_trials + void_trials < MAX_EARLY_TRIALS
+    ):
+        return SECOND_TRIAL_DELAY_S if failed_trials else FIRST_TRIAL_DELAY_S
+    backoffs = failed_trials + max(0, void_trials - MAX_EARLY_TRIALS)
     return min(
-        MAX_TRIAL_DELAY_S,
-        FIRST_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**failed_trials,
+        MAX_TRIAL_DELAY_S, RARE_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**backoffs
     )
+
+
+def choose_trial_slot(share, *, has_store):
+    """Choose the time after which a gateway may make a trial that is due.
+
+    Parameters
+    ----------
+    share : float
+        Share of the gateways that come before this one.
+    has_store : bool
+        Whether the gateways claim trials in the store.
+
+    Returns
+    -------
+    float
+        Seconds.
+
+    Notes
+    -----
+    Load pattern: only some gateways have requests with the keys, one or all
+    of them. The sum of all slots does not grow with the fleet.
+    """
+    return share * (CLAIM_SPREAD_S if has_store else SPREAD_WITHOUT_STORE_S)
+
+
+def is_calm(keys, ends, *, now, blocked=()):
+    """Return whether no upstream has just ended for another reason.
+
+    Parameters
+    ----------
+    keys : frozenset of int
+        Those of a block.
+    ends : iterable of EndRecord
+    now : float
+    blocked : iterable of frozenset of int, optional
+        Keys of blocks, which explain ends.
+    """
+    return not any(
+        now - end.at < CALM_S
+        and not has_request(end, keys)
+        and not any(has_request(end, block) for block in blocked)
+        for end in ends
+    )
+
+
+def is_refuted(keys, ends, *, decided_at, survived_at):
+    """Return whether a survival contradicts the decision on a block.
+
+    Parameters
+    ----------
+    keys : frozenset of int
+    ends : list of EndRecord
+    decided_at, survived_at : float
+        Times of the block and of the survival of a request with its keys.
+
+    Notes
+    -----
+    A survival before the decision refutes it if too few ends are left that
+    it does not clear.
+    """
+    if survived_at > decided_at:
+        return True
+    times = [end.at for end in ends if has_request(end, keys)]
+    left = [at for at in times if at > survived_at + SURVIVAL_VALIDITY_S]
+    return len(left) < MIN_ENDS <= len(times)
