End no trial when an abandoned coroutine is collected

A trial of a coroutine that is closed, and not cancelled, is not one that was given up; the tests logged tracebacks of work that began in the collection.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -155,7 +155,7 @@
             self.trials.begin(exposure)
         try:
             yield exposure
-        except BaseException as error:
+        except Exception as error:
             self.trials.note_left(exposure, error)
             raise
         finally:
