Bound claims that get no trial, and test what may happen in one

A gateway whose claim another one holds, or that has not used its own, waits before it claims again: with 40 workers a claim of a gateway that is gone would cost the store a write of each every 0.1 s. Tests: refused trials are none, runs that are trials are not preempted, a survival before the decision ends the block, each trial has a line.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -349,3 +349,21 @@
     connection.answer(200, body=helpers.build_events(1, 1), is_complete=False)
     connection.exchange.on_failure(StreamLostError("connection closed"))
     assert state.lost_runs == 0
+
+
+def test_a_run_that_is_a_trial_is_not_preempted(gateway, submit, reactor):
+    gateway.guard.block_list.add(
+        frozenset({FATAL}), at=reactor.seconds() - 5.0
+    )
+    submit(FATAL, 7)
+    trial, *_ = (
+        state
+        for state in gateway.worker.running.values()
+        if state.shared_parts == (FATAL,)
+    )
+    upstream = trial.run.upstream
+    upstream.set_peer_load("p", (9, 0))
+    gateway.worker.preempt_items(upstream)
+    assert trial.run is not None
+    (block,) = gateway.guard.blocks.values()
+    assert gateway.guard.trials.is_tried_here(block)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -25,6 +25,10 @@
 # Shortest time between two checks whether a trial is due, which many items
 # ask for.
 CHECK_INTERVAL_S = 0.05
+# Time to the next claim after another gateway has the trial, and after a claim
+# that no request here has used, so that another gateway comes first.
+CLAIM_RETRY_S = 0.5
+UNUSED_CLAIM_DELAY_S = 1.5
 # Time between two checks of the place of this gateway, which take time for
 # each gateway of the fleet.
 SHARE_CHECK_INTERVAL_S = 0.5
@@ -68,8 +72,8 @@
     elsewhere : dict
         (peer's key, time of its last message, failed trials) of the trials
         that peers make, by a block's keys.
-    checked : dict
-        Time of the last check whether a trial is due, by a block's keys.
+    next_checks : dict
+        Time of the next check whether a trial is due, by a block's keys.
     shares : dict
         Time and result of the last check of this gateway's place, by a
         block's keys.
@@ -89,7 +93,7 @@
         "grants",
         "own",
         "elsewhere",
-        "checked",
+        "next_checks",
         "shares",
         "postponed",
     )
@@ -102,7 +106,7 @@
         self.grants = {}
         self.own = {}
         self.elsewhere = {}
-        self.checked = {}
+        self.next_checks = {}
         self.shares = {}
         self.postponed = {}
 
@@ -157,10 +161,10 @@
             or keys in self.own
             or keys in self.grants
             or keys in self.claiming
-            or now < self.checked.get(keys, 0.0) + CHECK_INTERVAL_S
+            or now < self.next_checks.get(keys, 0.0)
         ):
             return False
-        self.checked[keys] = now
+        self.next_checks[keys] = now + CHECK_INTERVAL_S
         return (
             not self.is_tried_elsewhere(block)
             and not self.must_postpone(block)
@@ -250,7 +254,9 @@
             has_claim = await self.claims.acquire(block)
         finally:
             self.claiming.discard(block.keys)
+        now = self.gateway.reactor.seconds()
         if has_claim is False:
+            self.next_checks[block.keys] = now + CLAIM_RETRY_S
             return
         if has_claim is None and not self.has_slot(block):
             return
@@ -265,7 +271,7 @@
         self.grant(
             block,
             TrialGrant(
-                until=self.gateway.reactor.seconds() + GRANT_S,
+                until=now + GRANT_S,
                 is_claimed=bool(has_claim),
             ),
         )
@@ -280,6 +286,8 @@
         """End a grant that no request has used."""
         if self.grants.get(block.keys) is grant:
             del self.grants[block.keys]
+            now = self.gateway.reactor.seconds()
+            self.next_checks[block.keys] = now + UNUSED_CLAIM_DELAY_S
             if grant.is_claimed:
                 self.claims.release(block)
 
@@ -400,7 +408,7 @@
         """End what belongs to a block that is not in force any longer."""
         for by_keys in (
             self.elsewhere,
-            self.checked,
+            self.next_checks,
             self.shares,
             self.postponed,
         ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
@@ -2,6 +2,7 @@
 
 import json
 
+from eliot import testing
 import pytest
 
 PART, OTHER = 2, 3
@@ -14,6 +15,32 @@
 MAX_ENDS_BY_TRIALS = 2
 
 
+@pytest.fixture
+def logged():
+    """Return the messages that are logged."""
+    logger = testing.MemoryLogger()
+    previous = testing.swap_logger(logger)
+    yield logger.messages
+    testing.swap_logger(previous)
+
+
+def list_results(logged):
+    """Return the results of the trials that have ended, and the reasons."""
+    return [
+        (line["result"], line["reason"])
+        for line in logged
+        if line.get("message_type") == "part:trial_ended"
+    ]
+
+
+def block_part(fleet):
+    """Block the part at all gateways, as if its ends were known before."""
+    fleet.advance(1.0)
+    at = fleet.reactor.seconds()
+    for each in fleet.gateways:
+        each.guard.block_list.add(KEYS, at=at)
+
+
 def lose_with_part(fleet, gateway, *, count=3):
     """End upstreams at different moments as they begin to answer the part."""
     for number in range(count):
@@ -167,10 +194,7 @@
 # the part of a sound job stayed blocked for minutes.
 def test_a_trial_that_meets_a_loss_of_others_is_repeated_soon(build_fleet):
     fleet = build_fleet(gateways=4, upstreams=10)
-    fleet.advance(1.0)
-    at = fleet.reactor.seconds()
-    for each in fleet.gateways:
-        each.guard.block_list.add(KEYS, at=at)
+    block_part(fleet)
     first, second, *_ = fleet.gateways
     sends = len(fleet.sent)
     run_waiting(
@@ -195,10 +219,7 @@
 
 def test_a_trial_waits_until_other_upstreams_end_no_longer(build_fleet):
     fleet = build_fleet(gateways=4, upstreams=10)
-    fleet.advance(1.0)
-    at = fleet.reactor.seconds()
-    for each in fleet.gateways:
-        each.guard.block_list.add(KEYS, at=at)
+    block_part(fleet)
     first, second, *_ = fleet.gateways
     for number in range(8):
         fleet.request(f"o{number}", (OTHER + number,), gateway=second)
@@ -214,10 +235,7 @@
 
 def test_steady_losses_do_not_keep_a_part_from_its_trial(build_fleet):
     fleet = build_fleet(gateways=4, upstreams=12)
-    fleet.advance(1.0)
-    at = fleet.reactor.seconds()
-    for each in fleet.gateways:
-        each.guard.block_list.add(KEYS, at=at)
+    block_part(fleet)
     first, second, *_ = fleet.gateways
     for number in range(20):
         if fleet.list_sends(PART):
@@ -233,10 +251,7 @@
 # after 30 s and more, by the rank of the gateway that they reached.
 def test_the_next_request_is_the_trial_of_a_part_of_rare_requests(build_fleet):
     fleet = build_fleet(gateways=18, upstreams=8)
-    fleet.advance(1.0)
-    at = fleet.reactor.seconds()
-    for each in fleet.gateways:
-        each.guard.block_list.add(KEYS, at=at)
+    block_part(fleet)
     fleet.advance(10.0)
     request = fleet.request("n", (PART,), gateway=fleet.gateways[7])
     fleet.advance(1.5)
@@ -246,10 +261,7 @@
 
 def test_a_request_that_its_client_gives_up_tells_nothing(build_fleet):
     fleet = build_fleet(gateways=4, upstreams=8)
-    fleet.advance(1.0)
-    at = fleet.reactor.seconds()
-    for each in fleet.gateways:
-        each.guard.block_list.add(KEYS, at=at)
+    block_part(fleet)
     fleet.advance(4.0)
     first = fleet.gateways[0]
     request = fleet.request("n", (PART,), gateway=first)
@@ -298,3 +310,77 @@
     # Two trials: a claim and the record of the result each, and the claims of
     # gateways that had not heard of the trial yet.
     assert wire.calls.count("commit") - commits <= 4 + 2 * 5
+
+
+def refuse(connection):
+    connection.answer(421, headers=[(b"not-run", b"1")])
+
+
+def test_a_trial_that_is_refused_is_none(build_fleet, logged):
+    fleet = build_fleet(gateways=4, upstreams=4)
+    block_part(fleet)
+    fleet.faults.update(dict.fromkeys(fleet.upstreams, refuse))
+    gateway = fleet.gateways[0]
+    run_waiting(fleet, [gateway], 6.0)
+    assert fleet.list_sends(PART)
+    assert {result for result, _ in list_results(logged)} == {"not_sent"}
+    assert {block.trial_count for block in list_blocks(fleet)} == {0}
+    fleet.faults.clear()
+    seconds = run_waiting(
+        fleet, [gateway], 60.0, until=lambda: not list_blocks(fleet)
+    )
+    assert seconds < SOON_S
+
+
+def test_each_trial_has_a_line_with_its_result(fatal_fleet, logged):
+    run_waiting(fatal_fleet, fatal_fleet.gateways, 20.0)
+    assert list_results(logged) == [("failed", None)] * 2
+    tried = [
+        line for line in logged if line.get("message_type") == "part:tried"
+    ]
+    assert len(tried) == 2
+    assert 2.0 <= tried[0]["age"] < tried[1]["age"] < 15.0
+
+
+def test_a_survival_ends_the_block_at_all_gateways_at_once(build_fleet, wire):
+    fleet = build_fleet(gateways=12, upstreams=8)
+    block_part(fleet)
+    fleet.advance(0.1)
+    wire.is_down = True
+    fleet.gateways[5].guard.handle_survival((PART, 7))
+    fleet.advance(0.1)
+    assert not list_blocks(fleet)
+
+
+def report_ends(guard, ages, *, now):
+    for number, age in enumerate(ages):
+        guard.apply_end(number, {(PART,)}, at=now - age, is_confirmed=True)
+
+
+# Failure: a block that a gateway had decided before the news of an earlier
+# survival arrived stayed until its trial.
+def test_a_survival_before_the_decision_ends_the_block(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    fleet.advance(10.0)
+    now = fleet.reactor.seconds()
+    first, second, *_ = fleet.gateways
+    second.guard.apply_survival((PART,), at=now - 0.5)
+    # Its reports are on the way.
+    fleet.network.isolate(1001)
+    report_ends(first.guard, (0.0, 0.0, 0.0), now=now)
+    fleet.advance(0.5)
+    assert KEYS in first.guard.blocks
+    fleet.network.blocked.clear()
+    fleet.advance(1.0)
+    assert not list_blocks(fleet)
+
+
+def test_a_block_outlasts_a_survival_long_before_its_ends(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    fleet.advance(10.0)
+    now = fleet.reactor.seconds()
+    first, second, *_ = fleet.gateways
+    second.guard.apply_survival((PART,), at=now - 4.0)
+    report_ends(first.guard, (0.2, 0.1, 0.0), now=now)
+    fleet.advance(1.5)
+    assert len(list_blocks(fleet)) == 4
