Start the items behind one whose start fails

Callers saw items of accepted jobs that no gateway ran. An error at the start of one item ended the scheduling round; the next round began with the same item, so that none behind it in the order was started. Such an item now waits a second by itself, with the error in the log. The test failed before with the error itself and passes now.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -1,5 +1,7 @@
 """Tests of items with failures, preemption, outages and changes of owner."""
 
+import types
+
 import pytest
 
 from hollyspan_core.errors import ConfigurationInvalidError
@@ -690,3 +692,28 @@
     upstream.set_peer_load("p", (4, 0))
     gateway.worker.stop()
     assert upstream.batch == 0
+
+
+# Failure: an error at the start of one item held back all items behind it in
+# the order, in each round.
+def test_an_item_that_cannot_be_started_holds_back_no_other_item(
+    build_worker, submit, reactor, wire, helpers
+):
+    gateway = build_worker()
+    placement = gateway.worker.placement
+
+    def choose(state, service, *, is_urgent):
+        if state.item.identifier == "j0":
+            raise ValueError("no place can be computed")
+        return placement.choose(state, service, is_urgent=is_urgent)
+
+    gateway.worker.placement = types.SimpleNamespace(choose=choose)
+    submit(3)
+    reactor.pump([0.1] * 5)
+    assert len(gateway.pool.sent) == 2
+    for connection in list(gateway.pool.sent):
+        connection.answer(200, body=helpers.build_events(1, 1))
+    gateway.worker.placement = placement
+    reactor.pump([0.1] * 12)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert len(list_results(wire)) == 3
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -40,6 +40,8 @@
 # Items may use the headroom of online requests when less than this is left
 # until the job's due time: a whole run takes about 5 s.
 URGENT_SLACK_S = 7.0
+# Delay of an item whose start has failed here.
+START_FAILURE_DELAY_S = 1.0
 # Number of failed runs after which an item is given up, for a route that
 # states none.
 DEFAULT_MAX_ATTEMPTS = 3
@@ -176,7 +178,21 @@
                 waiting += startable
         now = self.gateway.wall_clock()
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
+            self.try_start_item(state)
+
+    def try_start_item(self, state):
+        """Start one item; a failure concerns this item alone."""
+        try:
             self.start_item(state)
+        except Exception:
+            eliot.write_traceback()
+            if state.run is not None and state.run.deferred is None:
+                state.run = None
+                self.running.pop(state.key, None)
+            state.hindrance = "start_failed"
+            state.not_before = (
+                self.gateway.reactor.seconds() + START_FAILURE_DELAY_S
+            )
 
     def release_ended_jobs(self, workers):
         """Release the waiting tokens of the ended jobs that are owned here."""
