Run items elsewhere that their owners leave alone

Callers saw items of accepted jobs that stayed open to the end while other workers and most upstreams were free. Whatever kept an owner that lives from an item (a job that it had missed or could not read, results that it was reading for ever, a store that did not take its result, a run without end, places that only it did not see, workers that differed from those of its peers), no other gateway ever took the item over. The same held for an item that a peer named as its own work for ever.

The next gateways in the order of owners now start an item that nobody has worked on for 4 s, two seconds after one another, if a place was free for it there for all that time, once a lookup in the store shows no result (batch.may_succeed). Messages tell the progress of the items in work, of those between two runs and of those being stored, so that an item without progress counts as left alone after 8 s; and the jobs of which the sender has nothing left, so that sound owners cost no lookups. Other builds ignore the new fields, and their items between two runs are known as before.

No item runs at two gateways while all owners are sound: with jobs in series, more items than places, places that online requests hold for 12 s, a delay between two runs, two workers that do not hear each other, and workers that tell no more than before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -347,10 +347,10 @@
             "runs_online": self.settings.client_port is not None,
             "lost_share": self.reach.measure_lost_share(),
             "memory_seconds": self.stream_versions.measure_memory(),
-            "items": list(worker.running) if worker is not None else [],
             "departures": self.directory.departures.list_announced(
                 now=self.reactor.seconds()
             ),
+            **({} if worker is None else worker.describe()),
             **self.guard.news.describe(),
         }
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -48,6 +48,16 @@
         Identifier of the gateway that runs the item, among `owner_workers`.
     owner_workers : tuple of str or None
         Gateways that could run items when the owner was chosen.
+    rank : int or None
+        Rank of this gateway behind the owner, from 0, once it was computed.
+    short_since : float
+        Time since which no upstream has a place for it, reactor seconds.
+    claim : (str, int or None) or None
+        The peer that names the item as its work, and the progress it tells.
+    idle_since : float
+        Time at which the claim or the owner last changed, reactor seconds.
+    is_taken : bool
+        True when this gateway runs the item in the place of its owner.
     """
 
     __slots__ = (
@@ -70,6 +80,11 @@
         "hindrance",
         "owner",
         "owner_workers",
+        "rank",
+        "short_since",
+        "claim",
+        "idle_since",
+        "is_taken",
     )
 
     def __init__(self, *, job_state, item, key, shared_parts=()):
@@ -92,6 +107,11 @@
         self.hindrance = None
         self.owner = None
         self.owner_workers = None
+        self.rank = None
+        self.short_since = 0.0
+        self.claim = None
+        self.idle_since = 0.0
+        self.is_taken = False
 
     def discard_output(self):
         """Discard the events received, so that the next run starts over."""
@@ -124,6 +144,9 @@
     is_released : bool
         True once this gateway has begun to release the waiting tokens of the
         ended job.
+    finished_among : tuple of str or None
+        Gateways that shared the items when all that this one owns had
+        results.
     """
 
     __slots__ = (
@@ -135,10 +158,12 @@
         "is_reading_results",
         "is_released",
         "seen_at",
+        "finished_among",
     )
 
     def __init__(self, *, job, revision, has_read_results, seen_at=0.0):
         self.seen_at = seen_at
+        self.finished_among = None
         self.job = job
         self.revision = revision
         self.items = {}
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -0,0 +1,303 @@
+"""Start of items that their owners leave alone."""
+
+import itertools
+
+import eliot
+from twisted.internet import defer
+
+from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_policy.batch import may_succeed
+from hollyspan_policy.batch import MIN_IDLE_S
+from hollyspan_policy.ownership import rank_owners
+
+from ..peers import parse_identifier
+from ..routes import choose_service
+from ..routes import RouteKind
+from .claims import build_finished_key
+from .records import build_result_key
+
+__all__ = ["Succession"]
+
+LOOK_INTERVAL_S = 1.0
+# After a longer time without a look, what peers work on is known anew only
+# from their next messages.
+MAX_LOOK_GAP_S = 3.0
+# Items that one look visits; the next one goes on behind them.
+MAX_ITEMS = 5_000
+# Items whose order of owners one look computes.
+MAX_RANKINGS = 64
+# Results that are looked up in the store at the same time.
+MAX_LOOKUPS = 8
+# Time without an event after which a run is cancelled, whatever it waits for:
+# longer than each timeout of a run.
+RUN_TIMEOUT_S = 7.0
+
+
+class Succession:
+    """Finds items that nobody works on, and starts those due here.
+
+    Parameters
+    ----------
+    worker : Worker
+
+    Attributes
+    ----------
+    workers : tuple of str
+        Gateways that can run items.
+    stalled : set of int
+        Keys of the items that peers have named for long without progress.
+    free_since : dict
+        Time since which items had a place at a service, whenever this gateway
+        has looked, by its name.
+    began_at : float
+        Start of the series of looks, reactor seconds.
+
+    Notes
+    -----
+    Looks are seldom and visit a limited number of items, and the result of
+    an item is looked up only when its turn has come here.
+    """
+
+    __slots__ = (
+        "worker",
+        "workers",
+        "claims",
+        "stalled",
+        "free_since",
+        "began_at",
+        "looked_at",
+        "now",
+        "walk",
+        "lookups",
+        "rankings",
+    )
+
+    def __init__(self, *, worker):
+        self.worker = worker
+        self.workers = ()
+        self.claims = {}
+        self.stalled = set()
+        self.free_since = {}
+        self.began_at = None
+        self.looked_at = None
+        self.now = 0.0
+        self.walk = None
+        self.lookups = set()
+        self.rankings = 0
+
+    def look_if_due(self, workers):
+        """Look for items that nobody works on, unless done shortly before.
+
+        Parameters
+        ----------
+        workers : tuple of str
+            Gateways that can run items.
+        """
+        self.now = now = self.worker.gateway.reactor.seconds()
+        if self.looked_at is None or now - self.looked_at > MAX_LOOK_GAP_S:
+            self.began_at = now
+            self.free_since = {}
+        elif now - self.looked_at < LOOK_INTERVAL_S:
+            return
+        self.looked_at = now
+        self.workers = workers
+        self.cancel_stalled_runs()
+        if len(workers) < 2:
+            self.stalled.clear()
+            return
+        self.rankings = 0
+        self.claims = self.find_claims()
+        self.stalled &= self.claims.keys()
+        self.update_places()
+        if self.walk is None:
+            self.walk = self.visit_jobs()
+        # The walk begins anew after its end, or after an error.
+        walk, self.walk = self.walk, None
+        visited = sum(1 for _ in itertools.islice(walk, MAX_ITEMS))
+        if visited == MAX_ITEMS:
+            self.walk = walk
+
+    def cancel_stalled_runs(self):
+        """Cancel the runs that have neither ended nor made progress."""
+        for state in list(self.worker.running.values()):
+            run = state.run
+            if run is None or self.now - run.progress_at < RUN_TIMEOUT_S:
+                continue
+            eliot.log_message(
+                "item:run_stalled",
+                job=state.job_state.job.identifier,
+                item=state.item.identifier,
+                upstream=run.upstream.entry.name,
+                seconds=round(self.now - run.progress_at, 1),
+            )
+            run.cancel()
+
+    def find_claims(self):
+        """Return the peer that names an item as its work, by its key."""
+        return {
+            key: peer
+            for peer in self.worker.gateway.peers.list_workers()
+            for key in peer.items
+        }
+
+    def update_places(self):
+        """Note at which services items have had a place all the time."""
+        gateway = self.worker.gateway
+        services = {
+            name
+            for route in gateway.routes.list_routes()
+            if route.kind is RouteKind.BATCH
+            for name, _ in route.services
+        }
+        for service in services:
+            if gateway.batch_placement.has_place(service):
+                self.free_since.setdefault(service, self.now)
+            else:
+                self.free_since.pop(service, None)
+
+    def note_shortage(self, service):
+        """Note that an item that runs here has found no place."""
+        self.free_since.pop(service, None)
+
+    def visit_jobs(self):
+        """Visit the items of all jobs that may have open ones."""
+        for job_state in list(self.worker.catalogue.jobs.values()):
+            if job_state is None or job_state.is_ended:
+                continue
+            if (
+                job_state.finished_among == self.workers
+                and job_state.is_complete()
+            ):
+                continue
+            yield from self.visit_items(job_state)
+
+    def visit_items(self, job_state):
+        """Visit the items of a job; note when none is left here."""
+        workers = self.workers
+        identifier = self.worker.gateway.peers.identifier
+        finished_key = build_finished_key(job_state, workers)
+        open_count = 0
+        for state in job_state.items.values():
+            yield
+            if workers != self.workers:
+                # Items have other owners now; the next walk begins anew.
+                return
+            if not state.has_result:
+                owner = self.worker.find_owner(state, workers)
+                open_count += owner == identifier
+                self.visit(state, owner, finished_key)
+        if open_count == 0 and job_state.finished_among != workers:
+            self.worker.claims.note_finished(job_state, workers)
+
+    def visit(self, state, owner, finished_key):
+        """Update what is known of an item, and take it if its turn is here."""
+        if state.run is not None or state.result is not None:
+            return
+        gateway = self.worker.gateway
+        peer = self.claims.get(state.key)
+        claim = peer and (peer.identifier, peer.progress.get(state.key))
+        if claim != state.claim:
+            state.claim = claim
+            state.idle_since = self.now
+            state.is_taken = state.is_taken and claim is None
+            self.stalled.discard(state.key)
+        if state.is_taken or state.key in self.lookups:
+            return
+        is_owner = owner == gateway.peers.identifier
+        if is_owner and claim is None:
+            return
+        owning_peer = gateway.peers.peers.get(parse_identifier(owner))
+        if (
+            owning_peer is not None
+            and claim is None
+            and finished_key in owning_peer.finished
+        ):
+            state.has_result = True
+            return
+        if self.is_due(state, peer, owning_peer, is_owner=is_owner):
+            if peer is not None:
+                self.stalled.add(state.key)
+            if not is_owner and len(self.lookups) < MAX_LOOKUPS:
+                self.lookups.add(state.key)
+                defer.ensureDeferred(self.take(state, owner)).addErrback(
+                    eliot.write_failure
+                )
+
+    def is_due(self, state, claimer, owner, *, is_owner):
+        """Return whether an item may be started here now."""
+        gateway = self.worker.gateway
+        began_at = self.began_at
+        if gateway.upstreams_mirror.reconnected_at is not None:
+            began_at = max(began_at, gateway.upstreams_mirror.reconnected_at)
+        idle_since = max(state.idle_since, state.job_state.seen_at, began_at)
+        if self.now - idle_since < MIN_IDLE_S:
+            return False
+        if claimer is not None and not self.can_stall(claimer):
+            return False
+        free_since, rank = self.now, -1
+        if not is_owner:
+            job = state.job_state.job
+            route = gateway.routes.find(job.host, state.item.path)
+            if route is None or route.kind is not RouteKind.BATCH:
+                return False
+            free_since = self.free_since.get(
+                choose_service(route, state.item.identifier), self.now
+            )
+            rank = self.find_rank(state) if free_since < self.now else None
+        if rank is None:
+            return False
+        return may_succeed(
+            rank=rank,
+            idle_seconds=self.now - idle_since,
+            free_seconds=self.now - free_since,
+            is_owner_heard=owner is not None and owner.is_live(self.now),
+            is_claimed=claimer is not None,
+        ) and gateway.guard.block_list.may_send(state.shared_parts)
+
+    def can_stall(self, peer):
+        """Return whether a peer would tell of progress, or is not heard."""
+        return peer.tells_waiting or not peer.is_live(self.now)
+
+    def find_rank(self, state):
+        """Return the rank of this gateway behind an item's owner, or None."""
+        identifier = self.worker.gateway.peers.identifier
+        if state.rank is None and identifier in self.workers:
+            if self.rankings >= MAX_RANKINGS:
+                return None
+            self.rankings += 1
+            order = rank_owners(f"{state.key:x}", self.workers)
+            state.rank = order.index(identifier) - 1
+        return state.rank
+
+    async def take(self, state, owner):
+        """Run an item here if it has no result."""
+        job = state.job_state.job.identifier
+        try:
+            entry = await self.worker.gateway.store.get(
+                build_result_key(job, state.item.identifier)
+            )
+        except StoreUnavailableError as error:
+            eliot.log_message(
+                "item:result_unreadable",
+                job=job,
+                item=state.item.identifier,
+                reason=error.message,
+            )
+            return
+        finally:
+            self.lookups.discard(state.key)
+        if entry is not None:
+            state.has_result = True
+            return
+        if state.run is None and state.owner == owner:
+            state.is_taken = True
+            state.hindrance = None
+            eliot.log_message(
+                "item:taken_over",
+                job=job,
+                item=state.item.identifier,
+                owner=owner,
+                idle=round(self.now - state.idle_since, 1),
+                claimed_by=state.claim and state.claim[0],
+            )
+            self.worker.schedule(0.0)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -12,6 +12,7 @@
 from ..routes import choose_service
 from ..routes import RouteKind
 from .catalogue import JobCatalogue
+from .claims import ClaimBook
 from .item import ItemResult
 from .item_placement import choose_retry_delay
 from .item_placement import ItemPlacement
@@ -21,6 +22,7 @@
 from .releases import ReleaseWriter
 from .result_storage import persist_result
 from .run import ItemRun
+from .succession import Succession
 
 __all__ = ["Worker"]
 
@@ -40,6 +42,8 @@
 # Items may use the headroom of online requests when less than this is left
 # until the job's due time: a whole run takes about 5 s.
 URGENT_SLACK_S = 7.0
+# Longest time that an item waits for its turn at a free slot.
+TURN_WAIT_S = 1.0
 # Delay of an item whose start has failed here.
 START_FAILURE_DELAY_S = 1.0
 # Number of failed runs after which an item is given up, for a route that
@@ -87,6 +91,8 @@
             on_end=self.stop_job,
         )
         self.remover = JobRemover(gateway=gateway, catalogue=self.catalogue)
+        self.claims = ClaimBook(worker=self)
+        self.succession = Succession(worker=self)
         self.open_items = OpenItemLog(worker=self)
 
     def start(self):
@@ -108,6 +114,16 @@
             if state.run is not None:
                 state.run.cancel()
 
+    def describe(self):
+        """Return the fields of a full message that tell of items."""
+        claims = self.claims.list_items()
+        return {
+            "items": list(claims),
+            "progress": list(claims.values()),
+            "tells_waiting": True,
+            "finished": self.claims.list_finished(),
+        }
+
     def schedule(self, seconds):
         """Schedule the next round of starts within some seconds."""
         if self.is_stopping and not self.running:
@@ -163,7 +179,8 @@
         # checked; their items have results that are not known here.
         workers = tuple(sorted(self.gateway.update_workers()))
         self.ranks.update_workers(workers)
-        claimed = self.gateway.list_claimed_items()
+        self.succession.look_if_due(workers)
+        claimed = self.gateway.list_claimed_items() - self.succession.stalled
         self.release_ended_jobs(workers)
         waiting = []
         for job_state in self.catalogue.list_incomplete():
@@ -174,8 +191,9 @@
             ]
             if startable and not job_state.has_read_results:
                 self.catalogue.start_reading_results(job_state)
-            elif startable:
-                waiting += startable
+                # The results of these were looked up one by one.
+                startable = [state for state in startable if state.is_taken]
+            waiting += startable
         now = self.gateway.wall_clock()
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
             self.try_start_item(state)
@@ -236,15 +254,23 @@
             and state.result is None
             and state.not_before <= self.gateway.reactor.seconds()
             and state.key not in claimed
-            and self.find_owner(state, workers)
-            == self.gateway.peers.identifier
+            and (
+                self.find_owner(state, workers)
+                == self.gateway.peers.identifier
+                or state.is_taken
+            )
         )
 
     def find_owner(self, state, workers):
         """Return the identifier of the gateway that runs an item."""
         if state.owner_workers != workers:
-            state.owner = choose_owner(f"{state.key:x}", workers)
+            owner = choose_owner(f"{state.key:x}", workers)
+            if owner != state.owner:
+                state.owner = owner
+                state.is_taken = False
+                state.idle_since = self.gateway.reactor.seconds()
             state.owner_workers = workers
+            state.rank = None
         return state.owner
 
     def start_item(self, state):
@@ -260,14 +286,16 @@
             self.handle_missing_route(state)
             return
         if not self.gateway.guard.block_list.may_send(state.shared_parts):
+            state.is_taken = False
             return
+        service = choose_service(route, state.item.identifier)
         upstream = self.placement.choose(
             state,
-            choose_service(route, state.item.identifier),
+            service,
             is_urgent=job.due - now < URGENT_SLACK_S,
         )
         if upstream is None:
-            state.hindrance = "no_slot"
+            self.note_shortage(state, service)
             return
         state.hindrance = None
         state.run = ItemRun(
@@ -278,6 +306,7 @@
             max_failures=route.max_attempts or DEFAULT_MAX_ATTEMPTS,
         )
         self.running[state.key] = state
+        self.claims.note_start(state)
         eliot.log_message(
             "item:started",
             job=job.identifier,
@@ -291,6 +320,19 @@
         )
         state.run.start().addBoth(self.finish_run, state)
 
+    def note_shortage(self, state, service):
+        """Note that no upstream has a place for an item.
+
+        For a moment it may only wait for its turn at a free one.
+        """
+        now = self.gateway.reactor.seconds()
+        if state.hindrance != "no_slot":
+            state.hindrance = "no_slot"
+            state.short_since = now
+        elif now - state.short_since >= TURN_WAIT_S:
+            state.is_taken = False
+            self.succession.note_shortage(service)
+
     def handle_missing_route(self, state):
         """Give an item up if its route has ended, or read the routes anew."""
         accepted_at = state.job_state.revision
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/__init__.py
@@ -9,6 +9,7 @@
 from .message import UpstreamLoad
 from .message import UpstreamTotal
 from .peer import build_identifier
+from .peer import parse_identifier
 from .peer import Peer
 from .snapshots import encode_snapshot
 from .snapshots import fetch_snapshot
@@ -28,4 +29,5 @@
     "encode_message",
     "fetch_answer",
     "fetch_snapshot",
+    "parse_identifier",
 ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -57,6 +57,7 @@
         # Less than one in a hundred counts, too.
         lostPercent=math.ceil(message.lost_share * 100),
         memoryMs=encode_age(message.memory_seconds),
+        tellsWaiting=message.tells_waiting,
     )
     if message.loads:
         loads = wire.init("loads", len(message.loads))
@@ -79,6 +80,10 @@
             encode_limit(encoded, total.limit)
     if message.items:
         wire.items = list(message.items)
+    if message.progress:
+        wire.progress = list(message.progress)
+    if message.finished:
+        wire.finished = list(message.finished)
     if message.live_workers:
         wire.heard = list(message.live_workers)
     if message.departures:
@@ -150,6 +155,9 @@
     message.is_leaving = wire.isLeaving
     message.reaches_store = wire.reachesStore
     message.items = list(wire.items)
+    message.progress = list(wire.progress)
+    message.tells_waiting = wire.tellsWaiting
+    message.finished = list(wire.finished)
     message.wants_reply = wire.wantsReply
     message.live_workers = list(wire.heard)
     message.region = wire.region
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -81,4 +81,10 @@
   lostPercent @23 :UInt8;   # of the upstreams that it cannot reach
   memoryMs @24 :UInt32;     # time for which it remembers streams; all ones: it
                             # has forgotten none
+  progress @25 :List(UInt16); # of each of the items: changes with its events
+                            # and runs
+  tellsWaiting @26 :Bool;   # items include those between two runs and those
+                            # whose result is being stored
+  finished @27 :List(UInt64); # jobs, each with the gateways that share its
+                            # items: the sender's have results in the store
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -95,7 +95,16 @@
         of the upstreams' entries at the sender.
     runs_batch, is_leaving, reaches_store : bool, optional
     items : list of int, optional
-        Hashes of the items that run at the sender.
+        Hashes of the items that the sender works on.
+    progress : list of int, optional
+        A number for each of the items that changes with its progress; none
+        from a sender that does not tell it.
+    tells_waiting : bool, optional
+        True when the items include those between two runs and those whose
+        result is being stored.
+    finished : list of int, optional
+        Hashes of jobs and of the gateways that share their items: those of
+        the sender have results in the store.
     wants_reply : bool, optional
         True when the receiver is to send a full message back.
     live_workers : list of int, optional
@@ -137,6 +146,9 @@
         "is_leaving",
         "reaches_store",
         "items",
+        "progress",
+        "tells_waiting",
+        "finished",
         "wants_reply",
         "live_workers",
         "region",
@@ -167,6 +179,9 @@
         is_leaving=False,
         reaches_store=False,
         items=(),
+        progress=(),
+        tells_waiting=False,
+        finished=(),
         wants_reply=False,
         live_workers=(),
         region=0,
@@ -193,6 +208,9 @@
         self.is_leaving = is_leaving
         self.reaches_store = reaches_store
         self.items = items
+        self.progress = progress
+        self.tells_waiting = tells_waiting
+        self.finished = finished
         self.wants_reply = wants_reply
         self.live_workers = live_workers
         self.region = region
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -57,7 +57,15 @@
         (online, batch) by hash of the upstream's name.
     runs_batch, is_leaving, reaches_store : bool
     items : frozenset of int
-        Hashes of the items that run there.
+        Hashes of the items that it works on.
+    progress : dict
+        Number that changes with the progress of an item, by its hash.
+    tells_waiting : bool
+        Whether the items include those between two runs and those whose
+        result is being stored.
+    finished : frozenset of int
+        Hashes of jobs and of the gateways that share their items: those that
+        it owns have results in the store.
     live_workers : frozenset of int
         Keys of the gateways that run items and are live at the peer.
     region : int
@@ -84,6 +92,9 @@
         "is_leaving",
         "reaches_store",
         "items",
+        "progress",
+        "tells_waiting",
+        "finished",
         "live_workers",
         "region",
         "heartbeat_seconds",
@@ -104,6 +115,9 @@
         self.is_leaving = False
         self.reaches_store = False
         self.items = frozenset()
+        self.progress = {}
+        self.tells_waiting = False
+        self.finished = frozenset()
         self.live_workers = frozenset()
         self.region = 0
         self.heartbeat_seconds = INITIAL_HEARTBEAT_INTERVAL_S
@@ -139,6 +153,9 @@
             self.is_leaving = message.is_leaving
             self.reaches_store = message.reaches_store
             self.items = frozenset(message.items)
+            self.progress = dict(zip(message.items, message.progress))
+            self.tells_waiting = message.tells_waiting
+            self.finished = frozenset(message.finished)
             self.live_workers = frozenset(message.live_workers)
             self.region = message.region
             self.heartbeat_seconds = message.heartbeat_seconds
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -48,6 +48,10 @@
         self.running = {}
         self.reread_count = 0
 
+    def describe(self):
+        """Tell of no items."""
+        return {}
+
     def preempt_items(self, upstream):
         """Do nothing, since no item runs."""
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -105,6 +105,20 @@
         upstream.turns.record_start()
         return upstream
 
+    def has_place(self, service):
+        """Return whether batch work may use a slot, whosever turn it is."""
+        placement = self.placement
+        view = choose_batch_upstream(
+            placement.build_views(
+                service, include_suspects=False, is_repeatable=True
+            ),
+            data_centre=placement.data_centre,
+            is_same_region=placement.is_same_region,
+            has_current_remote_load=placement.has_current_remote_load(),
+            headroom_fraction=BATCH_HEADROOM_SHARE,
+        )
+        return view is not None
+
     def is_limited(self, view):
         """Return whether an upstream names a rate limit."""
         upstream = self.placement.directory.upstreams[view.name]
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -17,6 +17,8 @@
 from .sharing import count_free_slots
 from .slots import BatchGate
 from .stream import StreamView
+from .succession import may_succeed
+from .succession import MIN_IDLE_S
 from .turns import count_turn_slots
 from .turns import SlotTurns
 from .urgency import rank_item
@@ -26,6 +28,7 @@
 __all__ = [
     "ArrivalEstimator",
     "BATCH_POLICIES",
+    "MIN_IDLE_S",
     "BatchGate",
     "OnlineLoad",
     "RunTimeEstimator",
@@ -44,6 +47,7 @@
     "count_excess",
     "count_free_slots",
     "has_route_ended",
+    "may_succeed",
     "rank_item",
     "split_reserve",
 ]
