Read the jobs anew when a peer knows newer ones

Callers saw items that their owner did not start for up to 16 s after the job was accepted, and items of ended jobs that went on as long. A gateway whose watch of the configuration or of the upstreams falls silent hears of it from its peers, but nobody told of the jobs: a worker waited for the end of its watch. Full messages now tell the revision of the last change of jobs; a worker that is behind for a second reads them again.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -14,6 +14,8 @@
 from hollyspan_gateway.jobs.records import decode_result
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.peers import FleetMessage
+from hollyspan_gateway.peers import Peer
 from hollyspan_gateway.routes import RouteKind
 
 OTHER_WORKER = "0" * 16
@@ -717,3 +719,28 @@
     reactor.pump([0.1] * 12)
     gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
     assert len(list_results(wire)) == 3
+
+
+# Failure: a worker whose watch of the jobs had fallen silent did not learn of
+# new jobs, nor of the ends of others, until the watch timed out after 16 s.
+def test_jobs_are_read_when_a_peer_knows_newer_ones(
+    build_worker, submit, reactor, wire
+):
+    gateway = build_worker()
+    wire.waiting, lost_watches = [], wire.waiting
+    submit(2)
+    assert gateway.pool.sent == []
+    gateway.refresh.compare_revisions(
+        Peer(key=1, address=("10.0.0.7", 3)),
+        FleetMessage(
+            sender=1,
+            incarnation=1,
+            sequence=1,
+            is_full=True,
+            loads=[],
+            jobs=wire.revision,
+        ),
+    )
+    reactor.pump([0.1] * 15)
+    assert len(gateway.pool.sent) == 2
+    assert lost_watches
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -122,6 +122,7 @@
             "progress": list(claims.values()),
             "tells_waiting": True,
             "finished": self.claims.list_finished(),
+            "jobs": self.catalogue.mirror.changed_revision,
         }
 
     def schedule(self, seconds):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -58,6 +58,7 @@
         lostPercent=math.ceil(message.lost_share * 100),
         memoryMs=encode_age(message.memory_seconds),
         tellsWaiting=message.tells_waiting,
+        jobs=message.jobs,
     )
     if message.loads:
         loads = wire.init("loads", len(message.loads))
@@ -158,6 +159,7 @@
     message.progress = list(wire.progress)
     message.tells_waiting = wire.tellsWaiting
     message.finished = list(wire.finished)
+    message.jobs = wire.jobs
     message.wants_reply = wire.wantsReply
     message.live_workers = list(wire.heard)
     message.region = wire.region
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -87,4 +87,5 @@
                             # whose result is being stored
   finished @27 :List(UInt64); # jobs, each with the gateways that share its
                             # items: the sender's have results in the store
+  jobs @28 :UInt64;         # store revision of the last change of jobs
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -105,6 +105,9 @@
     finished : list of int, optional
         Hashes of jobs and of the gateways that share their items: those of
         the sender have results in the store.
+    jobs : int, optional
+        Store revision of the last change of jobs at the sender, 0 if it does
+        not follow them.
     wants_reply : bool, optional
         True when the receiver is to send a full message back.
     live_workers : list of int, optional
@@ -149,6 +152,7 @@
         "progress",
         "tells_waiting",
         "finished",
+        "jobs",
         "wants_reply",
         "live_workers",
         "region",
@@ -182,6 +186,7 @@
         progress=(),
         tells_waiting=False,
         finished=(),
+        jobs=0,
         wants_reply=False,
         live_workers=(),
         region=0,
@@ -211,6 +216,7 @@
         self.progress = progress
         self.tells_waiting = tells_waiting
         self.finished = finished
+        self.jobs = jobs
         self.wants_reply = wants_reply
         self.live_workers = live_workers
         self.region = region
--- a/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
@@ -11,6 +11,9 @@
 # Time that the gateway's own watch has to deliver a revision that a peer
 # already has.
 WATCH_GRACE_S = 0.3
+# The same for jobs, whose changes may follow each other closely: above the
+# longest delay between two watches, and a read of all jobs is large.
+JOBS_WATCH_GRACE_S = 1.0
 # Limits the rate of reads: a gateway that cannot reach the store receives
 # newer revisions with each message.
 MIN_REFRESH_INTERVAL_S = 0.8
@@ -47,6 +50,12 @@
             self.newer["configuration"] = peer, message.configuration
         if message.upstreams > gateway.upstreams_mirror.revision:
             self.newer["upstreams"] = peer, message.upstreams
+        if (
+            message.jobs
+            and gateway.worker is not None
+            and message.jobs > gateway.worker.catalogue.mirror.revision
+        ):
+            self.newer["jobs"] = peer, message.jobs
         if self.newer and self.call is None:
             now = gateway.reactor.seconds()
             delay = self.last_started + MIN_REFRESH_INTERVAL_S - now
@@ -68,10 +77,14 @@
     async def catch_up(self, name, peer, revision):
         """Read the entries again unless the watch delivers them first."""
         gateway = self.gateway
-        mirror = gateway.mirrors[name]
+        grace = WATCH_GRACE_S
+        if name == "jobs":
+            mirror, grace = gateway.worker.catalogue.mirror, JOBS_WATCH_GRACE_S
+        else:
+            mirror = gateway.mirrors[name]
         is_watching = mirror.is_connected and mirror.must_watch()
         if is_watching:
-            await wait(gateway.reactor, WATCH_GRACE_S)
+            await wait(gateway.reactor, grace)
         if mirror.revision >= revision:
             return
         eliot.log_message(
@@ -84,6 +97,9 @@
         if is_watching:
             mirror.refresh()
             return
+        if name == "jobs":
+            # Its mirror reads them itself as soon as the store can be reached.
+            return
         snapshot = await fetch_snapshot(
             gateway.pool, peer, port=gateway.settings.snapshot_port, name=name
         )
