Read the record of a job again that could not be read once

Callers saw items that their owner never started. A job whose record could not be decoded once, as when the answer for one of its parts was missing, kept its placeholder at that worker for good, also after the job was removed and came again. Such records are now read again, after 1 s and more and more rarely, up to 16 s apart, while they are stored. Both tests failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -23,6 +23,10 @@
 __all__ = ["JobCatalogue"]
 
 READ_RETRY_DELAY_S = 0.3
+# The same for a record that cannot be decoded, doubled up to the maximum: a
+# part of it may be missing in one answer only.
+UNREADABLE_RETRY_DELAY_S = 1.0
+MAX_UNREADABLE_RETRY_DELAY_S = 16.0
 # A job that is seen for the first time at this age may have results already:
 # many times the delay of a watch, and less than an item takes.
 MAX_NEW_JOB_AGE_S = 1.0
@@ -43,6 +47,9 @@
     ----------
     jobs : dict
         JobState by identifier; None while the record is being read.
+    unreadable : dict
+        Time of the first failed read of a record that was not read since,
+        reactor seconds, by identifier.
     ended : set of str
         Identifiers of the jobs that their clients have ended.
     """
@@ -52,6 +59,7 @@
         self.on_change = on_change
         self.on_end = on_end
         self.jobs = {}
+        self.unreadable = {}
         self.ended = set()
         self.is_first_update = True
         self.mirror = Mirror(
@@ -111,30 +119,48 @@
                         identifier, entry, has_read_results=not is_first
                     )
                 ).addErrback(eliot.write_failure)
-        for identifier, job_state in list(self.jobs.items()):
-            if job_state is not None and build_job_key(identifier) not in (
-                mirror.entries
-            ):
+        for identifier in list(self.jobs):
+            if build_job_key(identifier) not in mirror.entries:
                 del self.jobs[identifier]
+                self.unreadable.pop(identifier, None)
                 self.ended.discard(identifier)
 
-    async def load_job_state(self, identifier, entry, *, has_read_results):
-        job = None
-        while job is None:
+    async def read_job(self, identifier, entry):
+        """Read a record, again and again until it can be read.
+
+        Returns
+        -------
+        Job or None
+            None when it is no longer stored.
+        """
+        reactor = self.gateway.reactor
+        unreadable_delay = UNREADABLE_RETRY_DELAY_S
+        while entry is not None:
             try:
                 job = await read_record(self.gateway.store, identifier, entry)
             except StoreUnavailableError as error:
-                eliot.log_message(
-                    "job:unreadable", job=identifier, reason=error.message
-                )
-                await wait(self.gateway.reactor, READ_RETRY_DELAY_S)
-                has_read_results = False
+                reason, delay = error.message, READ_RETRY_DELAY_S
             except RecordUnreadableError as error:
-                # Its placeholder stays, so that it is not read again.
-                eliot.log_message(
-                    "job:unreadable", job=identifier, reason=error.message
+                reason, delay = error.message, unreadable_delay
+                unreadable_delay = min(
+                    MAX_UNREADABLE_RETRY_DELAY_S, unreadable_delay * 2
                 )
-                return
+            else:
+                return job
+            if identifier not in self.unreadable:
+                self.unreadable[identifier] = reactor.seconds()
+            eliot.log_message("job:unreadable", job=identifier, reason=reason)
+            await wait(reactor, delay)
+            entry = self.mirror.entries.get(build_job_key(identifier))
+        return None
+
+    async def load_job_state(self, identifier, entry, *, has_read_results):
+        job = await self.read_job(identifier, entry)
+        if self.unreadable.pop(identifier, None) is not None:
+            has_read_results = False
+        if job is None or self.jobs.get(identifier, job) is not None:
+            # Removed meanwhile, and perhaps read by a later call.
+            return
         age = self.gateway.wall_clock() - job.submitted
         if age > MAX_NEW_JOB_AGE_S:
             has_read_results = False
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -10,9 +10,11 @@
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.records import build_end_key
+from hollyspan_gateway.jobs.records import build_job_key
 from hollyspan_gateway.jobs.records import build_results_prefix
 from hollyspan_gateway.jobs.records import decode_result
 from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.records import PARTS_PREFIX
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.peers import FleetMessage
 from hollyspan_gateway.peers import Peer
@@ -744,3 +746,53 @@
     reactor.pump([0.1] * 15)
     assert len(gateway.pool.sent) == 2
     assert lost_watches
+
+
+# Failure: a job whose record could not be read once was never run by the
+# worker that had read it.
+def test_a_job_whose_record_lacks_a_part_once_is_run(
+    build_worker, wire, reactor, helpers
+):
+    gateway = build_worker()
+    first, rest = encode_job_in_parts(reactor.seconds())
+    part = f"{PARTS_PREFIX}j/1"
+    wire.change({build_job_key("j"): bytes(16) + b"\x02" + first})
+    reactor.pump([0.1] * 5)
+    assert gateway.pool.sent == []
+    wire.change({part: bytes(16) + rest})
+    reactor.pump([0.1] * 40)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert list_results(wire) == {"j0": (True, b"t1")}
+
+
+# Failure: a job that was removed while it could not be read was not read when
+# it came again.
+def test_a_job_that_is_removed_unread_is_read_when_it_comes_again(
+    build_worker, submit, wire, reactor
+):
+    gateway = build_worker()
+    wire.change({build_job_key("j"): bytes(16) + b"\x01no record"})
+    reactor.pump([0.1] * 5)
+    wire.change({}, removed=[build_job_key("j")])
+    reactor.pump([0.1] * 5)
+    assert not gateway.worker.catalogue.jobs
+    submit(1)
+    reactor.pump([0.1] * 5)
+    assert len(gateway.pool.sent) == 1
+    reactor.pump([0.1] * 40)
+    assert len(gateway.worker.catalogue.jobs["j"].items) == 1
+
+
+def encode_job_in_parts(now):
+    """Return the two parts of the record of a job with one item."""
+    job = Job(
+        identifier="j",
+        host="h",
+        path="/b/",
+        submitted=now,
+        due=now + 18.0,
+        retained_until=now + 60.0,
+        items=[Item(identifier="j0", path="/b/x", headers=[], body=b"")],
+    )
+    (content,) = encode_job(job).values()
+    return content[1:9], content[9:]
