Let an unreadable counter hold back the results of its own route only

Callers saw finished items without a result. A worker stores the results of jobs under a limit on waiting tokens in order; while its own counter of one route could not be read, those of all other routes waited behind it. These now come first. The test failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
@@ -214,6 +214,10 @@
                         reason=error.message,
                     )
                     await wait(self.gateway.reactor, STORE_RETRY_DELAY_S)
+                    # Those of other quotas come first.
+                    self.queue.sort(
+                        key=lambda release: release.reservation.quota == quota
+                    )
         finally:
             self.is_writing = False
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -22,6 +22,7 @@
 from hollyspan_gateway.jobs.quota_records import encode_releases
 from hollyspan_gateway.jobs.records import build_end_key
 from hollyspan_gateway.jobs.records import build_result_key
+from hollyspan_gateway.jobs.reservation import Reservation
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_standins.memory import build_job
@@ -309,3 +310,24 @@
     assert stored == [True]
     released = decode_releases(wire.entries[key].content)
     assert sum(released.values()) == 150
+
+
+# Failure: results of all other routes waited while the worker's counter of
+# one route could not be read.
+def test_a_counter_that_cannot_be_read_holds_back_its_own_results_only(
+    build_front, build_route, wire, accept, reactor
+):
+    worker = build_worker(build_front("w1"))
+    first = accept(worker, "j1", 100)
+    second = accept(worker, "j2", 100)
+    second.reservation = Reservation(quota="other", share=0)
+    key = build_releases_key(first.reservation.quota, "w1")
+    wire.change({key: bytes(16) + b"from a newer build"})
+    waiting = finish_item(worker, first)
+    stored = finish_item(worker, second)
+    reactor.pump([0.1] * 10)
+    assert stored.called
+    assert not waiting.called
+    wire.change({key: bytes(16) + encode_releases({})})
+    reactor.pump([0.1] * 10)
+    assert waiting.called
