Count a worker in only once it has a configuration

Callers saw items that nobody started while a worker had just begun or could not read its configuration: it starts nothing then, but told its peers that it runs items, so that its share of them was left to it. The test failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -247,6 +247,15 @@
         if self.peers.broadcasts_load():
             self.peers.send_full(self.peers.list_live())
 
+    @property
+    def can_run_items(self):
+        """True while items can be started here, apart from upstreams."""
+        return (
+            self.worker is not None
+            and not self.worker.is_stopping
+            and self.routes is not None
+        )
+
     def wall_clock(self):
         """Return the Unix time in seconds."""
         return time.time()
@@ -341,7 +350,7 @@
         return {
             "configuration": self.configuration_revision,
             "upstreams": self.upstreams_mirror.changed_revision,
-            "runs_batch": worker is not None and not worker.is_stopping,
+            "runs_batch": self.can_run_items,
             "is_leaving": self.is_draining,
             "reaches_store": self.upstreams_mirror.is_connected,
             "runs_online": self.settings.client_port is not None,
@@ -501,7 +510,7 @@
             and not peer.is_leaving
             and not peer.is_cut_off
         ]
-        if not self.worker.is_stopping and not self.reach.is_confirmed:
+        if self.can_run_items and not self.reach.is_confirmed:
             workers.append(self.peers.identifier)
         return workers
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -796,3 +796,15 @@
     )
     (content,) = encode_job(job).values()
     return content[1:9], content[9:]
+
+
+# Failure: a worker that had no configuration yet counted as one that runs its
+# share of the items.
+def test_a_worker_without_a_configuration_is_no_worker_for_its_peers(
+    build_worker,
+):
+    gateway = build_worker()
+    assert gateway.describe()["runs_batch"]
+    gateway.routes = None
+    assert not gateway.describe()["runs_batch"]
+    assert gateway.list_workers() == []
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -170,7 +170,7 @@
         self.schedule_call = None
         self.schedule(SCHEDULING_INTERVAL_S)
         self.open_items.log_if_due()
-        if self.is_stopping or self.gateway.routes is None:
+        if not self.gateway.can_run_items:
             return
         if not self.gateway.upstreams_mirror.is_connected:
             # Results could not be stored; peers that reach the store take
