Store a result before its run is measured

Callers saw finished items without a result. The result of a run was stored after the run had been counted for the estimates; an error there left it unstored for good, as no further run followed. It is stored first now, and errors at the end of a run are logged. The test failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -808,3 +808,20 @@
     gateway.routes = None
     assert not gateway.describe()["runs_batch"]
     assert gateway.list_workers() == []
+
+
+# Failure: the result of an item was not stored when its run could not be
+# counted.
+def test_a_result_is_stored_whatever_its_measurement_does(
+    build_worker, submit, wire, helpers
+):
+    gateway = build_worker()
+    submit()
+
+    def fail(**values):
+        raise ValueError("not a time")
+
+    gateway.worker.times = types.SimpleNamespace(observe=fail)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert list_results(wire) == {"j0": (True, b"t1")}
+    assert gateway.worker.running == {}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -319,7 +319,9 @@
             last_event=state.last_event,
             slack=job.due - now,
         )
-        state.run.start().addBoth(self.finish_run, state)
+        state.run.start().addBoth(self.finish_run, state).addErrback(
+            eliot.write_failure
+        )
 
     def note_shortage(self, state, service):
         """Note that no upstream has a place for an item.
@@ -372,8 +374,8 @@
         run, state.run = state.run, None
         state.stopped_at = self.gateway.reactor.seconds()
         self.running.pop(state.key, None)
+        event_count = len(state.event_data)
         if state.result is not None:
-            self.observe_run(run, state)
             self.store_result(state)
         elif not run.is_preempted or self.is_short(run):
             state.not_before = (
@@ -381,19 +383,21 @@
             )
         self.notify_if_drained()
         self.schedule(0.0)
+        if state.result is not None:
+            self.observe_run(run, state.result, event_count)
 
     def is_short(self, run):
         return self.gateway.reactor.seconds() - run.started < MIN_RUN_S
 
-    def observe_run(self, run, state):
+    def observe_run(self, run, result, event_count):
         """Update the expected run times from a finished run."""
         seconds = self.gateway.reactor.seconds() - run.started
         self.gateway.metrics.record("run", seconds)
-        if state.result.is_done:
+        if result.is_done:
             self.times.observe(
-                events=len(state.event_data),
+                events=event_count,
                 seconds=seconds,
-                run_events=len(state.event_data) - run.initial_event_count,
+                run_events=event_count - run.initial_event_count,
             )
 
     def store_result(self, state):
