Log a reason for each wait of an open item, with its age

Items that were run again and again without an event were never logged, since each run began their age anew; neither were jobs whose record was not known, nor results that were being read; and lines of items that other gateways own took the room of the owner's own. Each of these waits has a name in items:open now, the age counts from the last event, and idle tells for how long nobody was seen to work on the item.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -47,9 +47,11 @@
     ----------
     jobs : dict
         JobState by identifier; None while the record is being read.
-    unreadable : dict
-        Time of the first failed read of a record that was not read since,
+    unread : dict
+        Time at which a job was first seen whose record was not read yet,
         reactor seconds, by identifier.
+    unreadable : set of str
+        Identifiers of those whose last read has failed.
     ended : set of str
         Identifiers of the jobs that their clients have ended.
     """
@@ -59,7 +61,8 @@
         self.on_change = on_change
         self.on_end = on_end
         self.jobs = {}
-        self.unreadable = {}
+        self.unread = {}
+        self.unreadable = set()
         self.ended = set()
         self.is_first_update = True
         self.mirror = Mirror(
@@ -114,6 +117,7 @@
             elif identifier not in self.jobs:
                 # A placeholder, so that the record is read only once.
                 self.jobs[identifier] = None
+                self.unread[identifier] = self.gateway.reactor.seconds()
                 defer.ensureDeferred(
                     self.load_job_state(
                         identifier, entry, has_read_results=not is_first
@@ -122,7 +126,8 @@
         for identifier in list(self.jobs):
             if build_job_key(identifier) not in mirror.entries:
                 del self.jobs[identifier]
-                self.unreadable.pop(identifier, None)
+                self.unread.pop(identifier, None)
+                self.unreadable.discard(identifier)
                 self.ended.discard(identifier)
 
     async def read_job(self, identifier, entry):
@@ -147,8 +152,7 @@
                 )
             else:
                 return job
-            if identifier not in self.unreadable:
-                self.unreadable[identifier] = reactor.seconds()
+            self.unreadable.add(identifier)
             eliot.log_message("job:unreadable", job=identifier, reason=reason)
             await wait(reactor, delay)
             entry = self.mirror.entries.get(build_job_key(identifier))
@@ -156,11 +160,13 @@
 
     async def load_job_state(self, identifier, entry, *, has_read_results):
         job = await self.read_job(identifier, entry)
-        if self.unreadable.pop(identifier, None) is not None:
-            has_read_results = False
         if job is None or self.jobs.get(identifier, job) is not None:
             # Removed meanwhile, and perhaps read by a later call.
             return
+        if identifier in self.unreadable:
+            has_read_results = False
+            self.unreadable.discard(identifier)
+        del self.unread[identifier]
         age = self.gateway.wall_clock() - job.submitted
         if age > MAX_NEW_JOB_AGE_S:
             has_read_results = False
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -40,6 +40,8 @@
         Name of the upstream at which the last run failed.
     stopped_at : float
         End of the last run, reactor seconds.
+    advanced_at : float
+        Time of the last event of the runs that have ended, reactor seconds.
     not_before : float
         Time before which the item is not started again, reactor seconds.
     hindrance : str or None
@@ -76,6 +78,7 @@
         "result",
         "broken_at",
         "stopped_at",
+        "advanced_at",
         "not_before",
         "hindrance",
         "owner",
@@ -103,6 +106,7 @@
         self.result = None
         self.broken_at = None
         self.stopped_at = 0.0
+        self.advanced_at = 0.0
         self.not_before = 0.0
         self.hindrance = None
         self.owner = None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
@@ -13,8 +13,10 @@
 # The same for items that another gateway owns or runs: twice the usual run.
 MIN_ELSEWHERE_AGE_S = 10.0
 LOG_INTERVAL_S = 5.0
-# Limits on the lines of one round, and on the time that a round takes.
+# Limits on the lines of one round, and on the time that a round takes. The
+# gateways that own or run items tell more of them.
 MAX_LINES = 16
+MAX_ELSEWHERE_LINES = 4
 MAX_ITEMS = 2_000
 ELSEWHERE = frozenset(("owned_elsewhere", "runs_elsewhere"))
 
@@ -53,20 +55,28 @@
             return
         self.next_at = now + LOG_INTERVAL_S
         jobs = self.next_jobs or self.worker.catalogue.list_incomplete()
-        groups, count = {}, 0
+        groups, count, elsewhere = {}, 0, 0
+        self.log_unread_jobs(now)
         workers = tuple(sorted(self.worker.gateway.list_workers()))
         runners = self.find_runners()
         while jobs and count < MAX_ITEMS and len(groups) < MAX_LINES:
             job_state = jobs.pop(0)
             count += len(job_state.items)
             for state in job_state.items.values():
-                age = now - max(state.stopped_at, job_state.seen_at)
-                if state.has_result or state.run or age < MIN_AGE_S:
+                if state.has_result:
                     continue
-                reason = self.find_reason(state, workers, runners)
-                if age < MIN_ELSEWHERE_AGE_S and reason[0] in ELSEWHERE:
+                age = now - find_last_progress(state)
+                if age < MIN_AGE_S:
                     continue
+                reason = self.find_reason(state, workers, runners)
                 key = (job_state.job.identifier, *reason)
+                if reason[0] in ELSEWHERE and key not in groups:
+                    if (
+                        age < MIN_ELSEWHERE_AGE_S
+                        or elsewhere >= MAX_ELSEWHERE_LINES
+                    ):
+                        continue
+                    elsewhere += 1
                 groups.setdefault(key, []).append((age, state))
         self.next_jobs = jobs
         for (job, reason, other), waiting in groups.items():
@@ -79,9 +89,30 @@
                 items=len(waiting),
                 item=state.item.identifier,
                 age=round(age, 1),
+                idle=round(now - state.idle_since, 1),
                 last_event=state.last_event,
             )
 
+    def log_unread_jobs(self, now):
+        """Log the jobs whose records are not known here."""
+        catalogue = self.worker.catalogue
+        unread = [
+            (identifier, now - since)
+            for identifier, since in catalogue.unread.items()
+            if now - since >= MIN_AGE_S
+        ]
+        for identifier, age in unread[:MAX_LINES]:
+            eliot.log_message(
+                "items:open",
+                job=identifier,
+                reason=(
+                    "record_unreadable"
+                    if identifier in catalogue.unreadable
+                    else "record_not_read"
+                ),
+                age=round(age, 1),
+            )
+
     def find_runners(self):
         """Return the peer that says that it runs an item, by its key."""
         return {
@@ -109,6 +140,8 @@
         gateway = self.worker.gateway
         if state.result is not None:
             return "result_not_stored", None
+        if state.run is not None:
+            return "run_without_events", state.run.upstream.entry.name
         if self.worker.is_stopping:
             return "stopping", None
         if gateway.routes is None:
@@ -118,9 +151,14 @@
         if state.key in runners:
             return "runs_elsewhere", runners[state.key]
         owner = self.worker.find_owner(state, workers)
-        if owner != gateway.peers.identifier:
+        is_here = owner == gateway.peers.identifier or state.is_taken
+        if not is_here and gateway.reach.is_confirmed:
+            return "links_lost", owner
+        if not is_here:
             return "owned_elsewhere", owner
-        if not state.job_state.has_read_results:
+        if state.job_state.is_reading_results:
+            return "results_being_read", None
+        if not state.job_state.has_read_results and not state.is_taken:
             return "results_not_read", None
         if state.not_before > gateway.reactor.seconds():
             return "delay", None
@@ -148,3 +186,11 @@
         if all(upstream.is_suspect(now=now) for upstream in usable):
             return "upstreams_suspect"
         return "no_slot"
+
+
+def find_last_progress(state):
+    """Return the time of an item's last event, or when it was first seen."""
+    last = max(state.advanced_at, state.job_state.seen_at)
+    if state.run is not None and state.run.has_new_events():
+        last = max(last, state.run.progress_at)
+    return last
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
@@ -5,6 +5,7 @@
 
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import build_job_key
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.peers.peer import Peer
@@ -168,3 +169,49 @@
     lines = list_open(4.5)
     assert len(lines) <= 32
     assert len({line["job"] for line in list_open(15.0)}) == 40
+
+
+def test_items_whose_runs_bring_no_event_are_logged(
+    gateway, submit, list_open
+):
+    submit(1)
+    lines = list_open(9.0)
+    reasons = list_reasons(lines)
+    assert reasons <= {"run_without_events", "delay"} and reasons
+    assert max(line["age"] for line in lines) > 5.0
+
+
+def test_jobs_whose_records_are_not_known_are_logged(gateway, wire, list_open):
+    wire.change({build_job_key("odd"): bytes(16) + b"\x01no record"})
+    lines = list_open(9.0)
+    assert {(line["job"], line["reason"]) for line in lines} == {
+        ("odd", "record_unreadable")
+    }
+
+
+def test_the_read_of_results_is_told(gateway, submit, list_open, reactor):
+    async def read(job_state):
+        job_state.is_reading_results = True
+
+    gateway.worker.catalogue.read_results = read
+    gateway.upstreams_mirror.is_connected = False
+    submit(1)
+    gateway.worker.reread_results()
+    gateway.upstreams_mirror.is_connected = True
+    assert list_reasons(list_open(9.0)) == {"results_being_read"}
+
+
+def test_an_item_that_its_owner_leaves_alone_is_told_with_its_age(
+    gateway, submit, list_open
+):
+    peer = Peer(key=5, address=("10.0.0.1", 1))
+    peer.runs_batch = peer.reaches_store = True
+    gateway.peers.list_workers = lambda: [peer]
+    gateway.guard.block_list.add(
+        frozenset({PART}), at=gateway.reactor.seconds()
+    )
+    submit(16)
+    lines = [
+        line for line in list_open(16.0) if line["reason"] == "owned_elsewhere"
+    ]
+    assert max(line["idle"] for line in lines) >= 10.0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -373,6 +373,8 @@
             eliot.write_failure(failure)
         run, state.run = state.run, None
         state.stopped_at = self.gateway.reactor.seconds()
+        if run.has_new_events():
+            state.advanced_at = run.progress_at
         self.running.pop(state.key, None)
         event_count = len(state.event_data)
         if state.result is not None:
