--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -23,6 +23,10 @@
 __all__ = ["JobCatalogue"]
 
 READ_RETRY_DELAY_S = 0.3
+# The same for a record that cannot be decoded, doubled up to the maximum: a
+# part of it may be missing in one answer only.
+UNREADABLE_RETRY_DELAY_S = 1.0
+MAX_UNREADABLE_RETRY_DELAY_S = 16.0
 # A job that is seen for the first time at this age may have results already:
 # many times the delay of a watch, and less than an item takes.
 MAX_NEW_JOB_AGE_S = 1.0
@@ -43,6 +47,11 @@
     ----------
     jobs : dict
         JobState by identifier; None while the record is being read.
+    unread : dict
+        Time at which a job was first seen whose record was not read yet,
+        reactor seconds, by identifier.
+    unreadable : set of str
+        Identifiers of those whose last read has failed.
     ended : set of str
         Identifiers of the jobs that their clients have ended.
     """
@@ -52,6 +61,8 @@
         self.on_change = on_change
         self.on_end = on_end
         self.jobs = {}
+        self.unread = {}
+        self.unreadable = set()
         self.ended = set()
         self.is_first_update = True
         self.mirror = Mirror(
@@ -106,35 +117,56 @@
             elif identifier not in self.jobs:
                 # A placeholder, so that the record is read only once.
                 self.jobs[identifier] = None
+                self.unread[identifier] = self.gateway.reactor.seconds()
                 defer.ensureDeferred(
                     self.load_job_state(
                         identifier, entry, has_read_results=not is_first
                     )
                 ).addErrback(eliot.write_failure)
-        for identifier, job_state in list(self.jobs.items()):
-            if job_state is not None and build_job_key(identifier) not in (
-                mirror.entries
-            ):
+        for identifier in list(self.jobs):
+            if build_job_key(identifier) not in mirror.entries:
                 del self.jobs[identifier]
+                self.unread.pop(identifier, None)
+                self.unreadable.discard(identifier)
                 self.ended.discard(identifier)
 
-    async def load_job_state(self, identifier, entry, *, has_read_results):
-        job = None
-        while job is None:
+    async def read_job(self, identifier, entry):
+        """Read a record, again and again until it can be read.
+
+        Returns
+        -------
+        Job or None
+            None when it is no longer stored.
+        """
+        reactor = self.gateway.reactor
+        unreadable_delay = UNREADABLE_RETRY_DELAY_S
+        while entry is not None:
             try:
                 job = await read_record(self.gateway.store, identifier, entry)
             except StoreUnavailableError as error:
-                eliot.log_message(
-                    "job:unreadable", job=identifier, reason=error.message
-                )
-                await wait(self.gateway.reactor, READ_RETRY_DELAY_S)
-                has_read_results = False
+                reason, delay = error.message, READ_RETRY_DELAY_S
             except RecordUnreadableError as error:
-                # Its placeholder stays, so that it is not read again.
-                eliot.log_message(
-                    "job:unreadable", job=identifier, reason=error.message
+                reason, delay = error.message, unreadable_delay
+                unreadable_delay = min(
+                    MAX_UNREADABLE_RETRY_DELAY_S, unreadable_delay * 2
                 )
-                return
+            else:
+                return job
+            self.unreadable.add(identifier)
+            eliot.log_message("job:unreadable", job=identifier, reason=reason)
+            await wait(reactor, delay)
+            entry = self.mirror.entries.get(build_job_key(identifier))
+        return None
+
+    async def load_job_state(self, identifier, entry, *, has_read_results):
+        job = await self.read_job(identifier, entry)
+        if job is None or self.jobs.get(identifier, job) is not None:
+            # Removed meanwhile, and perhaps read by a later call.
+            return
+        if identifier in self.unreadable:
+            has_read_results = False
+            self.unreadable.discard(identifier)
+        del self.unread[identifier]
         age = self.gateway.wall_clock() - job.submitted
         if age > MAX_NEW_JOB_AGE_S:
             has_read_results = False
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -40,6 +40,8 @@
         Name of the upstream at which the last run failed.
     stopped_at : float
         End of the last run, reactor seconds.
+    advanced_at : float
+        Time of the last event of the runs that have ended, reactor seconds.
     not_before : float
         Time before which the item is not started again, reactor seconds.
     hindrance : str or None
@@ -48,6 +50,16 @@
         Identifier of the gateway that runs the item, among `owner_workers`.
     owner_workers : tuple of str or None
         Gateways that could run items when the owner was chosen.
+    rank : int or None
+        Rank of this gateway behind the owner, from 0, once it was computed.
+    short_since : float
+        Time since which no upstream has a place for it, reactor seconds.
+    claim : (str, int or None) or None
+        The peer that names the item as its work, and the progress it tells.
+    idle_since : float
+        Time at which the claim or the owner last changed, reactor seconds.
+    is_taken : bool
+        True when this gateway runs the item in the place of its owner.
     """
 
     __slots__ = (
@@ -66,10 +78,16 @@
         "result",
         "broken_at",
         "stopped_at",
+        "advanced_at",
         "not_before",
         "hindrance",
         "owner",
         "owner_workers",
+        "rank",
+        "short_since",
+        "claim",
+        "idle_since",
+        "is_taken",
     )
 
     def __init__(self, *, job_state, item, key, shared_parts=()):
@@ -88,10 +106,16 @@
         self.result = None
         self.broken_at = None
         self.stopped_at = 0.0
+        self.advanced_at = 0.0
         self.not_before = 0.0
         self.hindrance = None
         self.owner = None
         self.owner_workers = None
+        self.rank = None
+        self.short_since = 0.0
+        self.claim = None
+        self.idle_since = 0.0
+        self.is_taken = False
 
     def discard_output(self):
         """Discard the events received, so that the next run starts over."""
@@ -124,6 +148,9 @@
     is_released : bool
         True once this gateway has begun to release the waiting tokens of the
         ended job.
+    finished_among : tuple of str or None
+        Gateways that shared the items when all that this one owns had
+        results.
     """
 
     __slots__ = (
@@ -135,10 +162,12 @@
         "is_reading_results",
         "is_released",
         "seen_at",
+        "finished_among",
     )
 
     def __init__(self, *, job, revision, has_read_results, seen_at=0.0):
         self.seen_at = seen_at
+        self.finished_among = None
         self.job = job
         self.revision = revision
         self.items = {}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -1,5 +1,7 @@
 """Tests of items with failures, preemption, outages and changes of owner."""
 
+import types
+
 import pytest
 
 from hollyspan_core.errors import ConfigurationInvalidError
@@ -8,10 +10,14 @@
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.records import build_end_key
+from hollyspan_gateway.jobs.records import build_job_key
 from hollyspan_gateway.jobs.records import build_results_prefix
 from hollyspan_gateway.jobs.records import decode_result
 from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.records import PARTS_PREFIX
 from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.peers import FleetMessage
+from hollyspan_gateway.peers import Peer
 from hollyspan_gateway.routes import RouteKind
 
 OTHER_WORKER = "0" * 16
@@ -690,3 +696,132 @@
     upstream.set_peer_load("p", (4, 0))
     gateway.worker.stop()
     assert upstream.batch == 0
+
+
+# Failure: an error at the start of one item held back all items behind it in
+# the order, in each round.
+def test_an_item_that_cannot_be_started_holds_back_no_other_item(
+    build_worker, submit, reactor, wire, helpers
+):
+    gateway = build_worker()
+    placement = gateway.worker.placement
+
+    def choose(state, service, *, is_urgent):
+        if state.item.identifier == "j0":
+            raise ValueError("no place can be computed")
+        return placement.choose(state, service, is_urgent=is_urgent)
+
+    gateway.worker.placement = types.SimpleNamespace(choose=choose)
+    submit(3)
+    reactor.pump([0.1] * 5)
+    assert len(gateway.pool.sent) == 2
+    for connection in list(gateway.pool.sent):
+        connection.answer(200, body=helpers.build_events(1, 1))
+    gateway.worker.placement = placement
+    reactor.pump([0.1] * 12)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert len(list_results(wire)) == 3
+
+
+# Failure: a worker whose watch of the jobs had fallen silent did not learn of
+# new jobs, nor of the ends of others, until the watch timed out after 16 s.
+def test_jobs_are_read_when_a_peer_knows_newer_ones(
+    build_worker, submit, reactor, wire
+):
+    gateway = build_worker()
+    wire.waiting, lost_watches = [], wire.waiting
+    submit(2)
+    assert gateway.pool.sent == []
+    gateway.refresh.compare_revisions(
+        Peer(key=1, address=("10.0.0.7", 3)),
+        FleetMessage(
+            sender=1,
+            incarnation=1,
+            sequence=1,
+            is_full=True,
+            loads=[],
+            jobs=wire.revision,
+        ),
+    )
+    reactor.pump([0.1] * 15)
+    assert len(gateway.pool.sent) == 2
+    assert lost_watches
+
+
+# Failure: a job whose record could not be read once was never run by the
+# worker that had read it.
+def test_a_job_whose_record_lacks_a_part_once_is_run(
+    build_worker, wire, reactor, helpers
+):
+    gateway = build_worker()
+    first, rest = encode_job_in_parts(reactor.seconds())
+    part = f"{PARTS_PREFIX}j/1"
+    wire.change({build_job_key("j"): bytes(16) + b"\x02" + first})
+    reactor.pump([0.1] * 5)
+    assert gateway.pool.sent == []
+    wire.change({part: bytes(16) + rest})
+    reactor.pump([0.1] * 40)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert list_results(wire) == {"j0": (True, b"t1")}
+
+
+# Failure: a job that was removed while it could not be read was not read when
+# it came again.
+def test_a_job_that_is_removed_unread_is_read_when_it_comes_again(
+    build_worker, submit, wire, reactor
+):
+    gateway = build_worker()
+    wire.change({build_job_key("j"): bytes(16) + b"\x01no record"})
+    reactor.pump([0.1] * 5)
+    wire.change({}, removed=[build_job_key("j")])
+    reactor.pump([0.1] * 5)
+    assert not gateway.worker.catalogue.jobs
+    submit(1)
+    reactor.pump([0.1] * 5)
+    assert len(gateway.pool.sent) == 1
+    reactor.pump([0.1] * 40)
+    assert len(gateway.worker.catalogue.jobs["j"].items) == 1
+
+
+def encode_job_in_parts(now):
+    """Return the two parts of the record of a job with one item."""
+    job = Job(
+        identifier="j",
+        host="h",
+        path="/b/",
+        submitted=now,
+        due=now + 18.0,
+        retained_until=now + 60.0,
+        items=[Item(identifier="j0", path="/b/x", headers=[], body=b"")],
+    )
+    (content,) = encode_job(job).values()
+    return content[1:9], content[9:]
+
+
+# Failure: a worker that had no configuration yet counted as one that runs its
+# share of the items.
+def test_a_worker_without_a_configuration_is_no_worker_for_its_peers(
+    build_worker,
+):
+    gateway = build_worker()
+    assert gateway.describe()["runs_batch"]
+    gateway.routes = None
+    assert not gateway.describe()["runs_batch"]
+    assert gateway.list_workers() == []
+
+
+# Failure: the result of an item was not stored when its run could not be
+# counted.
+def test_a_result_is_stored_whatever_its_measurement_does(
+    build_worker, submit, wire, helpers
+):
+    gateway = build_worker()
+    submit()
+
+    def fail(**values):
+        raise ValueError("not a time")
+
+    gateway.worker.times = types.SimpleNamespace(observe=fail)
+    gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
+    assert list_results(wire) == {"j0": (True, b"t1")}
+    assert gateway.worker.running == {}
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -12,6 +12,7 @@
 from ..routes import choose_service
 from ..routes import RouteKind
 from .catalogue import JobCatalogue
+from .claims import ClaimBook
 from .item import ItemResult
 from .item_placement import choose_retry_delay
 from .item_placement import ItemPlacement
@@ -21,6 +22,7 @@
 from .releases import ReleaseWriter
 from .result_storage import persist_result
 from .run import ItemRun
+from .succession import Succession
 
 __all__ = ["Worker"]
 
@@ -40,6 +42,10 @@
 # Items may use the headroom of online requests when less than this is left
 # until the job's due time: a whole run takes about 5 s.
 URGENT_SLACK_S = 7.0
+# Longest time that an item waits for its turn at a free slot.
+TURN_WAIT_S = 1.0
+# Delay of an item whose start has failed here.
+START_FAILURE_DELAY_S = 1.0
 # Number of failed runs after which an item is given up, for a route that
 # states none.
 DEFAULT_MAX_ATTEMPTS = 3
@@ -85,6 +91,8 @@
             on_end=self.stop_job,
         )
         self.remover = JobRemover(gateway=gateway, catalogue=self.catalogue)
+        self.claims = ClaimBook(worker=self)
+        self.succession = Succession(worker=self)
         self.open_items = OpenItemLog(worker=self)
 
     def start(self):
@@ -106,6 +114,17 @@
             if state.run is not None:
                 state.run.cancel()
 
+    def describe(self):
+        """Return the fields of a full message that tell of items."""
+        claims = self.claims.list_items()
+        return {
+            "items": list(claims),
+            "progress": list(claims.values()),
+            "tells_waiting": True,
+            "finished": self.claims.list_finished(),
+            "jobs": self.catalogue.mirror.changed_revision,
+        }
+
     def schedule(self, seconds):
         """Schedule the next round of starts within some seconds."""
         if self.is_stopping and not self.running:
@@ -151,7 +170,7 @@
         self.schedule_call = None
         self.schedule(SCHEDULING_INTERVAL_S)
         self.open_items.log_if_due()
-        if self.is_stopping or self.gateway.routes is None:
+        if not self.gateway.can_run_items:
             return
         if not self.gateway.upstreams_mirror.is_connected:
             # Results could not be stored; peers that reach the store take
@@ -161,7 +180,8 @@
         # checked; their items have results that are not known here.
         workers = tuple(sorted(self.gateway.update_workers()))
         self.ranks.update_workers(workers)
-        claimed = self.gateway.list_claimed_items()
+        self.succession.look_if_due(workers)
+        claimed = self.gateway.list_claimed_items() - self.succession.stalled
         self.release_ended_jobs(workers)
         waiting = []
         for job_state in self.catalogue.list_incomplete():
@@ -172,11 +192,26 @@
             ]
             if startable and not job_state.has_read_results:
                 self.catalogue.start_reading_results(job_state)
-            elif startable:
-                waiting += startable
+                # The results of these were looked up one by one.
+                startable = [state for state in startable if state.is_taken]
+            waiting += startable
         now = self.gateway.wall_clock()
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
+            self.try_start_item(state)
+
+    def try_start_item(self, state):
+        """Start one item; a failure concerns this item alone."""
+        try:
             self.start_item(state)
+        except Exception:
+            eliot.write_traceback()
+            if state.run is not None and state.run.deferred is None:
+                state.run = None
+                self.running.pop(state.key, None)
+            state.hindrance = "start_failed"
+            state.not_before = (
+                self.gateway.reactor.seconds() + START_FAILURE_DELAY_S
+            )
 
     def release_ended_jobs(self, workers):
         """Release the waiting tokens of the ended jobs that are owned here."""
@@ -220,15 +255,23 @@
             and state.result is None
             and state.not_before <= self.gateway.reactor.seconds()
             and state.key not in claimed
-            and self.find_owner(state, workers)
-            == self.gateway.peers.identifier
+            and (
+                self.find_owner(state, workers)
+                == self.gateway.peers.identifier
+                or state.is_taken
+            )
         )
 
     def find_owner(self, state, workers):
         """Return the identifier of the gateway that runs an item."""
         if state.owner_workers != workers:
-            state.owner = choose_owner(f"{state.key:x}", workers)
+            owner = choose_owner(f"{state.key:x}", workers)
+            if owner != state.owner:
+                state.owner = owner
+                state.is_taken = False
+                state.idle_since = self.gateway.reactor.seconds()
             state.owner_workers = workers
+            state.rank = None
         return state.owner
 
     def start_item(self, state):
@@ -246,14 +289,16 @@
         if not self.gateway.guard.block_list.may_send(
             state.shared_parts, request=state.item.identifier
         ):
+            state.is_taken = False
             return
+        service = choose_service(route, state.item.identifier)
         upstream = self.placement.choose(
             state,
-            choose_service(route, state.item.identifier),
+            service,
             is_urgent=job.due - now < URGENT_SLACK_S,
         )
         if upstream is None:
-            state.hindrance = "no_slot"
+            self.note_shortage(state, service)
             return
         state.hindrance = None
         state.run = ItemRun(
@@ -264,6 +309,7 @@
             max_failures=route.max_attempts or DEFAULT_MAX_ATTEMPTS,
         )
         self.running[state.key] = state
+        self.claims.note_start(state)
         eliot.log_message(
             "item:started",
             job=job.identifier,
@@ -275,7 +321,22 @@
             last_event=state.last_event,
             slack=job.due - now,
         )
-        state.run.start().addBoth(self.finish_run, state)
+        state.run.start().addBoth(self.finish_run, state).addErrback(
+            eliot.write_failure
+        )
+
+    def note_shortage(self, state, service):
+        """Note that no upstream has a place for an item.
+
+        For a moment it may only wait for its turn at a free one.
+        """
+        now = self.gateway.reactor.seconds()
+        if state.hindrance != "no_slot":
+            state.hindrance = "no_slot"
+            state.short_since = now
+        elif now - state.short_since >= TURN_WAIT_S:
+            state.is_taken = False
+            self.succession.note_shortage(service)
 
     def handle_missing_route(self, state):
         """Give an item up if its route has ended, or read the routes anew."""
@@ -314,9 +375,11 @@
             eliot.write_failure(failure)
         run, state.run = state.run, None
         state.stopped_at = self.gateway.reactor.seconds()
+        if run.has_new_events():
+            state.advanced_at = run.progress_at
         self.running.pop(state.key, None)
+        event_count = len(state.event_data)
         if state.result is not None:
-            self.observe_run(run, state)
             self.store_result(state)
         elif not run.is_preempted or self.is_short(run):
             state.not_before = (
@@ -324,19 +387,21 @@
             )
         self.notify_if_drained()
         self.schedule(0.0)
+        if state.result is not None:
+            self.observe_run(run, state.result, event_count)
 
     def is_short(self, run):
         return self.gateway.reactor.seconds() - run.started < MIN_RUN_S
 
-    def observe_run(self, run, state):
+    def observe_run(self, run, result, event_count):
         """Update the expected run times from a finished run."""
         seconds = self.gateway.reactor.seconds() - run.started
         self.gateway.metrics.record("run", seconds)
-        if state.result.is_done:
+        if result.is_done:
             self.times.observe(
-                events=len(state.event_data),
+                events=event_count,
                 seconds=seconds,
-                run_events=len(state.event_data) - run.initial_event_count,
+                run_events=event_count - run.initial_event_count,
             )
 
     def store_result(self, state):
