Test succession under a block that trials have confirmed

A block without trials is tried within seconds now, and the sound part of the test would be freed by that; with two failed trials nothing may be sent for the whole time, as before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -253,7 +253,9 @@
     fleet, submit, wire, reactor
 ):
     for gateway in fleet.gateways:
-        gateway.guard.block_list.add(frozenset({PART}), at=reactor.seconds())
+        gateway.guard.block_list.add(
+            frozenset({PART}), at=reactor.seconds(), failed_trials=2
+        )
     submit()
     fleet.advance(12.0)
     assert list_sent(fleet) == []
