--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -227,7 +227,7 @@
             reason="its gateway is gone",
             **self.describe(block),
         )
-        self.publish(block)
+        # All others find the same.
         return True
 
     def note_elsewhere(self, keys, sender, *, is_tried):
@@ -442,12 +442,8 @@
             trial.grant.request = None
             self.grant(block, trial.grant)
         else:
-            self.publish(block)
-
-    def publish(self, block):
-        """Tell the others and the store of a trial that has ended."""
-        self.guard.records.update(block)
-        self.guard.news.tell_block(block)
+            self.guard.records.update(block)
+            self.guard.news.tell_block(block)
 
     def describe(self, block):
         """Return the fields of a block and its age for a log line."""
