--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -122,9 +122,10 @@
         if self.is_due(block):
             self.start_claim(block)
         grant = self.grants.get(block.keys)
-        if grant is None or block.keys in self.own:
+        if grant is None or grant.request not in (None, request):
             return False
-        if grant.request not in (None, request):
+        # A peer may have begun one since, or ended it.
+        if not self.is_open_to_trials(block) or self.has_recent_end(block):
             return False
         grant.request = request
         return True
@@ -158,7 +159,6 @@
         now = self.gateway.reactor.seconds()
         if (
             now < block.trial_at
-            or keys in self.own
             or keys in self.grants
             or keys in self.claiming
             or now < self.next_checks.get(keys, 0.0)
@@ -166,11 +166,27 @@
             return False
         self.next_checks[keys] = now + CHECK_INTERVAL_S
         return (
-            not self.is_tried_elsewhere(block)
+            self.is_open_to_trials(block)
             and not self.must_postpone(block)
             and self.has_slot(block)
         )
 
+    def is_open_to_trials(self, block):
+        """Return whether the time of the next trial has come."""
+        return (
+            self.gateway.reactor.seconds() >= block.trial_at
+            and block.keys not in self.own
+            and not self.is_tried_elsewhere(block)
+        )
+
+    def has_recent_end(self, block):
+        """Return whether an upstream has just ended with the keys."""
+        now = self.gateway.reactor.seconds()
+        return any(
+            now - end.at < RECENT_END_S and has_request(end, block.keys)
+            for end in self.guard.evidence.ends.values()
+        )
+
     def has_slot(self, block):
         """Return whether the time of this gateway for a trial has come."""
         now = self.gateway.reactor.seconds()
@@ -186,10 +202,7 @@
         """Return whether upstreams are ending, with these keys or others."""
         now = self.gateway.reactor.seconds()
         ends = self.guard.evidence.ends.values()
-        if any(
-            now - end.at < RECENT_END_S and has_request(end, block.keys)
-            for end in ends
-        ):
+        if self.has_recent_end(block):
             return True
         spread = (
             CLAIM_SPREAD_S
@@ -264,7 +277,7 @@
             self.guard.blocks.get(block.keys) is block
             and block.trial_count == trial_count
         )
-        if not is_current or self.is_tried_elsewhere(block):
+        if not is_current or not self.is_open_to_trials(block):
             if has_claim:
                 self.claims.release(block)
             return
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
@@ -384,3 +384,21 @@
     report_ends(first.guard, (0.2, 0.1, 0.0), now=now)
     fleet.advance(1.5)
     assert len(list_blocks(fleet)) == 4
+
+
+# Failure: a front that was allowed a trial while the store was down, and had
+# no request yet, made it beside another front's trial, or just after it.
+@pytest.mark.parametrize("pause", [0.02, 0.5])
+def test_a_trial_elsewhere_ends_the_right_to_one(fatal_fleet, wire, pause):
+    fleet = fatal_fleet
+    fleet.advance(10.0)
+    wire.is_down = True
+    first, second, *_ = fleet.gateways
+    for gateway in (first, second):
+        fleet.request("n", (PART,), gateway=gateway)
+    fleet.advance(1.0)
+    sends = len(fleet.sent)
+    for gateway in (first, second):
+        fleet.request("m", (PART,), gateway=gateway)
+        fleet.advance(pause)
+    assert len(fleet.sent) == sends + 1
