--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -213,7 +213,7 @@
                 failed_trials=notice.failed_trials,
                 void_trials=notice.void_trials,
             )
-            guard.trials.note_elsewhere(
+            guard.trials.schedule.note_elsewhere(
                 frozenset(notice.keys),
                 message.sender,
                 is_tried=notice.is_tried,
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
@@ -0,0 +1,186 @@
+"""Times of the trials of blocks at one gateway."""
+
+import math
+
+import eliot
+
+from hollyspan_policy.crashes import choose_trial_slot
+from hollyspan_policy.crashes import CLAIM_SPREAD_S
+from hollyspan_policy.crashes import has_request
+from hollyspan_policy.crashes import is_calm
+from hollyspan_policy.crashes import SPREAD_WITHOUT_STORE_S
+
+from .block_list import describe_block
+
+__all__ = ["TrialSchedule", "describe_with_age"]
+
+# Shortest time between two checks whether a trial is due, which many items
+# ask for.
+CHECK_INTERVAL_S = 0.05
+# Time between two checks of the place of this gateway, which take time for
+# each gateway of the fleet.
+SHARE_CHECK_INTERVAL_S = 0.5
+# Time without a message of the gateway that makes a trial, after which it
+# counts as gone: several of those that it sends.
+TRIAL_NEWS_EXPIRY_S = 3.5
+# Age up to which an end with the keys may be that of another gateway's trial.
+RECENT_END_S = 1.0
+
+
+class TrialSchedule:
+    """Tells when this gateway may try a block.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    guard : RequestGuard
+    claims : TrialClaims
+
+    Attributes
+    ----------
+    elsewhere : dict
+        (peer's key, time of its last message, failed trials) of the trials
+        that peers make, by a block's keys.
+    next_checks : dict
+        Time of the next check whether a trial is due, by a block's keys.
+    shares : dict
+        Time and result of the last check of this gateway's place, by a
+        block's keys.
+    postponed : dict
+        Number of trials before the one that was postponed, by a block's keys.
+    """
+
+    __slots__ = (
+        "gateway",
+        "guard",
+        "claims",
+        "elsewhere",
+        "next_checks",
+        "shares",
+        "postponed",
+    )
+
+    def __init__(self, *, gateway, guard, claims):
+        self.gateway = gateway
+        self.guard = guard
+        self.claims = claims
+        self.elsewhere = {}
+        self.next_checks = {}
+        self.shares = {}
+        self.postponed = {}
+
+    def is_due(self, block):
+        """Return whether this gateway may claim a trial now."""
+        now = self.gateway.reactor.seconds()
+        if now < block.trial_at or now < self.next_checks.get(block.keys, 0.0):
+            return False
+        self.next_checks[block.keys] = now + CHECK_INTERVAL_S
+        return (
+            self.is_open(block)
+            and not self.must_postpone(block)
+            and self.has_slot(block)
+        )
+
+    def delay(self, block, seconds):
+        """Claim no trial for a time."""
+        now = self.gateway.reactor.seconds()
+        self.next_checks[block.keys] = now + seconds
+
+    def forget(self, block):
+        """Forget what belongs to a block that is not in force any longer."""
+        for by_keys in (
+            self.elsewhere,
+            self.next_checks,
+            self.shares,
+            self.postponed,
+        ):
+            by_keys.pop(block.keys, None)
+
+    def is_open(self, block):
+        """Return whether the time of the next trial has come."""
+        return (
+            self.gateway.reactor.seconds() >= block.trial_at
+            and not self.is_tried_elsewhere(block)
+        )
+
+    def has_recent_end(self, block):
+        """Return whether an upstream has just ended with the keys."""
+        now = self.gateway.reactor.seconds()
+        return any(
+            now - end.at < RECENT_END_S and has_request(end, block.keys)
+            for end in self.guard.evidence.ends.values()
+        )
+
+    def has_slot(self, block):
+        """Return whether the time of this gateway for a trial has come."""
+        now = self.gateway.reactor.seconds()
+        checked_at, share = self.shares.get(block.keys, (-math.inf, None))
+        if now >= checked_at + SHARE_CHECK_INTERVAL_S:
+            share = self.guard.records.find_trial_share(block)
+            self.shares[block.keys] = now, share
+        return share is not None and now >= block.trial_at + choose_trial_slot(
+            share, has_store=self.claims.has_store()
+        )
+
+    def must_postpone(self, block):
+        """Return whether upstreams are ending, with these keys or others."""
+        now = self.gateway.reactor.seconds()
+        ends = self.guard.evidence.ends.values()
+        if self.has_recent_end(block):
+            return True
+        spread = (
+            CLAIM_SPREAD_S
+            if self.claims.has_store()
+            else SPREAD_WITHOUT_STORE_S
+        )
+        if now >= block.get_latest_trial_time(spread=spread) or is_calm(
+            block.keys, ends, now=now, blocked=self.guard.blocks
+        ):
+            return False
+        if self.postponed.get(block.keys) != block.trial_count:
+            self.postponed[block.keys] = block.trial_count
+            eliot.log_message(
+                "part:trial_postponed", **describe_with_age(block, now=now)
+            )
+        return True
+
+    def is_tried_elsewhere(self, block):
+        """Return whether a peer makes a trial.
+
+        One whose peer is not heard any longer counts as failed: the upstream
+        may have ended, and nobody else knows with what.
+        """
+        if block.keys not in self.elsewhere:
+            return False
+        _, heard_at, failed_trials = self.elsewhere[block.keys]
+        now = self.gateway.reactor.seconds()
+        if now - heard_at < TRIAL_NEWS_EXPIRY_S:
+            return True
+        del self.elsewhere[block.keys]
+        if block.failed_trials > failed_trials:
+            return False
+        block.note_failed_trial(now=now)
+        eliot.log_message(
+            "part:trial_ended",
+            result="failed",
+            reason="its gateway is gone",
+            **describe_with_age(block, now=now),
+        )
+        # All others find the same.
+        return True
+
+    def note_elsewhere(self, keys, sender, *, is_tried):
+        """Note whether a peer makes a trial, as its message tells."""
+        block = self.guard.blocks.get(keys)
+        if block is None:
+            self.elsewhere.pop(keys, None)
+        elif is_tried:
+            now = self.gateway.reactor.seconds()
+            self.elsewhere[keys] = sender, now, block.failed_trials
+        elif keys in self.elsewhere and self.elsewhere[keys][0] == sender:
+            del self.elsewhere[keys]
+
+
+def describe_with_age(block, *, now):
+    """Return the fields of a block and its age for a log line."""
+    return {**describe_block(block), "age": now - block.decided_at}
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -1,37 +1,25 @@
 """Trials of blocks, one at a time in the fleet."""
 
-import math
-
 import eliot
 from twisted.internet import defer
 
 from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import UpstreamUnavailableError
-from hollyspan_policy.crashes import choose_trial_slot
-from hollyspan_policy.crashes import CLAIM_SPREAD_S
 from hollyspan_policy.crashes import has_common_cause
-from hollyspan_policy.crashes import has_request
-from hollyspan_policy.crashes import is_calm
-from hollyspan_policy.crashes import SPREAD_WITHOUT_STORE_S
 
-from .block_list import describe_block
 from .claims import TrialClaims
 from .detector import is_broken_off
+from .schedule import describe_with_age
+from .schedule import TrialSchedule
 from .trial import Trial
 from .trial import TrialGrant
 
 __all__ = ["BlockTrials"]
 
-# Shortest time between two checks whether a trial is due, which many items
-# ask for.
-CHECK_INTERVAL_S = 0.05
 # Time to the next claim after another gateway has the trial, and after a claim
 # that no request here has used, so that another gateway comes first.
 CLAIM_RETRY_S = 0.5
 UNUSED_CLAIM_DELAY_S = 1.5
-# Time between two checks of the place of this gateway, which take time for
-# each gateway of the fleet.
-SHARE_CHECK_INTERVAL_S = 0.5
 # Time for which a gateway may use a claim.
 GRANT_S = 2.0
 # Longest time that a request waits for the claim to its trial.
@@ -42,14 +30,10 @@
 MAX_TRIAL_S = 5.0
 # Time from the end to the verdict, in which other gateways report ends.
 VERDICT_DELAY_S = 0.2
-# Delay of the first repetition of the news of a trial, which may be lost,
-# interval of the others, and time without them after which the gateway that
-# makes it counts as gone.
+# Delay of the first repetition of the news of a trial, which may be lost, and
+# interval of the others.
 FIRST_REPETITION_S = 0.05
 REPETITION_INTERVAL_S = 1.0
-TRIAL_NEWS_EXPIRY_S = 3.5
-# Age up to which an end with the keys may be that of another gateway's trial.
-RECENT_END_S = 1.0
 
 
 class BlockTrials:
@@ -69,16 +53,7 @@
         TrialGrant by a block's keys.
     own : dict
         Trial that is in flight here, or not judged yet, by a block's keys.
-    elsewhere : dict
-        (peer's key, time of its last message, failed trials) of the trials
-        that peers make, by a block's keys.
-    next_checks : dict
-        Time of the next check whether a trial is due, by a block's keys.
-    shares : dict
-        Time and result of the last check of this gateway's place, by a
-        block's keys.
-    postponed : dict
-        Number of trials before the one that was postponed, by a block's keys.
+    schedule : TrialSchedule
 
     Notes
     -----
@@ -92,10 +67,7 @@
         "claiming",
         "grants",
         "own",
-        "elsewhere",
-        "next_checks",
-        "shares",
-        "postponed",
+        "schedule",
     )
 
     def __init__(self, *, gateway, guard):
@@ -105,10 +77,9 @@
         self.claiming = set()
         self.grants = {}
         self.own = {}
-        self.elsewhere = {}
-        self.next_checks = {}
-        self.shares = {}
-        self.postponed = {}
+        self.schedule = TrialSchedule(
+            gateway=gateway, guard=guard, claims=self.claims
+        )
 
     def is_tried_here(self, block):
         """Return whether a trial of a block is in flight here."""
@@ -125,7 +96,7 @@
         if grant is None or grant.request not in (None, request):
             return False
         # A peer may have begun one since, or ended it.
-        if not self.is_open_to_trials(block) or self.has_recent_end(block):
+        if not self.is_free(block) or self.schedule.has_recent_end(block):
             return False
         grant.request = request
         return True
@@ -155,104 +126,15 @@
 
     def is_due(self, block):
         """Return whether this gateway may claim a trial now."""
-        keys = block.keys
-        now = self.gateway.reactor.seconds()
-        if (
-            now < block.trial_at
-            or keys in self.grants
-            or keys in self.claiming
-            or now < self.next_checks.get(keys, 0.0)
-        ):
-            return False
-        self.next_checks[keys] = now + CHECK_INTERVAL_S
-        return (
-            self.is_open_to_trials(block)
-            and not self.must_postpone(block)
-            and self.has_slot(block)
-        )
-
-    def is_open_to_trials(self, block):
-        """Return whether the time of the next trial has come."""
-        return (
-            self.gateway.reactor.seconds() >= block.trial_at
-            and block.keys not in self.own
-            and not self.is_tried_elsewhere(block)
-        )
-
-    def has_recent_end(self, block):
-        """Return whether an upstream has just ended with the keys."""
-        now = self.gateway.reactor.seconds()
-        return any(
-            now - end.at < RECENT_END_S and has_request(end, block.keys)
-            for end in self.guard.evidence.ends.values()
-        )
-
-    def has_slot(self, block):
-        """Return whether the time of this gateway for a trial has come."""
-        now = self.gateway.reactor.seconds()
-        checked_at, share = self.shares.get(block.keys, (-math.inf, None))
-        if now >= checked_at + SHARE_CHECK_INTERVAL_S:
-            share = self.guard.records.find_trial_share(block)
-            self.shares[block.keys] = now, share
-        return share is not None and now >= block.trial_at + choose_trial_slot(
-            share, has_store=self.claims.has_store()
-        )
-
-    def must_postpone(self, block):
-        """Return whether upstreams are ending, with these keys or others."""
-        now = self.gateway.reactor.seconds()
-        ends = self.guard.evidence.ends.values()
-        if self.has_recent_end(block):
-            return True
-        spread = (
-            CLAIM_SPREAD_S
-            if self.claims.has_store()
-            else SPREAD_WITHOUT_STORE_S
-        )
-        if now >= block.get_latest_trial_time(spread=spread) or is_calm(
-            block.keys, ends, now=now, blocked=self.guard.blocks
-        ):
-            return False
-        if self.postponed.get(block.keys) != block.trial_count:
-            self.postponed[block.keys] = block.trial_count
-            eliot.log_message("part:trial_postponed", **self.describe(block))
-        return True
-
-    def is_tried_elsewhere(self, block):
-        """Return whether a peer makes a trial.
-
-        One whose peer is not heard any longer counts as failed: the upstream
-        may have ended, and nobody else knows with what.
-        """
-        if block.keys not in self.elsewhere:
-            return False
-        _, heard_at, failed_trials = self.elsewhere[block.keys]
-        now = self.gateway.reactor.seconds()
-        if now - heard_at < TRIAL_NEWS_EXPIRY_S:
-            return True
-        del self.elsewhere[block.keys]
-        if block.failed_trials > failed_trials:
-            return False
-        block.note_failed_trial(now=now)
-        eliot.log_message(
-            "part:trial_ended",
-            result="failed",
-            reason="its gateway is gone",
-            **self.describe(block),
-        )
-        # All others find the same.
-        return True
+        return not (
+            block.keys in self.own
+            or block.keys in self.grants
+            or block.keys in self.claiming
+        ) and self.schedule.is_due(block)
 
-    def note_elsewhere(self, keys, sender, *, is_tried):
-        """Note whether a peer makes a trial, as its message tells."""
-        block = self.guard.blocks.get(keys)
-        if block is None:
-            self.elsewhere.pop(keys, None)
-        elif is_tried:
-            now = self.gateway.reactor.seconds()
-            self.elsewhere[keys] = sender, now, block.failed_trials
-        elif keys in self.elsewhere and self.elsewhere[keys][0] == sender:
-            del self.elsewhere[keys]
+    def is_free(self, block):
+        """Return whether the next trial has not begun anywhere."""
+        return block.keys not in self.own and self.schedule.is_open(block)
 
     def start_claim(self, block):
         """Claim the next trial of a block; return a Deferred."""
@@ -267,27 +149,21 @@
             has_claim = await self.claims.acquire(block)
         finally:
             self.claiming.discard(block.keys)
-        now = self.gateway.reactor.seconds()
         if has_claim is False:
-            self.next_checks[block.keys] = now + CLAIM_RETRY_S
+            self.schedule.delay(block, CLAIM_RETRY_S)
             return
-        if has_claim is None and not self.has_slot(block):
+        if has_claim is None and not self.schedule.has_slot(block):
             return
         is_current = (
             self.guard.blocks.get(block.keys) is block
             and block.trial_count == trial_count
         )
-        if not is_current or not self.is_open_to_trials(block):
+        if not is_current or not self.is_free(block):
             if has_claim:
                 self.claims.release(block)
             return
-        self.grant(
-            block,
-            TrialGrant(
-                until=now + GRANT_S,
-                is_claimed=bool(has_claim),
-            ),
-        )
+        until = self.gateway.reactor.seconds() + GRANT_S
+        self.grant(block, TrialGrant(until=until, is_claimed=bool(has_claim)))
 
     def grant(self, block, grant):
         """Let a request through until the grant ends."""
@@ -299,8 +175,7 @@
         """End a grant that no request has used."""
         if self.grants.get(block.keys) is grant:
             del self.grants[block.keys]
-            now = self.gateway.reactor.seconds()
-            self.next_checks[block.keys] = now + UNUSED_CLAIM_DELAY_S
+            self.schedule.delay(block, UNUSED_CLAIM_DELAY_S)
             if grant.is_claimed:
                 self.claims.release(block)
 
@@ -317,14 +192,14 @@
         if block is None or keys in self.own:
             return
         del self.grants[keys]
+        now = self.gateway.reactor.seconds()
         trial = self.own[keys] = Trial(
-            block=block,
-            grant=grant,
-            exposure=exposure,
-            started_at=self.gateway.reactor.seconds(),
+            block=block, grant=grant, exposure=exposure, started_at=now
         )
         eliot.log_message(
-            "part:tried", request=exposure.request, **self.describe(block)
+            "part:tried",
+            request=exposure.request,
+            **describe_with_age(block, now=now),
         )
         self.guard.news.tell_block(block)
         self.gateway.reactor.callLater(
@@ -419,13 +294,7 @@
 
     def note_unblocked(self, block, *, reason):
         """End what belongs to a block that is not in force any longer."""
-        for by_keys in (
-            self.elsewhere,
-            self.next_checks,
-            self.shares,
-            self.postponed,
-        ):
-            by_keys.pop(block.keys, None)
+        self.schedule.forget(block)
         self.grants.pop(block.keys, None)
         if block.keys in self.own:
             self.end(self.own[block.keys], reason)
@@ -446,7 +315,7 @@
             result=result,
             reason=reason,
             seconds=now - trial.started_at,
-            **self.describe(block),
+            **describe_with_age(block, now=now),
         )
         if block.keys not in self.guard.blocks:
             return
@@ -457,8 +326,3 @@
         else:
             self.guard.records.update(block)
             self.guard.news.tell_block(block)
-
-    def describe(self, block):
-        """Return the fields of a block and its age for a log line."""
-        age = self.gateway.reactor.seconds() - block.decided_at
-        return {**describe_block(block), "age": age}
