--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
@@ -41,7 +41,9 @@
     Attributes
     ----------
     has_ended_upstream : bool
-        True once the end of its upstream is known.
+        True once the end of its upstream was seen here.
+    reason : str or None
+        Why it has ended without a result.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "exposure",
         "started_at",
         "has_ended_upstream",
+        "reason",
     )
 
     def __init__(self, *, block, grant, exposure, started_at):
@@ -58,6 +61,7 @@
         self.exposure = exposure
         self.started_at = started_at
         self.has_ended_upstream = False
+        self.reason = None
 
     @property
     def upstream_key(self):
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -18,8 +18,8 @@
 SECOND_TRIAL_DELAY_S = 6.0
 # Trials that have ended an upstream each and convict the keys.
 MAX_EARLY_FAILURES = 2
-# All early trials, also those that tell nothing: a request with keys that do
-# end upstreams must not be let through more often.
+# All early trials whose upstreams ended, for whatever reason: a request with
+# keys that do end upstreams must not be let through more often.
 MAX_EARLY_TRIALS = 3
 # Time to the next trial after these, multiplied after each one that has ended
 # an upstream: a trial costs the requests that run beside it.
@@ -49,8 +49,7 @@
     failed_trials : int, optional
         Number of trials that have ended an upstream.
     void_trials : int, optional
-        Number of trials that told nothing, though an upstream was sent the
-        request.
+        Number of trials that told nothing, though their upstreams ended.
     is_doubtful : bool, optional
         True if the upstreams may have ended of another cause.
 
@@ -94,7 +93,7 @@
 
     @property
     def trial_count(self):
-        """Number of trials that an upstream was sent."""
+        """Number of trials whose upstreams ended."""
         return self.failed_trials + self.void_trials
 
     def merge(self, *, at, failed_trials, void_trials):
@@ -120,7 +119,7 @@
         self.failed_trials += 1
 
     def note_void_trial(self, *, now):
-        """Count a trial that told nothing."""
+        """Count a trial whose upstream ended for another reason."""
         self.at = now
         self.void_trials += 1
 
