Let a claim between two runs count on, for a while

An item whose runs at its owner failed one after the other, each without an event, stayed open: the owner names it as its work in one message and not in the next, and each change began the time without work anew. A claim now counts for 4 s, and only another progress or peer begins the time anew.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -1,5 +1,7 @@
 """State of jobs and items at a worker."""
 
+import math
+
 __all__ = ["ItemState", "JobState"]
 
 
@@ -55,11 +57,15 @@
     short_since : float
         Time since which no upstream has a place for it, reactor seconds.
     claim : (str, int or None) or None
-        The peer that names the item as its work, and the progress it tells.
+        The peer that has last named the item as its work, and the progress
+        that it told.
+    claimed_at : float
+        Time at which a peer was last seen to name it, reactor seconds.
     idle_since : float
         Time at which the claim or the owner last changed, reactor seconds.
     is_taken : bool
-        True when this gateway runs the item in the place of its owner.
+        True when this gateway runs the item though another one owns it, or
+        names it as its work.
     """
 
     __slots__ = (
@@ -86,6 +92,7 @@
         "rank",
         "short_since",
         "claim",
+        "claimed_at",
         "idle_since",
         "is_taken",
     )
@@ -114,6 +121,7 @@
         self.rank = None
         self.short_since = 0.0
         self.claim = None
+        self.claimed_at = -math.inf
         self.idle_since = 0.0
         self.is_taken = False
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -28,6 +28,8 @@
 MAX_RANKINGS = 64
 # Results that are looked up in the store at the same time.
 MAX_LOOKUPS = 8
+# Time for which an item counts as named after a peer has named it.
+CLAIM_MEMORY_S = 4.0
 # Time without an event after which a run is cancelled, whatever it waits for:
 # longer than each timeout of a run.
 RUN_TIMEOUT_S = 7.0
@@ -44,8 +46,8 @@
     ----------
     workers : tuple of str
         Gateways that can run items.
-    stalled : set of int
-        Keys of the items that peers have named for long without progress.
+    claims : dict
+        Peer that names an item as its work, by the item's key.
     free_since : dict
         Time since which items had a place at a service, whenever this gateway
         has looked, by its name.
@@ -62,7 +64,6 @@
         "worker",
         "workers",
         "claims",
-        "stalled",
         "free_since",
         "began_at",
         "looked_at",
@@ -76,7 +77,6 @@
         self.worker = worker
         self.workers = ()
         self.claims = {}
-        self.stalled = set()
         self.free_since = {}
         self.began_at = None
         self.looked_at = None
@@ -103,11 +103,9 @@
         self.workers = workers
         self.cancel_stalled_runs()
         if len(workers) < 2:
-            self.stalled.clear()
             return
         self.rankings = 0
         self.claims = self.find_claims()
-        self.stalled &= self.claims.keys()
         self.update_places()
         if self.walk is None:
             self.walk = self.visit_jobs()
@@ -195,33 +193,40 @@
             return
         gateway = self.worker.gateway
         peer = self.claims.get(state.key)
-        claim = peer and (peer.identifier, peer.progress.get(state.key))
-        if claim != state.claim:
-            state.claim = claim
-            state.idle_since = self.now
-            state.is_taken = state.is_taken and claim is None
-            self.stalled.discard(state.key)
+        if peer is not None:
+            self.note_claim(state, peer)
+        elif self.now - state.claimed_at < CLAIM_MEMORY_S:
+            # It may be between the end of a run and the next one.
+            peer = gateway.peers.peers.get(parse_identifier(state.claim[0]))
         if state.is_taken or state.key in self.lookups:
             return
         is_owner = owner == gateway.peers.identifier
-        if is_owner and claim is None:
+        if is_owner and peer is None:
             return
         owning_peer = gateway.peers.peers.get(parse_identifier(owner))
         if (
             owning_peer is not None
-            and claim is None
+            and state.key not in self.claims
             and finished_key in owning_peer.finished
         ):
             state.has_result = True
             return
-        if self.is_due(state, peer, owning_peer, is_owner=is_owner):
-            if peer is not None:
-                self.stalled.add(state.key)
-            if not is_owner and len(self.lookups) < MAX_LOOKUPS:
-                self.lookups.add(state.key)
-                defer.ensureDeferred(self.take(state, owner)).addErrback(
-                    eliot.write_failure
-                )
+        if len(self.lookups) < MAX_LOOKUPS and self.is_due(
+            state, peer, owning_peer, is_owner=is_owner
+        ):
+            self.lookups.add(state.key)
+            defer.ensureDeferred(self.take(state, owner)).addErrback(
+                eliot.write_failure
+            )
+
+    def note_claim(self, state, peer):
+        """Note that a peer names an item, and whether it makes progress."""
+        state.claimed_at = self.now
+        claim = (peer.identifier, peer.progress.get(state.key))
+        if claim != state.claim:
+            state.claim = claim
+            state.idle_since = self.now
+            state.is_taken = False
 
     def is_due(self, state, claimer, owner, *, is_owner):
         """Return whether an item may be started here now."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -13,6 +13,7 @@
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_gateway.store import Store
 from hollyspan_standins.memory import fleet as memory_fleet
+from hollyspan_standins.memory import LinkState
 from hollyspan_standins.memory import MemoryWire
 
 ITEMS = 12
@@ -209,6 +210,38 @@
     assert len(list_done(wire)) == ITEMS
 
 
+@pytest.mark.parametrize("breaks", [miss_new_jobs, see_no_place])
+def test_items_of_two_owners_that_leave_them_alone_are_done_in_time(
+    fleet, submit, wire, breaks
+):
+    for gateway in fleet.gateways[:2]:
+        breaks(fleet, gateway)
+    submit()
+    fleet.advance(FINISH_S)
+    assert len(list_done(wire)) == ITEMS
+
+
+# Failure: the same, with an owner whose runs all failed without an event.
+@pytest.mark.parametrize("state", list(LinkState))
+def test_items_of_an_owner_without_links_are_done_in_time(
+    fleet, submit, wire, state
+):
+    fleet.set_links(fleet.gateways[0], state)
+    submit()
+    fleet.advance(FINISH_S)
+    assert len(list_done(wire)) == ITEMS
+
+
+def test_items_are_run_once_while_datagrams_are_lost(fleet, submit, wire):
+    fleet.lose_datagrams()
+    for number in range(8):
+        submit(name=f"j{number}-")
+        fleet.advance(4.0)
+    fleet.advance(10.0)
+    sent = list_sent(fleet)
+    assert len(sent) == len(set(sent)) == 8 * ITEMS
+
+
 def test_items_are_run_once_while_all_owners_are_sound(fleet, submit, wire):
     for number in range(8):
         submit(name=f"j{number}-")
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -181,7 +181,7 @@
         workers = tuple(sorted(self.gateway.update_workers()))
         self.ranks.update_workers(workers)
         self.succession.look_if_due(workers)
-        claimed = self.gateway.list_claimed_items() - self.succession.stalled
+        claimed = self.gateway.list_claimed_items()
         self.release_ended_jobs(workers)
         waiting = []
         for job_state in self.catalogue.list_incomplete():
@@ -249,17 +249,16 @@
         )
 
     def is_startable(self, state, workers, claimed):
-        return (
-            not state.has_result
-            and state.run is None
-            and state.result is None
-            and state.not_before <= self.gateway.reactor.seconds()
-            and state.key not in claimed
-            and (
-                self.find_owner(state, workers)
-                == self.gateway.peers.identifier
-                or state.is_taken
-            )
+        if (
+            state.has_result
+            or state.run is not None
+            or state.result is not None
+            or state.not_before > self.gateway.reactor.seconds()
+        ):
+            return False
+        owner = self.find_owner(state, workers)
+        return state.is_taken or (
+            owner == self.gateway.peers.identifier and state.key not in claimed
         )
 
     def find_owner(self, state, workers):
