--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -23,9 +23,9 @@
 # from their next messages.
 MAX_LOOK_GAP_S = 3.0
 # Items that one look visits; the next one goes on behind them.
-MAX_ITEMS = 5_000
-# Items whose order of owners one look computes.
-MAX_RANKINGS = 64
+MAX_ITEMS = 2_000
+# Weights of gateways that one look computes for the order of owners of items.
+MAX_RANKED_WEIGHTS = 8_000
 # Results that are looked up in the store at the same time.
 MAX_LOOKUPS = 8
 # Time for which an item counts as named after a peer has named it.
@@ -70,7 +70,7 @@
         "now",
         "walk",
         "lookups",
-        "rankings",
+        "ranked_weights",
     )
 
     def __init__(self, *, worker):
@@ -83,7 +83,7 @@
         self.now = 0.0
         self.walk = None
         self.lookups = set()
-        self.rankings = 0
+        self.ranked_weights = 0
 
     def look_if_due(self, workers):
         """Look for items that nobody works on, unless done shortly before.
@@ -104,7 +104,7 @@
         self.cancel_stalled_runs()
         if len(workers) < 2:
             return
-        self.rankings = 0
+        self.ranked_weights = 0
         self.claims = self.find_claims()
         self.update_places()
         if self.walk is None:
@@ -267,9 +267,9 @@
         """Return the rank of this gateway behind an item's owner, or None."""
         identifier = self.worker.gateway.peers.identifier
         if state.rank is None and identifier in self.workers:
-            if self.rankings >= MAX_RANKINGS:
+            if self.ranked_weights >= MAX_RANKED_WEIGHTS:
                 return None
-            self.rankings += 1
+            self.ranked_weights += len(self.workers)
             order = rank_owners(f"{state.key:x}", self.workers)
             state.rank = order.index(identifier) - 1
         return state.rank
