--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
@@ -71,6 +71,8 @@
         try:
             if not reach.is_cut_off:
                 await self.gateway.pool.open_idle(upstream.entry.address)
+                for exposure in self.lost[upstream]:
+                    exposure.is_upstream_alive = True
                 return
         except UpstreamConnectionRefusedError:
             is_refused = True
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
@@ -35,6 +35,9 @@
         Arrival of the first bytes of the answer, reactor seconds.
     has_survived : bool
         True once the upstream has survived it.
+    is_upstream_alive : bool
+        True once the upstream has accepted a connection after it broke off
+        the answer.
     is_movable : bool
         Whether it can go on at another upstream, also over another gateway.
     """
@@ -49,6 +52,7 @@
         "is_in_silence",
         "first_data_at",
         "has_survived",
+        "is_upstream_alive",
         "is_movable",
     )
 
@@ -62,6 +66,7 @@
         self.is_in_silence = False
         self.first_data_at = math.inf
         self.has_survived = False
+        self.is_upstream_alive = False
         self.is_movable = False
 
     def note_start(self, abort, *, opened_at):
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
@@ -42,6 +42,8 @@
     ----------
     has_ended_upstream : bool
         True once the end of its upstream was seen here.
+    is_broken_off : bool
+        True if the answer was broken off.
     reason : str or None
         Why it has ended without a result.
     """
@@ -52,6 +54,7 @@
         "exposure",
         "started_at",
         "has_ended_upstream",
+        "is_broken_off",
         "reason",
     )
 
@@ -61,6 +64,7 @@
         self.exposure = exposure
         self.started_at = started_at
         self.has_ended_upstream = False
+        self.is_broken_off = False
         self.reason = None
 
     @property
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -8,6 +8,7 @@
 from hollyspan_policy.crashes import has_common_cause
 
 from .claims import TrialClaims
+from .detector import is_broken_off
 from .schedule import describe_with_age
 from .schedule import TrialSchedule
 from .trial import Trial
@@ -251,6 +252,7 @@
             self.end(trial, "not_sent", reason=error.code)
         else:
             trial.reason = error.code if error else "no survival"
+            trial.is_broken_off = is_broken_off(error)
 
     def end_unchecked(self, trial):
         """End a trial whose upstream has not ended, as far as it was seen.
@@ -260,12 +262,15 @@
         if not self.is_open(trial) or trial.has_ended_upstream:
             return
         end = self.guard.evidence.ends.get(trial.upstream_key)
-        if end is None or end.at < trial.started_at:
-            self.end(trial, "unfinished", reason=trial.reason)
-        elif end.is_confirmed:
-            self.judge(trial)
+        if end is not None and end.at >= trial.started_at:
+            if end.is_confirmed:
+                self.judge(trial)
+            else:
+                self.end(trial, "void", reason="the end is in doubt")
+        elif trial.is_broken_off and not trial.exposure.is_upstream_alive:
+            self.end(trial, "void", reason="the upstream may have ended")
         else:
-            self.end(trial, "void", reason="the end is in doubt")
+            self.end(trial, "unfinished", reason=trial.reason)
 
     def note_end(self, block, upstream_key):
         """Note the end of an upstream that had a blocked request in flight.
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
@@ -5,6 +5,8 @@
 from eliot import testing
 import pytest
 
+from hollyspan_standins.memory import LinkState
+
 PART, OTHER = 2, 3
 KEYS = frozenset({PART})
 STEP_S = 0.1
@@ -438,3 +440,34 @@
         fleet.request("m", (PART,), gateway=gateway)
         fleet.advance(pause)
     assert len(fleet.sent) == sends + 1
+
+
+class NoRefusals(set):
+    """Addresses that refuse connections: none, whatever ends."""
+
+    def add(self, address):
+        pass
+
+
+# Failure: trials of a fatal part over links that reset counted nowhere, since
+# the ends of their upstreams were not seen, and upstreams ended one after the
+# other.
+def test_ends_behind_links_that_reset_bound_the_trials(fatal_fleet, logged):
+    fleet = fatal_fleet
+    ended = len(fleet.ended)
+    for gateway in fleet.gateways:
+        gateway.pool.unreachable = NoRefusals()
+    for step in range(200):
+        for number, gateway in enumerate(fleet.gateways):
+            fleet.request(f"w{step}-{number}", (PART,), gateway=gateway)
+        fleet.advance(0.02)
+        sends = fleet.list_sends(PART, after=fleet.reactor.seconds() - 0.03)
+        if sends:
+            for gateway in fleet.gateways:
+                fleet.set_links(gateway, LinkState.KEEPS_OLD_AND_RESETS)
+            fleet.advance(2.5)
+            for gateway in fleet.gateways:
+                fleet.restore_links(gateway)
+        fleet.advance(STEP_S)
+    assert [result for result, _ in list_results(logged)] == ["void"] * 3
+    assert len(fleet.ended) == ended + 3
