Start nothing at a gateway that counts itself out

A gateway whose links were lost after it had taken an item over from its owner went on to start it, and failed to find its turn among the workers, each second, with an error in the log. Found by reading; the test failed before. Tests of the lookup of a result and of a large fleet come with it.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -7,6 +7,7 @@
 
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import build_result_key
 from hollyspan_gateway.jobs.records import build_results_prefix
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.worker import Worker
@@ -348,3 +349,72 @@
         gateway.worker.catalogue.list_incomplete()
         for gateway in fleet.gateways[:4]
     )
+
+
+def test_a_gateway_that_counts_itself_out_starts_nothing_it_has_taken(
+    fleet, submit, wire
+):
+    start_nothing(fleet, fleet.gateways[0])
+    submit()
+    fleet.advance(0.5)
+    for gateway in fleet.gateways[1:4]:
+        peers = [
+            peer.peers.identifier
+            for peer in fleet.gateways[:4]
+            if peer is not gateway
+        ]
+        gateway.list_workers = lambda peers=peers: peers
+        for state in gateway.worker.catalogue.jobs["j"].items.values():
+            state.is_taken = state.run is None
+    sent = len(fleet.sent)
+    fleet.advance(3.0)
+    assert len(fleet.sent) == sent
+    hindrances = {
+        state.hindrance
+        for gateway in fleet.gateways[1:4]
+        for state in gateway.worker.catalogue.jobs["j"].items.values()
+    }
+    assert "start_failed" not in hindrances
+
+
+def test_a_result_that_is_stored_is_looked_up_before_the_item_is_run(
+    fleet, submit, wire
+):
+    start_nothing(fleet, fleet.gateways[0])
+    submit()
+    fleet.advance(3.0)
+    left = {f"j{number}" for number in range(ITEMS)} - set(list_sent(fleet))
+    assert left
+    for item in left:
+        wire.change({build_result_key("j", item): bytes(16) + b"done\nt1"})
+    fleet.advance(15.0)
+    assert not left.intersection(list_sent(fleet))
+    assert len(list_done(wire)) == ITEMS
+
+
+def test_items_of_a_large_fleet_are_done_in_time(
+    build_fleet, helpers, reactor, monkeypatch, submit, wire
+):
+    monkeypatch.setattr(memory_fleet, "EVENTS_PER_ANSWER", 100)
+    monkeypatch.setattr(memory_fleet, "CLOCK_STEP_S", 0.05)
+    route = helpers.build_route(
+        host="h", prefix="/b/", kind=RouteKind.BATCH, max_attempts=3
+    )
+    fleet = build_fleet(
+        gateways=12, upstreams=12, routes=[route], runs_batch=True
+    )
+    for _ in range(16):
+        fleet.add_gateway(runs_batch=False)
+    for gateway in fleet.gateways[:12]:
+        gateway.worker = Worker(gateway=gateway)
+        gateway.worker.start()
+    fleet.advance(8.0)
+    submit(40, name="sound")
+    fleet.advance(10.0)
+    assert len(list_done(wire, "sound")) == len(fleet.sent) == 40
+    assert "read" not in wire.calls
+    start_nothing(fleet, fleet.gateways[0])
+    submit(40)
+    fleet.advance(FINISH_S)
+    assert len(list_done(wire)) == 40
+    assert len(fleet.sent) == 80
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -179,6 +179,9 @@
         # After a pause, peers may count as failed before their membership is
         # checked; their items have results that are not known here.
         workers = tuple(sorted(self.gateway.update_workers()))
+        if self.gateway.peers.identifier not in workers:
+            # Its links are lost; the others run its items.
+            return
         self.ranks.update_workers(workers)
         self.succession.look_if_due(workers)
         claimed = self.gateway.list_claimed_items()
