Leave an item to its owner that starts it during the lookup

An item ran at two gateways when its owner started it while another one looked its result up. The lookup now counts only if nothing has changed meanwhile.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -276,7 +276,7 @@
 
     async def take(self, state, owner):
         """Run an item here if it has no result."""
-        job = state.job_state.job.identifier
+        job, idle_since = state.job_state.job.identifier, state.idle_since
         try:
             entry = await self.worker.gateway.store.get(
                 build_result_key(job, state.item.identifier)
@@ -294,7 +294,8 @@
         if entry is not None:
             state.has_result = True
             return
-        if state.run is None and state.owner == owner:
+        if idle_since == state.idle_since:
+            # Neither its owner nor what is told of it has changed meanwhile.
             state.is_taken = True
             state.hindrance = None
             eliot.log_message(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -418,3 +418,39 @@
     fleet.advance(FINISH_S)
     assert len(list_done(wire)) == 40
     assert len(fleet.sent) == 80
+
+
+# Failure: an item ran twice that its owner had started while its result was
+# looked up.
+def test_an_item_that_is_started_during_the_lookup_is_left_to_its_owner(
+    fleet, submit, wire
+):
+    owner, *others = fleet.gateways[:4]
+    start = owner.worker.try_start_item
+    start_nothing(fleet, owner)
+    lookups = []
+    for gateway in others:
+
+        async def read(key):
+            answer = defer.Deferred()
+            lookups.append(answer)
+            return await answer
+
+        slow = MemoryWire(reactor=fleet.reactor)
+        slow.read = read
+        slow.commit = wire.commit
+        gateway.store = Store(
+            wire=slow,
+            reactor=fleet.reactor,
+            create_token=gateway.store.create_token,
+        )
+    submit()
+    while not lookups:
+        fleet.advance(0.1)
+    owner.worker.try_start_item = start
+    fleet.advance(2.0)
+    for answer in lookups:
+        answer.callback(None)
+    fleet.advance(6.0)
+    sent = list_sent(fleet)
+    assert len(sent) == len(set(sent)) == ITEMS
