--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -7,6 +7,7 @@
 
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import build_result_key
 from hollyspan_gateway.jobs.records import build_results_prefix
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.worker import Worker
@@ -350,3 +351,108 @@
         gateway.worker.catalogue.list_incomplete()
         for gateway in fleet.gateways[:4]
     )
+
+
+def test_a_gateway_that_counts_itself_out_starts_nothing_it_has_taken(
+    fleet, submit, wire
+):
+    start_nothing(fleet, fleet.gateways[0])
+    submit()
+    fleet.advance(0.5)
+    for gateway in fleet.gateways[1:4]:
+        peers = [
+            peer.peers.identifier
+            for peer in fleet.gateways[:4]
+            if peer is not gateway
+        ]
+        gateway.list_workers = lambda peers=peers: peers
+        for state in gateway.worker.catalogue.jobs["j"].items.values():
+            state.is_taken = state.run is None
+    sent = len(fleet.sent)
+    fleet.advance(3.0)
+    assert len(fleet.sent) == sent
+    hindrances = {
+        state.hindrance
+        for gateway in fleet.gateways[1:4]
+        for state in gateway.worker.catalogue.jobs["j"].items.values()
+    }
+    assert "start_failed" not in hindrances
+
+
+def test_a_result_that_is_stored_is_looked_up_before_the_item_is_run(
+    fleet, submit, wire
+):
+    start_nothing(fleet, fleet.gateways[0])
+    submit()
+    fleet.advance(3.0)
+    left = {f"j{number}" for number in range(ITEMS)} - set(list_sent(fleet))
+    assert left
+    for item in left:
+        wire.change({build_result_key("j", item): bytes(16) + b"done\nt1"})
+    fleet.advance(15.0)
+    assert not left.intersection(list_sent(fleet))
+    assert len(list_done(wire)) == ITEMS
+
+
+def test_items_of_a_large_fleet_are_done_in_time(
+    build_fleet, helpers, reactor, monkeypatch, submit, wire
+):
+    monkeypatch.setattr(memory_fleet, "EVENTS_PER_ANSWER", 100)
+    monkeypatch.setattr(memory_fleet, "CLOCK_STEP_S", 0.05)
+    route = helpers.build_route(
+        host="h", prefix="/b/", kind=RouteKind.BATCH, max_attempts=3
+    )
+    fleet = build_fleet(
+        gateways=12, upstreams=12, routes=[route], runs_batch=True
+    )
+    for _ in range(16):
+        fleet.add_gateway(runs_batch=False)
+    for gateway in fleet.gateways[:12]:
+        gateway.worker = Worker(gateway=gateway)
+        gateway.worker.start()
+    fleet.advance(8.0)
+    submit(40, name="sound")
+    fleet.advance(10.0)
+    assert len(list_done(wire, "sound")) == len(fleet.sent) == 40
+    assert "read" not in wire.calls
+    start_nothing(fleet, fleet.gateways[0])
+    submit(40)
+    fleet.advance(FINISH_S)
+    assert len(list_done(wire)) == 40
+    assert len(fleet.sent) == 80
+
+
+# Failure: an item ran twice that its owner had started while its result was
+# looked up.
+def test_an_item_that_is_started_during_the_lookup_is_left_to_its_owner(
+    fleet, submit, wire
+):
+    owner, *others = fleet.gateways[:4]
+    start = owner.worker.try_start_item
+    start_nothing(fleet, owner)
+    lookups = []
+    for gateway in others:
+
+        async def read(key):
+            answer = defer.Deferred()
+            lookups.append(answer)
+            return await answer
+
+        slow = MemoryWire(reactor=fleet.reactor)
+        slow.read = read
+        slow.commit = wire.commit
+        gateway.store = Store(
+            wire=slow,
+            reactor=fleet.reactor,
+            create_token=gateway.store.create_token,
+        )
+    submit()
+    while not lookups:
+        fleet.advance(0.1)
+    owner.worker.try_start_item = start
+    fleet.advance(2.0)
+    for answer in lookups:
+        answer.callback(None)
+    fleet.advance(6.0)
+    sent = list_sent(fleet)
+    assert len(sent) == len(set(sent)) == ITEMS
