--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
@@ -165,7 +165,10 @@
 
 
 def test_many_jobs_share_the_rounds(gateway, submit, reactor, list_open):
-    gateway.guard.block_list.add(frozenset({PART}), at=reactor.seconds())
+    # No trial is due soon.
+    gateway.guard.block_list.add(
+        frozenset({PART}), at=reactor.seconds(), failed_trials=2
+    )
     for number in range(40):
         submit(name=f"j{number:02}")
     lines = list_open(4.5)
