--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -4,11 +4,11 @@
 from .block import choose_trial_delay
 from .block import choose_trial_slot
 from .block import CLAIM_SPREAD_S
+from .block import has_request
 from .block import is_calm
 from .block import is_refuted
 from .block import SPREAD_WITHOUT_STORE_S
 from .common_cause import has_common_cause
-from .common_cause import has_request
 from .decision import choose_blocks
 from .decision import has_ended_upstreams
 from .decision import list_explained_blocks
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -1,6 +1,5 @@
 """Block of requests by their keys."""
 
-from .common_cause import has_request
 from .decision import SURVIVAL_VALIDITY_S
 from .explanation import MIN_ENDS
 
@@ -8,6 +7,7 @@
     "Block",
     "choose_trial_delay",
     "choose_trial_slot",
+    "has_request",
     "is_calm",
     "is_refuted",
 ]
@@ -200,6 +200,17 @@
     return share * (CLAIM_SPREAD_S if has_store else SPREAD_WITHOUT_STORE_S)
 
 
+def has_request(end, keys):
+    """Return whether a request with some keys was in flight at an end.
+
+    Parameters
+    ----------
+    end : EndRecord
+    keys : frozenset of int
+    """
+    return any(map(keys.issubset, end.requests))
+
+
 def is_calm(keys, ends, *, now, blocked=()):
     """Return whether no upstream has just ended for another reason.
 
