Store results after a worker's counter was removed

Callers saw finished items without a result. A worker whose counter of released tokens was gone from the store expected its last revision in each write, called the store again without a pause, and stored no result of the route any more. It creates the counter again now, with what it has released. The test failed before (more than 20 calls, no result).

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
@@ -241,7 +241,10 @@
                 self.finish(release, is_new=True)
             return
         entry = commit.found.get(key)
-        if entry is not None and entry.revision != counter.revision:
+        if entry is None:
+            # It was removed, or its creation has failed.
+            counter.revision = 0
+        elif entry.revision != counter.revision:
             # From before a restart, or a write whose reply was lost.
             counter.released = decode_releases(entry.content)
             counter.revision = entry.revision
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -331,3 +331,27 @@
     wire.change({key: bytes(16) + encode_releases({})})
     reactor.pump([0.1] * 10)
     assert waiting.called
+
+
+# Failure: no result was stored any more, and the store was called without a
+# pause, after the worker's counter had been removed.
+def test_a_result_is_stored_after_the_counter_was_removed(
+    build_front, wire, accept, reactor
+):
+    worker = build_worker(build_front("w1"))
+    first, second = accept(worker, "j1", 100), accept(worker, "j2", 150)
+    finish_item(worker, first)
+    key = build_releases_key(first.reservation.quota, "w1")
+    wire.change({}, removed=[key])
+    commit, calls = wire.commit, []
+
+    async def count_and_commit(**values):
+        calls.append(values)
+        if len(calls) > 20:
+            raise StoreUnavailableError("too many calls")
+        return await commit(**values)
+
+    wire.commit = count_and_commit
+    assert finish_item(worker, second).called
+    released = decode_releases(wire.entries[key].content)
+    assert sum(released.values()) == 250
