--- /dev/null
+++ b/packages/hollyspan_standins/hollyspan_standins/search/__init__.py
@@ -0,0 +1,1 @@
+"""Search for faults of the gateways in simulated time."""
