Search: widen the grammar, check that blocks do not flap

The search drew ends of upstreams, gateways and the store only in their simplest forms. No gateway may begin the same block again and again.

--- a/packages/hollyspan_standins/hollyspan_standins/search/checkers.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/checkers.py
@@ -15,6 +15,8 @@
 KNOWN_ENDS = 5
 CONTACT_S = 4.0
 MAX_LATE_SENDS = 3
+# Times that each gateway may begin to block one part, on average.
+MAX_BLOCKS_PER_GATEWAY = 6
 
 
 class Violation:
@@ -61,6 +63,7 @@
         *check_results(world),
         *check_streams(world),
         *check_fatal_parts(world),
+        *check_blocks(world),
     ]
 
 
@@ -151,3 +154,14 @@
                 cause="sent on",
                 text=f"{len(late)} late sends, {len(ends)} ends",
             )
+
+
+def check_blocks(world):
+    """No part is blocked and let through again and again."""
+    for parts, count in world.blocked.items():
+        if count > MAX_BLOCKS_PER_GATEWAY * world.process_count:
+            yield Violation(
+                rule="block",
+                cause="begins again and again",
+                text=f"{parts} {count} times at {world.process_count}",
+            )
--- a/packages/hollyspan_standins/hollyspan_standins/search/clock.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/clock.py
@@ -139,11 +139,17 @@
     clock : SearchClock
     process : object
         With the attributes `is_running` and `parked`.
+
+    Attributes
+    ----------
+    stop : callable
+        Called without arguments when the process ends by itself.
     """
 
     def __init__(self, *, clock, process):
         self.clock = clock
         self.process = process
+        self.stop = lambda: None
 
     def seconds(self):
         return self.clock.now
--- a/packages/hollyspan_standins/hollyspan_standins/search/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/dialect.py
@@ -13,7 +13,9 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "ITEM_TOKENS",
     "JOB_TARGET",
+    "RETIREMENT_PREFIX",
     "SearchDialect",
     "STREAM_TARGET",
     "build_upstream_key",
@@ -22,22 +24,32 @@
 ]
 
 CONFIGURATION_KEY = "configuration/routes"
+RETIREMENT_PREFIX = "configuration/retire/"
 JOB_TARGET = b"/b/x"
 STREAM_TARGET = b"/s/x"
 COMPLETION_S = 18.0
 RETENTION_S = 120.0
 STREAM_TIMEOUT_S = 20.0
 MAX_ATTEMPTS = 3
+ITEM_TOKENS = 10
 
 
 class SearchDialect(PlainDialect):
-    """Plain wire format that also reads entries of the store."""
+    """Plain wire format that also reads entries of the store.
+
+    Parameters
+    ----------
+    limit : int
+        Limit on the tokens of waiting items, 0 for none.
+    """
 
     configuration_prefix = "configuration/"
     upstreams_prefix = "upstreams/"
 
-    @staticmethod
-    def decode_configuration(entry):
+    def __init__(self, *, limit):
+        self.limit = limit
+
+    def decode_configuration(self, entry):
         if entry.key != CONFIGURATION_KEY:
             return None
         routes = [
@@ -54,10 +66,18 @@
                 max_attempts=MAX_ATTEMPTS,
                 completion_seconds=COMPLETION_S,
                 retention_seconds=RETENTION_S,
+                max_waiting_tokens=self.limit,
             ),
         ]
         return build_table(routes, revision=entry.revision)
 
+    @staticmethod
+    def decode_retirement(entry):
+        if not entry.key.startswith(RETIREMENT_PREFIX):
+            return None
+        instance = entry.key.removeprefix(RETIREMENT_PREFIX)
+        return instance, float(entry.content)
+
     @staticmethod
     def decode_upstream(entry):
         name = entry.key.rpartition("/")[2]
@@ -71,6 +91,7 @@
                 path=JOB_TARGET.decode(),
                 headers=[("part", str(part)) for part in row["parts"]],
                 body=b"",
+                tokens=ITEM_TOKENS,
             )
             for row in parse_document(body)
         ]
@@ -81,13 +102,14 @@
     return SearchDialect.upstreams_prefix + name
 
 
-def encode_upstream(*, port, slots, version, started_at_ms):
+def encode_upstream(*, port, slots, version, started_at_ms, is_ready=True):
     """Encode the entry of an upstream."""
     values = {
         "port": port,
         "slots": slots,
         "version": version,
         "started_at_ms": started_at_ms,
+        "is_ready": is_ready,
     }
     return json.dumps(values).encode()
 
--- a/packages/hollyspan_standins/hollyspan_standins/search/driver.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/driver.py
@@ -87,6 +87,8 @@
         if kind == "eliot:traceback":
             fields = [("reason", str(message.get("reason")))]
             world.errors.append(str(message.get("traceback")))
+        if kind == "part:blocked":
+            world.blocked[str(message["parts"])] += 1
         world.note(kind, *sorted(fields))
         for function in subscribers[kind]:
             function()
--- a/packages/hollyspan_standins/hollyspan_standins/search/engine.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/engine.py
@@ -12,6 +12,8 @@
 # Time from the start of a fatal request to the end of its upstream.
 FATAL_DELAY_S = 0.1
 QUEUE_LENGTH = 12
+# Last event of an answer before its fault.
+FAULTY_EVENTS = 3
 REFUSED_STATUS = 503
 MISDIRECTED_STATUS = 421
 
@@ -90,8 +92,13 @@
     running : list of Run
     queue : deque of Run
     refuses, is_silent : bool
+    is_leaving : bool
+        True once it has announced its shutdown.
     slowness : float
         Factor of the time until an answer begins.
+    answer_fault : str or None
+        ``broken`` (connections close in the midst of answers), ``cut``
+        (answers end within an event) or ``empty`` (they have no events).
     """
 
     def __init__(self, *, world, name, port, version):
@@ -107,7 +114,10 @@
         self.is_alive = True
         self.refuses = False
         self.is_silent = False
+        self.is_leaving = False
         self.slowness = 1.0
+        self.answer_fault = None
+        self.started_at_ms = int(world.clock.now * 1000)
 
     def receive(self, run):
         """Queue or refuse a request."""
@@ -126,7 +136,10 @@
 
     def list_headers(self, run):
         load = f"{len(self.running)},{len(self.queue)},{self.slots}"
-        return [(b"id", run.identifier.encode()), (b"load", load.encode())]
+        headers = [(b"id", run.identifier.encode()), (b"load", load.encode())]
+        if self.is_leaving:
+            headers.append((b"leaving", b"1"))
+        return headers
 
     def refuse(self, run, status):
         run.is_open = False
@@ -160,10 +173,16 @@
         if self.is_silent:
             self.held.append(lambda: self.begin(run))
             return
-        run.deliver(
-            run.connection.exchange.on_head, 200, self.list_headers(run)
-        )
-        self.send_event(run)
+        headers = self.list_headers(run)
+        is_empty = self.answer_fault == "empty"
+        if is_empty:
+            # One that tells its end would be whole.
+            headers.append((b"undelimited", b"1"))
+        run.deliver(run.connection.exchange.on_head, 200, headers)
+        if is_empty:
+            self.send_faulty_end(run)
+        else:
+            self.send_event(run)
 
     def send_event(self, run):
         if not self.is_current(run):
@@ -173,6 +192,9 @@
             return
         number = run.next_event
         count = self.world.find_length(run.name)
+        if number > FAULTY_EVENTS and self.answer_fault in ("broken", "cut"):
+            self.send_faulty_end(run)
+            return
         if number <= count:
             text = f"{self.version}.{run.name}."
             run.next_event += 1
@@ -189,6 +211,17 @@
             self.world.scenario.event_seconds, self.send_event, run
         )
 
+    def send_faulty_end(self, run):
+        """End an answer as the current fault has it."""
+        if self.answer_fault == "broken":
+            run.fail("connection closed")
+        else:
+            run.is_open = False
+            if self.answer_fault == "cut":
+                run.deliver(run.connection.exchange.on_data, b"id: ")
+            run.deliver(run.connection.end)
+        self.remove(run)
+
     def cancel(self, run):
         """Free the slot of a request whose sender has closed it."""
         run.is_open = False
--- a/packages/hollyspan_standins/hollyspan_standins/search/process.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/process.py
@@ -10,6 +10,7 @@
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.metrics import Metrics
 from hollyspan_gateway.settings import GatewaySettings
+from hollyspan_gateway.shutdown import Shutdown
 from hollyspan_gateway.store import Store
 
 from ..memory import MemoryPool
@@ -102,11 +103,12 @@
                 grace_seconds=8.0,
             ),
             store=store,
-            dialect=SearchDialect(),
+            dialect=SearchDialect(limit=self.world.scenario.limit),
             metrics=Metrics(),
             incarnation=int(self.clock.seconds() * 1e6),
         )
-        gateway.wall_clock = self.clock.seconds
+        skew = self.world.draw_skew()
+        gateway.wall_clock = lambda: self.clock.seconds() + skew
         gateway.guard.exposures = OrderedSet()
         pool = MemoryPool(reactor=self.clock)
         gateway.use_pool(pool)
@@ -190,6 +192,11 @@
         request.on_disconnect = work.cancel
         work.addErrback(self.gateway.online.handle_failure, request, head)
 
+    def stop(self, on_end):
+        """End after the work in flight; call a function then."""
+        self.clock.stop = on_end
+        Shutdown(reactor=self.clock, gateway=self.gateway).begin()
+
     def pause(self):
         """Stand still."""
         self.is_running = False
--- a/packages/hollyspan_standins/hollyspan_standins/search/scenario.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/scenario.py
@@ -79,6 +79,8 @@
         ``elsewhere``.
     count : int
         Number of writes in question.
+    reach : float
+        Share of the upstreams that a gateway's links in question lead to.
     salt : int
         Decides who is chosen.
     """
@@ -92,6 +94,7 @@
         "seconds",
         "back",
         "count",
+        "reach",
         "salt",
     )
     DEFAULTS = {
@@ -101,6 +104,7 @@
         "seconds": 1.5,
         "back": "same",
         "count": 1,
+        "reach": 1.0,
         "salt": 0,
     }
 
@@ -144,6 +148,12 @@
     stream_events : int
     stream_seconds : float
         Time during which clients send new ones.
+    limit : int
+        Limit on the tokens of waiting items, 0 for none.
+    page_size : int
+        Entries in a page of the store.
+    skew : float
+        Largest error of a gateway's wall clock, seconds.
     jobs : list of JobPlan
     faults : list of Fault
     """
@@ -160,6 +170,9 @@
         "streams",
         "stream_events",
         "stream_seconds",
+        "limit",
+        "page_size",
+        "skew",
         "jobs",
         "faults",
     )
@@ -171,6 +184,9 @@
         "streams": 0.0,
         "stream_events": 10,
         "stream_seconds": 10.0,
+        "limit": 0,
+        "page_size": 500,
+        "skew": 0.0,
         "jobs": [],
         "faults": [],
     }
