--- a/packages/hollyspan_standins/hollyspan_standins/search/drawing.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/drawing.py
@@ -24,6 +24,8 @@
 # Limits on the tokens of waiting items: of some jobs, and of all at once.
 TIGHT_LIMIT = 640
 WIDE_LIMIT = 8000
+# Times of datagrams between data centres of one place and of two.
+PEER_SECONDS = (0.001, 0.001, 0.005, 0.04)
 # Latest time after its first event at which a fault begins.
 MAX_DELAY_S = 16.0
 # Faults by what they concern; how often one is drawn among the others.
@@ -144,6 +146,7 @@
         "stream_events": draw.choice((6, 16)),
         "stream_seconds": round(draw.uniform(4.0, 14.0), 3),
         "limit": draw.choice((0, 0, 0, TIGHT_LIMIT, WIDE_LIMIT)),
+        "peer_seconds": random.Random(f"peers {seed}").choice(PEER_SECONDS),
         "page_size": draw.choice((500, 500, 8)),
         "skew": draw.choice((0.0, 0.0, 2.0)),
     }
--- a/packages/hollyspan_standins/hollyspan_standins/search/network.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/network.py
@@ -3,9 +3,7 @@
 from ..memory.network import ADDRESS
 from ..memory.network import find_host
 
-__all__ = ["ADDRESS", "ONE_WAY_S", "Transport", "find_host"]
-
-ONE_WAY_S = 0.001
+__all__ = ["ADDRESS", "Transport", "find_host"]
 
 
 class Transport:
@@ -31,7 +29,7 @@
         if target is not None:
             source = (find_host(self.process.port), self.process.port)
             target.clock.callLater(
-                ONE_WAY_S,
+                world.find_peer_delay(self.process, target),
                 target.gateway.peers.datagramReceived,
                 datagram,
                 source,
--- a/packages/hollyspan_standins/hollyspan_standins/search/scenario.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/scenario.py
@@ -150,6 +150,8 @@
         Time during which clients send new ones.
     limit : int
         Limit on the tokens of waiting items, 0 for none.
+    peer_seconds : float
+        Time of a datagram from one data centre to the other.
     page_size : int
         Entries in a page of the store.
     skew : float
@@ -171,6 +173,7 @@
         "stream_events",
         "stream_seconds",
         "limit",
+        "peer_seconds",
         "page_size",
         "skew",
         "jobs",
@@ -185,6 +188,7 @@
         "stream_events": 10,
         "stream_seconds": 10.0,
         "limit": 0,
+        "peer_seconds": 0.001,
         "page_size": 500,
         "skew": 0.0,
         "jobs": [],
--- a/packages/hollyspan_standins/hollyspan_standins/search/world.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/world.py
@@ -31,6 +31,8 @@
 MAX_EXPIRY_S = 4.5
 # Time from an end by a fatal part to the upstream's return.
 FATAL_RETURN_S = 1.5
+# Time of a datagram within a data centre.
+PEER_DELAY_S = 0.001
 NEWER_VERSION = "v9"
 # Parts of prompts that streams share, and the number of them in use.
 COMMON_PART = 1
@@ -214,6 +216,16 @@
             or (self.lost_share and self.random.random() < self.lost_share)
         )
 
+    def find_peer_delay(self, source, target):
+        """Return the time of a datagram between two gateways."""
+        data_centres = {
+            process.gateway.settings.data_centre
+            for process in (source, target)
+        }
+        if len(data_centres) == 1:
+            return PEER_DELAY_S
+        return max(PEER_DELAY_S, self.scenario.peer_seconds)
+
     def kill_process(self, process):
         """End a gateway's process."""
         self.note("kill", process.name)
