Block the parts that came with a blocked one, by themselves

Callers saw replicas end one after the other: a part that ends upstreams was blocked only together with the own part of the first job that had it, and the items of each further job ended some more.

Cause: parts that nothing tells apart were blocked as a combination, and the ends that a block explains counted against nothing else.

Change: a part that was in all requests with the blocked keys, that no upstream has ever survived and that other requests lack is blocked by itself; the early trials free the sound one.

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -5,6 +5,7 @@
 from .common_cause import has_common_cause
 from .common_cause import list_excused_keys
 from .common_cause import list_moment
+from .companions import list_companions
 from .explanation import choose_best_groups
 from .explanation import is_explained_by
 from .explanation import MIN_AMBIGUOUS_ENDS
@@ -52,7 +53,8 @@
         Each a set of keys that no request may have together: the fingerprint
         of a request, or parts of prompts. Parts that were in the same
         requests at each end cannot be told apart, so that only their
-        combination is blocked.
+        combination is blocked, or each one by itself if no upstream has ever
+        survived it, see `list_companions`.
 
     Notes
     -----
@@ -86,6 +88,25 @@
     >>> choose_blocks(ends, survivals={1: 2.5})
     [frozenset({2})]
     """
+    chosen = choose_explanations(
+        ends, survivals=survivals, blocked=blocked, beside=beside
+    )
+    return add_companions(chosen, ends, survivals, blocked)
+
+
+def add_companions(chosen, ends, survivals, blocked):
+    """Block the parts by themselves that came with the chosen keys."""
+    blocks = {}
+    for keys in chosen:
+        companions = list_companions(keys, ends, survivals=survivals)
+        if not keys.intersection(companions):
+            blocks[keys] = None
+        blocks |= dict.fromkeys(frozenset((key,)) for key in companions)
+    return [keys for keys in blocks if keys not in blocked]
+
+
+def choose_explanations(ends, *, survivals, blocked, beside):
+    """Choose the keys that explain the ends; see `choose_blocks`."""
     moments = [list_moment(end, [*ends, *beside]) for end in ends]
     chosen = cover_ends(ends, survivals, blocked, moments=moments)
     if chosen:
@@ -255,7 +276,13 @@
         group = gather_group(keys, ends, survivals)
         # With fewer ends, what the block was decided on is not known here.
         if len(group.causes) >= MIN_ENDS and any(
-            is_explained_by(group, other) and other.causes >= group.causes
+            is_explained_by(group, other)
+            and other.causes >= group.causes
+            and not keys.issubset(
+                list_companions(
+                    frozenset(other.keys), ends, survivals=survivals
+                )
+            )
             for other in others
         ):
             explained.append(keys)
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_decision.py
@@ -48,6 +48,40 @@
     assert choose(evidence) == [frozenset({COMMON, FATAL})]
 
 
+def collect_job(*parts, beside=(), survivals=()):
+    """Return three ends in the midst of items with some parts."""
+    ends = [[parts, (*beside, number)] for number in (7, 8, 9)]
+    return collect(*ends, survivals=survivals)
+
+
+# Failure: a part that ends upstreams was blocked together with the own part of
+# the first job that had it, and each further job ended three upstreams more.
+def test_a_part_of_a_blocked_job_is_blocked_by_itself():
+    evidence = collect_job(FATAL, BESIDE)
+    assert choose(evidence) == [frozenset({FATAL}), frozenset({BESIDE})]
+
+
+def test_a_part_of_a_blocked_job_that_was_ever_survived_is_not_blocked():
+    evidence = collect_job(FATAL, BESIDE, survivals=[(BESIDE, 1.0)])
+    assert choose(evidence) == [frozenset({FATAL})]
+
+
+def test_a_part_of_all_prompts_is_not_blocked_beside_a_blocked_job():
+    evidence = collect_job(COMMON, FATAL, BESIDE, beside=(COMMON,))
+    assert choose(evidence) == [frozenset({FATAL}), frozenset({BESIDE})]
+
+
+def test_a_part_of_a_blocked_job_is_not_explained_by_the_other():
+    ends = [[(FATAL, BESIDE), (BESIDE, 7)], [(FATAL, BESIDE), (8,)]] * 2
+    evidence = collect(*ends)
+    blocks = [frozenset({FATAL}), frozenset({BESIDE})]
+    assert sorted(choose(evidence), key=sorted) == blocks
+    known = evidence.list_ends(now=20.0)
+    assert not list_explained_blocks(
+        blocks, known, survivals={}, blocked=blocks
+    )
+
+
 def test_a_part_that_was_survived_since_is_not_blocked():
     evidence = collect(*[[(FATAL,)]] * 5, survivals=[(FATAL, 14.5)])
     assert choose(evidence) == []
