--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -200,6 +200,10 @@
             peer = gateway.peers.peers.get(parse_identifier(state.claim[0]))
         if state.is_taken or state.key in self.lookups:
             return
+        if self.is_blocked(state):
+            # Its owner goes on once the block has ended.
+            state.idle_since = self.now
+            return
         is_owner = owner == gateway.peers.identifier
         if is_owner and peer is None:
             return
@@ -257,7 +261,15 @@
             free_seconds=self.now - free_since,
             is_owner_heard=owner is not None and owner.is_live(self.now),
             is_claimed=claimer is not None,
-        ) and gateway.guard.block_list.may_send(state.shared_parts)
+        )
+
+    def is_blocked(self, state):
+        """Return whether a part of an item's prompt is blocked."""
+        block_list = self.worker.gateway.guard.block_list
+        return (
+            bool(block_list.blocks)
+            and block_list.find(state.shared_parts) is not None
+        )
 
     def can_stall(self, peer):
         """Return whether a peer would tell of progress, or is not heard."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -5,6 +5,7 @@
 import pytest
 from twisted.internet import defer
 
+from hollyspan_gateway.crashes.block_list import BlockList
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.records import build_result_key
@@ -454,3 +455,28 @@
     fleet.advance(6.0)
     sent = list_sent(fleet)
     assert len(sent) == len(set(sent)) == ITEMS
+
+
+# Failure: items that had been blocked ran at two gateways after the end of
+# the block, as if their owners had left them alone all the time.
+def test_items_are_left_to_their_owners_after_the_end_of_a_block(
+    fleet, submit, wire, reactor, monkeypatch
+):
+    for gateway in fleet.gateways:
+        gateway.guard.block_list.add(frozenset({PART}), at=reactor.seconds())
+    submit()
+    fleet.advance(12.0)
+    owners = {}
+    for gateway in fleet.gateways[1:4]:
+        for state in gateway.worker.catalogue.jobs["j"].items.values():
+            owners[state.item.identifier] = state.owner
+    # The others learn of the end of the block a moment before the owner.
+    monkeypatch.setattr(BlockList, "add", lambda self, keys, **values: None)
+    for gateway in (*fleet.gateways[1:], fleet.gateways[0]):
+        gateway.guard.block_list.blocks.clear()
+        fleet.advance(0.5)
+    fleet.advance(8.0)
+    assert len(list_sent(fleet)) == len(owners) == ITEMS
+    for send in fleet.sent:
+        item = send.connection.headers[b"id"].decode()
+        assert send.gateway.peers.identifier == owners[item]
