Look a result up before an item is run that a peer has named

An item ran twice when its owner began it as soon as the peer that had run it no longer named it: the owner did not know of the peer's result. It looks the result up first now. The test failed before. The test of the age of an item that its owner leaves alone keeps items from running by the lack of upstreams rather than by a block, under which this age does not grow any more.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
@@ -40,6 +40,7 @@
     def note_start(self, state):
         """Note the start of a run."""
         self.recent[state.key] = state
+        state.must_look_up = False
 
     def note_finished(self, job_state, workers):
         """Note that all items of a job that are owned here have results."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -63,6 +63,8 @@
         Time at which a peer was last seen to name it, reactor seconds.
     idle_since : float
         Time at which the claim or the owner last changed, reactor seconds.
+    must_look_up : bool
+        True when a peer has named the item, so that it may have a result.
     is_taken : bool
         True when this gateway runs the item though another one owns it, or
         names it as its work.
@@ -94,6 +96,7 @@
         "claim",
         "claimed_at",
         "idle_since",
+        "must_look_up",
         "is_taken",
     )
 
@@ -123,6 +126,7 @@
         self.claim = None
         self.claimed_at = -math.inf
         self.idle_since = 0.0
+        self.must_look_up = False
         self.is_taken = False
 
     def discard_output(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
@@ -162,6 +162,8 @@
             return "results_not_read", None
         if state.not_before > gateway.reactor.seconds():
             return "delay", None
+        if state.must_look_up and not state.is_taken:
+            return "result_not_looked_up", None
         block = gateway.guard.block_list.find(state.shared_parts)
         if block is not None:
             return "blocked", format_hash(min(block.keys))
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -215,13 +215,24 @@
         ):
             state.has_result = True
             return
-        if len(self.lookups) < MAX_LOOKUPS and self.is_due(
-            state, peer, owning_peer, is_owner=is_owner
-        ):
-            self.lookups.add(state.key)
-            defer.ensureDeferred(self.take(state, owner)).addErrback(
-                eliot.write_failure
-            )
+        if self.is_due(state, peer, owning_peer, is_owner=is_owner):
+            self.look_up(state, is_succession=True)
+
+    def look_up(self, state, *, is_succession):
+        """Look the result of an item up, and let it run here without one.
+
+        Parameters
+        ----------
+        state : ItemState
+        is_succession : bool
+            Whether it runs here though another gateway owns or names it.
+        """
+        if state.key in self.lookups or len(self.lookups) >= MAX_LOOKUPS:
+            return
+        self.lookups.add(state.key)
+        defer.ensureDeferred(
+            self.take(state, is_succession=is_succession)
+        ).addErrback(eliot.write_failure)
 
     def note_claim(self, state, peer):
         """Note that a peer names an item, and whether it makes progress."""
@@ -286,7 +297,7 @@
             state.rank = order.index(identifier) - 1
         return state.rank
 
-    async def take(self, state, owner):
+    async def take(self, state, *, is_succession):
         """Run an item here if it has no result."""
         job, idle_since = state.job_state.job.identifier, state.idle_since
         try:
@@ -306,16 +317,19 @@
         if entry is not None:
             state.has_result = True
             return
-        if idle_since == state.idle_since:
-            # Neither its owner nor what is told of it has changed meanwhile.
+        if idle_since != state.idle_since:
+            # Its owner has changed meanwhile, or what is told of it.
+            return
+        state.must_look_up = False
+        if is_succession:
             state.is_taken = True
             state.hindrance = None
             eliot.log_message(
                 "item:taken_over",
                 job=job,
                 item=state.item.identifier,
-                owner=owner,
-                idle=round(self.now - state.idle_since, 1),
+                owner=state.owner,
+                idle=round(self.now - idle_since, 1),
                 claimed_by=state.claim and state.claim[0],
             )
-            self.worker.schedule(0.0)
+        self.worker.schedule(0.0)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
@@ -207,9 +207,7 @@
     peer = Peer(key=5, address=("10.0.0.1", 1))
     peer.runs_batch = peer.reaches_store = True
     gateway.peers.list_workers = lambda: [peer]
-    gateway.guard.block_list.add(
-        frozenset({PART}), at=gateway.reactor.seconds()
-    )
+    gateway.directory.upstreams.clear()
     submit(16)
     lines = [
         line for line in list_open(16.0) if line["reason"] == "owned_elsewhere"
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -825,3 +825,26 @@
     gateway.pool.last.answer(200, body=helpers.build_events(1, 1))
     assert list_results(wire) == {"j0": (True, b"t1")}
     assert gateway.worker.running == {}
+
+
+# Failure: an item ran twice whose result a peer had stored that had run it,
+# since its owner began it as soon as the peer no longer named it.
+def test_an_item_that_a_peer_has_run_is_looked_up_first(
+    build_worker, submit, reactor, wire
+):
+    gateway = build_worker()
+    claimed = []
+    gateway.list_claimed_items = lambda: frozenset(claimed)
+    submit(2)
+    (job_state,) = gateway.worker.catalogue.list_incomplete()
+    claimed += [state.key for state in job_state.items.values()]
+    for connection in gateway.pool.sent:
+        connection.exchange.on_failure(StreamLostError("reset"))
+    reactor.pump([0.1] * 10)
+    assert len(gateway.pool.sent) == 2
+    store_result(wire, "j0")
+    claimed.clear()
+    reactor.pump([0.1] * 5)
+    assert [
+        connection.headers[b"id"] for connection in gateway.pool.sent[2:]
+    ] == [b"j1"]
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -260,9 +260,16 @@
         ):
             return False
         owner = self.find_owner(state, workers)
-        return state.is_taken or (
-            owner == self.gateway.peers.identifier and state.key not in claimed
-        )
+        if state.is_taken or owner != self.gateway.peers.identifier:
+            return state.is_taken
+        if state.key in claimed:
+            state.must_look_up = True
+            return False
+        if state.must_look_up:
+            # The peer that had named it may have stored its result.
+            self.succession.look_up(state, is_succession=False)
+            return False
+        return True
 
     def find_owner(self, state, workers):
         """Return the identifier of the gateway that runs an item."""
