--- a/packages/hollyspan_standins/hollyspan_standins/search/tests/test_cases.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/tests/test_cases.py
@@ -1,11 +1,12 @@
 """Scenarios that the search has found and reduced."""
 
+import pytest
+
 from hollyspan_standins.search.driver import play_scenario
 from hollyspan_standins.search.scenario import Fault
 from hollyspan_standins.search.scenario import JobPlan
 from hollyspan_standins.search.scenario import Scenario
 from hollyspan_standins.search.scenario import When
-import pytest
 
 
 def list_violations(scenario):
