Tell peers of ends that no request may have caused

Cause: an end was reported only with requests that may have caused it. An upstream whose streams had been answered for long, or whose requests have no keys, ended unseen by the decision, so that the common cause was hidden. The class: only the observations that confirm a suspicion are reported.

Heartbeats do not repeat it, since they come after the decision. An end of an upstream that may not have read its requests is not told.

Evidence: test_ends_beside_others_without_requests_block_no_part and test_later_ends_tell_a_common_cause_before_they_count[False] fail when the decision is not given these ends, and pass now.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -169,7 +169,10 @@
     def may_be_coincidence(self, keys):
         """Return whether the ends with some keys may have another cause."""
         return may_be_coincidence(
-            keys, self.list_ends(), survivals=self.evidence.survivals
+            keys,
+            self.list_ends(),
+            survivals=self.evidence.survivals,
+            beside=self.list_beside(),
         )
 
     def list_ends(self):
@@ -181,6 +184,10 @@
             if end.at >= self.started_at
         ]
 
+    def list_beside(self):
+        """Return the ends that may share a cause with those that count."""
+        return self.evidence.list_beside(now=self.gateway.reactor.seconds())
+
     def note_data(self, exposure):
         """Note bytes of the answer to a tracked request."""
         self.gateway.reach.note_data(
@@ -300,9 +307,11 @@
         ]
         requests = {exposure.keys for exposure in suspects}
         fingerprints = {exposure.fingerprint for exposure in suspects} - {0}
+        key = upstream.entry.incarnation_key
         if not requests:
+            if not any(exposure.may_be_unread for exposure in exposures):
+                self.evidence.note_other_end(key, at=now, is_confirmed=False)
             return
-        key = upstream.entry.incarnation_key
         self.seen_ends[key] = requests
         if len(self.seen_ends) > MAX_SEEN_ENDS:
             del self.seen_ends[next(iter(self.seen_ends))]
@@ -323,6 +332,10 @@
         upstream : Upstream
         """
         key = upstream.entry.incarnation_key
+        other = self.evidence.other_ends.get(key)
+        if other is not None and not other.is_confirmed:
+            other.is_confirmed = True
+            self.news.tell_other_end(key, at=other.at)
         if not self.evidence.is_in_doubt(key):
             return
         eliot.log_message(
@@ -334,7 +347,9 @@
 
     def confirm_recent_end(self, upstream):
         """Count an end that was seen shortly before its entry was dropped."""
-        record = self.evidence.ends.get(upstream.entry.incarnation_key)
+        key = upstream.entry.incarnation_key
+        record = self.evidence.ends.get(key)
+        record = record or self.evidence.other_ends.get(key)
         now = self.gateway.reactor.seconds()
         if record is not None and now - record.at < ENTRY_EXPIRY_S:
             self.confirm_end(upstream)
@@ -408,9 +423,13 @@
             self.decision_call = self.gateway.reactor.callLater(
                 min(later) + DECISION_DELAY_S - now, self.decide
             )
+        beside = [end for end in ends if end.at > reported_at]
         ends = [end for end in ends if end.at <= reported_at]
         for keys in choose_blocks(
-            ends, survivals=self.evidence.survivals, blocked=self.blocks
+            ends,
+            survivals=self.evidence.survivals,
+            blocked=self.blocks,
+            beside=beside + self.list_beside(),
         ):
             eliot.log_message(
                 "part:decided",
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -2,6 +2,7 @@
 
 from .notices import BlockNotice
 from .notices import EndNotice
+from .notices import OtherEndNotice
 from .notices import SurvivalNotice
 
 __all__ = ["CrashNews"]
@@ -14,6 +15,7 @@
 # Limits the size of a message to one datagram of the usual size; the newest
 # notices are sent.
 MAX_KEYS_PER_KIND = 48
+MAX_OTHER_ENDS = 48
 # Limit on the notices that are remembered.
 MAX_REMEMBERED = 256
 
@@ -39,6 +41,7 @@
         "ends",
         "survivals",
         "unsent_ends",
+        "unsent_other_ends",
         "unsent_survivals",
         "unsent_blocks",
         "send_call",
@@ -49,6 +52,7 @@
         self.ends = {}
         self.survivals = {}
         self.unsent_ends = set()
+        self.unsent_other_ends = {}
         self.unsent_survivals = set()
         self.unsent_blocks = set()
         self.send_call = None
@@ -65,6 +69,14 @@
         self.unsent_ends.add(key)
         self.schedule_send()
 
+    def tell_other_end(self, key, *, at):
+        """Tell of an upstream that ended without requests that may cause it.
+
+        Heartbeats do not repeat it, since they come after the decision.
+        """
+        self.unsent_other_ends[key] = at
+        self.schedule_send()
+
     def tell_confirmation(self, key):
         """Tell that an end is confirmed, if it was seen here."""
         if key in self.ends:
@@ -123,7 +135,20 @@
         self.unsent_ends = set()
         self.unsent_survivals = set()
         self.unsent_blocks = set()
-        table.send_change(table.list_live(), **notices)
+        if any(notices.values()):
+            table.send_change(table.list_live(), **notices)
+        others = list(self.unsent_other_ends.items())[-MAX_OTHER_ENDS:]
+        self.unsent_other_ends = {}
+        if others:
+            # One datagram has no room for all kinds.
+            now = self.gateway.reactor.seconds()
+            table.send_change(
+                table.list_live(),
+                other_ends=[
+                    OtherEndNotice(upstream=key, age=now - at)
+                    for key, at in others
+                ],
+            )
 
     def describe(self):
         """Return the notices for a full message to peers."""
@@ -186,6 +211,8 @@
                 at=now - notice.age,
                 is_confirmed=notice.is_confirmed,
             )
+        for notice in message.other_ends:
+            guard.evidence.note_other_end(notice.upstream, at=now - notice.age)
         for notice in message.survivals:
             at = now - notice.age
             if notice.age < REPETITION_S:
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
@@ -1,6 +1,6 @@
 """What gateways tell each other about ended upstreams."""
 
-__all__ = ["BlockNotice", "EndNotice", "SurvivalNotice"]
+__all__ = ["BlockNotice", "EndNotice", "OtherEndNotice", "SurvivalNotice"]
 
 
 class EndNotice:
@@ -38,6 +38,24 @@
         self.is_confirmed = is_confirmed
 
 
+class OtherEndNotice:
+    """Upstream that ended with no request that may have caused it.
+
+    Parameters
+    ----------
+    upstream : int
+        Key of its incarnation.
+    age : float
+        Time since the end, seconds.
+    """
+
+    __slots__ = ("upstream", "age")
+
+    def __init__(self, *, upstream, age):
+        self.upstream = upstream
+        self.age = age
+
+
 class SurvivalNotice:
     """A request that an upstream has survived.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -7,6 +7,7 @@
 from hollyspan_core.errors import StreamStalledError
 from hollyspan_gateway.crashes import BlockNotice
 from hollyspan_gateway.crashes import EndNotice
+from hollyspan_gateway.crashes import OtherEndNotice
 from hollyspan_gateway.crashes import SurvivalNotice
 from hollyspan_gateway.peers import decode_message
 from hollyspan_gateway.peers import encode_message
@@ -389,3 +390,95 @@
     reactor.advance(0.5)
     assert FATAL in find_refused(gateway)
     assert gateway.describe()["survivals"] == []
+
+
+def end_after_long_answer(gateway, connection, reactor, helpers):
+    connection.answer(200, body=helpers.build_events(1, 1), is_complete=False)
+    reactor.advance(0.6)
+    connection.exchange.on_data(helpers.build_events(2, 2))
+    fail(connection, StreamLostError("connection closed"))
+    reactor.advance(0.1)
+
+
+def test_an_end_that_no_request_may_have_caused_is_told_as_such(
+    gateway, send, reactor, helpers
+):
+    sent = []
+    gateway.peers.send_change = lambda peers, **fields: sent.append(fields)
+    connection = send()
+    end_after_long_answer(gateway, connection, reactor, helpers)
+    ((key, record),) = gateway.guard.evidence.other_ends.items()
+    assert record.is_confirmed
+    notices = [
+        notice for fields in sent for notice in fields.get("other_ends", ())
+    ]
+    assert [notice.upstream for notice in notices] == [key]
+    message = build_message(other_ends=notices)
+    (notice,) = decode_message(encode_message(message)).other_ends
+    assert (notice.upstream, notice.age < 0.2) == (key, True)
+
+
+def test_an_end_before_a_request_was_read_is_not_told_as_another(
+    gateway, send, reactor
+):
+    connection = send()
+    (upstream,) = [
+        each
+        for each in gateway.directory.upstreams.values()
+        if each.entry.address == connection.address
+    ]
+    gateway.reach.note_silence(upstream)
+    fail(connection, StreamLostError("connection closed"))
+    reactor.advance(0.1)
+    evidence = gateway.guard.evidence
+    assert not evidence.ends and not evidence.other_ends
+
+
+def test_many_other_ends_fit_into_a_message(gateway, reactor):
+    sent = []
+    gateway.peers.send_change = lambda peers, **fields: sent.append(fields)
+    for number in range(200):
+        gateway.guard.news.tell_other_end(
+            2**63 + number, at=reactor.seconds() - 1e6
+        )
+    reactor.advance(0.1)
+    (fields,) = sent
+    message = gateway.peers.build_message(loads=[], is_full=False, **fields)
+    assert len(encode_message(message)) < DATAGRAM_BYTES
+
+
+# Failure: items of a job stayed open, since their part was blocked for ends
+# of upstreams that were lost together with others.
+def test_ends_beside_others_without_requests_block_no_part(gateway, reactor):
+    news = gateway.guard.news
+    for number in range(5):
+        end = EndNotice(upstream=number, requests=[(PART,)], age=0.0)
+        other = OtherEndNotice(upstream=100 + number, age=0.0)
+        news.apply(build_message(ends=[end], other_ends=[other]))
+        reactor.advance(1.0)
+    assert not gateway.guard.blocks
+    for number in range(10, 13):
+        end = EndNotice(upstream=number, requests=[(PART,)], age=0.0)
+        news.apply(build_message(ends=[end]))
+        reactor.advance(1.0)
+    assert list(gateway.guard.blocks) == [frozenset((PART,))]
+
+
+# Failure: the same, where the others were seen a little later or by a gateway
+# that others had not confirmed yet.
+@pytest.mark.parametrize("is_confirmed", [True, False])
+def test_later_ends_tell_a_common_cause_before_they_count(
+    gateway, reactor, is_confirmed
+):
+    for number in range(3):
+        for upstream, part in ((number, PART), (100 + number, 7)):
+            gateway.guard.apply_end(
+                upstream,
+                [(part, upstream)],
+                at=reactor.seconds(),
+                is_confirmed=is_confirmed or part == PART,
+            )
+            reactor.advance(0.08)
+        gateway.guard.handle_survival((7,))
+        reactor.advance(0.5)
+    assert not gateway.guard.blocks
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -9,6 +9,7 @@
 
 from ..crashes.notices import BlockNotice
 from ..crashes.notices import EndNotice
+from ..crashes.notices import OtherEndNotice
 from ..crashes.notices import SurvivalNotice
 from ..intake import MAX_DATAGRAM_WORDS
 from ..streams.notice import StreamNotice
@@ -92,6 +93,11 @@
         ]
     if message.asked_streams:
         wire.askedStreams = list(message.asked_streams)
+    if message.other_ends:
+        wire.otherEnds = [
+            {"upstream": notice.upstream, "ageMs": encode_age(notice.age)}
+            for notice in message.other_ends
+        ]
     return wire.to_bytes_packed()
 
 
@@ -226,6 +232,10 @@
         for notice in wire.streams
     ]
     message.asked_streams = list(wire.askedStreams)
+    message.other_ends = [
+        OtherEndNotice(upstream=end.upstream, age=end.ageMs / 1000)
+        for end in wire.otherEnds
+    ]
 
 
 def encode_limit(wire, report):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -35,6 +35,11 @@
   isConfirmed @4 :Bool;   # false: the sender's link may be to blame
 }
 
+struct OtherEnd {
+  upstream @0 :UInt64;    # its incarnation
+  ageMs @1 :UInt32;
+}
+
 struct Survival {
   keys @0 :List(UInt64);  # of a request
   ageMs @1 :UInt32;
@@ -81,4 +86,6 @@
   lostPercent @23 :UInt8;   # of the upstreams that it cannot reach
   memoryMs @24 :UInt32;     # time for which it remembers streams; all ones: it
                             # has forgotten none
+  # Set in any message.
+  otherEnds @25 :List(OtherEnd); # that no request may have caused
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -123,6 +123,7 @@
     streams : list of StreamNotice, optional
     asked_streams : list of int, optional
         Keys of the streams whose version the sender asks for.
+    other_ends : list of OtherEndNotice, optional
     """
 
     __slots__ = (
@@ -151,6 +152,7 @@
         "blocks",
         "streams",
         "asked_streams",
+        "other_ends",
     )
 
     def __init__(
@@ -181,6 +183,7 @@
         blocks=(),
         streams=(),
         asked_streams=(),
+        other_ends=(),
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -207,3 +210,4 @@
         self.blocks = blocks
         self.streams = streams
         self.asked_streams = asked_streams
+        self.other_ends = other_ends
