Check idle upstreams that closed connections beside an end

Cause: the end of an upstream is found out by the requests that it breaks off. The class: what is observed depends on the suspicion.

Change: the pool tells which idle connections were closed at the other end. 0.05 s after an end with requests that may have caused it, the gateway that saw it connects to up to four upstreams whose idle connections were closed in the last 0.3 s. One that refuses has ended, as of then. Connections that are closed for other reasons cause no check by themselves. Such a check is no failure of the gateway's links.

A gateway sees the ends of those only that it has idle connections to.

test_idle_upstreams_are_checked_beside_an_end[True] fails before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -188,6 +188,10 @@
         """Return the ends that may share a cause with those that count."""
         return self.evidence.list_beside(now=self.gateway.reactor.seconds())
 
+    def note_closed(self, address):
+        """Note an idle connection that was closed at the other end."""
+        self.detector.note_closed(address)
+
     def note_data(self, exposure):
         """Note bytes of the answer to a tracked request."""
         self.gateway.reach.note_data(
@@ -310,8 +314,13 @@
         key = upstream.entry.incarnation_key
         if not requests:
             if not any(exposure.may_be_unread for exposure in exposures):
-                self.evidence.note_other_end(key, at=now, is_confirmed=False)
+                self.evidence.note_other_end(
+                    key,
+                    at=self.detector.find_end(upstream),
+                    is_confirmed=False,
+                )
             return
+        self.detector.schedule_closed_checks()
         self.seen_ends[key] = requests
         if len(self.seen_ends) > MAX_SEEN_ENDS:
             del self.seen_ends[next(iter(self.seen_ends))]
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_guard.py
@@ -482,3 +482,44 @@
         gateway.guard.handle_survival((7,))
         reactor.advance(0.5)
     assert not gateway.guard.blocks
+
+
+# Failure: the same, where the others had no requests at all.
+@pytest.mark.parametrize("has_ended", [True, False])
+def test_idle_upstreams_are_checked_beside_an_end(
+    gateway, send, reactor, has_ended
+):
+    connection = send()
+    (exposure,) = gateway.guard.exposures
+    idle = next(
+        upstream
+        for upstream in gateway.directory.upstreams.values()
+        if upstream.entry.address != connection.address
+    )
+    if has_ended:
+        gateway.pool.unreachable.add(idle.entry.address)
+    gateway.pool.on_idle_lost(idle.entry.address)
+    closed_at = reactor.seconds()
+    reactor.advance(0.02)
+    gateway.guard.handle_end(exposure.upstream, [exposure])
+    reactor.advance(0.1)
+    ends = gateway.guard.evidence.other_ends
+    assert list(ends) == [idle.entry.incarnation_key] * has_ended
+    for end in ends.values():
+        assert (end.at, end.is_confirmed) == (closed_at, True)
+
+
+def test_closed_idle_connections_alone_check_nothing(gateway, send, reactor):
+    address, *_ = [
+        upstream.entry.address
+        for upstream in gateway.directory.upstreams.values()
+    ]
+    gateway.pool.unreachable.add(address)
+    gateway.pool.on_idle_lost(address)
+    reactor.advance(1.0)
+    fail(send(), StreamLostError("connection closed"))
+    reactor.advance(0.5)
+    assert not gateway.guard.evidence.other_ends
+    for number in range(1000):
+        gateway.pool.on_idle_lost(("10.0.0.1", number))
+    assert len(gateway.guard.detector.closed) <= 256
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -175,6 +175,7 @@
         self.pool = pool
         pool.must_hold = self.reach.must_hold
         pool.on_open = self.reach.note_open
+        pool.on_idle_lost = lambda address: self.guard.note_closed(address)
 
     @property
     def configuration_version(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -34,6 +34,9 @@
     on_open : callable
         Called with the address of each connection that was opened, and has
         stayed open if it must.
+    on_idle_lost : callable
+        Called with the address of each idle connection that was closed at
+        the other end.
     """
 
     __slots__ = (
@@ -44,6 +47,7 @@
         "opened",
         "must_hold",
         "on_open",
+        "on_idle_lost",
     )
 
     def __init__(self, *, reactor, source_ip=None, intake=None):
@@ -54,6 +58,7 @@
         self.opened = 0
         self.must_hold = lambda address: False
         self.on_open = lambda address: None
+        self.on_idle_lost = lambda address: None
 
     async def acquire(
         self, address, *, timeout=CONNECT_TIMEOUT_S, identifier=None
@@ -148,6 +153,7 @@
         connections = self.idle.get(address, [])
         if connection in connections:
             connections.remove(connection)
+            self.on_idle_lost(address)
 
     def drop_address(self, address):
         """Close the idle connections to an address."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
@@ -279,3 +279,24 @@
     assert not connection.transport.value()
     assert connection.transport.is_aborted
     assert not clock.getDelayedCalls()
+
+
+def test_a_pool_tells_which_idle_connections_the_other_end_has_closed():
+    clock = task.Clock()
+    pool = HoldingPool(reactor=clock)
+    closed = []
+    pool.on_idle_lost = closed.append
+    for port in range(3):
+        defer.ensureDeferred(
+            pool.open_idle(("10.0.0.1", port), hold_seconds=0.0)
+        )
+    clock.advance(0.2)
+    first, second, third = pool.connections
+    first.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert closed == [("10.0.0.1", 0)]
+    # This end closes the next one, and the last one carries a request.
+    pool.drop_address(("10.0.0.1", 1))
+    second.connectionLost(failure.Failure(error.ConnectionDone()))
+    defer.ensureDeferred(pool.acquire(("10.0.0.1", 2)))
+    third.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert closed == [("10.0.0.1", 0)]
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
@@ -100,6 +100,10 @@
                 self.forget_other_end()
         record.is_confirmed |= is_confirmed
 
+    def has_end(self, key):
+        """Return whether the end of an upstream is known."""
+        return key in self.ends or key in self.other_ends
+
     def forget_other_end(self):
         """Forget the oldest one, first of those that tell nothing."""
         for key, record in self.other_ends.items():
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/drawn_fleet.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/drawn_fleet.py
@@ -55,6 +55,8 @@
     ----------
     decided : dict
         Time of the first decision and whether it is in doubt, by block.
+    sees_idle : bool
+        Whether gateways see the ends of upstreams without requests.
     sent, ended : dict of list
         Times of the sends of fatal requests, and of the ends by them, by
         their part or fingerprint.
@@ -67,6 +69,7 @@
         self.numbers = itertools.count(1000)
         self.upstreams = [self.build() for _ in range(upstreams)]
         self.evidence = CrashEvidence()
+        self.sees_idle = False
         self.is_decision_due = False
         self.blocks = {}
         self.decided = {}
@@ -151,7 +154,8 @@
         for run in runs:
             run.on_lost()
         if not runs:
-            # Nobody sees the end of an upstream without requests.
+            if self.sees_idle:
+                self.evidence.note_other_end(key, at=self.now)
             return
         suspects = [run for run in runs if not run.has_survived]
         self.evidence.note_end(
@@ -173,12 +177,13 @@
             at = min(end.at for end in later) + DECISION_DELAY_S
             self.call_at(at, self.decide)
         survivals = self.evidence.survivals
+        beside = later + self.evidence.list_beside(now=self.now)
         blocks = choose_blocks(
-            due, survivals=survivals, blocked=self.blocks, beside=later
+            due, survivals=survivals, blocked=self.blocks, beside=beside
         )
         for block in blocks:
             is_doubtful = may_be_coincidence(
-                block, due, survivals=survivals, beside=later
+                block, due, survivals=survivals, beside=beside
             )
             self.decided.setdefault(block, (self.now, is_doubtful))
             self.blocks[block] = self.now
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_drawn_fleet.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_drawn_fleet.py
@@ -38,6 +38,7 @@
 def run_sound_job(seed, *, streams, jobs=1):
     """Return the fleet and the share of upstreams that a job is sent to."""
     fleet = draw_fleet(seed)
+    fleet.sees_idle = not streams
     items = fleet.random.randint(4, 16)
     if streams:
         fleet.send_streams(streams * len(fleet.upstreams))
@@ -52,7 +53,7 @@
 
 # Failure: items of a job stayed open, since their part was blocked for ends
 # that had nothing to do with it.
-@pytest.mark.parametrize("streams", [0.3, 1.0])
+@pytest.mark.parametrize("streams", [0.0, 0.3, 1.0])
 def test_a_sound_part_beside_losses_in_series_is_rarely_blocked(streams):
     blocked = {True: [], False: []}
     for seed in range(SOUND_RUNS):
