--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -135,6 +135,7 @@
     streams : list of StreamNotice, optional
     asked_streams : list of int, optional
         Keys of the streams whose version the sender asks for.
+    other_ends : list of OtherEndNotice, optional
     """
 
     __slots__ = (
@@ -167,6 +168,7 @@
         "blocks",
         "streams",
         "asked_streams",
+        "other_ends",
     )
 
     def __init__(
@@ -201,6 +203,7 @@
         blocks=(),
         streams=(),
         asked_streams=(),
+        other_ends=(),
     ):
         self.sender = sender
         self.incarnation = incarnation
@@ -231,3 +234,4 @@
         self.blocks = blocks
         self.streams = streams
         self.asked_streams = asked_streams
+        self.other_ends = other_ends
