Let lookups of results wait while the store does not answer

A gateway repeated the lookup of each such item in each round, ten times a second. After a failed one it waits a second now. The test failed before (80 reads in 4 s for two items, at most 10 now).

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -10,6 +10,7 @@
 from hollyspan_policy.batch import MIN_IDLE_S
 from hollyspan_policy.ownership import rank_owners
 
+from ..clock import wait
 from ..peers import parse_identifier
 from ..routes import choose_service
 from ..routes import RouteKind
@@ -28,6 +29,7 @@
 MAX_RANKED_WEIGHTS = 8_000
 # Results that are looked up in the store at the same time.
 MAX_LOOKUPS = 8
+LOOKUP_RETRY_DELAY_S = 1.0
 # Time for which an item counts as named after a peer has named it.
 CLAIM_MEMORY_S = 4.0
 # Time without an event after which a run is cancelled, whatever it waits for:
@@ -311,6 +313,7 @@
                 item=state.item.identifier,
                 reason=error.message,
             )
+            await wait(self.worker.gateway.reactor, LOOKUP_RETRY_DELAY_S)
             return
         finally:
             self.lookups.discard(state.key)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -848,3 +848,25 @@
     assert [
         connection.headers[b"id"] for connection in gateway.pool.sent[2:]
     ] == [b"j1"]
+
+
+# Failure: results were looked up in each round while the store was away.
+def test_lookups_wait_while_the_store_does_not_answer(
+    build_worker, submit, reactor, wire
+):
+    gateway = build_worker()
+    claimed = []
+    gateway.list_claimed_items = lambda: frozenset(claimed)
+    submit(2)
+    (job_state,) = gateway.worker.catalogue.list_incomplete()
+    claimed += [state.key for state in job_state.items.values()]
+    for connection in gateway.pool.sent:
+        connection.exchange.on_failure(StreamLostError("reset"))
+    reactor.pump([0.1] * 10)
+    claimed.clear()
+    wire.is_down = True
+    reactor.pump([0.1] * 40)
+    assert 2 <= wire.calls.count("read") <= 10
+    wire.is_down = False
+    reactor.pump([0.1] * 12)
+    assert len(gateway.pool.sent) == 4
