--- a/packages/hollyspan_standins/hollyspan_standins/search/tests/test_cases.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/tests/test_cases.py
@@ -96,3 +96,16 @@
         faults=faults,
     )
     assert list_violations(scenario) == []
+
+
+# Failure: a job whose part ends all upstreams of a small service at once, and
+# again whenever they are back, was sent on.
+@pytest.mark.parametrize("seed", [1, 4, 9, 12])
+def test_a_part_that_ends_a_whole_small_service_is_blocked(seed):
+    job = JobPlan(
+        name="j0", at=4.0, items=9, events=10, parts=(10,), is_fatal=True
+    )
+    scenario = Scenario(
+        seed=seed, fronts=3, workers=3, upstreams=4, streams=8.0, jobs=[job]
+    )
+    assert list_violations(scenario) == []
