--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -35,6 +35,11 @@
   isConfirmed @4 :Bool;   # false: the sender's link may be to blame
 }
 
+struct OtherEnd {
+  upstream @0 :UInt64;    # its incarnation
+  ageMs @1 :UInt32;
+}
+
 struct Survival {
   keys @0 :List(UInt64);  # of a request
   ageMs @1 :UInt32;
@@ -90,4 +95,6 @@
   finished @27 :List(UInt64); # jobs, each with the gateways that share its
                             # items: the sender's have results in the store
   jobs @28 :UInt64;         # store revision of the last change of jobs
+  # Set in any message.
+  otherEnds @29 :List(OtherEnd); # that no request may have caused
 }
