Try all blocks of a request at once

Callers saw upstreams end long after a part was known to end them: a request that fell under two blocks was let through by the trial of the first one, and those of each job had the fatal part as well.

Cause: the list of blocks looked at the first match only, for trials, Retry-After and the lines on open items.

Change: a request goes as the trial of all blocks that it falls under, with one conditional write for all claims, or not at all. Requests under one block come first; those under several follow after the time in which all gateways may begin a trial of one. The result counts for each block.

The tests with two blocks failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/block_list.py
@@ -5,6 +5,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import RequestBlockedError
 from hollyspan_policy.crashes import Block
+from hollyspan_policy.crashes import list_matching_blocks
 from hollyspan_policy.hashing import format_hash
 
 __all__ = ["BlockList", "describe_block"]
@@ -22,8 +23,8 @@
     ----------
     reactor : twisted reactor
     may_try : callable
-        Called with a block and a request's identifier, returns whether the
-        request may be let through as a trial.
+        Called with the blocks that a request falls under and its identifier,
+        returns whether it may be let through as a trial of all of them.
     is_doubtful : callable
         Called with keys, returns whether the upstreams that ended with them
         may have ended of another cause.
@@ -56,11 +57,16 @@
         self.blocks = {}
 
     def find(self, keys):
-        """Return the block that a request falls under, or None."""
-        for block in self.blocks.values():
-            if block.keys.issubset(keys):
-                return block
-        return None
+        """Return the block that a request waits for longest, or None."""
+        return max(
+            self.list_matching(keys),
+            key=lambda block: block.trial_at,
+            default=None,
+        )
+
+    def list_matching(self, keys):
+        """Return the blocks that a request falls under."""
+        return list_matching_blocks(self.blocks.values(), keys)
 
     def may_send(self, keys, *, request=None):
         """Return whether a request may be sent to an upstream now.
@@ -73,19 +79,19 @@
         """
         if not self.blocks:
             return True
-        block = self.find(keys)
-        if block is None:
+        blocks = self.list_matching(keys)
+        if not blocks:
             return True
-        return request is not None and self.may_try(block, request)
+        return request is not None and self.may_try(blocks, request)
 
     def require_allowed(self, keys, *, outcome, request=None):
         """Raise RequestBlockedError for a request that may not be sent."""
         if not self.may_send(keys, request=request):
-            raise self.build_error(self.find(keys), outcome=outcome)
+            raise self.build_error(keys, outcome=outcome)
 
-    def build_error(self, block, *, outcome=Outcome.UNKNOWN):
+    def build_error(self, keys, *, outcome=Outcome.UNKNOWN):
         """Return the error of a request that falls under a block."""
-        remaining = block.trial_at - self.reactor.seconds()
+        remaining = self.find(keys).trial_at - self.reactor.seconds()
         return RequestBlockedError(
             "upstreams have ended as they answered this request or others "
             "with a part of its prompt",
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/claims.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/claims.py
@@ -51,17 +51,17 @@
         """Return whether claims can be written, as far as is known."""
         return self.gateway.reactor.seconds() >= self.unavailable_until
 
-    async def acquire(self, block):
-        """Claim the next trial of a block.
+    async def acquire(self, blocks):
+        """Claim the next trial of some blocks at once.
 
         Returns
         -------
         bool or None
-            False if another gateway has claimed it, None without the store.
+            False if another gateway has claimed one, None without the store.
         """
         if not self.has_store():
             return None
-        work = defer.ensureDeferred(self.write(block))
+        work = defer.ensureDeferred(self.write(blocks))
         work.addTimeout(CLAIM_TIMEOUT_S, self.gateway.reactor)
         try:
             return await work
@@ -72,20 +72,33 @@
             eliot.log_message("part:trial_not_claimed", reason=repr(error))
             return None
 
-    async def write(self, block):
+    async def write(self, blocks):
+        """Write all claims or none; return whether they were written."""
         store = self.gateway.store
-        key = build_key(block.keys, prefix=CLAIMS_PREFIX)
+        by_key = {
+            build_key(block.keys, prefix=CLAIMS_PREFIX): block
+            for block in blocks
+        }
+        contents = {
+            key: self.build_claim(block) for key, block in by_key.items()
+        }
+        expected = dict.fromkeys(contents, 0)
+        commit = await store.change(contents, expected)
+        if not commit.succeeded and commit.found:
+            for key, entry in commit.found.items():
+                if self.holds(entry, by_key[key]):
+                    return False
+                expected[key] = entry.revision
+            commit = await store.change(contents, expected)
+        return commit.succeeded
+
+    def build_claim(self, block):
         claim = {
             "gateway": self.gateway.peers.identifier,
             "claimed_at": self.gateway.wall_clock(),
             "trials": block.trial_count,
         }
-        contents = {key: json.dumps(claim).encode()}
-        commit = await store.change(contents, {key: 0})
-        entry = commit.found.get(key)
-        if not commit.succeeded and entry and not self.holds(entry, block):
-            commit = await store.change(contents, {key: entry.revision})
-        return commit.succeeded
+        return json.dumps(claim).encode()
 
     def holds(self, entry, block):
         """Return whether a claim keeps this gateway from the next trial."""
@@ -113,15 +126,18 @@
             and max(age, now - seen_at) < CLAIM_EXPIRY_S
         )
 
-    def release(self, block):
+    def release(self, blocks):
         """Give up a claim that was not used."""
-        defer.ensureDeferred(self.erase(block)).addErrback(eliot.write_failure)
+        defer.ensureDeferred(self.erase(blocks)).addErrback(
+            eliot.write_failure
+        )
 
-    async def erase(self, block):
+    async def erase(self, blocks):
+        keys = [
+            build_key(block.keys, prefix=CLAIMS_PREFIX) for block in blocks
+        ]
         try:
-            await self.gateway.store.remove(
-                [build_key(block.keys, prefix=CLAIMS_PREFIX)]
-            )
+            await self.gateway.store.remove(keys)
         except StoreUnavailableError as error:
             # It expires.
             eliot.log_message("part:not_removed", reason=error.message)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -589,12 +589,11 @@
 
     def break_off(self, block):
         """Break off the blocked requests that are held or in flight."""
-        error = self.block_list.build_error(block)
         for exposure in list(self.exposures):
             if (
                 block.keys.issubset(exposure.keys)
                 and not exposure.has_data()
                 and exposure.abort is not None
             ):
-                exposure.abort(error)
+                exposure.abort(self.block_list.build_error(exposure.keys))
         self.gateway.held.release_blocked(block.keys)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -144,9 +144,14 @@
             able.append(peers.identifier)
         return choose_owner(key, able) == peers.identifier
 
-    def find_trial_share(self, block):
+    def find_trial_share(self, keys):
         """Find the place of this gateway among those that may try a block.
 
+        Parameters
+        ----------
+        keys : frozenset of int
+            Those of the block, or none for several blocks at once.
+
         Returns
         -------
         float or None
@@ -162,7 +167,7 @@
             if not peer.is_cut_off and not peer.is_leaving
         ]
         able.append(gateway.peers.identifier)
-        ranked = rank_owners(build_key(block.keys), able)
+        ranked = rank_owners(build_key(keys), able)
         return ranked.index(gateway.peers.identifier) / len(ranked)
 
     def apply(self, mirror):
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
@@ -17,6 +17,8 @@
 # Shortest time between two checks whether a trial is due, which many items
 # ask for.
 CHECK_INTERVAL_S = 0.05
+# Limit on the groups of blocks whose last checks are remembered.
+MAX_CHECKS = 256
 # Time between two checks of the place of this gateway, which take time for
 # each gateway of the fleet.
 SHARE_CHECK_INTERVAL_S = 0.5
@@ -42,10 +44,13 @@
         (peer's key, time of its last message, failed trials) of the trials
         that peers make, by a block's keys.
     next_checks : dict
-        Time of the next check whether a trial is due, by a block's keys.
+        Time of the next check whether a trial of some blocks at once is due,
+        by the set of their keys.
+    delays : dict
+        Time until which no trial is claimed, by a block's keys.
     shares : dict
         Time and result of the last check of this gateway's place, by a
-        block's keys.
+        block's keys; by none for trials of several blocks at once.
     postponed : dict
         Number of trials before the one that was postponed, by a block's keys.
     """
@@ -56,6 +61,7 @@
         "claims",
         "elsewhere",
         "next_checks",
+        "delays",
         "shares",
         "postponed",
     )
@@ -66,31 +72,42 @@
         self.claims = claims
         self.elsewhere = {}
         self.next_checks = {}
+        self.delays = {}
         self.shares = {}
         self.postponed = {}
 
-    def is_due(self, block):
-        """Return whether this gateway may claim a trial now."""
+    def is_due(self, blocks):
+        """Return whether this gateway may claim a trial of all blocks now."""
         now = self.gateway.reactor.seconds()
-        if now < block.trial_at or now < self.next_checks.get(block.keys, 0.0):
+        if any(
+            now < max(block.trial_at, self.delays.get(block.keys, 0.0))
+            for block in blocks
+        ):
+            return False
+        group = frozenset(block.keys for block in blocks)
+        if now < self.next_checks.get(group, 0.0):
             return False
-        self.next_checks[block.keys] = now + CHECK_INTERVAL_S
+        self.next_checks.pop(group, None)
+        self.next_checks[group] = now + CHECK_INTERVAL_S
+        if len(self.next_checks) > MAX_CHECKS:
+            del self.next_checks[next(iter(self.next_checks))]
         return (
-            self.is_open(block)
-            and not self.must_postpone(block)
-            and self.has_slot(block)
+            all(map(self.is_open, blocks))
+            and not any(map(self.must_postpone, blocks))
+            and self.has_slot(blocks)
         )
 
-    def delay(self, block, seconds):
-        """Claim no trial for a time."""
+    def delay(self, blocks, seconds):
+        """Claim no trial of some blocks for a time."""
         now = self.gateway.reactor.seconds()
-        self.next_checks[block.keys] = now + seconds
+        for block in blocks:
+            self.delays[block.keys] = now + seconds
 
     def forget(self, block):
         """Forget what belongs to a block that is not in force any longer."""
         for by_keys in (
             self.elsewhere,
-            self.next_checks,
+            self.delays,
             self.shares,
             self.postponed,
         ):
@@ -111,15 +128,22 @@
             for end in self.guard.evidence.ends.values()
         )
 
-    def has_slot(self, block):
+    def has_slot(self, blocks):
         """Return whether the time of this gateway for a trial has come."""
         now = self.gateway.reactor.seconds()
-        checked_at, share = self.shares.get(block.keys, (-math.inf, None))
+        # The trials of several blocks each share blocks with each other, so
+        # that one order of gateways is for all of them.
+        keys = blocks[0].keys if len(blocks) == 1 else frozenset()
+        checked_at, share = self.shares.get(keys, (-math.inf, None))
         if now >= checked_at + SHARE_CHECK_INTERVAL_S:
-            share = self.guard.records.find_trial_share(block)
-            self.shares[block.keys] = now, share
-        return share is not None and now >= block.trial_at + choose_trial_slot(
-            share, has_store=self.claims.has_store()
+            share = self.guard.records.find_trial_share(keys)
+            self.shares[keys] = now, share
+        return share is not None and now >= max(
+            block.trial_at for block in blocks
+        ) + choose_trial_slot(
+            share,
+            has_store=self.claims.has_store(),
+            block_count=len(blocks),
         )
 
     def must_postpone(self, block):
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
@@ -4,10 +4,12 @@
 
 
 class TrialGrant:
-    """Right of this gateway to make the next trial of a block.
+    """Right of this gateway to make the next trial of some blocks at once.
 
     Parameters
     ----------
+    blocks : list of Block
+        Those in force; the request falls under all of them and no other.
     until : float
         Time until which it holds, reactor seconds.
     is_claimed : bool
@@ -19,20 +21,21 @@
         Identifier of the request that is let through with it.
     """
 
-    __slots__ = ("until", "is_claimed", "request")
+    __slots__ = ("blocks", "until", "is_claimed", "request")
 
-    def __init__(self, *, until, is_claimed):
+    def __init__(self, *, blocks, until, is_claimed):
+        self.blocks = list(blocks)
         self.until = until
         self.is_claimed = is_claimed
         self.request = None
 
 
 class Trial:
-    """A request that was let through a block.
+    """A request that was let through all blocks that it falls under.
 
     Parameters
     ----------
-    block : Block
+    blocks : list of Block
     grant : TrialGrant
     exposure : Exposure
     started_at : float
@@ -49,7 +52,7 @@
     """
 
     __slots__ = (
-        "block",
+        "blocks",
         "grant",
         "exposure",
         "started_at",
@@ -58,8 +61,8 @@
         "reason",
     )
 
-    def __init__(self, *, block, grant, exposure, started_at):
-        self.block = block
+    def __init__(self, *, blocks, grant, exposure, started_at):
+        self.blocks = list(blocks)
         self.grant = grant
         self.exposure = exposure
         self.started_at = started_at
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -48,11 +48,12 @@
     ----------
     claims : TrialClaims
     claiming : set of frozenset of int
-        Keys of the blocks whose trials are being claimed.
+        Keys of the blocks whose trial is being claimed.
     grants : dict
-        TrialGrant by a block's keys.
+        TrialGrant by the keys of each of its blocks.
     own : dict
-        Trial that is in flight here, or not judged yet, by a block's keys.
+        Trial that is in flight here, or not judged yet, by the keys of each
+        of its blocks.
     schedule : TrialSchedule
 
     Notes
@@ -85,28 +86,43 @@
         """Return whether a trial of a block is in flight here."""
         return block.keys in self.own
 
-    def may_try(self, block, request):
+    def may_try(self, blocks, request):
         """Return whether a request may be let through as a trial now.
 
         The trial is claimed when it is due; a later call tells of it.
+
+        Parameters
+        ----------
+        blocks : list of Block
+            All that the request falls under.
+        request : str
+            Its identifier.
         """
-        if self.is_due(block):
-            self.start_claim(block)
-        grant = self.grants.get(block.keys)
+        if self.is_due(blocks):
+            self.start_claim(blocks)
+        grant = self.grants.get(blocks[0].keys)
         if grant is None or grant.request not in (None, request):
             return False
+        if len(grant.blocks) != len(blocks) or any(
+            self.grants.get(block.keys) is not grant for block in blocks
+        ):
+            return False
         # A peer may have begun one since, or ended it.
-        if not self.is_free(block) or self.schedule.has_recent_end(block):
+        if not all(map(self.is_free, blocks)) or any(
+            map(self.schedule.has_recent_end, blocks)
+        ):
             return False
         grant.request = request
         return True
 
     async def claim_for(self, keys):
         """Wait shortly for the claim if a request can be the trial."""
-        block = self.guard.block_list.find(keys) if self.guard.blocks else None
-        if block is None or not self.is_due(block):
+        if not self.guard.blocks:
             return
-        work = self.start_claim(block)
+        blocks = self.guard.block_list.list_matching(keys)
+        if not blocks or not self.is_due(blocks):
+            return
+        work = self.start_claim(blocks)
         waiter = defer.Deferred()
         timer = self.gateway.reactor.callLater(
             CLAIM_WAIT_S, waiter.callback, None
@@ -124,84 +140,97 @@
             if timer.active():
                 timer.cancel()
 
-    def is_due(self, block):
-        """Return whether this gateway may claim a trial now."""
-        return not (
+    def is_due(self, blocks):
+        """Return whether this gateway may claim a trial of all blocks now."""
+        return not any(
             block.keys in self.own
             or block.keys in self.grants
             or block.keys in self.claiming
-        ) and self.schedule.is_due(block)
+            for block in blocks
+        ) and self.schedule.is_due(blocks)
 
     def is_free(self, block):
         """Return whether the next trial has not begun anywhere."""
         return block.keys not in self.own and self.schedule.is_open(block)
 
-    def start_claim(self, block):
-        """Claim the next trial of a block; return a Deferred."""
-        self.claiming.add(block.keys)
-        work = defer.ensureDeferred(self.claim(block))
+    def start_claim(self, blocks):
+        """Claim the next trial of some blocks at once; return a Deferred."""
+        self.claiming.update(block.keys for block in blocks)
+        work = defer.ensureDeferred(self.claim(blocks))
         work.addErrback(eliot.write_failure)
         return work
 
-    async def claim(self, block):
-        trial_count = block.trial_count
+    async def claim(self, blocks):
+        trial_counts = [block.trial_count for block in blocks]
         try:
-            has_claim = await self.claims.acquire(block)
+            has_claim = await self.claims.acquire(blocks)
         finally:
-            self.claiming.discard(block.keys)
+            self.claiming.difference_update(block.keys for block in blocks)
         if has_claim is False:
-            self.schedule.delay(block, CLAIM_RETRY_S)
+            self.schedule.delay(blocks, CLAIM_RETRY_S)
             return
-        if has_claim is None and not self.schedule.has_slot(block):
+        if has_claim is None and not self.schedule.has_slot(blocks):
             return
-        is_current = (
-            self.guard.blocks.get(block.keys) is block
-            and block.trial_count == trial_count
-        )
-        if not is_current or not self.is_free(block):
+        is_current = trial_counts == [
+            block.trial_count for block in blocks
+        ] and all(map(self.is_in_force, blocks))
+        if not is_current or not all(map(self.is_free, blocks)):
             if has_claim:
-                self.claims.release(block)
+                self.claims.release(blocks)
             return
         until = self.gateway.reactor.seconds() + GRANT_S
-        self.grant(block, TrialGrant(until=until, is_claimed=bool(has_claim)))
+        self.grant(
+            TrialGrant(blocks=blocks, until=until, is_claimed=bool(has_claim))
+        )
+
+    def is_in_force(self, block):
+        return self.guard.blocks.get(block.keys) is block
 
-    def grant(self, block, grant):
+    def grant(self, grant):
         """Let a request through until the grant ends."""
-        self.grants[block.keys] = grant
+        for block in grant.blocks:
+            self.grants[block.keys] = grant
         delay = max(0.0, grant.until - self.gateway.reactor.seconds())
-        self.gateway.reactor.callLater(delay, self.end_grant, block, grant)
+        self.gateway.reactor.callLater(delay, self.end_grant, grant)
 
-    def end_grant(self, block, grant):
+    def end_grant(self, grant):
         """End a grant that no request has used."""
-        if self.grants.get(block.keys) is grant:
-            del self.grants[block.keys]
-            self.schedule.delay(block, UNUSED_CLAIM_DELAY_S)
+        if self.drop_grant(grant):
+            self.schedule.delay(grant.blocks, UNUSED_CLAIM_DELAY_S)
             if grant.is_claimed:
-                self.claims.release(block)
+                self.claims.release(grant.blocks)
+
+    def drop_grant(self, grant):
+        """Drop a grant; return whether it was in force."""
+        held = [keys for keys, other in self.grants.items() if other is grant]
+        for keys in held:
+            del self.grants[keys]
+        return bool(held)
 
     def begin(self, exposure):
         """Begin a trial if a request is let through with a grant."""
-        for keys, grant in self.grants.items():
-            if grant.request == exposure.request and keys.issubset(
-                exposure.keys
+        for grant in self.grants.values():
+            if grant.request == exposure.request and all(
+                block.keys.issubset(exposure.keys) for block in grant.blocks
             ):
                 break
         else:
             return
-        block = self.guard.blocks.get(keys)
-        if block is None or keys in self.own:
+        if any(block.keys in self.own for block in grant.blocks):
             return
-        del self.grants[keys]
+        self.drop_grant(grant)
         now = self.gateway.reactor.seconds()
-        trial = self.own[keys] = Trial(
-            block=block, grant=grant, exposure=exposure, started_at=now
-        )
-        eliot.log_message(
-            "part:tried",
-            request=exposure.request,
-            **describe_with_age(block, now=now),
+        trial = Trial(
+            blocks=grant.blocks, grant=grant, exposure=exposure, started_at=now
         )
-        self.guard.news.tell_block(block)
+        for block in trial.blocks:
+            self.own[block.keys] = trial
+            eliot.log_message(
+                "part:tried",
+                request=exposure.request,
+                **describe_with_age(block, now=now),
+            )
+            self.guard.news.tell_block(block)
         self.gateway.reactor.callLater(
             FIRST_REPETITION_S, self.repeat_news, trial
         )
@@ -210,13 +239,14 @@
     def repeat_news(self, trial):
         """Tell the others that a trial goes on."""
         if self.is_open(trial):
-            self.guard.news.tell_block(trial.block)
+            for block in trial.blocks:
+                self.guard.news.tell_block(block)
             self.gateway.reactor.callLater(
                 REPETITION_INTERVAL_S, self.repeat_news, trial
             )
 
     def is_open(self, trial):
-        return self.own.get(trial.block.keys) is trial
+        return bool(trial.blocks)
 
     def find(self, exposure):
         """Return the open trial that a tracked request is, or None."""
@@ -294,9 +324,14 @@
             return
         evidence = self.guard.evidence
         end = evidence.ends.get(trial.upstream_key)
-        keys = trial.block.keys
-        if end is not None and has_common_cause(
-            keys, end, evidence.ends.values(), blocked=self.guard.blocks
+        if end is not None and any(
+            has_common_cause(
+                block.keys,
+                end,
+                evidence.ends.values(),
+                blocked=self.guard.blocks,
+            )
+            for block in trial.blocks
         ):
             self.end(trial, "void", reason="others ended as well")
         else:
@@ -305,9 +340,12 @@
     def note_unblocked(self, block, *, reason):
         """End what belongs to a block that is not in force any longer."""
         self.schedule.forget(block)
-        self.grants.pop(block.keys, None)
-        if block.keys in self.own:
-            self.end(self.own[block.keys], reason)
+        grant = self.grants.pop(block.keys, None)
+        if grant is not None:
+            grant.blocks.remove(block)
+        trial = self.own.get(block.keys)
+        if trial is not None:
+            self.end_for(trial, block, reason)
 
     def end(self, trial, result, *, reason=None):
         """End a trial.
@@ -316,16 +354,36 @@
         ----------
         trial : Trial
         result : str
-            What it tells; ``failed`` and ``void`` count at the block.
+            What it tells; ``failed`` and ``void`` count at each block.
         reason : str, optional
         """
-        block = trial.block
         now = self.gateway.reactor.seconds()
+        blocks = list(trial.blocks)
+        for block in blocks:
+            if result == "failed":
+                block.note_failed_trial(now=now)
+            elif result == "void":
+                block.note_void_trial(now=now)
+            self.end_for(trial, block, result, reason=reason)
+            self.guard.news.tell_block(block)
+        if result == "not_sent":
+            trial.grant.request = None
+            # Some may have ended during the trial.
+            trial.grant.blocks = blocks
+            self.grant(trial.grant)
+        elif result == "unfinished":
+            self.schedule.delay(blocks, CLAIM_RETRY_S)
+            if trial.grant.is_claimed:
+                self.claims.release(blocks)
+        else:
+            for block in blocks:
+                self.guard.records.update(block)
+
+    def end_for(self, trial, block, result, *, reason=None):
+        """End a trial for one of its blocks."""
+        now = self.gateway.reactor.seconds()
+        trial.blocks.remove(block)
         del self.own[block.keys]
-        if result == "failed":
-            block.note_failed_trial(now=now)
-        elif result == "void":
-            block.note_void_trial(now=now)
         eliot.log_message(
             "part:trial_ended",
             request=trial.exposure.request,
@@ -335,15 +393,3 @@
             seconds=now - trial.started_at,
             **describe_with_age(block, now=now),
         )
-        if block.keys not in self.guard.blocks:
-            return
-        self.guard.news.tell_block(block)
-        if result == "not_sent":
-            trial.grant.request = None
-            self.grant(block, trial.grant)
-        elif result == "unfinished":
-            self.schedule.delay(block, CLAIM_RETRY_S)
-            if trial.grant.is_claimed:
-                self.claims.release(block)
-        else:
-            self.guard.records.update(block)
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
@@ -5,6 +5,8 @@
 from eliot import testing
 import pytest
 
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import RequestBlockedError
 from hollyspan_standins.memory import LinkState
 
 PART, OTHER = 2, 3
@@ -471,3 +473,119 @@
         fleet.advance(STEP_S)
     assert [result for result, _ in list_results(logged)] == ["void"] * 3
     assert len(fleet.ended) == ended + 3
+
+
+OWN_PARTS = range(100, 108)
+
+
+def block_together(fleet, parts):
+    """Block several parts at all gateways at the same time."""
+    fleet.advance(1.0)
+    at = fleet.reactor.seconds()
+    for each in fleet.gateways:
+        for part in parts:
+            each.guard.block_list.add(frozenset({part}), at=at)
+
+
+def list_blocked(fleet):
+    """Return the parts that any gateway blocks."""
+    return {
+        min(keys)
+        for gateway in fleet.network.gateways.values()
+        for keys in gateway.guard.blocks
+    }
+
+
+def run_jobs(fleet, seconds, requests, *, until=lambda: False):
+    """Let all gateways have requests with some parts again and again."""
+    started_at = fleet.reactor.seconds()
+    step = 0
+    while fleet.reactor.seconds() - started_at < seconds and not until():
+        for number, parts in enumerate(requests):
+            fleet.request(
+                f"j{step}-{number}",
+                parts,
+                gateway=fleet.gateways[number % len(fleet.gateways)],
+            )
+        fleet.advance(STEP_S)
+        step += 1
+    return fleet.reactor.seconds() - started_at
+
+
+# Failure: a part that ends upstreams was sent to one for each job that was
+# blocked beside it, by the trials of the jobs' own parts.
+@pytest.mark.parametrize("is_down", [False, True])
+@pytest.mark.parametrize("has_others", [False, True])
+def test_trials_of_other_blocks_let_no_fatal_part_through(
+    build_fleet, wire, has_others, is_down
+):
+    fleet = build_fleet(gateways=4, upstreams=24)
+    fleet.fatal_parts.add(PART)
+    block_together(fleet, [*OWN_PARTS, PART])
+    wire.is_down = is_down
+    requests = [(PART, own) for own in OWN_PARTS]
+    if has_others:
+        requests += [(PART, 50), (PART, 51)]
+    run_jobs(fleet, 60.0, requests)
+    assert len(fleet.ended) == MAX_ENDS_BY_TRIALS
+    assert PART in list_blocked(fleet)
+
+
+# Failure: the same for requests that are under two blocks.
+@pytest.mark.parametrize("is_down", [False, True])
+def test_requests_under_two_blocks_do_not_wait_for_ever(
+    build_fleet, wire, is_down
+):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    block_together(fleet, [PART, OTHER])
+    wire.is_down = is_down
+    seconds = run_jobs(
+        fleet,
+        60.0,
+        [(PART, OTHER)] * 4,
+        until=lambda: not list_blocked(fleet),
+    )
+    assert seconds < (10.0 if is_down else SOON_S)
+
+
+def test_a_request_under_one_block_is_its_trial_first(build_fleet, logged):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    fleet.fatal_parts.add(OTHER)
+    block_together(fleet, [OTHER, PART])
+    run_jobs(fleet, 30.0, [(PART, OTHER)] * 4 + [(PART, 9)])
+    assert list_blocked(fleet) == {OTHER}
+    first = fleet.list_sends(PART)[0]
+    assert OTHER not in first.parts
+    assert len(fleet.ended) == MAX_ENDS_BY_TRIALS
+
+
+def test_a_trial_of_two_blocks_counts_for_both(build_fleet, logged):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    fleet.fatal_parts.add(PART)
+    block_together(fleet, [PART, OTHER])
+    run_jobs(
+        fleet, 20.0, [(PART, OTHER)] * 4, until=lambda: list_results(logged)
+    )
+    fleet.advance(0.5)
+    counts = {
+        (min(keys), block.failed_trials)
+        for gateway in fleet.gateways
+        for keys, block in gateway.guard.blocks.items()
+    }
+    assert counts == {(PART, 1), (OTHER, 1)}
+    assert list_results(logged) == [("failed", None)] * 2
+    assert len({line["request"] for line in logged if "age" in line}) == 1
+
+
+def test_a_refused_request_is_told_the_time_of_its_latest_trial(build_fleet):
+    fleet = build_fleet(gateways=1, upstreams=8)
+    block_together(fleet, [PART, OTHER])
+    (gateway,) = fleet.gateways
+    for part, at in ((PART, 20.0), (OTHER, 50.0)):
+        block = gateway.guard.blocks[frozenset({part})]
+        block.at = fleet.reactor.seconds() + at
+    with pytest.raises(RequestBlockedError) as raised:
+        gateway.guard.block_list.require_allowed(
+            (PART, OTHER, 9), outcome=Outcome.NOT_RUN
+        )
+    assert raised.value.retry_after == pytest.approx(52.0)
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -7,6 +7,7 @@
 from .block import has_request
 from .block import is_calm
 from .block import is_refuted
+from .block import list_matching_blocks
 from .block import SPREAD_WITHOUT_STORE_S
 from .common_cause import has_common_cause
 from .decision import choose_blocks
@@ -34,6 +35,7 @@
     "is_refuted",
     "list_explained_blocks",
     "list_implicated_keys",
+    "list_matching_blocks",
     "may_be_coincidence",
     "narrow_block",
 ]
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -10,6 +10,7 @@
     "has_request",
     "is_calm",
     "is_refuted",
+    "list_matching_blocks",
 ]
 
 # Time until the first trial: the runs beside the ends have gone on elsewhere.
@@ -34,6 +35,8 @@
 # few claim the same one, and without the store, so that few trials overlap.
 CLAIM_SPREAD_S = 1.0
 SPREAD_WITHOUT_STORE_S = 3.0
+# Time after these in which a trial of one block becomes known.
+JOINT_TRIAL_DELAY_S = 1.0
 
 
 class Block:
@@ -177,7 +180,7 @@
     )
 
 
-def choose_trial_slot(share, *, has_store):
+def choose_trial_slot(share, *, has_store, block_count=1):
     """Choose the time after which a gateway may make a trial that is due.
 
     Parameters
@@ -186,6 +189,8 @@
         Share of the gateways that come before this one.
     has_store : bool
         Whether the gateways claim trials in the store.
+    block_count : int, optional
+        Number of blocks that the request falls under.
 
     Returns
     -------
@@ -196,8 +201,49 @@
     -----
     Load pattern: only some gateways have requests with the keys, one or all
     of them. The sum of all slots does not grow with the fleet.
+
+    Requests fall under several blocks, that of a part that ends upstreams
+    among them. One under a single block tells more and comes first; there may
+    be none, so that the others follow.
+
+    Examples
+    --------
+    >>> choose_trial_slot(0.5, has_store=True)
+    0.5
+    >>> choose_trial_slot(0.5, has_store=True, block_count=2)
+    2.5
+    """
+    spread = CLAIM_SPREAD_S if has_store else SPREAD_WITHOUT_STORE_S
+    slot = share * spread
+    return slot if block_count == 1 else slot + spread + JOINT_TRIAL_DELAY_S
+
+
+def list_matching_blocks(blocks, keys):
+    """List the blocks that a request falls under.
+
+    Parameters
+    ----------
+    blocks : iterable of Block
+    keys : iterable of int
+        Those of the request.
+
+    Returns
+    -------
+    list of Block
+
+    Notes
+    -----
+    Load pattern: many jobs have a part that ends upstreams and one of their
+    own, and both are blocked. A request that was let through for one of its
+    blocks would cost an upstream for each job.
+
+    Examples
+    --------
+    >>> blocks = [Block(keys=frozenset({key}), at=0.0) for key in (1, 2, 3)]
+    >>> [min(block.keys) for block in list_matching_blocks(blocks, (1, 3, 4))]
+    [1, 3]
     """
-    return share * (CLAIM_SPREAD_S if has_store else SPREAD_WITHOUT_STORE_S)
+    return [block for block in blocks if block.keys.issubset(keys)]
 
 
 def has_request(end, keys):
