Count upstreams that end beside old answers at trials

Operators saw a trial counted as failed that was lost together with upstreams which had only long answers in flight, and trials that began beside such losses: their ends name no request, and the trials looked at ends with requests only.

Change: the check for calm and the verdict take the ends without a request that may have caused them, too, as the decision does.

Evidence: two tests, which failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -191,6 +191,10 @@
             if end.at >= self.started_at
         ]
 
+    def list_all_ends(self):
+        """Return the ends that tell of losses, whether or not they count."""
+        return [*self.evidence.ends.values(), *self.list_beside()]
+
     def list_beside(self):
         """Return the ends that may share a cause with those that count."""
         return self.evidence.list_beside(now=self.gateway.reactor.seconds())
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
@@ -149,7 +149,7 @@
     def must_postpone(self, block):
         """Return whether upstreams are ending, with these keys or others."""
         now = self.gateway.reactor.seconds()
-        ends = self.guard.evidence.ends.values()
+        ends = self.guard.list_all_ends()
         if self.has_recent_end(block):
             return True
         spread = (
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -322,15 +322,10 @@
         """Judge a trial whose upstream has ended."""
         if not self.is_open(trial):
             return
-        evidence = self.guard.evidence
-        end = evidence.ends.get(trial.upstream_key)
+        end = self.guard.evidence.ends.get(trial.upstream_key)
+        ends = self.guard.list_all_ends()
         if end is not None and any(
-            has_common_cause(
-                block.keys,
-                end,
-                evidence.ends.values(),
-                blocked=self.guard.blocks,
-            )
+            has_common_cause(block.keys, end, ends, blocked=self.guard.blocks)
             for block in trial.blocks
         ):
             self.end(trial, "void", reason="others ended as well")
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
@@ -221,6 +221,42 @@
     assert seconds < SOON_S
 
 
+def note_other_end(fleet, key):
+    """Let all gateways know an upstream that ended beside old answers."""
+    for gateway in fleet.gateways:
+        gateway.guard.evidence.note_other_end(
+            key, at=fleet.reactor.seconds(), is_confirmed=True
+        )
+
+
+# Failure: a trial that was lost together with upstreams that had only long
+# answers in flight counted as failed.
+def test_a_trial_that_is_lost_beside_old_answers_is_void(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=10)
+    block_part(fleet)
+    first = fleet.gateways[0]
+    run_waiting(
+        fleet, [first], 10.0, until=lambda: len(fleet.list_sends(PART))
+    )
+    (trial,) = fleet.list_sends(PART)
+    fleet.end_upstream(trial.upstream)
+    note_other_end(fleet, 99)
+    fleet.advance(0.5)
+    blocks = list_blocks(fleet)
+    assert {block.void_trials for block in blocks} == {1}
+    assert {block.failed_trials for block in blocks} == {0}
+
+
+# Failure: a trial began beside the losses of such upstreams.
+def test_a_trial_waits_while_upstreams_with_old_answers_end(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=10)
+    block_part(fleet)
+    for number in range(10):
+        note_other_end(fleet, number)
+        run_waiting(fleet, fleet.gateways, 0.5, name=f"w{number}-")
+    assert not fleet.list_sends(PART)
+
+
 def test_a_trial_waits_until_other_upstreams_end_no_longer(build_fleet):
     fleet = build_fleet(gateways=4, upstreams=10)
     block_part(fleet)
