Try a part soon after losses that its trials have met

Callers saw items of a sound job open 18 s after the last loss: three trials of its part had met losses, which told nothing, and the next one came after 30 s.

Cause: void trials counted like failed ones, and a trial waited 1 s for calm, so that between losses each second or two it met the next loss.

Change: after void trials a trial waits for 2 s and 4 s without losses, 20 s and 60 s at most. Three void trials do not make the next one rare if other upstreams are known to have ended beside the last one and none has failed; six do. Void trials without known losses, as over links that reset, are bounded as before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
@@ -6,6 +6,7 @@
 
 from hollyspan_policy.crashes import choose_trial_slot
 from hollyspan_policy.crashes import CLAIM_SPREAD_S
+from hollyspan_policy.crashes import has_met_losses
 from hollyspan_policy.crashes import has_request
 from hollyspan_policy.crashes import is_calm
 from hollyspan_policy.crashes import SPREAD_WITHOUT_STORE_S
@@ -79,10 +80,7 @@
     def is_due(self, blocks):
         """Return whether this gateway may claim a trial of all blocks now."""
         now = self.gateway.reactor.seconds()
-        if any(
-            now < max(block.trial_at, self.delays.get(block.keys, 0.0))
-            for block in blocks
-        ):
+        if any(now < self.delays.get(block.keys, 0.0) for block in blocks):
             return False
         group = frozenset(block.keys for block in blocks)
         if now < self.next_checks.get(group, 0.0):
@@ -91,12 +89,23 @@
         self.next_checks[group] = now + CHECK_INTERVAL_S
         if len(self.next_checks) > MAX_CHECKS:
             del self.next_checks[next(iter(self.next_checks))]
+        for block in blocks:
+            self.note_losses(block)
         return (
             all(map(self.is_open, blocks))
             and not any(map(self.must_postpone, blocks))
             and self.has_slot(blocks)
         )
 
+    def note_losses(self, block):
+        """Note whether the last trial of a block met losses."""
+        block.has_met_losses = block.void_trials > 0 and has_met_losses(
+            block.keys,
+            self.guard.list_all_ends(),
+            at=block.at,
+            blocked=self.guard.blocks,
+        )
+
     def delay(self, blocks, seconds):
         """Claim no trial of some blocks for a time."""
         now = self.gateway.reactor.seconds()
@@ -158,7 +167,11 @@
             else SPREAD_WITHOUT_STORE_S
         )
         if now >= block.get_latest_trial_time(spread=spread) or is_calm(
-            block.keys, ends, now=now, blocked=self.guard.blocks
+            block.keys,
+            ends,
+            now=now,
+            blocked=self.guard.blocks,
+            void_trials=block.void_trials,
         ):
             return False
         if self.postponed.get(block.keys) != block.trial_count:
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
@@ -247,6 +247,31 @@
     assert {block.failed_trials for block in blocks} == {0}
 
 
+# Failure: after three trials that met losses the next one came after 30 s, and
+# items of a sound job were open 18 s after the last loss.
+def test_a_part_whose_trials_met_losses_is_free_soon_after_them(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=10)
+    block_part(fleet)
+    first = fleet.gateways[0]
+    for number in range(3):
+        sends = len(fleet.sent)
+        run_waiting(
+            fleet,
+            [first],
+            30.0,
+            name=f"w{number}-",
+            until=lambda: len(fleet.sent) > sends,
+        )
+        fleet.end_upstream(fleet.sent[-1].upstream)
+        note_other_end(fleet, number)
+        fleet.advance(0.5)
+    assert {block.void_trials for block in list_blocks(fleet)} == {3}
+    seconds = run_waiting(
+        fleet, [first], 60.0, until=lambda: not list_blocks(fleet)
+    )
+    assert seconds < SOON_S
+
+
 # Failure: a trial began beside the losses of such upstreams.
 def test_a_trial_waits_while_upstreams_with_old_answers_end(build_fleet):
     fleet = build_fleet(gateways=4, upstreams=10)
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -4,6 +4,7 @@
 from .block import choose_trial_delay
 from .block import choose_trial_slot
 from .block import CLAIM_SPREAD_S
+from .block import has_met_losses
 from .block import has_request
 from .block import is_calm
 from .block import is_refuted
@@ -30,6 +31,7 @@
     "choose_trial_slot",
     "has_common_cause",
     "has_ended_upstreams",
+    "has_met_losses",
     "has_request",
     "is_calm",
     "is_refuted",
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -7,6 +7,7 @@
     "Block",
     "choose_trial_delay",
     "choose_trial_slot",
+    "has_met_losses",
     "has_request",
     "is_calm",
     "is_refuted",
@@ -22,15 +23,21 @@
 # All early trials whose upstreams ended, for whatever reason: a request with
 # keys that do end upstreams must not be let through more often.
 MAX_EARLY_TRIALS = 3
+# The same if the last one met losses and none has failed: the next one awaits
+# calm.
+MAX_TRIALS_BESIDE_LOSSES = 6
 # Time to the next trial after these, multiplied after each one that has ended
 # an upstream: a trial costs the requests that run beside it.
 RARE_TRIAL_DELAY_S = 30.0
 TRIAL_DELAY_FACTOR = 4
 MAX_TRIAL_DELAY_S = 3600.0
-# Time without ends for other reasons before a trial, and the longest time for
-# which these postpone it, longer after each trial that told nothing.
+# Time without ends for other reasons before a trial, doubled after each of
+# the first trials that told nothing.
 CALM_S = 1.0
-MAX_POSTPONEMENT_S = 4.0
+MAX_CALM_S = 4.0
+# Longest time for which such ends postpone a trial, the first one and those
+# after trials that told nothing: one more of them costs an upstream as well.
+MAX_POSTPONEMENTS_S = (4.0, 20.0, 60.0)
 # Time over which gateways that claim trials in the store begin to try, so that
 # few claim the same one, and without the store, so that few trials overlap.
 CLAIM_SPREAD_S = 1.0
@@ -60,6 +67,8 @@
     ----------
     decided_at : float
         Time from which it is in force here, seconds.
+    has_met_losses : bool
+        True if other upstreams are known to have ended beside the last trial.
     """
 
     __slots__ = (
@@ -69,6 +78,7 @@
         "failed_trials",
         "void_trials",
         "is_doubtful",
+        "has_met_losses",
     )
 
     def __init__(
@@ -86,12 +96,15 @@
         self.failed_trials = failed_trials
         self.void_trials = void_trials
         self.is_doubtful = is_doubtful
+        self.has_met_losses = False
 
     @property
     def trial_at(self):
         """Time from which a request may be let through as a trial."""
         return self.at + choose_trial_delay(
-            self.failed_trials, void_trials=self.void_trials
+            self.failed_trials,
+            void_trials=self.void_trials,
+            has_met_losses=self.has_met_losses,
         )
 
     @property
@@ -128,20 +141,19 @@
 
     def get_latest_trial_time(self, *, spread):
         """Return the time from which ends elsewhere postpone no trial."""
-        return (
-            self.trial_at
-            + spread
-            + MAX_POSTPONEMENT_S * (1 + self.void_trials)
-        )
+        number = min(self.void_trials, len(MAX_POSTPONEMENTS_S) - 1)
+        return self.trial_at + spread + MAX_POSTPONEMENTS_S[number]
 
 
-def choose_trial_delay(failed_trials, *, void_trials=0):
+def choose_trial_delay(failed_trials, *, void_trials=0, has_met_losses=False):
     """Choose the time from a block or a trial to the next trial.
 
     Parameters
     ----------
     failed_trials : int
     void_trials : int, optional
+    has_met_losses : bool, optional
+        Whether other upstreams are known to have ended beside the last trial.
 
     Returns
     -------
@@ -151,8 +163,9 @@
     Notes
     -----
     Load patterns: upstreams are lost in series, and a sound part was in flight
-    at each loss; its items have to end some seconds after the last one. Or a
-    part ends each upstream, which must cost few of them. The ends that led to
+    at each loss; its items have to end some seconds after the last one. Its
+    trials may all have met losses. Or a part ends each upstream, which must
+    cost few of them. The ends that led to
     the block look alike, so that trials tell, each one alone in the fleet. The
     half-open state of a circuit breaker [1]_, with exponential back-off after
     the early ones.
@@ -168,10 +181,17 @@
     [2.0, 6.0, 480.0, 1920.0, 3600.0]
     >>> [choose_trial_delay(0, void_trials=count) for count in range(5)]
     [2.0, 2.0, 2.0, 30.0, 120.0]
+    >>> choose_trial_delay(0, void_trials=3, has_met_losses=True)
+    2.0
     """
+    max_trials = (
+        MAX_TRIALS_BESIDE_LOSSES
+        if has_met_losses and not failed_trials
+        else MAX_EARLY_TRIALS
+    )
     if (
         failed_trials < MAX_EARLY_FAILURES
-        and failed_trials + void_trials < MAX_EARLY_TRIALS
+        and failed_trials + void_trials < max_trials
     ):
         return SECOND_TRIAL_DELAY_S if failed_trials else FIRST_TRIAL_DELAY_S
     backoffs = failed_trials + max(0, void_trials - MAX_EARLY_TRIALS)
@@ -257,7 +277,7 @@
     return any(map(keys.issubset, end.requests))
 
 
-def is_calm(keys, ends, *, now, blocked=()):
+def is_calm(keys, ends, *, now, blocked=(), void_trials=0):
     """Return whether no upstream has just ended for another reason.
 
     Parameters
@@ -266,11 +286,45 @@
         Those of a block.
     ends : iterable of EndRecord
     now : float
+    blocked : iterable of frozenset of int, optional
+        Keys of blocks, which explain ends.
+    void_trials : int, optional
+        Number of trials of the block that told nothing.
+
+    Notes
+    -----
+    Load pattern: upstreams are lost each second or two, and a trial that began
+    between two losses has met the next one. A longer time without losses is
+    more often the end of them.
+    """
+    seconds = min(MAX_CALM_S, CALM_S * 2**void_trials)
+    return not has_other_end(
+        keys, ends, since=now - seconds, until=now, blocked=blocked
+    )
+
+
+def has_met_losses(keys, ends, *, at, blocked=()):
+    """Return whether other upstreams ended beside a trial.
+
+    Parameters
+    ----------
+    keys : frozenset of int
+        Those of a block.
+    ends : iterable of EndRecord
+    at : float
+        Time of the trial's verdict.
     blocked : iterable of frozenset of int, optional
         Keys of blocks, which explain ends.
     """
-    return not any(
-        now - end.at < CALM_S
+    return has_other_end(
+        keys, ends, since=at - CALM_S, until=at + CALM_S, blocked=blocked
+    )
+
+
+def has_other_end(keys, ends, *, since, until, blocked):
+    """Return whether an upstream ended in a time for another reason."""
+    return any(
+        since < end.at <= until
         and not has_request(end, keys)
         and not any(has_request(end, block) for block in blocked)
         for end in ends
