--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -191,6 +191,10 @@
             if end.at >= self.started_at
         ]
 
+    def list_all_ends(self):
+        """Return the ends that tell of losses, whether or not they count."""
+        return [*self.evidence.ends.values(), *self.list_beside()]
+
     def list_beside(self):
         """Return the ends that may share a cause with those that count."""
         return self.evidence.list_beside(now=self.gateway.reactor.seconds())
@@ -598,12 +602,11 @@
 
     def break_off(self, block):
         """Break off the blocked requests that are held or in flight."""
-        error = self.block_list.build_error(block)
         for exposure in list(self.exposures):
             if (
                 block.keys.issubset(exposure.keys)
                 and not exposure.has_data()
                 and exposure.abort is not None
             ):
-                exposure.abort(error)
+                exposure.abort(self.block_list.build_error(exposure.keys))
         self.gateway.held.release_blocked(block.keys)
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -4,9 +4,11 @@
 from .block import choose_trial_delay
 from .block import choose_trial_slot
 from .block import CLAIM_SPREAD_S
+from .block import has_met_losses
 from .block import has_request
 from .block import is_calm
 from .block import is_refuted
+from .block import list_matching_blocks
 from .block import SPREAD_WITHOUT_STORE_S
 from .common_cause import has_common_cause
 from .decision import choose_blocks
@@ -29,11 +31,13 @@
     "choose_trial_slot",
     "has_common_cause",
     "has_ended_upstreams",
+    "has_met_losses",
     "has_request",
     "is_calm",
     "is_refuted",
     "list_explained_blocks",
     "list_implicated_keys",
+    "list_matching_blocks",
     "may_be_coincidence",
     "narrow_block",
 ]
