Let no wider part answer for a narrower one that has an excuse

Cause: 0.2 s after three ends two gateways decided, while the reports on a fourth end, 0.1 s later, had not all come. Those known there named the part that all prompts share and not the fatal one, so that the fatal one had a common cause at one of the ends, and the shared one had not. It then had the most ends, and no narrower part explained them. The class: evidence that is left out on one side of a comparison only.

Change: a part counts only if no narrower one explains its ends when all of them count, as before common causes.

Evidence: test_a_shared_part_does_not_answer_for_an_excused_narrower_one fails before (the shared part is blocked).

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -7,6 +7,7 @@
 from .common_cause import list_moment
 from .explanation import choose_best_groups
 from .explanation import is_explained_by
+from .explanation import list_independent_groups
 from .explanation import MIN_AMBIGUOUS_ENDS
 from .explanation import MIN_ENDS
 from .group import KeyGroup
@@ -120,6 +121,12 @@
     Returns
     -------
     list of frozenset of int
+
+    Notes
+    -----
+    A part that all prompts share is in flight at the ends that excuse a
+    narrower one, and is not excused there. It is no better an explanation
+    for that, so that narrower groups are compared with all of their ends.
     """
     chosen = [
         block
@@ -128,13 +135,19 @@
     ]
     explained_by = [*blocked, *chosen]
     while True:
-        groups = [
-            group
-            for group in group_keys(
-                ends, survivals, explained_by, moments=moments, rivals=rivals
+        groups = group_keys(ends, survivals, explained_by)
+        if moments:
+            groups = group_keys(
+                ends,
+                survivals,
+                explained_by,
+                moments=moments,
+                rivals=rivals,
+                keys=set().union(
+                    *(group.keys for group in list_independent_groups(groups))
+                ),
             )
-            if group.count >= min_count
-        ]
+        groups = [group for group in groups if group.count >= min_count]
         best = [group.block for group in choose_best_groups(groups)]
         if not best:
             return chosen
@@ -399,7 +412,9 @@
     ]
 
 
-def group_keys(ends, survivals, explained_by, *, moments=(), rivals=()):
+def group_keys(
+    ends, survivals, explained_by, *, moments=(), rivals=(), keys=None
+):
     """Group the keys that cannot be told apart.
 
     Parameters
@@ -410,6 +425,8 @@
         Keys whose ends do not count against others.
     moments, rivals : optional
         As for `list_excused_keys`. Without moments all ends count.
+    keys : set of int, optional
+        Those to group; all by default.
 
     Returns
     -------
@@ -423,6 +440,8 @@
     for number, end in enumerate(ends):
         for cause, request in list_causes(number, end, explained_by):
             for key in request:
+                if keys is not None and key not in keys:
+                    continue
                 if has_survived(key, at=end.at, survivals=survivals):
                     continue
                 if cause == number and key in excused[number]:
@@ -432,8 +451,8 @@
     for key, found in occurrences.items():
         groups.setdefault(frozenset(found), set()).add(key)
     return [
-        KeyGroup(occurrences=found, keys=keys, fingerprints=fingerprints)
-        for found, keys in groups.items()
+        KeyGroup(occurrences=found, keys=grouped, fingerprints=fingerprints)
+        for found, grouped in groups.items()
     ]
 
 
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/explanation.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/explanation.py
@@ -5,6 +5,7 @@
     "MIN_ENDS",
     "choose_best_groups",
     "is_explained_by",
+    "list_independent_groups",
 ]
 
 # Ends of upstreams with a key from which on requests with it are blocked.
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
@@ -104,3 +104,21 @@
     assert len(evidence.other_ends) <= 64
     # It tells that the first end has another cause.
     assert 2 in evidence.other_ends
+
+
+# Failure: a part that all prompts share was blocked, since an end whose
+# reports had not all come excused the fatal part, and not the shared one.
+def test_a_shared_part_does_not_answer_for_an_excused_narrower_one():
+    shared, fatal = 10, 11
+    ends = build_ends(
+        *(
+            (5.0 + number / 100, [(shared, fatal), (shared, 20 + number)])
+            for number in range(3)
+        )
+    )
+    beside = build_ends((5.11, [(shared, 30)]))
+    assert choose_blocks(ends, survivals={}) == [frozenset({fatal})]
+    assert choose_blocks(ends, survivals={}, beside=beside) == []
+    beside[0].requests.add((shared, fatal))
+    chosen = choose_blocks(ends + beside, survivals={})
+    assert chosen == [frozenset({fatal})]
