Compare blocks with narrower parts on all ends

A block that was decided on a part of the reports ends when a narrower part explains its ends. Since common causes count, that part was looked for among those that would be blocked, so that one whose ends have a common cause explained nothing, and the block of a part that all prompts share stayed.

Change: all ends count there, as before common causes.

Evidence: test_an_excused_part_explains_the_block_of_a_wider_one fails before and passes now.

--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -258,7 +258,7 @@
         group
         for group in (
             gather_group(keys, ends, survivals)
-            for keys in {*blocked, *choose_blocks(ends, survivals=survivals)}
+            for keys in {*blocked, *cover_ends(ends, survivals, ())}
         )
         # A part is blocked for more ends than those of one request.
         if not group.is_request and len(group.causes) >= MIN_ENDS
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import EndRecord
 from hollyspan_policy.crashes import has_common_cause
+from hollyspan_policy.crashes import list_explained_blocks
 from hollyspan_policy.crashes import may_be_coincidence
 
 PART, OTHER, THIRD = 1, 2, 3
@@ -122,3 +123,19 @@
     beside[0].requests.add((shared, fatal))
     chosen = choose_blocks(ends + beside, survivals={})
     assert chosen == [frozenset({fatal})]
+
+
+# Failure: the block of a part that all prompts share stayed, since the fatal
+# part's ends had a common cause as well.
+def test_an_excused_part_explains_the_block_of_a_wider_one():
+    shared, fatal = 10, 11
+    ends = build_ends(
+        *(
+            (5.0 + number / 100, [(shared, fatal), (shared, 20 + number)])
+            for number in range(3)
+        ),
+        (5.05, [(OTHER,)]),
+    )
+    assert choose_blocks(ends, survivals={}) == []
+    block = frozenset({shared})
+    assert list_explained_blocks([block], ends, survivals={}) == [block]
