--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession_without_bound.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession_without_bound.py
@@ -18,6 +18,9 @@
 class NoRoutes:
     """Routes of a configuration without any."""
 
+    is_complete = True
+    revision = 10**6
+
     def find(self, host, path):
         """Find none."""
 
@@ -88,8 +91,7 @@
     start_nothing(fleet, fleet.gateways[0])
     for gateway in fleet.gateways:
         gateway.routes = NoRoutes()
-        gateway.has_complete_routes = True
-        gateway.configuration_mirror.revision = 10**6
+        gateway.configuration_mirror.revision = NoRoutes.revision
     submit()
     fleet.advance(2 * FINISH_S)
     assert len(list_done(wire)) == ITEMS
