--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.crashes import CrashEvidence
 from hollyspan_policy.crashes import EndRecord
 from hollyspan_policy.crashes import has_common_cause
+from hollyspan_policy.crashes import list_explained_blocks
 from hollyspan_policy.crashes import may_be_coincidence
 
 PART, OTHER, THIRD = 1, 2, 3
@@ -104,3 +105,37 @@
     assert len(evidence.other_ends) <= 64
     # It tells that the first end has another cause.
     assert 2 in evidence.other_ends
+
+
+# Failure: a part that all prompts share was blocked, since an end whose
+# reports had not all come excused the fatal part, and not the shared one.
+def test_a_shared_part_does_not_answer_for_an_excused_narrower_one():
+    shared, fatal = 10, 11
+    ends = build_ends(
+        *(
+            (5.0 + number / 100, [(shared, fatal), (shared, 20 + number)])
+            for number in range(3)
+        )
+    )
+    beside = build_ends((5.11, [(shared, 30)]))
+    assert choose_blocks(ends, survivals={}) == [frozenset({fatal})]
+    assert choose_blocks(ends, survivals={}, beside=beside) == []
+    beside[0].requests.add((shared, fatal))
+    chosen = choose_blocks(ends + beside, survivals={})
+    assert chosen == [frozenset({fatal})]
+
+
+# Failure: the block of a part that all prompts share stayed, since the fatal
+# part's ends had a common cause as well.
+def test_an_excused_part_explains_the_block_of_a_wider_one():
+    shared, fatal = 10, 11
+    ends = build_ends(
+        *(
+            (5.0 + number / 100, [(shared, fatal), (shared, 20 + number)])
+            for number in range(3)
+        ),
+        (5.05, [(OTHER,)]),
+    )
+    assert choose_blocks(ends, survivals={}) == []
+    block = frozenset({shared})
+    assert list_explained_blocks([block], ends, survivals={}) == [block]
