Excuse no part by an end that reports may be missing of

Cause: gateways that did not know a restarted upstream yet reported its end under the key of its predecessor, so that the new incarnation seemed to end without the part, which excused the others. Likewise requests that may be unread were left out of the reports.

Change: a gateway tells of such ends; they excuse nothing, and as many ends at their moment neither. A block that all reports would lead to again is not explained by another.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -348,8 +348,16 @@
         requests = {exposure.keys for exposure in suspects}
         fingerprints = {exposure.fingerprint for exposure in suspects} - {0}
         key = upstream.entry.incarnation_key
+        # The upstream may be a successor that is not known here.
+        is_earlier = key in self.evidence.ends and not (
+            self.evidence.is_same_end(key, at=now)
+        )
+        has_unread = any(exposure.may_be_unread for exposure in exposures)
+        if has_unread or is_earlier:
+            self.evidence.note_unread(key, at=now)
+            self.news.tell_other_end(key, at=now, has_unread=True)
         if not requests:
-            if not any(exposure.may_be_unread for exposure in exposures):
+            if not has_unread:
                 self.evidence.note_other_end(
                     key,
                     at=self.detector.find_end(upstream),
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/news.py
@@ -76,12 +76,19 @@
         self.unsent_ends.add(key)
         self.schedule_send()
 
-    def tell_other_end(self, key, *, at):
+    def tell_other_end(self, key, *, at, has_unread=False):
         """Tell of an upstream that ended without requests that may cause it.
 
         Heartbeats do not repeat it, since they come after the decision.
+
+        Parameters
+        ----------
+        key : int
+        at : float
+        has_unread : bool, optional
+            True if it may not have read some that were in flight.
         """
-        self.unsent_other_ends[key] = at
+        self.unsent_other_ends[key] = at, has_unread
         self.schedule_send()
 
     def tell_confirmation(self, key):
@@ -157,8 +164,10 @@
             table.send_change(
                 table.list_live(),
                 other_ends=[
-                    OtherEndNotice(upstream=key, age=now - at)
-                    for key, at in others
+                    OtherEndNotice(
+                        upstream=key, age=now - at, has_unread=has_unread
+                    )
+                    for key, (at, has_unread) in others
                 ],
             )
 
@@ -226,7 +235,14 @@
                 is_confirmed=notice.is_confirmed,
             )
         for notice in message.other_ends:
-            guard.evidence.note_other_end(notice.upstream, at=now - notice.age)
+            if notice.has_unread:
+                guard.evidence.note_unread(
+                    notice.upstream, at=now - notice.age
+                )
+            else:
+                guard.evidence.note_other_end(
+                    notice.upstream, at=now - notice.age
+                )
         for notice in message.survivals:
             at = now - notice.age
             remember(self.told, notice.keys, now)
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/notices.py
@@ -47,13 +47,16 @@
         Key of its incarnation.
     age : float
         Time since the end, seconds.
+    has_unread : bool, optional
+        True if it may not have read some that were in flight.
     """
 
-    __slots__ = ("upstream", "age")
+    __slots__ = ("upstream", "age", "has_unread")
 
-    def __init__(self, *, upstream, age):
+    def __init__(self, *, upstream, age, has_unread=False):
         self.upstream = upstream
         self.age = age
+        self.has_unread = has_unread
 
 
 class SurvivalNotice:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -101,7 +101,11 @@
         wire.askedStreams = list(message.asked_streams)
     if message.other_ends:
         wire.otherEnds = [
-            {"upstream": notice.upstream, "ageMs": encode_age(notice.age)}
+            {
+                "upstream": notice.upstream,
+                "ageMs": encode_age(notice.age),
+                "hasUnread": notice.has_unread,
+            }
             for notice in message.other_ends
         ]
     return wire.to_bytes_packed()
@@ -247,7 +251,11 @@
     ]
     message.asked_streams = list(wire.askedStreams)
     message.other_ends = [
-        OtherEndNotice(upstream=end.upstream, age=end.ageMs / 1000)
+        OtherEndNotice(
+            upstream=end.upstream,
+            age=end.ageMs / 1000,
+            has_unread=end.hasUnread,
+        )
         for end in wire.otherEnds
     ]
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -38,6 +38,7 @@
 struct OtherEnd {
   upstream @0 :UInt64;    # its incarnation
   ageMs @1 :UInt32;
+  hasUnread @2 :Bool;     # it may not have read requests in flight
 }
 
 struct Survival {
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/common_cause.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/common_cause.py
@@ -1,5 +1,6 @@
 """Ends of upstreams that have the same cause."""
 
+import collections
 import itertools
 
 __all__ = ["has_common_cause", "list_excused_keys", "list_moment"]
@@ -43,10 +44,24 @@
     >>> [has_common_cause(frozenset({1}), end, ends) for end in ends[::2]]
     [True, False]
     """
-    return any(
-        not is_explained(other, [keys, *blocked])
-        for other in list_moment(end, ends)
+    moment = list_moment(end, ends)
+    count = sum(
+        not other.has_unread and not is_explained(other, [keys, *blocked])
+        for other in moment
     )
+    return count > count_unattributed(moment)
+
+
+def count_unattributed(moment):
+    """Count the ends whose upstream may be that of another end.
+
+    Notes
+    -----
+    Load pattern: upstreams restart and end again within seconds, and some
+    gateways still know them as they were before. Their reports name the
+    earlier one, so that its successor seems to end without their requests.
+    """
+    return sum(end.has_unread and not end.requests for end in moment)
 
 
 def list_moment(end, ends):
@@ -100,17 +115,20 @@
     rivals_of = {
         id(end): list_explaining(end, rivals)
         for end in itertools.chain(*moments)
-        if not list_explaining(end, blocked)
+        if not end.has_unread and not list_explaining(end, blocked)
     }
     excused = [set() for _ in ends]
     for end, moment, found in zip(ends, moments, excused):
+        counts = collections.Counter()
         for other in moment:
             if id(other) not in rivals_of:
                 continue
-            absent = keys[id(end)] - keys[id(other)] - found
+            absent = keys[id(end)] - keys[id(other)]
             for block in rivals_of[id(other)]:
                 absent &= block
-            found |= absent
+            counts.update(absent)
+        limit = count_unattributed(moment)
+        found |= {key for key, count in counts.items() if count > limit}
     return excused
 
 
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/decision.py
@@ -284,18 +284,16 @@
         # A part is blocked for more ends than those of one request.
         if not group.is_request and len(group.causes) >= MIN_ENDS
     ]
+    chosen = choose_blocks(ends, survivals=survivals)
     explained = []
     for keys in blocks:
+        if keys in chosen:
+            # It came with another one, see `list_companions`.
+            continue
         group = gather_group(keys, ends, survivals)
         # With fewer ends, what the block was decided on is not known here.
         if len(group.causes) >= MIN_ENDS and any(
-            is_explained_by(group, other)
-            and other.causes >= group.causes
-            and not keys.issubset(
-                list_companions(
-                    frozenset(other.keys), ends, survivals=survivals
-                )
-            )
+            is_explained_by(group, other) and other.causes >= group.causes
             for other in others
         ):
             explained.append(keys)
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
@@ -1,5 +1,7 @@
 """Evidence on which requests end upstreams."""
 
+import math
+
 from .common_cause import list_moment
 from .record import EndRecord
 
@@ -15,6 +17,8 @@
 MAX_OTHER_ENDS = 64
 # Time in which other gateways answer whether they see an end, too.
 CONFIRMATION_S = 1.0
+# Time within which several gateways see one end.
+SAME_END_S = 1.0
 
 
 class CrashEvidence:
@@ -32,6 +36,9 @@
     other_ends : dict
         EndRecord without requests of each upstream that ended with none in
         flight that may have caused it, by the key of its incarnation.
+    unread : dict
+        Time of the last end with requests that are not told, by the key of
+        the incarnation, the oldest first.
 
     Notes
     -----
@@ -39,12 +46,13 @@
     the order does not matter.
     """
 
-    __slots__ = ("ends", "survivals", "other_ends")
+    __slots__ = ("ends", "survivals", "other_ends", "unread")
 
     def __init__(self):
         self.ends = {}
         self.survivals = {}
         self.other_ends = {}
+        self.unread = {}
 
     def note_end(
         self, key, requests, *, at, fingerprints=(), is_confirmed=True
@@ -72,6 +80,9 @@
         record = self.ends.get(key)
         if record is None:
             record = self.ends[key] = EndRecord(at=at)
+            record.has_unread = (
+                abs(self.unread.get(key, math.inf) - at) <= SAME_END_S
+            )
             if len(self.ends) > MAX_ENDS:
                 del self.ends[next(iter(self.ends))]
         known = len(record.requests), record.is_confirmed
@@ -93,6 +104,8 @@
         at : float
         is_confirmed : bool, optional
         """
+        if abs(self.unread.get(key, math.inf) - at) <= SAME_END_S:
+            return
         record = self.other_ends.get(key)
         if record is None:
             record = self.other_ends[key] = EndRecord(at=at)
@@ -100,6 +113,40 @@
                 self.forget_other_end()
         record.is_confirmed |= is_confirmed
 
+    def note_unread(self, key, *, at):
+        """Note that more requests were in flight at an end than are known.
+
+        The end tells nothing of the keys that it seems to lack.
+
+        Parameters
+        ----------
+        key : int
+            Key of the upstream's incarnation; that of an earlier one if the
+            gateway that has seen the end does not know its successor.
+        at : float
+        """
+        self.other_ends.pop(key, None)
+        self.unread.pop(key, None)
+        self.unread[key] = at
+        if len(self.unread) > MAX_ENDS:
+            del self.unread[next(iter(self.unread))]
+        if self.is_same_end(key, at=at):
+            self.ends[key].has_unread = True
+
+    def is_same_end(self, key, *, at):
+        """Return whether an end is known that was seen at about a time."""
+        return key in self.ends and abs(self.ends[key].at - at) <= SAME_END_S
+
+    def list_unattributed(self):
+        """Return the ends of which only unread requests are known."""
+        unattributed = []
+        for key, at in self.unread.items():
+            if not self.is_same_end(key, at=at):
+                record = EndRecord(at=at)
+                record.has_unread = True
+                unattributed.append(record)
+        return unattributed
+
     def has_end(self, key):
         """Return whether the end of an upstream is known."""
         return key in self.ends or key in self.other_ends
@@ -156,4 +203,4 @@
             each
             for each in unconfirmed + others
             if each.is_confirmed or now - each.at <= CONFIRMATION_S
-        ]
+        ] + self.list_unattributed()
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/record.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/record.py
@@ -20,12 +20,22 @@
         The keys that belong to one request alone.
     is_confirmed : bool
         False while the link of those that have seen it may be to blame.
+    has_unread : bool
+        True if more requests were in flight there, which it may not have read
+        and whose keys are not known.
     """
 
-    __slots__ = ("at", "requests", "fingerprints", "is_confirmed")
+    __slots__ = (
+        "at",
+        "requests",
+        "fingerprints",
+        "is_confirmed",
+        "has_unread",
+    )
 
     def __init__(self, *, at):
         self.at = at
         self.is_confirmed = False
+        self.has_unread = False
         self.requests = set()
         self.fingerprints = set()
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_common_cause.py
@@ -139,3 +139,33 @@
     assert choose_blocks(ends, survivals={}) == []
     block = frozenset({shared})
     assert list_explained_blocks([block], ends, survivals={}) == [block]
+
+
+# Failure: a part that ended all upstreams of a service again and again was not
+# blocked: reports on restarted ones named their predecessors.
+def test_an_end_that_reports_may_be_missing_of_excuses_no_part():
+    evidence = CrashEvidence()
+    for at in (5, 7, 9):
+        evidence.note_end(at, [(PART,), (OTHER, 20 + at)], at=at)
+        evidence.note_end(10 * at, [(OTHER, 30 + at)], at=at)
+    evidence.note_survival((OTHER,), at=9.0)
+    ends = evidence.list_ends(now=9.5)
+
+    def choose():
+        return choose_blocks(
+            ends,
+            survivals=evidence.survivals,
+            beside=evidence.list_beside(now=9.5),
+        )
+
+    assert choose() == []
+    for predecessor, at in enumerate((5, 7, 9)):
+        evidence.note_unread(predecessor, at=at)
+    assert choose() == [KEYS]
+
+
+def test_an_end_with_unread_requests_excuses_no_part():
+    excused, other = ends = build_ends((5.0, [(PART,)]), (5.05, [(OTHER,)]))
+    assert has_common_cause(KEYS, excused, ends)
+    other.has_unread = True
+    assert not has_common_cause(KEYS, excused, ends)
