Leave items beside those that an owner cannot name

Callers paid for whole runs more than once: items that waited for their next run beyond the limit on those that a message names counted as left alone, and other gateways began them as well.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
@@ -2,17 +2,21 @@
 
 from hollyspan_policy.hashing import hash_parts
 
-__all__ = ["ClaimBook", "build_finished_key"]
+__all__ = ["ClaimBook", "build_finished_key", "is_crowded"]
 
 # Time for which an item whose result is being stored is named. After it the
 # store may be out of reach for this gateway alone.
 STORING_CLAIM_S = 2.0
 # Time for which a finished job is named: several heartbeats of a large fleet.
 FINISHED_CLAIM_S = 15.0
-# Limits on what one message names beyond the items that run.
+# Limits on what one message names, which is to fit into one datagram: items,
+# unless more are running, and jobs.
 MAX_WAITING_CLAIMS = 512
+MAX_CROWDED_JOBS = 8
 MAX_FINISHED_CLAIMS = 64
 MAX_PROGRESS = 2**16
+# Key that stands for any job.
+ANY_JOB = 0
 
 
 class ClaimBook:
@@ -28,14 +32,17 @@
         ItemState by key of the items that have run here and have no result.
     finished : dict
         Time by the key of a finished job, reactor seconds, oldest first.
+    crowded : set of int
+        Keys of the jobs of which more items wait than were last named.
     """
 
-    __slots__ = ("worker", "recent", "finished")
+    __slots__ = ("worker", "recent", "finished", "crowded")
 
     def __init__(self, *, worker):
         self.worker = worker
         self.recent = {}
         self.finished = {}
+        self.crowded = set()
 
     def note_start(self, state):
         """Note the start of a run."""
@@ -58,16 +65,23 @@
             among them.
         """
         claims = dict.fromkeys(self.worker.running, 0)
-        limit = len(claims) + MAX_WAITING_CLAIMS
+        self.crowded = set()
         for key, state in list(self.recent.items()):
-            if key in claims or (
-                self.is_waiting(state) and len(claims) < limit
-            ):
-                claims[key] = self.measure_progress(state) % MAX_PROGRESS
-            elif not self.is_waiting(state):
+            is_running = key in claims
+            if not is_running and not self.is_waiting(state):
                 del self.recent[key]
+            elif is_running or len(claims) < MAX_WAITING_CLAIMS:
+                claims[key] = self.measure_progress(state) % MAX_PROGRESS
+            else:
+                self.crowded.add(hash_parts(state.job_state.job.identifier))
         return claims
 
+    def list_crowded(self):
+        """Return the keys of jobs of which items wait that are not named."""
+        if len(self.crowded) > MAX_CROWDED_JOBS:
+            return [ANY_JOB]
+        return sorted(self.crowded)
+
     def measure_progress(self, state):
         """Return a number that changes with each event of an item.
 
@@ -104,3 +118,11 @@
 def build_finished_key(job_state, workers):
     """Return the key of a job whose items are shared by some gateways."""
     return hash_parts(job_state.job.identifier, *workers)
+
+
+def is_crowded(peer, job_state):
+    """Return whether a peer may work on items of a job that it cannot name."""
+    return bool(peer.crowded_jobs) and (
+        ANY_JOB in peer.crowded_jobs
+        or hash_parts(job_state.job.identifier) in peer.crowded_jobs
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -15,6 +15,7 @@
 from ..routes import choose_service
 from ..routes import RouteKind
 from .claims import build_finished_key
+from .claims import is_crowded
 from .records import build_result_key
 
 __all__ = ["Succession"]
@@ -217,6 +218,14 @@
         ):
             state.has_result = True
             return
+        if (
+            owning_peer is not None
+            and state.key not in self.claims
+            and is_crowded(owning_peer, state.job_state)
+        ):
+            # Its owner may go on with it after a delay.
+            state.idle_since = self.now
+            return
         if self.is_due(state, peer, owning_peer, is_owner=is_owner):
             self.look_up(state, is_succession=True)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -122,6 +122,7 @@
             "progress": list(claims.values()),
             "tells_waiting": True,
             "finished": self.claims.list_finished(),
+            "crowded_jobs": self.claims.list_crowded(),
             "jobs": self.catalogue.mirror.changed_revision,
         }
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -86,6 +86,8 @@
         wire.progress = list(message.progress)
     if message.finished:
         wire.finished = list(message.finished)
+    if message.crowded_jobs:
+        wire.crowdedJobs = list(message.crowded_jobs)
     if message.live_workers:
         wire.heard = list(message.live_workers)
     if message.departures:
@@ -165,6 +167,7 @@
     message.progress = list(wire.progress)
     message.tells_waiting = wire.tellsWaiting
     message.finished = list(wire.finished)
+    message.crowded_jobs = list(wire.crowdedJobs)
     message.jobs = wire.jobs
     message.wants_reply = wire.wantsReply
     message.live_workers = list(wire.heard)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -95,6 +95,8 @@
   finished @27 :List(UInt64); # jobs, each with the gateways that share its
                             # items: the sender's have results in the store
   jobs @28 :UInt64;         # store revision of the last change of jobs
+  crowdedJobs @30 :List(UInt64); # jobs with more items between two runs than
+                            # the items above name; 0: any job
   # Set in any message.
   otherEnds @29 :List(OtherEnd); # that no request may have caused
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -105,6 +105,9 @@
     finished : list of int, optional
         Hashes of jobs and of the gateways that share their items: those of
         the sender have results in the store.
+    crowded_jobs : list of int, optional
+        Hashes of jobs of which more items wait at the sender, between two
+        runs, than it names; 0 stands for any job.
     jobs : int, optional
         Store revision of the last change of jobs at the sender, 0 if it does
         not follow them.
@@ -153,6 +156,7 @@
         "progress",
         "tells_waiting",
         "finished",
+        "crowded_jobs",
         "jobs",
         "wants_reply",
         "live_workers",
@@ -188,6 +192,7 @@
         progress=(),
         tells_waiting=False,
         finished=(),
+        crowded_jobs=(),
         jobs=0,
         wants_reply=False,
         live_workers=(),
@@ -219,6 +224,7 @@
         self.progress = progress
         self.tells_waiting = tells_waiting
         self.finished = finished
+        self.crowded_jobs = crowded_jobs
         self.jobs = jobs
         self.wants_reply = wants_reply
         self.live_workers = live_workers
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -66,6 +66,9 @@
     finished : frozenset of int
         Hashes of jobs and of the gateways that share their items: those that
         it owns have results in the store.
+    crowded_jobs : frozenset of int
+        Hashes of jobs of which more items wait there, between two runs, than
+        it names; 0 stands for any job.
     live_workers : frozenset of int
         Keys of the gateways that run items and are live at the peer.
     region : int
@@ -95,6 +98,7 @@
         "progress",
         "tells_waiting",
         "finished",
+        "crowded_jobs",
         "live_workers",
         "region",
         "heartbeat_seconds",
@@ -118,6 +122,7 @@
         self.progress = {}
         self.tells_waiting = False
         self.finished = frozenset()
+        self.crowded_jobs = frozenset()
         self.live_workers = frozenset()
         self.region = 0
         self.heartbeat_seconds = INITIAL_HEARTBEAT_INTERVAL_S
@@ -156,6 +161,7 @@
             self.progress = dict(zip(message.items, message.progress))
             self.tells_waiting = message.tells_waiting
             self.finished = frozenset(message.finished)
+            self.crowded_jobs = frozenset(message.crowded_jobs)
             self.live_workers = frozenset(message.live_workers)
             self.region = message.region
             self.heartbeat_seconds = message.heartbeat_seconds
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -91,6 +91,7 @@
     progress=st.lists(COUNTS, max_size=4),
     tells_waiting=st.booleans(),
     finished=st.lists(HASHES, max_size=4),
+    crowded_jobs=st.lists(HASHES, max_size=4),
     jobs=HASHES,
     wants_reply=st.booleans(),
     live_workers=st.lists(HASHES, max_size=4),
