Name as many waiting items as fit into a datagram

Workers whose items waited for their next runs sent heartbeats of several kilobytes to each other worker, each in several fragments, any of which could be lost. A message names 64 items at most now, unless more are running; those beyond them are told by their jobs.

Evidence: test_messages_with_items_that_wait_fit_into_a_datagram[2000] failed before and passes.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
@@ -11,7 +11,7 @@
 FINISHED_CLAIM_S = 15.0
 # Limits on what one message names, which is to fit into one datagram: items,
 # unless more are running, and jobs.
-MAX_WAITING_CLAIMS = 512
+MAX_WAITING_CLAIMS = 64
 MAX_CROWDED_JOBS = 8
 MAX_FINISHED_CLAIMS = 64
 MAX_PROGRESS = 2**16
