Try a block though the owners leave their items alone

Items under a block, and the block, lasted for ever when no owner of such an item started anything: other gateways left blocked items to their owners without a bound. Once the latest time of a trial is over and none goes on, a gateway next in the order of an item's owners takes one item over for the trial alone, after the usual time. The trial is claimed as any other, and the item is left to its owner again when the block ends otherwise.

Evidence: test_a_block_is_tried_though_the_owners_leave_their_items_alone failed before and passes.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -68,6 +68,8 @@
     is_taken : bool
         True when this gateway runs the item though another one owns it, or
         names it as its work.
+    is_taken_for_trial : bool
+        True when it was taken over only to try the block that it falls under.
     """
 
     __slots__ = (
@@ -98,6 +100,7 @@
         "idle_since",
         "must_look_up",
         "is_taken",
+        "is_taken_for_trial",
     )
 
     def __init__(self, *, job_state, item, key, shared_parts=()):
@@ -128,6 +131,7 @@
         self.idle_since = 0.0
         self.must_look_up = False
         self.is_taken = False
+        self.is_taken_for_trial = False
 
     def discard_output(self):
         """Discard the events received, so that the next run starts over."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -8,6 +8,7 @@
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.batch import may_succeed
 from hollyspan_policy.batch import MIN_IDLE_S
+from hollyspan_policy.crashes import CLAIM_SPREAD_S
 from hollyspan_policy.ownership import rank_owners
 
 from ..clock import wait
@@ -54,6 +55,8 @@
     free_since : dict
         Time since which items had a place at a service, whenever this gateway
         has looked, by its name.
+    trial_item : ItemState or None
+        The last item taken over to try its block.
     began_at : float
         Start of the series of looks, reactor seconds.
 
@@ -68,6 +71,7 @@
         "workers",
         "claims",
         "free_since",
+        "trial_item",
         "began_at",
         "looked_at",
         "now",
@@ -81,6 +85,7 @@
         self.workers = ()
         self.claims = {}
         self.free_since = {}
+        self.trial_item = None
         self.began_at = None
         self.looked_at = None
         self.now = 0.0
@@ -203,7 +208,8 @@
             peer = gateway.peers.peers.get(parse_identifier(state.claim[0]))
         if state.is_taken or state.key in self.lookups:
             return
-        if self.is_blocked(state):
+        blocks = self.list_blocks(state)
+        if blocks and not self.may_begin_trial(state, blocks):
             # Its owner goes on once the block has ended.
             state.idle_since = self.now
             return
@@ -285,14 +291,54 @@
             is_claimed=claimer is not None,
         )
 
-    def is_blocked(self, state):
-        """Return whether a part of an item's prompt is blocked."""
+    def list_blocks(self, state):
+        """Return the blocks that an item falls under."""
         block_list = self.worker.gateway.guard.block_list
+        if not block_list.blocks:
+            return []
+        return block_list.list_matching(state.shared_parts)
+
+    def may_begin_trial(self, state, blocks):
+        """Return whether an item may be the trial of its blocks here.
+
+        The owner of a blocked item makes the trial in time unless it leaves
+        the item alone. One item a gateway suffices.
+        """
+        schedule = self.worker.gateway.guard.trials.schedule
+        if not all(map(schedule.is_open, blocks)):
+            return False
+        if any(
+            self.now < block.get_latest_trial_time(spread=CLAIM_SPREAD_S)
+            for block in blocks
+        ):
+            return False
+        other = self.trial_item
         return (
-            bool(block_list.blocks)
-            and block_list.find(state.shared_parts) is not None
+            other is None
+            or other is state
+            or other.has_result
+            or other.job_state.is_ended
+            or not (other.is_taken and other.is_taken_for_trial)
         )
 
+    def keep_for_trial(self, state):
+        """Leave an item that was taken over to its owner, but for a trial.
+
+        Returns
+        -------
+        bool
+            Whether the item may be started here.
+        """
+        if not state.is_taken_for_trial:
+            return True
+        blocks = self.list_blocks(state)
+        if blocks and self.may_begin_trial(state, blocks):
+            return True
+        state.is_taken = False
+        state.is_taken_for_trial = False
+        state.idle_since = self.now
+        return False
+
     def can_stall(self, peer):
         """Return whether a peer would tell of progress, or is not heard."""
         return peer.tells_waiting or not peer.is_live(self.now)
@@ -335,6 +381,9 @@
         state.must_look_up = False
         if is_succession:
             state.is_taken = True
+            state.is_taken_for_trial = bool(self.list_blocks(state))
+            if state.is_taken_for_trial:
+                self.trial_item = state
             state.hindrance = None
             eliot.log_message(
                 "item:taken_over",
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -296,11 +296,14 @@
             state.hindrance = "no_route"
             self.handle_missing_route(state)
             return
+        if not self.succession.keep_for_trial(state):
+            return
         if not self.gateway.guard.block_list.may_send(
             state.shared_parts, request=state.item.identifier
         ):
-            state.is_taken = False
+            state.is_taken = state.is_taken_for_trial
             return
+        state.is_taken_for_trial = False
         service = choose_service(route, state.item.identifier)
         upstream = self.placement.choose(
             state,
