Count reconnections of the watch once a series for succession

Items whose owner left them alone stayed open while the watch of upstreams broke every few seconds: each reconnection began the time without work on them anew. Only the first one of a series does so now. A gateway that had no watch for longer than a few seconds begins anew as before, since it has not looked meanwhile.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -1,6 +1,7 @@
 """Start of items that their owners leave alone."""
 
 import itertools
+import math
 
 import eliot
 from twisted.internet import defer
@@ -25,6 +26,9 @@
 # After a longer time without a look, what peers work on is known anew only
 # from their next messages.
 MAX_LOOK_GAP_S = 3.0
+# Reconnections of the watch within this time of each other are one series:
+# longer than any time without work after which an item is taken over.
+RECONNECTION_SERIES_S = 20.0
 # Items that one look visits; the next one goes on behind them.
 MAX_ITEMS = 2_000
 # Weights of gateways that one look computes for the order of owners of items.
@@ -59,6 +63,10 @@
         The last item taken over to try its block.
     began_at : float
         Start of the series of looks, reactor seconds.
+    reconnected_at : float
+        Time of the last reconnection of the watch, reactor seconds.
+    series_at : float
+        Time of the first one of its series.
 
     Notes
     -----
@@ -73,6 +81,8 @@
         "free_since",
         "trial_item",
         "began_at",
+        "reconnected_at",
+        "series_at",
         "looked_at",
         "now",
         "walk",
@@ -87,6 +97,8 @@
         self.free_since = {}
         self.trial_item = None
         self.began_at = None
+        self.reconnected_at = -math.inf
+        self.series_at = -math.inf
         self.looked_at = None
         self.now = 0.0
         self.walk = None
@@ -109,6 +121,7 @@
             return
         self.looked_at = now
         self.workers = workers
+        self.note_reconnection()
         self.cancel_stalled_runs()
         if len(workers) < 2:
             return
@@ -123,6 +136,15 @@
         if visited == MAX_ITEMS:
             self.walk = walk
 
+    def note_reconnection(self):
+        """Note when the last series of reconnections of the watch began."""
+        at = self.worker.gateway.upstreams_mirror.reconnected_at
+        if at is None or at == self.reconnected_at:
+            return
+        if at - self.reconnected_at >= RECONNECTION_SERIES_S:
+            self.series_at = at
+        self.reconnected_at = at
+
     def cancel_stalled_runs(self):
         """Cancel the runs that have neither ended nor made progress."""
         for state in list(self.worker.running.values()):
@@ -263,10 +285,12 @@
     def is_due(self, state, claimer, owner, *, is_owner):
         """Return whether an item may be started here now."""
         gateway = self.worker.gateway
-        began_at = self.began_at
-        if gateway.upstreams_mirror.reconnected_at is not None:
-            began_at = max(began_at, gateway.upstreams_mirror.reconnected_at)
-        idle_since = max(state.idle_since, state.job_state.seen_at, began_at)
+        idle_since = max(
+            state.idle_since,
+            state.job_state.seen_at,
+            self.began_at,
+            self.series_at,
+        )
         if self.now - idle_since < MIN_IDLE_S:
             return False
         if claimer is not None and not self.can_stall(claimer):
