Give items without a route up though their owner leaves them

An item whose route has ended stayed open when its owner left it alone: other gateways took items over only where a place of its service was free. Giving an item up takes no place.

Evidence: test_items_without_a_route_are_given_up_though_an_owner_leaves_them failed before and passes.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -284,7 +284,6 @@
 
     def is_due(self, state, claimer, owner, *, is_owner):
         """Return whether an item may be started here now."""
-        gateway = self.worker.gateway
         idle_since = max(
             state.idle_since,
             state.job_state.seen_at,
@@ -297,13 +296,7 @@
             return False
         free_since, rank = self.now, -1
         if not is_owner:
-            job = state.job_state.job
-            route = gateway.routes.find(job.host, state.item.path)
-            if route is None or route.kind is not RouteKind.BATCH:
-                return False
-            free_since = self.free_since.get(
-                choose_service(route, state.item.identifier), self.now
-            )
+            free_since = self.find_free_since(state, idle_since)
             rank = self.find_rank(state) if free_since < self.now else None
         if rank is None:
             return False
@@ -315,6 +308,19 @@
             is_claimed=claimer is not None,
         )
 
+    def find_free_since(self, state, idle_since):
+        """Return the time since which an item could have been started here.
+
+        One whose route has ended is given up, which takes no place.
+        """
+        route = self.worker.find_batch_route(state)
+        if route is not None:
+            service = choose_service(route, state.item.identifier)
+            return self.free_since.get(service, self.now)
+        if self.worker.has_route_ended(state):
+            return idle_since
+        return self.now
+
     def list_blocks(self, state):
         """Return the blocks that an item falls under."""
         block_list = self.worker.gateway.guard.block_list
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -287,12 +287,12 @@
     def start_item(self, state):
         """Start one item if a slot is free, or give it up."""
         job = state.job_state.job
-        route = self.gateway.routes.find(job.host, state.item.path)
+        route = self.find_batch_route(state)
         now = self.gateway.wall_clock()
         if now >= job.retained_until + MAX_CLOCK_SKEW_S:
             self.give_up(state, "the job's retention time is over")
             return
-        if route is None or route.kind is not RouteKind.BATCH:
+        if route is None:
             state.hindrance = "no_route"
             self.handle_missing_route(state)
             return
@@ -351,14 +351,26 @@
             state.is_taken = False
             self.succession.note_shortage(service)
 
-    def handle_missing_route(self, state):
-        """Give an item up if its route has ended, or read the routes anew."""
-        accepted_at = state.job_state.revision
-        if has_route_ended(
-            accepted_at=accepted_at,
+    def find_batch_route(self, state):
+        """Return the batch route of an item, or None."""
+        route = self.gateway.routes.find(
+            state.job_state.job.host, state.item.path
+        )
+        if route is None or route.kind is not RouteKind.BATCH:
+            return None
+        return route
+
+    def has_route_ended(self, state):
+        """Return whether the route that is missing for an item has ended."""
+        return has_route_ended(
+            accepted_at=state.job_state.revision,
             read_up_to=self.gateway.configuration_mirror.revision,
             is_complete=self.gateway.has_complete_routes,
-        ):
+        )
+
+    def handle_missing_route(self, state):
+        """Give an item up if its route has ended, or read the routes anew."""
+        if self.has_route_ended(state):
             self.give_up(state, "no batch route for the item")
             return
         if self.gateway.configuration_mirror.refresh():
@@ -366,7 +378,7 @@
                 "item:route_unknown",
                 job=state.job_state.job.identifier,
                 item=state.item.identifier,
-                accepted_at=accepted_at,
+                accepted_at=state.job_state.revision,
                 configuration=self.gateway.configuration_version,
             )
 
