Name only finished jobs with items of the sender's own

Each worker named each job in which it owned no item as finished, so that the names of those that it had finished did not fit into its messages, and other gateways looked their results up in the store.

Evidence: test_workers_name_only_jobs_with_items_of_their_own failed before (11 jobs named by a worker that owned one item) and passes.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/claims.py
@@ -51,7 +51,6 @@
 
     def note_finished(self, job_state, workers):
         """Note that all items of a job that are owned here have results."""
-        job_state.finished_among = workers
         key = build_finished_key(job_state, workers)
         self.finished[key] = self.worker.gateway.reactor.seconds()
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -204,7 +204,7 @@
         workers = self.workers
         identifier = self.worker.gateway.peers.identifier
         finished_key = build_finished_key(job_state, workers)
-        open_count = 0
+        open_count = own_count = 0
         for state in job_state.items.values():
             yield
             if workers != self.workers:
@@ -214,8 +214,11 @@
                 owner = self.worker.find_owner(state, workers)
                 open_count += owner == identifier
                 self.visit(state, owner, finished_key)
+            own_count += state.owner == identifier
         if open_count == 0 and job_state.finished_among != workers:
-            self.worker.claims.note_finished(job_state, workers)
+            job_state.finished_among = workers
+            if own_count > 0:
+                self.worker.claims.note_finished(job_state, workers)
 
     def visit(self, state, owner, finished_key):
         """Update what is known of an item, and take it if its turn is here."""
