--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -1,6 +1,7 @@
 """Start of items that their owners leave alone."""
 
 import itertools
+import math
 
 import eliot
 from twisted.internet import defer
@@ -8,6 +9,7 @@
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_policy.batch import may_succeed
 from hollyspan_policy.batch import MIN_IDLE_S
+from hollyspan_policy.crashes import CLAIM_SPREAD_S
 from hollyspan_policy.ownership import rank_owners
 
 from ..clock import wait
@@ -15,6 +17,7 @@
 from ..routes import choose_service
 from ..routes import RouteKind
 from .claims import build_finished_key
+from .claims import is_crowded
 from .records import build_result_key
 
 __all__ = ["Succession"]
@@ -23,6 +26,9 @@
 # After a longer time without a look, what peers work on is known anew only
 # from their next messages.
 MAX_LOOK_GAP_S = 3.0
+# Reconnections of the watch within this time of each other are one series:
+# longer than any time without work after which an item is taken over.
+RECONNECTION_SERIES_S = 20.0
 # Items that one look visits; the next one goes on behind them.
 MAX_ITEMS = 2_000
 # Weights of gateways that one look computes for the order of owners of items.
@@ -53,8 +59,14 @@
     free_since : dict
         Time since which items had a place at a service, whenever this gateway
         has looked, by its name.
+    trial_item : ItemState or None
+        The last item taken over to try its block.
     began_at : float
         Start of the series of looks, reactor seconds.
+    reconnected_at : float
+        Time of the last reconnection of the watch, reactor seconds.
+    series_at : float
+        Time of the first one of its series.
 
     Notes
     -----
@@ -67,7 +79,10 @@
         "workers",
         "claims",
         "free_since",
+        "trial_item",
         "began_at",
+        "reconnected_at",
+        "series_at",
         "looked_at",
         "now",
         "walk",
@@ -80,7 +95,10 @@
         self.workers = ()
         self.claims = {}
         self.free_since = {}
+        self.trial_item = None
         self.began_at = None
+        self.reconnected_at = -math.inf
+        self.series_at = -math.inf
         self.looked_at = None
         self.now = 0.0
         self.walk = None
@@ -103,6 +121,7 @@
             return
         self.looked_at = now
         self.workers = workers
+        self.note_reconnection()
         self.cancel_stalled_runs()
         if len(workers) < 2:
             return
@@ -117,6 +136,15 @@
         if visited == MAX_ITEMS:
             self.walk = walk
 
+    def note_reconnection(self):
+        """Note when the last series of reconnections of the watch began."""
+        at = self.worker.gateway.upstreams_mirror.reconnected_at
+        if at is None or at == self.reconnected_at:
+            return
+        if at - self.reconnected_at >= RECONNECTION_SERIES_S:
+            self.series_at = at
+        self.reconnected_at = at
+
     def cancel_stalled_runs(self):
         """Cancel the runs that have neither ended nor made progress."""
         for state in list(self.worker.running.values()):
@@ -176,7 +204,7 @@
         workers = self.workers
         identifier = self.worker.gateway.peers.identifier
         finished_key = build_finished_key(job_state, workers)
-        open_count = 0
+        open_count = own_count = 0
         for state in job_state.items.values():
             yield
             if workers != self.workers:
@@ -186,8 +214,11 @@
                 owner = self.worker.find_owner(state, workers)
                 open_count += owner == identifier
                 self.visit(state, owner, finished_key)
+            own_count += state.owner == identifier
         if open_count == 0 and job_state.finished_among != workers:
-            self.worker.claims.note_finished(job_state, workers)
+            job_state.finished_among = workers
+            if own_count > 0:
+                self.worker.claims.note_finished(job_state, workers)
 
     def visit(self, state, owner, finished_key):
         """Update what is known of an item, and take it if its turn is here."""
@@ -202,7 +233,8 @@
             peer = gateway.peers.peers.get(parse_identifier(state.claim[0]))
         if state.is_taken or state.key in self.lookups:
             return
-        if self.is_blocked(state):
+        blocks = self.list_blocks(state)
+        if blocks and not self.may_begin_trial(state, blocks):
             # Its owner goes on once the block has ended.
             state.idle_since = self.now
             return
@@ -217,6 +249,14 @@
         ):
             state.has_result = True
             return
+        if (
+            owning_peer is not None
+            and state.key not in self.claims
+            and is_crowded(owning_peer, state.job_state)
+        ):
+            # Its owner may go on with it after a delay.
+            state.idle_since = self.now
+            return
         if self.is_due(state, peer, owning_peer, is_owner=is_owner):
             self.look_up(state, is_succession=True)
 
@@ -247,24 +287,19 @@
 
     def is_due(self, state, claimer, owner, *, is_owner):
         """Return whether an item may be started here now."""
-        gateway = self.worker.gateway
-        began_at = self.began_at
-        if gateway.upstreams_mirror.reconnected_at is not None:
-            began_at = max(began_at, gateway.upstreams_mirror.reconnected_at)
-        idle_since = max(state.idle_since, state.job_state.seen_at, began_at)
+        idle_since = max(
+            state.idle_since,
+            state.job_state.seen_at,
+            self.began_at,
+            self.series_at,
+        )
         if self.now - idle_since < MIN_IDLE_S:
             return False
         if claimer is not None and not self.can_stall(claimer):
             return False
         free_since, rank = self.now, -1
         if not is_owner:
-            job = state.job_state.job
-            route = gateway.routes.find(job.host, state.item.path)
-            if route is None or route.kind is not RouteKind.BATCH:
-                return False
-            free_since = self.free_since.get(
-                choose_service(route, state.item.identifier), self.now
-            )
+            free_since = self.find_free_since(state, idle_since)
             rank = self.find_rank(state) if free_since < self.now else None
         if rank is None:
             return False
@@ -276,14 +311,67 @@
             is_claimed=claimer is not None,
         )
 
-    def is_blocked(self, state):
-        """Return whether a part of an item's prompt is blocked."""
+    def find_free_since(self, state, idle_since):
+        """Return the time since which an item could have been started here.
+
+        One whose route has ended is given up, which takes no place.
+        """
+        route = self.worker.find_batch_route(state)
+        if route is not None:
+            service = choose_service(route, state.item.identifier)
+            return self.free_since.get(service, self.now)
+        if self.worker.has_route_ended(state):
+            return idle_since
+        return self.now
+
+    def list_blocks(self, state):
+        """Return the blocks that an item falls under."""
         block_list = self.worker.gateway.guard.block_list
+        if not block_list.blocks:
+            return []
+        return block_list.list_matching(state.shared_parts)
+
+    def may_begin_trial(self, state, blocks):
+        """Return whether an item may be the trial of its blocks here.
+
+        The owner of a blocked item makes the trial in time unless it leaves
+        the item alone. One item a gateway suffices.
+        """
+        schedule = self.worker.gateway.guard.trials.schedule
+        if not all(map(schedule.is_open, blocks)):
+            return False
+        if any(
+            self.now < block.get_latest_trial_time(spread=CLAIM_SPREAD_S)
+            for block in blocks
+        ):
+            return False
+        other = self.trial_item
         return (
-            bool(block_list.blocks)
-            and block_list.find(state.shared_parts) is not None
+            other is None
+            or other is state
+            or other.has_result
+            or other.job_state.is_ended
+            or not (other.is_taken and other.is_taken_for_trial)
         )
 
+    def keep_for_trial(self, state):
+        """Leave an item that was taken over to its owner, but for a trial.
+
+        Returns
+        -------
+        bool
+            Whether the item may be started here.
+        """
+        if not state.is_taken_for_trial:
+            return True
+        blocks = self.list_blocks(state)
+        if blocks and self.may_begin_trial(state, blocks):
+            return True
+        state.is_taken = False
+        state.is_taken_for_trial = False
+        state.idle_since = self.now
+        return False
+
     def can_stall(self, peer):
         """Return whether a peer would tell of progress, or is not heard."""
         return peer.tells_waiting or not peer.is_live(self.now)
@@ -326,6 +414,9 @@
         state.must_look_up = False
         if is_succession:
             state.is_taken = True
+            state.is_taken_for_trial = bool(self.list_blocks(state))
+            if state.is_taken_for_trial:
+                self.trial_item = state
             state.hindrance = None
             eliot.log_message(
                 "item:taken_over",
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession_without_bound.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession_without_bound.py
@@ -2,9 +2,8 @@
 
 import pytest
 
-
-from .test_succession import fleet  # noqa: F401
 from .test_succession import FINISH_S
+from .test_succession import fleet  # noqa: F401
 from .test_succession import ITEMS
 from .test_succession import list_done
 from .test_succession import PART
