--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession_without_bound.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession_without_bound.py
@@ -2,9 +2,8 @@
 
 import pytest
 
-
-from .test_succession import fleet  # noqa: F401
 from .test_succession import FINISH_S
+from .test_succession import fleet  # noqa: F401
 from .test_succession import ITEMS
 from .test_succession import list_done
 from .test_succession import PART
@@ -12,9 +11,6 @@
 from .test_succession import submit  # noqa: F401
 
 
-
-
-
 class NoRoutes:
     """Routes of a configuration without any."""
 
@@ -41,7 +37,9 @@
     fleet.advance(0.2)
     owners = {
         state.owner
-        for state in fleet.gateways[0].worker.catalogue.jobs["j"].items.values()
+        for state in fleet.gateways[0]
+        .worker.catalogue.jobs["j"]
+        .items.values()
     }
     for gateway in fleet.gateways[:4]:
         if gateway.peers.identifier in owners:
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_blocks_in_one_request.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_blocks_in_one_request.py
@@ -1,5 +1,7 @@
 """Tests of requests that have the keys of several blocks."""
 
+import random
+
 import pytest
 
 OWN, FATAL, SHARED, SOUND = 1, 2, 3, 9
@@ -101,3 +103,40 @@
         if OWN in send.parts
     ]
     assert len(sends) <= MAX_SENDS, len(sends)
+
+
+# Failure: with two fatal parts in requests that share others, each block had
+# trials of its own with the same fatal part, some at the same time.
+@pytest.mark.parametrize("seed", [1, 3])
+def test_two_fatal_parts_cost_few_while_the_store_is_down(
+    build_fleet, wire, seed
+):
+    draw = random.Random(seed)
+    fleet = build_fleet(gateways=0, upstreams=12)
+    fleet.random.seed(seed)
+    for number in range(6):
+        fleet.add_gateway(runs_batch=number >= 3)
+    fleet.advance(1.0)
+    wire.is_down = True
+    fleet.fatal_parts |= {2, 3}
+    kinds = [(2, 10), (2, 11), (3, 10), (3, 12), (10, 12), (20,), (11, 20)]
+    for step in range(400):
+        for number, gateway in enumerate(fleet.gateways):
+            if draw.random() < 0.5:
+                fleet.request(
+                    f"p{step}-{number}", draw.choice(kinds), gateway=gateway
+                )
+        fleet.advance(STEP_S)
+    for part in (2, 3):
+        ends = [
+            send.time
+            for send in fleet.list_sends(part)
+            if send.has_ended_upstream
+        ]
+        assert len(ends) >= 5
+        late = [
+            (round(send.time - ends[4], 1), send.gateway.peers.identifier)
+            + send.parts
+            for send in fleet.list_sends(part, after=ends[4] + SETTLE_S)
+        ]
+        assert len(late) <= MAX_SENDS, late
