Take turns at a trial from the end of its postponement

Twelve of twelve gateways let a fatal part through at one moment when the store was away: the time of each for the trial had passed while ends elsewhere postponed it. The turns now count from the last of these ends.

A trial that was given up before its upstream ended told nothing and was repeated every two seconds without a bound: the upstream is checked now. A claim does not depend on the clocks of two machines.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/claims.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/claims.py
@@ -105,7 +105,6 @@
         try:
             content = parse_document(entry.content)
             gateway = content["gateway"]
-            age = self.gateway.wall_clock() - float(content["claimed_at"])
             trials = int(content["trials"])
         except (ArithmeticError, LookupError, TypeError, ValueError) as error:
             eliot.log_message(
@@ -121,10 +120,8 @@
         self.seen[entry.key] = entry.revision, seen_at
         if len(self.seen) > MAX_SEEN_CLAIMS:
             del self.seen[next(iter(self.seen))]
-        return (
-            trials >= block.trial_count
-            and max(age, now - seen_at) < CLAIM_EXPIRY_S
-        )
+        # By this clock alone, since those of machines differ.
+        return trials >= block.trial_count and now - seen_at < CLAIM_EXPIRY_S
 
     def release(self, blocks):
         """Give up a claim that was not used."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
@@ -6,9 +6,9 @@
 
 from hollyspan_policy.crashes import choose_trial_slot
 from hollyspan_policy.crashes import CLAIM_SPREAD_S
+from hollyspan_policy.crashes import find_calm_time
 from hollyspan_policy.crashes import has_met_losses
 from hollyspan_policy.crashes import has_request
-from hollyspan_policy.crashes import is_calm
 from hollyspan_policy.crashes import SPREAD_WITHOUT_STORE_S
 
 from .block_list import describe_block
@@ -148,31 +148,37 @@
             share = self.guard.records.find_trial_share(keys)
             self.shares[keys] = now, share
         return share is not None and now >= max(
-            block.trial_at for block in blocks
+            map(self.find_trial_time, blocks)
         ) + choose_trial_slot(
             share,
             has_store=self.claims.has_store(),
             block_count=len(blocks),
         )
 
-    def must_postpone(self, block):
-        """Return whether upstreams are ending, with these keys or others."""
-        now = self.gateway.reactor.seconds()
-        ends = self.guard.list_all_ends()
-        if self.has_recent_end(block):
-            return True
+    def find_trial_time(self, block):
+        """Return the time of a trial, after the ends that postpone it."""
         spread = (
             CLAIM_SPREAD_S
             if self.claims.has_store()
             else SPREAD_WITHOUT_STORE_S
         )
-        if now >= block.get_latest_trial_time(spread=spread) or is_calm(
+        calm_at = find_calm_time(
             block.keys,
-            ends,
-            now=now,
+            self.guard.list_all_ends(),
             blocked=self.guard.blocks,
             void_trials=block.void_trials,
-        ):
+        )
+        return max(
+            block.trial_at,
+            min(calm_at, block.get_latest_trial_time(spread=spread)),
+        )
+
+    def must_postpone(self, block):
+        """Return whether upstreams are ending, with these keys or others."""
+        now = self.gateway.reactor.seconds()
+        if self.has_recent_end(block):
+            return True
+        if now >= self.find_trial_time(block):
             return False
         if self.postponed.get(block.keys) != block.trial_count:
             self.postponed[block.keys] = block.trial_count
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -26,6 +26,9 @@
 CLAIM_WAIT_S = 0.5
 # Time after a trial in which its upstream's end, if it is one, is detected.
 TRIAL_CHECK_S = 2.0
+# Time after a trial that was given up to the check of its upstream: less than
+# one needs to start again.
+UPSTREAM_CHECK_S = 1.0
 # Time of a trial after which the next one may begin.
 MAX_TRIAL_S = 3.0
 # Time from the end to the verdict, in which other gateways report ends.
@@ -269,10 +272,22 @@
         """Note that a tracked request is no longer in flight."""
         trial = self.find(exposure) if self.own else None
         if trial is not None:
+            self.gateway.reactor.callLater(
+                UPSTREAM_CHECK_S, self.check_upstream, trial
+            )
             self.gateway.reactor.callLater(
                 TRIAL_CHECK_S, self.end_unchecked, trial
             )
 
+    def check_upstream(self, trial):
+        """Check whether an upstream has ended since the trial was given up."""
+        if (
+            self.is_open(trial)
+            and not trial.has_ended_upstream
+            and not trial.is_broken_off
+        ):
+            self.guard.detector.note_lost(trial.exposure)
+
     def note_result(self, exposure, error):
         """Note how a tracked request has ended."""
         trial = self.find(exposure) if self.own else None
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_claims_between_clocks.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_claims_between_clocks.py
@@ -18,7 +18,9 @@
     outcomes = []
     for gateway in (first, second):
         block = gateway.guard.block_list.add(KEYS, at=fleet.reactor.seconds())
-        work = defer.ensureDeferred(gateway.guard.trials.claims.acquire(block))
+        work = defer.ensureDeferred(
+            gateway.guard.trials.claims.acquire([block])
+        )
         work.addBoth(outcomes.append)
         fleet.advance(0.2)
     assert outcomes == [True, False]
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -4,9 +4,9 @@
 from .block import choose_trial_delay
 from .block import choose_trial_slot
 from .block import CLAIM_SPREAD_S
+from .block import find_calm_time
 from .block import has_met_losses
 from .block import has_request
-from .block import is_calm
 from .block import is_refuted
 from .block import list_matching_blocks
 from .block import SPREAD_WITHOUT_STORE_S
@@ -29,11 +29,11 @@
     "choose_blocks",
     "choose_trial_delay",
     "choose_trial_slot",
+    "find_calm_time",
     "has_common_cause",
     "has_ended_upstreams",
     "has_met_losses",
     "has_request",
-    "is_calm",
     "is_refuted",
     "list_explained_blocks",
     "list_implicated_keys",
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -1,5 +1,7 @@
 """Block of requests by their keys."""
 
+import math
+
 from .decision import SURVIVAL_VALIDITY_S
 from .explanation import MIN_ENDS
 
@@ -7,9 +9,9 @@
     "Block",
     "choose_trial_delay",
     "choose_trial_slot",
+    "find_calm_time",
     "has_met_losses",
     "has_request",
-    "is_calm",
     "is_refuted",
     "list_matching_blocks",
 ]
@@ -277,29 +279,39 @@
     return any(map(keys.issubset, end.requests))
 
 
-def is_calm(keys, ends, *, now, blocked=(), void_trials=0):
-    """Return whether no upstream has just ended for another reason.
+def find_calm_time(keys, ends, *, blocked=(), void_trials=0):
+    """Return the time from which ends for other reasons postpone no trial.
 
     Parameters
     ----------
     keys : frozenset of int
         Those of a block.
     ends : iterable of EndRecord
-    now : float
     blocked : iterable of frozenset of int, optional
         Keys of blocks, which explain ends.
     void_trials : int, optional
         Number of trials of the block that told nothing.
 
+    Returns
+    -------
+    float
+        Seconds; minus infinity without such ends.
+
     Notes
     -----
     Load pattern: upstreams are lost each second or two, and a trial that began
     between two losses has met the next one. A longer time without losses is
-    more often the end of them.
+    more often the end of them. The gateways take their turns from then on:
+    their times may have passed before, so that all would begin at once.
     """
     seconds = min(MAX_CALM_S, CALM_S * 2**void_trials)
-    return not has_other_end(
-        keys, ends, since=now - seconds, until=now, blocked=blocked
+    return max(
+        (
+            end.at + seconds
+            for end in ends
+            if is_other_end(end, keys, blocked=blocked)
+        ),
+        default=-math.inf,
     )
 
 
@@ -324,9 +336,7 @@
 def has_other_end(keys, ends, *, since, until, blocked):
     """Return whether an upstream ended in a time for another reason."""
     return any(
-        since < end.at <= until
-        and not has_request(end, keys)
-        and not any(has_request(end, block) for block in blocked)
+        since < end.at <= until and is_other_end(end, keys, blocked=blocked)
         for end in ends
     )
 
@@ -351,3 +361,10 @@
     times = [end.at for end in ends if has_request(end, keys)]
     left = [at for at in times if at > survived_at + SURVIVAL_VALIDITY_S]
     return len(left) < MIN_ENDS <= len(times)
+
+
+def is_other_end(end, keys, *, blocked):
+    """Return whether an upstream ended for another reason than some keys."""
+    return not has_request(end, keys) and not any(
+        has_request(end, block) for block in blocked
+    )
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/tests/test_block.py
@@ -8,14 +8,18 @@
 from hollyspan_policy.crashes import choose_trial_delay
 from hollyspan_policy.crashes import choose_trial_slot
 from hollyspan_policy.crashes import EndRecord
+from hollyspan_policy.crashes import find_calm_time
 from hollyspan_policy.crashes import has_met_losses
-from hollyspan_policy.crashes import is_calm
 from hollyspan_policy.crashes import is_refuted
 
 PART = 1
 KEYS = frozenset({PART})
 
 
+def is_calm(keys, ends, *, now, **options):
+    return now >= find_calm_time(keys, ends, **options)
+
+
 def build_ends(*times, part=PART):
     ends = [EndRecord(at=at) for at in times]
     for end in ends:
