Convict no key by a trial of several blocks

Cause: a trial of several blocks that ended its upstream counted as failed for each. It tells of neither: it counts as void now, and the last early trial of each block is left to a request with its keys alone. Such trials are 6 s, then 120 s and more apart.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/schedule.py
@@ -147,9 +147,10 @@
         if now >= checked_at + SHARE_CHECK_INTERVAL_S:
             share = self.guard.records.find_trial_share(keys)
             self.shares[keys] = now, share
-        return share is not None and now >= max(
-            map(self.find_trial_time, blocks)
-        ) + choose_trial_slot(
+        due = max(map(self.find_trial_time, blocks))
+        if len(blocks) > 1:
+            due = max(due, *(block.joint_trial_at for block in blocks))
+        return share is not None and now >= due + choose_trial_slot(
             share,
             has_store=self.claims.has_store(),
             block_count=len(blocks),
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trial.py
@@ -47,6 +47,8 @@
         True once the end of its upstream was seen here.
     is_broken_off : bool
         True if the answer was broken off.
+    is_joint : bool
+        Whether it has begun as the trial of several blocks.
     reason : str or None
         Why it has ended without a result.
     """
@@ -58,6 +60,7 @@
         "started_at",
         "has_ended_upstream",
         "is_broken_off",
+        "is_joint",
         "reason",
     )
 
@@ -68,6 +71,7 @@
         self.started_at = started_at
         self.has_ended_upstream = False
         self.is_broken_off = False
+        self.is_joint = len(self.blocks) > 1
         self.reason = None
 
     @property
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/trials.py
@@ -344,6 +344,8 @@
             for block in trial.blocks
         ):
             self.end(trial, "void", reason="others ended as well")
+        elif trial.is_joint:
+            self.end(trial, "void", reason="other blocked keys came with it")
         else:
             self.end(trial, "failed")
 
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/block.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Block",
+    "choose_joint_trial_delay",
     "choose_trial_delay",
     "choose_trial_slot",
     "find_calm_time",
@@ -25,6 +26,8 @@
 # All early trials whose upstreams ended, for whatever reason: a request with
 # keys that do end upstreams must not be let through more often.
 MAX_EARLY_TRIALS = 3
+# Those among them that may be trials of other blocks, too.
+MAX_EARLY_JOINT_TRIALS = MAX_EARLY_TRIALS - 1
 # The same if the last one met losses and none has failed: the next one awaits
 # calm.
 MAX_TRIALS_BESIDE_LOSSES = 6
@@ -109,6 +112,13 @@
             has_met_losses=self.has_met_losses,
         )
 
+    @property
+    def joint_trial_at(self):
+        """Time from which a trial may be one of other blocks, too."""
+        return max(
+            self.trial_at, self.at + choose_joint_trial_delay(self.trial_count)
+        )
+
     @property
     def trial_count(self):
         """Number of trials whose upstreams ended."""
@@ -202,6 +212,38 @@
     )
 
 
+def choose_joint_trial_delay(trial_count):
+    """Choose the time to the next trial that is one of several blocks.
+
+    Parameters
+    ----------
+    trial_count : int
+        Trials of the block whose upstreams ended.
+
+    Returns
+    -------
+    float
+        Seconds.
+
+    Notes
+    -----
+    Load pattern: a sound part comes with one that ends upstreams, and both are
+    blocked. The end of a trial with both tells of neither; the last early
+    trial of each is left to a request with that part alone.
+
+    Examples
+    --------
+    >>> [choose_joint_trial_delay(count) for count in range(4)]
+    [2.0, 6.0, 120.0, 480.0]
+    """
+    if trial_count < MAX_EARLY_JOINT_TRIALS:
+        return SECOND_TRIAL_DELAY_S if trial_count else FIRST_TRIAL_DELAY_S
+    backoffs = trial_count - MAX_EARLY_JOINT_TRIALS + 1
+    return min(
+        MAX_TRIAL_DELAY_S, RARE_TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**backoffs
+    )
+
+
 def choose_trial_slot(share, *, has_store, block_count=1):
     """Choose the time after which a gateway may make a trial that is due.
 
