Stand-ins: stop with a parent that ends on the ready line

A stand-in went on for ever, and test_standin_exits_with_its_parent_process timed out once (load 21 on eight cores; the process was still there half an hour later, a child of the first process).

Cause: the stand-in read who its parent was after the ready line, on which the parent may end; and the first check came before the loop ran, where a stop is an error that ended the checks.

--- a/packages/hollyspan_standins/hollyspan_standins/common/program.py
+++ b/packages/hollyspan_standins/hollyspan_standins/common/program.py
@@ -12,6 +12,8 @@
 
 ADDRESS = "127.0.0.1"
 PARENT_POLL_INTERVAL_S = 1.0
+# Read before the ready line, on which the parent may end.
+PARENT = os.getppid()
 
 
 def build_parser(description):
@@ -47,14 +49,18 @@
 def run_reactor(options):
     """Run the reactor until SIGTERM or SIGINT."""
     if options.follow_parent:
-        parent = os.getppid()
-        LoopingCall(stop_if_orphaned, parent).start(PARENT_POLL_INTERVAL_S)
+        # A reactor that does not run yet cannot be stopped.
+        reactor.callWhenRunning(watch_parent)
     reactor.run()
 
 
-def stop_if_orphaned(parent):
-    """Stop the reactor if the parent process has exited."""
-    if os.getppid() != parent:
+def watch_parent():
+    """Stop the reactor once the parent process has exited."""
+    LoopingCall(stop_if_orphaned).start(PARENT_POLL_INTERVAL_S)
+
+
+def stop_if_orphaned():
+    if os.getppid() != PARENT:
         reactor.stop()
 
 
--- a/packages/hollyspan_standins/hollyspan_standins/common/tests/test_program.py
+++ b/packages/hollyspan_standins/hollyspan_standins/common/tests/test_program.py
@@ -39,3 +39,18 @@
     while is_alive(pid):
         assert time.monotonic() < deadline
         time.sleep(0.1)
+
+
+# Failure: a stand-in whose parent had ended on the ready line, before the
+# stand-in read who it was, or before its loop ran, went on for ever.
+def test_standin_exits_if_its_parent_ends_on_the_ready_line():
+    script = (
+        "import os\n"
+        "from hollyspan_standins.common import program\n"
+        "os.getppid = lambda: program.PARENT + 1\n"
+        "options = program.build_parser('').parse_args(['--follow-parent'])\n"
+        "program.run_reactor(options)\n"
+    )
+    subprocess.run(
+        [sys.executable, "-c", script], check=True, timeout=EXIT_TIMEOUT_S
+    )
