--- a/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/__init__.py
@@ -1,15 +1,10 @@
 """Requests and parts of prompts that end the upstreams which answer them."""
 
 from .block import Block
-from .block import choose_trial_delay
-from .block import choose_trial_slot
-from .block import CLAIM_SPREAD_S
-from .block import find_calm_time
-from .block import has_met_losses
-from .block import has_request
 from .block import is_refuted
 from .block import list_matching_blocks
-from .block import SPREAD_WITHOUT_STORE_S
+from .calm import find_calm_time
+from .calm import has_met_losses
 from .common_cause import has_common_cause
 from .decision import choose_blocks
 from .decision import has_ended_upstreams
@@ -19,6 +14,11 @@
 from .decision import narrow_block
 from .evidence import CrashEvidence
 from .record import EndRecord
+from .record import has_request
+from .trial_times import choose_trial_delay
+from .trial_times import choose_trial_slot
+from .trial_times import CLAIM_SPREAD_S
+from .trial_times import SPREAD_WITHOUT_STORE_S
 
 __all__ = [
     "CrashEvidence",
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/record.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/record.py
@@ -1,6 +1,6 @@
 """End of an upstream and the requests that may have caused it."""
 
-__all__ = ["EndRecord"]
+__all__ = ["EndRecord", "has_request"]
 
 
 class EndRecord:
@@ -39,3 +39,14 @@
         self.has_unread = False
         self.requests = set()
         self.fingerprints = set()
+
+
+def has_request(end, keys):
+    """Return whether a request with some keys was in flight at an end.
+
+    Parameters
+    ----------
+    end : EndRecord
+    keys : frozenset of int
+    """
+    return any(map(keys.issubset, end.requests))
