--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -15,7 +15,6 @@
 import signal
 import socket
 import struct
-import sys
 import tempfile
 import time
 import tomllib
