Log on what evidence links count as lost

The lines links:lost and links:confirmed_lost did not tell a gateway that is cut off from upstreams that stand still for all. They say now for how long nothing was heard here and at other gateways.

--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -336,7 +336,28 @@
         )
         self.is_cut_off = True
         self.is_confirmed = False
-        eliot.log_message("links:lost", upstreams=list(self.failed))
+        eliot.log_message(
+            "links:lost",
+            upstreams=list(self.failed),
+            is_conclusive=is_conclusive,
+            **self.describe_evidence(),
+        )
+
+    def describe_evidence(self):
+        """Return since when upstreams are silent here, and not elsewhere."""
+        now = self.gateway.reactor.seconds()
+        answered_at = max(
+            (
+                each.link.answered_elsewhere_at
+                for each in self.gateway.directory.upstreams.values()
+            ),
+            default=-math.inf,
+        )
+        answered_at = max(answered_at, self.answered_elsewhere_at)
+        return {
+            "heard_age": describe_age(self.heard_at, now=now),
+            "elsewhere_age": describe_age(answered_at, now=now),
+        }
 
     def end_cut(self):
         self.is_cut_off = False
@@ -358,7 +379,7 @@
         ):
             return
         self.is_confirmed = True
-        eliot.log_message("links:confirmed_lost")
+        eliot.log_message("links:confirmed_lost", **self.describe_evidence())
         self.gateway.announce_reach()
         self.move_attempts()
 
@@ -471,3 +492,8 @@
             self.probing.discard(upstream.entry.name)
         if self.broken and self.probe_call is not None:
             self.probe_call.reset(0.0)
+
+
+def describe_age(at, *, now):
+    """Return the seconds since a time for a log line, None if it never was."""
+    return None if math.isinf(at) else round(now - at, 3)
