Take silence for lost links only if other gateways hear upstreams

Callers of all gateways had streams cut while sound upstreams stood still for a second: each gateway took the silence that all of them met for lost links of its own, after 0.15 s and one probe whose connection was not established.

A cut is confirmed, and an attempt that waits in a silence of all leaves its upstream, if another gateway has heard one of the upstreams that are silent here (load messages tell the age of the last bytes, which older builds ignore), or has opened a connection where this one could not (an indirect probe, twice a second at most); if connections to two upstreams were closed or refused; or after 2.5 s.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
@@ -163,7 +163,10 @@
         # Only what requests have met tells whether the links are lost.
         if exposures:
             reach.note_failure(
-                upstream, is_unconnected=True, waited_since=started_at
+                upstream,
+                is_unconnected=True,
+                is_refused=True,
+                waited_since=started_at,
             )
         await self.confirm(upstream)
 
@@ -173,10 +176,6 @@
         if result in (None, IndirectResult.REFUSES):
             self.on_confirmed(upstream)
             return
-        if result is IndirectResult.ACCEPTS:
-            upstream.link.note_answer_elsewhere(
-                now=self.gateway.reactor.seconds()
-            )
         eliot.log_message(
             "upstream:end_in_doubt",
             upstream=upstream.entry.name,
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -13,6 +13,7 @@
 from .configuration import apply_configuration
 from .crashes import RequestGuard
 from .http1 import ConnectionPool
+from .indirect_probes import probe_indirectly
 from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
 from .jobs.submissions import Submissions
@@ -100,7 +101,7 @@
         self.worker = None
         self.workers = frozenset()
         self.work = WorkInFlight()
-        self.reach = Reach(gateway=self)
+        self.reach = Reach(gateway=self, probe_indirectly=probe_indirectly)
         self.use_pool(ConnectionPool(reactor=reactor, source_ip=settings.ip))
         self.directory = Directory(
             reactor=reactor,
--- a/packages/hollyspan_gateway/hollyspan_gateway/indirect_probes.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/indirect_probes.py
@@ -134,7 +134,9 @@
         ]
     )
     bodies = {answer[1] for answer in answers if answer is not None}
-    for result in (IndirectResult.ACCEPTS, IndirectResult.REFUSES):
-        if result.value.encode() in bodies:
-            return result
+    if IndirectResult.ACCEPTS.value.encode() in bodies:
+        upstream.link.note_answer_elsewhere(now=gateway.reactor.seconds())
+        return IndirectResult.ACCEPTS
+    if IndirectResult.REFUSES.value.encode() in bodies:
+        return IndirectResult.REFUSES
     return IndirectResult.UNKNOWN
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -404,11 +404,10 @@
         Another gateway is asked instead if links of this one are lost.
         """
         reach = self.gateway.reach
-        if self.can_hop() and (
-            reach.is_quiet(since=self.sent_at)
-            or reach.is_unheard(self.upstream, since=self.sent_at)
-        ):
-            return True
+        if self.is_forwarded or self.can_hop():
+            if reach.is_silent_link(self.upstream, since=self.sent_at):
+                return True
+            reach.investigate(self.upstream, since=self.sent_at)
         return self.gateway.placement.alternatives.has_free(
             self.upstream,
             version=self.version,
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -83,7 +83,8 @@
             encoded.departure = load.departure
             encode_limit(encoded, load.limit)
             encode_reported(encoded, load.reported)
-            encoded.runPercent = encode_percent(load.run_slowness)
+            encoded.runPercent = encode_hundredths(load.run_slowness)
+            encoded.heardCentiseconds = encode_hundredths(load.heard_age)
             encode_pace(encoded, load.pace)
     if message.totals:
         totals = wire.init("totals", len(message.totals))
@@ -173,7 +174,8 @@
                     is_unreachable=load.isUnreachable,
                     departure=load.departure,
                     limit=read_limit(load),
-                    run_slowness=read_percent(load.runPercent),
+                    run_slowness=read_hundredths(load.runPercent),
+                    heard_age=read_hundredths(load.heardCentiseconds),
                     pace=read_pace(load),
                 )
                 for load in wire.loads
@@ -396,7 +398,7 @@
     wire.isReported = True
     wire.running = min(MAX_LOAD_COUNT, report.running)
     wire.waiting = min(MAX_LOAD_COUNT, report.waiting)
-    wire.slownessPercent = encode_percent(report.slowness)
+    wire.slownessPercent = encode_hundredths(report.slowness)
 
 
 def read_reported(wire):
@@ -406,17 +408,17 @@
     return LoadReport(
         running=wire.running,
         waiting=wire.waiting,
-        slowness=read_percent(wire.slownessPercent),
+        slowness=read_hundredths(wire.slownessPercent),
     )
 
 
-def encode_percent(factor):
-    """Return a factor in percent as far as it fits, 0 for None."""
+def encode_hundredths(factor):
+    """Return a factor or a time in hundredths as far as it fits, 0 for None."""
     if factor is None:
         return 0
     return max(1, round(min(MAX_LOAD_COUNT, factor * 100)))
 
 
-def read_percent(percent):
-    """Return the factor that a percentage stands for, None for 0."""
-    return percent / 100 if percent else None
+def read_hundredths(hundredths):
+    """Return what a number of hundredths stands for, None for 0."""
+    return hundredths / 100 if hundredths else None
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -17,6 +17,7 @@
   pace @10 :Pace;
   runPercent @11 :UInt16; # how long a run there that has just ended took, of
                           # the usual of such runs at the sender; 0: not told
+  heardCentiseconds @12 :UInt16; # since the sender has heard it; 0: never
 }
 
 struct Total {
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/load_broadcast.py
@@ -124,6 +124,7 @@
         batch=upstream.batch,
         limit=upstream.rate_limit.build_report(now=now),
         pace=build_pace_report(upstream.pace, now=now),
+        heard_age=upstream.link.find_heard_age(now=now),
     )
     if include_report:
         load.reported, upstream.unsent_report = upstream.unsent_report, None
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -26,6 +26,8 @@
         of such runs at the sender.
     pace : PaceReport, optional
         What its answers show of its pace.
+    heard_age : float or None, optional
+        Seconds since the sender has received bytes of its answers.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "limit",
         "run_slowness",
         "pace",
+        "heard_age",
     )
 
     def __init__(
@@ -52,6 +55,7 @@
         limit=None,
         run_slowness=None,
         pace=None,
+        heard_age=None,
     ):
         self.upstream = upstream
         self.online = online
@@ -62,6 +66,7 @@
         self.limit = limit
         self.run_slowness = run_slowness
         self.pace = pace
+        self.heard_age = heard_age
 
 
 class UpstreamTotal:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -77,6 +77,7 @@
     limit=LIMITS,
     run_slowness=FACTORS,
     pace=PACES,
+    heard_age=FACTORS,
 )
 TOTALS = st.builds(
     UpstreamTotal,
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/failed_send.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/failed_send.py
@@ -2,6 +2,7 @@
 
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamStalledError
+from hollyspan_core.errors import UpstreamConnectionRefusedError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.errors import UpstreamUnreachableError
 
@@ -29,6 +30,7 @@
             upstream,
             is_unconnected=is_unconnected,
             is_closed=is_sudden,
+            is_refused=isinstance(error, UpstreamConnectionRefusedError),
             waited_since=(
                 placement.reactor.seconds() if is_sudden else waited_since
             ),
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
@@ -25,6 +25,8 @@
         established.
     answered_elsewhere_at : float
         Time at which a peer last told of an answer of the upstream.
+    heard_elsewhere_at : float
+        Time at which a peer last received bytes of its answers, as told.
     doubts : dict
         Time until which a peer's failed connection attempt counts, by the
         peer's identifier.
@@ -41,6 +43,7 @@
         "silent_at",
         "unconnected_at",
         "answered_elsewhere_at",
+        "heard_elsewhere_at",
         "doubts",
         "closed_at",
         "probation",
@@ -52,6 +55,7 @@
         self.silent_at = -math.inf
         self.unconnected_at = None
         self.answered_elsewhere_at = -math.inf
+        self.heard_elsewhere_at = -math.inf
         self.doubts = {}
         self.closed_at = -math.inf
         self.probation = None
@@ -66,6 +70,11 @@
         """Time at which the upstream was last known to be alive."""
         return max(self.heard_at, self.answered_elsewhere_at)
 
+    @property
+    def last_elsewhere_at(self):
+        """Time at which other gateways last heard the upstream."""
+        return max(self.answered_elsewhere_at, self.heard_elsewhere_at)
+
     @property
     def is_broken(self):
         """True after a failure, until the link has worked again."""
@@ -139,6 +148,14 @@
         self.answered_elsewhere_at = now
         self.doubts.clear()
 
+    def find_heard_age(self, *, now):
+        """Return the seconds since the last bytes, None before the first."""
+        return None if math.isinf(self.heard_at) else now - self.heard_at
+
+    def note_heard_elsewhere(self, *, at):
+        """Note when a peer has received bytes of an answer."""
+        self.heard_elsewhere_at = max(self.heard_elsewhere_at, at)
+
     def is_doubted(self, *, now):
         """Return whether a peer has lately failed to connect."""
         return bool(self.doubts) and max(self.doubts.values()) > now
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/load_reports.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/load_reports.py
@@ -54,6 +54,10 @@
         if load.reported is not None:
             self.apply(upstream, load.reported)
             upstream.link.note_answer_elsewhere(now=self.reactor.seconds())
+        if load.heard_age is not None:
+            upstream.link.note_heard_elsewhere(
+                at=self.reactor.seconds() - load.heard_age
+            )
         self.speeds.note_measured(upstream, load.run_slowness)
 
     def note_unreadable(self, upstream, text):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -9,7 +9,9 @@
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_policy.reach import has_lost_links
 from hollyspan_policy.reach import is_link_lost
+from hollyspan_policy.reach import is_only_silent_here
 
+from .cut_evidence import CutEvidence
 from .probation import Probation
 
 __all__ = ["Reach"]
@@ -33,6 +35,8 @@
     Parameters
     ----------
     gateway : Gateway
+    probe_indirectly : callable
+        See `CutEvidence`.
 
     Attributes
     ----------
@@ -47,8 +51,11 @@
         True while no upstream seems to be reached.
     cut_off_at : float
         Time from which this has been so, reactor seconds.
+    quiet_since : float
+        Time since which the attempt whose failure showed it had waited.
     is_confirmed : bool
-        True once a probe has failed, too.
+        True once a probe has failed, too, and the upstreams do not just stand
+        still.
     failed : dict
         Upstreams at which attempts have failed since the last bytes from any
         upstream, by name.
@@ -58,6 +65,7 @@
         Upstreams whose links have failed since they last worked, by name.
     probation : Probation
         Of the links to all upstreams.
+    evidence : CutEvidence
 
     Notes
     -----
@@ -73,27 +81,33 @@
         "answered_elsewhere_at",
         "is_cut_off",
         "cut_off_at",
+        "quiet_since",
         "is_confirmed",
         "failed",
         "unconnected",
         "broken",
         "probation",
+        "evidence",
         "probing",
         "probe_call",
     )
 
-    def __init__(self, *, gateway):
+    def __init__(self, *, gateway, probe_indirectly):
         self.gateway = gateway
         self.heard_at = -math.inf
         self.silent_at = -math.inf
         self.answered_elsewhere_at = -math.inf
         self.is_cut_off = False
         self.cut_off_at = -math.inf
+        self.quiet_since = -math.inf
         self.is_confirmed = False
         self.failed = {}
         self.unconnected = {}
         self.broken = {}
         self.probation = Probation(seed=gateway.settings.instance)
+        self.evidence = CutEvidence(
+            reach=self, probe_indirectly=probe_indirectly
+        )
         self.probing = set()
         self.probe_call = None
 
@@ -127,7 +141,13 @@
                 self.end_cut()
 
     def note_failure(
-        self, upstream, *, is_unconnected, waited_since, is_closed=False
+        self,
+        upstream,
+        *,
+        is_unconnected,
+        waited_since,
+        is_closed=False,
+        is_refused=False,
     ):
         """Note an attempt that failed at an upstream or on the way.
 
@@ -140,6 +160,8 @@
             Time since which the attempt has waited for bytes.
         is_closed : bool, optional
             True when its connection was closed or reset.
+        is_refused : bool, optional
+            True when it was refused.
         """
         now = self.gateway.reactor.seconds()
         name = upstream.entry.name
@@ -147,6 +169,8 @@
             # It has gone, and is probed no more.
             return
         link = upstream.link
+        if is_refused:
+            self.evidence.refused_at[name] = now
         if is_unconnected:
             self.unconnected[name] = upstream
             if link.unconnected_at is None:
@@ -161,6 +185,7 @@
                 failed=len(self.failed), quiet_seconds=quiet_seconds
             )
         ):
+            self.quiet_since = max(waited_since, self.heard_at)
             self.begin_cut(is_conclusive=is_closed or self.is_deaf())
         if is_unconnected and not (
             self.is_cut_off or self.cannot_connect or self.has_lost_link()
@@ -209,7 +234,7 @@
             quiet_seconds=self.gateway.reactor.seconds() - quiet_since,
         )
 
-    def is_unheard(self, upstream, *, since):
+    def is_silent_link(self, upstream, *, since):
         """Return whether the silence of an upstream is that of its link.
 
         Parameters
@@ -220,19 +245,33 @@
 
         Notes
         -----
-        While no other link is known to be lost, it is taken for busy.
+        Upstreams that stand still are silent for other gateways, too. One
+        that answers these is taken for busy while no other link fails.
         """
+        if self.is_quiet(since=since):
+            return self.evidence.is_heard_elsewhere(since=since)
         link = upstream.link
-        quiet_since = max(since, link.heard_at)
-        if not has_lost_links(
-            failed=1,
-            quiet_seconds=self.gateway.reactor.seconds() - quiet_since,
-        ):
-            return False
-        return self.cannot_connect or (
-            link.answered_elsewhere_at > quiet_since and self.has_lost_link()
+        return is_only_silent_here(
+            quiet_since=max(since, link.heard_at),
+            answered_elsewhere_at=link.last_elsewhere_at,
+        ) and (
+            self.cannot_connect
+            or self.has_lost_link()
+            or self.evidence.has_silent_link(besides=upstream)
         )
 
+    def investigate(self, upstream, *, since):
+        """Look for an upstream at which an attempt waits in a silence of all.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        since : float
+            Time since which it has waited.
+        """
+        if not self.probing and self.is_quiet(since=since):
+            self.start_probe(upstream)
+
     def must_hold(self, address):
         """Return whether new connections to an address are in doubt.
 
@@ -270,6 +309,7 @@
             each.link.closes for each in self.broken.values()
         )
         unconnected, self.unconnected = self.unconnected, {}
+        self.evidence.forget()
         for upstream in reached:
             unconnected.pop(upstream.entry.name, None)
             if (
@@ -340,25 +380,9 @@
             "links:lost",
             upstreams=list(self.failed),
             is_conclusive=is_conclusive,
-            **self.describe_evidence(),
+            **self.evidence.describe(),
         )
 
-    def describe_evidence(self):
-        """Return since when upstreams are silent here, and not elsewhere."""
-        now = self.gateway.reactor.seconds()
-        answered_at = max(
-            (
-                each.link.answered_elsewhere_at
-                for each in self.gateway.directory.upstreams.values()
-            ),
-            default=-math.inf,
-        )
-        answered_at = max(answered_at, self.answered_elsewhere_at)
-        return {
-            "heard_age": describe_age(self.heard_at, now=now),
-            "elsewhere_age": describe_age(answered_at, now=now),
-        }
-
     def end_cut(self):
         self.is_cut_off = False
         was_confirmed, self.is_confirmed = self.is_confirmed, False
@@ -370,16 +394,17 @@
         """Take it as certain that no upstream is reached.
 
         Not before streams would have brought bytes: upstreams may have ended
-        in the same moment.
+        in the same moment. Nor while they may just stand still.
         """
         if (
             not self.is_cut_off
             or self.is_confirmed
             or not self.is_quiet(since=self.cut_off_at)
+            or not self.evidence.is_conclusive()
         ):
             return
         self.is_confirmed = True
-        eliot.log_message("links:confirmed_lost", **self.describe_evidence())
+        eliot.log_message("links:confirmed_lost", **self.evidence.describe())
         self.gateway.announce_reach()
         self.move_attempts()
 
@@ -487,13 +512,10 @@
             is_other = upstream.entry.name not in self.broken
             if is_other or not self.list_others():
                 self.confirm_cut()
+            if not self.is_confirmed:
+                self.evidence.ask(upstream)
             return
         finally:
             self.probing.discard(upstream.entry.name)
         if self.broken and self.probe_call is not None:
             self.probe_call.reset(0.0)
-
-
-def describe_age(at, *, now):
-    """Return the seconds since a time for a log line, None if it never was."""
-    return None if math.isinf(at) else round(now - at, 3)
--- a/packages/hollyspan_policy/hollyspan_policy/reach/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/reach/__init__.py
@@ -2,6 +2,7 @@
 
 from .evidence import has_lost_links
 from .evidence import is_link_lost
+from .evidence import is_only_silent_here
 from .forwarders import choose_forwarder
 from .forwarders import Forwarder
 
@@ -10,4 +11,5 @@
     "choose_forwarder",
     "has_lost_links",
     "is_link_lost",
+    "is_only_silent_here",
 ]
--- a/packages/hollyspan_policy/hollyspan_policy/reach/evidence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/reach/evidence.py
@@ -1,6 +1,6 @@
 """Whether a failure tells of an upstream or of the daemon's own link to it."""
 
-__all__ = ["has_lost_links", "is_link_lost"]
+__all__ = ["has_lost_links", "is_link_lost", "is_only_silent_here"]
 
 # One upstream that fails says nothing about the others.
 MIN_FAILED_UPSTREAMS = 2
@@ -82,3 +82,34 @@
     False
     """
     return failed_at is not None and alive_at > failed_at
+
+
+def is_only_silent_here(*, quiet_since, answered_elsewhere_at):
+    """Return whether a silence is that of the link and not of the upstream.
+
+    Parameters
+    ----------
+    quiet_since : float
+        Time since which a daemon has heard nothing.
+    answered_elsewhere_at : float
+        Time at which the upstream last answered another daemon.
+
+    Returns
+    -------
+    bool
+
+    Notes
+    -----
+    Load pattern: sound upstreams, all or most of them, stand still for a
+    second and go on. Each daemon hears nothing then, and a connection that
+    cannot be opened tells no more. Only an answer that another daemon gets
+    meanwhile does. One that was on its way when the silence began does not.
+
+    Examples
+    --------
+    >>> is_only_silent_here(quiet_since=2.0, answered_elsewhere_at=2.2)
+    True
+    >>> is_only_silent_here(quiet_since=2.0, answered_elsewhere_at=2.1)
+    False
+    """
+    return answered_elsewhere_at > quiet_since + MIN_QUIET_S
