Count the attempts of a gateway that breaks a forwarded stream off

A request ran at three upstreams of two allowed: a peer had used both attempts and broke the stream off, and the gateway that had forwarded it counted one.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -8,6 +8,7 @@
 from hollyspan_core.errors import PeerMessageError
 
 __all__ = [
+    "ATTEMPTS_HEADER",
     "FAILURE_HEADER",
     "FORWARDED_PATH",
     "ForwardedOptions",
@@ -24,9 +25,10 @@
 
 # Path prefix of the requests; the options and the client's target follow.
 FORWARDED_PATH = b"/requests/"
-# Headers of the answers: which software version writes the stream, which
-# upstream's incarnation has announced its shutdown, and that the gateway has
-# failed, not the upstream.
+# Headers of the answers: at how many upstreams the request may have run, which
+# software version writes the stream, which upstream's incarnation has announced
+# its shutdown, and that the gateway has failed, not the upstream.
+ATTEMPTS_HEADER = b"hollyspan-attempts"
 VERSION_HEADER = b"hollyspan-version"
 # Header of the requests: digest of the caller's key.
 KEY_HEADER = b"hollyspan-key"
@@ -183,7 +185,7 @@
         return malformed, 1
 
 
-def set_upstream_headers(request, upstream, reply):
+def set_upstream_headers(request, upstream, reply, *, attempts):
     """Tell the gateway that forwards a request where it runs.
 
     Parameters
@@ -192,8 +194,11 @@
         Forwarded request, before the head of its answer is sent.
     upstream : Upstream
     reply : UpstreamReply
+    attempts : int
+        Number of upstreams at which it may have run.
     """
     entry = upstream.entry
+    request.setHeader(ATTEMPTS_HEADER, b"%x" % attempts)
     request.setHeader(VERSION_HEADER, b"%x" % entry.version_key)
     if reply.is_leaving:
         request.setHeader(LEAVING_HEADER, b"%x" % entry.incarnation_key)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -14,6 +14,7 @@
 from ..http1 import MAX_FAILURE_BYTES
 from ..http1 import run_attempt
 from ..routes import RouteKind
+from .forwarded import ATTEMPTS_HEADER
 from .forwarded import build_target
 from .forwarded import decode_failure
 from .forwarded import FAILURE_HEADER
@@ -28,7 +29,9 @@
 # Time without a byte after which the peer's heartbeats decide whether it is
 # still there: longer than it takes to move a stream to another upstream.
 QUIET_CHECK_S = 0.6
-INTERNAL_HEADERS = frozenset((FAILURE_HEADER, LEAVING_HEADER, VERSION_HEADER))
+INTERNAL_HEADERS = frozenset(
+    (ATTEMPTS_HEADER, FAILURE_HEADER, LEAVING_HEADER, VERSION_HEADER)
+)
 # Failures for which another gateway may run the request.
 UNTAKEN_CODES = frozenset(
     (
@@ -61,6 +64,8 @@
         Size of that body.
     version : int or None
         Key of the version that writes the stream.
+    attempts : int
+        Number of upstreams at which the peer has told that it may have run.
 
     Notes
     -----
@@ -75,6 +80,7 @@
         "failure_parts",
         "failure_bytes",
         "version",
+        "attempts",
     )
 
     def __init__(self, *, relay, peer):
@@ -84,6 +90,7 @@
         self.failure_parts = []
         self.failure_bytes = 0
         self.version = None
+        self.attempts = 1
 
     async def run(self):
         """Forward the request and its answer.
@@ -141,6 +148,9 @@
                 )
         if error is None:
             error = self.check_answer()
+        elif error.outcome is not Outcome.NOT_RUN:
+            # One is counted for the hop.
+            relay.sends += self.attempts - 1
         if error is not None and error.outcome is Outcome.NOT_RUN:
             relay.sends -= 1
         if isinstance(error, PeerUnavailableError):
@@ -179,6 +189,7 @@
         values = dict(headers)
         self.has_failed = FAILURE_HEADER in values
         self.version = parse_key(values.get(VERSION_HEADER))
+        self.attempts = parse_key(values.get(ATTEMPTS_HEADER)) or self.attempts
         departure = parse_key(values.get(LEAVING_HEADER))
         if departure is not None:
             relay.gateway.directory.note_reported_departure(departure)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -430,7 +430,9 @@
             self.upstream, opened_at=self.exposure.opened_at
         )
         if self.is_forwarded and not self.delivery.has_begun:
-            set_upstream_headers(self.request, self.upstream, reply)
+            set_upstream_headers(
+                self.request, self.upstream, reply, attempts=self.sends
+            )
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
         self.require_deliverable()
@@ -517,6 +519,9 @@
             return False
         if self.sends >= self.max_attempts:
             return False
+        if self.is_forwarded and self.delivery.has_begun:
+            # The gateway that forwards it knows of the attempts so far only.
+            return False
         if error.outcome is Outcome.NOT_RUN:
             return self.refusals <= MAX_REFUSALS
         if is_broken_off(error) and self.gateway.guard.has_ended_upstreams(
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hollyspan_core.errors import StreamLostError
 from hollyspan_gateway.daemon import answer_internal
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_standins.memory import build_route
@@ -334,3 +335,25 @@
         for name in sent.connection.headers
         if name.startswith(b"hollyspan")
     ]
+
+
+# Failure: a peer that had used two attempts was counted as one, and the stream
+# went on at a third upstream.
+def test_attempts_of_a_peer_that_breaks_a_stream_off_count(fleet):
+    request = send(fleet)
+    fleet.advance(0.03)
+    (first,) = find_sends(fleet, request)
+    break_off(first)
+    fleet.advance(0.3)
+    second = find_sends(fleet, request)[1]
+    assert second.last_event > 0
+    break_off(second)
+    fleet.advance(3.0)
+    assert request.is_aborted
+    assert len(find_sends(fleet, request)) == 2
+
+
+def break_off(sent):
+    """Break the connection to an upstream."""
+    sent.is_ended = True
+    sent.connection.exchange.on_failure(StreamLostError("connection closed"))
