Break an attempt off only if another can follow it

Callers had streams end in the midst of a 200, or with an unknown outcome, 3 s before their deadline: attempts were broken off for lost links because the route may be repeated, whether or not an attempt was left. Behind a first attempt that was given up for silence, three refused or unopened connections ended the request as well, though its upstream was about to go on.

An attempt may be broken off only while the route allows another one. A request that has begun, or that was given up in a silence, is tried again, after a pause of 0.05 to 0.4 s, until its deadline; what has certainly not run is refused at once as before.

--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/continuation.py
@@ -0,0 +1,109 @@
+"""Requests that may have run, and that no final answer has been given to."""
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import OverloadedError
+from hollyspan_core.errors import StreamStalledError
+from hollyspan_policy.retries import compute_backoff
+from hollyspan_policy.retries import may_break_off
+from hollyspan_policy.retries import must_continue
+
+from ..clock import wait
+
+__all__ = ["Continuation"]
+
+# Longest pause after the first round of attempts that nobody took, and after
+# any: a place becomes free in the time that a request occupies one.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 0.4
+
+
+class Continuation:
+    """Decides how a request goes on after an attempt that may have run it.
+
+    Parameters
+    ----------
+    relay : Relay
+
+    Attributes
+    ----------
+    ran_at : set of str
+        Names of the upstreams that may have run the request.
+    has_given_up : bool
+        True once an attempt was given up while its answer could come.
+    rounds : int
+        Number of pauses so far.
+
+    Notes
+    -----
+    A client that has a part of the answer waits for the rest, and one whose
+    request was given up at a sound upstream would have had its answer. Until
+    the deadline, such a request fails only if no attempt is left.
+    """
+
+    __slots__ = ("relay", "ran_at", "has_given_up", "rounds")
+
+    def __init__(self, *, relay):
+        self.relay = relay
+        self.ran_at = set()
+        self.has_given_up = False
+        self.rounds = 0
+
+    def may_break_off(self):
+        """Return whether the current attempt may be given up for another."""
+        relay = self.relay
+        return may_break_off(
+            sends=relay.sends,
+            max_attempts=relay.max_attempts,
+            is_repeatable=relay.route.is_repeatable,
+        )
+
+    def must_continue(self, error):
+        """Return whether to try again although all others have refused.
+
+        Parameters
+        ----------
+        error : HollyspanError
+            Of the last attempt.
+        """
+        relay = self.relay
+        was_refused = (
+            isinstance(error, OverloadedError)
+            or error.outcome is Outcome.NOT_RUN
+        )
+        return (
+            was_refused
+            and not relay.is_forwarded
+            and must_continue(
+                sends=relay.sends,
+                max_attempts=relay.max_attempts,
+                is_repeatable=relay.route.is_repeatable,
+                is_owed=self.has_given_up or relay.delivery.has_begun,
+                seconds_left=relay.measure_time_left(),
+                pause_seconds=self.find_pause(),
+            )
+        )
+
+    def note_failure(self, error):
+        """Note an attempt that may have run the request."""
+        self.ran_at.add(self.relay.upstream.entry.name)
+        if isinstance(error, StreamStalledError):
+            self.has_given_up = True
+
+    def find_pause(self):
+        """Return the seconds until the next round of attempts."""
+        return compute_backoff(
+            self.rounds + 1,
+            seed=self.relay.head.identifier,
+            base=FIRST_PAUSE_S,
+            limit=MAX_PAUSE_S,
+        )
+
+    async def pause(self):
+        """Wait before another round, in which all may be asked again."""
+        relay = self.relay
+        seconds = self.find_pause()
+        self.rounds += 1
+        await wait(relay.gateway.reactor, seconds)
+        relay.refusals = 0
+        relay.tried = set(self.ran_at)
+        relay.asked_peers.clear()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -20,6 +20,7 @@
 from .answers import check_events_head
 from .answers import check_plain_answer
 from .attempt_log import log_failed_attempt
+from .continuation import Continuation
 from .delivery import Delivery
 from .forwarded import set_upstream_headers
 from .hop import Hop
@@ -87,6 +88,7 @@
         while it has no event.
     delivery : Delivery
         Delivery of the answer to the client.
+    continuation : Continuation
     """
 
     def __init__(
@@ -125,6 +127,7 @@
             clock=gateway.reactor.seconds,
             resume_after=head.resume_after,
         )
+        self.continuation = Continuation(relay=self)
         self.upstream = None
         self.upstream_load = {}
         self.reply = None
@@ -173,14 +176,24 @@
         while True:
             await self.require_allowed()
             self.gateway.workspaces.require_in_force(self)
-            error = await self.attempt()
+            try:
+                error = await self.attempt()
+            except OverloadedError as error:
+                if not self.continuation.must_continue(error):
+                    raise
+                log_failed_attempt(self, error)
+                await self.continuation.pause()
+                continue
             if error is None:
                 self.finish()
                 return
             log_failed_attempt(self, error)
-            if not self.may_retry(error):
+            if self.may_retry(error):
+                continue
+            if not self.continuation.must_continue(error):
                 self.finish_failed(error)
                 return
+            await self.continuation.pause()
 
     async def attempt(self):
         """Let an upstream or another gateway run the request once."""
@@ -330,7 +343,7 @@
                 fingerprint=self.head.fingerprint,
             ) as self.exposure,
         ):
-            self.exposure.is_movable = self.route.is_repeatable
+            self.exposure.is_movable = self.continuation.may_break_off()
             try:
                 error = await run_attempt(
                     self.gateway.pool,
@@ -394,8 +407,7 @@
         """Return whether the request may move from a silent upstream."""
         return (
             self.route.kind is RouteKind.STREAM
-            and self.route.is_repeatable
-            and self.sends < self.max_attempts
+            and self.continuation.may_break_off()
         )
 
     def may_abandon(self):
@@ -497,6 +509,8 @@
         if error.outcome is Outcome.NOT_RUN:
             self.sends -= 1
             self.refusals += not is_lost
+        else:
+            self.continuation.note_failure(error)
 
     def finish(self):
         """End the answer."""
--- a/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
@@ -2,6 +2,8 @@
 
 from .backoff import compute_backoff
 from .budget import RetryBudget
+from .continuation import may_break_off
+from .continuation import must_continue
 from .decision import decide_retry
 from .decision import is_safe_to_retry
 from .failure import AttemptFailure
@@ -12,4 +14,6 @@
     "compute_backoff",
     "decide_retry",
     "is_safe_to_retry",
+    "may_break_off",
+    "must_continue",
 ]
