--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -26,8 +26,8 @@
 # Path prefix of the requests; the options and the client's target follow.
 FORWARDED_PATH = b"/requests/"
 # Headers of the answers: at how many upstreams the request may have run, which
-# software version writes the stream, which upstream's incarnation has announced
-# its shutdown, and that the gateway has failed, not the upstream.
+# software version writes the stream, which upstream's incarnation has
+# announced its shutdown, and that the gateway has failed, not the upstream.
 ATTEMPTS_HEADER = b"hollyspan-attempts"
 VERSION_HEADER = b"hollyspan-version"
 # Header of the requests: digest of the caller's key.
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -413,7 +413,7 @@
 
 
 def encode_hundredths(factor):
-    """Return a factor or a time in hundredths as far as it fits, 0 for None."""
+    """Return a factor or time in hundredths as far as it fits, 0 for None."""
     if factor is None:
         return 0
     return max(1, round(min(MAX_LOAD_COUNT, factor * 100)))
