Do not trust idle connections to the store for long

Connections to the store may fall silent together, behind a far end that still acknowledges packets. Each next call took an idle one and waited 1 s for its timeout. The time after which a connection is not used again is cleared with each answer, so that a limit of one answer does not hold for the next.

--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -359,6 +359,7 @@
             self.abort()
         else:
             self.parser.start_next_cycle()
+            self.usable_until = None
             if self.idle_seconds is not None:
                 self.usable_until = (
                     self.reactor.seconds() + self.idle_seconds - IDLE_MARGIN_S
@@ -416,6 +417,11 @@
         if held is not None:
             held.callback(None)
 
+    def limit_use(self, until):
+        """Do not reuse the connection after a time, reactor seconds."""
+        if self.usable_until is None or until < self.usable_until:
+            self.usable_until = until
+
     def is_usable(self):
         """Return whether another request can be sent."""
         if self.is_lost or self.exchange is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -1,5 +1,7 @@
 """Pool of idle connections by address."""
 
+import math
+
 from .connection import connect
 from .intake import Intake
 
@@ -23,6 +25,9 @@
         Address of this machine to connect from, by which peers know it.
     intake : Intake, optional
         Bounds on what is read over all connections.
+    max_idle_seconds : float, optional
+        Time without an answer after which a connection is not used again,
+        since it may have fallen silent; no limit by default.
 
     Attributes
     ----------
@@ -43,6 +48,7 @@
         "reactor",
         "source_ip",
         "intake",
+        "max_idle_seconds",
         "idle",
         "opened",
         "must_hold",
@@ -50,9 +56,17 @@
         "on_idle_lost",
     )
 
-    def __init__(self, *, reactor, source_ip=None, intake=None):
+    def __init__(
+        self,
+        *,
+        reactor,
+        source_ip=None,
+        intake=None,
+        max_idle_seconds=math.inf,
+    ):
         self.reactor = reactor
         self.source_ip = source_ip
+        self.max_idle_seconds = max_idle_seconds
         self.intake = intake or Intake(reactor=reactor)
         self.idle = {}
         self.opened = 0
@@ -147,6 +161,10 @@
         )
 
     def add_idle(self, address, connection):
+        if self.max_idle_seconds < math.inf:
+            connection.limit_use(
+                self.reactor.seconds() + self.max_idle_seconds
+            )
         self.idle.setdefault(address, []).append(connection)
 
     def remove_idle(self, address, connection):
