Open a silent watch again instead of listing all entries

A gateway that a peer tells of a newer revision listed all entries below the prefix, which for jobs is large. It now cancels its watch and opens it again from the revision that it has reached; the store's history brings what is missing, and a listing follows only where that history is lost.

Before: test_the_changes_that_a_silent_watch_misses_are_not_listed fails.

--- a/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
@@ -12,7 +12,7 @@
 # already has.
 WATCH_GRACE_S = 0.3
 # The same for jobs, whose changes may follow each other closely: above the
-# longest delay between two watches, and a read of all jobs is large.
+# longest delay between two watches.
 JOBS_WATCH_GRACE_S = 1.0
 # Limits the rate of reads: a gateway that cannot reach the store receives
 # newer revisions with each message.
@@ -75,7 +75,7 @@
             work.addErrback(eliot.write_failure)
 
     async def catch_up(self, name, peer, revision):
-        """Read the entries again unless the watch delivers them first."""
+        """Watch or read again unless the watch delivers the changes first."""
         gateway = self.gateway
         grace = WATCH_GRACE_S
         if name == "jobs":
@@ -95,7 +95,7 @@
             is_watching=is_watching,
         )
         if is_watching:
-            mirror.refresh()
+            mirror.reopen()
             return
         if name == "jobs":
             # Its mirror reads them itself as soon as the store can be reached.
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -137,6 +137,15 @@
         self.follower.cancel()
         return True
 
+    def reopen(self):
+        """Watch again from the revision reached, on another connection.
+
+        The changes that a silent watch has not brought come from the store's
+        history, which costs far less than to read all entries.
+        """
+        if not self.needs_listing and not self.is_stopped:
+            self.follower.cancel()
+
     def apply_snapshot(self, page, *, connected_seconds=None, asked_at=None):
         """Replace the entries by a peer's snapshot if it is newer.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_refresh.py
@@ -52,6 +52,40 @@
     assert lost_watches
 
 
+# Load: a listing of all jobs or upstreams costs far more than what has changed.
+def test_the_changes_that_a_silent_watch_misses_are_not_listed(
+    gateway, peer, reactor, wire, recorded_keys
+):
+    wire.change({"upstreams/a": VALUE})
+    gateway.upstreams_mirror.start()
+    wire.waiting = []
+    wire.change({"upstreams/b": VALUE})
+    start = len(wire.calls)
+    gateway.refresh.compare_revisions(
+        peer, build_message(upstreams=wire.revision)
+    )
+    reactor.advance(0.4)
+    assert recorded_keys[-1] == ["upstreams/a", "upstreams/b"]
+    assert "read_page" not in wire.calls[start:]
+    gateway.upstreams_mirror.stop()
+
+
+def test_a_silent_watch_without_history_is_replaced_by_a_listing(
+    gateway, peer, reactor, wire, recorded_keys
+):
+    wire.change({"upstreams/a": VALUE})
+    gateway.upstreams_mirror.start()
+    wire.waiting = []
+    wire.change({"upstreams/b": VALUE})
+    wire.compacted_revision = wire.revision
+    gateway.refresh.compare_revisions(
+        peer, build_message(upstreams=wire.revision)
+    )
+    reactor.advance(0.4)
+    assert recorded_keys[-1] == ["upstreams/a", "upstreams/b"]
+    gateway.upstreams_mirror.stop()
+
+
 def test_a_revision_that_the_watch_delivers_in_time_is_not_read(
     gateway, peer, reactor, wire, recorded_keys
 ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/workspaces/confirmation.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/workspaces/confirmation.py
@@ -209,7 +209,7 @@
                 # Its own watch mostly delivers the changes at this moment.
                 await wait(gateway.reactor, WATCH_GRACE_S)
                 if mirror.revision < page.changed_revision:
-                    mirror.refresh()
+                    mirror.reopen()
                     return
             if not mirror.needs_listing:
                 mirror.confirm(sent_at)
