Prove the copies of the store's entries by turns

Open connections to the store may fall silent behind a far end that acknowledges keep-alives.

The watches of a fleet now end in turn, one every 1.5 s for routes and for upstreams and every 1.8 s for jobs, and each tells all others how old its copy is. A gateway that hears of no proof in time asks the store on a new connection, tells its peers of what is new, and whoever is behind opens its watch again. Items are not started while the ends of jobs are known up to 2.7 s ago only. The watch of blocks waits 18 s and is opened again with the others.

Ruled out: waits of 30 s, which the store ends with 410 once its history of 20 s is over.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/records.py
@@ -25,6 +25,9 @@
 RETRY_DELAY_S = 1.0
 # A block under which no trial has failed for this long is dropped.
 MAX_BLOCK_AGE_S = 24 * 3600.0
+# Below the 20 s of history that the store keeps for a watch that waits: peers
+# tell of blocks, too.
+WATCH_WAIT_S = 18.0
 
 
 class BlockRecords:
@@ -53,6 +56,7 @@
             prefix=BLOCKS_PREFIX,
             on_change=self.apply,
             must_watch=gateway.store_reading.must_watch,
+            choose_wait=lambda *, is_first: WATCH_WAIT_S,
         )
         self.seen = {}
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -194,6 +194,7 @@
     gateway.configuration_mirror.start()
     gateway.upstreams_mirror.start()
     gateway.confirmation.start()
+    gateway.proof_of_life.start()
     gateway.guard.records.start()
     defer.ensureDeferred(register(gateway)).addErrback(eliot.write_failure)
     if settings.runs_batch:
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -23,6 +23,7 @@
 from .peers import list_totals
 from .peers import LoadBroadcaster
 from .peers import PeerTable
+from .proof_of_life import ProofOfLife
 from .refresh import Refresh
 from .retirement import Retirement
 from .store import Mirror
@@ -178,6 +179,9 @@
         self.refresh = Refresh(gateway=self)
         self.workspaces = WorkspaceAccess(gateway=self)
         self.confirmation = Confirmation(gateway=self)
+        self.proof_of_life = ProofOfLife(gateway=self)
+        for name, mirror in self.mirrors.items():
+            self.proof_of_life.follow(name, mirror)
         self.workspace_rates = WorkspaceRates(gateway=self)
         self.quotas = QuotaLedger(gateway=self)
         self.submissions = Submissions(gateway=self)
@@ -347,6 +351,7 @@
                 now=self.reactor.seconds()
             ),
             **({} if worker is None else worker.describe()),
+            **self.proof_of_life.describe(),
             **self.guard.news.describe(),
             "workspace_loads": self.shares.list_loads(),
         }
@@ -400,10 +405,10 @@
                 upstream.set_region_total(total.online, total.batch, now=now)
                 apply_limits(self.placement, upstream, total)
         self.confirmation.note_message(message)
+        self.proof_of_life.note_message(message)
         self.workspace_rates.apply(peer, message)
         self.shares.apply(message)
-        if message.is_full:
-            self.refresh.compare_revisions(peer, message)
+        self.refresh.compare_revisions(peer, message)
 
     def apply_load_report(self, upstream, load, *, peer):
         """Apply an upstream's load report or failure sent by a peer."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -9,6 +9,7 @@
 from hollyspan_policy.batch import RunTimeEstimator
 from hollyspan_policy.ownership import choose_owner
 
+from ..proof_of_life import JOBS_PROOF_INTERVAL_S
 from ..routes import choose_service
 from ..routes import RouteKind
 from ..upstreams import Shortages
@@ -100,6 +101,9 @@
         self.claims = ClaimBook(worker=self)
         self.succession = Succession(worker=self)
         self.open_items = OpenItemLog(worker=self)
+        gateway.proof_of_life.follow(
+            "jobs", self.catalogue.mirror, interval=JOBS_PROOF_INTERVAL_S
+        )
 
     def start(self):
         """Start following the jobs and running items."""
@@ -184,6 +188,9 @@
             # Results could not be stored; peers that reach the store take
             # the items over.
             return
+        if not self.gateway.proof_of_life.may_start_items():
+            # Their jobs may have ended. The store is being asked.
+            return
         # After a pause, peers may count as failed before their membership is
         # checked; their items have results that are not known here.
         workers = tuple(sorted(self.gateway.update_workers()))
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -164,6 +164,11 @@
     for name, mirror in gateway.mirrors.items():
         add(f"{name}_connected", lambda m=mirror: int(m.is_connected))
         add(f"{name}_revision", lambda m=mirror: m.revision)
+    proof = gateway.proof_of_life
+    for name in ("configuration", "upstreams", "jobs"):
+        add(f"{name}_age", lambda n=name: proof.measure_age(n))
+    add("proofs_asked", lambda: proof.asked)
+    add("watches_silent", lambda: proof.found)
 
 
 def count_limited(gateway):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -72,6 +72,9 @@
         tellsWaiting=message.tells_waiting,
         jobs=message.jobs,
         storeAgeMs=encode_store_age(message.store_age),
+        configurationSeenMs=encode_store_age(message.configuration_age),
+        upstreamsSeenMs=encode_store_age(message.upstreams_age),
+        jobsSeenMs=encode_store_age(message.jobs_age),
     )
     if message.loads:
         loads = wire.init("loads", len(message.loads))
@@ -179,7 +182,12 @@
                 for load in wire.loads
             ],
             configuration=wire.configuration,
-            store_age=wire.storeAgeMs / 1000 if wire.storeAgeMs else None,
+            store_age=read_store_age(wire.storeAgeMs),
+            upstreams=wire.upstreams,
+            jobs=wire.jobs,
+            configuration_age=read_store_age(wire.configurationSeenMs),
+            upstreams_age=read_store_age(wire.upstreamsSeenMs),
+            jobs_age=read_store_age(wire.jobsSeenMs),
         )
         if message.is_full:
             read_state(message, wire)
@@ -195,7 +203,6 @@
 
 def read_state(message, wire):
     """Read the state of the sender, which only full messages carry."""
-    message.upstreams = wire.upstreams
     message.runs_batch = wire.runsBatch
     message.is_leaving = wire.isLeaving
     message.reaches_store = wire.reachesStore
@@ -204,7 +211,6 @@
     message.tells_waiting = wire.tellsWaiting
     message.finished = list(wire.finished)
     message.crowded_jobs = list(wire.crowdedJobs)
-    message.jobs = wire.jobs
     message.wants_reply = wire.wantsReply
     message.live_workers = list(wire.heard)
     message.region = wire.region
@@ -389,6 +395,11 @@
     return min(MAX_AGE_MS, max(1, math.ceil(seconds * 1000)))
 
 
+def read_store_age(milliseconds):
+    """Return the age of a confirmation in seconds, None if it is not told."""
+    return milliseconds / 1000 if milliseconds else None
+
+
 def encode_reported(wire, report):
     """Encode the load that an upstream has told."""
     if report is None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -138,4 +138,9 @@
                             # force, of the revision above; 0: not told
   # In full messages only.
   isCrowded @34 :Bool;      # it is short of processor or link itself
+  # Set in any message: time since the store had nothing newer than the
+  # revision above; 0: not told.
+  configurationSeenMs @35 :UInt32;
+  upstreamsSeenMs @36 :UInt32;
+  jobsSeenMs @37 :UInt32;
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -173,6 +173,9 @@
     store_age : float or None, optional
         Seconds since the store confirmed the configuration in force at the
         sender; None if it does not tell.
+    configuration_age, upstreams_age, jobs_age : float or None, optional
+        Seconds since the store had nothing newer of these than the sender;
+        None if it does not tell.
     rate_notices : list of RateNotice, optional
     workspace_loads : list of WorkspaceLoad, optional
         Only while there is too little room.
@@ -211,6 +214,9 @@
         "asked_streams",
         "other_ends",
         "store_age",
+        "configuration_age",
+        "upstreams_age",
+        "jobs_age",
         "rate_notices",
         "workspace_loads",
     )
@@ -250,6 +256,9 @@
         asked_streams=(),
         other_ends=(),
         store_age=None,
+        configuration_age=None,
+        upstreams_age=None,
+        jobs_age=None,
         rate_notices=(),
         workspace_loads=(),
     ):
@@ -285,5 +294,8 @@
         self.asked_streams = asked_streams
         self.other_ends = other_ends
         self.store_age = store_age
+        self.configuration_age = configuration_age
+        self.upstreams_age = upstreams_age
+        self.jobs_age = jobs_age
         self.rate_notices = rate_notices
         self.workspace_loads = workspace_loads
--- a/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
@@ -1,5 +1,7 @@
 """Catch-up with newer revisions of mirrored entries at peers."""
 
+import random
+
 import eliot
 from twisted.internet import defer
 
@@ -14,6 +16,8 @@
 # The same for jobs, whose changes may follow each other closely: above the
 # longest delay between two watches.
 JOBS_WATCH_GRACE_S = 1.0
+# Longest grace, as a multiple of the above.
+MAX_GRACE = 1.3
 # Limits the rate of reads: a gateway that cannot reach the store receives
 # newer revisions with each message.
 MIN_REFRESH_INTERVAL_S = 0.8
@@ -43,7 +47,7 @@
         ----------
         peer : Peer
         message : FleetMessage
-            A full message.
+            A revision that it does not tell is 0.
         """
         gateway = self.gateway
         if message.configuration > gateway.configuration_revision:
@@ -84,7 +88,8 @@
             mirror = gateway.mirrors[name]
         is_watching = mirror.is_connected and mirror.must_watch()
         if is_watching:
-            await wait(gateway.reactor, grace)
+            # Not all at one moment, if the watches of all have been silent.
+            await wait(gateway.reactor, grace * random.uniform(1.0, MAX_GRACE))
         if mirror.revision >= revision:
             return
         eliot.log_message(
@@ -95,7 +100,7 @@
             is_watching=is_watching,
         )
         if is_watching:
-            mirror.reopen()
+            gateway.proof_of_life.reopen(mirror)
             return
         if name == "jobs":
             # Its mirror reads them itself as soon as the store can be reached.
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/__init__.py
@@ -3,5 +3,6 @@
 from .client import Store
 from .commit import Commit
 from .mirror import Mirror
+from .mirror import WATCH_TIMEOUT_S
 
-__all__ = ["Commit", "Mirror", "Store"]
+__all__ = ["Commit", "Mirror", "Store", "WATCH_TIMEOUT_S"]
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -9,14 +9,14 @@
 from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreHistoryLostError
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_policy.freshness import estimate_answer_age
 
 from ..clock import wait
 
-__all__ = ["Mirror"]
+__all__ = ["Mirror", "WATCH_TIMEOUT_S"]
 
 # Below the 20 s of history that the store keeps, but long, since the store
-# counts each call. A silent watch is detected earlier by keep-alive probes and
-# by peers.
+# counts each call.
 WATCH_TIMEOUT_S = 15.0
 # Timeout of a watch while disconnected: without changes only its end shows
 # that the store is available again, and items are run only from then on.
@@ -58,6 +58,13 @@
     clock : callable, optional
         Returns the seconds of a clock that goes on while the machine is
         suspended; by default that of the reactor.
+    choose_wait : callable, optional
+        Returns how long a watch waits, in seconds; called with whether the
+        one before it returned changes.
+    measure_stall : callable, optional
+        Returns the seconds for which an answer may not have been read.
+    on_proof : callable, optional
+        Called without arguments after a watch has ended without changes.
 
     Attributes
     ----------
@@ -73,6 +80,11 @@
     confirmed_at : float
         Time on the clock at which the entries are known to have been all that
         the store had: when a call was sent, not when it was answered.
+    proven_at : float
+        Time on the clock at which the entries are known to have been all that
+        the store had, if answers arrive soon.
+    answered_at : float
+        Time on the clock of the last answer to a watch that proves anything.
     is_connected : bool
         True when the last call succeeded.
     reconnected_at : float or None
@@ -90,6 +102,9 @@
         must_watch=lambda: True,
         on_news=lambda: None,
         clock=None,
+        choose_wait=lambda *, is_first: WATCH_TIMEOUT_S,
+        measure_stall=lambda: 0.0,
+        on_proof=lambda: None,
     ):
         self.store = store
         self.reactor = reactor
@@ -98,12 +113,18 @@
         self.must_watch = must_watch
         self.on_news = on_news
         self.clock = clock or reactor.seconds
+        self.choose_wait = choose_wait
+        self.measure_stall = measure_stall
+        self.on_proof = on_proof
         self.entries = {}
         self.revision = 0
         self.changed_revision = 0
         self.change_age = 0.0
         self.read_at = reactor.seconds()
         self.confirmed_at = -math.inf
+        self.proven_at = -math.inf
+        self.answered_at = -math.inf
+        self.has_changed = True
         self.is_connected = False
         self.reconnected_at = None
         self.is_stopped = False
@@ -175,6 +196,16 @@
     def confirm(self, at):
         """Note that the entries were all that the store had at a time."""
         self.confirmed_at = max(self.confirmed_at, at)
+        self.prove(at)
+
+    def prove(self, at):
+        """Note that the entries were all at a time, by what came in time."""
+        self.proven_at = max(self.proven_at, at)
+
+    @property
+    def age(self):
+        """Seconds since the entries were all that the store had."""
+        return self.clock() - self.proven_at
 
     def measure_confirmed_age(self):
         """Return the seconds since the confirmation, None without one."""
@@ -224,7 +255,9 @@
                 watch_start = self.reactor.seconds()
                 page = await self.read_changes()
                 self.record_success()
-                if page.entries:
+                if not page.entries:
+                    self.on_proof()
+                else:
                     self.on_news()
                     await wait(
                         self.reactor, self.choose_coalescing_delay(watch_start)
@@ -294,14 +327,11 @@
         started_at = self.reactor.seconds()
         sent_at = self.clock()
         watched_from = self.revision
+        seconds = DISCONNECTED_WATCH_TIMEOUT_S
+        if self.is_connected:
+            seconds = self.choose_wait(is_first=self.has_changed)
         page = await self.store.watch(
-            self.prefix,
-            after=watched_from,
-            seconds=(
-                WATCH_TIMEOUT_S
-                if self.is_connected
-                else DISCONNECTED_WATCH_TIMEOUT_S
-            ),
+            self.prefix, after=watched_from, seconds=seconds
         )
         if self.revision != watched_from:
             # A peer's snapshot has come meanwhile. The next watch returns the
@@ -325,4 +355,27 @@
         if page.entries:
             self.on_change(self)
         self.confirm(sent_at)
+        self.note_answer(page, sent_at=sent_at, waited=seconds)
         return page
+
+    def note_answer(self, page, *, sent_at, waited):
+        """Note what the answer to a watch proves.
+
+        Parameters
+        ----------
+        page : Page
+        sent_at : float
+            Time on the clock at which the watch was sent.
+        waited : float
+            Seconds for which it was to wait.
+        """
+        now = self.clock()
+        self.has_changed = bool(page.entries)
+        if page.entries:
+            self.prove(now - estimate_answer_age(stall=self.measure_stall()))
+        elif now - sent_at >= waited:
+            # The store would have answered a change at once.
+            self.prove(sent_at + waited)
+        else:
+            return
+        self.answered_at = now
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_refresh.py
@@ -52,7 +52,7 @@
     assert lost_watches
 
 
-# Load: a listing of all jobs or upstreams costs far more than what has changed.
+# Load: a listing of all jobs costs far more than what has changed.
 def test_the_changes_that_a_silent_watch_misses_are_not_listed(
     gateway, peer, reactor, wire, recorded_keys
 ):
--- a/packages/hollyspan_standins/hollyspan_standins/search/process.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/process.py
@@ -132,6 +132,7 @@
         gateway.peers.startProtocol()
         gateway.configuration_mirror.start()
         gateway.upstreams_mirror.start()
+        gateway.proof_of_life.start()
         gateway.guard.records.start()
         work = defer.ensureDeferred(register(gateway))
         work.addErrback(eliot.write_failure)
