--- a/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/refresh.py
@@ -1,5 +1,7 @@
 """Catch-up with newer revisions of mirrored entries at peers."""
 
+import random
+
 import eliot
 from twisted.internet import defer
 
@@ -12,8 +14,10 @@
 # already has.
 WATCH_GRACE_S = 0.3
 # The same for jobs, whose changes may follow each other closely: above the
-# longest delay between two watches, and a read of all jobs is large.
+# longest delay between two watches.
 JOBS_WATCH_GRACE_S = 1.0
+# Longest grace, as a multiple of the above.
+MAX_GRACE = 1.3
 # Limits the rate of reads: a gateway that cannot reach the store receives
 # newer revisions with each message.
 MIN_REFRESH_INTERVAL_S = 0.8
@@ -43,7 +47,7 @@
         ----------
         peer : Peer
         message : FleetMessage
-            A full message.
+            A revision that it does not tell is 0.
         """
         gateway = self.gateway
         if message.configuration > gateway.configuration_revision:
@@ -75,7 +79,7 @@
             work.addErrback(eliot.write_failure)
 
     async def catch_up(self, name, peer, revision):
-        """Read the entries again unless the watch delivers them first."""
+        """Watch or read again unless the watch delivers the changes first."""
         gateway = self.gateway
         grace = WATCH_GRACE_S
         if name == "jobs":
@@ -84,7 +88,8 @@
             mirror = gateway.mirrors[name]
         is_watching = mirror.is_connected and mirror.must_watch()
         if is_watching:
-            await wait(gateway.reactor, grace)
+            # Not all at one moment, if the watches of all have been silent.
+            await wait(gateway.reactor, grace * random.uniform(1.0, MAX_GRACE))
         if mirror.revision >= revision:
             return
         eliot.log_message(
@@ -95,7 +100,7 @@
             is_watching=is_watching,
         )
         if is_watching:
-            mirror.refresh()
+            gateway.proof_of_life.reopen(mirror)
             return
         if name == "jobs":
             # Its mirror reads them itself as soon as the store can be reached.
