Keep bodies of jobs within a bound, read others at their items' start

Each worker kept the records of all jobs of the fleet, with all bodies, until 180 s after their retention, the first part once more in its mirror, and the output of each item that it had run. A gateway that served reads kept the bodies of the jobs that were read.

The mirror keeps the first byte of a record. Items keep identifier, path, tokens and parts of the prompt. Records in the store are as before.

--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -62,6 +62,7 @@
         client_port=1,
         withdrawal_seconds=None,
         paces_upstreams=False,
+        memory_bytes=None,
     ):
         gateway = Gateway(
             reactor=reactor,
@@ -80,6 +81,7 @@
                 grace_seconds=8.0,
                 withdrawal_seconds=withdrawal_seconds,
                 paces_upstreams=paces_upstreams,
+                memory_bytes=memory_bytes,
             ),
             store=store,
             dialect=PlainDialect(),
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -13,6 +13,8 @@
 from .configuration import apply_configuration
 from .crashes import RequestGuard
 from .http1 import ConnectionPool
+from .jobs.bodies import JobBodies
+from .jobs.body_limits import choose_body_limit
 from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
 from .jobs.submissions import Submissions
@@ -77,6 +79,7 @@
         Server for the other gateways.
     read_metrics : callable or None
         Returns the metrics as text; None until the first scrape.
+    bodies : JobBodies
     worker : Worker or None
     workers : frozenset of str
         Identifiers of the gateways that can run items, as of the last
@@ -180,6 +183,9 @@
         self.confirmation = Confirmation(gateway=self)
         self.workspace_rates = WorkspaceRates(gateway=self)
         self.quotas = QuotaLedger(gateway=self)
+        self.bodies = JobBodies(
+            store=store, limit=choose_body_limit(settings.memory_bytes)
+        )
         self.submissions = Submissions(gateway=self)
         self.reading = JobReadService(gateway=self)
         self.held = HeldRequests(gateway=self)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -5,10 +5,12 @@
 
 from hollyspan_core.errors import RecordUnreadableError
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_core.store import Entry
 from hollyspan_policy.hashing import hash_parts
 
 from ..clock import wait
 from ..store import Mirror
+from .arrivals import Arrivals
 from .job_state import ItemState
 from .job_state import JobState
 from .loading import read_record
@@ -54,6 +56,8 @@
         Identifiers of those whose last read has failed.
     ended : set of str
         Identifiers of the jobs that their clients have ended.
+    arrivals : Arrivals
+        First parts of the records that are not read yet.
     """
 
     def __init__(self, *, gateway, on_change, on_end):
@@ -64,12 +68,14 @@
         self.unread = {}
         self.unreadable = set()
         self.ended = set()
+        self.arrivals = Arrivals(limit=gateway.bodies.limit)
         self.is_first_update = True
         self.mirror = Mirror(
             store=gateway.store,
             reactor=gateway.reactor,
             prefix=JOBS_PREFIX,
             on_change=self.apply_entries,
+            reduce=self.reduce_entry,
         )
 
     def start(self):
@@ -107,6 +113,23 @@
             and (entry := self.mirror.entries.get(build_end_key(identifier)))
         ]
 
+    def reduce_entry(self, entry):
+        """Return what the mirror keeps of an entry."""
+        if is_end_key(entry.key):
+            return entry
+        identifier = read_job_identifier(entry.key)
+        if self.jobs.get(identifier) is None:
+            self.arrivals.add(identifier, entry.content)
+        return Entry(
+            key=entry.key,
+            # The number of parts, which are removed with the job.
+            content=entry.content[:1],
+            token=entry.token,
+            revision=entry.revision,
+            lease=entry.lease,
+            created_revision=entry.created_revision,
+        )
+
     def apply_entries(self, mirror):
         """Add new jobs, mark ended ones and drop those no longer stored."""
         is_first, self.is_first_update = self.is_first_update, False
@@ -125,24 +148,30 @@
                 ).addErrback(eliot.write_failure)
         for identifier in list(self.jobs):
             if build_job_key(identifier) not in mirror.entries:
-                del self.jobs[identifier]
+                job_state = self.jobs.pop(identifier)
+                if job_state is not None:
+                    self.gateway.bodies.discard(identifier, job_state.items)
                 self.unread.pop(identifier, None)
                 self.unreadable.discard(identifier)
                 self.ended.discard(identifier)
+        self.arrivals.drop_all_but(self.unread)
 
     async def read_job(self, identifier, entry):
         """Read a record, again and again until it can be read.
 
         Returns
         -------
-        Job or None
-            None when it is no longer stored.
+        (Job, list) or None
+            The job without bodies, and the parts of each item's prompt that
+            other requests may share; None when it is no longer stored.
         """
         reactor = self.gateway.reactor
         unreadable_delay = UNREADABLE_RETRY_DELAY_S
         while entry is not None:
             try:
-                job = await read_record(self.gateway.store, identifier, entry)
+                job = await self.gateway.bodies.read_bounded(
+                    lambda: self.read_once(identifier)
+                )
             except StoreUnavailableError as error:
                 reason, delay = error.message, READ_RETRY_DELAY_S
             except RecordUnreadableError as error:
@@ -158,11 +187,25 @@
             entry = self.mirror.entries.get(build_job_key(identifier))
         return None
 
+    async def read_once(self, identifier):
+        """Read a record, whose first part may have come with the watch."""
+        store = self.gateway.store
+        first = self.arrivals.take(identifier)
+        if first is None:
+            entry = await store.get(build_job_key(identifier))
+            first = b"" if entry is None else entry.content
+        job = await read_record(store, identifier, first)
+        self.gateway.bodies.keep(job)
+        return job.copy_without_bodies(), [
+            self.gateway.dialect.decode_item_parts(item) for item in job.items
+        ]
+
     async def load_job_state(self, identifier, entry, *, has_read_results):
-        job = await self.read_job(identifier, entry)
-        if job is None or self.jobs.get(identifier, job) is not None:
+        found = await self.read_job(identifier, entry)
+        if found is None or self.jobs.get(identifier, found) is not None:
             # Removed meanwhile, and perhaps read by a later call.
             return
+        job, parts = found
         if identifier in self.unreadable:
             has_read_results = False
             self.unreadable.discard(identifier)
@@ -176,13 +219,13 @@
             has_read_results=has_read_results,
             seen_at=self.gateway.reactor.seconds(),
         )
-        for item in job.items:
+        for item, shared_parts in zip(job.items, parts):
             key = hash_parts(identifier, item.identifier)
             job_state.items[item.identifier] = ItemState(
                 job_state=job_state,
                 item=item,
                 key=key,
-                shared_parts=self.gateway.dialect.decode_item_parts(item),
+                shared_parts=shared_parts,
             )
         self.jobs[identifier] = job_state
         eliot.log_message(
@@ -202,8 +245,11 @@
             return
         job_state.is_ended = True
         self.ended.add(identifier)
+        self.gateway.bodies.discard(identifier, job_state.items)
         eliot.log_message("job:stopped", job=identifier)
         self.on_end(job_state)
+        # Nobody asks for its items, and runs have their own.
+        job_state.items = {}
 
     def reread_results(self):
         """Mark results as unread, since items may have changed owners."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
@@ -60,6 +60,20 @@
         self.reservation = reservation
         self.workspace = workspace
 
+    def copy_without_bodies(self):
+        """Return the job with items without their headers and bodies."""
+        return Job(
+            identifier=self.identifier,
+            host=self.host,
+            path=self.path,
+            submitted=self.submitted,
+            due=self.due,
+            retained_until=self.retained_until,
+            items=[item.copy_without_body() for item in self.items],
+            reservation=self.reservation,
+            workspace=self.workspace,
+        )
+
     def count_tokens(self):
         """Return the tokens of all items."""
         return sum(item.tokens for item in self.items)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -12,6 +12,7 @@
     ----------
     job_state : JobState
     item : Item
+        Without its headers and its body.
     key : int
         Hash of the job and the item.
     shared_parts : tuple of int, optional
@@ -151,6 +152,7 @@
     Parameters
     ----------
     job : Job
+        With items without their headers and bodies.
     revision : int
         Revision of the store at which the job was created.
     has_read_results : bool
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/loading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/loading.py
@@ -30,18 +30,18 @@
     entry = await store.get(build_job_key(identifier))
     if entry is None:
         return None
-    return await read_record(store, identifier, entry)
+    return await read_record(store, identifier, entry.content)
 
 
-async def read_record(store, identifier, entry):
+async def read_record(store, identifier, first):
     """Read the remaining parts of a record and decode it.
 
     Parameters
     ----------
     store : Store
     identifier : str
-    entry : Entry
-        Entry of the job's key, which holds the first part.
+    first : bytes
+        Content of the job's key: the number of parts and the first part.
 
     Returns
     -------
@@ -52,15 +52,16 @@
     RecordUnreadableError
     StoreUnavailableError
     """
-    if not entry.content:
+    if not first:
         raise RecordUnreadableError(f"the record of job {identifier} is empty")
-    count = entry.content[0]
-    content = entry.content[1:]
-    for key in list_part_keys(identifier, count):
+    parts = [memoryview(first)[1:]]
+    for key in list_part_keys(identifier, first[0]):
         part = await store.get(key)
         if part is None:
             raise RecordUnreadableError(
                 f"a part of the record of job {identifier} is missing"
             )
-        content += part.content
+        parts.append(part.content)
+    content = b"".join(parts)
+    del parts
     return decode_job(identifier, content)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
@@ -17,7 +17,6 @@
 
 from ..http1 import answer_internal_error
 from ..peers import fetch_answer
-from .loading import load_job
 from .view import JobView
 
 __all__ = ["JobReadService"]
@@ -97,7 +96,7 @@
         view = self.views.get(identifier)
         if view is not None:
             return view
-        job = await load_job(self.gateway.store, identifier)
+        job = await self.gateway.bodies.read_job(identifier)
         if job is None:
             raise BatchNotFoundError("no such job")
         view = JobView(
@@ -230,9 +229,9 @@
     ):
         """Answer with the body of an item from the store."""
         view = await self.find_view(identifier, caller=caller)
-        found = view.items_by_id.get(item)
-        if found is None:
+        if item not in view.item_identifiers:
             raise BatchNotFoundError("no such item")
+        found = await self.gateway.bodies.read(identifier, item)
         headers = self.gateway.dialect.build_body_headers()
         request.answer(http.OK, headers, found.body)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -167,12 +167,12 @@
 
 
 def decode_item(row):
-    """Decode an item in a job's record."""
+    """Decode an item in a job's record, whose body is taken out."""
     return Item(
         identifier=row["id"],
         path=row["path"],
         headers=[tuple(pair) for pair in row["headers"]],
-        body=base64.b64decode(row["body"]),
+        body=base64.b64decode(row.pop("body")),
         tokens=row.get("tokens", 0),
     )
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/result_storage.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/result_storage.py
@@ -6,6 +6,7 @@
 from hollyspan_core.errors import StoreUnavailableError
 
 from ..clock import wait
+from .item import ItemResult
 from .records import build_result_key
 from .records import encode_result
 
@@ -21,7 +22,7 @@
     ----------
     gateway : Gateway
     state : ItemState
-        Its `result` is set.
+        Its `result` is set; the output goes when it is stored.
     """
     job = state.job_state.job
     key = build_result_key(job.identifier, state.item.identifier)
@@ -47,6 +48,10 @@
     state.has_result = True
     is_done = state.result.is_done
     state.discard_output()
+    state.result = ItemResult(
+        identifier=state.item.identifier, is_done=is_done, output=b""
+    )
+    gateway.bodies.discard(job.identifier, [state.item.identifier])
     slack = job.due - gateway.wall_clock()
     eliot.log_message(
         "item:stored",
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -39,6 +39,8 @@
     ----------
     gateway : Gateway
     state : ItemState
+    item : Item
+        With its headers and its body.
     upstream : Upstream
     host : str
     max_failures : int
@@ -57,6 +59,7 @@
     __slots__ = (
         "gateway",
         "state",
+        "item",
         "upstream",
         "host",
         "max_failures",
@@ -70,9 +73,10 @@
         "progress_at",
     )
 
-    def __init__(self, *, gateway, state, upstream, host, max_failures):
+    def __init__(self, *, gateway, state, item, upstream, host, max_failures):
         self.gateway = gateway
         self.state = state
+        self.item = item
         self.upstream = upstream
         self.host = host
         self.max_failures = max_failures
@@ -123,9 +127,7 @@
             shared_parts=self.state.shared_parts,
             fingerprint=0,
             forwarded=self.gateway.workspaces.drop_credentials(
-                self.gateway.dialect.encode_item_headers(
-                    self.state.item, self.host
-                )
+                self.gateway.dialect.encode_item_headers(self.item, self.host)
             ),
             workspace=self.state.job_state.job.workspace,
         )
@@ -152,7 +154,7 @@
                     method=head.method,
                     target=head.target,
                     headers=headers,
-                    body=self.state.item.body,
+                    body=self.item.body,
                     on_reply=self.handle_reply,
                     on_data=self.gateway.placement.paces.watch(
                         run, self.handle_data, lambda: self.state.last_event
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -17,6 +17,7 @@
     Parameters
     ----------
     job : Job
+        With items without their headers and bodies.
     store : Store
     reactor : twisted reactor
 
@@ -25,8 +26,7 @@
     results : list of ItemResult
         By position, the same at every gateway, since the store's revisions
         determine the order.
-    items_by_id : dict
-        Item by identifier.
+    item_identifiers : frozenset of str
     last_used : float
         Time of the last read, reactor seconds.
 
@@ -41,7 +41,7 @@
         "store",
         "reactor",
         "results",
-        "items_by_id",
+        "item_identifiers",
         "added",
         "revision",
         "waiters",
@@ -54,7 +54,9 @@
         self.store = store
         self.reactor = reactor
         self.results = []
-        self.items_by_id = {item.identifier: item for item in job.items}
+        self.item_identifiers = frozenset(
+            item.identifier for item in job.items
+        )
         self.added = set()
         self.revision = 0
         self.waiters = []
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -12,6 +12,7 @@
 from ..routes import choose_service
 from ..routes import RouteKind
 from ..upstreams import Shortages
+from .body_fetches import BodyFetches
 from .catalogue import JobCatalogue
 from .claims import ClaimBook
 from .item import ItemResult
@@ -97,6 +98,7 @@
             on_end=self.stop_job,
         )
         self.remover = JobRemover(gateway=gateway, catalogue=self.catalogue)
+        self.fetches = BodyFetches(worker=self)
         self.claims = ClaimBook(worker=self)
         self.succession = Succession(worker=self)
         self.open_items = OpenItemLog(worker=self)
@@ -206,6 +208,7 @@
                 # The results of these were looked up one by one.
                 startable = [state for state in startable if state.is_taken]
             waiting += startable
+        self.fetches.begin_round()
         now = self.gateway.wall_clock()
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
             self.try_start_item(state)
@@ -310,6 +313,12 @@
         ):
             state.is_taken = state.is_taken_for_trial
             return
+        if not self.gateway.bodies.has_room(state.item.body_bytes):
+            state.hindrance = "no_memory"
+            return
+        if not self.fetches.may_start(state):
+            state.hindrance = "body_not_read"
+            return
         state.is_taken_for_trial = False
         service = choose_service(route, state.item.identifier)
         upstream = self.placement.choose(
@@ -320,10 +329,16 @@
         if upstream is None:
             self.note_shortage(state, service)
             return
+        item = self.fetches.take(state)
+        if item is None:
+            state.hindrance = "body_not_read"
+            self.fetches.start(state)
+            return
         state.hindrance = None
         state.run = ItemRun(
             gateway=self.gateway,
             state=state,
+            item=item,
             upstream=upstream,
             host=job.host,
             max_failures=route.max_attempts or DEFAULT_MAX_ATTEMPTS,
@@ -342,9 +357,9 @@
             last_event=state.last_event,
             slack=job.due - now,
         )
-        state.run.start().addBoth(self.finish_run, state).addErrback(
-            eliot.write_failure
-        )
+        ended = state.run.start()
+        self.gateway.bodies.in_use_bytes += state.item.body_bytes
+        ended.addBoth(self.finish_run, state).addErrback(eliot.write_failure)
 
     def note_shortage(self, state, service):
         """Note that no upstream has a place for an item.
@@ -408,6 +423,7 @@
         if failure is not None and not failure.check(defer.CancelledError):
             eliot.write_failure(failure)
         run, state.run = state.run, None
+        self.gateway.bodies.in_use_bytes -= state.item.body_bytes
         state.stopped_at = self.gateway.reactor.seconds()
         if run.has_new_events():
             state.advanced_at = run.progress_at
--- a/packages/hollyspan_gateway/hollyspan_gateway/settings.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/settings.py
@@ -40,6 +40,8 @@
     paces_upstreams : bool, optional
         Whether upstreams that have started or recovered get as much as their
         answers show that they can serve.
+    memory_bytes : int or None, optional
+        Memory that the process may use; None if it is not known.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "measures_speeds",
         "rate_tolerance",
         "paces_upstreams",
+        "memory_bytes",
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         measures_speeds=False,
         rate_tolerance=None,
         paces_upstreams=False,
+        memory_bytes=None,
     ):
         self.instance = instance
         self.data_centre = data_centre
@@ -97,6 +101,7 @@
         self.measures_speeds = measures_speeds
         self.rate_tolerance = rate_tolerance or RateTolerance()
         self.paces_upstreams = paces_upstreams
+        self.memory_bytes = memory_bytes
 
     @property
     def work_seconds(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/client.py
@@ -48,7 +48,9 @@
         """
         return await self.wire.read(key)
 
-    async def list(self, prefix, *, may_be_stale=False):
+    async def list(
+        self, prefix, *, may_be_stale=False, reduce=lambda entry: entry
+    ):
         """Return all entries below a prefix as of one revision.
 
         Parameters
@@ -56,6 +58,9 @@
         prefix : str
         may_be_stale : bool, optional
             Accept an answer that is seconds old, which costs the store less.
+        reduce : callable, optional
+            Called with each Entry, returns what is kept of it while the
+            other pages are read.
 
         Returns
         -------
@@ -70,7 +75,7 @@
         page = await self.wire.read_page(
             prefix, after=None, may_be_stale=may_be_stale
         )
-        entries = page.entries
+        entries = [reduce(entry) for entry in page.entries]
         revision = page.revision
         while page.has_more:
             page = await self.wire.read_page(
@@ -79,7 +84,7 @@
                 may_be_stale=may_be_stale,
             )
             entries += [
-                entry
+                reduce(entry)
                 for entry in page.entries
                 if entry.created_revision <= revision
             ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -58,6 +58,9 @@
     clock : callable, optional
         Returns the seconds of a clock that goes on while the machine is
         suspended; by default that of the reactor.
+    reduce : callable, optional
+        Called with each Entry that is read, returns what is kept of it; by
+        default the whole entry.
 
     Attributes
     ----------
@@ -90,6 +93,7 @@
         must_watch=lambda: True,
         on_news=lambda: None,
         clock=None,
+        reduce=lambda entry: entry,
     ):
         self.store = store
         self.reactor = reactor
@@ -98,6 +102,7 @@
         self.must_watch = must_watch
         self.on_news = on_news
         self.clock = clock or reactor.seconds
+        self.reduce = reduce
         self.entries = {}
         self.revision = 0
         self.changed_revision = 0
@@ -273,7 +278,7 @@
 
     async def read_all(self):
         sent_at = self.clock()
-        page = await self.store.list(self.prefix)
+        page = await self.store.list(self.prefix, reduce=self.reduce)
         self.needs_listing = False
         if page.revision < self.revision:
             # A peer's snapshot is newer; the watch continues from there.
@@ -306,7 +311,7 @@
         self.read_at = now
         for entry in page.entries:
             if entry.revision:
-                self.entries[entry.key] = entry
+                self.entries[entry.key] = self.reduce(entry)
             else:
                 self.entries.pop(entry.key, None)
         self.revision = max(self.revision, page.revision)
