Bound the memory of jobs that are being accepted

A front accepted any number of jobs at the same time and took nine times the size of each: request, document, items, record, values and call were all held at once, some as text and as bytes.

One job is accepted whatever its size. The record is the same document.

--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -186,7 +186,7 @@
         self.bodies = JobBodies(
             store=store, limit=choose_body_limit(settings.memory_bytes)
         )
-        self.submissions = Submissions(gateway=self)
+        self.submissions = Submissions(gateway=self, limit=self.bodies.limit)
         self.reading = JobReadService(gateway=self)
         self.held = HeldRequests(gateway=self)
         self.forwarding = Forwarding(gateway=self)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
@@ -60,6 +60,10 @@
         self.reservation = reservation
         self.workspace = workspace
 
+    def drop_bodies(self):
+        """Keep the items without their headers and bodies."""
+        self.items = [item.copy_without_body() for item in self.items]
+
     def copy_without_bodies(self):
         """Return the job with items without their headers and bodies."""
         return Job(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -101,18 +101,9 @@
         "retained_until": job.retained_until,
         "reservation": encode_reservation(job.reservation),
         "workspace": job.workspace,
-        "items": [
-            {
-                "id": item.identifier,
-                "path": item.path,
-                "headers": item.headers,
-                "body": base64.b64encode(item.body).decode(),
-                "tokens": item.tokens,
-            }
-            for item in job.items
-        ],
+        "items": [],
     }
-    content = zlib.compress(json.dumps(document).encode(), COMPRESSION_LEVEL)
+    content = compress_document(json.dumps(document), job.items)
     parts = [
         content[start : start + MAX_PART_BYTES]
         for start in range(0, len(content), MAX_PART_BYTES)
@@ -123,6 +114,42 @@
     return dict(zip(keys, parts))
 
 
+def compress_document(document, items):
+    """Compress the document of a job, which ends with its items.
+
+    Items are encoded one by one, since all of them take several times the
+    memory of their bodies.
+
+    Parameters
+    ----------
+    document : str
+        Without items.
+    items : list of Item
+
+    Returns
+    -------
+    bytes
+    """
+    stream = zlib.compressobj(COMPRESSION_LEVEL)
+    end = "]}"
+    pieces = [stream.compress(document.removesuffix(end).encode())]
+    for number, item in enumerate(items):
+        row = {
+            "id": item.identifier,
+            "path": item.path,
+            "headers": item.headers,
+            "body": base64.b64encode(item.body).decode(),
+            "tokens": item.tokens,
+        }
+        text = json.dumps(row)
+        pieces.append(
+            stream.compress((f", {text}" if number else text).encode())
+        )
+    pieces.append(stream.compress(end.encode()))
+    pieces.append(stream.flush())
+    return b"".join(pieces)
+
+
 def decode_job(identifier, content):
     """Decode a job from its joined parts.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -1,9 +1,13 @@
 """Submission and ending of jobs."""
 
+import contextlib
+import io
+
 import eliot
 
 from hollyspan_core.errors import IdentifierTakenError
 from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.errors import StoreUnavailableError
 
@@ -18,6 +22,8 @@
 MAX_SUBMISSION_S = 4.0
 # Used for a route that states no completion or retention time.
 DEFAULT_COMPLETION_S = 3600.0
+# Usual time in which a long job is stored.
+RETRY_AFTER_S = 0.5
 
 
 class Submissions:
@@ -26,10 +32,41 @@
     Parameters
     ----------
     gateway : Gateway
+    limit : int
+        Bytes of the jobs that are being accepted at the same time.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Bytes of those that are being accepted now.
+    refused : int
+        Number of jobs that were refused since there was no room.
     """
 
-    def __init__(self, *, gateway):
+    def __init__(self, *, gateway, limit):
         self.gateway = gateway
+        self.limit = limit
+        self.held_bytes = 0
+        self.refused = 0
+
+    @contextlib.contextmanager
+    def hold(self, size):
+        """Hold the bytes of a job, which is refused if there is no room.
+
+        One job is accepted whatever its size.
+        """
+        if self.held_bytes and self.held_bytes + size > self.limit:
+            self.refused += 1
+            raise OverloadedError(
+                f"{self.held_bytes} bytes of jobs are being accepted",
+                outcome=Outcome.NOT_RUN,
+                retry_after=RETRY_AFTER_S,
+            )
+        self.held_bytes += size
+        try:
+            yield
+        finally:
+            self.held_bytes -= size
 
     async def handle(self, request, head, route):
         """Accept a job.
@@ -46,12 +83,21 @@
             A job of another workspace has the identifier.
         InvalidRequestError
             The body is not a valid job.
+        OverloadedError
+            Too many bytes of jobs are being accepted.
         QuotaExceededError
             The job's tokens do not fit under the route's limit now.
         StoreUnavailableError
             The job was not stored, or it is unknown whether it was.
         """
+        size = len(request.content.getvalue())
+        with self.hold(size):
+            await self.accept(request, head, route)
+
+    async def accept(self, request, head, route):
         items = self.gateway.dialect.decode_items(request.content.getvalue())
+        # Freed before the job is encoded.
+        request.content = io.BytesIO()
         for item in items:
             item.headers = self.gateway.workspaces.drop_credentials(
                 item.headers
@@ -68,13 +114,14 @@
             items=items,
             workspace=head.workspace,
         )
+        del items, item
         is_new = await self.create_record(job, route)
         if not is_new:
             await self.require_same_workspace(job)
         eliot.log_message(
             "job:accepted",
             job=job.identifier,
-            items=len(items),
+            items=len(job.items),
             is_new=is_new,
             seconds=self.gateway.reactor.seconds() - request.arrived_at,
         )
@@ -88,8 +135,10 @@
         """Create the record of a job; return False if it exists already."""
         if route.max_waiting_tokens:
             return await self.gateway.quotas.create_record(job, route)
+        record = encode_job(job)
+        job.drop_bodies()
         try:
-            await self.gateway.store.create(encode_job(job))
+            await self.gateway.store.create(record)
         except StoreKeyExistsError:
             return False
         return True
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_submissions.py
@@ -0,0 +1,149 @@
+"""Tests of the memory that jobs take while they are accepted."""
+
+import json
+import random
+import tracemalloc
+import zlib
+
+import pytest
+from twisted.internet import defer
+
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import OverloadedError
+from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.submissions import Submissions
+from hollyspan_gateway.routes import RouteKind
+
+LIMIT_BYTES = 1_000
+BODY_BYTES = 300_000
+ITEMS = 10
+
+
+@pytest.fixture
+def submissions(gateway):
+    return Submissions(gateway=gateway, limit=LIMIT_BYTES)
+
+
+@pytest.fixture
+def submit(gateway, submissions, helpers, reactor):
+    """Return a function that submits a job; it returns how this ended."""
+    route = helpers.build_route(host="h", prefix="/b/", kind=RouteKind.BATCH)
+
+    def start(name, size):
+        gateway.dialect.decode_items = lambda body: [
+            Item(identifier="i", path="/b/x", headers=[], body=body)
+        ]
+        request = helpers.build_request(reactor=reactor, body=b"x" * size)
+        head = helpers.build_head(identifier=name)
+        ends = []
+        work = defer.ensureDeferred(submissions.handle(request, head, route))
+        work.addBoth(ends.append)
+        return request, ends
+
+    return start
+
+
+def build_job(bodies):
+    return Job(
+        identifier="j",
+        host="h",
+        path="/b/",
+        submitted=1.5,
+        due=2.5,
+        retained_until=3.5,
+        items=[
+            Item(
+                identifier=f"i{number}",
+                path="/b/x",
+                headers=[("Model", "m")],
+                body=body,
+                tokens=number,
+            )
+            for number, body in enumerate(bodies)
+        ],
+    )
+
+
+# Failure: a front accepted any number of jobs at the same time, and took nine
+# times the size of each.
+def test_a_job_without_room_is_refused_before_it_is_stored(
+    submissions, submit, wire, reactor
+):
+    wire.writes_to_lose = 1
+    first, ends = submit("j1", 900)
+    assert not ends
+    calls = list(wire.calls)
+    _, (failure,) = submit("j2", 200)
+    error = failure.check(OverloadedError) and failure.value
+    assert (error.status, error.outcome) == (503, Outcome.NOT_RUN)
+    assert error.retry_after > 0
+    assert wire.calls == calls
+    # What fits is accepted.
+    third, ends = submit("j3", 100)
+    assert third.status == 202
+    reactor.pump([0.1] * 10)
+    assert first.status == 202
+    again, _ = submit("j2", 200)
+    assert again.status == 202
+    assert (submissions.held_bytes, submissions.refused) == (0, 1)
+    assert {"hs/j/j1", "hs/j/j2", "hs/j/j3"} == set(wire.entries)
+
+
+def test_a_long_job_is_accepted_while_there_is_no_other(submit, wire):
+    request, _ = submit("j", 10 * LIMIT_BYTES)
+    assert request.status == 202
+
+
+def test_a_job_that_is_broken_off_leaves_its_room(submissions, submit, wire):
+    wire.is_down = True
+    submit("j", 900)
+    assert submissions.held_bytes == 900
+    submissions.gateway.reactor.pump([0.1] * 30)
+    assert submissions.held_bytes == 0
+
+
+def test_the_received_body_is_not_kept_while_the_job_is_stored(submit, wire):
+    wire.writes_to_lose = 1
+    request, _ = submit("j", 900)
+    assert request.content.getvalue() == b""
+
+
+def test_a_record_is_the_document_that_all_builds_read():
+    job = build_job([b"", b"\x00\xff", b"text"])
+    (content,) = encode_job(job).values()
+    assert content[0] == 1
+    assert json.loads(zlib.decompress(content[1:])) == {
+        "host": "h",
+        "path": "/b/",
+        "submitted": 1.5,
+        "due": 2.5,
+        "retained_until": 3.5,
+        "reservation": None,
+        "workspace": None,
+        "items": [
+            {
+                "id": f"i{number}",
+                "path": "/b/x",
+                "headers": [["Model", "m"]],
+                "body": body,
+                "tokens": number,
+            }
+            for number, body in enumerate(["", "AP8=", "dGV4dA=="])
+        ],
+    }
+
+
+# Failure: the record of a job was encoded in several steps, of which each
+# held all of it.
+def test_a_record_is_encoded_within_three_times_its_bodies():
+    source = random.Random(7)
+    job = build_job([source.randbytes(BODY_BYTES) for _ in range(ITEMS)])
+    tracemalloc.start()
+    try:
+        encode_job(job)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak <= 3 * ITEMS * BODY_BYTES
