--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -96,6 +96,14 @@
             and not job_state.is_complete()
         ]
 
+    def count_items(self):
+        """Return the number of items whose state is kept."""
+        return sum(
+            len(job_state.items)
+            for job_state in self.jobs.values()
+            if job_state is not None
+        )
+
     def list_unreleased(self):
         """Return ended jobs whose waiting tokens may not be released yet.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
@@ -17,6 +17,7 @@
 from hollyspan_gateway.jobs.records import decode_result
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.metrics.instruments import create_instruments
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_gateway.store import Store
 
@@ -339,3 +340,30 @@
         assert request.written == build_body(f"j{number}-3")
     assert count_bytes(gateway.reading.views) < LIMIT_BYTES
     assert gateway.bodies.cache.held_bytes <= LIMIT_BYTES
+
+
+def test_bytes_held_are_on_the_metrics_address(build_worker, submit, reactor):
+    gateway = build_worker(upstreams=())
+    for number in range(40):
+        submit(f"j{number}")
+        reactor.advance(0.2)
+    reactor.pump([0.1] * 10)
+    lines = create_instruments(gateway)().decode().splitlines()
+    values = dict(line.rsplit(" ", 1) for line in lines if line[0] != "#")
+    values = {
+        name.partition("{")[0]: float(value) for name, value in values.items()
+    }
+    assert values["hollyspan_job_bytes_limit"] == LIMIT_BYTES
+    kept = values["hollyspan_job_bodies_kept_bytes"]
+    assert LIMIT_BYTES / 2 < kept <= LIMIT_BYTES
+    assert values["hollyspan_job_bodies_dropped"] >= 100
+    assert values["hollyspan_jobs_known"] == 40
+    assert values["hollyspan_items_known"] == 40 * ITEMS
+    for name in (
+        "job_arrivals_bytes",
+        "job_bodies_in_use_bytes",
+        "job_records_read",
+        "submissions_held_bytes",
+        "submissions_refused",
+    ):
+        assert values[f"hollyspan_{name}"] == 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -136,6 +136,7 @@
     add("processor_seconds", time.process_time)
     add("peak_memory_bytes", read_peak_memory)
     add("online_in_flight", count_online)
+    add_job_gauges(add, gateway)
     if gateway.worker is not None:
         add("batch_in_flight", lambda: len(gateway.worker.running))
         add("shortages_avoided", lambda: gateway.worker.shortages.avoided)
@@ -166,6 +167,23 @@
         add(f"{name}_revision", lambda m=mirror: m.revision)
 
 
+def add_job_gauges(add, gateway):
+    """Add gauges of the bytes of jobs that a gateway holds."""
+    bodies, submissions = gateway.bodies, gateway.submissions
+    add("job_bytes_limit", lambda: bodies.limit)
+    add("job_bodies_kept_bytes", lambda: bodies.cache.held_bytes)
+    add("job_bodies_in_use_bytes", lambda: bodies.in_use_bytes)
+    add("job_bodies_dropped", lambda: bodies.cache.dropped)
+    add("job_records_read", lambda: bodies.reads)
+    add("submissions_held_bytes", lambda: submissions.held_bytes)
+    add("submissions_refused", lambda: submissions.refused)
+    if gateway.worker is not None:
+        catalogue = gateway.worker.catalogue
+        add("job_arrivals_bytes", lambda: catalogue.arrivals.held_bytes)
+        add("jobs_known", lambda: len(catalogue.jobs))
+        add("items_known", catalogue.count_items)
+
+
 def count_limited(gateway):
     """Return the number of upstreams that name a rate limit."""
     return sum(
