Accept jobs for which a dialect returns no items

The items were freed by the name of the last one, which did not exist without any: test_a_submission_that_waits_for_the_store_is_not_promised failed since jobs that are being accepted have a bound.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -95,26 +95,9 @@
             await self.accept(request, head, route)
 
     async def accept(self, request, head, route):
-        items = self.gateway.dialect.decode_items(request.content.getvalue())
+        job = self.build_job(request, head, route)
         # Freed before the job is encoded.
         request.content = io.BytesIO()
-        for item in items:
-            item.headers = self.gateway.workspaces.drop_credentials(
-                item.headers
-            )
-        now = self.gateway.wall_clock()
-        job = Job(
-            identifier=head.identifier,
-            host=head.host,
-            path=head.path,
-            submitted=now,
-            due=now + (route.completion_seconds or DEFAULT_COMPLETION_S),
-            retained_until=now
-            + (route.retention_seconds or DEFAULT_COMPLETION_S),
-            items=items,
-            workspace=head.workspace,
-        )
-        del items, item
         is_new = await self.create_record(job, route)
         if not is_new:
             await self.require_same_workspace(job)
@@ -131,6 +114,26 @@
         status, headers, body = self.gateway.dialect.encode_accepted()
         request.answer(status, headers, body)
 
+    def build_job(self, request, head, route):
+        """Return the job in a request."""
+        items = self.gateway.dialect.decode_items(request.content.getvalue())
+        for item in items:
+            item.headers = self.gateway.workspaces.drop_credentials(
+                item.headers
+            )
+        now = self.gateway.wall_clock()
+        return Job(
+            identifier=head.identifier,
+            host=head.host,
+            path=head.path,
+            submitted=now,
+            due=now + (route.completion_seconds or DEFAULT_COMPLETION_S),
+            retained_until=now
+            + (route.retention_seconds or DEFAULT_COMPLETION_S),
+            items=items,
+            workspace=head.workspace,
+        )
+
     async def create_record(self, job, route):
         """Create the record of a job; return False if it exists already."""
         if route.max_waiting_tokens:
