Bound the results that a reader of jobs keeps

A reader kept the results of each job until it had not been read for 20 s, whatever their size. Those of the jobs read least recently are now dropped beyond an eighth of the memory, and read again from the store.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
@@ -93,6 +93,7 @@
     async def open_view(self, identifier):
         """Return the view of a job, reading its record if necessary."""
         self.evict_idle_views()
+        self.evict_excess_views(identifier)
         view = self.views.get(identifier)
         if view is not None:
             return view
@@ -111,6 +112,25 @@
             if view.last_used < idle_since and not view.is_reading:
                 del self.views[identifier]
 
+    def count_held_bytes(self):
+        """Return the bytes of the results that are held."""
+        return sum(view.held_bytes for view in self.views.values())
+
+    def evict_excess_views(self, identifier):
+        """Evict the results that were read least recently, beyond a limit.
+
+        Those of the job that is read now stay.
+        """
+        held = self.count_held_bytes()
+        for other, view in sorted(
+            self.views.items(), key=lambda each: each[1].last_used
+        ):
+            if held <= self.gateway.bodies.limit:
+                return
+            if other != identifier and not view.is_reading:
+                held -= view.held_bytes
+                del self.views[other]
+
     async def read(
         self, request, identifier, *, position, wait_seconds, caller=None
     ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
@@ -11,11 +11,14 @@
 from hollyspan_gateway.gateway import Gateway
 from hollyspan_gateway.jobs import catalogue
 from hollyspan_gateway.jobs import Item
+from hollyspan_gateway.jobs import ItemResult
 from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.records import build_end_key
+from hollyspan_gateway.jobs.records import build_result_key
 from hollyspan_gateway.jobs.records import build_results_prefix
 from hollyspan_gateway.jobs.records import decode_result
 from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.records import encode_result
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.metrics.instruments import create_instruments
 from hollyspan_gateway.routes import RouteKind
@@ -342,6 +345,34 @@
     assert gateway.bodies.cache.held_bytes <= LIMIT_BYTES
 
 
+# Failure: a reader kept the results of all jobs that were being read.
+def test_results_that_a_reader_keeps_are_bounded(
+    build_gateway, submit, reactor, helpers, store, run
+):
+    gateway = build_gateway(memory_bytes=MEMORY_BYTES)
+    for number in [*range(40), 0]:
+        name = f"j{number}"
+        if number or not gateway.reading.views:
+            submit(name, items=1)
+            result = ItemResult(
+                identifier=f"{name}-0", is_done=True, output=build_body(name)
+            )
+            key = build_result_key(name, f"{name}-0")
+            run(store.create({key: encode_result(result)}))
+        request = helpers.build_request(reactor=reactor)
+        work = gateway.reading.read(
+            request, name, position=0, wait_seconds=0.0
+        )
+        defer.ensureDeferred(work)
+        reactor.advance(0.1)
+        assert (request.status, request.written) == (
+            200,
+            b"1:0:%s-0" % name.encode(),
+        )
+        assert gateway.reading.count_held_bytes() <= LIMIT_BYTES + BODY_BYTES
+    assert len(gateway.reading.views) > LIMIT_BYTES // BODY_BYTES // 2
+
+
 def test_bytes_held_are_on_the_metrics_address(build_worker, submit, reactor):
     gateway = build_worker(upstreams=())
     for number in range(40):
@@ -363,6 +394,7 @@
         "job_arrivals_bytes",
         "job_bodies_in_use_bytes",
         "job_records_read",
+        "job_results_held_bytes",
         "submissions_held_bytes",
         "submissions_refused",
     ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -27,6 +27,8 @@
         By position, the same at every gateway, since the store's revisions
         determine the order.
     item_identifiers : frozenset of str
+    held_bytes : int
+        Bytes of the outputs in the results.
     last_used : float
         Time of the last read, reactor seconds.
 
@@ -46,6 +48,7 @@
         "revision",
         "waiters",
         "is_reading",
+        "held_bytes",
         "last_used",
     )
 
@@ -61,6 +64,7 @@
         self.revision = 0
         self.waiters = []
         self.is_reading = False
+        self.held_bytes = 0
         self.last_used = reactor.seconds()
 
     @property
@@ -127,4 +131,5 @@
             if result.identifier not in self.added and entry.revision:
                 self.added.add(result.identifier)
                 self.results.append(result)
+                self.held_bytes += len(result.output)
         self.revision = max(self.revision, page.revision)
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -175,6 +175,7 @@
     add("job_bodies_in_use_bytes", lambda: bodies.in_use_bytes)
     add("job_bodies_dropped", lambda: bodies.cache.dropped)
     add("job_records_read", lambda: bodies.reads)
+    add("job_results_held_bytes", gateway.reading.count_held_bytes)
     add("submissions_held_bytes", lambda: submissions.held_bytes)
     add("submissions_refused", lambda: submissions.refused)
     if gateway.worker is not None:
