--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
@@ -9,6 +9,7 @@
 
 from hollyspan_gateway.clock import wait
 from hollyspan_gateway.gateway import Gateway
+from hollyspan_gateway.jobs import bodies
 from hollyspan_gateway.jobs import catalogue
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import ItemResult
@@ -154,14 +155,26 @@
 
 
 def delay_reads(wire, reactor):
-    """Let each read of a key take some time."""
+    """Let each read of a key take some time.
+
+    Returns
+    -------
+    list of int
+        Number of reads under way at the start of each.
+    """
     read = wire.read
+    under_way, counts = set(), []
 
     async def read_slowly(key):
+        call = object()
+        under_way.add(call)
+        counts.append(len(under_way))
         await wait(reactor, READ_S)
+        under_way.discard(call)
         return await read(key)
 
     wire.read = read_slowly
+    return counts
 
 
 # Failure: workers kept the bodies of all jobs of the fleet.
@@ -185,13 +198,14 @@
     for number in range(160):
         submit(f"j{number}")
     wire.page_size = 1
-    delay_reads(wire, reactor)
+    counts = delay_reads(wire, reactor)
     gateway = build_worker(upstreams=())
     most = 0
     for _ in range(100):
         most = max(most, count_kept_bytes(gateway))
         reactor.pump([0.1] * 5)
     assert len(gateway.worker.catalogue.list_incomplete()) == 160
+    assert max(counts) == bodies.MAX_RECORD_READS
     assert most <= BOUNDED_PLACES * LIMIT_BYTES
 
 
