--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -14,6 +14,8 @@
 from .crashes import RequestGuard
 from .http1 import ConnectionPool
 from .indirect_probes import probe_indirectly
+from .jobs.bodies import JobBodies
+from .jobs.body_limits import choose_body_limit
 from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
 from .jobs.submissions import Submissions
@@ -79,6 +81,7 @@
         Server for the other gateways.
     read_metrics : callable or None
         Returns the metrics as text; None until the first scrape.
+    bodies : JobBodies
     worker : Worker or None
     workers : frozenset of str
         Identifiers of the gateways that can run items, as of the last
@@ -185,7 +188,10 @@
             self.proof_of_life.follow(name, mirror)
         self.workspace_rates = WorkspaceRates(gateway=self)
         self.quotas = QuotaLedger(gateway=self)
-        self.submissions = Submissions(gateway=self)
+        self.bodies = JobBodies(
+            store=store, limit=choose_body_limit(settings.memory_bytes)
+        )
+        self.submissions = Submissions(gateway=self, limit=self.bodies.limit)
         self.reading = JobReadService(gateway=self)
         self.held = HeldRequests(gateway=self)
         self.forwarding = Forwarding(gateway=self)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
@@ -17,7 +17,6 @@
 
 from ..http1 import answer_internal_error
 from ..peers import fetch_answer
-from .loading import load_job
 from .view import JobView
 
 __all__ = ["JobReadService"]
@@ -94,10 +93,11 @@
     async def open_view(self, identifier):
         """Return the view of a job, reading its record if necessary."""
         self.evict_idle_views()
+        self.evict_excess_views(identifier)
         view = self.views.get(identifier)
         if view is not None:
             return view
-        job = await load_job(self.gateway.store, identifier)
+        job = await self.gateway.bodies.read_job(identifier)
         if job is None:
             raise BatchNotFoundError("no such job")
         view = JobView(
@@ -112,6 +112,25 @@
             if view.last_used < idle_since and not view.is_reading:
                 del self.views[identifier]
 
+    def count_held_bytes(self):
+        """Return the bytes of the results that are held."""
+        return sum(view.held_bytes for view in self.views.values())
+
+    def evict_excess_views(self, identifier):
+        """Evict the results that were read least recently, beyond a limit.
+
+        Those of the job that is read now stay.
+        """
+        held = self.count_held_bytes()
+        for other, view in sorted(
+            self.views.items(), key=lambda each: each[1].last_used
+        ):
+            if held <= self.gateway.bodies.limit:
+                return
+            if other != identifier and not view.is_reading:
+                held -= view.held_bytes
+                del self.views[other]
+
     async def read(
         self, request, identifier, *, position, wait_seconds, caller=None
     ):
@@ -230,9 +249,9 @@
     ):
         """Answer with the body of an item from the store."""
         view = await self.find_view(identifier, caller=caller)
-        found = view.items_by_id.get(item)
-        if found is None:
+        if item not in view.item_identifiers:
             raise BatchNotFoundError("no such item")
+        found = await self.gateway.bodies.read(identifier, item)
         headers = self.gateway.dialect.build_body_headers()
         request.answer(http.OK, headers, found.body)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -17,6 +17,7 @@
     Parameters
     ----------
     job : Job
+        With items without their headers and bodies.
     store : Store
     reactor : twisted reactor
 
@@ -25,8 +26,9 @@
     results : list of ItemResult
         By position, the same at every gateway, since the store's revisions
         determine the order.
-    items_by_id : dict
-        Item by identifier.
+    item_identifiers : frozenset of str
+    held_bytes : int
+        Bytes of the outputs in the results.
     last_used : float
         Time of the last read, reactor seconds.
 
@@ -41,11 +43,12 @@
         "store",
         "reactor",
         "results",
-        "items_by_id",
+        "item_identifiers",
         "added",
         "revision",
         "waiters",
         "is_reading",
+        "held_bytes",
         "last_used",
     )
 
@@ -54,11 +57,14 @@
         self.store = store
         self.reactor = reactor
         self.results = []
-        self.items_by_id = {item.identifier: item for item in job.items}
+        self.item_identifiers = frozenset(
+            item.identifier for item in job.items
+        )
         self.added = set()
         self.revision = 0
         self.waiters = []
         self.is_reading = False
+        self.held_bytes = 0
         self.last_used = reactor.seconds()
 
     @property
@@ -125,4 +131,5 @@
             if result.identifier not in self.added and entry.revision:
                 self.added.add(result.identifier)
                 self.results.append(result)
+                self.held_bytes += len(result.output)
         self.revision = max(self.revision, page.revision)
--- a/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/store/mirror.py
@@ -65,6 +65,9 @@
         Returns the seconds for which an answer may not have been read.
     on_proof : callable, optional
         Called without arguments after a watch has ended without changes.
+    reduce : callable, optional
+        Called with each Entry that is read, returns what is kept of it; by
+        default the whole entry.
 
     Attributes
     ----------
@@ -105,6 +108,7 @@
         choose_wait=lambda *, is_first: WATCH_TIMEOUT_S,
         measure_stall=lambda: 0.0,
         on_proof=lambda: None,
+        reduce=lambda entry: entry,
     ):
         self.store = store
         self.reactor = reactor
@@ -116,6 +120,7 @@
         self.choose_wait = choose_wait
         self.measure_stall = measure_stall
         self.on_proof = on_proof
+        self.reduce = reduce
         self.entries = {}
         self.revision = 0
         self.changed_revision = 0
@@ -315,7 +320,7 @@
 
     async def read_all(self):
         sent_at = self.clock()
-        page = await self.store.list(self.prefix)
+        page = await self.store.list(self.prefix, reduce=self.reduce)
         self.needs_listing = False
         if page.revision < self.revision:
             # A peer's snapshot is newer; the watch continues from there.
@@ -345,7 +350,7 @@
         self.read_at = now
         for entry in page.entries:
             if entry.revision:
-                self.entries[entry.key] = entry
+                self.entries[entry.key] = self.reduce(entry)
             else:
                 self.entries.pop(entry.key, None)
         self.revision = max(self.revision, page.revision)
