Refuse documents that lack what identity or safety needs

An entry below servers/ that lacks Sequence, ColdRemainingMs and born was used as a replica, an order to retire with any text as its seconds was carried out, and limits and the version of a configuration were taken whatever their type.

What is refused raises a typed error, is counted once for each revision in hollyspan_refused_documents, with one log line every 10 s for each kind. The rest of the list is served.

Tests that asserted None assert the error instead.

--- a/packages/hollyspan_core/hollyspan_core/values.py
+++ b/packages/hollyspan_core/hollyspan_core/values.py
@@ -1,19 +1,26 @@
 """Checks of values in documents that other programs have written."""
 
+import ipaddress
+import math
 import re
 
 from .errors import DocumentInvalidError
 
 __all__ = [
     "UNREADABLE",
+    "parse_address",
     "parse_header_fields",
     "parse_visible",
     "require_name",
+    "require_number",
+    "require_positive",
     "require_text",
     "require_type",
+    "split_address",
 ]
 
 MAX_TEXT_LENGTH = 200
+MAX_PORT = 65535
 # A name goes into a header of each request.
 NAME_PATTERN = re.compile(r"[!-~]+")
 # Visible ASCII characters, names and values of header fields, as in RFC 9110.
@@ -54,6 +61,35 @@
     return value
 
 
+def require_number(value):
+    """Return a finite number, or raise an error if it is none."""
+    if not math.isfinite(require_type(value, int, float)):
+        raise DocumentInvalidError("a number that is not finite")
+    return value
+
+
+def require_positive(value):
+    """Return a finite number above 0, or raise an error if it is none."""
+    if require_number(value) <= 0:
+        raise DocumentInvalidError("a number that is not above 0")
+    return value
+
+
+def split_address(text):
+    """Split ``IP:PORT`` into address and port number."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def parse_address(text):
+    """Return host and port of an address that can be connected to."""
+    host, port = split_address(text)
+    ipaddress.IPv4Address(host)
+    if not 0 < port <= MAX_PORT:
+        raise DocumentInvalidError(f"{port} is not a port")
+    return host, port
+
+
 def parse_visible(value):
     """Return a text of visible ASCII characters, or raise an error."""
     if not VISIBLE_PATTERN.fullmatch(value):
--- a/packages/hollyspan_gateway/hollyspan_gateway/configuration.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/configuration.py
@@ -3,6 +3,7 @@
 import eliot
 
 from hollyspan_core.errors import ConfigurationInvalidError
+from hollyspan_core.errors import DocumentInvalidError
 
 __all__ = ["apply_configuration"]
 
@@ -19,6 +20,7 @@
     mirror : Mirror
         Of the configuration's entries.
     """
+    refused = {"configuration": {}, "routes": {}, "retirement": {}}
     for entry in mirror.entries.values():
         try:
             table = gateway.dialect.decode_configuration(entry)
@@ -31,14 +33,31 @@
                 param=error.param,
                 reason=error.message,
             )
+            refused["configuration"][entry.key] = (
+                entry.revision,
+                error.message,
+            )
             continue
         if table is None:
-            gateway.retirement.apply_order(entry)
+            try:
+                gateway.retirement.apply_order(entry)
+            except DocumentInvalidError as error:
+                refused["retirement"][entry.key] = (
+                    entry.revision,
+                    error.message,
+                )
             continue
+        if not table.is_complete:
+            refused["routes"][entry.key] = (
+                entry.revision,
+                "not all routes can be read",
+            )
         gateway.has_unread_configuration = False
         current = gateway.routes
         if current is None or table.revision > current.revision:
             put_in_force(gateway, table)
+    for kind, entries in refused.items():
+        gateway.refused.update(kind, entries)
     gateway.stream_versions.version_records.schedule_update()
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -12,6 +12,7 @@
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_core.loop_watch import open_loop_watch
 from hollyspan_core.signals import handle_once
+from hollyspan_core.values import parse_address
 
 from .clock import wait
 from .gateway import Gateway
@@ -239,11 +240,8 @@
     for entry in page.entries:
         name = entry.key.removeprefix(MEMBERS_PREFIX)
         try:
-            host, _, port = entry.content.decode().rpartition(":")
-            members[name] = (host, int(port))
+            members[name] = parse_address(entry.content.decode())
         except ValueError as error:
-            eliot.log_message(
-                "member:unreadable", member=name, reason=repr(error)
-            )
+            gateway.refused.note("member", name=entry.key, reason=repr(error))
     gateway.peers.add(members)
     eliot.log_message("member:registered", known=len(page.entries))
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -3,6 +3,7 @@
 import math
 import time
 
+from hollyspan_core.errors import DocumentInvalidError
 from hollyspan_core.errors import DrainingError
 from hollyspan_core.errors import Outcome
 from hollyspan_policy.drain import can_finish
@@ -24,6 +25,7 @@
 from .peers import LoadBroadcaster
 from .peers import PeerTable
 from .refresh import Refresh
+from .refused import RefusedDocuments
 from .retirement import Retirement
 from .store import Mirror
 from .store_reading import StoreReading
@@ -69,6 +71,8 @@
         True when the newest configuration cannot be read.
     draining_since : float or None
         Time at which the shutdown was requested, reactor seconds.
+    refused : RefusedDocuments
+        Documents of other programs that were not taken.
     work : WorkInFlight
         Requests and calls that have no final answer yet.
     site : ClientSite or None
@@ -99,6 +103,7 @@
         self.internal_site = None
         self.worker = None
         self.workers = frozenset()
+        self.refused = RefusedDocuments(clock=reactor.seconds)
         self.work = WorkInFlight()
         self.reach = Reach(gateway=self)
         self.use_pool(ConnectionPool(reactor=reactor, source_ip=settings.ip))
@@ -288,10 +293,15 @@
     def apply_upstreams(self, mirror):
         """Update the directory from the mirrored entries of upstreams."""
         entries = {}
+        refused = {}
         for entry in mirror.entries.values():
-            upstream = self.dialect.decode_upstream(entry)
-            if upstream is not None:
+            try:
+                upstream = self.dialect.decode_upstream(entry)
+            except DocumentInvalidError as error:
+                refused[entry.key] = (entry.revision, error.message)
+            else:
                 entries[upstream.name] = upstream
+        self.refused.update("upstream", refused)
         expiry_grace_until = 0.0
         if mirror.reconnected_at is not None:
             expiry_grace_until = mirror.reconnected_at + EXPIRY_GRACE_S
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -78,6 +78,12 @@
     add_counter(meter, "sends", ("result",), lambda: metrics.sends)
     add_counter(meter, "items", ("state",), lambda: metrics.items)
     add_counter(meter, "refusals", ("reason",), lambda: metrics.refusals)
+    add_counter(
+        meter,
+        "refused_documents",
+        ("kind",),
+        lambda: gateway.refused.counts,
+    )
     add_counter(
         meter,
         "pace_changes",
--- a/packages/hollyspan_gateway/hollyspan_gateway/retirement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/retirement.py
@@ -48,6 +48,11 @@
         Parameters
         ----------
         entry : Entry
+
+        Raises
+        ------
+        DocumentInvalidError
+            The order cannot be read.
         """
         gateway = self.gateway
         order = gateway.dialect.decode_retirement(entry)
