Take an answer only from the upstream itself

Change: an answer that names no request, unless it is a refusal, and a success without the signature are foreign: an error of its own, before anything in them is believed. A request that may be repeated goes on elsewhere, of another one the outcome is unknown; an item is run again and has failed no run. What a peer passes on is checked in the same way.

--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -52,6 +52,7 @@
 from .store import StoreUnavailableError
 from .store import StoreUnreachableError
 from .store import StoreValueTooLargeError
+from .upstream import AnswerForeignError
 from .upstream import AnswerMisplacedError
 from .upstream import StreamCancelledError
 from .upstream import StreamLostError
@@ -64,6 +65,7 @@
 from .upstream import UpstreamUnreachableError
 
 __all__ = [
+    "AnswerForeignError",
     "AnswerMisplacedError",
     "AuthenticationError",
     "BatchNotFoundError",
--- a/packages/hollyspan_core/hollyspan_core/errors/upstream.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/upstream.py
@@ -4,6 +4,7 @@
 from .base import Outcome
 
 __all__ = [
+    "AnswerForeignError",
     "AnswerMisplacedError",
     "StreamCancelledError",
     "StreamLostError",
@@ -104,6 +105,14 @@
     code = "answer_misplaced"
 
 
+class AnswerForeignError(StreamMalformedError):
+    """An answer came that the upstream itself has not given."""
+
+    status = 502
+    kind = "server_error"
+    code = "answer_foreign"
+
+
 class UpstreamAnswerError(HollyspanError):
     """The upstream answered with an error.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -15,6 +15,7 @@
 from ..http1 import run_attempt
 from ..online.answers import check_events_end
 from ..online.answers import check_events_head
+from ..online.answers import require_own_answer
 from ..online.head import format_parts
 from ..online.head import RequestHead
 from .item import ItemResult
@@ -201,6 +202,9 @@
             self.upstream, opened_at=self.exposure.opened_at
         )
         reply = self.gateway.dialect.decode_reply(status, headers)
+        require_own_answer(
+            self.gateway, reply, sender=self.upstream.entry.name
+        )
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
         error = check_events_head(reply, has_begun=False)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/answers.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/answers.py
@@ -1,5 +1,6 @@
 """Checks of answers: which hold events, and which can be delivered."""
 
+from hollyspan_core.errors import AnswerForeignError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import UpstreamAnswerError
@@ -10,6 +11,7 @@
     "check_events_head",
     "check_plain_answer",
     "has_events",
+    "require_own_answer",
 ]
 
 EVENTS_STATUS = 200
@@ -55,6 +57,22 @@
     return value.partition(b";")[0].strip().lower()
 
 
+def require_own_answer(gateway, reply, *, sender):
+    """Raise AnswerForeignError unless an upstream itself has answered.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    reply : UpstreamReply
+    sender : str
+        Name of the upstream, or identifier of the peer, that was asked.
+    """
+    if reply.is_foreign:
+        reason = f"the answer {reply.status} is not the upstream's"
+        gateway.refused.note("answer", name=sender, reason=reason)
+        raise AnswerForeignError(reason)
+
+
 def check_events_head(reply, *, has_begun):
     """Return an error if the head of an answer rules out its delivery.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -14,6 +14,7 @@
 from ..http1 import MAX_FAILURE_BYTES
 from ..http1 import run_attempt
 from ..routes import RouteKind
+from .answers import require_own_answer
 from .forwarded import build_target
 from .forwarded import decode_failure
 from .forwarded import FAILURE_HEADER
@@ -187,6 +188,9 @@
             [each for each in headers if each[0] not in INTERNAL_HEADERS],
         )
         if not self.has_failed:
+            require_own_answer(
+                relay.gateway, relay.reply, sender=self.peer.identifier
+            )
             relay.gateway.reach.note_answer_elsewhere()
             relay.require_deliverable()
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -19,6 +19,7 @@
 from ..routes import RouteKind
 from .answers import check_events_head
 from .answers import check_plain_answer
+from .answers import require_own_answer
 from .attempt_log import log_failed_attempt
 from .delivery import Delivery
 from .forwarded import set_upstream_headers
@@ -430,6 +431,9 @@
         self.gateway.reach.note_data(
             self.upstream, opened_at=self.exposure.opened_at
         )
+        require_own_answer(
+            self.gateway, reply, sender=self.upstream.entry.name
+        )
         if self.is_forwarded and not self.delivery.has_begun:
             set_upstream_headers(self.request, self.upstream, reply)
         self.gateway.placement.note_reply(self.upstream, reply)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/reply.py
@@ -35,6 +35,9 @@
         Headers that are forwarded unchanged, without hop-by-hop headers.
     unreadable_load : str or None, optional
         Start of a load report of which a figure could not be read.
+    is_foreign : bool, optional
+        True when it lacks what an answer of the upstream itself has; nothing
+        in it may be believed or forwarded.
     """
 
     __slots__ = (
@@ -49,6 +52,7 @@
         "is_delimited",
         "headers",
         "unreadable_load",
+        "is_foreign",
     )
 
     def __init__(
@@ -65,6 +69,7 @@
         is_delimited,
         headers,
         unreadable_load=None,
+        is_foreign=False,
     ):
         self.status = status
         self.has_not_run = has_not_run
@@ -77,6 +82,7 @@
         self.is_delimited = is_delimited
         self.headers = headers
         self.unreadable_load = unreadable_load
+        self.is_foreign = is_foreign
 
     @property
     def is_success(self):
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -103,6 +103,7 @@
             and has_events(status, headers),
             is_delimited=b"undelimited" not in values,
             headers=list(headers),
+            is_foreign=b"foreign" in values,
         )
 
     @staticmethod
