Check the fields of jobs' records and results

A record whose fields had other types was taken for a job, and whatever is no result was listed as given up, for good.

Change: the fields of a record are checked with their types when it is read; a result has one of its two states and a line feed, otherwise a read of the job is answered 503 record_unreadable. hollyspan_jobs_unreadable counts the jobs whose record cannot be read yet. Records of earlier builds are read as before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -6,6 +6,9 @@
 
 from hollyspan_core.documents import parse_document
 from hollyspan_core.errors import RecordUnreadableError
+from hollyspan_core.values import require_number
+from hollyspan_core.values import require_type
+from hollyspan_core.values import UNREADABLE
 
 from .item import Item
 from .item import ItemResult
@@ -144,23 +147,19 @@
         document = parse_document(zlib.decompress(content))
         return Job(
             identifier=identifier,
-            host=document["host"],
-            path=document["path"],
-            submitted=document["submitted"],
-            due=document["due"],
-            retained_until=document["retained_until"],
-            items=[decode_item(item) for item in document["items"]],
+            host=require_type(document["host"], str),
+            path=require_type(document["path"], str),
+            submitted=require_number(document["submitted"]),
+            due=require_number(document["due"]),
+            retained_until=require_number(document["retained_until"]),
+            items=[
+                decode_item(item)
+                for item in require_type(document["items"], list)
+            ],
             reservation=decode_reservation(document.get("reservation")),
-            workspace=document.get("workspace"),
+            workspace=require_type(document.get("workspace"), str, type(None)),
         )
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-        zlib.error,
-    ) as error:
+    except (*UNREADABLE, zlib.error) as error:
         raise RecordUnreadableError(
             f"the record of job {identifier} cannot be read: {error!r}"
         ) from error
@@ -169,11 +168,17 @@
 def decode_item(row):
     """Decode an item in a job's record."""
     return Item(
-        identifier=row["id"],
-        path=row["path"],
-        headers=[tuple(pair) for pair in row["headers"]],
-        body=base64.b64decode(row["body"]),
-        tokens=row.get("tokens", 0),
+        identifier=require_type(row["id"], str),
+        path=require_type(row["path"], str),
+        headers=[
+            tuple(require_type(text, str) for text in (name, value))
+            for name, value in (
+                require_type(pair, list)
+                for pair in require_type(row["headers"], list)
+            )
+        ],
+        body=base64.b64decode(row["body"], validate=True),
+        tokens=require_type(row.get("tokens", 0), int),
     )
 
 
@@ -188,8 +193,10 @@
     """Return the reservation in a record, None without one."""
     if value is None:
         return None
-    quota, share = value
-    return Reservation(quota=quota, share=share)
+    quota, share = require_type(value, list)
+    return Reservation(
+        quota=require_type(quota, str), share=require_type(share, int)
+    )
 
 
 def encode_result(result):
@@ -199,8 +206,16 @@
 
 
 def decode_result(key, content):
-    """Decode the content of a result's key."""
-    state, _, output = content.partition(b"\n")
+    """Decode the content of a result's key.
+
+    Raises
+    ------
+    RecordUnreadableError
+        It is cut, or of a build with other states.
+    """
+    state, separator, output = content.partition(b"\n")
+    if not separator or state not in (DONE_STATE, GIVEN_UP_STATE):
+        raise RecordUnreadableError(f"the result {key} cannot be read")
     return ItemResult(
         identifier=read_result_item(key),
         is_done=state == DONE_STATE,
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -144,6 +144,8 @@
     add("online_in_flight", count_online)
     if gateway.worker is not None:
         add("batch_in_flight", lambda: len(gateway.worker.running))
+        unreadable = gateway.worker.catalogue.unreadable
+        add("jobs_unreadable", lambda: len(unreadable))
         add("shortages_avoided", lambda: gateway.worker.shortages.avoided)
     add("configuration_version", lambda: gateway.configuration_version or 0)
     add("workspaces_over_share", gateway.shares.count_over)
