Refuse messages that name no sender or start, or this gateway

A datagram without a sender or without the start of its process was applied, and one in the own name of a gateway made it its own peer.

Change: both are refused, with the log lines there are, and counted by these in hollyspan_refused_datagrams.

--- a/packages/hollyspan_gateway/hollyspan_gateway/intake/served.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/intake/served.py
@@ -1,5 +1,6 @@
 """Limits on clients and peers that a gateway serves."""
 
+import collections
 import itertools
 
 import eliot
@@ -206,9 +207,11 @@
     ----------
     refused : dict
         Datagrams refused since the last log line, and its time, by its type.
+    counts : collections.Counter
+        All refused datagrams, by the type of their log line.
     """
 
-    __slots__ = ("reactor", "shares", "refused")
+    __slots__ = ("reactor", "shares", "refused", "counts")
 
     def __init__(self, *, reactor):
         self.reactor = reactor
@@ -218,6 +221,7 @@
             excess_rate=EXCESS_DATAGRAM_RATE,
         )
         self.refused = {}
+        self.counts = collections.Counter()
 
     def may_read(self, host):
         """Return whether a datagram of an address may be read."""
@@ -242,6 +246,7 @@
             Type of the log line.
         """
         now = self.reactor.seconds()
+        self.counts[message] += 1
         count, logged_at = self.refused.get(message, (0, None))
         is_due = (
             logged_at is None or now - logged_at >= DATAGRAM_LOG_INTERVAL_S
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -84,6 +84,12 @@
         ("kind",),
         lambda: gateway.refused.counts,
     )
+    add_counter(
+        meter,
+        "refused_datagrams",
+        ("line",),
+        lambda: gateway.peers.intake.counts,
+    )
     add_counter(
         meter,
         "pace_changes",
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -159,6 +159,8 @@
         wire = WireMessage.from_bytes_packed(
             datagram, traversal_limit_in_words=MAX_DATAGRAM_WORDS
         )
+        if not (wire.sender and wire.incarnation):
+            raise PeerMessageError("a datagram names no sender or start")
         message = FleetMessage(
             sender=wire.sender,
             incarnation=wire.incarnation,
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -322,6 +322,9 @@
             self.intake.refuse(host, error.message, message="peer:malformed")
             return
         self.intake.charge(host, 1 + len(message.loads))
+        if message.sender == self.key:
+            self.intake.refuse(host, "it names this gateway as its sender")
+            return
         peer = self.peers.get(message.sender)
         if peer is None:
             if not self.has_place():
