Hear a gateway that starts again behind a clock set back

A gateway numbers its process by the time of day at its start. One that started behind a clock that was stepped back was ignored by its peers for good, while they went on without its items, loads and blocks.

Change: a process that claims an earlier start than the latest one heard takes its place once that one has been silent for as long as a gateway that has failed and two messages in their order have come from it meanwhile. One late datagram of an ended process is not enough, and a replaced process comes back by the same rule only. Messages are as before, so that builds mix; a peer of an earlier build goes on to ignore it. Ruled out: a counter in the membership entry, which builds before this one read as an address, and its revision, which costs a store call before the first message.

--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -93,7 +93,7 @@
 
 struct FleetMessage {
   sender @0 :UInt64;
-  incarnation @1 :UInt64;   # start time, microseconds since the epoch
+  incarnation @1 :UInt64;   # start by its clock, microseconds since the epoch
   sequence @2 :UInt64;
   isFull @3 :Bool;          # loads that are not named are zero
   loads @4 :List(Load);
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -2,6 +2,8 @@
 
 import math
 
+import eliot
+
 from hollyspan_policy.hashing import format_hash
 
 __all__ = ["Peer", "PeerChange", "build_identifier", "parse_identifier"]
@@ -55,6 +57,11 @@
         The same of the last full message.
     incarnation, sequence : int
         Of the newest message.
+    last_start : int
+        The latest start of which it has told, by its clock then.
+    successor : (int, int) or None
+        Incarnation and sequence of a process that claims an earlier start,
+        while the current one is silent.
     loads : dict
         (online, batch) by hash of the upstream's name.
     runs_batch, is_leaving, reaches_store : bool
@@ -93,6 +100,8 @@
         "last_heartbeat",
         "incarnation",
         "sequence",
+        "last_start",
+        "successor",
         "loads",
         "runs_batch",
         "is_leaving",
@@ -118,6 +127,8 @@
         self.last_heartbeat = None
         self.incarnation = 0
         self.sequence = 0
+        self.last_start = 0
+        self.successor = None
         self.loads = {}
         self.runs_batch = False
         self.is_leaving = False
@@ -147,15 +158,17 @@
         PeerChange or None
             None for a message that is not newer than the last one.
         """
-        order = (message.incarnation, message.sequence)
-        if order <= (self.incarnation, self.sequence):
+        if not self.is_newer(message, now=now):
             return None
+        order = (message.incarnation, message.sequence)
         changed = {load.upstream for load in message.loads}
         if message.is_full or message.incarnation != self.incarnation:
             changed.update(self.loads)
             self.loads = {}
         role = self.get_role()
         self.incarnation, self.sequence = order
+        self.last_start = max(self.last_start, message.incarnation)
+        self.successor = None
         self.last_seen = now
         if message.is_full:
             self.last_heartbeat = now
@@ -179,6 +192,39 @@
             upstreams=changed, is_membership_change=role != self.get_role()
         )
 
+    def is_newer(self, message, *, now):
+        """Return whether a message is newer than the last one.
+
+        Notes
+        -----
+        Incarnations are numbered by the clock of their start, which may have
+        been set back before. A process that claims an earlier start than the
+        latest one takes its place once that one is silent for as long as a
+        gateway that has failed, and two messages in their order have come
+        from it meanwhile. A single late message of an earlier process is not
+        enough.
+        """
+        if message.incarnation == self.incarnation:
+            return message.sequence > self.sequence
+        if message.incarnation > self.last_start:
+            return True
+        if self.is_live(now):
+            self.successor = None
+            return False
+        incarnation, sequence = self.successor or (0, 0)
+        if message.incarnation != incarnation:
+            self.successor = (message.incarnation, message.sequence)
+            return False
+        if message.sequence <= sequence:
+            return False
+        eliot.log_message(
+            "peer:clock_set_back",
+            peer=self.identifier,
+            was=self.incarnation,
+            incarnation=message.incarnation,
+        )
+        return True
+
     def is_live(self, now):
         """Return whether the last message is recent enough."""
         if self.last_seen is None:
