Bound answers with results by their bytes as they are sent

A read of results was bounded by 700,000 bytes of outputs, which are up to six times as long in JSON (letters beyond ASCII, controls, bytes that are no text), where the protocol allows 1 MB.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
@@ -1,5 +1,6 @@
 """Reads of job results and item bodies."""
 
+import itertools
 from urllib.parse import parse_qs
 from urllib.parse import quote
 from urllib.parse import unquote
@@ -31,8 +32,9 @@
 # times the latency of a read in the store, and less than half of the 1.5 s
 # that the client allows.
 READER_TIMEOUT_S = 0.6
-# Outputs in one answer, whose size is limited to one megabyte.
-MAX_OUTPUT_BYTES = 700_000
+# Results in one answer as they are sent, whose size is limited to one
+# megabyte.
+MAX_RESULTS_BYTES = 999_000
 
 
 class JobReadService:
@@ -219,9 +221,11 @@
         """Answer with results from the store."""
         view = await self.find_view(identifier, caller=caller)
         await view.wait_for(position, seconds=wait_seconds)
-        results = limit_results(view.results[position:])
         _, headers, body = self.gateway.dialect.encode_results(
-            total=len(view.job.items), position=position, results=results
+            total=len(view.job.items),
+            position=position,
+            results=itertools.islice(view.results, position, None),
+            max_bytes=MAX_RESULTS_BYTES,
         )
         request.answer(http.OK, headers, body)
 
@@ -235,13 +239,3 @@
             raise BatchNotFoundError("no such item")
         headers = self.gateway.dialect.build_body_headers()
         request.answer(http.OK, headers, found.body)
-
-
-def limit_results(results):
-    """Return the first results whose outputs fit into one answer."""
-    size = 0
-    for count, result in enumerate(results):
-        size += len(result.output)
-        if count and size > MAX_OUTPUT_BYTES:
-            return results[:count]
-    return results
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -115,7 +115,7 @@
         return 202, [], b""
 
     @staticmethod
-    def encode_results(*, total, position, results):
+    def encode_results(*, total, position, results, max_bytes):
         names = ",".join(result.identifier for result in results)
         return 200, [], f"{total}:{position}:{names}".encode()
 
