Let the alarm of a held loop raise nothing

The alarm that tells what holds the loop asked a port of datagrams for its peer, which raises NotImplementedError, within the reading of the datagram: the rest of what read it did not run.

Change: the sender of a datagram is the argument of what reads it, and an error in the alarm's handler is logged in its place.

--- a/packages/hollyspan_core/hollyspan_core/loop_watch.py
+++ b/packages/hollyspan_core/hollyspan_core/loop_watch.py
@@ -107,8 +107,15 @@
         self.call = self.reactor.callLater(CHECK_INTERVAL_S, self.check)
 
     def note_frame(self, number, frame):
-        """Note what runs, as a handler of the alarm's signal."""
-        self.running = describe_frame(frame)
+        """Note what runs, as a handler of the alarm's signal.
+
+        It runs between two steps of whatever holds the loop, which would get
+        an error raised here.
+        """
+        try:
+            self.running = describe_frame(frame)
+        except Exception as error:
+            self.running = {"functions": [], "reason": repr(error)}
 
 
 def describe_frame(frame):
@@ -131,15 +138,15 @@
         module = frame.f_globals.get("__name__")
         if len(functions) < MAX_FUNCTIONS:
             functions.append(f"{module}:{code.co_name}:{frame.f_lineno}")
-        if code.co_name in ("dataReceived", "datagramReceived"):
+        if code.co_name in READERS:
             owner = frame.f_locals.get("self")
             protocol = type(owner).__name__
-            sender = find_sender(owner)
+            sender = READERS[code.co_name](frame, owner)
         frame = frame.f_back
     return {"functions": functions, "protocol": protocol, "sender": sender}
 
 
-def find_sender(protocol):
+def find_connection_sender(frame, protocol):
     """Return the address from which a protocol receives, or None."""
     get_peer = getattr(getattr(protocol, "transport", None), "getPeer", None)
     if get_peer is None:
@@ -148,6 +155,26 @@
     return f"{getattr(peer, 'host', peer)}:{getattr(peer, 'port', '')}"
 
 
+def find_datagram_sender(frame, protocol):
+    """Return the address of the datagram that is read, or None.
+
+    A port of datagrams has no peer: the address is an argument.
+    """
+    names = frame.f_code.co_varnames[: frame.f_code.co_argcount]
+    address = frame.f_locals.get(names[-1]) if names else None
+    if type(address) is not tuple:
+        return None
+    return ":".join(map(str, address))
+
+
+# Functions that find the sender of the bytes that are read, by the name of
+# the method that reads them.
+READERS = {
+    "dataReceived": find_connection_sender,
+    "datagramReceived": find_datagram_sender,
+}
+
+
 @contextlib.contextmanager
 def open_loop_watch(reactor):
     """Watch the event loop of this process within a context.
--- a/packages/hollyspan_core/hollyspan_core/tests/test_loop_watch.py
+++ b/packages/hollyspan_core/hollyspan_core/tests/test_loop_watch.py
@@ -41,6 +41,31 @@
     reactor.run()
 """
 
+# Holds the loop with a datagram; the rest of what reads it must run, too.
+HELD_BY_DATAGRAM = """
+import time
+import eliot
+from twisted.internet import protocol, reactor
+from hollyspan_core.loop_watch import open_loop_watch
+
+class Slow(protocol.DatagramProtocol):
+    def datagramReceived(self, datagram, address):
+        ends = time.monotonic() + 1.0
+        while time.monotonic() < ends:
+            pass
+        print("read", flush=True)
+
+eliot.add_destinations(lambda message: print(message, flush=True))
+port = reactor.listenUDP(0, Slow(), interface="127.0.0.1")
+sender = reactor.listenUDP(
+    0, protocol.DatagramProtocol(), interface="127.0.0.1"
+)
+sender.write(b"x", ("127.0.0.1", port.getHost().port))
+reactor.callLater(2.0, reactor.stop)
+with open_loop_watch(reactor):
+    reactor.run()
+"""
+
 
 @pytest.fixture
 def logged():
@@ -89,16 +114,50 @@
     assert logged[1]["longest"] == 0.75
 
 
-def test_a_process_tells_which_connection_holds_its_loop():
+def run_program(text):
+    """Run a program and return the lines that it prints."""
     process = subprocess.run(
-        [sys.executable, "-c", HELD],
+        [sys.executable, "-c", text],
         capture_output=True,
         text=True,
         timeout=30,
     )
     assert process.returncode == 0, process.stderr
-    (line,) = process.stdout.splitlines()
+    return process.stdout.splitlines()
+
+
+def test_a_process_tells_which_connection_holds_its_loop():
+    (line,) = run_program(HELD)
     assert "'loop:held'" in line
     assert "__main__:dataReceived" in line
     assert "'protocol': 'Slow'" in line
     assert "'sender': '127.0.0.1:" in line
+
+
+# Failure: the alarm raised NotImplementedError in the reading of a datagram.
+def test_a_process_tells_whose_datagram_holds_its_loop():
+    read, line = run_program(HELD_BY_DATAGRAM)
+    assert read == "read"
+    assert "'loop:held'" in line
+    assert "__main__:datagramReceived" in line
+    assert "'protocol': 'Slow'" in line
+    assert "'sender': '127.0.0.1:" in line
+
+
+def test_an_error_in_the_alarm_does_not_reach_what_holds_the_loop(logged):
+    class Broken:
+        @property
+        def transport(self):
+            raise OSError("closed")
+
+        def dataReceived(self, data):
+            watch.note_frame(14, sys._getframe())
+
+    reactor = task.Clock()
+    watch = LoopWatch(reactor=reactor)
+    watch.start()
+    Broken().dataReceived(b"")
+    hold(reactor, 1.25)
+    (line,) = logged
+    assert line["functions"] == []
+    assert "closed" in line["reason"]
