Give out no second burst after all gateways have started again

Change: a bucket begins with what has come in since the first of the live gateways has started, which their memory of streams tells, in messages that there are. A fleet that starts for the first time, or in which one is older, begins as before. The stand-in of a fleet tells ages, too; gateways that have not been restarted there have been there for ever.

--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_workspace_rates.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_workspace_rates.py
@@ -143,3 +143,42 @@
         send_change(recipients, **fields)
 
     return send
+
+
+def find_tokens(gateway):
+    """Return what the bucket of a workspace begins with at a keeper."""
+    keeping = gateway.workspace_rates.keeping
+    kept = keeping.find(
+        1,
+        Workspace(name="w", rate=RATE, burst=5 * RATE),
+        now=gateway.reactor.seconds(),
+    )
+    return kept.ledger.tokens
+
+
+# Failure: after all gateways had ended at once, the whole burst was given out
+# once more.
+def test_a_fleet_that_has_started_again_gives_out_no_second_burst(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    for gateway in fleet.gateways:
+        gateway.stream_versions.remembered_since = fleet.reactor.seconds()
+    fleet.advance(1.0)
+    assert find_tokens(fleet.gateways[0]) == pytest.approx(RATE, rel=0.1)
+
+
+def test_a_keeper_that_starts_again_alone_begins_full(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    first, *others = fleet.gateways
+    first.stream_versions.remembered_since = fleet.reactor.seconds()
+    for gateway in others:
+        gateway.stream_versions.note_first_start()
+    fleet.advance(1.0)
+    assert find_tokens(first) == 5 * RATE
+
+
+def test_a_fleet_that_starts_for_the_first_time_begins_full(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    for gateway in fleet.gateways:
+        gateway.stream_versions.note_first_start()
+    fleet.advance(0.1)
+    assert find_tokens(fleet.gateways[0]) == 5 * RATE
--- a/packages/hollyspan_gateway/hollyspan_gateway/workspaces/keeping.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/workspaces/keeping.py
@@ -119,6 +119,7 @@
                     capacity=capacity,
                     now=now,
                     live_part=self.rates.members.measure_live_part(),
+                    known_seconds=self.rates.measure_known_seconds(),
                 ),
             )
         kept.workspace = workspace
--- a/packages/hollyspan_gateway/hollyspan_gateway/workspaces/rates.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/workspaces/rates.py
@@ -193,6 +193,24 @@
             del self.gates[name]
         self.keeping.forget_others(self.by_key)
 
+    def measure_known_seconds(self):
+        """Return for how long one of the live gateways has been there.
+
+        Returns
+        -------
+        float
+            Seconds, infinity if the fleet has started for the first time.
+        """
+        now = self.gateway.reactor.seconds()
+        return max(
+            self.gateway.stream_versions.measure_memory(),
+            *(
+                peer.measure_memory(now)
+                for peer in self.gateway.peers.list_live()
+            ),
+            0.0,
+        )
+
     def measure_capacity(self, workspace):
         """Return the capacity of a workspace's token bucket."""
         return self.gateway.settings.rate_tolerance.measure_capacity(
--- a/packages/hollyspan_gateway/hollyspan_gateway/workspaces/tests/test_rates.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/workspaces/tests/test_rates.py
@@ -154,6 +154,22 @@
     assert fleet.measure_excess("w") <= 0
 
 
+# Failure: the keepers gave out the whole burst once more.
+@pytest.mark.parametrize("pause", [0.0, 0.5, 2.0])
+@pytest.mark.parametrize("gateways", [1, 12, 58])
+def test_all_gateways_start_again_in_a_flood(gateways, pause):
+    fleet = build(gateways=gateways)
+    fleet.send_steadily("w", rate=480.0, seconds=20.0)
+    fleet.clock.advance(4.0)
+    for number in range(gateways):
+        fleet.kill(number)
+    fleet.clock.advance(pause)
+    for number in range(gateways):
+        fleet.restart(number)
+    fleet.clock.advance(14.0)
+    assert fleet.measure_excess("w") <= 0
+
+
 def test_lowered_limit_binds_one_window_later():
     fleet = build()
     fleet.send_steadily("w", rate=100.0, seconds=30.0)
--- a/packages/hollyspan_policy/hollyspan_policy/workspace_rates/ledger.py
+++ b/packages/hollyspan_policy/hollyspan_policy/workspace_rates/ledger.py
@@ -60,12 +60,16 @@
     now : float
     live_part : float, optional
         Part of the known daemons that is live.
+    known_seconds : float, optional
+        Time for which one of the daemons that are live has been there.
 
     Notes
     -----
     In a parted fleet it begins empty, since other keepers may have given out
     the burst. Else it begins full, less what the daemons have admitted of
     late by their first messages, and empty if they admit only a fraction.
+    Where all daemons have started of late it holds what has come in since the
+    first of them: the ones before, all ended, may have given out the burst.
     """
 
     __slots__ = (
@@ -83,10 +87,14 @@
         "inherited",
     )
 
-    def __init__(self, *, rate, capacity, now, live_part=1.0):
+    def __init__(
+        self, *, rate, capacity, now, live_part=1.0, known_seconds=math.inf
+    ):
         self.rate = rate
         self.capacity = capacity
-        self.tokens = capacity if live_part > WHOLE_PART else 0.0
+        self.tokens = 0.0
+        if live_part > WHOLE_PART:
+            self.tokens = min(capacity, known_seconds * rate)
         self.part = 1.0
         self.updated_at = now
         self.daemons = {}
--- a/packages/hollyspan_policy/hollyspan_policy/workspace_rates/tests/test_decisions.py
+++ b/packages/hollyspan_policy/hollyspan_policy/workspace_rates/tests/test_decisions.py
@@ -72,6 +72,16 @@
     assert ledger.tokens == 0.0
 
 
+# Failure: after all daemons had ended at once, the whole burst was given out
+# once more.
+def test_a_keeper_in_a_fleet_that_has_started_again_has_no_second_burst():
+    for seconds, tokens in ((0.0, 0.0), (0.5, 0.5 * RATE), (1e6, CAPACITY)):
+        ledger = RateLedger(
+            rate=RATE, capacity=CAPACITY, now=0.0, known_seconds=seconds
+        )
+        assert ledger.tokens == min(CAPACITY, tokens)
+
+
 def test_keepers_are_in_two_regions():
     candidates = {f"g{number}": number % 3 for number in range(30)}
     for number in range(50):
--- a/packages/hollyspan_standins/hollyspan_standins/rates/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/rates/fleet.py
@@ -1,5 +1,6 @@
 """Gateways that exchange what they know of the rates of workspaces."""
 
+import math
 import random
 import types
 
@@ -41,6 +42,10 @@
         self.heartbeat_seconds = fleet.measure_detection() / MISSED_HEARTBEATS
         self.phase = fleet.random.uniform(0.0, self.heartbeat_seconds)
 
+    def measure_memory(self, now):
+        """Return for how long the other one has been there."""
+        return self.fleet.measure_age(self.number)
+
     @property
     def last_heartbeat(self):
         """Time of the last heartbeat: one in each interval until a cut."""
@@ -95,6 +100,7 @@
         self.dead = set()
         self.cut_at = 0.0
         self.died_at = {}
+        self.started_at = {}
         self.size = gateways
         self.table = WorkspaceTable(by_digest={}, workspaces=workspaces)
         self.gateways = [self.build(number) for number in range(gateways)]
@@ -108,6 +114,9 @@
             reactor=self.clock,
             settings=types.SimpleNamespace(rate_tolerance=self.tolerance),
             workspaces=types.SimpleNamespace(table=self.table),
+            stream_versions=types.SimpleNamespace(
+                measure_memory=lambda: self.measure_age(number)
+            ),
         )
         gateway.peers = types.SimpleNamespace(
             reactor=self.clock,
@@ -183,9 +192,14 @@
         self.died_at[number] = self.clock.seconds()
         self.clock.callLater(self.measure_detection(), self.update_members)
 
+    def measure_age(self, number):
+        """Return for how long a gateway has been there, in seconds."""
+        return self.clock.seconds() - self.started_at.get(number, -math.inf)
+
     def restart(self, number):
         """Replace a gateway by a new process that knows nothing."""
         self.dead.discard(number)
+        self.started_at[number] = self.clock.seconds()
         self.gateways[number] = self.build(
             number,
             incarnation=self.gateways[number].peers.incarnation + 1,
