--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -78,6 +78,18 @@
     add_counter(meter, "sends", ("result",), lambda: metrics.sends)
     add_counter(meter, "items", ("state",), lambda: metrics.items)
     add_counter(meter, "refusals", ("reason",), lambda: metrics.refusals)
+    add_counter(
+        meter,
+        "refused_documents",
+        ("kind",),
+        lambda: gateway.refused.counts,
+    )
+    add_counter(
+        meter,
+        "refused_datagrams",
+        ("line",),
+        lambda: gateway.peers.intake.counts,
+    )
     add_counter(
         meter,
         "pace_changes",
@@ -139,6 +151,8 @@
     add_job_gauges(add, gateway)
     if gateway.worker is not None:
         add("batch_in_flight", lambda: len(gateway.worker.running))
+        unreadable = gateway.worker.catalogue.unreadable
+        add("jobs_unreadable", lambda: len(unreadable))
         add("shortages_avoided", lambda: gateway.worker.shortages.avoided)
     add("configuration_version", lambda: gateway.configuration_version or 0)
     add("workspaces_over_share", gateway.shares.count_over)
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -103,6 +103,7 @@
             and has_events(status, headers),
             is_delimited=b"undelimited" not in values,
             headers=list(headers),
+            is_foreign=b"foreign" in values,
         )
 
     @staticmethod
@@ -114,7 +115,7 @@
         return 202, [], b""
 
     @staticmethod
-    def encode_results(*, total, position, results):
+    def encode_results(*, total, position, results, max_bytes):
         names = ",".join(result.identifier for result in results)
         return 200, [], f"{total}:{position}:{names}".encode()
 
