--- /dev/null
+++ b/packages/hollyspan_policy/hollyspan_policy/incarnations/__init__.py
@@ -0,0 +1,5 @@
+"""What shows whether an upstream is still the process that its entry names."""
+
+from .record import IncarnationRecord
+
+__all__ = ["IncarnationRecord"]
