--- a/packages/hollyspan_core/hollyspan_core/errors/__init__.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/__init__.py
@@ -60,6 +60,7 @@
 from .upstream import UpstreamAnswerError
 from .upstream import UpstreamConnectionRefusedError
 from .upstream import UpstreamLeavingError
+from .upstream import UpstreamReplacedError
 from .upstream import UpstreamUnavailableError
 from .upstream import UpstreamUnreachableError
 
@@ -124,6 +125,7 @@
     "UpstreamAnswerError",
     "UpstreamConnectionRefusedError",
     "UpstreamLeavingError",
+    "UpstreamReplacedError",
     "UpstreamUnavailableError",
     "UpstreamUnreachableError",
 ]
--- a/packages/hollyspan_core/hollyspan_core/errors/upstream.py
+++ b/packages/hollyspan_core/hollyspan_core/errors/upstream.py
@@ -12,6 +12,7 @@
     "UpstreamAnswerError",
     "UpstreamConnectionRefusedError",
     "UpstreamLeavingError",
+    "UpstreamReplacedError",
     "UpstreamUnavailableError",
     "UpstreamUnreachableError",
 ]
@@ -52,6 +53,14 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class UpstreamReplacedError(HollyspanError):
+    """Another process may have taken the place of the upstream's."""
+
+    status = 502
+    kind = "server_error"
+    code = "upstream_replaced"
+
+
 class StreamLostError(HollyspanError):
     """A stream was interrupted and cannot be resumed."""
 
--- a/packages/hollyspan_gateway/conftest.py
+++ b/packages/hollyspan_gateway/conftest.py
@@ -113,12 +113,20 @@
 def build_fleet(reactor, build_gateway):
     """Return a function that builds gateways and upstreams in memory."""
 
-    def build(*, gateways=4, upstreams=6, versions=("v1",), **options):
+    def build(
+        *,
+        gateways=4,
+        upstreams=6,
+        versions=("v1",),
+        tells_start=True,
+        **options,
+    ):
         fleet = MemoryFleet(
             reactor=reactor,
             build_gateway=build_gateway,
             upstreams=upstreams,
             versions=versions,
+            tells_start=tells_start,
             options={"runs_batch": False, **options},
         )
         for _ in range(gateways):
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/detector.py
@@ -115,6 +115,7 @@
     def note_lost(self, exposure):
         """Check the upstream of an answer that was broken off."""
         upstream = exposure.upstream
+        self.gateway.incarnations.note_broken_off(upstream)
         exposures = self.lost.get(upstream)
         if exposures is not None:
             if len(exposures) < MAX_LOST:
@@ -137,6 +138,9 @@
                 await self.gateway.pool.open_idle(upstream.entry.address)
                 for exposure in self.lost[upstream]:
                     exposure.is_upstream_alive = True
+                self.gateway.incarnations.note_accepted(
+                    upstream, asked_at=started_at
+                )
                 return
         except UpstreamConnectionRefusedError:
             is_refused = True
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
@@ -38,6 +38,8 @@
     is_upstream_alive : bool
         True once the upstream has accepted a connection after it broke off
         the answer.
+    version : int or None
+        Key of the software version at which it goes on; None if it begins.
     is_movable : bool
         Whether it can go on at another upstream, also over another gateway.
     """
@@ -54,6 +56,7 @@
         "has_survived",
         "is_upstream_alive",
         "is_movable",
+        "version",
     )
 
     def __init__(self, *, upstream, request, keys, fingerprint):
@@ -68,6 +71,7 @@
         self.has_survived = False
         self.is_upstream_alive = False
         self.is_movable = False
+        self.version = None
 
     def note_start(self, abort, *, opened_at):
         """Note the start of the attempt.
--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -208,6 +208,9 @@
         self.gateway.reach.note_data(
             exposure.upstream, opened_at=exposure.opened_at
         )
+        self.gateway.incarnations.note_bytes(
+            exposure.upstream, opened_at=exposure.opened_at
+        )
         if exposure.note_data(now=self.gateway.reactor.seconds()):
             self.handle_survival(exposure.keys)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -13,6 +13,7 @@
 from .configuration import apply_configuration
 from .crashes import RequestGuard
 from .http1 import ConnectionPool
+from .incarnations import Incarnations
 from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
 from .jobs.submissions import Submissions
@@ -101,6 +102,7 @@
         self.workers = frozenset()
         self.work = WorkInFlight()
         self.reach = Reach(gateway=self)
+        self.incarnations = Incarnations(gateway=self)
         self.use_pool(ConnectionPool(reactor=reactor, source_ip=settings.ip))
         self.directory = Directory(
             reactor=reactor,
@@ -122,6 +124,7 @@
             has_batch_work=self.has_batch_work,
             is_lost=self.reach.is_lost,
             on_link_failure=self.reach.note_failure,
+            find_version=self.incarnations.find_version,
             measures_speeds=settings.measures_speeds,
             paces_upstreams=settings.paces_upstreams,
         )
@@ -190,9 +193,16 @@
         """Use a pool for all connections to upstreams and peers."""
         self.pool = pool
         pool.must_hold = self.reach.must_hold
-        pool.on_open = self.reach.note_open
+        pool.on_open = self.note_open
+        pool.on_refused = self.incarnations.note_refused
+        pool.on_closed_early = self.incarnations.note_closed_early
         pool.on_idle_lost = lambda address: self.guard.note_closed(address)
 
+    def note_open(self, address):
+        """Note that a connection to an address works."""
+        self.reach.note_open(address)
+        self.incarnations.note_open(address)
+
     @property
     def configuration_version(self):
         """Version of the configuration in force, None without one."""
@@ -348,6 +358,7 @@
             ),
             **({} if worker is None else worker.describe()),
             **self.guard.news.describe(),
+            "unproven": self.incarnations.describe(),
             "workspace_loads": self.shares.list_loads(),
         }
 
@@ -370,6 +381,7 @@
     def apply_notices(self, peer, message):
         """Apply what a peer tells of ended upstreams, blocks and streams."""
         self.guard.news.apply(message)
+        self.incarnations.apply(message)
         self.stream_versions.apply(peer, message)
 
     def apply_message(self, peer, message, change):
@@ -408,6 +420,10 @@
     def apply_load_report(self, upstream, load, *, peer):
         """Apply an upstream's load report or failure sent by a peer."""
         self.placement.load_reports.apply_peer_load(upstream, load)
+        if load.is_unreachable:
+            self.incarnations.note_told(
+                upstream.entry.incarnation_key, at=self.reactor.seconds()
+            )
         if load.is_unreachable and not peer.lost_share:
             self.directory.note_reported_unreachable(
                 upstream, peer=peer.identifier
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
@@ -18,6 +18,7 @@
 from .kinds import MAX_FAILURE_BYTES
 from .kinds import PLAIN_ANSWER
 from .kinds import PROBE
+from .kinds import REPORT
 from .kinds import SNAPSHOT
 from .kinds import STORE_ANSWER
 from .kinds import STORE_KEPT_BYTES
@@ -33,6 +34,7 @@
     "MAX_FAILURE_BYTES",
     "PLAIN_ANSWER",
     "PROBE",
+    "REPORT",
     "SNAPSHOT",
     "STORE_ANSWER",
     "STORE_KEPT_BYTES",
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -425,6 +425,13 @@
             or self.reactor.seconds() < self.usable_until
         )
 
+    def has_time_left(self):
+        """Return whether the timeout that the peer has named is not over."""
+        return (
+            self.usable_until is not None
+            and self.reactor.seconds() < self.usable_until
+        )
+
     def readConnectionLost(self):
         """Close the connection, of which nothing more can be read."""
         self.transport.connectionLost(find_end_reason(self.transport))
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/kinds.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/kinds.py
@@ -12,6 +12,7 @@
     "MAX_FAILURE_BYTES",
     "PLAIN_ANSWER",
     "PROBE",
+    "REPORT",
     "SKIPPED_ANSWERS",
     "SNAPSHOT",
     "STORE_ANSWER",
@@ -105,5 +106,7 @@
 # An output of an item with each character escaped.
 JOB_READ = build_kind("a peer's answer to a read", 8 * MIB)
 PROBE = build_kind("a peer's answer to a probe", 4096)
+# One line for each of its requests.
+REPORT = build_kind("an upstream's report", 64 * 1024)
 # Answers to earlier requests that are read past on one connection.
 SKIPPED_ANSWERS = build_kind("an answer to another request", 1_000_000)
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/pool.py
@@ -1,5 +1,7 @@
 """Pool of idle connections by address."""
 
+from hollyspan_core.errors import UpstreamConnectionRefusedError
+
 from .connection import connect
 from .intake import Intake
 
@@ -34,6 +36,11 @@
     on_open : callable
         Called with the address of each connection that was opened, and has
         stayed open if it must.
+    on_refused : callable
+        Called with the address of each connection that was refused.
+    on_closed_early : callable
+        Called with the address of each idle connection that was closed before
+        the timeout that the other end has named.
     on_idle_lost : callable
         Called with the address of each idle connection that was closed at
         the other end.
@@ -48,6 +55,8 @@
         "must_hold",
         "on_open",
         "on_idle_lost",
+        "on_refused",
+        "on_closed_early",
     )
 
     def __init__(self, *, reactor, source_ip=None, intake=None):
@@ -59,6 +68,8 @@
         self.must_hold = lambda address: False
         self.on_open = lambda address: None
         self.on_idle_lost = lambda address: None
+        self.on_refused = lambda address: None
+        self.on_closed_early = lambda address: None
 
     async def acquire(
         self, address, *, timeout=CONNECT_TIMEOUT_S, identifier=None
@@ -130,7 +141,11 @@
 
     async def open(self, address, *, timeout, hold_seconds=0.0):
         self.opened += 1
-        connection = await self.connect(address, timeout=timeout)
+        try:
+            connection = await self.connect(address, timeout=timeout)
+        except UpstreamConnectionRefusedError:
+            self.on_refused(address)
+            raise
         connection.on_free = lambda freed: self.add_idle(address, freed)
         connection.on_lost = lambda lost: self.remove_idle(address, lost)
         if self.must_hold(address):
@@ -146,6 +161,14 @@
             connection.is_usable() for connection in self.idle.get(address, ())
         )
 
+    def list_idle(self, address):
+        """Return the times at which the idle connections were opened."""
+        return [
+            connection.opened_at
+            for connection in self.idle.get(address, ())
+            if not connection.is_lost
+        ]
+
     def add_idle(self, address, connection):
         self.idle.setdefault(address, []).append(connection)
 
@@ -154,6 +177,8 @@
         if connection in connections:
             connections.remove(connection)
             self.on_idle_lost(address)
+            if connection.has_time_left():
+                self.on_closed_early(address)
 
     def drop_address(self, address):
         """Close the idle connections to an address."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/incarnations/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/incarnations/__init__.py
@@ -1,6 +1,6 @@
 """Whether upstreams are still the processes that their entries name."""
 
 from .incarnations import Incarnations
-from .notice import DoubtNotice
+from .notice import UnprovenNotice
 
-__all__ = ["DoubtNotice", "Incarnations"]
+__all__ = ["UnprovenNotice", "Incarnations"]
--- a/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
@@ -13,7 +13,7 @@
 from ..http1 import REPORT
 from ..http1 import run_attempt
 from ..streams.notice import AMBIGUOUS_VERSION
-from .notice import DoubtNotice
+from .notice import UnprovenNotice
 
 __all__ = ["Incarnations"]
 
@@ -21,11 +21,16 @@
 # upstreams that are asked for one continuation.
 REPORT_TIMEOUT_S = 0.3
 ASKED_UPSTREAMS = 2
+# Longest wait for a proof that a stream may go on, and the interval of looks.
+PROOF_TIMEOUT_S = 0.3
+PROOF_CHECK_INTERVAL_S = 0.02
 # Time until an upstream is asked again that has not answered, and one whose
 # answer does not tell when it started.
 ASK_AGAIN_S = 0.25
 ASK_MUTE_AGAIN_S = 5.0
-# Limit on the doubts that a message tells of; the newest are told.
+# Time on the way of most messages.
+MAX_DELAY_S = 0.15
+# Limit on the upstreams that a message tells of; the newest are told.
 MAX_TOLD = 32
 
 
@@ -39,8 +44,10 @@
     Attributes
     ----------
     told : dict
-        Time of the first sign, by the key of the incarnation, of the doubts
+        Time of the first sign, by the key of the incarnation, of those
         that peers are told of; the oldest first.
+    heard : set of int
+        Keys of the incarnations that peers have told of as unproven.
     asking : dict
         List of Deferred of those that wait for an upstream's report, by the
         Upstream.
@@ -64,6 +71,7 @@
     __slots__ = (
         "gateway",
         "told",
+        "heard",
         "asking",
         "ask_after",
         "accepted",
@@ -73,15 +81,16 @@
     def __init__(self, *, gateway):
         self.gateway = gateway
         self.told = {}
+        self.heard = set()
         self.asking = {}
         self.ask_after = {}
         self.accepted = {}
         self.mute = set()
 
-    def is_doubted(self, upstream):
+    def is_unproven(self, upstream):
         """Return whether the process may be another than the entry's."""
         record = upstream.incarnation
-        if not record.is_doubted:
+        if not record.is_unproven:
             return False
         self.note_open_connections(upstream)
         mirror = self.gateway.upstreams_mirror
@@ -94,27 +103,22 @@
             )
         ):
             self.note_proven(upstream, by="store")
-        return record.is_doubted
+        return record.is_unproven
 
     def note_open_connections(self, upstream):
-        """End a doubt if a connection has outlasted the sign.
+        """Take an idle connection that has outlasted the sign for a proof.
 
         Those of a process end with it, but a lost link tells nothing of it.
         """
         if upstream.link.is_broken or self.gateway.reach.is_cut_off:
             return
-        opened = [
-            exposure.opened_at
-            for exposure in self.gateway.guard.exposures
-            if exposure.upstream is upstream and exposure.abort is not None
-        ]
-        opened += self.gateway.pool.list_idle(upstream.entry.address)
+        opened = self.gateway.pool.list_idle(upstream.entry.address)
         if opened:
             self.note_bytes(upstream, opened_at=min(opened))
 
     def find_version(self, upstream):
         """Return the key of the version of an upstream, None if unknown."""
-        if self.is_doubted(upstream):
+        if self.is_unproven(upstream):
             return None
         return upstream.entry.version_key
 
@@ -133,7 +137,7 @@
         upstream = exposure.upstream
         if upstream.incarnation.has_reached(
             exposure.opened_at
-        ) or not self.is_doubted(upstream):
+        ) or not self.is_unproven(upstream):
             return upstream.entry.version_key
         return AMBIGUOUS_VERSION
 
@@ -197,7 +201,7 @@
         if not record.note_sign(at=at, now=now):
             return
         eliot.log_message(
-            "upstream:doubted",
+            "upstream:unproven",
             upstream=upstream.entry.name,
             version=upstream.entry.version,
             reason=reason,
@@ -216,7 +220,7 @@
     def note_bytes(self, upstream, *, opened_at):
         """Note bytes of an answer over a connection."""
         record = upstream.incarnation
-        if record.is_doubted and record.note_bytes(
+        if record.is_unproven and record.note_bytes(
             opened_at=opened_at, now=self.gateway.reactor.seconds()
         ):
             self.note_proven(upstream, by="connection")
@@ -226,14 +230,19 @@
             "upstream:proven", upstream=upstream.entry.name, by=by
         )
         self.told.pop(upstream.entry.incarnation_key, None)
+        self.heard.discard(upstream.entry.incarnation_key)
         self.ask_after.pop(upstream, None)
         if self.gateway.worker is not None:
             self.gateway.worker.schedule(0.0)
 
     def tell(self, upstream):
-        """Tell the peers of a doubt, unless they were told."""
+        """Tell the peers of an unproven upstream, unless they know."""
         key = upstream.entry.incarnation_key
-        if key in self.told or not upstream.incarnation.is_doubted:
+        if (
+            key in self.told
+            or key in self.heard
+            or not upstream.incarnation.is_unproven
+        ):
             return
         now = self.gateway.reactor.seconds()
         self.told[key] = now
@@ -241,30 +250,36 @@
             del self.told[next(iter(self.told))]
         table = self.gateway.peers
         table.send_change(
-            table.list_live(), doubts=[DoubtNotice(upstream=key, age=0.0)]
+            table.list_live(), unproven=[UnprovenNotice(upstream=key, age=0.0)]
         )
 
     def describe(self):
-        """Return the doubts for a full message to peers."""
+        """Return the notices for a full message to peers."""
         now = self.gateway.reactor.seconds()
         listed = {
             upstream.entry.incarnation_key
             for upstream in self.gateway.directory.upstreams.values()
         }
         self.told = {key: at for key, at in self.told.items() if key in listed}
+        self.heard &= listed
         return [
-            DoubtNotice(upstream=key, age=now - at)
+            UnprovenNotice(upstream=key, age=now - at)
             for key, at in self.told.items()
         ]
 
     def apply(self, message):
-        """Apply what a peer tells of ends and doubts."""
+        """Apply what a peer tells of processes that may have ended."""
         now = self.gateway.reactor.seconds()
-        for notice in (*message.ends, *message.other_ends, *message.doubts):
-            self.note_told(notice.upstream, at=now - notice.age)
+        for notice in (*message.ends, *message.other_ends, *message.unproven):
+            at = now - notice.age
+            if notice.age > MAX_DELAY_S:
+                # A repetition that was long on its way is no later sign.
+                at -= MAX_DELAY_S
+            self.note_told(notice.upstream, at=at)
+        self.heard.update(notice.upstream for notice in message.unproven)
 
     def note_open(self, address):
-        """Ask upstreams in doubt that accept connections again."""
+        """Ask unproven upstreams that accept connections again."""
         for upstream in self.list_at(address):
             if self.may_ask(upstream):
                 self.start_asking(upstream)
@@ -282,58 +297,65 @@
             Time at which the attempt to connect began.
         """
         if upstream.entry.started_at_ms is None or upstream in self.mute:
-            self.end_doubt(upstream, at=asked_at, by="check")
+            self.prove_by(upstream, at=asked_at, by="check")
         elif self.may_ask(upstream):
             self.accepted[upstream] = asked_at
             self.start_asking(upstream)
 
-    def end_doubt(self, upstream, *, at, by):
+    def prove_by(self, upstream, *, at, by):
         if upstream.incarnation.prove(at):
             self.note_proven(upstream, by=by)
 
     def may_ask(self, upstream):
-        """Return whether an upstream's report may end a doubt."""
+        """Return whether an upstream's report may prove it."""
         return (
             not upstream.incarnation.is_gone
-            and self.is_doubted(upstream)
+            and self.is_unproven(upstream)
             and upstream.entry.started_at_ms is not None
             and self.gateway.reactor.seconds()
             >= self.ask_after.get(upstream, -math.inf)
         )
 
     async def prove(self, service, version, *, excluded=()):
-        """Ask upstreams in doubt if no other one has a version.
+        """Wait while unproven upstreams are asked that a stream needs.
 
         Parameters
         ----------
         service : str
         version : int or None
-            Key of the version at which a stream has to go on, None for any.
+            Key of the version at which the stream has to go on, None for any.
         excluded : collection of str, optional
             Names of the upstreams that it was sent to.
         """
-        if version is None:
-            return
-        asked = self.list_doubted(service, version, excluded=excluded)
-        if not asked:
-            return
-        await defer.DeferredList(
-            [self.start_asking(upstream) for upstream in asked],
-            consumeErrors=True,
-        )
+        reactor = self.gateway.reactor
+        until = reactor.seconds() + PROOF_TIMEOUT_S
+        while (
+            version is not None
+            and self.ask_for(service, version, excluded=excluded)
+            and reactor.seconds() < until
+        ):
+            await wait(reactor, PROOF_CHECK_INTERVAL_S)
 
     async def settle(self, upstream):
-        """Ask an upstream in doubt before a stream begins there."""
+        """Ask an unproven upstream before a stream begins there."""
         if self.may_ask(upstream) and not upstream.link.is_broken:
             await self.start_asking(upstream)
 
-    def ask_for(self, service, version):
-        """Ask upstreams in doubt if no other one has a version, and go on."""
-        for upstream in self.list_doubted(service, version):
-            self.start_asking(upstream)
+    def ask_for(self, service, version, *, excluded=()):
+        """Ask unproven upstreams if no other one has a version.
 
-    def list_doubted(self, service, version, *, excluded=()):
-        """Return the upstreams in doubt to ask if no other has a version."""
+        Parameters
+        ----------
+        service : str
+        version : int
+        excluded : collection of str, optional
+            Names of the upstreams that do not help.
+
+        Returns
+        -------
+        bool
+            True if one of them may be known soon.
+        """
         others = [
             upstream
             for upstream in self.gateway.directory.list_usable(service)
@@ -341,8 +363,12 @@
             and upstream.entry.name not in excluded
         ]
         if any(self.find_version(each) == version for each in others):
-            return []
-        return list(filter(self.may_ask, others))[:ASKED_UPSTREAMS]
+            return False
+        asked = [each for each in others if self.may_ask(each)]
+        for upstream in asked[:ASKED_UPSTREAMS]:
+            self.start_asking(upstream)
+        checked = self.gateway.guard.detector.lost
+        return any(each in self.asking or each in checked for each in others)
 
     def start_asking(self, upstream):
         """Ask an upstream for its report.
@@ -379,7 +405,7 @@
                 self.ask_after[upstream] = now + ASK_MUTE_AGAIN_S
                 self.mute.add(upstream)
                 if upstream in self.accepted:
-                    self.end_doubt(
+                    self.prove_by(
                         upstream, at=self.accepted[upstream], by="check"
                     )
             elif started_at_ms != upstream.entry.started_at_ms:
@@ -389,7 +415,7 @@
                 )
                 self.tell(upstream)
             else:
-                self.end_doubt(upstream, at=now, by="report")
+                self.prove_by(upstream, at=now, by="report")
         finally:
             self.accepted.pop(upstream, None)
             self.forget_unlisted()
--- a/packages/hollyspan_gateway/hollyspan_gateway/incarnations/notice.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/incarnations/notice.py
@@ -1,9 +1,9 @@
 """What gateways tell each other about processes that may have ended."""
 
-__all__ = ["DoubtNotice"]
+__all__ = ["UnprovenNotice"]
 
 
-class DoubtNotice:
+class UnprovenNotice:
     """Upstream whose process may have ended.
 
     Parameters
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -78,6 +78,12 @@
             )
 
         upstream = choose_at(state.version)
+        if (
+            upstream is None
+            and state.version is not None
+            and self.gateway.incarnations.ask_for(service, state.version)
+        ):
+            return None
         if upstream is None and self.must_start_over(state):
             upstream = choose_at(None)
             if upstream is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -7,6 +7,7 @@
 from hollyspan_core.errors import StreamMalformedError
 from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamAnswerError
+from hollyspan_core.errors import UpstreamReplacedError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.events import EventParser
 
@@ -146,6 +147,7 @@
                 ) as self.exposure,
             ):
                 self.exposure.is_movable = True
+                self.exposure.version = self.state.version
                 error = await run_attempt(
                     self.gateway.pool,
                     address=self.upstream.entry.address,
@@ -164,6 +166,7 @@
                     read_identifier=self.gateway.dialect.read_identifier,
                     kind=ITEM_RUN,
                 )
+            error = self.check_version() or error
             if error is None:
                 error = await check_undelimited_end(
                     self.gateway.pool, self.upstream, self.reply
@@ -221,11 +224,31 @@
         last = self.state.last_event
         if last is not None and number != last + 1:
             raise StreamMalformedError(f"event {number} follows {last}")
+        error = self.check_version()
+        if error is not None:
+            raise error
         self.progress_at = self.gateway.reactor.seconds()
         self.state.last_event = number
-        self.state.version = self.upstream.entry.version_key
+        self.state.version = self.gateway.incarnations.find_run_version(
+            self.exposure
+        )
         self.state.event_data.append(data)
 
+    def check_version(self):
+        """Return an error if the text may have gone on at another version.
+
+        What this run has added to it is dropped, with the rest.
+        """
+        try:
+            self.gateway.incarnations.require_version(
+                self.exposure, self.exposure.version
+            )
+        except UpstreamReplacedError as error:
+            if self.has_new_events():
+                self.state.discard_output()
+            return error
+        return None
+
     def evaluate_reply(self):
         """Evaluate the whole reply; return an error if a retry may succeed."""
         state = self.state
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_item_versions.py
@@ -6,6 +6,7 @@
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.routes import RouteKind
+from hollyspan_gateway.streams.notice import AMBIGUOUS_VERSION
 from hollyspan_standins.memory import build_job
 
 VERSIONS = {"u1": "v1", "u2": "v2", "u3": "v1", "u4": "v2"}
@@ -186,3 +187,65 @@
     gateway.directory.upstreams["u3"].set_peer_load("p", (5, 0))
     break_off(gateway, reactor, helpers, events=3)
     assert read_send(gateway) == ("v1", "u3", b"3")
+
+
+@pytest.mark.parametrize("delay", [0.05, 0.2, 1.0, 3.0])
+def test_a_text_does_not_go_on_at_the_next_process(
+    gateway, list_upstreams, submit, reactor, helpers, delay
+):
+    list_upstreams("u1")
+    submit()
+    connection = gateway.pool.last
+    body = helpers.build_events(1, 40)
+    connection.answer(200, body=body, is_complete=False)
+    gateway.pool.unreachable.add(("10.0.0.1", 1))
+    connection.exchange.on_failure(StreamLostError("connection reset"))
+    advance(reactor, delay)
+    gateway.pool.unreachable.clear()
+    advance(reactor, 5.0)
+    later = [read_send(gateway, n) for n in range(1, len(gateway.pool.sent))]
+    assert set(later) == {("v1", "u1", b"None")}
+
+
+def test_a_text_that_has_gone_on_at_the_next_process_is_dropped(
+    gateway, list_upstreams, submit, reactor, helpers
+):
+    list_upstreams("u1")
+    submit()
+    list_upstreams("u1", "u3")
+    break_off(gateway, reactor, helpers, events=3)
+    assert read_send(gateway) == ("v1", "u3", b"3")
+    connection = gateway.pool.last
+    connection.answer(200, body=helpers.build_events(4, 6), is_complete=False)
+    (state,) = gateway.worker.running.values()
+    assert len(state.event_data) == 6
+    # A peer tells late that the process had ended before.
+    upstream = gateway.directory.upstreams["u3"]
+    gateway.incarnations.note_told(
+        upstream.entry.incarnation_key, at=connection.opened_at
+    )
+    assert connection.is_cancelled
+    assert state.event_data == []
+    assert state.version is None
+
+
+def test_a_text_begun_at_the_next_process_is_of_no_known_version(
+    gateway, list_upstreams, submit, reactor, helpers
+):
+    list_upstreams("u1")
+    gateway.incarnations.note_refused(("10.0.0.1", 1))
+    submit()
+    gateway.pool.last.answer(
+        200, body=helpers.build_events(1, 3), is_complete=False
+    )
+    (state,) = gateway.worker.running.values()
+    assert state.version == AMBIGUOUS_VERSION
+    list_upstreams("u1", "u3")
+    gateway.pool.last.exchange.on_failure(StreamLostError("reset"))
+    advance(reactor, 1.0)
+    assert read_send(gateway)[2] == b"None"
+
+
+def advance(reactor, seconds):
+    for _ in range(round(seconds / 0.01)):
+        reactor.advance(0.01)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -183,7 +183,7 @@
         return malformed, 1
 
 
-def set_upstream_headers(request, upstream, reply):
+def set_upstream_headers(request, upstream, reply, *, version):
     """Tell the gateway that forwards a request where it runs.
 
     Parameters
@@ -192,8 +192,11 @@
         Forwarded request, before the head of its answer is sent.
     upstream : Upstream
     reply : UpstreamReply
+    version : int
+        Key of the version that writes the answer.
     """
-    entry = upstream.entry
-    request.setHeader(VERSION_HEADER, b"%x" % entry.version_key)
+    request.setHeader(VERSION_HEADER, b"%x" % version)
     if reply.is_leaving:
-        request.setHeader(LEAVING_HEADER, b"%x" % entry.incarnation_key)
+        request.setHeader(
+            LEAVING_HEADER, b"%x" % upstream.entry.incarnation_key
+        )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -193,6 +193,8 @@
             if is_lost and self.is_forwarded and not self.sends:
                 raise UpstreamUnreachableError("the links are lost here, too")
             if not is_lost or not self.can_hop():
+                if self.version is None and self.route.is_resumable:
+                    await self.gateway.incarnations.settle(self.upstream)
                 return await self.send()
         peer = self.gateway.forwarding.choose(
             self.head.identifier, excluded=self.asked_peers
@@ -215,6 +217,9 @@
             self.service, self.version = await find_origin(
                 self.gateway, self.head, self.route, outcome=self.outcome
             )
+        await self.gateway.incarnations.prove(
+            self.service, self.version, excluded=self.tried
+        )
 
     def can_hop(self):
         """Return whether another gateway can run the request."""
@@ -267,7 +272,9 @@
 
     def pin_version(self):
         """Note the version of a stream that has sent its first event."""
-        self.version = self.upstream.entry.version_key
+        self.version = self.gateway.incarnations.find_run_version(
+            self.exposure
+        )
         if self.route.is_repeatable:
             self.gateway.stream_versions.announce(self.head, self.version)
 
@@ -331,6 +338,7 @@
             ) as self.exposure,
         ):
             self.exposure.is_movable = self.route.is_repeatable
+            self.exposure.version = self.version
             try:
                 error = await run_attempt(
                     self.gateway.pool,
@@ -431,10 +439,21 @@
             self.upstream, opened_at=self.exposure.opened_at
         )
         if self.is_forwarded and not self.delivery.has_begun:
-            set_upstream_headers(self.request, self.upstream, reply)
+            set_upstream_headers(
+                self.request,
+                self.upstream,
+                reply,
+                version=self.gateway.incarnations.find_run_version(
+                    self.exposure
+                ),
+            )
         self.gateway.placement.note_reply(self.upstream, reply)
         self.reply = reply
         self.require_deliverable()
+        if self.is_stream():
+            self.gateway.incarnations.require_version(
+                self.exposure, self.exposure.version
+            )
 
     def require_deliverable(self):
         """Raise an error if the head of an answer rules out its delivery."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -13,6 +13,7 @@
 from ..crashes.notices import EndNotice
 from ..crashes.notices import OtherEndNotice
 from ..crashes.notices import SurvivalNotice
+from ..incarnations.notice import UnprovenNotice
 from ..intake import MAX_DATAGRAM_WORDS
 from ..streams.notice import StreamNotice
 from ..upstreams.load_report import LoadReport
@@ -123,6 +124,11 @@
             }
             for notice in message.other_ends
         ]
+    if message.unproven:
+        wire.unproven = [
+            {"upstream": notice.upstream, "ageMs": encode_age(notice.age)}
+            for notice in message.unproven
+        ]
     if message.rate_notices:
         uses = wire.init("workspaceUses", len(message.rate_notices))
         for encoded, notice in zip(uses, message.rate_notices):
@@ -294,6 +300,10 @@
         )
         for end in wire.otherEnds
     ]
+    message.unproven = [
+        UnprovenNotice(upstream=end.upstream, age=end.ageMs / 1000)
+        for end in wire.unproven
+    ]
     message.rate_notices = [
         read_rate_notice(each) for each in wire.workspaceUses
     ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -52,6 +52,11 @@
   hasUnread @2 :Bool;     # it may not have read requests in flight
 }
 
+struct Unproven {
+  upstream @0 :UInt64;    # its incarnation
+  ageMs @1 :UInt32;       # since the first sign
+}
+
 struct Survival {
   keys @0 :List(UInt64);  # of a request
   ageMs @1 :UInt32;
@@ -138,4 +143,6 @@
                             # force, of the revision above; 0: not told
   # In full messages only.
   isCrowded @34 :Bool;      # it is short of processor or link itself
+  # Set in any message.
+  unproven @35 :List(Unproven); # upstreams whose processes may have ended
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -170,6 +170,8 @@
     asked_streams : list of int, optional
         Keys of the streams whose version the sender asks for.
     other_ends : list of OtherEndNotice, optional
+    unproven : list of UnprovenNotice, optional
+        Upstreams whose processes may have ended, with the first sign.
     store_age : float or None, optional
         Seconds since the store confirmed the configuration in force at the
         sender; None if it does not tell.
@@ -210,6 +212,7 @@
         "streams",
         "asked_streams",
         "other_ends",
+        "unproven",
         "store_age",
         "rate_notices",
         "workspace_loads",
@@ -249,6 +252,7 @@
         streams=(),
         asked_streams=(),
         other_ends=(),
+        unproven=(),
         store_age=None,
         rate_notices=(),
         workspace_loads=(),
@@ -284,6 +288,7 @@
         self.streams = streams
         self.asked_streams = asked_streams
         self.other_ends = other_ends
+        self.unproven = unproven
         self.store_age = store_age
         self.rate_notices = rate_notices
         self.workspace_loads = workspace_loads
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_codec.py
@@ -11,6 +11,7 @@
 from hollyspan_gateway.crashes import BlockNotice
 from hollyspan_gateway.crashes import EndNotice
 from hollyspan_gateway.crashes import SurvivalNotice
+from hollyspan_gateway.incarnations import UnprovenNotice
 from hollyspan_gateway.peers import codec
 from hollyspan_gateway.peers import decode_message
 from hollyspan_gateway.peers import encode_message
@@ -237,3 +238,17 @@
     )
     found = decode_message(encode_message(message)).loads[0].reported
     assert found.slowness == 0.01
+
+
+@pytest.mark.parametrize("is_full", [True, False])
+def test_unproven_upstreams_are_told_in_any_message(is_full):
+    message = FleetMessage(
+        sender=1,
+        incarnation=2,
+        sequence=3,
+        is_full=is_full,
+        loads=[],
+        unproven=[UnprovenNotice(upstream=2**63 + 1, age=0.25)],
+    )
+    (notice,) = decode_message(encode_message(message)).unproven
+    assert (notice.upstream, notice.age) == (2**63 + 1, 0.25)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
@@ -0,0 +1,182 @@
+"""Tests with upstreams that start again under their names, unknown to all.
+
+The store does not tell that they did, since it is down.
+"""
+
+import pytest
+
+from hollyspan_gateway.streams.notice import AMBIGUOUS_VERSION
+from hollyspan_standins.memory import LinkState
+
+from .test_stream_versions import Client
+from .test_stream_versions import count_served
+from .test_stream_versions import resume_broken
+from .test_stream_versions import start_streams
+from .test_stream_versions import STEP_S
+
+DELAYS_S = (0.05, 0.2, 0.5, 1.0, 3.0)
+
+
+def build(build_fleet, *, has_reports=True, **options):
+    fleet = build_fleet(
+        **{"gateways": 4, "upstreams": 6, "tells_start": True, **options}
+    )
+    fleet.has_reports = has_reports
+    fleet.restarts = False
+    fleet.advance(1.0)
+    return fleet
+
+
+def replace_some(fleet, *, delay, count=4, version="v2", **options):
+    """Replace upstreams one after the other while streams begin."""
+    clients = []
+    for number, name in enumerate(list(fleet.upstreams)[:count]):
+        clients += start_streams(fleet, 10, name=f"q{number}n", **options)
+        fleet.replace_upstream(name, version=version, delay=delay)
+        clients += start_streams(fleet, 4, name=f"q{number}m", **options)
+        resume_broken(fleet, clients)
+    clients += start_streams(fleet, 20, name="last", **options)
+    for _ in range(20):
+        resume_broken(fleet, clients)
+        fleet.advance(0.2)
+    return clients
+
+
+@pytest.mark.parametrize("has_reports", [True, False])
+@pytest.mark.parametrize("delay", DELAYS_S)
+def test_no_stream_goes_on_at_the_next_process(
+    build_fleet, delay, has_reports
+):
+    fleet = build(build_fleet, has_reports=has_reports)
+    clients = replace_some(fleet, delay=delay)
+    mixed = [each.name for each in clients if each.count_versions() > 1]
+    assert mixed == []
+    assert count_served(clients) > 0.75 * len(clients)
+
+
+@pytest.mark.parametrize("delay", DELAYS_S)
+def test_no_stream_goes_on_there_through_gateways_that_saw_nothing(
+    build_fleet, delay
+):
+    fleet = build(build_fleet, has_reports=False)
+    *others, idle = fleet.gateways
+    clients = start_streams(fleet, 30, gateway=others[0])
+    for name in list(fleet.upstreams)[:5]:
+        fleet.replace_upstream(name, version="v2", delay=delay)
+    fleet.advance(delay + 0.05)
+    for client in clients:
+        if client.list_events() and not client.is_served():
+            client.resume(gateway=idle)
+    fleet.advance(3.0)
+    assert {client.count_versions() for client in clients} <= {0, 1}
+
+
+@pytest.mark.parametrize("delay", [0.05, 0.5])
+def test_a_stream_that_begins_at_the_next_process_has_no_known_version(
+    build_fleet, delay
+):
+    fleet = build(build_fleet, has_reports=False, upstreams=1)
+    gateway = fleet.gateways[0]
+    start_streams(fleet, 2, gateway=gateway, name="warm")
+    fleet.replace_upstream("u1", version="v2", delay=delay)
+    fleet.advance(3.0)
+    client = Client(fleet=fleet, name="n", gateway=gateway)
+    fleet.advance(0.3)
+    assert client.list_events()[0][0] == b"v2"
+    known = {
+        version
+        for each in fleet.gateways
+        for version, _ in each.stream_versions.records.values()
+    }
+    assert AMBIGUOUS_VERSION in known
+    client.leave()
+    client.resume()
+    fleet.advance(1.0)
+    assert client.is_refused()
+
+
+def test_a_service_whose_only_upstream_has_started_again_serves(build_fleet):
+    fleet = build(build_fleet, has_reports=False, upstreams=1)
+    start_streams(fleet, 4, name="warm")
+    fleet.replace_upstream("u1", version="v2", delay=0.5)
+    fleet.advance(4.0)
+    clients = start_streams(fleet, 20)
+    fleet.advance(2.0)
+    assert count_served(clients) == 20
+
+
+def test_streams_go_on_again_once_the_store_tells_of_the_process(build_fleet):
+    fleet = build(build_fleet, has_reports=False, upstreams=2)
+    start_streams(fleet, 8, name="warm")
+    for name in list(fleet.upstreams):
+        fleet.replace_upstream(name, version="v2", delay=0.3)
+    fleet.advance(4.0)
+    fleet.tell_store()
+    clients = start_streams(fleet, 8)
+    for client in clients:
+        if not client.is_served():
+            client.leave()
+            client.resume()
+    fleet.advance(2.0)
+    assert count_served(clients) == 8
+    assert {client.count_versions() for client in clients} == {1}
+
+
+@pytest.mark.parametrize("has_reports", [True, False])
+@pytest.mark.parametrize(
+    "state", [LinkState.RESET, LinkState.REFUSES, LinkState.ACCEPTS_AND_RESETS]
+)
+def test_streams_go_on_when_links_of_one_gateway_were_reset(
+    build_fleet, state, has_reports
+):
+    fleet = build(build_fleet, has_reports=has_reports)
+    gateway = fleet.gateways[0]
+    clients = start_streams(fleet, 20)
+    fleet.set_links(gateway, state, ports=(1, 2))
+    fleet.advance(0.5)
+    fleet.restore_links(gateway)
+    clients += start_streams(fleet, 20, name="r")
+    for _ in range(10):
+        resume_broken(fleet, clients)
+        fleet.advance(0.2)
+    assert {client.count_versions() for client in clients} == {1}
+    assert count_served(clients) >= 0.95 * len(clients)
+
+
+def test_sound_upstreams_are_known_again_soon(build_fleet):
+    fleet = build(build_fleet)
+    for number in range(20):
+        start_streams(fleet, 5, name=f"q{number}n")
+        fleet.break_connections(f"u{number % 6 + 1}")
+    fleet.advance(0.3)
+    start_streams(fleet, 20, name="last")
+    fleet.advance(0.5)
+    assert not any(
+        gateway.incarnations.is_unproven(upstream)
+        for gateway in fleet.gateways
+        for upstream in gateway.directory.upstreams.values()
+    )
+
+
+def test_few_reports_are_asked_for(build_fleet):
+    fleet = build(build_fleet)
+    start_streams(fleet, 40)
+    fleet.replace_upstream("u1", version="v1", delay=0.5)
+    start_streams(fleet, 100, name="r")
+    fleet.advance(2.0)
+    # One by each gateway.
+    assert len(fleet.reports) <= len(fleet.gateways)
+
+
+def test_upstreams_that_stood_still_stay_proven(build_fleet):
+    fleet = build(build_fleet)
+    start_streams(fleet, 20)
+    fleet.silent_upstreams.add("u1")
+    start_streams(fleet, round(1.5 / STEP_S), name="s")
+    fleet.silent_upstreams.clear()
+    fleet.advance(1.0)
+    assert not any(
+        upstream.incarnation.is_unproven
+        for gateway in fleet.gateways
+        for upstream in gateway.directory.upstreams.values()
+    )
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_paces.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_paces.py
@@ -151,34 +151,31 @@
     )
 
 
-def test_a_paced_upstream_serves_when_all_others_leave(fleet, helpers):
+def test_a_paced_upstream_serves_when_all_others_leave(fleet):
     name = start_upstream(fleet, delay=lambda open_requests: 0.25)
     fleet.advance(3.0)
     for gateway in fleet.gateways:
-        list_entries(
-            fleet, gateway, helpers, leaving=set(fleet.upstreams) - {name}
-        )
+        list_entries(fleet, gateway, leaving=set(fleet.upstreams) - {name})
     requests = run_load(fleet, 0.5, rate=10.0)
     fleet.advance(3.0)
     assert all(request.is_served() for request in requests)
 
 
-def list_entries(fleet, gateway, helpers, *, leaving=()):
+def list_entries(fleet, gateway, *, leaving=()):
     """Tell a gateway which upstreams there are, and which of them leave."""
-    gateway.directory.update(
-        {
-            name: helpers.build_entry(
-                name, port=port, version="v1", is_ready=name not in leaving
-            )
-            for name, port in fleet.upstreams.items()
-        }
-    )
+    entries = {
+        name: fleet.build_listed(name, port)
+        for name, port in fleet.upstreams.items()
+    }
+    for name in leaving:
+        entries[name].is_ready = False
+    gateway.directory.update(entries)
 
 
-def test_an_upstream_that_was_emptied_is_paced(fleet, helpers):
+def test_an_upstream_that_was_emptied_is_paced(fleet):
     gateway = fleet.gateways[0]
-    list_entries(fleet, gateway, helpers, leaving={"u1"})
-    list_entries(fleet, gateway, helpers)
+    list_entries(fleet, gateway, leaving={"u1"})
+    list_entries(fleet, gateway)
     upstream = gateway.directory.upstreams["u1"]
     assert gateway.placement.paces.find_allowed("m") == {upstream: 1}
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/alternatives.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/alternatives.py
@@ -65,7 +65,10 @@
             other
             for other in self.list_free(upstream.entry.service)
             if other.entry.name not in excluded
-            and version in (None, other.entry.version_key)
+            and (
+                version is None
+                or version == self.placement.find_version(other)
+            )
         ]
         if not free or not self.is_only_slow(
             upstream, silence=silence, now=now
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -118,14 +118,12 @@
 
     def update_entry(self, name, entry):
         existing = self.upstreams.get(name)
-        if (
-            existing is None
-            or existing.entry.started_at_ms != entry.started_at_ms
-        ):
+        if existing is None or existing.entry.identity != entry.identity:
             region = hash_parts(self.find_region(entry.data_centre))
             upstream = Upstream(entry=entry, region=region)
             upstream.has_departed = entry.incarnation_key in self.departures
             if existing is not None:
+                existing.incarnation.note_gone()
                 # Reports about the earlier incarnation do not apply.
                 upstream.rate_limit.seen_at = self.reactor.seconds()
                 upstream.pace.interrupt(now=self.reactor.seconds())
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -43,6 +43,9 @@
 # The same for one whose last run has failed, when the request can run only
 # once: less than a second run would cost.
 DOUBT_COST_S = 0.1
+# The same for one that is another process than its entry's: a stream that
+# begins there cannot go on elsewhere.
+REPLACED_COST_S = 0.1
 # Mean retry-after time of rejected clients: about the time that one online
 # request occupies a slot.
 RETRY_AFTER_S = 0.6
@@ -70,6 +73,9 @@
         Called with an Upstream, returns whether only other gateways reach it.
     on_link_failure : callable
         See `Reach.note_failure`.
+    find_version : callable, optional
+        Called with an Upstream, returns the key of its version, None while
+        that is not known; by default that of its entry.
     measures_speeds : bool, optional
         See `Speeds`.
     paces_upstreams : bool, optional
@@ -99,6 +105,7 @@
         has_batch_work,
         is_lost,
         on_link_failure,
+        find_version=None,
         measures_speeds=False,
         paces_upstreams=False,
     ):
@@ -111,6 +118,7 @@
         self.on_change = on_change
         self.is_lost = is_lost
         self.on_link_failure = on_link_failure
+        self.find_version = find_version or get_entry_version
         self.service_seconds = INITIAL_SERVICE_TIME_S
         self.paces = Paces(
             reactor=reactor,
@@ -241,9 +249,13 @@
         )
 
     def serves_version(self, service, version):
-        """Return whether an upstream of a version accepts new work."""
+        """Return whether an upstream of a version may accept new work.
+
+        Among them are those that may be another process by now.
+        """
         return any(
             upstream.entry.version_key == version
+            and not upstream.incarnation.is_gone
             for upstream in self.directory.list_usable(service)
         )
 
@@ -358,7 +370,7 @@
         upstreams = [
             each
             for each in self.directory.list_usable(service)
-            if version in (None, each.entry.version_key)
+            if (version is None or version == self.find_version(each))
             and each.rate_limit.may_send(now=now, is_continued=is_continued)
         ]
         lost = {each for each in upstreams if self.is_lost(each)}
@@ -387,6 +399,7 @@
                 is_doubted=(
                     not is_repeatable and upstream.outlier.is_doubted(now=now)
                 ),
+                is_replaced=upstream.incarnation.is_gone,
             )
             for upstream in upstreams
         ]
@@ -400,6 +413,7 @@
         is_scarce=False,
         is_lost=False,
         is_doubted=False,
+        is_replaced=False,
     ):
         """Return the view of one upstream."""
         has_recent_report = upstream.has_recent_report(now=now)
@@ -421,7 +435,8 @@
             * upstream.rate_limit.is_saving(now=now)
             + SCARCE_VERSION_COST_S * is_scarce
             + FORWARDING_COST_S * is_lost
-            + DOUBT_COST_S * is_doubted,
+            + DOUBT_COST_S * is_doubted
+            + REPLACED_COST_S * is_replaced,
             slowness=self.speeds.estimate(upstream, now=now),
         )
 
@@ -485,3 +500,7 @@
             Start of the send, reactor seconds.
         """
         note_failed_send(self, upstream, error, waited_since=waited_since)
+
+
+def get_entry_version(upstream):
+    return upstream.entry.version_key
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -218,3 +218,23 @@
     assert directory.note_reported_departure(entry.incarnation_key)
     directory.update({"u": entry})
     assert directory.list_usable("m") == []
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"version": "v2"}, {"started_at_ms": 2}, {"port": 2}],
+    ids=["version", "start", "address"],
+)
+def test_an_entry_of_another_process_keeps_nothing_of_the_one_before(
+    directory, helpers, changes
+):
+    values = {"version": "v1", "started_at_ms": 1, "port": 1}
+    directory.update({"u": helpers.build_entry("u", **values)})
+    upstream = directory.upstreams["u"]
+    upstream.failures = 3
+    directory.update({"u": helpers.build_entry("u", **values)})
+    assert directory.upstreams["u"] is upstream
+    directory.update({"u": helpers.build_entry("u", **{**values, **changes})})
+    assert directory.upstreams["u"].failures == 0
+    assert upstream.incarnation.is_unproven
+    assert not directory.upstreams["u"].incarnation.is_unproven
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/upstream.py
@@ -4,6 +4,7 @@
 
 from hollyspan_policy.batch import SlotTurns
 from hollyspan_policy.hashing import hash_parts
+from hollyspan_policy.incarnations import IncarnationRecord
 from hollyspan_policy.outliers import OutlierRecord
 from hollyspan_policy.pace import PaceRecord
 from hollyspan_policy.speeds import SlownessRecord
@@ -47,6 +48,8 @@
     ----------
     version_key : int
         Hash of service and version.
+    identity : tuple
+        What changes with the process: start time, version and address.
     key : int
         Hash of its name, which identifies it in messages to peers.
     incarnation_key : int
@@ -91,6 +94,10 @@
         self.key = hash_parts(name)
         self.incarnation_key = hash_parts(name, str(started_at_ms))
 
+    @property
+    def identity(self):
+        return self.started_at_ms, self.version, self.address
+
 
 class Upstream:
     """An upstream and the work in flight there.
@@ -155,6 +162,8 @@
         peers yet.
     pace : PaceRecord
         Requests that it may get after a start or recovery.
+    incarnation : IncarnationRecord
+        Whether its process is still the one that the entry names.
     """
 
     __slots__ = (
@@ -186,6 +195,7 @@
         "is_slow",
         "unsent_run_slowness",
         "pace",
+        "incarnation",
     )
 
     def __init__(self, *, entry, region):
@@ -217,6 +227,7 @@
         self.is_slow = False
         self.unsent_run_slowness = None
         self.pace = PaceRecord()
+        self.incarnation = IncarnationRecord()
 
     def is_suspect(self, *, now):
         """Return whether it gets no new work after failures."""
--- a/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/dialect.py
@@ -15,6 +15,7 @@
 
     configuration_prefix = "configuration"
     upstreams_prefix = "upstreams/"
+    report_target = b"/report"
 
     @staticmethod
     def decode_configuration(entry):
@@ -24,6 +25,10 @@
     def decode_upstream(entry):
         return build_entry(entry.key.rpartition("/")[2])
 
+    @staticmethod
+    def decode_report(content):
+        return int(content)
+
     @staticmethod
     def decode_retirement(entry):
         if not entry.key.startswith("retire/"):
--- a/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/fleet.py
@@ -12,6 +12,7 @@
 from .builders import build_entry
 from .builders import build_events
 from .builders import build_head
+from .dialect import PlainDialect
 from .links import Links
 from .links import LinkState
 from .network import ADDRESS
@@ -52,6 +53,8 @@
         Number of upstreams.
     versions : sequence of str, optional
         Software versions of the upstreams, in turn.
+    tells_start : bool, optional
+        Whether entries have the start times of upstreams.
     options : dict, optional
         More keywords for `build_gateway`.
 
@@ -90,6 +93,15 @@
         Time and name of each upstream that has ended.
     restarts : bool
         Whether ended upstreams start again.
+    born : dict
+        Start time of each upstream's process, by name.
+    listed : dict
+        What the store tells of upstreams that have started again without a
+        word to it: version and start time, by name.
+    has_reports : bool
+        Whether upstreams tell their start time when asked.
+    reports : list of (float, str)
+        Time and name of each upstream that was asked for its report.
     """
 
     def __init__(
@@ -99,6 +111,7 @@
         build_gateway,
         upstreams=6,
         versions=("v1",),
+        tells_start=True,
         options=None,
     ):
         self.reactor = reactor
@@ -123,6 +136,11 @@
         self.started_count = 0
         self.request_count = 0
         self.restarts = True
+        self.born = {}
+        self.listed = {}
+        self.tells_start = tells_start
+        self.has_reports = tells_start
+        self.reports = []
         for number in range(upstreams):
             self.start_upstream(
                 port=number + 1, version=versions[number % len(versions)]
@@ -176,6 +194,7 @@
         gateway = self.build_gateway(
             name=name, upstreams=(), **{**self.options, **options}
         )
+        gateway.dialect.decode_upstream = self.decode_upstream
         pool = gateway.pool
         pool.gateway = gateway
         pool.on_send = lambda sent: self.handle_send(gateway, sent)
@@ -207,7 +226,7 @@
     def list_upstreams(self, gateway):
         """Tell a gateway which upstreams there are, as the store does."""
         entries = {
-            name: build_entry(name, port=port, version=self.versions[name])
+            name: self.build_listed(name, port)
             for name, port in self.upstreams.items()
         }
         recheck_at = gateway.directory.update(entries)
@@ -219,12 +238,27 @@
             (ADDRESS, port) for port in self.upstreams.values()
         }
 
+    def decode_upstream(self, entry):
+        """Return what an entry in the store tells of its upstream."""
+        name = entry.key.rpartition("/")[2]
+        return self.build_listed(name, self.upstreams[name])
+
+    def build_listed(self, name, port):
+        """Return the entry of an upstream in the store."""
+        version, started_at_ms = self.listed.get(
+            name, (self.versions[name], self.born[name])
+        )
+        return build_entry(
+            name, port=port, version=version, started_at_ms=started_at_ms
+        )
+
     def start_upstream(self, *, port, version="v1"):
         """Start an upstream and list it at all gateways."""
         self.started_count += 1
         name = f"u{self.started_count}"
         self.upstreams[name] = port
         self.versions[name] = version
+        self.born[name] = self.choose_start()
         for gateway in self.gateways:
             self.list_upstreams(gateway)
 
@@ -320,6 +354,11 @@
             for name, port in self.upstreams.items()
             if port == connection.address[1]
         ]
+        if connection.exchange.target == PlainDialect.report_target:
+            self.reactor.callLater(
+                FAULT_DELAY_S, self.report, gateway, names, connection
+            )
+            return
         send = Send(
             time=self.reactor.seconds(),
             gateway=gateway,
@@ -340,6 +379,23 @@
             self.find_start_delay(send.upstream), self.begin_answer, send
         )
 
+    def report(self, gateway, names, connection):
+        """Let an upstream answer when it has started."""
+        port = connection.address[1]
+        if self.links.hangs(gateway, port) or connection.is_cancelled:
+            return
+        if connection.is_reset or names != [
+            name for name, each in self.upstreams.items() if each == port
+        ]:
+            connection.exchange.on_failure(StreamLostError("connection reset"))
+            return
+        (name,) = names
+        self.reports.append((self.reactor.seconds(), name))
+        if self.has_reports:
+            connection.answer(200, body=b"%d" % self.born[name])
+        else:
+            connection.answer(404)
+
     def find_start_delay(self, name):
         """Return the seconds until an upstream begins its next answer."""
         if name not in self.start_delays:
@@ -431,6 +487,44 @@
             )
         self.break_connections(name)
 
+    def choose_start(self):
+        """Return the start time of an upstream, None if it tells none."""
+        return self.started_count if self.tells_start else None
+
+    def replace_upstream(self, name, *, version, delay):
+        """Let an upstream end and start again without a word to the store.
+
+        Parameters
+        ----------
+        name : str
+        version : str
+            Of the software of its next process.
+        delay : float
+            Seconds in which nothing listens at its address.
+        """
+        port = self.upstreams[name]
+        self.listed.setdefault(name, (self.versions[name], self.born[name]))
+        restarts, self.restarts = self.restarts, False
+        self.end_upstream(name)
+        self.restarts = restarts
+        self.reactor.callLater(
+            delay, self.begin_next_process, name, port, version
+        )
+
+    def begin_next_process(self, name, port, version):
+        self.started_count += 1
+        self.upstreams[name] = port
+        self.versions[name] = version
+        self.born[name] = self.choose_start()
+        for gateway in self.gateways:
+            gateway.pool.unreachable.discard((ADDRESS, port))
+
+    def tell_store(self):
+        """Let the store tell of the processes that have started again."""
+        self.listed.clear()
+        for gateway in self.gateways:
+            self.list_upstreams(gateway)
+
     def break_connections(self, name):
         """Break the open connections to an upstream."""
         for send in self.sent:
--- a/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/pool.py
@@ -48,6 +48,8 @@
         self.must_hold = lambda address: False
         self.on_send = lambda connection: None
         self.on_open = lambda address: None
+        self.on_refused = lambda address: None
+        self.on_closed_early = lambda address: None
 
     async def acquire(
         self, address, *, timeout=CONNECT_TIMEOUT_S, identifier=None
@@ -68,6 +70,7 @@
         self, address, *, timeout=CONNECT_TIMEOUT_S, hold_seconds=0.0
     ):
         if address in self.unreachable or self.refuses_new(address):
+            self.on_refused(address)
             raise UpstreamConnectionRefusedError("connection refused")
         if self.drops_new(address):
             await wait(self.reactor, timeout)
@@ -101,6 +104,9 @@
     def has_idle(self, address):
         return bool(self.idle.get(address))
 
+    def list_idle(self, address):
+        return list(self.idle.get(address, ()))
+
     def drop_address(self, address):
         self.idle.pop(address, None)
 
--- a/packages/hollyspan_standins/hollyspan_standins/search/process.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/process.py
@@ -3,6 +3,7 @@
 import eliot
 from twisted.internet import defer
 
+from hollyspan_core.errors import StreamLostError
 from hollyspan_core.store import TOKEN_BYTES
 from hollyspan_gateway.daemon import register
 from hollyspan_gateway.daemon import WORKER_START_DELAY_S
@@ -155,6 +156,9 @@
         if host != ADDRESS:
             CallBetweenGateways.open(self, connection)
             return
+        if connection.exchange.target == SearchDialect.report_target:
+            self.world.clock.callLater(2 * ONE_WAY_S, self.report, connection)
+            return
         run = Run(
             process=self, connection=connection, sent_at=self.clock.seconds()
         )
@@ -166,6 +170,24 @@
             return
         self.world.clock.callLater(ONE_WAY_S, self.arrive, run)
 
+    def report(self, connection):
+        """Let an upstream answer when it has started."""
+        port = connection.address[1]
+        if connection.is_cancelled or self.is_dead:
+            return
+        engine = self.world.find_engine(port)
+        links = self.world.links
+        if links.hangs(self.gateway, port):
+            return
+        if (
+            engine is None
+            or connection.is_reset
+            or links.resets_requests(self.gateway, port)
+        ):
+            connection.exchange.on_failure(StreamLostError("connection reset"))
+            return
+        connection.answer(200, body=b"%d" % engine.started_at_ms)
+
     def arrive(self, run):
         port = run.connection.address[1]
         if not run.is_open or self.world.links.hangs(self.gateway, port):
