A stream that would begin at an upstream of another process chooses again

Cause: a gateway that asks a told upstream before a stream begins there sent the stream all the same when the report named another start, and its version is then not known.

Result: the new test fails without the second choice, one stream of v2.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -194,7 +194,7 @@
                 raise UpstreamUnreachableError("the links are lost here, too")
             if not is_lost or not self.can_hop():
                 if self.version is None and self.route.is_resumable:
-                    await self.gateway.incarnations.settle(self.upstream)
+                    await self.settle()
                 return await self.send()
         peer = self.gateway.forwarding.choose(
             self.head.identifier, excluded=self.asked_peers
@@ -221,6 +221,12 @@
             self.service, self.version, excluded=self.tried
         )
 
+    async def settle(self):
+        """Choose again if the chosen upstream tells that it is another one."""
+        await self.gateway.incarnations.settle(self.upstream)
+        if self.upstream.incarnation.is_gone:
+            self.upstream = self.choose()
+
     def can_hop(self):
         """Return whether another gateway can run the request."""
         return (
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
@@ -180,3 +180,15 @@
         for gateway in fleet.gateways
         for upstream in gateway.directory.upstreams.values()
     )
+
+
+def test_streams_begin_elsewhere_while_others_are_free(build_fleet):
+    fleet = build(build_fleet)
+    witness, other, *_ = fleet.gateways
+    start_streams(fleet, 8, gateway=witness, name="warm")
+    fleet.replace_upstream("u1", version="v2", delay=0.2)
+    fleet.advance(4.0)
+    clients = start_streams(fleet, 12, gateway=other)
+    fleet.advance(2.0)
+    assert count_served(clients) == 12
+    assert {each.list_events()[0][0] for each in clients} == {b"v1"}
