A connection after a broken answer proves nothing of earlier signs

Cause: an upstream that tells no start time counted as proven when it accepted a connection right after an answer was broken off, also if a connection had been refused before: the next process accepts as well.

Change: such a connection counts only if the break is the first sign.

--- a/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
@@ -54,8 +54,8 @@
     ask_after : dict
         Time from which an upstream may be asked again, by the Upstream.
     accepted : dict
-        Start of the connection attempt that was accepted right after one was
-        broken off, by the Upstream that is asked.
+        Time at which a connection was accepted right after one was broken
+        off, by the Upstream that is asked.
     mute : set of Upstream
         Those whose reports do not tell when they started.
 
@@ -287,8 +287,9 @@
     def note_accepted(self, upstream, *, asked_at):
         """Note a connection right after one that was broken off.
 
-        A process takes longer to start than a connection to open. The
-        upstream's own answer is better, where it gives one.
+        A process takes longer to start than a connection to open, which
+        tells nothing of signs from before. The upstream's own answer is
+        better, where it gives one.
 
         Parameters
         ----------
@@ -296,10 +297,19 @@
         asked_at : float
             Time at which the attempt to connect began.
         """
+        record = upstream.incarnation
+        now = self.gateway.reactor.seconds()
+        is_alive = (
+            record.is_unproven
+            and record.unproven_since >= asked_at
+            and not record.is_gone
+        )
         if upstream.entry.started_at_ms is None or upstream in self.mute:
-            self.prove_by(upstream, at=asked_at, by="check")
+            if is_alive:
+                self.prove_by(upstream, at=now, by="check")
         elif self.may_ask(upstream):
-            self.accepted[upstream] = asked_at
+            if is_alive:
+                self.accepted[upstream] = now
             self.start_asking(upstream)
 
     def prove_by(self, upstream, *, at, by):
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
@@ -192,3 +192,21 @@
     fleet.advance(2.0)
     assert count_served(clients) == 12
     assert {each.list_events()[0][0] for each in clients} == {b"v1"}
+
+
+@pytest.mark.parametrize("tells_start", [True, False])
+def test_a_reset_at_the_next_process_proves_nothing(build_fleet, tells_start):
+    fleet = build(build_fleet, has_reports=False, tells_start=tells_start)
+    gateway = fleet.gateways[0]
+    start_streams(fleet, 20, gateway=gateway, name="warm")
+    fleet.replace_upstream("u1", version="v2", delay=0.2)
+    fleet.advance(4.0)
+    for number in range(4):
+        start_streams(fleet, 12, gateway=gateway, name=f"q{number}n")
+        fleet.break_connections("u1")
+        fleet.advance(0.5)
+    upstream = gateway.directory.upstreams["u1"]
+    assert any(
+        send.upstream == "u1" and send.time > 104 for send in fleet.sent
+    )
+    assert gateway.incarnations.is_unproven(upstream)
