The entry of a process between two others tells no version

Cause: an upstream that ends twice while the store is down is listed with the entry of the process between when the store is back, and counted as proven.

Change: a sign behind the first connection that the next process accepted is carried over to the record of the new entry.

--- a/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
@@ -280,7 +280,9 @@
 
     def note_open(self, address):
         """Ask unproven upstreams that accept connections again."""
+        now = self.gateway.reactor.seconds()
         for upstream in self.list_at(address):
+            upstream.incarnation.note_accepted(now=now)
             if self.may_ask(upstream):
                 self.start_asking(upstream)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
@@ -210,3 +210,25 @@
         send.upstream == "u1" and send.time > 104 for send in fleet.sent
     )
     assert gateway.incarnations.is_unproven(upstream)
+
+
+@pytest.mark.parametrize("delay", [0.05, 0.5])
+def test_an_entry_of_the_process_between_tells_no_version(build_fleet, delay):
+    fleet = build(build_fleet, has_reports=False)
+    gateway = fleet.gateways[0]
+    start_streams(fleet, 20, gateway=gateway, name="warm")
+    fleet.replace_upstream("u1", version="v2", delay=0.2)
+    fleet.advance(3.0)
+    start_streams(fleet, 20, gateway=gateway, name="next")
+    between = fleet.versions["u1"], fleet.born["u1"]
+    fleet.replace_upstream("u1", version="v3", delay=delay)
+    fleet.advance(delay + 0.1)
+    fleet.listed["u1"] = between
+    for each in fleet.gateways:
+        fleet.list_upstreams(each)
+    upstream = gateway.directory.upstreams["u1"]
+    assert upstream.entry.version == "v2"
+    assert gateway.incarnations.find_version(upstream) is None
+    fleet.tell_store()
+    upstream = gateway.directory.upstreams["u1"]
+    assert gateway.incarnations.find_version(upstream) is not None
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -123,6 +123,9 @@
             upstream = Upstream(entry=entry, region=region)
             upstream.has_departed = entry.incarnation_key in self.departures
             if existing is not None:
+                upstream.incarnation.follow(
+                    existing.incarnation, now=self.reactor.seconds()
+                )
                 existing.incarnation.note_gone()
                 # Reports about the earlier incarnation do not apply.
                 upstream.rate_limit.seen_at = self.reactor.seconds()
--- a/packages/hollyspan_policy/hollyspan_policy/incarnations/record.py
+++ b/packages/hollyspan_policy/hollyspan_policy/incarnations/record.py
@@ -29,6 +29,12 @@
         Time of the last sign.
     proven_at : float
         Time up to which it has certainly not ended.
+    accepted_at : float
+        Time at which the address first accepted a connection after the first
+        sign; infinite before.
+    has_ended_again : bool
+        True after a sign behind that time: the next process may have ended,
+        too.
     is_gone : bool
         True once another process is known to have its name.
     """
@@ -38,6 +44,8 @@
         "sign_arrived_at",
         "signed_at",
         "proven_at",
+        "accepted_at",
+        "has_ended_again",
         "is_gone",
     )
 
@@ -46,6 +54,8 @@
         self.sign_arrived_at = -math.inf
         self.signed_at = -math.inf
         self.proven_at = -math.inf
+        self.accepted_at = math.inf
+        self.has_ended_again = False
         self.is_gone = False
 
     @property
@@ -70,18 +80,35 @@
         if at <= self.proven_at:
             return False
         is_first = not self.is_unproven
+        self.has_ended_again |= at > self.accepted_at
         self.sign_arrived_at = now
         self.signed_at = max(self.signed_at, at)
         if self.unproven_since is None or at < self.unproven_since:
             self.unproven_since = at
         return is_first
 
+    def note_accepted(self, *, now):
+        """Note that the address accepts connections."""
+        if self.is_unproven:
+            self.accepted_at = min(self.accepted_at, now)
+
     def note_gone(self):
         """Note that another process has its name."""
         self.is_gone = True
         if self.unproven_since is None:
             self.unproven_since = -math.inf
 
+    def follow(self, earlier, *, now):
+        """Take over what tells of this process from the one before.
+
+        Parameters
+        ----------
+        earlier : IncarnationRecord
+        now : float
+        """
+        if earlier.has_ended_again:
+            self.note_sign(at=earlier.signed_at, now=now)
+
     def has_reached(self, opened_at):
         """Return whether a connection leads to the process of the entry.
 
@@ -145,4 +172,6 @@
         if self.signed_at > at:
             return False
         self.unproven_since = None
+        self.accepted_at = math.inf
+        self.has_ended_again = False
         return True
--- a/packages/hollyspan_policy/hollyspan_policy/incarnations/tests/test_record.py
+++ b/packages/hollyspan_policy/hollyspan_policy/incarnations/tests/test_record.py
@@ -68,3 +68,15 @@
     record.note_gone()
     assert record.is_unproven
     assert not record.has_reached(1.0)
+
+
+def test_a_sign_behind_the_next_process_is_one_of_it(record):
+    following = IncarnationRecord()
+    following.follow(record, now=12.0)
+    assert not following.is_unproven
+    record.note_accepted(now=11.0)
+    record.note_sign(at=11.5, now=11.5)
+    following.follow(record, now=12.0)
+    assert following.is_unproven
+    assert not following.prove(11.4)
+    assert following.prove(11.6)
