--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -14,6 +14,7 @@
 from .configuration import apply_configuration
 from .crashes import RequestGuard
 from .http1 import ConnectionPool
+from .incarnations import Incarnations
 from .indirect_probes import probe_indirectly
 from .jobs.bodies import JobBodies
 from .jobs.body_limits import choose_body_limit
@@ -111,6 +112,7 @@
         self.refused = RefusedDocuments(clock=reactor.seconds)
         self.work = WorkInFlight()
         self.reach = Reach(gateway=self, probe_indirectly=probe_indirectly)
+        self.incarnations = Incarnations(gateway=self)
         self.use_pool(ConnectionPool(reactor=reactor, source_ip=settings.ip))
         self.directory = Directory(
             reactor=reactor,
@@ -132,6 +134,7 @@
             has_batch_work=self.has_batch_work,
             is_lost=self.reach.is_lost,
             on_link_failure=self.reach.note_failure,
+            find_version=self.incarnations.find_version,
             measures_speeds=settings.measures_speeds,
             paces_upstreams=settings.paces_upstreams,
         )
@@ -206,9 +209,16 @@
         """Use a pool for all connections to upstreams and peers."""
         self.pool = pool
         pool.must_hold = self.reach.must_hold
-        pool.on_open = self.reach.note_open
+        pool.on_open = self.note_open
+        pool.on_refused = self.incarnations.note_refused
+        pool.on_closed_early = self.incarnations.note_closed_early
         pool.on_idle_lost = lambda address: self.guard.note_closed(address)
 
+    def note_open(self, address):
+        """Note that a connection to an address works."""
+        self.reach.note_open(address)
+        self.incarnations.note_open(address)
+
     @property
     def configuration_version(self):
         """Version of the configuration in force, None without one."""
@@ -370,6 +380,7 @@
             **({} if worker is None else worker.describe()),
             **self.proof_of_life.describe(),
             **self.guard.news.describe(),
+            "unproven": self.incarnations.describe(),
             "workspace_loads": self.shares.list_loads(),
         }
 
@@ -392,6 +403,7 @@
     def apply_notices(self, peer, message):
         """Apply what a peer tells of ended upstreams, blocks and streams."""
         self.guard.news.apply(message)
+        self.incarnations.apply(message)
         self.stream_versions.apply(peer, message)
 
     def apply_message(self, peer, message, change):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -185,7 +185,7 @@
         return malformed, 1
 
 
-def set_upstream_headers(request, upstream, reply, *, attempts):
+def set_upstream_headers(request, upstream, reply, *, attempts, version):
     """Tell the gateway that forwards a request where it runs.
 
     Parameters
@@ -196,9 +196,12 @@
     reply : UpstreamReply
     attempts : int
         Number of upstreams at which it may have run.
+    version : int
+        Key of the version that writes the answer.
     """
-    entry = upstream.entry
     request.setHeader(ATTEMPTS_HEADER, b"%x" % attempts)
-    request.setHeader(VERSION_HEADER, b"%x" % entry.version_key)
+    request.setHeader(VERSION_HEADER, b"%x" % version)
     if reply.is_leaving:
-        request.setHeader(LEAVING_HEADER, b"%x" % entry.incarnation_key)
+        request.setHeader(
+            LEAVING_HEADER, b"%x" % upstream.entry.incarnation_key
+        )
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -53,6 +53,11 @@
   hasUnread @2 :Bool;     # it may not have read requests in flight
 }
 
+struct Unproven {
+  upstream @0 :UInt64;    # its incarnation
+  ageMs @1 :UInt32;       # since the first sign
+}
+
 struct Survival {
   keys @0 :List(UInt64);  # of a request
   ageMs @1 :UInt32;
@@ -144,4 +149,5 @@
   configurationSeenMs @35 :UInt32;
   upstreamsSeenMs @36 :UInt32;
   jobsSeenMs @37 :UInt32;
+  unproven @38 :List(Unproven); # upstreams whose processes may have ended
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -175,6 +175,8 @@
     asked_streams : list of int, optional
         Keys of the streams whose version the sender asks for.
     other_ends : list of OtherEndNotice, optional
+    unproven : list of UnprovenNotice, optional
+        Upstreams whose processes may have ended, with the first sign.
     store_age : float or None, optional
         Seconds since the store confirmed the configuration in force at the
         sender; None if it does not tell.
@@ -218,6 +220,7 @@
         "streams",
         "asked_streams",
         "other_ends",
+        "unproven",
         "store_age",
         "configuration_age",
         "upstreams_age",
@@ -260,6 +263,7 @@
         streams=(),
         asked_streams=(),
         other_ends=(),
+        unproven=(),
         store_age=None,
         configuration_age=None,
         upstreams_age=None,
@@ -298,6 +302,7 @@
         self.streams = streams
         self.asked_streams = asked_streams
         self.other_ends = other_ends
+        self.unproven = unproven
         self.store_age = store_age
         self.configuration_age = configuration_age
         self.upstreams_age = upstreams_age
