Bound the connections of a silence; let a broken-off hop go on

Each upstream is looked for once in a silence, one each 0.25 s. - A request that a peer had given up ended with an unknown outcome when others refused: a hop that may have run the request makes it owed as well. A peer that had taken it is asked again. - Errors behind a whole hop did not count the attempts that the peer had told.

Tests for these, for cuts that nobody is sure of in a silence, and for requests that others refuse for a moment; each of the first three fails without its guard.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -149,15 +149,26 @@
                 )
         if error is None:
             error = self.check_answer()
-        elif error.outcome is not Outcome.NOT_RUN:
-            # One is counted for the hop.
-            relay.sends += self.attempts - 1
+        if error is not None and error.outcome is not Outcome.NOT_RUN:
+            self.note_failed_run()
         if error is not None and error.outcome is Outcome.NOT_RUN:
             relay.sends -= 1
         if isinstance(error, PeerUnavailableError):
             gateway.forwarding.avoid(self.peer)
         return error
 
+    def note_failed_run(self):
+        """Note a failure of the peer, or behind it, that may have run."""
+        relay = self.relay
+        relay.continuation.has_given_up = True
+        if self.has_failed:
+            return
+        # One is counted for the hop.
+        relay.sends += self.attempts - 1
+        if relay.reply is not None:
+            # The peer can take it again.
+            relay.asked_peers.discard(self.peer.identifier)
+
     def build_headers(self):
         """Return the headers of the forwarded request.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
@@ -357,3 +357,24 @@
     """Break the connection to an upstream."""
     sent.is_ended = True
     sent.connection.exchange.on_failure(StreamLostError("connection closed"))
+
+
+# Failure: with a single other gateway, a stream that broke off there went on
+# over the lost links.
+def test_a_stream_that_breaks_off_at_the_only_other_gateway_goes_on(
+    build_fleet,
+):
+    fleet = build_fleet(gateways=2, upstreams=6)
+    fleet.advance(1.0)
+    fleet.set_links(fleet.gateways[0], LinkState.RESETS_REQUESTS)
+    for number in range(30):
+        send(fleet, f"w{number}")
+        fleet.advance(0.1)
+    requests = [send(fleet, f"q{number}") for number in range(3)]
+    fleet.advance(0.3)
+    for request in requests:
+        (sent,) = find_sends(fleet, request)
+        assert sent.gateway is fleet.gateways[1]
+        break_off(sent)
+    fleet.advance(3.0)
+    assert all(request.is_served() for request in requests)
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_silent_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_silent_upstreams.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from hollyspan_core.errors import StreamStalledError
+from hollyspan_standins.memory import LinkState
+
 STEP_S = 0.05
 # Lengths of the silences that follow each other.
 SILENCES_S = (1.0, 1.3, 1.8, 1.0, 1.3, 1.8)
@@ -84,3 +87,53 @@
     assert broken == []
     reached = list_reached(fleet, requests)
     assert max(len(upstreams) for upstreams in reached.values()) <= 2
+
+
+# Failure: gateways took the silence that all of them met for lost links.
+@pytest.mark.parametrize("share", [1.0, 2 / 3])
+def test_no_gateway_is_sure_of_lost_links_in_a_silence(
+    fleet, share, monkeypatch
+):
+    confirmed = []
+    for gateway in fleet.gateways:
+        reach = gateway.reach
+        monkeypatch.setattr(
+            gateway,
+            "announce_reach",
+            lambda reach=reach: confirmed.append(reach.is_confirmed),
+        )
+    requests = run_silences(fleet, share=share)
+    assert not any(confirmed)
+    calm = [each for each in requests if each.identifier.startswith("c")]
+    assert all(each.is_served() for each in calm)
+
+
+# Failure: each waiting attempt opened a connection each 0.05 s.
+def test_few_connections_are_opened_in_a_silence(fleet):
+    fleet.opens_in_silence = True
+    fleet.silent_upstreams = set(fleet.upstreams)
+    before = sum(gateway.pool.opened for gateway in fleet.gateways)
+    run_load(fleet, 1.3, name="s")
+    opened = sum(gateway.pool.opened for gateway in fleet.gateways) - before
+    assert opened <= len(fleet.gateways) * len(fleet.upstreams)
+
+
+# Failure: a request that no other upstream took at once was ended, although
+# its client waited for the rest.
+@pytest.mark.parametrize("begins", [True, False])
+def test_a_request_goes_on_when_others_refuse_for_a_moment(
+    build_fleet, begins
+):
+    fleet = build_fleet(gateways=1, upstreams=3)
+    fleet.advance(1.0)
+    (gateway,) = fleet.gateways
+    request = fleet.request("q", gateway=gateway)
+    fleet.advance(0.3 if begins else 0.03)
+    fleet.set_links(gateway, LinkState.KEEPS_OLD)
+    (exposure,) = gateway.guard.exposures
+    exposure.abort(StreamStalledError("no data received"))
+    fleet.advance(0.8)
+    fleet.restore_links(gateway)
+    fleet.advance(4.0)
+    assert request.is_served()
+    assert len(list_reached(fleet, [request])["q"]) == 2
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
@@ -13,6 +13,8 @@
 MIN_CLOSED_UPSTREAMS = 2
 # Time after which upstreams that are not heard do not just stand still.
 MAX_STILL_S = 2.5
+# Interval between two looks for upstreams that are silent.
+LOOK_S = 0.25
 # Interval between two questions to other gateways, longer than it takes them
 # to answer.
 QUESTION_INTERVAL_S = 0.5
@@ -37,6 +39,8 @@
         Names of upstreams to which probes have failed since then.
     asked_at : float
         Time of the last question to other gateways, reactor seconds.
+    looked_at : dict
+        Time of the last look for an upstream in a silence, by name.
 
     Notes
     -----
@@ -52,6 +56,7 @@
         "refused_at",
         "unreached",
         "asked_at",
+        "looked_at",
     )
 
     def __init__(self, *, reach, probe_indirectly):
@@ -60,6 +65,7 @@
         self.refused_at = {}
         self.unreached = set()
         self.asked_at = -math.inf
+        self.looked_at = {}
 
     @property
     def gateway(self):
@@ -147,6 +153,32 @@
         quiet_since = max(self.reach.quiet_since, self.reach.heard_at)
         return self.gateway.reactor.seconds() - quiet_since
 
+    def may_look_for(self, upstream, *, since):
+        """Return whether to connect to an upstream in a silence, and note it.
+
+        Each one is looked for once, unless it was not reached: a stopped
+        process has room for some connections only.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        since : float
+            Time since which an attempt has waited there.
+        """
+        now = self.gateway.reactor.seconds()
+        name = upstream.entry.name
+        if now - max(self.looked_at.values(), default=-math.inf) < LOOK_S:
+            return False
+        quiet_since = max(since, self.reach.heard_at)
+        if name in self.looked_at and name not in self.unreached:
+            if self.looked_at[name] > quiet_since:
+                return False
+        self.looked_at = {
+            each: at for each, at in self.looked_at.items() if at > quiet_since
+        }
+        self.looked_at[name] = now
+        return True
+
     def ask(self, upstream):
         """Let other gateways look for an upstream that was not reached."""
         self.unreached.add(upstream.entry.name)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -269,7 +269,9 @@
         since : float
             Time since which it has waited.
         """
-        if not self.probing and self.is_quiet(since=since):
+        if self.is_quiet(since=since) and self.evidence.may_look_for(
+            upstream, since=since
+        ):
             self.start_probe(upstream)
 
     def must_hold(self, address):
