--- a/packages/hollyspan_core/hollyspan_core/documents.py
+++ b/packages/hollyspan_core/hollyspan_core/documents.py
@@ -1,10 +1,18 @@
 """Reading of JSON documents and numbers of other programs."""
 
 import json
+import math
 
 from .errors import DocumentInvalidError
 
-__all__ = ["MAX_DIGITS", "parse_document", "parse_integer"]
+__all__ = [
+    "MAX_DIGITS",
+    "encode_with_rows",
+    "encode_with_text",
+    "parse_document",
+    "parse_integer",
+    "parse_positive",
+]
 
 # Digits of a number that is read; Python refuses to convert some thousands.
 MAX_DIGITS = 15
@@ -61,3 +69,69 @@
     if not digits or len(digits) > MAX_DIGITS or not digits.isdigit():
         return None
     return int(digits)
+
+
+def parse_positive(text):
+    """Parse a positive number in a header; return None if it is invalid.
+
+    Examples
+    --------
+    >>> parse_positive(b"2.5"), parse_positive(b"0"), parse_positive(b"x")
+    (2.5, None, None)
+    """
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 < number < math.inf else None
+
+
+def encode_with_text(document, name, text):
+    """Encode a document that gets a long text as its last field.
+
+    Put together as bytes, a long text takes less memory than in a document.
+
+    Parameters
+    ----------
+    document : dict
+        The other fields.
+    name : str
+    text : bytes
+        ASCII characters that JSON does not escape.
+
+    Returns
+    -------
+    bytes
+
+    Examples
+    --------
+    >>> encode_with_text({"a": 1}, "b", b"x")
+    b'{"a": 1, "b": "x"}'
+    """
+    head = json.dumps({**document, name: ""}).encode()
+    end = b'"}'
+    return b"".join((head.removesuffix(end), text, end))
+
+
+def encode_with_rows(document, name, rows):
+    """Encode a document that gets a list of encoded rows as its last field.
+
+    Parameters
+    ----------
+    document : dict
+        The other fields.
+    name : str
+    rows : iterable of bytes
+
+    Returns
+    -------
+    bytes
+
+    Examples
+    --------
+    >>> encode_with_rows({"a": 1}, "b", [b"{}", b"2"])
+    b'{"a": 1, "b": [{}, 2]}'
+    """
+    head = json.dumps({**document, name: []}).encode()
+    end = b"]}"
+    return b"".join((head.removesuffix(end), b", ".join(rows), end))
--- a/packages/hollyspan_core/hollyspan_core/values.py
+++ b/packages/hollyspan_core/hollyspan_core/values.py
@@ -11,7 +11,9 @@
     "parse_address",
     "parse_header_fields",
     "parse_visible",
+    "require_count",
     "require_name",
+    "require_not_negative",
     "require_number",
     "require_positive",
     "require_text",
@@ -75,6 +77,24 @@
     return value
 
 
+def require_not_negative(value):
+    """Return a finite number from 0 on, 0 for None, or raise an error."""
+    if value is None:
+        return 0.0
+    if require_number(value) < 0:
+        raise DocumentInvalidError("a negative number")
+    return float(value)
+
+
+def require_count(value):
+    """Return a non-negative integer, 0 for None, or raise an error."""
+    if value is None:
+        return 0
+    if type(value) is not int or value < 0:
+        raise DocumentInvalidError(f"{value!r} is not a count")
+    return value
+
+
 def split_address(text):
     """Split ``IP:PORT`` into address and port number."""
     host, _, port = text.rpartition(":")
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_load_reports.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_load_reports.py
@@ -12,6 +12,8 @@
 def lines():
     found = []
     eliot.add_destinations(found.append)
+    # The first destination of a process gets what was logged before.
+    found.clear()
     yield found
     eliot.remove_destination(found.append)
 
