--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -6,7 +6,6 @@
 from hollyspan_core.errors import PeerAnswerError
 from hollyspan_core.errors import PeerUnavailableError
 from hollyspan_core.errors import StreamLostError
-from hollyspan_core.errors import StreamStalledError
 from hollyspan_core.errors import UpstreamAnswerError
 from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_core.errors import UpstreamUnreachableError
@@ -27,6 +26,7 @@
 from .hop import Hop
 from .origin import find_origin
 from .origin import find_service
+from .stalls import Stalls
 
 __all__ = ["Relay"]
 
@@ -35,18 +35,6 @@
 MAX_REFUSALS = 3
 # Gateways that are asked to run a request. The first one mostly does.
 MAX_HOPS = 3
-# Timeout of a stream's first event beyond the expected wait for a slot:
-# several times its usual latency, and short enough that another upstream can
-# still deliver it within the usual latency target of 300 ms.
-FIRST_EVENT_TIMEOUT_S = 0.2
-# Timeout between two events: ten times the usual interval, and short enough
-# that the pause including a failover stays below the 400 ms of the strictest
-# route.
-EVENT_PAUSE_TIMEOUT_S = 0.25
-# Time beyond the expected wait without an event, but with other bytes, after
-# which a stream moves if another upstream has room: comments show that the
-# upstream is there, so that it is longer than after a silence.
-EVENTLESS_TIMEOUT_S = 1.0
 
 
 class Relay:
@@ -90,6 +78,7 @@
     delivery : Delivery
         Delivery of the answer to the client.
     continuation : Continuation
+    stalls : Stalls
     """
 
     def __init__(
@@ -129,13 +118,12 @@
             resume_after=head.resume_after,
         )
         self.continuation = Continuation(relay=self)
+        self.stalls = Stalls(relay=self)
         self.upstream = None
         self.upstream_load = {}
         self.reply = None
         self.exposure = None
         self.sent_at = 0.0
-        self.event_due_at = 0.0
-        self.last_event = None
 
     @property
     def target_at(self):
@@ -330,12 +318,7 @@
         self.peer = None
         self.tried.add(upstream.entry.name)
         self.sent_at = self.gateway.reactor.seconds()
-        self.last_event = self.delivery.last_event
-        self.event_due_at = (
-            self.sent_at
-            + EVENTLESS_TIMEOUT_S
-            + (self.find_first_event_timeout() or 0.0)
-        )
+        self.stalls.start()
         self.reply = None
         self.delivery.start_attempt()
         headers = self.gateway.dialect.encode_headers(
@@ -371,11 +354,9 @@
                     on_data=self.gateway.placement.paces.watch(
                         run, self.handle_data, lambda: self.delivery.last_event
                     ),
-                    first_byte_timeout=self.find_first_event_timeout(),
-                    pause_timeout=(
-                        EVENT_PAUSE_TIMEOUT_S if self.can_fail_over() else None
-                    ),
-                    may_abandon=self.may_abandon,
+                    first_byte_timeout=self.stalls.find_first_event_timeout(),
+                    pause_timeout=self.stalls.find_pause_timeout(),
+                    may_abandon=self.stalls.may_abandon,
                     on_start=self.exposure.note_start,
                     identifier=self.head.identifier,
                     read_identifier=self.gateway.dialect.read_identifier,
@@ -418,38 +399,6 @@
         if error is None:
             placement.paces.note_whole_answer(run)
 
-    def can_fail_over(self):
-        """Return whether the request may move from a silent upstream."""
-        return (
-            self.route.kind is RouteKind.STREAM
-            and self.continuation.may_break_off()
-        )
-
-    def may_abandon(self):
-        """Return whether another upstream has shown free capacity.
-
-        Another gateway is asked instead if links of this one are lost.
-        """
-        reach = self.gateway.reach
-        if self.is_forwarded or self.can_hop():
-            if reach.is_silent_link(self.upstream, since=self.sent_at):
-                return True
-            reach.investigate(self.upstream, since=self.sent_at)
-        return self.gateway.placement.alternatives.has_free(
-            self.upstream,
-            version=self.version,
-            excluded=self.tried,
-            silence=self.delivery.measure_silence(since=self.sent_at),
-        )
-
-    def find_first_event_timeout(self):
-        """Return the timeout of the first event in seconds, or None."""
-        if not self.can_fail_over():
-            return None
-        return FIRST_EVENT_TIMEOUT_S + self.gateway.placement.estimate_wait(
-            self.upstream
-        )
-
     def handle_reply(self, status, headers):
         """Decode the head of an answer and record the reported load."""
         reply = self.gateway.dialect.decode_reply(status, headers)
@@ -501,24 +450,11 @@
             if events and self.version is None:
                 self.pin_version()
             self.delivery.require_sound()
-            self.require_progress()
+            self.stalls.require_progress()
         else:
             self.delivery.buffer(data)
         return self.delivery.kept_bytes
 
-    def require_progress(self):
-        """Raise an error if a stream brings no events, but other bytes."""
-        now = self.gateway.reactor.seconds()
-        if self.delivery.last_event != self.last_event:
-            self.last_event = self.delivery.last_event
-            self.event_due_at = now + EVENTLESS_TIMEOUT_S
-        elif (
-            now > self.event_due_at
-            and self.can_fail_over()
-            and self.may_abandon()
-        ):
-            raise StreamStalledError("no event received, but other bytes")
-
     def is_stream(self):
         """Return whether the answer is streamed to the client."""
         return self.route.kind is RouteKind.STREAM and self.reply.has_events
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -3,25 +3,18 @@
 import math
 
 import eliot
-from twisted.internet import defer
 
 from hollyspan_core.errors import StreamStalledError
-from hollyspan_core.errors import UpstreamUnavailableError
 from hollyspan_policy.reach import has_lost_links
 from hollyspan_policy.reach import is_link_lost
 from hollyspan_policy.reach import is_only_silent_here
 
 from .cut_evidence import CutEvidence
+from .link_probes import LinkProbes
 from .probation import Probation
 
 __all__ = ["Reach"]
 
-# Interval between two rounds of probes, short compared with the seconds for
-# which links are lost, and the probes in a round.
-PROBE_INTERVAL_S = 0.25
-PROBES_AT_ONCE = 4
-# Time in which the store drops the entry of an upstream that has ended.
-ENTRY_EXPIRY_S = 5.0
 # Time after which a silence is none of a sound upstream, which goes on after
 # a second or so.
 MAX_SILENCE_S = 3.0
@@ -66,6 +59,7 @@
     probation : Probation
         Of the links to all upstreams.
     evidence : CutEvidence
+    probes : LinkProbes
 
     Notes
     -----
@@ -88,8 +82,7 @@
         "broken",
         "probation",
         "evidence",
-        "probing",
-        "probe_call",
+        "probes",
     )
 
     def __init__(self, *, gateway, probe_indirectly):
@@ -108,8 +101,7 @@
         self.evidence = CutEvidence(
             reach=self, probe_indirectly=probe_indirectly
         )
-        self.probing = set()
-        self.probe_call = None
+        self.probes = LinkProbes(reach=self)
 
     @property
     def has_trouble(self):
@@ -191,7 +183,7 @@
             self.is_cut_off or self.cannot_connect or self.has_lost_link()
         ):
             self.gateway.directory.tell_unreachable(upstream)
-        self.schedule_probes()
+        self.probes.schedule()
 
     def note_silence(self, upstream):
         """Note an attempt that was given up for its silence."""
@@ -272,7 +264,7 @@
         if self.is_quiet(since=since) and self.evidence.may_look_for(
             upstream, since=since
         ):
-            self.start_probe(upstream)
+            self.probes.start(upstream)
 
     def must_hold(self, address):
         """Return whether new connections to an address are in doubt.
@@ -415,109 +407,3 @@
         for exposure in list(self.gateway.guard.exposures):
             if exposure.is_movable and exposure.abort is not None:
                 exposure.abort(StreamStalledError("the links are lost"))
-
-    def schedule_probes(self, delay=0.0):
-        if self.probe_call is None:
-            self.probe_call = self.gateway.reactor.callLater(
-                delay, self.send_probes
-            )
-
-    def send_probes(self):
-        """Probe some links that may be lost, and again later."""
-        self.probe_call = None
-        directory = self.gateway.directory
-        for name, upstream in list(self.broken.items()):
-            if directory.upstreams.get(name) is not upstream or not (
-                upstream.link.is_broken
-            ):
-                del self.broken[name]
-                self.failed.pop(name, None)
-                self.unconnected.pop(name, None)
-        if self.is_cut_off and not self.probation.may_restore(
-            now=self.gateway.reactor.seconds()
-        ):
-            # Open connections would show nothing.
-            self.confirm_cut()
-            self.schedule_probes(PROBE_INTERVAL_S)
-            return
-        suspected = list(filter(self.must_probe, self.broken.values()))
-        if self.is_cut_off or self.cannot_connect:
-            suspected = self.list_others() + suspected
-        if self.is_cut_off and not suspected:
-            self.end_cut()
-        if not suspected:
-            suspected = self.list_unused()[:1]
-        for upstream in suspected[:PROBES_AT_ONCE]:
-            self.start_probe(upstream)
-        # A link may turn out to be lost later, when others are answered.
-        if self.has_trouble:
-            self.schedule_probes(PROBE_INTERVAL_S)
-
-    def must_probe(self, upstream):
-        """Return whether a connection may show that a link works."""
-        link = upstream.link
-        return link.may_restore(now=self.gateway.reactor.seconds()) and (
-            self.is_lost(upstream)
-            or is_link_lost(
-                failed_at=link.unconnected_at, alive_at=link.alive_at
-            )
-        )
-
-    def list_unused(self):
-        """Return upstreams that are listed long after their links failed.
-
-        No request may be sent there that would show whether they work.
-        """
-        now = self.gateway.reactor.seconds()
-        return [
-            upstream
-            for upstream in self.broken.values()
-            if now - upstream.link.first_failed_at > ENTRY_EXPIRY_S
-        ]
-
-    def list_others(self):
-        """Return an upstream whose link has not failed, in turn."""
-        others = [
-            upstream
-            for name, upstream in self.gateway.directory.upstreams.items()
-            if name not in self.broken and upstream.accepts_work
-        ]
-        if not others:
-            return []
-        turn = self.gateway.reactor.seconds() / PROBE_INTERVAL_S
-        return [others[int(turn) % len(others)]]
-
-    def start_probe(self, upstream):
-        name = upstream.entry.name
-        if name in self.probing:
-            return
-        # The next round begins with the others.
-        if name in self.broken:
-            self.broken[name] = self.broken.pop(name)
-        self.probing.add(name)
-        work = defer.ensureDeferred(self.probe(upstream))
-        work.addErrback(eliot.write_failure)
-
-    async def probe(self, upstream):
-        """Open a connection, which is kept for later requests."""
-        try:
-            await self.gateway.pool.open_idle(
-                upstream.entry.address, hold_seconds=0.0
-            )
-        except UpstreamUnavailableError as error:
-            eliot.log_message(
-                "link:probe_failed",
-                upstream=upstream.entry.name,
-                reason=error.message,
-            )
-            # One that has failed before may have ended.
-            is_other = upstream.entry.name not in self.broken
-            if is_other or not self.list_others():
-                self.confirm_cut()
-            if not self.is_confirmed:
-                self.evidence.ask(upstream)
-            return
-        finally:
-            self.probing.discard(upstream.entry.name)
-        if self.broken and self.probe_call is not None:
-            self.probe_call.reset(0.0)
--- a/packages/hollyspan_standins/hollyspan_standins/model/attempt.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/attempt.py
@@ -3,8 +3,8 @@
 import types
 
 from hollyspan_gateway.http1.attempt import STALL_RECHECK_INTERVAL_S
-from hollyspan_gateway.online.relay import FIRST_EVENT_TIMEOUT_S
 from hollyspan_gateway.online.relay import MAX_REFUSALS
+from hollyspan_gateway.online.stalls import FIRST_EVENT_TIMEOUT_S
 from hollyspan_gateway.routes import RouteKind
 
 from .call import EngineCall
