Forget upstreams that were not reached once any upstream is heard

Names of upstreams to which a probe had failed were kept until a connection was opened in trouble, so that one that works here, and that others hear, could count in a later silence as one that is silent here only: a cut that is none. Found on reading; the new test fails without the change and passes with it.

--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
@@ -36,7 +36,8 @@
         Time at which upstreams have refused connections since one was opened,
         by name, reactor seconds.
     unreached : set of str
-        Names of upstreams to which probes have failed since then.
+        Names of upstreams to which probes have failed since then, and since
+        the last bytes from any upstream.
     asked_at : float
         Time of the last question to other gateways, reactor seconds.
     looked_at : dict
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -125,6 +125,7 @@
         """
         self.heard_at = self.gateway.reactor.seconds()
         upstream.link.note_data(now=self.heard_at, opened_at=opened_at)
+        self.evidence.unreached.clear()
         if self.probation.is_on_trial or self.probation.relapses:
             self.probation.note_data()
         if self.failed:
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_cut_evidence.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_cut_evidence.py
@@ -72,3 +72,16 @@
     other = reach.gateway.directory.upstreams["u3"]
     other.link.note_heard_elsewhere(at=now)
     assert not reach.evidence.is_conclusive()
+
+
+# Failure: an upstream that was not reached in an earlier silence counted as
+# one that is silent here in the next one.
+def test_what_was_not_reached_before_the_last_bytes_does_not_count(reach):
+    upstreams = reach.gateway.directory.upstreams
+    reach.evidence.ask(upstreams["u3"])
+    reach.note_data(upstreams["u2"])
+    reach.gateway.reactor.advance(5.0)
+    fail(reach, "u1")
+    now = reach.gateway.reactor.seconds()
+    upstreams["u3"].link.note_heard_elsewhere(at=now)
+    assert not reach.evidence.is_conclusive()
