--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_trials.py
@@ -376,6 +376,17 @@
     assert seconds < SOON_S
 
 
+def test_trials_with_answers_within_the_timeout_end_a_block(
+    build_fleet, monkeypatch
+):
+    fleet = build_fleet(gateways=4, upstreams=8)
+    monkeypatch.setattr("hollyspan_standins.memory.fleet.START_DELAY_S", 4.0)
+    block_part(fleet)
+    run_waiting(fleet, fleet.gateways, 20.0)
+    assert len(fleet.list_sends(PART)) > 3
+    assert not list_blocks(fleet)
+
+
 def test_blocks_and_records_of_the_previous_build_are_tried_soon(
     build_fleet, wire, reactor
 ):
