Look for a place once a round for items that want the same

Callers saw nothing; a worker with many waiting items did. In each round, ten times a second and at each change, it built the views of all upstreams and compared them for each item that waited, though within a round places are only taken: once there is none for a service, version and urgency, there is none for the next item of that kind.

The stand-in of the placement in one test of test_worker has the new method, too.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -29,14 +29,24 @@
     times : RunTimeEstimator
     find_rank : callable
         See `BatchPlacement.choose`.
+
+    Attributes
+    ----------
+    full : set of (str, int or None, bool)
+        Service, version and urgency of items without a place in this round.
     """
 
-    __slots__ = ("gateway", "times", "find_rank")
+    __slots__ = ("gateway", "times", "find_rank", "full")
 
     def __init__(self, *, gateway, times, find_rank):
         self.gateway = gateway
         self.times = times
         self.find_rank = find_rank
+        self.full = set()
+
+    def begin_round(self):
+        """Begin a round of starts, in which places are only taken."""
+        self.full.clear()
 
     def choose(self, state, service, *, is_urgent):
         """Choose the upstream for an item.
@@ -68,7 +78,10 @@
                 discard_text(state, "its version breaks each run")
 
         def choose_at(version):
-            return self.gateway.batch_placement.choose(
+            kind = (service, version, is_urgent)
+            if kind in self.full:
+                return None
+            upstream = self.gateway.batch_placement.choose(
                 service,
                 key=state.item.identifier,
                 is_urgent=is_urgent,
@@ -76,6 +89,9 @@
                 version=version,
                 avoided=state.broken_at,
             )
+            if upstream is None:
+                self.full.add(kind)
+            return upstream
 
         upstream = choose_at(state.version)
         if (
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -747,7 +747,9 @@
             raise ValueError("no place can be computed")
         return placement.choose(state, service, is_urgent=is_urgent)
 
-    gateway.worker.placement = types.SimpleNamespace(choose=choose)
+    gateway.worker.placement = types.SimpleNamespace(
+        choose=choose, begin_round=placement.begin_round
+    )
     submit(3)
     reactor.pump([0.1] * 5)
     assert len(gateway.pool.sent) == 2
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -216,6 +216,7 @@
                 startable = [state for state in startable if state.is_taken]
             waiting += startable
         self.fetches.begin_round()
+        self.placement.begin_round()
         now = self.gateway.wall_clock()
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
             self.try_start_item(state)
