Keep items at upstreams that stand still

Cause: a run was broken off after 1.0 s without a byte, whatever other gateways heard and whether any place was left elsewhere, and when a cut of the links was confirmed, also by the only worker.

Change: the decision is one with that on streams. `must_leave_silence` breaks a run off when others hear its upstream (`Reach.leaves_silence`, shared with `Stalls`) and another worker can follow, when the upstream's process has ended, or after MAX_STILL_S. `pays_to_move` moves it sooner if an upstream that is heard has a free place (`Silences`). `Exposure.can_move` is asked when a cut is confirmed, not when the attempt starts. A silence of 1.0 s is still noted, so that upstreams that end in it speak against no item. An item is run again at once after a move, after 0.15 s after other silences.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/exposure.py
@@ -40,8 +40,9 @@
         the answer.
     version : int or None
         Key of the software version at which it goes on; None if it begins.
-    is_movable : bool
-        Whether it can go on at another upstream, also over another gateway.
+    can_move : callable
+        Returns whether it can go on at another upstream, also over another
+        gateway.
     """
 
     __slots__ = (
@@ -55,7 +56,7 @@
         "first_data_at",
         "has_survived",
         "is_upstream_alive",
-        "is_movable",
+        "can_move",
         "version",
     )
 
@@ -70,7 +71,7 @@
         self.first_data_at = math.inf
         self.has_survived = False
         self.is_upstream_alive = False
-        self.is_movable = False
+        self.can_move = lambda: False
         self.version = None
 
     def note_start(self, abort, *, opened_at):
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -33,6 +33,7 @@
     first_byte_timeout=None,
     pause_timeout=None,
     may_abandon=None,
+    recheck_interval=STALL_RECHECK_INTERVAL_S,
     on_start=None,
     identifier=None,
     read_identifier=None,
@@ -59,6 +60,8 @@
     may_abandon : callable, optional
         Called when a timeout expires; returns whether to abort the attempt.
         Without it, the attempt is aborted.
+    recheck_interval : float, optional
+        Time until it is called again, seconds.
     on_start : callable, optional
         Called, before the request is sent, with a function that aborts the
         attempt with a HollyspanError, and the keyword `opened_at`, the time
@@ -140,11 +143,12 @@
         exchange.meter.count(len(data), pieces=count_pieces(data))
         return kept
 
-    def handle_stall(seconds):
+    def handle_stall():
         if may_abandon is None or may_abandon():
-            abort(StreamStalledError(f"no data received for {seconds:.3f} s"))
+            waited = stall.measure()
+            abort(StreamStalledError(f"no data received for {waited:.3f} s"))
         else:
-            stall.restart(STALL_RECHECK_INTERVAL_S)
+            stall.extend(recheck_interval)
 
     stall.on_end = handle_stall
     exchange = Exchange(
@@ -189,10 +193,12 @@
     Attributes
     ----------
     on_end : callable
-        Called with the timeout that expired, in seconds.
+        Called without arguments when the timeout has expired.
+    started_at : float
+        Time of the last restart, reactor seconds.
     """
 
-    __slots__ = ("reactor", "on_end", "call")
+    __slots__ = ("reactor", "on_end", "started_at", "call")
 
     def __init__(self, *, reactor, seconds):
         self.reactor = reactor
@@ -202,13 +208,22 @@
 
     def restart(self, seconds):
         """Restart the timer with a new timeout."""
+        self.started_at = self.reactor.seconds()
+        self.extend(seconds)
+
+    def extend(self, seconds):
+        """Wait on, with a new timeout."""
         self.stop()
         if seconds is not None:
-            self.call = self.reactor.callLater(seconds, self.end, seconds)
+            self.call = self.reactor.callLater(seconds, self.end)
+
+    def measure(self):
+        """Return the seconds since the last restart."""
+        return self.reactor.seconds() - self.started_at
 
-    def end(self, seconds):
+    def end(self):
         self.call = None
-        self.on_end(seconds)
+        self.on_end()
 
     def stop(self):
         """Stop the timer."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -12,9 +12,6 @@
 # its upstreams, or may always get an answer without events.
 RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 10.0
-# The same after a run without a byte for a while: an upstream that stands
-# still, or its link, is the more likely cause, and may work again at once.
-MAX_SILENT_RETRY_DELAY_S = 1.0
 # Runs in a row that failed before an event, after which a text is dropped,
 # since all upstreams of its version may fail each run.
 MAX_LOST_RUNS = 3
@@ -29,14 +26,16 @@
     times : RunTimeEstimator
     find_rank : callable
         See `BatchPlacement.choose`.
+    silences : Silences
     """
 
-    __slots__ = ("gateway", "times", "find_rank")
+    __slots__ = ("gateway", "times", "find_rank", "silences")
 
-    def __init__(self, *, gateway, times, find_rank):
+    def __init__(self, *, gateway, times, find_rank, silences):
         self.gateway = gateway
         self.times = times
         self.find_rank = find_rank
+        self.silences = silences
 
     def choose(self, state, service, *, is_urgent):
         """Choose the upstream for an item.
@@ -67,6 +66,8 @@
             elif state.lost_runs >= MAX_LOST_RUNS:
                 discard_text(state, "its version breaks each run")
 
+        avoided = self.silences.list_silent() | {state.broken_at}
+
         def choose_at(version):
             return self.gateway.batch_placement.choose(
                 service,
@@ -74,7 +75,7 @@
                 is_urgent=is_urgent,
                 find_rank=self.find_rank,
                 version=version,
-                avoided=state.broken_at,
+                avoided=avoided,
             )
 
         upstream = choose_at(state.version)
@@ -111,14 +112,18 @@
 
 
 def choose_retry_delay(state):
-    """Return the time in seconds until an item is run again."""
-    if state.lost_runs < 2:
+    """Return the time in seconds until an item is run again.
+
+    An upstream that stands still, or its link, is the likely cause of a
+    silence; it has lasted for a while, and may be over at once.
+    """
+    if state.has_moved:
+        return 0.0
+    if state.lost_runs < 2 or state.was_silent:
         return RETRY_DELAY_S
     return compute_backoff(
         state.lost_runs - 1,
         seed=state.item.identifier,
         base=RETRY_DELAY_S,
-        limit=(
-            MAX_SILENT_RETRY_DELAY_S if state.was_silent else MAX_RETRY_DELAY_S
-        ),
+        limit=MAX_RETRY_DELAY_S,
     )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -28,7 +28,9 @@
         Number of runs in a row that failed before an event, other than by a
         refusal or a status 500.
     was_silent : bool
-        True if the last of them was abandoned after a silence.
+        True if the last run that failed was abandoned after a silence.
+    has_moved : bool
+        True if it was abandoned for a free place elsewhere.
     event_data : list of bytes
         Data of the events received so far.
     last_event : int or None
@@ -85,6 +87,7 @@
         "failures",
         "lost_runs",
         "was_silent",
+        "has_moved",
         "event_data",
         "last_event",
         "version",
@@ -117,6 +120,7 @@
         self.failures = 0
         self.lost_runs = 0
         self.was_silent = False
+        self.has_moved = False
         self.event_data = []
         self.last_event = None
         self.version = None
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -19,13 +19,13 @@
 from ..online.answers import require_own_answer
 from ..online.head import format_parts
 from ..online.head import RequestHead
+from ..online.stalls import EVENT_PAUSE_TIMEOUT_S
 from .item import ItemResult
 
 __all__ = ["ItemRun"]
 
-# A run that receives no byte for this long is abandoned and the item started
-# again: forty times the usual time between two events.
-STALL_TIMEOUT_S = 1.0
+# Interval between two decisions on a silent run.
+SILENCE_RECHECK_INTERVAL_S = 0.1
 # Time without an event after which a run is abandoned whatever else it
 # receives: about that of a whole run, of which a job leaves time for a few.
 EVENT_TIMEOUT_S = 5.0
@@ -47,6 +47,7 @@
     host : str
     max_failures : int
         Number of failed runs after which the item is given up.
+    silences : Silences
 
     Attributes
     ----------
@@ -56,6 +57,12 @@
         Start of the run, reactor seconds.
     initial_event_count : int
         Events received in earlier runs.
+    heard_at : float
+        Arrival of the last bytes, or the start of the run.
+    first_event_seconds : float or None
+        Time from the start to the first event.
+    is_moving : bool
+        True once it was abandoned for a free place elsewhere.
     """
 
     __slots__ = (
@@ -73,9 +80,23 @@
         "initial_event_count",
         "exposure",
         "progress_at",
+        "silences",
+        "heard_at",
+        "first_event_seconds",
+        "is_moving",
     )
 
-    def __init__(self, *, gateway, state, item, upstream, host, max_failures):
+    def __init__(
+        self,
+        *,
+        gateway,
+        state,
+        item,
+        upstream,
+        host,
+        max_failures,
+        silences,
+    ):
         self.gateway = gateway
         self.state = state
         self.item = item
@@ -90,6 +111,10 @@
         self.initial_event_count = len(state.event_data)
         self.exposure = None
         self.progress_at = self.started
+        self.silences = silences
+        self.heard_at = self.started
+        self.first_event_seconds = None
+        self.is_moving = False
 
     def start(self):
         """Start the run.
@@ -148,8 +173,9 @@
                     request=self.state.item.identifier,
                     keys=self.state.shared_parts,
                 ) as self.exposure,
+                self.silences.track(self),
             ):
-                self.exposure.is_movable = True
+                self.exposure.can_move = self.silences.has_follower
                 self.exposure.version = self.state.version
                 error = await run_attempt(
                     self.gateway.pool,
@@ -162,8 +188,10 @@
                     on_data=self.gateway.placement.paces.watch(
                         run, self.handle_data, lambda: self.state.last_event
                     ),
-                    first_byte_timeout=STALL_TIMEOUT_S,
-                    pause_timeout=STALL_TIMEOUT_S,
+                    first_byte_timeout=EVENT_PAUSE_TIMEOUT_S,
+                    pause_timeout=EVENT_PAUSE_TIMEOUT_S,
+                    may_abandon=self.may_abandon,
+                    recheck_interval=SILENCE_RECHECK_INTERVAL_S,
                     on_start=self.exposure.note_start,
                     identifier=self.state.item.identifier,
                     read_identifier=self.gateway.dialect.read_identifier,
@@ -202,6 +230,10 @@
             started_at=self.started,
         )
 
+    def may_abandon(self):
+        """Return whether to leave the upstream, which is silent."""
+        return self.silences.must_leave(self)
+
     def handle_reply(self, status, headers):
         self.gateway.reach.note_data(
             self.upstream, opened_at=self.exposure.opened_at
@@ -217,6 +249,7 @@
             raise error
 
     def handle_data(self, data):
+        self.heard_at = self.gateway.reactor.seconds()
         self.gateway.guard.note_data(self.exposure)
         if self.reply.has_events:
             self.parser.feed(data)
@@ -234,6 +267,8 @@
         if error is not None:
             raise error
         self.progress_at = self.gateway.reactor.seconds()
+        if self.first_event_seconds is None:
+            self.first_event_seconds = self.progress_at - self.started
         self.state.last_event = number
         self.state.version = self.gateway.incarnations.find_run_version(
             self.exposure
@@ -298,6 +333,7 @@
     def report_failure(self, error):
         self.state.broken_at = self.upstream.entry.name
         self.state.was_silent = isinstance(error, StreamStalledError)
+        self.state.has_moved = self.is_moving
         if self.has_new_events():
             self.state.lost_runs = 0
         elif is_lost_run(error):
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
@@ -0,0 +1,204 @@
+"""Runs of items at silent upstreams."""
+
+import contextlib
+import math
+
+from hollyspan_policy.reach import is_only_silent_here
+from hollyspan_policy.retries import must_leave_silence
+from hollyspan_policy.retries import pays_to_move
+
+__all__ = ["Silences"]
+
+# Silence after which an upstream that ends may not have read its requests.
+STILL_S = 1.0
+# Expected time to the first event of a run at another upstream, while this one
+# has had none.
+FIRST_EVENT_S = 0.3
+# An upstream that was heard within this time does not stand still; several
+# times the interval between events, and between messages of peers.
+HEARD_S = 0.25
+# Age up to which a count of free places counts: items that have moved occupy
+# theirs by then.
+PLACES_TTL_S = 0.25
+# Time for which no place is free after an item has found none: two rounds of
+# starts.
+SHORTAGE_S = 0.2
+
+
+class Silences:
+    """Decides when items of this gateway leave silent upstreams.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    times : RunTimeEstimator
+
+    Attributes
+    ----------
+    runs : dict
+        Runs that have fallen silent and have had no byte since, by key of
+        their item.
+    places : dict
+        FreePlaces by service and version.
+    short_at : float
+        Time at which an item last found no place, reactor seconds.
+    """
+
+    __slots__ = ("gateway", "times", "runs", "places", "short_at")
+
+    def __init__(self, *, gateway, times):
+        self.gateway = gateway
+        self.times = times
+        self.runs = {}
+        self.places = {}
+        self.short_at = -math.inf
+
+    @contextlib.contextmanager
+    def track(self, run):
+        """Forget the silence of a run at its end."""
+        try:
+            yield
+        finally:
+            self.runs.pop(run.state.key, None)
+
+    def list_silent(self):
+        """Return the names of the upstreams at which runs are silent."""
+        return {
+            run.upstream.entry.name
+            for run, heard_at in self.runs.values()
+            if max(run.heard_at, run.upstream.link.heard_at) == heard_at
+        }
+
+    def must_leave(self, run):
+        """Return whether a silent run is broken off.
+
+        Parameters
+        ----------
+        run : ItemRun
+        """
+        reach = self.gateway.reach
+        now = self.gateway.reactor.seconds()
+        link = run.upstream.link
+        quiet_since = run.heard_at
+        self.runs[run.state.key] = (run, max(quiet_since, link.heard_at))
+        if now - quiet_since >= STILL_S:
+            reach.note_silence(run.upstream)
+        is_silent_link = reach.leaves_silence(run.upstream, since=quiet_since)
+        if must_leave_silence(
+            quiet_seconds=now - quiet_since,
+            is_silent_link=is_silent_link,
+            has_follower=is_silent_link and self.has_follower(),
+            is_ended=self.has_ended(run),
+        ):
+            return True
+        run.is_moving = (
+            # Moving once more would help no more than the last time.
+            not run.state.lost_runs
+            and pays_to_move(
+                quiet_seconds=now - quiet_since,
+                is_upstream_heard=is_only_silent_here(
+                    quiet_since=quiet_since,
+                    answered_elsewhere_at=max(
+                        link.heard_at, link.last_elsewhere_at
+                    ),
+                ),
+                move_seconds=run.first_event_seconds or FIRST_EVENT_S,
+                slack_seconds=self.measure_slack(run.state),
+            )
+            and self.take_place(run)
+        )
+        return run.is_moving
+
+    def has_follower(self):
+        """Return whether another gateway can run the items of this one."""
+        own = self.gateway.peers.identifier
+        return any(each != own for each in self.gateway.list_workers())
+
+    def has_ended(self, run):
+        """Return whether the process of an upstream has certainly ended."""
+        refused_at = self.gateway.reach.evidence.refused_at
+        return (
+            run.upstream.incarnation.is_gone
+            or refused_at.get(run.upstream.entry.name, -math.inf)
+            > run.heard_at
+        )
+
+    def measure_slack(self, state):
+        """Return the seconds that an item has beyond its expected run."""
+        left = state.job_state.job.due - self.gateway.wall_clock()
+        return left - self.times.estimate_remaining_seconds(
+            len(state.event_data)
+        )
+
+    def take_place(self, run):
+        """Take a free place elsewhere for a run; return whether there is one.
+
+        None is free while items wait for one.
+        """
+        now = self.gateway.reactor.seconds()
+        if now - self.short_at < SHORTAGE_S:
+            return False
+        key = (run.upstream.entry.service, run.state.version)
+        places = self.places.get(key)
+        if places is None or now - places.counted_at > PLACES_TTL_S:
+            self.places = {
+                each: counted
+                for each, counted in self.places.items()
+                if now - counted.counted_at <= PLACES_TTL_S
+            }
+            places = self.places[key] = FreePlaces(
+                counted_at=now, count=self.count_places(*key)
+            )
+        # These upstreams were heard after this one fell silent.
+        if places.count < 1 or not is_only_silent_here(
+            quiet_since=run.heard_at,
+            answered_elsewhere_at=places.counted_at - HEARD_S,
+        ):
+            return False
+        places.count -= 1
+        return True
+
+    def count_places(self, service, version):
+        """Count the places for items at upstreams that are heard.
+
+        There are none while this gateway hears no upstream.
+        """
+        now = self.gateway.reactor.seconds()
+        if now - self.gateway.reach.heard_at > HEARD_S:
+            return 0
+        own = self.gateway.peers.identifier
+        workers = sorted(self.gateway.list_workers())
+        if own not in workers:
+            return 0
+
+        def accepts(upstream):
+            heard_at = max(
+                upstream.link.heard_at, upstream.link.last_elsewhere_at
+            )
+            return now - heard_at <= HEARD_S
+
+        return self.gateway.batch_placement.count_places(
+            service,
+            accepts=accepts,
+            version=version,
+            rank=workers.index(own),
+            daemons=len(workers),
+        )
+
+
+class FreePlaces:
+    """Places that items may move to.
+
+    Parameters
+    ----------
+    counted_at : float
+        Time of the count, reactor seconds.
+    count : int
+        Those that no item has taken since.
+    """
+
+    __slots__ = ("counted_at", "count")
+
+    def __init__(self, *, counted_at, count):
+        self.counted_at = counted_at
+        self.count = count
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -25,6 +25,7 @@
 from .releases import ReleaseWriter
 from .result_storage import persist_result
 from .run import ItemRun
+from .silences import Silences
 from .succession import Succession
 
 __all__ = ["Worker"]
@@ -90,8 +91,12 @@
         )
         self.schedule_call = None
         self.ranks = WorkerRanks(gateway=gateway)
+        self.silences = Silences(gateway=gateway, times=self.times)
         self.placement = ItemPlacement(
-            gateway=gateway, times=self.times, find_rank=self.ranks.find
+            gateway=gateway,
+            times=self.times,
+            find_rank=self.ranks.find,
+            silences=self.silences,
         )
         self.catalogue = JobCatalogue(
             gateway=gateway,
@@ -349,6 +354,7 @@
             upstream=upstream,
             host=job.host,
             max_failures=route.max_attempts or DEFAULT_MAX_ATTEMPTS,
+            silences=self.silences,
         )
         self.running[state.key] = state
         self.claims.note_start(state)
@@ -374,6 +380,7 @@
         For a moment it may only wait for its turn at a free one.
         """
         now = self.gateway.reactor.seconds()
+        self.silences.short_at = now
         if state.hindrance != "no_slot":
             state.hindrance = "no_slot"
             state.short_since = now
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -340,7 +340,7 @@
                 fingerprint=self.head.fingerprint,
             ) as self.exposure,
         ):
-            self.exposure.is_movable = self.continuation.may_break_off()
+            self.exposure.can_move = self.continuation.may_break_off
             self.exposure.version = self.version
             try:
                 error = await run_attempt(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/stalls.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/stalls.py
@@ -4,7 +4,7 @@
 
 from ..routes import RouteKind
 
-__all__ = ["FIRST_EVENT_TIMEOUT_S", "Stalls"]
+__all__ = ["EVENT_PAUSE_TIMEOUT_S", "FIRST_EVENT_TIMEOUT_S", "Stalls"]
 
 # Timeout of a stream's first event beyond the expected wait for a slot:
 # several times its usual latency, and short enough that another upstream can
@@ -68,10 +68,10 @@
         """
         relay = self.relay
         reach = relay.gateway.reach
-        if relay.is_forwarded or relay.can_hop():
-            if reach.is_silent_link(relay.upstream, since=relay.sent_at):
-                return True
-            reach.investigate(relay.upstream, since=relay.sent_at)
+        if (relay.is_forwarded or relay.can_hop()) and reach.leaves_silence(
+            relay.upstream, since=relay.sent_at
+        ):
+            return True
         return relay.gateway.placement.alternatives.has_free(
             relay.upstream,
             version=relay.version,
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -1,10 +1,12 @@
 """Placement of batch items on upstreams."""
 
 import contextlib
+import math
 
 from hollyspan_policy.batch import choose_batch_upstream
 from hollyspan_policy.batch import count_excess
 from hollyspan_policy.batch import count_free_slots
+from hollyspan_policy.batch import count_turn_slots
 
 from .timed_run import RunKind
 
@@ -40,7 +42,7 @@
         is_urgent,
         find_rank,
         version=None,
-        avoided=None,
+        avoided=(),
     ):
         """Choose the upstream for an item.
 
@@ -56,8 +58,8 @@
             those that run items there, and their number.
         version : int, optional
             Key of the software version at which the item has to go on.
-        avoided : str, optional
-            Name of an upstream to use only if no other one has a free slot.
+        avoided : collection of str, optional
+            Names of upstreams to use only if no other one has a free slot.
 
         Returns
         -------
@@ -93,7 +95,7 @@
             include_suspects=False,
             is_repeatable=True,
         )
-        others = [view for view in views if view.name != avoided]
+        others = [view for view in views if view.name not in avoided]
         headroom = 0.0 if is_urgent else BATCH_HEADROOM_SHARE
         # Online requests use few of the slots of a limited upstream.
         view = (
@@ -121,6 +123,38 @@
         )
         return view is not None
 
+    def count_places(self, service, *, accepts, version, rank, daemons):
+        """Count the places that items of this gateway may move to.
+
+        Parameters
+        ----------
+        service : str
+        accepts : callable
+            Called with an Upstream, returns whether they may move there.
+        version : int or None
+            Key of the software version at which they have to go on.
+        rank, daemons : int
+            Rank of this gateway among those that run items, and their number.
+        """
+        placement = self.placement
+        views = [
+            view
+            for view in placement.build_views(
+                service,
+                version=version,
+                include_suspects=False,
+                is_repeatable=True,
+            )
+            if view.serving
+            and not view.waiting
+            and accepts(placement.directory.upstreams[view.name])
+        ]
+        free = sum(max(0, count_free_slots(view)) for view in views)
+        headroom = BATCH_HEADROOM_SHARE * sum(view.slots for view in views)
+        return count_turn_slots(
+            max(0, math.floor(free - headroom)), rank=rank, daemons=daemons
+        )
+
     def is_limited(self, view):
         """Return whether an upstream names a rate limit."""
         upstream = self.placement.directory.upstreams[view.name]
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
@@ -6,13 +6,12 @@
 from twisted.internet import defer
 
 from hollyspan_policy.reach import is_only_silent_here
+from hollyspan_policy.retries import MAX_STILL_S
 
 __all__ = ["CutEvidence"]
 
 # Failed connections to as many upstreams are not the end of one.
 MIN_CLOSED_UPSTREAMS = 2
-# Time after which upstreams that are not heard do not just stand still.
-MAX_STILL_S = 2.5
 # Interval between two looks for upstreams that are silent.
 LOOK_S = 0.25
 # Interval between two questions to other gateways, longer than it takes them
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/link.py
@@ -18,8 +18,8 @@
         Time of the first attempt that was broken off or fell silent since
         then.
     silent_at : float
-        Time at which an attempt was first given up for its silence since
-        then.
+        Time at which an attempt was first known to wait in a silence, or
+        given up for it, since then.
     unconnected_at : float or None
         Start of the first connection attempt that failed since one was
         established.
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -36,8 +36,8 @@
     heard_at : float
         Arrival of the last bytes from any upstream, reactor seconds.
     silent_at : float
-        Time at which an attempt was first given up for its silence since
-        then.
+        Time at which an attempt was first known to wait in a silence, or
+        given up for it, since then.
     answered_elsewhere_at : float
         Time at which another gateway last brought bytes of an answer.
     is_cut_off : bool
@@ -187,7 +187,7 @@
         self.probes.schedule()
 
     def note_silence(self, upstream):
-        """Note an attempt that was given up for its silence."""
+        """Note an attempt that waits in a silence, or was given up for it."""
         now = self.gateway.reactor.seconds()
         for each in (self, upstream.link):
             if each.silent_at <= each.heard_at:
@@ -253,6 +253,22 @@
             or self.evidence.has_silent_link(besides=upstream)
         )
 
+    def leaves_silence(self, upstream, *, since):
+        """Return whether others hear an upstream that is silent here.
+
+        Looks for the upstream if they do not.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        since : float
+            Time since which an attempt has waited there.
+        """
+        if self.is_silent_link(upstream, since=since):
+            return True
+        self.investigate(upstream, since=since)
+        return False
+
     def investigate(self, upstream, *, since):
         """Look for an upstream at which an attempt waits in a silence of all.
 
@@ -406,5 +422,5 @@
     def move_attempts(self):
         """Break off the attempts that another gateway can make instead."""
         for exposure in list(self.gateway.guard.exposures):
-            if exposure.is_movable and exposure.abort is not None:
+            if exposure.abort is not None and exposure.can_move():
                 exposure.abort(StreamStalledError("the links are lost"))
--- a/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
@@ -7,13 +7,19 @@
 from .decision import decide_retry
 from .decision import is_safe_to_retry
 from .failure import AttemptFailure
+from .silence import MAX_STILL_S
+from .silence import must_leave_silence
+from .silence import pays_to_move
 
 __all__ = [
     "AttemptFailure",
+    "MAX_STILL_S",
     "RetryBudget",
     "compute_backoff",
     "decide_retry",
     "is_safe_to_retry",
     "may_break_off",
     "must_continue",
+    "must_leave_silence",
+    "pays_to_move",
 ]
