Let items move to upstreams that are heard

Cause: only upstreams at which the worker had silent runs were avoided; others that stood still had the most free slots.

A silent run is decided on each 0.2 s, since the decision may look through all upstreams.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -66,7 +66,7 @@
             elif state.lost_runs >= MAX_LOST_RUNS:
                 discard_text(state, "its version breaks each run")
 
-        avoided = self.silences.list_silent() | {state.broken_at}
+        avoided = self.silences.list_avoided(state, service)
 
         def choose_at(version):
             return self.gateway.batch_placement.choose(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -24,8 +24,9 @@
 
 __all__ = ["ItemRun"]
 
-# Interval between two decisions on a silent run.
-SILENCE_RECHECK_INTERVAL_S = 0.1
+# Interval between two decisions on a silent run, each of which may look
+# through all upstreams.
+SILENCE_RECHECK_INTERVAL_S = 0.2
 # Time without an event after which a run is abandoned whatever else it
 # receives: about that of a whole run, of which a job leaves time for a few.
 EVENT_TIMEOUT_S = 5.0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
@@ -36,8 +36,7 @@
     Attributes
     ----------
     runs : dict
-        Runs that have fallen silent and have had no byte since, by key of
-        their item.
+        Runs that have fallen silent, by key of their item.
     places : dict
         FreePlaces by service and version.
     short_at : float
@@ -61,13 +60,41 @@
         finally:
             self.runs.pop(run.state.key, None)
 
-    def list_silent(self):
-        """Return the names of the upstreams at which runs are silent."""
-        return {
+    def list_avoided(self, state, service):
+        """Return the names of the upstreams that an item should not go to.
+
+        Parameters
+        ----------
+        state : ItemState
+        service : str
+
+        Returns
+        -------
+        set of str
+            The one that failed it last, and those at which runs are silent;
+            for an item that leaves a silence, all that are not heard.
+        """
+        now = self.gateway.reactor.seconds()
+        avoided = {
             run.upstream.entry.name
-            for run, heard_at in self.runs.values()
-            if max(run.heard_at, run.upstream.link.heard_at) == heard_at
+            for run in self.runs.values()
+            if now - max(run.heard_at, run.upstream.link.heard_at) > HEARD_S
         }
+        if state.has_moved:
+            avoided.update(
+                upstream.entry.name
+                for upstream in self.gateway.directory.list_usable(service)
+                if not self.is_heard(upstream)
+            )
+        if state.broken_at is not None:
+            avoided.add(state.broken_at)
+        return avoided
+
+    def is_heard(self, upstream):
+        """Return whether an upstream has just been heard, here or by peers."""
+        link = upstream.link
+        heard_at = max(link.heard_at, link.last_elsewhere_at)
+        return self.gateway.reactor.seconds() - heard_at <= HEARD_S
 
     def must_leave(self, run):
         """Return whether a silent run is broken off.
@@ -80,7 +107,7 @@
         now = self.gateway.reactor.seconds()
         link = run.upstream.link
         quiet_since = run.heard_at
-        self.runs[run.state.key] = (run, max(quiet_since, link.heard_at))
+        self.runs[run.state.key] = run
         if now - quiet_since >= STILL_S:
             reach.note_silence(run.upstream)
         is_silent_link = reach.leaves_silence(run.upstream, since=quiet_since)
@@ -170,16 +197,9 @@
         workers = sorted(self.gateway.list_workers())
         if own not in workers:
             return 0
-
-        def accepts(upstream):
-            heard_at = max(
-                upstream.link.heard_at, upstream.link.last_elsewhere_at
-            )
-            return now - heard_at <= HEARD_S
-
         return self.gateway.batch_placement.count_places(
             service,
-            accepts=accepts,
+            accepts=self.is_heard,
             version=version,
             rank=workers.index(own),
             daemons=len(workers),
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -347,6 +347,7 @@
             self.fetches.start(state)
             return
         state.hindrance = None
+        state.has_moved = False
         state.run = ItemRun(
             gateway=self.gateway,
             state=state,
