Look for places once for all items that wait alike

Cause: in each round of starts, ten a second and one after each change, each waiting item looked for a place by itself: two walks over the views of all upstreams, one for those of its version and one for those that may be asked, although nothing had changed since the item before. Change: what an item has not found is known for the rest of the round to items with the same service, version, urgency and upstream to avoid, until an item starts. Which items start where does not change. The test failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -29,14 +29,31 @@
     times : RunTimeEstimator
     find_rank : callable
         See `BatchPlacement.choose`.
+    known : dict
+        What items of this round have learnt since its last start, by what
+        they asked for. The caller clears it before each round.
+
+    Notes
+    -----
+    Load pattern: many items wait while upstreams are full or silent. The
+    places for items of the same kind are looked for once in a round, and
+    again after each start.
     """
 
-    __slots__ = ("gateway", "times", "find_rank")
+    __slots__ = ("gateway", "times", "find_rank", "known")
 
-    def __init__(self, *, gateway, times, find_rank):
+    def __init__(self, *, gateway, times, find_rank, known):
         self.gateway = gateway
         self.times = times
         self.find_rank = find_rank
+        self.known = known
+
+    def recall(self, find, *key):
+        """Return what a function returns, called once for a key."""
+        key = (find.__name__, *key)
+        if key not in self.known:
+            self.known[key] = find(*key[1:])
+        return self.known[key]
 
     def choose(self, state, service, *, is_urgent):
         """Choose the upstream for an item.
@@ -60,15 +77,18 @@
         long as it takes to write it again.
         """
         if state.version is not None:
-            if not self.gateway.placement.serves_version(
-                service, state.version
+            if not self.recall(
+                self.gateway.placement.serves_version, service, state.version
             ):
                 discard_text(state, "its version is gone")
             elif state.lost_runs >= MAX_LOST_RUNS:
                 discard_text(state, "its version breaks each run")
 
         def choose_at(version):
-            return self.gateway.batch_placement.choose(
+            key = (service, version, is_urgent, state.broken_at)
+            if key in self.known:
+                return None
+            upstream = self.gateway.batch_placement.choose(
                 service,
                 key=state.item.identifier,
                 is_urgent=is_urgent,
@@ -76,12 +96,20 @@
                 version=version,
                 avoided=state.broken_at,
             )
+            if upstream is None:
+                self.known[key] = None
+            else:
+                # Its start may change what the next ones find.
+                self.known.clear()
+            return upstream
 
         upstream = choose_at(state.version)
         if (
             upstream is None
             and state.version is not None
-            and self.gateway.incarnations.ask_for(service, state.version)
+            and self.recall(
+                self.gateway.incarnations.ask_for, service, state.version
+            )
         ):
             return None
         if upstream is None and self.must_start_over(state):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_worker.py
@@ -906,3 +906,33 @@
     wire.is_down = False
     reactor.pump([0.1] * 12)
     assert len(gateway.pool.sent) == 4
+
+
+# Failure: each waiting item walked all upstreams in each round of starts while
+# none had a place.
+def test_places_are_looked_for_once_for_all_items_that_wait(
+    build_worker, submit, reactor, monkeypatch
+):
+    gateway = build_worker(upstreams=("u1",), slots=2)
+    submit(40)
+    started = len(gateway.pool.sent)
+    walks = []
+    list_usable = gateway.directory.list_usable
+
+    def count_walk(service):
+        walks.append(service)
+        return list_usable(service)
+
+    monkeypatch.setattr(
+        type(gateway.directory),
+        "list_usable",
+        lambda directory, service: count_walk(service),
+    )
+    gateway.worker.start_items()
+    few = len(walks)
+    assert len(gateway.pool.sent) == started
+    submit(80, name="k")
+    walks.clear()
+    gateway.worker.start_items()
+    assert len(gateway.pool.sent) == started
+    assert len(walks) == few
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -68,6 +68,8 @@
         ItemState by its key.
     storing : int
         Number of results that are being stored.
+    known_places : dict
+        See `ItemPlacement`.
     is_stopping : bool
         True when no new items are started.
     """
@@ -90,8 +92,12 @@
         )
         self.schedule_call = None
         self.ranks = WorkerRanks(gateway=gateway)
+        self.known_places = {}
         self.placement = ItemPlacement(
-            gateway=gateway, times=self.times, find_rank=self.ranks.find
+            gateway=gateway,
+            times=self.times,
+            find_rank=self.ranks.find,
+            known=self.known_places,
         )
         self.catalogue = JobCatalogue(
             gateway=gateway,
@@ -216,6 +222,7 @@
                 startable = [state for state in startable if state.is_taken]
             waiting += startable
         self.fetches.begin_round()
+        self.known_places.clear()
         now = self.gateway.wall_clock()
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
             self.try_start_item(state)
