Find the upstreams of a service without a walk over all

Cause: each choice of an upstream walked the upstreams of all services twice, once for the views and once for outliers, and so did each question whether requests are to be held, whether a version is served and whether there is an alternative. Change: the directory keeps upstreams by service, in the same order, and a choice lists them once. The test failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -48,6 +48,8 @@
     ----------
     upstreams, by_key : dict
         Upstream by its name, and by the hash of its name.
+    by_service : dict
+        Upstream by its name, by the name of its service.
     departures : Departures
         Upstreams that have announced their shutdown in an answer.
     """
@@ -59,6 +61,7 @@
         "on_change",
         "upstreams",
         "by_key",
+        "by_service",
         "departures",
     )
 
@@ -69,6 +72,7 @@
         self.on_change = on_change
         self.upstreams = {}
         self.by_key = {}
+        self.by_service = {}
         self.departures = Departures()
 
     def update(self, entries, *, expiry_grace_until=0.0, change_age=0.0):
@@ -130,14 +134,19 @@
                 # Reports about the earlier incarnation do not apply.
                 upstream.rate_limit.seen_at = self.reactor.seconds()
                 upstream.pace.interrupt(now=self.reactor.seconds())
+            if existing is not None:
+                self.leave_service(existing, for_service=entry.service)
             self.upstreams[name] = upstream
             self.by_key[entry.key] = upstream
+            self.by_service.setdefault(entry.service, {})[name] = upstream
             log_change("upstream:listed", entry)
             return
         was_ready = existing.entry.is_ready
         if entry.is_ready and not was_ready:
             existing.pace.interrupt(now=self.reactor.seconds())
+        self.leave_service(existing, for_service=entry.service)
         existing.entry = entry
+        self.by_service.setdefault(entry.service, {})[name] = existing
         existing.is_listed = True
         if was_ready and not entry.is_ready:
             log_change("upstream:leaving", entry)
@@ -179,10 +188,20 @@
         """Remove an upstream from the directory."""
         del self.upstreams[upstream.entry.name]
         del self.by_key[upstream.entry.key]
+        self.leave_service(upstream)
         log_change("upstream:gone", upstream.entry)
         self.on_leaving(upstream)
         upstream.entry.is_ready = False
 
+    def leave_service(self, upstream, *, for_service=None):
+        """Forget the service of an upstream, unless it stays the same."""
+        service = upstream.entry.service
+        if service != for_service:
+            members = self.by_service[service]
+            del members[upstream.entry.name]
+            if not members:
+                del self.by_service[service]
+
     def list_usable(self, service):
         """Return the upstreams of a service that accept new work.
 
@@ -196,8 +215,8 @@
         """
         return [
             upstream
-            for upstream in self.upstreams.values()
-            if upstream.entry.service == service and upstream.accepts_work
+            for upstream in self.by_service.get(service, {}).values()
+            if upstream.accepts_work
         ]
 
     def note_departure(self, upstream):
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/outliers.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/outliers.py
@@ -113,12 +113,14 @@
             for other in self.directory.list_usable(upstream.entry.service)
         )
 
-    def find(self, service, *, is_repeatable):
+    def find(self, service, upstreams, *, is_repeatable):
         """Return the upstreams to which a request is not sent.
 
         Parameters
         ----------
         service : str
+        upstreams : list of Upstream
+            Those of the service that accept new work.
         is_repeatable : bool
             Whether the request can run elsewhere when it fails.
 
@@ -129,7 +131,7 @@
         now = self.reactor.seconds()
         records = {
             upstream: upstream.outlier
-            for upstream in self.directory.list_usable(service)
+            for upstream in upstreams
             if not upstream.is_suspect(now=now)
         }
         outliers = find_outliers(records, now=now, is_repeatable=is_repeatable)
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/placement.py
@@ -367,14 +367,17 @@
         of these can run the request, or if nothing else is left.
         """
         now = self.reactor.seconds()
+        usable = self.directory.list_usable(service)
         upstreams = [
             each
-            for each in self.directory.list_usable(service)
+            for each in usable
             if (version is None or version == self.find_version(each))
             and each.rate_limit.may_send(now=now, is_continued=is_continued)
         ]
         lost = {each for each in upstreams if self.is_lost(each)}
-        outliers = self.outliers.find(service, is_repeatable=is_repeatable)
+        outliers = self.outliers.find(
+            service, usable, is_repeatable=is_repeatable
+        )
         paced = self.paces.find_allowed(service)
         unsuspected = [
             each
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -238,3 +238,42 @@
     assert directory.upstreams["u"].failures == 0
     assert upstream.incarnation.is_unproven
     assert not directory.upstreams["u"].incarnation.is_unproven
+
+
+# Failure: each choice of an upstream walked those of all services.
+def test_a_service_is_found_without_a_walk_over_all(directory, helpers):
+    entries = build_entries(helpers, "u", "v")
+    others = {f"x{number}": "other" for number in range(100)}
+    for name, service in others.items():
+        entries[name] = helpers.build_entry(name, service=service)
+    directory.update(entries)
+    directory.upstreams = WalkedDict(directory.upstreams)
+    assert len(directory.list_usable("m")) == 2
+    assert directory.upstreams.walks == 0
+
+
+class WalkedDict(dict):
+    """Dictionary that counts the walks over all that it holds."""
+
+    walks = 0
+
+    def values(self):
+        self.walks += 1
+        return super().values()
+
+
+@pytest.mark.parametrize("started_at_ms", [None, 7], ids=["same", "reborn"])
+def test_an_upstream_belongs_to_its_last_service(
+    directory, helpers, started_at_ms
+):
+    directory.update(build_entries(helpers, "u", "v", "w"))
+    entries = build_entries(helpers, "u", "v", "w")
+    entries["v"] = helpers.build_entry(
+        "v", service="other", started_at_ms=started_at_ms
+    )
+    directory.update(entries)
+    names = [each.entry.name for each in directory.list_usable("m")]
+    assert names == ["u", "w"]
+    assert len(directory.list_usable("other")) == 1
+    directory.remove(directory.upstreams["v"])
+    assert directory.list_usable("other") == []
