Measure a sender's share once for each datagram that is charged

Cause: charging a sender measured its tokens, and again for the wait that follows from them at the same moment. The test failed before.

--- a/packages/hollyspan_policy/hollyspan_policy/intake/shares.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/shares.py
@@ -79,11 +79,16 @@
         if tokens < 0.0:
             self.excess.pop(sender, None)
             self.excess[sender] = now
-        return self.find_wait(sender, now=now)
+        return self.convert_to_wait(sender, tokens, now=now)
 
     def find_wait(self, sender, *, now):
         """Return the seconds until a sender may be read, 0 for at once."""
-        tokens = self.measure(sender, now=now)
+        return self.convert_to_wait(
+            sender, self.measure(sender, now=now), now=now
+        )
+
+    def convert_to_wait(self, sender, tokens, *, now):
+        """Return the seconds until a sender has tokens again."""
         if tokens >= 0.0:
             return 0.0
         return max(MIN_WAIT_S, -tokens / self.find_rate(sender, now=now))
--- a/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
+++ b/packages/hollyspan_policy/hollyspan_policy/intake/tests/test_intake.py
@@ -114,3 +114,19 @@
     wait = shares.find_wait("a", now=now)
     assert now + wait > now
     assert shares.find_wait("a", now=now + wait) == 0.0
+
+
+# Failure: the work that a sender may cause was measured twice for each piece.
+def test_a_charge_measures_its_sender_once(monkeypatch):
+    measured = []
+    measure = WorkShares.measure
+
+    def count(shares, sender, *, now):
+        measured.append(sender)
+        return measure(shares, sender, now=now)
+
+    monkeypatch.setattr(WorkShares, "measure", count)
+    shares = WorkShares(rate=1.0, burst=2.0)
+    assert shares.charge("a", 1.0, now=0.0) == 0.0
+    assert shares.charge("a", 2.0, now=0.0) == 1.0
+    assert measured == ["a", "a"]
