--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -30,22 +30,36 @@
 
     Attributes
     ----------
-    full : set of (str, int or None, bool)
-        Service, version and urgency of items without a place in this round.
+    known : dict
+        What items of this round have learnt since its last start, by what
+        they asked for.
+
+    Notes
+    -----
+    Load pattern: many items wait while upstreams are full or silent. The
+    places for items of the same kind are looked for once in a round, and
+    again after each start.
     """
 
-    __slots__ = ("gateway", "times", "find_rank", "silences", "full")
+    __slots__ = ("gateway", "times", "find_rank", "silences", "known")
 
     def __init__(self, *, gateway, times, find_rank, silences):
         self.gateway = gateway
         self.times = times
         self.find_rank = find_rank
         self.silences = silences
-        self.full = set()
+        self.known = {}
 
     def begin_round(self):
-        """Begin a round of starts, in which places are only taken."""
-        self.full.clear()
+        """Begin a round of starts."""
+        self.known.clear()
+
+    def recall(self, find, *key):
+        """Return what a function returns, called once for a key."""
+        key = (find.__name__, *key)
+        if key not in self.known:
+            self.known[key] = find(*key[1:])
+        return self.known[key]
 
     def choose(self, state, service, *, is_urgent):
         """Choose the upstream for an item.
@@ -69,16 +83,17 @@
         long as it takes to write it again.
         """
         if state.version is not None:
-            if not self.gateway.placement.serves_version(
-                service, state.version
+            if not self.recall(
+                self.gateway.placement.serves_version, service, state.version
             ):
                 discard_text(state, "its version is gone")
             elif state.lost_runs >= MAX_LOST_RUNS:
                 discard_text(state, "its version breaks each run")
 
         def choose_at(version):
-            kind = (service, version, is_urgent)
-            if kind in self.full:
+            # Whichever upstreams are avoided, the others come first only.
+            key = (service, version, is_urgent)
+            if key in self.known:
                 return None
             upstream = self.gateway.batch_placement.choose(
                 service,
@@ -89,14 +104,19 @@
                 avoided=self.silences.list_avoided(state, service),
             )
             if upstream is None:
-                self.full.add(kind)
+                self.known[key] = None
+            else:
+                # Its start may change what the next ones find.
+                self.known.clear()
             return upstream
 
         upstream = choose_at(state.version)
         if (
             upstream is None
             and state.version is not None
-            and self.gateway.incarnations.ask_for(service, state.version)
+            and self.recall(
+                self.gateway.incarnations.ask_for, service, state.version
+            )
         ):
             return None
         if upstream is None and self.must_start_over(state):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_open_items.py
@@ -106,10 +106,15 @@
     assert list_open(0.8) == []
 
 
+def remove_upstreams(gateway):
+    for upstream in list(gateway.directory.upstreams.values()):
+        gateway.directory.remove(upstream)
+
+
 @pytest.mark.parametrize(
     ("hinder", "reason"),
     [
-        (lambda gateway: gateway.directory.upstreams.clear(), "no_upstream"),
+        (remove_upstreams, "no_upstream"),
         (
             lambda gateway: setattr(
                 gateway.directory.upstreams["u1"], "suspect_until", 1e9
@@ -213,7 +218,7 @@
     peer = Peer(key=5, address=("10.0.0.1", 1))
     peer.runs_batch = peer.reaches_store = True
     gateway.peers.list_workers = lambda: [peer]
-    gateway.directory.upstreams.clear()
+    remove_upstreams(gateway)
     submit(16)
     lines = [
         line for line in list_open(16.0) if line["reason"] == "owned_elsewhere"
