Tell a gateway that runs a forwarded request where it may have run already

A request that went on over another gateway could spend its last attempt at the upstream that was silent or had broken it off: the options told how many attempts were left, and not where the others had been; back came the same number. With two upstreams a stream reached the same one twice.

Both gateways tell now the keys of up to eight upstreams at which the request may have run: the header hollyspan-ran-at in the request, in the head of the answer only if the request had it, and ran_at in a failure, which older builds pass over. Header and key are new; what a client sends under the name goes nowhere. The other gateway leaves these upstreams out (hollyspan_policy/retries/hops.py) unless nothing else of the version is there, since the link of the one that tells may have failed. The number of attempts counts as before.

test_a_peer_leaves_out_the_upstreams_that_were_tried and test_no_gateway_goes_back_to_an_upstream_of_another_one[begun] failed before (the same upstream twice); test_a_gateway_is_told_only_what_it_asks_for fails with the header sent to all.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/continuation.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/continuation.py
@@ -3,7 +3,9 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StreamStalledError
+from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.retries import compute_backoff
+from hollyspan_policy.retries import list_passed_over
 from hollyspan_policy.retries import may_break_off
 from hollyspan_policy.retries import must_continue
 
@@ -27,7 +29,12 @@
     Attributes
     ----------
     ran_at : set of str
-        Names of the upstreams that may have run the request.
+        Names of the upstreams that may have run the request for this gateway.
+    current : str or None
+        Name of the upstream of the attempt in flight.
+    ran_elsewhere : dict
+        Keys of those that may have run it for others, in order; the values
+        are None.
     has_given_up : bool
         True once an attempt was given up while its answer could come.
     rounds : int
@@ -40,11 +47,20 @@
     the deadline, such a request fails only if no attempt is left.
     """
 
-    __slots__ = ("relay", "ran_at", "has_given_up", "rounds")
+    __slots__ = (
+        "relay",
+        "ran_at",
+        "current",
+        "ran_elsewhere",
+        "has_given_up",
+        "rounds",
+    )
 
     def __init__(self, *, relay):
         self.relay = relay
         self.ran_at = set()
+        self.current = None
+        self.ran_elsewhere = {}
         self.has_given_up = False
         self.rounds = 0
 
@@ -89,6 +105,46 @@
         if isinstance(error, StreamStalledError):
             self.has_given_up = True
 
+    def note_run_elsewhere(self, keys):
+        """Note upstreams that may have run the request for other gateways."""
+        self.ran_elsewhere.update(dict.fromkeys(keys))
+
+    def list_run_keys(self):
+        """Return keys of the upstreams that may have run it for this gateway.
+
+        The one of an attempt in flight is among them.
+        """
+        names = {self.current, *self.ran_at} - {None}
+        return [hash_parts(name) for name in sorted(names)]
+
+    def list_all_run_keys(self):
+        """Return keys of those that may have run it for any gateway."""
+        return list(
+            dict.fromkeys([*self.ran_elsewhere, *self.list_run_keys()])
+        )
+
+    def list_excluded(self):
+        """Return the names of the upstreams that are not to be sent to."""
+        relay = self.relay
+        if not self.ran_elsewhere:
+            return relay.tried
+        directory = relay.gateway.directory
+        elsewhere = {
+            directory.by_key[key].entry.name
+            for key in self.ran_elsewhere
+            if key in directory.by_key
+        }
+        usable = {
+            each.entry.name
+            for each in directory.list_usable(relay.service)
+            if not each.incarnation.is_gone
+            and relay.version
+            in (None, relay.gateway.placement.find_version(each))
+        }
+        return relay.tried | list_passed_over(
+            ran_here=self.ran_at, ran_elsewhere=elsewhere, usable=usable
+        )
+
     def find_pause(self):
         """Return the seconds until the next round of attempts."""
         return compute_backoff(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -14,11 +14,14 @@
     "ForwardedOptions",
     "KEY_HEADER",
     "LEAVING_HEADER",
+    "RAN_AT_HEADER",
     "VERSION_HEADER",
     "build_target",
     "decode_failure",
     "encode_failure",
+    "encode_keys",
     "parse_key",
+    "parse_keys",
     "parse_target",
     "set_upstream_headers",
 ]
@@ -30,6 +33,11 @@
 # announced its shutdown, and that the gateway has failed, not the upstream.
 ATTEMPTS_HEADER = b"hollyspan-attempts"
 VERSION_HEADER = b"hollyspan-version"
+# Header of requests and answers: keys of the upstreams at which the request
+# may have run. Its sender understands it, so that the answer may have it.
+RAN_AT_HEADER = b"hollyspan-ran-at"
+# Keys in it: attempts of any sensible route, in a few hundred bytes.
+MAX_KEYS = 8
 # Header of the requests: digest of the caller's key.
 KEY_HEADER = b"hollyspan-key"
 LEAVING_HEADER = b"hollyspan-leaving"
@@ -48,14 +56,18 @@
         Number of upstreams at which the request may still run.
     key_digest : str or None, optional
         Digest of the caller's key.
+    ran_at : collection of int or None, optional
+        Keys of the upstreams at which the request may have run; None for a
+        gateway that tells none and understands none.
     """
 
-    __slots__ = ("version", "attempts", "key_digest")
+    __slots__ = ("version", "attempts", "key_digest", "ran_at")
 
-    def __init__(self, *, version, attempts, key_digest=None):
+    def __init__(self, *, version, attempts, key_digest=None, ran_at=None):
         self.version = version
         self.attempts = attempts
         self.key_digest = key_digest
+        self.ran_at = ran_at
 
 
 def build_target(options, target):
@@ -136,7 +148,43 @@
         raise PeerMessageError(f"{value[:32]!r} is no key") from error
 
 
-def encode_failure(error, *, attempts=0):
+def encode_keys(keys):
+    """Return the value of a header with keys, the latest ones of many.
+
+    Examples
+    --------
+    >>> encode_keys([255, 16])
+    b'ff,10'
+    >>> encode_keys([])
+    b'0'
+    """
+    return b",".join(b"%x" % key for key in list(keys)[-MAX_KEYS:]) or b"0"
+
+
+def parse_keys(value):
+    """Return the keys in a header, None without one.
+
+    Raises
+    ------
+    PeerMessageError
+        They are malformed or too many.
+
+    Examples
+    --------
+    >>> parse_keys(b"ff,10")
+    [255, 16]
+    >>> parse_keys(b"0")
+    []
+    """
+    if value is None:
+        return None
+    texts = value.split(b",", MAX_KEYS)
+    if len(texts) > MAX_KEYS:
+        raise PeerMessageError(f"more than {MAX_KEYS} keys")
+    return [key for key in map(parse_key, texts) if key]
+
+
+def encode_failure(error, *, attempts=0, ran_at=()):
     """Return status, headers and body of a failure of this gateway.
 
     Parameters
@@ -144,6 +192,8 @@
     error : HollyspanError
     attempts : int, optional
         Number of upstreams at which the request may have run.
+    ran_at : collection of int, optional
+        Keys of these.
     """
     document = {
         "message": error.message,
@@ -152,6 +202,8 @@
         "outcome": error.outcome.value,
         "retry_after": error.retry_after,
         "attempts": attempts,
+        # Older builds pass over it.
+        "ran_at": encode_keys(ran_at).decode(),
     }
     return (
         error.status,
@@ -170,22 +222,27 @@
 
     Returns
     -------
-    (HollyspanError, int)
-        The failure, and the number of upstreams at which the request may
-        have run.
+    (HollyspanError, int, list of int)
+        The failure, the number of upstreams at which the request may have
+        run, and keys of these as far as they are told.
     """
     try:
         content = parse_document(body)
         return (
             PeerAnswerError(content=content, status=status),
             int(content["attempts"]),
+            parse_keys(content.get("ran_at", "0").encode()),
         )
+    except PeerMessageError as error:
+        return error, 1, []
     except (ValueError, LookupError, TypeError, AttributeError) as error:
         malformed = PeerMessageError(f"malformed failure of a peer: {error!r}")
-        return malformed, 1
+        return malformed, 1, []
 
 
-def set_upstream_headers(request, upstream, reply, *, attempts, version):
+def set_upstream_headers(
+    request, upstream, reply, *, attempts, ran_at, version
+):
     """Tell the gateway that forwards a request where it runs.
 
     Parameters
@@ -196,10 +253,14 @@
     reply : UpstreamReply
     attempts : int
         Number of upstreams at which it may have run.
+    ran_at : collection of int or None
+        Keys of these; None for a gateway that would pass them on.
     version : int
         Key of the version that writes the answer.
     """
     request.setHeader(ATTEMPTS_HEADER, b"%x" % attempts)
+    if ran_at is not None:
+        request.setHeader(RAN_AT_HEADER, encode_keys(ran_at))
     request.setHeader(VERSION_HEADER, b"%x" % version)
     if reply.is_leaving:
         request.setHeader(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -18,11 +18,14 @@
 from .forwarded import ATTEMPTS_HEADER
 from .forwarded import build_target
 from .forwarded import decode_failure
+from .forwarded import encode_keys
 from .forwarded import FAILURE_HEADER
 from .forwarded import ForwardedOptions
 from .forwarded import KEY_HEADER
 from .forwarded import LEAVING_HEADER
 from .forwarded import parse_key
+from .forwarded import parse_keys
+from .forwarded import RAN_AT_HEADER
 from .forwarded import VERSION_HEADER
 
 __all__ = ["Hop"]
@@ -31,8 +34,16 @@
 # still there: longer than it takes to move a stream to another upstream.
 QUIET_CHECK_S = 0.6
 INTERNAL_HEADERS = frozenset(
-    (ATTEMPTS_HEADER, FAILURE_HEADER, LEAVING_HEADER, VERSION_HEADER)
+    (
+        ATTEMPTS_HEADER,
+        FAILURE_HEADER,
+        LEAVING_HEADER,
+        RAN_AT_HEADER,
+        VERSION_HEADER,
+    )
 )
+# Those of the request, which clients may send in vain.
+INTERNAL_REQUEST_HEADERS = frozenset((KEY_HEADER, RAN_AT_HEADER))
 # Failures for which another gateway may run the request.
 UNTAKEN_CODES = frozenset(
     (
@@ -181,8 +192,17 @@
             deadline_seconds=relay.measure_time_left(),
             resume_after=relay.delivery.last_event,
         )
-        # One that a client has sent is none.
-        headers = [pair for pair in headers if pair[0].lower() != KEY_HEADER]
+        headers = [
+            pair
+            for pair in headers
+            if pair[0].lower() not in INTERNAL_REQUEST_HEADERS
+        ]
+        headers.append(
+            (
+                RAN_AT_HEADER,
+                encode_keys(relay.continuation.list_all_run_keys()),
+            )
+        )
         if relay.head.workspace is not None:
             headers.append((KEY_HEADER, relay.head.key_digest.encode()))
         return headers
@@ -202,6 +222,9 @@
         self.has_failed = FAILURE_HEADER in values
         self.version = parse_key(values.get(VERSION_HEADER))
         self.attempts = parse_key(values.get(ATTEMPTS_HEADER)) or self.attempts
+        relay.continuation.note_run_elsewhere(
+            parse_keys(values.get(RAN_AT_HEADER)) or ()
+        )
         departure = parse_key(values.get(LEAVING_HEADER))
         if departure is not None:
             relay.gateway.directory.note_reported_departure(departure)
@@ -239,9 +262,10 @@
         """Return an error if the client must not receive a complete answer."""
         relay = self.relay
         if self.has_failed:
-            error, attempts = decode_failure(
+            error, attempts, ran_at = decode_failure(
                 relay.reply.status, b"".join(self.failure_parts)
             )
+            relay.continuation.note_run_elsewhere(ran_at)
             # One is counted for the hop.
             relay.sends += max(1, attempts) - 1
             if (
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/peer_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/peer_requests.py
@@ -10,7 +10,9 @@
 
 from .forwarded import encode_failure
 from .forwarded import KEY_HEADER
+from .forwarded import parse_keys
 from .forwarded import parse_target
+from .forwarded import RAN_AT_HEADER
 
 __all__ = ["answer_forwarded"]
 
@@ -30,7 +32,12 @@
         require_peer(gateway, request.getClientIP())
         options, request.uri = parse_target(request.uri)
         options.key_digest = request.getHeader(KEY_HEADER.decode())
+        ran_at = request.getHeader(RAN_AT_HEADER.decode())
+        if ran_at is not None:
+            options.ran_at = parse_keys(ran_at.encode())
+        # Neither is for upstreams.
         request.requestHeaders.removeHeader(KEY_HEADER)
+        request.requestHeaders.removeHeader(RAN_AT_HEADER)
         require_open(gateway)
     except HollyspanError as error:
         eliot.log_message(
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -69,6 +69,8 @@
         Number of sends to upstreams that have certainly not run it.
     tried : set of str
         Names of the upstreams of both kinds.
+    is_told_runs : bool
+        Whether a gateway that forwards it wants to know where it has run.
     upstream_load : dict
         Estimated load of the upstream at the time of its choice, for log
         lines.
@@ -118,6 +120,9 @@
             resume_after=head.resume_after,
         )
         self.continuation = Continuation(relay=self)
+        self.is_told_runs = options is not None and options.ran_at is not None
+        if self.is_told_runs:
+            self.continuation.note_run_elsewhere(options.ran_at)
         self.stalls = Stalls(relay=self)
         self.upstream = None
         self.upstream_load = {}
@@ -220,7 +225,9 @@
                 self.gateway, self.head, self.route, outcome=self.outcome
             )
         await self.gateway.incarnations.prove(
-            self.service, self.version, excluded=self.tried
+            self.service,
+            self.version,
+            excluded=self.continuation.list_excluded(),
         )
 
     async def settle(self):
@@ -292,7 +299,7 @@
             self.service,
             key=self.head.identifier,
             version=self.version,
-            excluded=self.tried,
+            excluded=self.continuation.list_excluded(),
             outcome=self.outcome,
             seconds_left=self.measure_time_left(),
             is_continued=self.is_resumed() or self.delivery.has_begun,
@@ -317,6 +324,7 @@
         upstream = self.upstream
         self.peer = None
         self.tried.add(upstream.entry.name)
+        self.continuation.current = upstream.entry.name
         self.sent_at = self.gateway.reactor.seconds()
         self.stalls.start()
         self.reply = None
@@ -414,6 +422,7 @@
                 self.upstream,
                 reply,
                 attempts=self.sends,
+                ran_at=self.list_told_runs(),
                 version=self.gateway.incarnations.find_run_version(
                     self.exposure
                 ),
@@ -435,6 +444,10 @@
             if error is not None:
                 raise error
 
+    def list_told_runs(self):
+        """Return what a gateway that forwards the request is told of runs."""
+        return self.continuation.list_run_keys() if self.is_told_runs else None
+
     def handle_data(self, data):
         """Forward or buffer bytes of an answer's body.
 
@@ -466,6 +479,7 @@
         return check_plain_answer(self.reply)
 
     def record_failure(self, error):
+        self.continuation.current = None
         self.gateway.placement.note_failure(
             self.upstream, error, waited_since=self.sent_at
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -179,7 +179,10 @@
             answer = self.gateway.dialect.encode_failure(error)
         else:
             attempts = 0 if relay is None else relay.sends
-            answer = encode_failure(error, attempts=attempts)
+            ran_at = (
+                () if relay is None else relay.continuation.list_run_keys()
+            )
+            answer = encode_failure(error, attempts=attempts, ran_at=ran_at)
         request.answer(*answer)
 
     def log_answered(self, relay):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/stalls.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/stalls.py
@@ -75,7 +75,7 @@
         return relay.gateway.placement.alternatives.has_free(
             relay.upstream,
             version=relay.version,
-            excluded=relay.tried,
+            excluded=relay.continuation.list_excluded(),
             silence=relay.delivery.measure_silence(since=relay.sent_at),
         )
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
@@ -254,7 +254,12 @@
 
 
 def send_to_peer(
-    fleet, name, *, sender="10.1.0.1", target=b"/requests/0/2/s/x"
+    fleet,
+    name,
+    *,
+    sender="10.1.0.1",
+    target=b"/requests/0/2/s/x",
+    ran_at=b"0",
 ):
     """Let the second gateway answer a call; return the call."""
     forwarded = fleet.request(name, gateway=fleet.gateways[0])
@@ -267,6 +272,11 @@
         target=fleet.gateways[1],
     )
     copy.uri = target
+    copy.arrived_at = fleet.reactor.seconds()
+    if ran_at is None:
+        copy.requestHeaders.removeHeader("hollyspan-ran-at")
+    else:
+        copy.requestHeaders.setRawHeaders("hollyspan-ran-at", [ran_at])
     answer_internal(fleet.gateways[1], copy)
     return copy
 
@@ -378,3 +388,89 @@
         break_off(sent)
     fleet.advance(3.0)
     assert all(request.is_served() for request in requests)
+
+
+def find_upstreams(fleet, request):
+    return [sent.upstream for sent in find_sends(fleet, request)]
+
+
+# Failure: a peer spent the last attempt at the upstream that was silent.
+def test_a_peer_leaves_out_the_upstreams_that_were_tried(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=2)
+    fleet.advance(1.0)
+    requests = [send(fleet, f"q{number}") for number in range(8)]
+    fleet.advance(0.3)
+    fleet.set_links(fleet.gateways[0], LinkState.RESET)
+    fleet.advance(4.0)
+    for request in requests:
+        assert find_calls(fleet, request) and request.is_served()
+        assert len(set(find_upstreams(fleet, request))) == 2
+
+
+# Failure: what a peer had run and broken off was run there again.
+@pytest.mark.parametrize("seconds", [0.3, 0.03], ids=["begun", "not_begun"])
+def test_no_gateway_goes_back_to_an_upstream_of_another_one(
+    build_fleet, seconds
+):
+    routes = [build_route(max_attempts=3)]
+    fleet = build_fleet(gateways=5, upstreams=3, routes=routes)
+    fleet.advance(1.0)
+    cut_off(fleet, fleet.gateways[0])
+    for number in range(6):
+        request = send(fleet, f"q{number}")
+        fleet.advance(seconds)
+        break_off(find_sends(fleet, request)[0])
+        fleet.advance(seconds)
+        break_off(find_sends(fleet, request)[1])
+        fleet.advance(4.0)
+        assert request.is_served()
+        assert len(set(find_upstreams(fleet, request))) == 3
+
+
+def test_the_only_upstream_is_asked_again_over_another_gateway(build_fleet):
+    fleet = build_fleet(gateways=4, upstreams=1)
+    fleet.advance(1.0)
+    for gateway in fleet.gateways[1:]:
+        fleet.request("other", gateway=gateway)
+    request = send(fleet)
+    fleet.advance(0.3)
+    fleet.set_links(fleet.gateways[0], LinkState.HANGS)
+    fleet.advance(4.0)
+    assert request.is_served()
+    assert find_upstreams(fleet, request) == ["u1", "u1"]
+
+
+def test_what_clients_send_as_tried_upstreams_is_passed_over(
+    fleet, monkeypatch
+):
+    dialect = fleet.gateways[0].dialect
+    encode_headers = dialect.encode_headers
+    forged = (b"Hollyspan-Ran-At", b"1,2")
+    monkeypatch.setattr(
+        dialect,
+        "encode_headers",
+        lambda *args, **options: [*encode_headers(*args, **options), forged],
+    )
+    request = send(fleet)
+    fleet.advance(0.1)
+    (call,) = find_calls(fleet, request)
+    headers = call.requestHeaders
+    assert not headers.hasHeader("hollyspan-ran-at")
+    assert call.connection.headers[b"hollyspan-ran-at"] == b"0"
+
+
+def test_malformed_keys_of_upstreams_are_refused(fleet):
+    for value in (b"x", b",".join([b"1"] * 9)):
+        call = send_to_peer(fleet, value.decode(), ran_at=value)
+        assert call.status == 502
+
+
+# Failure: what an older gateway did not ask for would reach its client.
+def test_a_gateway_is_told_only_what_it_asks_for(fleet):
+    call = send_to_peer(fleet, "q", ran_at=None)
+    heads = []
+    call.deliver = lambda function, *arguments: heads.append(arguments)
+    fleet.advance(0.3)
+    names = {name for name, _ in heads[0][1]}
+    assert b"hollyspan-version" in names
+    assert b"hollyspan-ran-at" not in names
--- a/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
@@ -7,6 +7,7 @@
 from .decision import decide_retry
 from .decision import is_safe_to_retry
 from .failure import AttemptFailure
+from .hops import list_passed_over
 
 __all__ = [
     "AttemptFailure",
@@ -14,6 +15,7 @@
     "compute_backoff",
     "decide_retry",
     "is_safe_to_retry",
+    "list_passed_over",
     "may_break_off",
     "must_continue",
 ]
