Tell a gateway of an older build no header that it would pass on

Clients of a gateway of an older build saw hollyspan-attempts while both builds ran: a gateway takes out only the internal headers that it knows. The numbers of attempts go now, like the keys of their upstreams, only to a gateway that sends hollyspan-ran-at itself; another one counts one attempt for the hop, as its build does. A gateway takes out every header named hollyspan-..., so that a later build may add some.

test_a_gateway_is_told_only_what_it_asks_for and test_internal_headers_do_not_reach_clients_or_upstreams, with a header of a later build, failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarded.py
@@ -11,6 +11,7 @@
     "ATTEMPTS_HEADER",
     "FAILURE_HEADER",
     "FORWARDED_PATH",
+    "INTERNAL_PREFIX",
     "ForwardedOptions",
     "KEY_HEADER",
     "LEAVING_HEADER",
@@ -28,6 +29,8 @@
 
 # Path prefix of the requests; the options and the client's target follow.
 FORWARDED_PATH = b"/requests/"
+# Of the names of headers between gateways; later builds may have more.
+INTERNAL_PREFIX = b"hollyspan-"
 # Headers of the answers: at how many upstreams the request may have run, which
 # software version writes the stream, which upstream's incarnation has
 # announced its shutdown, and that the gateway has failed, not the upstream.
@@ -254,12 +257,13 @@
     attempts : int
         Number of upstreams at which it may have run.
     ran_at : collection of int or None
-        Keys of these; None for a gateway that would pass them on.
+        Keys of these; None for a gateway that would pass on what it does not
+        know.
     version : int
         Key of the version that writes the answer.
     """
-    request.setHeader(ATTEMPTS_HEADER, b"%x" % attempts)
     if ran_at is not None:
+        request.setHeader(ATTEMPTS_HEADER, b"%x" % attempts)
         request.setHeader(RAN_AT_HEADER, encode_keys(ran_at))
     request.setHeader(VERSION_HEADER, b"%x" % version)
     if reply.is_leaving:
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -21,6 +21,7 @@
 from .forwarded import encode_keys
 from .forwarded import FAILURE_HEADER
 from .forwarded import ForwardedOptions
+from .forwarded import INTERNAL_PREFIX
 from .forwarded import KEY_HEADER
 from .forwarded import LEAVING_HEADER
 from .forwarded import parse_key
@@ -33,17 +34,6 @@
 # Time without a byte after which the peer's heartbeats decide whether it is
 # still there: longer than it takes to move a stream to another upstream.
 QUIET_CHECK_S = 0.6
-INTERNAL_HEADERS = frozenset(
-    (
-        ATTEMPTS_HEADER,
-        FAILURE_HEADER,
-        LEAVING_HEADER,
-        RAN_AT_HEADER,
-        VERSION_HEADER,
-    )
-)
-# Those of the request, which clients may send in vain.
-INTERNAL_REQUEST_HEADERS = frozenset((KEY_HEADER, RAN_AT_HEADER))
 # Failures for which another gateway may run the request.
 UNTAKEN_CODES = frozenset(
     (
@@ -192,10 +182,11 @@
             deadline_seconds=relay.measure_time_left(),
             resume_after=relay.delivery.last_event,
         )
+        # Those that a client has sent are none.
         headers = [
             pair
             for pair in headers
-            if pair[0].lower() not in INTERNAL_REQUEST_HEADERS
+            if not pair[0].lower().startswith(INTERNAL_PREFIX)
         ]
         headers.append(
             (
@@ -230,7 +221,11 @@
             relay.gateway.directory.note_reported_departure(departure)
         relay.reply = dialect.decode_reply(
             status,
-            [each for each in headers if each[0] not in INTERNAL_HEADERS],
+            [
+                each
+                for each in headers
+                if not each[0].startswith(INTERNAL_PREFIX)
+            ],
         )
         if not self.has_failed:
             require_own_answer(
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_forwarded_requests.py
@@ -332,7 +332,15 @@
     assert upstream.has_departed
 
 
-def test_internal_headers_do_not_reach_clients_or_upstreams(fleet):
+def test_internal_headers_do_not_reach_clients_or_upstreams(
+    fleet, monkeypatch
+):
+    begin = PeerCall.begin
+
+    def begin_of_later_build(call, status, headers):
+        begin(call, status, [*headers, (b"hollyspan-later", b"1")])
+
+    monkeypatch.setattr(PeerCall, "begin", begin_of_later_build)
     request = send(fleet)
     fleet.advance(2.0)
     assert request.is_served()
@@ -473,4 +481,4 @@
     fleet.advance(0.3)
     names = {name for name, _ in heads[0][1]}
     assert b"hollyspan-version" in names
-    assert b"hollyspan-ran-at" not in names
+    assert not names & {b"hollyspan-ran-at", b"hollyspan-attempts"}
