Test silences of upstreams beside an outage of the store

Nobody had tried sound upstreams that stand still while the store is away. In memory the store leaves before or in the silence, a gateway stops and gets requests over kept connections, clients come back in mid-stream at others, and entries lapse.

--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_silent_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_silent_upstreams.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hollyspan_core.errors import StreamStalledError
+from hollyspan_gateway.upstreams.directory import EXPIRY_GRACE_S
 from hollyspan_standins.memory import LinkState
 
 STEP_S = 0.05
@@ -56,6 +57,40 @@
     return requests
 
 
+def set_store(fleet, wire, *, is_away):
+    """Let the store be away from all gateways, or come back."""
+    wire.is_down = is_away
+    for gateway in fleet.gateways:
+        gateway.upstreams_mirror.is_connected = not is_away
+
+
+def let_entries_lapse(fleet):
+    """Let the store list half of the upstreams only, as after an outage."""
+    now = fleet.reactor.seconds()
+    names = sorted(fleet.upstreams)[::2]
+    for gateway in fleet.gateways:
+        gateway.directory.update(
+            {
+                name: fleet.build_listed(name, fleet.upstreams[name])
+                for name in names
+            },
+            expiry_grace_until=now + EXPIRY_GRACE_S,
+        )
+
+
+def return_elsewhere(fleet, request, gateway):
+    """Let a client leave and go on at another gateway."""
+    last = request.written.rpartition(b"id: ")[2].split()[0]
+    request.is_open = False
+    request.on_disconnect()
+    return fleet.request(
+        f"{request.identifier}-again",
+        gateway=gateway,
+        resume=int(last),
+        resumes=request.identifier,
+    )
+
+
 def list_reached(fleet, requests):
     """Return the upstreams that each request has reached, by identifier."""
     reached = collections.defaultdict(set)
@@ -89,6 +124,61 @@
     assert max(len(upstreams) for upstreams in reached.values()) <= 2
 
 
+# Beside an outage of the store gateways stop, and clients go on to send over
+# their kept connections or come back at other gateways.
+@pytest.mark.parametrize("begins_before", [True, False])
+@pytest.mark.parametrize("versions", [("v1",), ("v1", "v2")])
+def test_streams_outlast_a_silence_beside_an_outage_of_the_store(
+    build_fleet, wire, versions, begins_before
+):
+    fleet = build_fleet(gateways=5, upstreams=6, versions=versions)
+    fleet.opens_in_silence = False
+    names = sorted(fleet.upstreams)
+    requests = run_load(fleet, 2.0, name="warm")
+    left = []
+    for number, share in enumerate((1.0, 2 / 3, 1.0)):
+        stopped, *others = fleet.gateways
+        if begins_before:
+            set_store(fleet, wire, is_away=True)
+        requests += run_load(fleet, 0.3, name=f"b{number}")
+        fleet.silent_upstreams = set(names[: round(share * len(names))])
+        requests += run_load(fleet, 0.4, name=f"s{number}")
+        set_store(fleet, wire, is_away=True)
+        stopped.drain()
+        requests += run_load(fleet, 0.2, name=f"k{number}")
+        fleet.silent_upstreams = set(names)
+        began = [each for each in requests if each.is_open and each.written]
+        for request in began[:3]:
+            left.append(request)
+            again = return_elsewhere(fleet, request, others[number])
+            requests.append(again)
+        requests += run_load(fleet, 0.9, name=f"e{number}", gateways=others)
+        fleet.silent_upstreams = set()
+        let_entries_lapse(fleet)
+        requests += run_load(fleet, 1.0, name=f"c{number}", gateways=others)
+        set_store(fleet, wire, is_away=False)
+        for gateway in fleet.gateways:
+            fleet.list_upstreams(gateway)
+        requests += run_load(fleet, 4.0, name=f"l{number}", gateways=others)
+        fleet.restart_gateway(0)
+    fleet.advance(TIMEOUT_S + 1.0)
+    assert len(left) > 3
+    kept = [each for each in requests if each not in left]
+    broken = [
+        each.identifier
+        for each in kept
+        if each.status not in (200, 503) or each.is_aborted
+    ]
+    assert broken == []
+    assert sum(each.is_served() for each in kept) > 0.9 * len(kept)
+    reached = list_reached(fleet, requests)
+    assert max(len(upstreams) for upstreams in reached.values()) <= 2
+    for each in requests:
+        assert not (
+            b"data: v1" in each.written and b"data: v2" in each.written
+        )
+
+
 # Failure: gateways took the silence that all of them met for lost links.
 @pytest.mark.parametrize("share", [1.0, 2 / 3])
 def test_no_gateway_is_sure_of_lost_links_in_a_silence(
