Bound the jobs that arrive at a front together with those being accepted

Cause: bodies that arrive had a constant bound, 32 MiB, beside that of the jobs being accepted, an eighth of the memory; and a job of n bytes took up to five times n while it was stored: its items, its record, the record with the writer's token, the request to the store in base64, and this once more in the transport. Other requests shared the bound on what arrives with the jobs.

Change: room for a whole job is held when its head has arrived, in the same budget as what is being accepted; a job without room is read past and answered 503 with Retry-After, not_run. Requests that are no jobs have a budget of their own, from the settings too, and so do those that peers forward. The record is encoded item by item into its parts, its fields beside the items last, so that a job under a limit on waiting tokens keeps no bodies while the store is asked. A request to the store is encoded in pieces while it is sent. A gateway that runs no items keeps half as many bodies for later use.

Tests: test_jobs_that_arrive_are_bounded_apart_from_all_others and the two behind it failed before; the others use what is new.

--- a/packages/hollyspan_core/hollyspan_core/documents.py
+++ b/packages/hollyspan_core/hollyspan_core/documents.py
@@ -8,10 +8,11 @@
 __all__ = [
     "MAX_DIGITS",
     "encode_with_rows",
-    "encode_with_text",
     "parse_document",
     "parse_integer",
     "parse_positive",
+    "split_at_rows",
+    "split_at_text",
 ]
 
 # Digits of a number that is read; Python refuses to convert some thousands.
@@ -86,8 +87,8 @@
     return number if 0 < number < math.inf else None
 
 
-def encode_with_text(document, name, text):
-    """Encode a document that gets a long text as its last field.
+def split_at_text(document, name):
+    """Encode a document around a text, which is its last field.
 
     Put together as bytes, a long text takes less memory than in a document.
 
@@ -96,21 +97,45 @@
     document : dict
         The other fields.
     name : str
-    text : bytes
-        ASCII characters that JSON does not escape.
 
     Returns
     -------
-    bytes
+    (bytes, bytes)
+        What comes before and behind the text, which must be of ASCII
+        characters that JSON does not escape.
 
     Examples
     --------
-    >>> encode_with_text({"a": 1}, "b", b"x")
-    b'{"a": 1, "b": "x"}'
+    >>> split_at_text({"a": 1}, "b")
+    (b'{"a": 1, "b": "', b'"}')
     """
-    head = json.dumps({**document, name: ""}).encode()
     end = b'"}'
-    return b"".join((head.removesuffix(end), text, end))
+    head = json.dumps({**document, name: ""}).encode()
+    return head.removesuffix(end), end
+
+
+def split_at_rows(document, name):
+    """Encode a document around a list of rows, which is its last field.
+
+    Parameters
+    ----------
+    document : dict
+        The other fields.
+    name : str
+
+    Returns
+    -------
+    (bytes, bytes)
+        What comes before and behind the rows, which are separated by commas.
+
+    Examples
+    --------
+    >>> split_at_rows({"a": 1}, "b")
+    (b'{"a": 1, "b": [', b']}')
+    """
+    end = b"]}"
+    head = json.dumps({**document, name: []}).encode()
+    return head.removesuffix(end), end
 
 
 def encode_with_rows(document, name, rows):
@@ -132,6 +157,5 @@
     >>> encode_with_rows({"a": 1}, "b", [b"{}", b"2"])
     b'{"a": 1, "b": [{}, 2]}'
     """
-    head = json.dumps({**document, name: []}).encode()
-    end = b"]}"
-    return b"".join((head.removesuffix(end), b", ".join(rows), end))
+    head, end = split_at_rows(document, name)
+    return b"".join((head, b", ".join(rows), end))
--- a/packages/hollyspan_core/hollyspan_core/tests/test_encoding.py
+++ b/packages/hollyspan_core/hollyspan_core/tests/test_encoding.py
@@ -5,14 +5,14 @@
 import pytest
 
 from hollyspan_core.documents import encode_with_rows
-from hollyspan_core.documents import encode_with_text
 from hollyspan_core.documents import parse_positive
+from hollyspan_core.documents import split_at_text
 
 
 @pytest.mark.parametrize("text", ["", "x" * 100])
 def test_a_document_with_a_long_text_is_the_same(text):
-    encoded = encode_with_text({"a": [1]}, "b", text.encode())
-    assert json.loads(encoded) == {"a": [1], "b": text}
+    start, end = split_at_text({"a": [1]}, "b")
+    assert json.loads(start + text.encode() + end) == {"a": [1], "b": text}
 
 
 @pytest.mark.parametrize("rows", [[], [{"x": "\u4e16"}], [1, "]}", None]])
--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -19,6 +19,8 @@
 from .gateway import MEMBERS_PREFIX
 from .indirect_probes import answer_indirect_probe
 from .indirect_probes import INDIRECT_PROBES_PATH
+from .jobs.body_limits import choose_peer_request_limit
+from .jobs.body_limits import choose_request_limit
 from .jobs.worker import Worker
 from .metrics import Metrics
 from .online.forwarded import FORWARDED_PATH
@@ -103,6 +105,8 @@
         handle=lambda request: gateway.dialect.dispatch(gateway, request),
         body_limit=INITIAL_BODY_LIMIT_BYTES,
         idle_seconds=IDLE_TIMEOUT_S,
+        find_room=gateway.submissions.find_room,
+        all_body_bytes=choose_request_limit(settings.memory_bytes),
     )
     reactor.listenTCP(
         settings.client_port,
@@ -186,6 +190,7 @@
         handle=lambda request: answer_internal(gateway, request),
         body_limit=INITIAL_BODY_LIMIT_BYTES,
         idle_seconds=IDLE_TIMEOUT_S,
+        all_body_bytes=choose_peer_request_limit(settings.memory_bytes),
     )
     gateway.internal_site = internal
     for port in (settings.snapshot_port, settings.metrics_port):
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -18,6 +18,7 @@
 from .indirect_probes import probe_indirectly
 from .jobs.bodies import JobBodies
 from .jobs.body_limits import choose_body_limit
+from .jobs.body_limits import choose_kept_limit
 from .jobs.quota import QuotaLedger
 from .jobs.reading import JobReadService
 from .jobs.submissions import Submissions
@@ -197,7 +198,11 @@
         self.workspace_rates = WorkspaceRates(gateway=self)
         self.quotas = QuotaLedger(gateway=self)
         self.bodies = JobBodies(
-            store=store, limit=choose_body_limit(settings.memory_bytes)
+            store=store,
+            limit=choose_body_limit(settings.memory_bytes),
+            kept_limit=choose_kept_limit(
+                settings.memory_bytes, runs_batch=settings.runs_batch
+            ),
         )
         self.submissions = Submissions(gateway=self, limit=self.bodies.limit)
         self.reading = JobReadService(gateway=self)
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connections, and answers to failed requests."""
 
 from .attempt import run_attempt
+from .body import PiecedBody
 from .connection import ClientConnection
 from .connection import connect
 from .exchange import Exchange
@@ -43,6 +44,7 @@
     "ConnectionPool",
     "Exchange",
     "Intake",
+    "PiecedBody",
     "answer_internal_error",
     "check_answer_identity",
     "connect",
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/attempt.py
@@ -46,7 +46,7 @@
     address : (str, int)
     method, target : bytes
     headers : list of (bytes, bytes)
-    body : bytes
+    body : bytes or PiecedBody
     on_reply : callable
         Called with status and headers; raises to abort the attempt.
     on_data : callable
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/connection.py
@@ -22,6 +22,9 @@
 from hollyspan_core.intake import TurnReader
 from hollyspan_policy.intake import IntakeMeter
 
+from .body import BodySender
+from .body import generate_pieces
+from .body import LONG_BODY_BYTES
 from .intake import BYTES_PER_WORK
 from .intake import count_pieces
 from .intake import Intake
@@ -159,6 +162,7 @@
         self.note_kept = None
         self.parser = h11.Connection(h11.CLIENT)
         self.exchange = None
+        self.body_sender = None
         self.on_free = None
         self.on_lost = None
         self.usable_until = None
@@ -203,10 +207,25 @@
             self.intake.open_account(self.sender)
         )
         self.exchange = exchange
-        self.transport.write(self.encode_request(exchange))
+        self.body_sender = None
+        head = self.encode_head(exchange)
+        if len(exchange.body) <= LONG_BODY_BYTES:
+            body = b"".join(generate_pieces(exchange.body))
+            self.transport.write(head + body)
+            return
+        self.transport.write(head)
+        self.body_sender = BodySender(
+            transport=self.transport, body=exchange.body
+        )
+        self.body_sender.start()
 
-    def encode_request(self, exchange):
-        """Return the bytes of a request, whose answer the parser awaits."""
+    @property
+    def is_sending(self):
+        """True while a part of the body has not been written."""
+        return self.body_sender is not None and self.body_sender.is_sending
+
+    def encode_head(self, exchange):
+        """Return the head of a request, whose answer the parser awaits."""
         headers = list(exchange.headers)
         headers.append((b"Content-Length", b"%d" % len(exchange.body)))
         head = h11.Request(
@@ -214,8 +233,12 @@
         )
         content = self.parser.send(head)
         if exchange.body:
-            content += self.parser.send(h11.Data(data=exchange.body))
-        return content + self.parser.send(h11.EndOfMessage())
+            # Counted only, and written by the caller.
+            self.parser.send_with_data_passthrough(
+                h11.Data(data=exchange.body)
+            )
+        self.parser.send(h11.EndOfMessage())
+        return content
 
     def has_carried(self, identifier):
         """Return whether a request with an identifier was sent here before.
@@ -333,7 +356,7 @@
                 )
                 return
             self.parser = h11.Connection(h11.CLIENT)
-            self.encode_request(self.exchange)
+            self.encode_head(self.exchange)
             if trailing:
                 self.parser.receive_data(trailing)
 
@@ -352,6 +375,7 @@
             trailing
             or is_closed
             or self.is_lost
+            or self.is_sending
             or self.turns.pending_bytes
             or self.parser.our_state is not h11.DONE
             or self.parser.their_state is not h11.DONE
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/exchange.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/exchange.py
@@ -16,7 +16,7 @@
     target : bytes
     headers : list of (bytes, bytes)
         Headers except Content-Length.
-    body : bytes
+    body : bytes or PiecedBody
     on_head : callable
         Called with the status and the list of headers, names in lower case.
     on_data : callable
--- a/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/http1/tests/test_connection.py
@@ -8,10 +8,12 @@
 from twisted.python import failure
 
 from hollyspan_core.errors import Outcome
+from hollyspan_gateway.http1 import body as long_bodies
 from hollyspan_gateway.http1 import ClientConnection
 from hollyspan_gateway.http1 import connection as module
 from hollyspan_gateway.http1 import ConnectionPool
 from hollyspan_gateway.http1 import Exchange
+from hollyspan_gateway.http1 import PiecedBody
 from hollyspan_gateway.http1 import run_attempt
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
@@ -91,6 +93,48 @@
     assert opened.is_usable()
 
 
+# Failure: a long body was copied several times, and kept until it was sent.
+@pytest.mark.parametrize("is_made_while_sent", [False, True])
+def test_a_long_body_is_written_piece_by_piece(opened, is_made_while_sent):
+    pieces = [bytes([number]) * 50_000 for number in range(20)]
+    made = []
+    body = b"".join(pieces)
+    if is_made_while_sent:
+        body = PiecedBody(
+            size=len(body),
+            generate=lambda: (made.append(1) or piece for piece in pieces),
+        )
+    answer = Answer()
+    opened.send(answer.build_exchange(body))
+    written = []
+    while opened.is_sending:
+        opened.transport.producer.resumeProducing()
+        written.append(opened.transport.value())
+        opened.transport.clear()
+        assert len(made) * 50_000 <= sum(map(len, written)) + 100_000
+    head, separator, start = written[0].partition(b"\r\n\r\n")
+    assert b"Content-Length: 1000000" in head
+    assert start + b"".join(written[1:]) == b"".join(pieces)
+    assert max(map(len, written)) <= long_bodies.LONG_BODY_BYTES + len(
+        head + separator
+    )
+    assert opened.transport.producer is None
+    opened.dataReceived(WHOLE)
+    assert answer.ends == 1
+    assert opened.is_usable()
+
+
+def test_an_answer_before_the_end_of_a_body_closes_the_connection(opened):
+    answer = Answer()
+    opened.send(answer.build_exchange(bytes(3 * long_bodies.LONG_BODY_BYTES)))
+    opened.transport.producer.resumeProducing()
+    opened.dataReceived(WHOLE)
+    assert (answer.ends, opened.transport.is_aborted) == (1, True)
+    assert not opened.is_usable()
+    opened.transport.producer.stopProducing()
+    assert not opened.is_sending
+
+
 def test_bytes_after_an_answer_close_the_connection(opened):
     freed = []
     opened.on_free = freed.append
--- a/packages/hollyspan_gateway/hollyspan_gateway/intake/__init__.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/intake/__init__.py
@@ -2,6 +2,7 @@
 
 from .served import DatagramIntake
 from .served import MALFORMED_DATAGRAM_WORK
+from .served import MAX_ALL_BODY_BYTES
 from .served import MAX_CONNECTIONS
 from .served import MAX_DATAGRAM_WORDS
 from .served import MAX_EXCESS_BODY_BYTES
@@ -13,6 +14,7 @@
 __all__ = [
     "DatagramIntake",
     "MALFORMED_DATAGRAM_WORK",
+    "MAX_ALL_BODY_BYTES",
     "MAX_CONNECTIONS",
     "MAX_DATAGRAM_WORDS",
     "MAX_EXCESS_BODY_BYTES",
--- a/packages/hollyspan_gateway/hollyspan_gateway/intake/served.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/intake/served.py
@@ -11,6 +11,7 @@
 __all__ = [
     "DatagramIntake",
     "MALFORMED_DATAGRAM_WORK",
+    "MAX_ALL_BODY_BYTES",
     "MAX_CONNECTIONS",
     "MAX_DATAGRAM_WORDS",
     "MAX_EXCESS_BODY_BYTES",
@@ -25,7 +26,7 @@
 # written; an answer that is written as a whole may be longer.
 MAX_UNSENT_BYTES = MIB
 MAX_ALL_UNSENT_BYTES = 32 * MIB
-# Bodies of requests that are kept at once.
+# Bodies of requests that are kept at once, where the settings name no memory.
 MAX_ALL_BODY_BYTES = 32 * MIB
 # Bytes that are read behind the limit on a body to answer its request.
 MAX_EXCESS_BODY_BYTES = MIB
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/bodies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/bodies.py
@@ -21,7 +21,9 @@
     ----------
     store : Store
     limit : int
-        Bytes that are kept, and bytes that runs may use beside them.
+        Bytes that runs may use.
+    kept_limit : int
+        Bytes that are kept beside them.
 
     Attributes
     ----------
@@ -44,10 +46,10 @@
         "reads",
     )
 
-    def __init__(self, *, store, limit):
+    def __init__(self, *, store, limit, kept_limit):
         self.store = store
         self.limit = limit
-        self.cache = BodyCache(limit=limit)
+        self.cache = BodyCache(limit=kept_limit)
         self.waiters = {}
         self.places = defer.DeferredSemaphore(MAX_RECORD_READS)
         self.in_use_bytes = 0
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/quota.py
@@ -16,6 +16,7 @@
 from .quota_records import decode_counters
 from .quota_records import encode_share
 from .quota_records import SHARE_COUNT
+from .record_encoding import RecordEncoding
 from .records import build_job_key
 from .records import encode_job
 from .reservation import Reservation
@@ -82,7 +83,7 @@
             if self.limits.get(route.name, (0, now))[0] != limit:
                 self.limits[route.name] = (limit, now)
 
-    async def create_record(self, job, route):
+    async def create_record(self, job, route, *, on_encoded=None):
         """Create the record of a job if its tokens fit under the limit.
 
         Parameters
@@ -91,6 +92,8 @@
             This sets its reservation.
         route : Route
             With a limit on the waiting tokens.
+        on_encoded : callable, optional
+            Called without arguments once bodies are needed no longer.
 
         Returns
         -------
@@ -107,6 +110,7 @@
         quota = build_quota_identifier(route.name, job.workspace)
         may_be_stale = self.is_limit_settled(route)
         entries = await self.read_counters(quota, may_be_stale=may_be_stale)
+        encoding = None
         for _ in range(MAX_ATTEMPTS):
             shares, revisions, released = decode_counters(
                 entries.values(), quota=quota, share_count=self.share_count
@@ -122,7 +126,11 @@
             if chosen is not None:
                 index, changed = chosen
                 job.reservation = Reservation(quota=quota, share=index)
-                commit = await self.write(job, changed, revisions)
+                if encoding is None:
+                    encoding = RecordEncoding(items=job.items)
+                    if on_encoded is not None:
+                        on_encoded()
+                commit = await self.write(job, encoding, changed, revisions)
                 if commit.succeeded:
                     return True
                 if build_job_key(job.identifier) in commit.found:
@@ -163,12 +171,11 @@
             ) from error
         return {entry.key: entry for entry in page.entries}
 
-    async def write(self, job, changed, revisions):
+    async def write(self, job, encoding, changed, revisions):
         """Write a job's record together with the changed shares."""
         quota = job.reservation.quota
-        record = encode_job(job)
-        contents = dict(record)
-        expected = dict.fromkeys(record, 0)
+        contents = encode_job(job, encoding=encoding)
+        expected = dict.fromkeys(contents, 0)
         for index, share in changed.items():
             key = build_share_key(quota, index)
             contents[key] = encode_share(share)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -1,7 +1,6 @@
 """Keys and encoding of jobs and results in the store."""
 
 import base64
-import json
 import zlib
 
 from hollyspan_core.documents import parse_document
@@ -13,6 +12,7 @@
 from .item import Item
 from .item import ItemResult
 from .job import Job
+from .record_encoding import RecordEncoding
 from .reservation import Reservation
 
 __all__ = [
@@ -36,9 +36,6 @@
 PARTS_PREFIX = "hs/b/"
 RESULTS_PREFIX = "hs/r/"
 END_SUFFIX = "/end"
-# A value, including the writer's token, is limited to one megabyte.
-MAX_PART_BYTES = 900_000
-COMPRESSION_LEVEL = 1
 DONE_STATE = b"done"
 GIVEN_UP_STATE = b"given_up"
 
@@ -83,12 +80,14 @@
     return [f"{PARTS_PREFIX}{identifier}/{i}" for i in range(1, count)]
 
 
-def encode_job(job):
+def encode_job(job, *, encoding=None):
     """Encode a job as the contents of one or several keys.
 
     Parameters
     ----------
     job : Job
+    encoding : RecordEncoding, optional
+        Of its items, whose bodies are not needed then.
 
     Returns
     -------
@@ -96,63 +95,24 @@
         Bytes by key. The first key is the job's; its first byte is the number
         of parts.
     """
-    document = {
-        "host": job.host,
-        "path": job.path,
-        "submitted": job.submitted,
-        "due": job.due,
-        "retained_until": job.retained_until,
-        "reservation": encode_reservation(job.reservation),
-        "workspace": job.workspace,
-        "items": [],
-    }
-    content = compress_document(json.dumps(document), job.items)
-    parts = [
-        content[start : start + MAX_PART_BYTES]
-        for start in range(0, len(content), MAX_PART_BYTES)
-    ]
+    if encoding is None:
+        encoding = RecordEncoding(items=job.items)
+    parts = encoding.finish(
+        {
+            "host": job.host,
+            "path": job.path,
+            "submitted": job.submitted,
+            "due": job.due,
+            "retained_until": job.retained_until,
+            "reservation": encode_reservation(job.reservation),
+            "workspace": job.workspace,
+        }
+    )
     keys = [build_job_key(job.identifier)]
     keys += list_part_keys(job.identifier, len(parts))
-    parts[0] = bytes([len(parts)]) + parts[0]
     return dict(zip(keys, parts))
 
 
-def compress_document(document, items):
-    """Compress the document of a job, which ends with its items.
-
-    Items are encoded one by one, since all of them take several times the
-    memory of their bodies.
-
-    Parameters
-    ----------
-    document : str
-        Without items.
-    items : list of Item
-
-    Returns
-    -------
-    bytes
-    """
-    stream = zlib.compressobj(COMPRESSION_LEVEL)
-    end = "]}"
-    pieces = [stream.compress(document.removesuffix(end).encode())]
-    for number, item in enumerate(items):
-        row = {
-            "id": item.identifier,
-            "path": item.path,
-            "headers": item.headers,
-            "body": base64.b64encode(item.body).decode(),
-            "tokens": item.tokens,
-        }
-        text = json.dumps(row)
-        pieces.append(
-            stream.compress((f", {text}" if number else text).encode())
-        )
-    pieces.append(stream.compress(end.encode()))
-    pieces.append(stream.flush())
-    return b"".join(pieces)
-
-
 def decode_job(identifier, content):
     """Decode a job from its joined parts.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -11,6 +11,7 @@
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.errors import StoreUnavailableError
 
+from ..routes import RouteKind
 from .job import Job
 from .loading import load_job
 from .records import build_end_key
@@ -33,12 +34,12 @@
     ----------
     gateway : Gateway
     limit : int
-        Bytes of the jobs that are being accepted at the same time.
+        Bytes of the jobs that arrive or are being accepted at the same time.
 
     Attributes
     ----------
     held_bytes : int
-        Bytes of those that are being accepted now.
+        Bytes of those that arrive or are being accepted now.
     refused : int
         Number of jobs that were refused since there was no room.
     """
@@ -49,16 +50,41 @@
         self.held_bytes = 0
         self.refused = 0
 
+    def find_room(self, host, path):
+        """Find what bounds the body of a request that arrives.
+
+        Parameters
+        ----------
+        host, path : str
+            Of the request.
+
+        Returns
+        -------
+        callable or None
+            `hold` for a job, None for what is no job.
+        """
+        table = self.gateway.routes
+        route = None if table is None else table.find(host, path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            return None
+        return self.hold
+
     @contextlib.contextmanager
     def hold(self, size):
         """Hold the bytes of a job, which is refused if there is no room.
 
-        One job is accepted whatever its size.
+        One job is accepted whatever its size. Room is held for the whole of
+        a job before its first byte is read: jobs that arrive together would
+        otherwise each be broken off with a part of the room.
+
+        Raises
+        ------
+        OverloadedError
         """
         if self.held_bytes and self.held_bytes + size > self.limit:
             self.refused += 1
             raise OverloadedError(
-                f"{self.held_bytes} bytes of jobs are being accepted",
+                f"{self.held_bytes} bytes of other jobs are being accepted",
                 outcome=Outcome.NOT_RUN,
                 retry_after=RETRY_AFTER_S,
             )
@@ -90,8 +116,10 @@
         StoreUnavailableError
             The job was not stored, or it is unknown whether it was.
         """
-        size = len(request.content.getvalue())
-        with self.hold(size):
+        room = request.take_room()
+        if room is None:
+            room = self.hold(len(request.content.getvalue()))
+        with room:
             await self.accept(request, head, route)
 
     async def accept(self, request, head, route):
@@ -137,7 +165,9 @@
     async def create_record(self, job, route):
         """Create the record of a job; return False if it exists already."""
         if route.max_waiting_tokens:
-            return await self.gateway.quotas.create_record(job, route)
+            return await self.gateway.quotas.create_record(
+                job, route, on_encoded=job.drop_bodies
+            )
         record = encode_job(job)
         job.drop_bodies()
         try:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_records.py
@@ -12,11 +12,11 @@
 from hollyspan_gateway.jobs import ItemResult
 from hollyspan_gateway.jobs import Job
 from hollyspan_gateway.jobs.loading import load_job
+from hollyspan_gateway.jobs.record_encoding import MAX_PART_BYTES
 from hollyspan_gateway.jobs.records import build_result_key
 from hollyspan_gateway.jobs.records import decode_result
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.jobs.records import encode_result
-from hollyspan_gateway.jobs.records import MAX_PART_BYTES
 from hollyspan_gateway.jobs.reservation import Reservation
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_submissions.py
@@ -12,7 +12,10 @@
 from hollyspan_core.errors import OverloadedError
 from hollyspan_gateway.jobs import Item
 from hollyspan_gateway.jobs import Job
+from hollyspan_gateway.jobs.record_encoding import RecordEncoding
+from hollyspan_gateway.jobs.records import decode_job
 from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.reservation import Reservation
 from hollyspan_gateway.jobs.submissions import Submissions
 from hollyspan_gateway.routes import RouteKind
 
@@ -137,7 +140,7 @@
 
 # Failure: the record of a job was encoded in several steps, of which each
 # held all of it.
-def test_a_record_is_encoded_within_three_times_its_bodies():
+def test_a_record_is_encoded_within_twice_its_bodies():
     source = random.Random(7)
     job = build_job([source.randbytes(BODY_BYTES) for _ in range(ITEMS)])
     tracemalloc.start()
@@ -146,4 +149,79 @@
         _, peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    assert peak <= 3 * ITEMS * BODY_BYTES
+    assert peak <= 2 * ITEMS * BODY_BYTES
+
+
+def test_a_record_of_several_parts_can_be_finished_again():
+    source = random.Random(7)
+    job = build_job([source.randbytes(BODY_BYTES) for _ in range(ITEMS)])
+    bodies = [item.body for item in job.items]
+    encoding = RecordEncoding(items=job.items)
+    job.drop_bodies()
+    for share in (1, 2):
+        job.reservation = Reservation(quota="q", share=share)
+        first, *others = encode_job(job, encoding=encoding).values()
+        assert first[0] == 1 + len(others)
+        assert len(others) >= 3
+        assert max(map(len, others)) <= 900_000
+        read = decode_job("j", first[1:] + b"".join(others))
+        assert [item.body for item in read.items] == bodies
+        assert read.reservation.share == share
+        assert read.due == job.due
+
+
+# Failure: each attempt to count a job's tokens encoded its bodies anew, which
+# were kept until it was stored.
+def test_a_job_under_a_limit_keeps_no_bodies_while_it_is_stored(
+    gateway, wire, helpers, reactor
+):
+    route = helpers.build_route(
+        host="h",
+        prefix="/b/",
+        kind=RouteKind.BATCH,
+        max_waiting_tokens=1_000,
+    )
+    job = build_job([b"x" * 100])
+    wire.writes_to_lose = 1
+    ends = []
+    work = defer.ensureDeferred(
+        gateway.quotas.create_record(job, route, on_encoded=job.drop_bodies)
+    )
+    work.addBoth(ends.append)
+    assert not ends
+    assert [item.body for item in job.items] == [None]
+    reactor.pump([0.1] * 10)
+    assert ends == [True]
+
+
+def test_a_job_without_room_is_answered_before_it_is_decoded(
+    gateway, helpers, reactor, wire
+):
+    gateway.routes = helpers.build_table(
+        [helpers.build_route(host="h", prefix="/b/", kind=RouteKind.BATCH)]
+    )
+    head = helpers.build_head(identifier="j")
+    head.target = b"/b/"
+    gateway.dialect.decode_head = lambda request: head
+    request = helpers.build_request(reactor=reactor, body=b"")
+    request.refusal = OverloadedError(
+        "full", outcome=Outcome.NOT_RUN, retry_after=0.5
+    )
+    calls = list(wire.calls)
+    gateway.online.handle(request)
+    assert request.status == 503
+    assert wire.calls == calls
+
+
+def test_only_jobs_are_found_a_room(gateway, submissions, helpers):
+    gateway.routes = helpers.build_table(
+        [
+            helpers.build_route(host="h", prefix="/b/", kind=RouteKind.BATCH),
+            helpers.build_route(host="h", prefix="/o/"),
+        ]
+    )
+    assert submissions.find_room("h", "/b/") == submissions.hold
+    assert submissions.find_room("h", "/o/x") is None
+    assert submissions.find_room("other", "/b/") is None
+    gateway.routes = None
+    assert submissions.find_room("h", "/b/") is None
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -105,6 +105,11 @@
         self.arrival_call = None
         self.refuse(http.REQUEST_TIMEOUT, "the request arrives too slowly")
 
+    @property
+    def path_received(self):
+        """Path and query of the request whose head has arrived, as bytes."""
+        return self._path
+
     def allHeadersReceived(self):
         self.stop_watching()
         super().allHeadersReceived()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -6,8 +6,10 @@
 import eliot
 from twisted.web import http
 
+from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import IntakeExceededError
 
+from ..intake import MAX_ALL_BODY_BYTES
 from ..intake import MAX_CONNECTIONS
 from ..intake import MAX_EXCESS_BODY_BYTES
 from ..intake import ServedIntake
@@ -34,6 +36,8 @@
         True when the body exceeds the limit; the excess is discarded.
     body_bytes : int
         Bytes of the body received so far.
+    refusal : HollyspanError or None
+        Reason why there is no room for the body, which is discarded.
     on_disconnect : callable or None
         Called without arguments when the client disconnects before the end of
         the answer.
@@ -45,6 +49,8 @@
         super().__init__(channel, queued)
         self.is_too_large = False
         self.body_bytes = 0
+        self.refusal = None
+        self.has_room = False
         self.kept = contextlib.ExitStack()
         self.keep = None
         self.on_disconnect = None
@@ -52,9 +58,44 @@
 
     def gotLength(self, length):
         self.content = io.BytesIO()
-        if length != 0:
+        if length == 0:
+            return
+        hold = self.find_room()
+        if hold is None:
             budget = self.channel.factory.intake.bodies
             self.keep = self.kept.enter_context(budget.open_account())
+            return
+        limit = self.channel.factory.body_limit
+        self.keep = lambda size: None
+        if length is not None and length > limit:
+            # Discarded as soon as it exceeds the limit.
+            length = limit
+        try:
+            self.kept.enter_context(hold(limit if length is None else length))
+            self.has_room = True
+        except HollyspanError as error:
+            self.refusal = error
+
+    def find_room(self):
+        """Return what holds room for a body of its kind, None for others."""
+        host = self.requestHeaders.getRawHeaders(b"host", [b""])[0]
+        path = self.channel.path_received.partition(b"?")[0]
+        return self.channel.factory.find_room(
+            host.decode("latin-1"), path.decode("latin-1")
+        )
+
+    def take_room(self):
+        """Return the room that is held for the body, as a context.
+
+        Returns
+        -------
+        context manager or None
+            Its end frees the room; None if no room is held for the body.
+        """
+        if not self.has_room:
+            return None
+        self.has_room = False
+        return self.kept.pop_all()
 
     def handleContentChunk(self, data):
         limit = self.channel.factory.body_limit
@@ -64,6 +105,8 @@
             if self.body_bytes > limit + MAX_EXCESS_BODY_BYTES:
                 raise IntakeExceededError(f"the body exceeds {limit} bytes")
             return
+        if self.refusal is not None:
+            return
         try:
             self.keep(len(data))
         except IntakeExceededError:
@@ -143,6 +186,16 @@
     reactor : twisted reactor
     handle : callable
         Called with each complete ClientRequest.
+    body_limit : int
+        Bytes of a body, until a configuration sets a limit.
+    idle_seconds : float
+    find_room : callable, optional
+        Called with host and path of a request with a body. Returns a function
+        that is called with a number of bytes and returns a context manager
+        that holds room for them, or raises a HollyspanError; or None for a
+        body that counts with all others.
+    all_body_bytes : int, optional
+        Bytes of those bodies that are kept at once.
 
     Attributes
     ----------
@@ -160,13 +213,25 @@
 
     noisy = False
 
-    def __init__(self, *, reactor, handle, body_limit, idle_seconds):
+    def __init__(
+        self,
+        *,
+        reactor,
+        handle,
+        body_limit,
+        idle_seconds,
+        find_room=lambda host, path: None,
+        all_body_bytes=MAX_ALL_BODY_BYTES,
+    ):
         super().__init__(reactor=reactor, timeout=idle_seconds)
         self.handle = handle
+        self.find_room = find_room
         self.body_limit = body_limit
         self.header_limit = ClientChannel.totalHeadersSize
         self.header_seconds = HEADER_TIMEOUT_S
-        self.intake = ServedIntake(reactor=reactor)
+        self.intake = ServedIntake(
+            reactor=reactor, max_all_body_bytes=all_body_bytes
+        )
         self.max_connections = MAX_CONNECTIONS
         self.is_closing = False
         self.channels = set()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/service.py
@@ -85,6 +85,8 @@
                 raise BodyTooLargeError("the body exceeds the limit")
             route = self.find_route(head)
             workspace = self.gateway.workspaces.identify(head, route)
+            if request.refusal is not None:
+                raise request.refusal
             if route.kind is RouteKind.BATCH:
                 await self.submit(request, head, route)
                 return
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -1,5 +1,6 @@
 """Tests of the bounds on clients of the server."""
 
+import contextlib
 import types
 
 import pytest
@@ -8,6 +9,8 @@
 from twisted.internet.testing import StringTransport
 from twisted.python import failure
 
+from hollyspan_core.errors import Outcome
+from hollyspan_core.errors import OverloadedError
 from hollyspan_gateway.intake import ServedIntake
 from hollyspan_gateway.online.server import ClientSite
 
@@ -82,6 +85,7 @@
                 idle_seconds=IDLE_S,
             )
         )
+        self.room_bytes = 0
         if limits:
             self.site.intake = ServedIntake(reactor=self.clock, **limits)
 
@@ -103,6 +107,21 @@
         request.begin(200, [])
         return request, transport
 
+    def bound_jobs(self, limit):
+        """Hold room for the bodies of requests below /b/."""
+
+        @contextlib.contextmanager
+        def hold(size):
+            if self.room_bytes + size > limit:
+                raise OverloadedError("full", outcome=Outcome.NOT_RUN)
+            self.room_bytes += size
+            yield
+            self.room_bytes -= size
+
+        self.site.find_room = lambda host, path: (
+            hold if (host, path) == ("h", "/b/") else None
+        )
+
     def settle(self, turns=1000):
         self.clock.pump([0.0] * turns)
 
@@ -441,3 +460,63 @@
         b"/%d" % number for number in range(2, 1002)
     ]
     assert transport.producerState == "producing"
+
+
+JOB = b"POST /b/?x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+JOB_BYTES = 90_000
+
+
+# Failure: jobs that arrived together took all the room of online requests,
+# and more memory than their process had.
+def test_jobs_that_arrive_are_bounded_apart_from_all_others():
+    server = Server(max_all_body_bytes=BODY_LIMIT)
+    server.bound_jobs(2 * JOB_BYTES)
+    jobs = [server.connect() for _ in range(10)]
+    for channel, _ in jobs:
+        channel.dataReceived(JOB % JOB_BYTES + bytes(JOB_BYTES - 1))
+    server.settle()
+    kept = [len(c.requests[0].content.getvalue()) for c, _ in jobs]
+    assert kept == [JOB_BYTES - 1] * 2 + [0] * 8
+    assert not server.site.intake.bodies.kept
+    other, transport = server.connect()
+    other.dataReceived(
+        (JOB % BODY_LIMIT).replace(b"/b/", b"/o/") + bytes(BODY_LIMIT)
+    )
+    server.settle()
+    assert not transport.value()
+    for channel, _ in jobs:
+        channel.dataReceived(b"x")
+    server.settle()
+    refusals = [each.refusal for each in server.requests]
+    assert refusals[:3] == [None] * 3
+    assert {(each.status, each.outcome) for each in refusals[3:]} == {
+        (503, Outcome.NOT_RUN)
+    }
+    assert server.room_bytes == 2 * JOB_BYTES
+    # One hands its room over, the other one is answered.
+    with server.requests[1].take_room():
+        server.requests[1].answer(202, [], b"")
+        server.requests[2].answer(202, [], b"")
+        assert server.room_bytes == JOB_BYTES
+    assert server.room_bytes == 0
+
+
+@pytest.mark.parametrize("head", [JOB % JOB_BYTES, CHUNKED])
+def test_a_job_that_is_broken_off_frees_its_room(head):
+    server = Server()
+    server.bound_jobs(BODY_LIMIT)
+    channel, _ = server.connect()
+    channel.dataReceived(head.replace(b" / ", b" /b/ "))
+    assert server.room_bytes >= JOB_BYTES
+    channel.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert server.room_bytes == 0
+
+
+def test_a_job_over_the_limit_on_bodies_takes_room_for_none_more():
+    server = Server()
+    server.bound_jobs(BODY_LIMIT)
+    channel, _ = server.connect()
+    channel.dataReceived(JOB % (BODY_LIMIT + 1) + bytes(BODY_LIMIT + 1))
+    server.settle()
+    assert server.requests[0].is_too_large
+    assert server.room_bytes == BODY_LIMIT
--- a/packages/hollyspan_policy/hollyspan_policy/hashing.py
+++ b/packages/hollyspan_policy/hollyspan_policy/hashing.py
@@ -44,7 +44,12 @@
     >>> hash_content(b"/a", b"body") == hash_content(b"/a", b"other")
     False
     """
-    return xxhash.xxh3_64_intdigest(b"\0".join(fields))
+    digest = xxhash.xxh3_64()
+    for number, field in enumerate(fields):
+        if number:
+            digest.update(b"\0")
+        digest.update(field)
+    return digest.intdigest()
 
 
 def hash_to_fraction(*parts):
--- a/packages/hollyspan_standins/hollyspan_standins/memory/peer_call.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/peer_call.py
@@ -45,6 +45,7 @@
             self.requestHeaders.addRawHeader(name, value)
         self.arrived_at = 0.0
         self.is_too_large = False
+        self.refusal = None
         self.is_open = True
         self.is_dead = False
         self.on_disconnect = None
--- a/packages/hollyspan_standins/hollyspan_standins/memory/request.py
+++ b/packages/hollyspan_standins/hollyspan_standins/memory/request.py
@@ -16,6 +16,7 @@
         self.arrived_at = reactor.seconds()
         self.is_open = True
         self.is_too_large = False
+        self.refusal = None
         self.on_disconnect = None
         self.status = None
         self.headers = []
@@ -24,6 +25,9 @@
         self.is_ended = False
         self.is_aborted = False
 
+    def take_room(self):
+        """Return None, since no room is held for the body."""
+
     def begin(self, status, headers):
         assert self.status is None
         self.status = status
