Forget the items of complete jobs, and read large results in pieces

What was seen: a worker kept some 770 bytes for each item until its job was removed, an hour and more after the last result, and a reader kept all outputs of a job, whatever their size.

Cause: the state of items was dropped only when the client ended the job or it was removed; the results of one job were held whole.

Change: once all items of a job are known to have results, and the peers have been told so, the worker keeps a key of eight bytes for each, from which it tells again after a change of the workers. If the client ends such a job, its waiting tokens are released by the results; the record is read only if some were stored after the end. Items of an ended job without a limit on waiting tokens go at once. A reader lists results page by page, holds half of the limit of outputs for one job, and reads others from their keys when they are asked for. The gauge `items_forgotten` counts beside `items_known`.

Tests: test_items_of_complete_jobs_are_forgotten_by_all failed before (12 items known at each of four workers, now none); the others use what is new. test_items_are_left_to_their_owners_after_the_end_of_a_block notes the owners before the items run in place of after them, since they are forgotten then; it checks the same, and passes on the code before, too.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -58,6 +58,8 @@
         Identifiers of the jobs that their clients have ended.
     arrivals : Arrivals
         First parts of the records that are not read yet.
+    forgotten : int
+        Number of items forgotten since all of their jobs' had results.
     """
 
     def __init__(self, *, gateway, on_change, on_end):
@@ -69,6 +71,7 @@
         self.unreadable = set()
         self.ended = set()
         self.arrivals = Arrivals(limit=gateway.bodies.limit)
+        self.forgotten = 0
         self.is_first_update = True
         self.mirror = Mirror(
             store=gateway.store,
@@ -258,6 +261,26 @@
         self.on_end(job_state)
         # Nobody asks for its items, and runs have their own.
         job_state.items = {}
+        if job_state.job.reservation is None:
+            job_state.job.drop_items()
+
+    def forget_complete(self):
+        """Forget the items of all complete jobs."""
+        for job_state in self.jobs.values():
+            if job_state is not None and job_state.is_complete():
+                self.forget_items(job_state)
+
+    def forget_items(self, job_state):
+        """Forget the items of a complete job, but for runs in progress."""
+        if not job_state.items or any(
+            item_state.run is not None
+            for item_state in job_state.items.values()
+        ):
+            return
+        identifier = job_state.job.identifier
+        self.gateway.bodies.discard(identifier, job_state.items)
+        job_state.forget_items()
+        self.forgotten += len(job_state.forgotten_keys)
 
     def reread_results(self):
         """Mark results as unread, since items may have changed owners."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job.py
@@ -23,6 +23,11 @@
         What its tokens are counted against; None without a limit.
     workspace : str or None, optional
         Name of the workspace that it belongs to.
+
+    Attributes
+    ----------
+    item_count : int
+        Number of items, also where they are not kept.
     """
 
     __slots__ = (
@@ -35,6 +40,7 @@
         "items",
         "reservation",
         "workspace",
+        "item_count",
     )
 
     def __init__(
@@ -59,11 +65,16 @@
         self.items = items
         self.reservation = reservation
         self.workspace = workspace
+        self.item_count = len(items)
 
     def drop_bodies(self):
         """Keep the items without their headers and bodies."""
         self.items = [item.copy_without_body() for item in self.items]
 
+    def drop_items(self):
+        """Keep none of the items, of which nothing is asked any more."""
+        self.items = []
+
     def copy_without_bodies(self):
         """Return the job with items without their headers and bodies."""
         return Job(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -1,5 +1,6 @@
 """State of jobs and items at a worker."""
 
+import array
 import math
 
 __all__ = ["ItemState", "JobState"]
@@ -163,7 +164,9 @@
     Attributes
     ----------
     items : dict
-        ItemState by identifier.
+        ItemState by identifier; empty once they are forgotten.
+    forgotten_keys : array.array
+        Keys of the items that are forgotten since all have results.
     is_ended : bool
         True when the client has ended the job.
     is_reading_results : bool
@@ -180,6 +183,7 @@
         "job",
         "revision",
         "items",
+        "forgotten_keys",
         "is_ended",
         "has_read_results",
         "is_reading_results",
@@ -194,6 +198,7 @@
         self.job = job
         self.revision = revision
         self.items = {}
+        self.forgotten_keys = array.array("Q")
         self.is_ended = False
         self.has_read_results = has_read_results
         self.is_reading_results = False
@@ -202,3 +207,11 @@
     def is_complete(self):
         """Return whether every item has a result."""
         return all(item_state.has_result for item_state in self.items.values())
+
+    def forget_items(self):
+        """Keep the keys alone of the items, which all have results."""
+        self.forgotten_keys = array.array(
+            "Q", [item_state.key for item_state in self.items.values()]
+        )
+        self.items = {}
+        self.job.drop_items()
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
@@ -1,6 +1,5 @@
 """Reads of job results and item bodies."""
 
-import itertools
 from urllib.parse import parse_qs
 from urllib.parse import quote
 from urllib.parse import unquote
@@ -31,6 +30,8 @@
 # times the latency of a read in the store, and less than half of the 1.5 s
 # that the client allows.
 READER_TIMEOUT_S = 0.6
+# Part of the bytes of results that are held which one job may take.
+VIEW_SHARE = 2
 # Results in one answer as they are sent, whose size is limited to one
 # megabyte.
 MAX_RESULTS_BYTES = 999_000
@@ -103,7 +104,10 @@
         if job is None:
             raise BatchNotFoundError("no such job")
         view = JobView(
-            job=job, store=self.gateway.store, reactor=self.gateway.reactor
+            job=job,
+            store=self.gateway.store,
+            reactor=self.gateway.reactor,
+            limit=self.gateway.bodies.limit // VIEW_SHARE,
         )
         return self.views.setdefault(identifier, view)
 
@@ -241,9 +245,11 @@
         view = await self.find_view(identifier, caller=caller)
         await view.wait_for(position, seconds=wait_seconds)
         _, headers, body = self.gateway.dialect.encode_results(
-            total=len(view.job.items),
+            total=view.job.item_count,
             position=position,
-            results=itertools.islice(view.results, position, None),
+            results=await view.read_page(
+                position, max_bytes=MAX_RESULTS_BYTES
+            ),
             max_bytes=MAX_RESULTS_BYTES,
         )
         request.answer(http.OK, headers, body)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -22,6 +22,7 @@
     "build_job_key",
     "build_result_key",
     "build_results_prefix",
+    "cut_output",
     "decode_job",
     "decode_result",
     "encode_job",
@@ -192,6 +193,12 @@
     return state + b"\n" + result.output
 
 
+def cut_output(content):
+    """Return the content of a result's key without the output."""
+    state, separator, _ = content.partition(b"\n")
+    return state + separator
+
+
 def decode_result(key, content):
     """Decode the content of a result's key.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/releases.py
@@ -155,6 +155,9 @@
 
         Raises
         ------
+        RecordUnreadableError
+            The record cannot be read, which holds the tokens of items that
+            are not kept.
         StoreUnavailableError
             The results cannot be read now.
         """
@@ -165,10 +168,13 @@
             for entry in page.entries
             if entry.created_revision < end_revision
         }
+        items = job.items
+        if len(items) < job.item_count and len(released) < job.item_count:
+            # Some results were stored after the end, which releases nothing.
+            record = await self.gateway.bodies.read_job(job.identifier)
+            items = [] if record is None else record.items
         tokens = sum(
-            item.tokens
-            for item in job.items
-            if item.identifier not in released
+            item.tokens for item in items if item.identifier not in released
         )
         is_new = await self.write(
             Release(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/succession.py
@@ -10,6 +10,7 @@
 from hollyspan_policy.batch import may_succeed
 from hollyspan_policy.batch import MIN_IDLE_S
 from hollyspan_policy.crashes import CLAIM_SPREAD_S
+from hollyspan_policy.ownership import choose_owner
 from hollyspan_policy.ownership import rank_owners
 
 from ..clock import wait
@@ -144,6 +145,8 @@
         self.note_reconnection()
         self.cancel_stalled_runs()
         if len(workers) < 2:
+            # There is nobody to tell that they are complete.
+            self.worker.catalogue.forget_complete()
             return
         self.ranked_weights = 0
         self.claims = self.find_claims()
@@ -240,6 +243,7 @@
                 job_state.finished_among == self.workers
                 and job_state.is_complete()
             ):
+                self.worker.catalogue.forget_items(job_state)
                 continue
             yield from self.visit_items(job_state)
 
@@ -259,6 +263,11 @@
                 open_count += owner == identifier
                 self.visit(state, owner, finished_key)
             own_count += state.owner == identifier
+        for key in job_state.forgotten_keys:
+            yield
+            if workers != self.workers:
+                return
+            own_count += choose_owner(f"{key:x}", workers) == identifier
         if open_count == 0 and job_state.finished_among != workers:
             job_state.finished_among = workers
             if own_count > 0:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_bodies.py
@@ -387,6 +387,31 @@
     assert len(gateway.reading.views) > LIMIT_BYTES // BODY_BYTES // 2
 
 
+# Failure: the state of each item was kept until its job was removed.
+def test_items_of_complete_jobs_are_forgotten(
+    build_worker, submit, reactor, wire, helpers
+):
+    gateway = build_worker()
+    catalogue = gateway.worker.catalogue
+    for number in range(20):
+        submit(f"j{number}")
+        answer_all(gateway, helpers, reactor, seconds=3.0)
+        assert len(list_results(wire, f"j{number}")) == ITEMS
+        assert catalogue.count_items() <= ITEMS
+    assert catalogue.forgotten >= 19 * ITEMS
+    assert len(catalogue.jobs) == 20
+    assert gateway.bodies.cache.held_bytes == 0
+    runs = len(gateway.pool.sent)
+    # Another worker comes, and the jobs are looked at anew.
+    catalogue.reread_results()
+    reactor.pump([0.1] * 30)
+    assert len(gateway.pool.sent) == runs
+    wire.change({build_end_key("j3"): bytes(16)})
+    wire.change({}, removed=["hs/j/j4"])
+    reactor.pump([0.1] * 10)
+    assert "j4" not in catalogue.jobs
+
+
 def test_bytes_held_are_on_the_metrics_address(build_worker, submit, reactor):
     gateway = build_worker(upstreams=())
     for number in range(40):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_odd_records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_odd_records.py
@@ -164,7 +164,7 @@
     keys = [build_result_key("j", item.identifier) for item in job.items]
     run(store.create({keys[0]: b"done\na"}))
     run(store.create({keys[1]: b"other\nb"}))
-    view = JobView(reactor=reactor, store=store, job=job)
+    view = JobView(reactor=reactor, store=store, job=job, limit=1_000)
     for _ in range(2):
         ends = []
         work = defer.ensureDeferred(view.wait_for(1, seconds=0.1))
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_quota.py
@@ -300,6 +300,33 @@
     accept(front, "j2", 800)
 
 
+# Results that are stored after the end release nothing by themselves.
+@pytest.mark.parametrize("late", [0, 1, 2])
+def test_a_job_that_ends_after_its_items_are_forgotten_is_released(
+    build_front, build_route, wire, reactor, run, late
+):
+    front = build_worker(build_front())
+    job = build_job("j1", tokens=[300, 500], submitted=reactor.seconds())
+    run(front.quotas.create_record(job, build_route()))
+    end_key = build_end_key("j1")
+    for number, item in enumerate(job.items):
+        if number == len(job.items) - late:
+            run(front.store.create({end_key: b""}))
+        run(
+            front.store.create(
+                {build_result_key("j1", item.identifier): b"done\n"}
+            )
+        )
+    if not late:
+        run(front.store.create({end_key: b""}))
+    JobState(job=job, revision=1, has_read_results=True).forget_items()
+    revision = wire.entries[end_key].created_revision
+    reads = wire.calls.count("read")
+    run(front.worker.releases.release_rest(job, end_revision=revision))
+    assert count_waiting(wire) == 800 - (0, 500, 800)[late]
+    assert (wire.calls.count("read") > reads) == (late > 0)
+
+
 def test_an_ended_job_whose_owner_is_lost_is_released_by_the_next(
     build_front, accept, wire, reactor, run
 ):
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -14,6 +14,7 @@
 from hollyspan_gateway.jobs.worker import Worker
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_gateway.store import Store
+from hollyspan_policy.hashing import hash_parts
 from hollyspan_standins.memory import fleet as memory_fleet
 from hollyspan_standins.memory import LinkState
 from hollyspan_standins.memory import MemoryWire
@@ -484,11 +485,14 @@
     for gateway in fleet.gateways:
         gateway.guard.block_list.add(frozenset({PART}), at=reactor.seconds())
     submit()
-    fleet.advance(12.0)
+    # Before any of them runs, since those of complete jobs are forgotten.
+    fleet.advance(2.0)
+    assert not list_sent(fleet)
     owners = {}
     for gateway in fleet.gateways[1:4]:
         for state in gateway.worker.catalogue.jobs["j"].items.values():
             owners[state.item.identifier] = state.owner
+    fleet.advance(10.0)
     # The others learn of the end of the block a moment before the owner.
     monkeypatch.setattr(BlockList, "add", lambda self, keys, **values: None)
     for gateway in (*fleet.gateways[1:], fleet.gateways[0]):
@@ -499,3 +503,28 @@
     for send in fleet.sent:
         item = send.connection.headers[b"id"].decode()
         assert send.gateway.peers.identifier == owners[item]
+
+
+# Failure: the state of each item was kept until its job was removed.
+def test_items_of_complete_jobs_are_forgotten_by_all(fleet, submit, wire):
+    submit()
+    fleet.advance(30.0)
+    assert len(list_done(wire)) == ITEMS
+    workers = [gateway.worker for gateway in fleet.gateways[:4]]
+    assert [worker.catalogue.count_items() for worker in workers] == [0] * 4
+    sends, calls = len(fleet.sent), wire.calls.count("read")
+    # One leaves: the others are told that nothing is left of its items.
+    left = sorted(worker.gateway.peers.identifier for worker in workers[1:])
+    for worker in workers[1:]:
+        worker.gateway.list_workers = lambda: left
+        worker.reread_results()
+    fleet.advance(6.0)
+    assert len(fleet.sent) == sends
+    assert wire.calls.count("read") == calls
+    told = [
+        key
+        for worker in workers[1:]
+        for key in worker.claims.list_finished()
+        if key == hash_parts("j", *left)
+    ]
+    assert len(told) >= 2
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import defer
 
+from hollyspan_core.errors import BatchNotFoundError
 from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_gateway.jobs import Item
@@ -13,11 +14,12 @@
 from hollyspan_gateway.jobs.view import JobView
 
 NAMES = ("b", "a", "d", "c")
+LIMIT_BYTES = 1_000
 
 
 @pytest.fixture
 def build_view(store, reactor):
-    def build():
+    def build(limit=LIMIT_BYTES):
         job = Job(
             identifier="j",
             host="h",
@@ -30,7 +32,7 @@
                 for name in NAMES
             ],
         )
-        return JobView(job=job, store=store, reactor=reactor)
+        return JobView(job=job, store=store, reactor=reactor, limit=limit)
 
     return build
 
@@ -39,8 +41,8 @@
 def finish(store, run):
     """Return a function that stores the result of an item."""
 
-    def create(name):
-        result = ItemResult(identifier=name, is_done=True, output=b"x")
+    def create(name, output=b"x"):
+        result = ItemResult(identifier=name, is_done=True, output=output)
         key = build_result_key("j", name)
         run(store.create({key: encode_result(result)}))
 
@@ -166,3 +168,59 @@
     wire.watch = watch
     wait_for(view, 1)
     assert list_names(view) == ["a", "b"]
+
+
+def read_page(view, position, **options):
+    ends = []
+    work = defer.ensureDeferred(view.read_page(position, **options))
+    work.addBoth(ends.append)
+    return ends
+
+
+# Failure: a reader kept all outputs of a job, whatever their size.
+@pytest.mark.parametrize("is_read_late", [False, True])
+def test_outputs_of_one_large_job_are_bounded(
+    build_view, finish, is_read_late
+):
+    view = build_view()
+    outputs = {name: name.encode() * 400 for name in NAMES}
+    for name in NAMES:
+        finish(name, outputs[name])
+        if not is_read_late:
+            wait_for(view, len(view.results))
+    wait_for(view, 0)
+    assert list_names(view) == list(NAMES)
+    assert view.held_bytes <= LIMIT_BYTES
+    assert view.held_bytes == sum(
+        len(each.output) for each in view.results if each.output is not None
+    )
+    position, found = 0, {}
+    while position < len(NAMES):
+        (page,) = read_page(view, position, max_bytes=500)
+        assert len(page) == min(2, len(NAMES) - position)
+        found |= {each.identifier: each.output for each in page}
+        position += len(page)
+    assert found == outputs
+    assert view.held_bytes <= LIMIT_BYTES
+
+
+def test_outputs_that_a_client_has_read_are_dropped_first(build_view, finish):
+    view = build_view()
+    for name in NAMES:
+        finish(name, b"x" * 400)
+        wait_for(view, len(view.results))
+    assert [each.output is None for each in view.results] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+
+
+def test_a_result_that_is_gone_is_told(build_view, finish, wire):
+    view = build_view(limit=0)
+    finish("a")
+    wait_for(view, 0)
+    wire.change({}, removed=[build_result_key("j", "a")])
+    (failure,) = read_page(view, 0, max_bytes=500)
+    assert failure.check(BatchNotFoundError)
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -202,6 +202,7 @@
         add("job_arrivals_bytes", lambda: catalogue.arrivals.held_bytes)
         add("jobs_known", lambda: len(catalogue.jobs))
         add("items_known", catalogue.count_items)
+        add("items_forgotten", lambda: catalogue.forgotten)
 
 
 def count_limited(gateway):
