--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/records.py
@@ -1,7 +1,6 @@
 """Keys and encoding of jobs and results in the store."""
 
 import base64
-import json
 import zlib
 
 from hollyspan_core.documents import parse_document
@@ -13,6 +12,7 @@
 from .item import Item
 from .item import ItemResult
 from .job import Job
+from .record_encoding import RecordEncoding
 from .reservation import Reservation
 
 __all__ = [
@@ -22,6 +22,7 @@
     "build_job_key",
     "build_result_key",
     "build_results_prefix",
+    "cut_output",
     "decode_job",
     "decode_result",
     "encode_job",
@@ -36,9 +37,6 @@
 PARTS_PREFIX = "hs/b/"
 RESULTS_PREFIX = "hs/r/"
 END_SUFFIX = "/end"
-# A value, including the writer's token, is limited to one megabyte.
-MAX_PART_BYTES = 900_000
-COMPRESSION_LEVEL = 1
 DONE_STATE = b"done"
 GIVEN_UP_STATE = b"given_up"
 
@@ -83,12 +81,14 @@
     return [f"{PARTS_PREFIX}{identifier}/{i}" for i in range(1, count)]
 
 
-def encode_job(job):
+def encode_job(job, *, encoding=None):
     """Encode a job as the contents of one or several keys.
 
     Parameters
     ----------
     job : Job
+    encoding : RecordEncoding, optional
+        Of its items, whose bodies are not needed then.
 
     Returns
     -------
@@ -96,63 +96,24 @@
         Bytes by key. The first key is the job's; its first byte is the number
         of parts.
     """
-    document = {
-        "host": job.host,
-        "path": job.path,
-        "submitted": job.submitted,
-        "due": job.due,
-        "retained_until": job.retained_until,
-        "reservation": encode_reservation(job.reservation),
-        "workspace": job.workspace,
-        "items": [],
-    }
-    content = compress_document(json.dumps(document), job.items)
-    parts = [
-        content[start : start + MAX_PART_BYTES]
-        for start in range(0, len(content), MAX_PART_BYTES)
-    ]
+    if encoding is None:
+        encoding = RecordEncoding(items=job.items)
+    parts = encoding.finish(
+        {
+            "host": job.host,
+            "path": job.path,
+            "submitted": job.submitted,
+            "due": job.due,
+            "retained_until": job.retained_until,
+            "reservation": encode_reservation(job.reservation),
+            "workspace": job.workspace,
+        }
+    )
     keys = [build_job_key(job.identifier)]
     keys += list_part_keys(job.identifier, len(parts))
-    parts[0] = bytes([len(parts)]) + parts[0]
     return dict(zip(keys, parts))
 
 
-def compress_document(document, items):
-    """Compress the document of a job, which ends with its items.
-
-    Items are encoded one by one, since all of them take several times the
-    memory of their bodies.
-
-    Parameters
-    ----------
-    document : str
-        Without items.
-    items : list of Item
-
-    Returns
-    -------
-    bytes
-    """
-    stream = zlib.compressobj(COMPRESSION_LEVEL)
-    end = "]}"
-    pieces = [stream.compress(document.removesuffix(end).encode())]
-    for number, item in enumerate(items):
-        row = {
-            "id": item.identifier,
-            "path": item.path,
-            "headers": item.headers,
-            "body": base64.b64encode(item.body).decode(),
-            "tokens": item.tokens,
-        }
-        text = json.dumps(row)
-        pieces.append(
-            stream.compress((f", {text}" if number else text).encode())
-        )
-    pieces.append(stream.compress(end.encode()))
-    pieces.append(stream.flush())
-    return b"".join(pieces)
-
-
 def decode_job(identifier, content):
     """Decode a job from its joined parts.
 
@@ -232,6 +193,12 @@
     return state + b"\n" + result.output
 
 
+def cut_output(content):
+    """Return the content of a result's key without the output."""
+    state, separator, _ = content.partition(b"\n")
+    return state + separator
+
+
 def decode_result(key, content):
     """Decode the content of a result's key.
 
