Compute workers and roles only as far as a message or a round needs

Cause: each round of starts gathered the workers that each live gateway names, the square of a large fleet, though mostly all are live here; each change of load computed its sender's role twice, which only full messages tell. Change: what others name is read for a worker that is not live here, and roles are compared for full messages.

--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -165,7 +165,8 @@
         if message.is_full or message.incarnation != self.incarnation:
             changed.update(self.loads)
             self.loads = {}
-        role = self.get_role()
+        # Only full messages tell it.
+        role = self.get_role() if message.is_full else None
         self.incarnation, self.sequence = order
         self.last_start = max(self.last_start, message.incarnation)
         self.successor = None
@@ -189,7 +190,8 @@
         for load in message.loads:
             self.loads[load.upstream] = (load.online, load.batch)
         return PeerChange(
-            upstreams=changed, is_membership_change=role != self.get_role()
+            upstreams=changed,
+            is_membership_change=(message.is_full and role != self.get_role()),
         )
 
     def is_newer(self, message, *, now):
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -184,16 +184,21 @@
         .. [1] A. Das, I. Gupta, A. Motivala, "SWIM: scalable weakly-consistent
            infection-style process group membership protocol", DSN 2002.
         """
-        live = self.list_live()
-        live_keys = {peer.key for peer in live}.union(
-            *(peer.live_workers for peer in live)
-        )
+        now = self.reactor.seconds()
+        # Mostly all are live here, and what the others name is not needed.
         return [
             peer
             for peer in self.peers.values()
-            if peer.runs_batch and peer.key in live_keys
+            if peer.runs_batch
+            and (peer.is_live(now) or self.is_live_elsewhere(peer))
         ]
 
+    def is_live_elsewhere(self, peer):
+        """Return whether a live peer names another one as live."""
+        return any(
+            peer.key in other.live_workers for other in self.list_live()
+        )
+
     def broadcasts_load(self):
         """Return whether each change of load is sent to all gateways."""
         return is_small_fleet(len(self.live))
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/tests/test_table.py
@@ -8,6 +8,7 @@
 from hollyspan_gateway.intake import MAX_UNREGISTERED_PEERS
 from hollyspan_gateway.peers import encode_message
 from hollyspan_gateway.peers import FleetMessage
+from hollyspan_gateway.peers import Peer
 from hollyspan_gateway.peers import table
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.membership import count_heartbeats_per_round
@@ -589,3 +590,50 @@
     gateway.peers.datagramReceived(b"garbage", ("10.9.0.1", 1))
     found = [each for each in lines if each[0] == "peer:malformed"]
     assert found == [("peer:malformed", 1), ("peer:malformed", 50)]
+
+
+class NamedWorkers:
+    """Set of keys that counts how often it is read."""
+
+    def __init__(self, keys):
+        self.keys = keys
+        self.reads = 0
+
+    def __iter__(self):
+        self.reads += 1
+        return iter(self.keys)
+
+    def __contains__(self, key):
+        self.reads += 1
+        return key in self.keys
+
+
+# Failure: each round of starts of items gathered what all gateways name as
+# live, which grows with the square of the fleet.
+def test_live_workers_are_listed_without_what_others_name(fleet, reactor):
+    run_heartbeats(fleet, reactor, 0.6)
+    gateway = fleet[0]
+    peers = list(gateway.peers.peers.values())
+    named = [NamedWorkers(peer.live_workers) for peer in peers]
+    for peer, workers in zip(peers, named):
+        peer.live_workers = workers
+    assert len(gateway.peers.list_workers()) == 2
+    assert sum(workers.reads for workers in named) == 0
+    silent = next(peer for peer in peers if peer.runs_batch)
+    silent.last_seen = None
+    assert silent in gateway.peers.list_workers()
+
+
+# Failure: each change of load computed the role of its sender twice, which
+# only full messages tell.
+def test_a_change_of_load_computes_no_role(fleet, reactor, monkeypatch):
+    run_heartbeats(fleet, reactor, 0.6)
+    computed = []
+    monkeypatch.setattr(
+        Peer, "get_role", lambda peer: computed.append(peer) or ()
+    )
+    upstream = fleet[0].directory.upstreams["u1"]
+    with fleet[0].placement.track_online(upstream):
+        reactor.advance(0.05)
+    assert fleet[1].directory.upstreams["u1"].peer_online == 1
+    assert computed == []
