Gather the upstreams of services when they have changed

Services are now gathered anew at the first question after a change, and whenever their number differs.

--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -49,7 +49,9 @@
     upstreams, by_key : dict
         Upstream by its name, and by the hash of its name.
     by_service : dict
-        Upstream by its name, by the name of its service.
+        Upstreams of each service, in the order of `upstreams`.
+    indexed_count : int or None
+        Number of upstreams in `by_service`, None once one has changed.
     departures : Departures
         Upstreams that have announced their shutdown in an answer.
     """
@@ -62,6 +64,7 @@
         "upstreams",
         "by_key",
         "by_service",
+        "indexed_count",
         "departures",
     )
 
@@ -73,6 +76,7 @@
         self.upstreams = {}
         self.by_key = {}
         self.by_service = {}
+        self.indexed_count = None
         self.departures = Departures()
 
     def update(self, entries, *, expiry_grace_until=0.0, change_age=0.0):
@@ -134,19 +138,17 @@
                 # Reports about the earlier incarnation do not apply.
                 upstream.rate_limit.seen_at = self.reactor.seconds()
                 upstream.pace.interrupt(now=self.reactor.seconds())
-            if existing is not None:
-                self.leave_service(existing, for_service=entry.service)
             self.upstreams[name] = upstream
             self.by_key[entry.key] = upstream
-            self.by_service.setdefault(entry.service, {})[name] = upstream
+            self.indexed_count = None
             log_change("upstream:listed", entry)
             return
         was_ready = existing.entry.is_ready
         if entry.is_ready and not was_ready:
             existing.pace.interrupt(now=self.reactor.seconds())
-        self.leave_service(existing, for_service=entry.service)
+        if existing.entry.service != entry.service:
+            self.indexed_count = None
         existing.entry = entry
-        self.by_service.setdefault(entry.service, {})[name] = existing
         existing.is_listed = True
         if was_ready and not entry.is_ready:
             log_change("upstream:leaving", entry)
@@ -188,19 +190,24 @@
         """Remove an upstream from the directory."""
         del self.upstreams[upstream.entry.name]
         del self.by_key[upstream.entry.key]
-        self.leave_service(upstream)
+        self.indexed_count = None
         log_change("upstream:gone", upstream.entry)
         self.on_leaving(upstream)
         upstream.entry.is_ready = False
 
-    def leave_service(self, upstream, *, for_service=None):
-        """Forget the service of an upstream, unless it stays the same."""
-        service = upstream.entry.service
-        if service != for_service:
-            members = self.by_service[service]
-            del members[upstream.entry.name]
-            if not members:
-                del self.by_service[service]
+    def list_members(self, service):
+        """Return the upstreams of a service, whether or not usable.
+
+        They are gathered anew after a change, which is rare beside requests.
+        """
+        if self.indexed_count != len(self.upstreams):
+            self.by_service = {}
+            for upstream in self.upstreams.values():
+                self.by_service.setdefault(upstream.entry.service, []).append(
+                    upstream
+                )
+            self.indexed_count = len(self.upstreams)
+        return self.by_service.get(service, ())
 
     def list_usable(self, service):
         """Return the upstreams of a service that accept new work.
@@ -215,7 +222,7 @@
         """
         return [
             upstream
-            for upstream in self.by_service.get(service, {}).values()
+            for upstream in self.list_members(service)
             if upstream.accepts_work
         ]
 
