Share what attempts that wait in a silence look at

What callers saw: in a silence of all, each waiting request looked each 0.05 s whether another gateway can run it, by a walk over all gateways, and whether an upstream is heard elsewhere, by a walk over all upstreams, 1,000 at full size. Change: the first question ends at the first able gateway; the walk of the second serves all attempts that ask within 0.04 s, less than the interval of one of them. The last look for an upstream is kept rather than searched. Answers of a cut's own decision are not shared.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/forwarding.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/forwarding.py
@@ -42,16 +42,30 @@
         now = self.gateway.reactor.seconds()
         return [
             peer
-            for peer in self.gateway.peers.list_live()
-            if peer.runs_online
+            for peer in self.gateway.peers.peers.values()
+            if self.is_able(peer, now=now)
+        ]
+
+    def is_able(self, peer, *, now):
+        """Return whether a peer accepts requests of other gateways."""
+        return (
+            peer.is_live(now)
+            and peer.runs_online
             and not peer.is_leaving
             and not peer.is_cut_off
             and self.avoided_until.get(peer.identifier, now) <= now
-        ]
+        )
 
     def is_possible(self):
-        """Return whether another gateway can run a request."""
-        return bool(self.list_able())
+        """Return whether another gateway can run a request.
+
+        Each attempt that waits asks this again and again: one peer will do.
+        """
+        now = self.gateway.reactor.seconds()
+        return any(
+            self.is_able(peer, now=now)
+            for peer in self.gateway.peers.peers.values()
+        )
 
     def choose(self, key, *, excluded):
         """Choose the peer that runs a request.
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_silent_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_silent_upstreams.py
@@ -5,6 +5,9 @@
 import pytest
 
 from hollyspan_core.errors import StreamStalledError
+from hollyspan_gateway.peers import Peer
+from hollyspan_gateway.upstreams.cut_evidence import CutEvidence
+from hollyspan_gateway.upstreams.cut_evidence import SHARED_WALK_S
 from hollyspan_standins.memory import LinkState
 
 STEP_S = 0.05
@@ -137,3 +140,41 @@
     fleet.advance(4.0)
     assert request.is_served()
     assert len(list_reached(fleet, [request])["q"]) == 2
+
+
+# Failure: each waiting attempt walked all upstreams and all gateways each
+# 0.05 s.
+def test_attempts_that_wait_share_their_walks(fleet, monkeypatch):
+    fleet.opens_in_silence = True
+    gateway = fleet.gateways[0]
+    walks = collections.Counter()
+    list_expected = CutEvidence.list_expected
+
+    def count_walk(evidence):
+        walks[evidence] += 1
+        return list_expected(evidence)
+
+    monkeypatch.setattr(CutEvidence, "list_expected", count_walk)
+    fleet.silent_upstreams = set(fleet.upstreams)
+    # All wait from now on.
+    requests = [
+        fleet.request(f"s-{number}", gateway=gateway) for number in range(30)
+    ]
+    fleet.advance(1.0)
+    assert not any(each.is_ended for each in requests)
+    assert 0 < max(walks.values()) <= 1.0 / SHARED_WALK_S
+
+
+# Failure: whether another gateway can run a request was found out by a walk
+# over all of them.
+def test_one_gateway_that_can_run_a_request_is_enough(fleet, monkeypatch):
+    checked = []
+    is_live = Peer.is_live
+
+    def count_check(peer, now):
+        checked.append(peer)
+        return is_live(peer, now)
+
+    monkeypatch.setattr(Peer, "is_live", count_check)
+    assert fleet.gateways[0].forwarding.is_possible()
+    assert len(checked) == 1
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/cut_evidence.py
@@ -15,6 +15,9 @@
 MAX_STILL_S = 2.5
 # Interval between two looks for upstreams that are silent.
 LOOK_S = 0.25
+# Time for which all attempts that wait share what a walk over the upstreams
+# has shown: shorter than the interval between two looks of one of them.
+SHARED_WALK_S = 0.04
 # Interval between two questions to other gateways, longer than it takes them
 # to answer.
 QUESTION_INTERVAL_S = 0.5
@@ -42,6 +45,12 @@
         Time of the last question to other gateways, reactor seconds.
     looked_at : dict
         Time of the last look for an upstream in a silence, by name.
+    last_look_at : float
+        Time of the newest of these.
+    walked_at : float
+        Time of the last walk over the upstreams for attempts that wait.
+    elsewhere_at : float
+        Time at which other gateways had last heard one of them then.
 
     Notes
     -----
@@ -58,6 +67,9 @@
         "unreached",
         "asked_at",
         "looked_at",
+        "last_look_at",
+        "walked_at",
+        "elsewhere_at",
     )
 
     def __init__(self, *, reach, probe_indirectly):
@@ -67,6 +79,9 @@
         self.unreached = set()
         self.asked_at = -math.inf
         self.looked_at = {}
+        self.last_look_at = -math.inf
+        self.walked_at = -math.inf
+        self.elsewhere_at = -math.inf
 
     @property
     def gateway(self):
@@ -96,13 +111,36 @@
         since : float
             Time since which an attempt has waited, reactor seconds.
         """
-        quiet_since = max(since, self.reach.heard_at)
-        return any(
-            is_only_silent_here(
-                quiet_since=quiet_since,
-                answered_elsewhere_at=upstream.link.last_elsewhere_at,
-            )
-            for upstream in self.list_expected()
+        return is_only_silent_here(
+            quiet_since=max(since, self.reach.heard_at),
+            answered_elsewhere_at=self.find_elsewhere_at(),
+        )
+
+    def is_silent_only_here(self, *, since):
+        """Return the same for an attempt that waits, with others.
+
+        Notes
+        -----
+        Load pattern: in a silence of all, each request asks several times a
+        second. One walk serves all that ask at about the same time.
+        """
+        now = self.gateway.reactor.seconds()
+        if now - self.walked_at >= SHARED_WALK_S:
+            self.walked_at = now
+            self.elsewhere_at = self.find_elsewhere_at()
+        return is_only_silent_here(
+            quiet_since=max(since, self.reach.heard_at),
+            answered_elsewhere_at=self.elsewhere_at,
+        )
+
+    def find_elsewhere_at(self):
+        """Return when other gateways last heard an expected upstream."""
+        return max(
+            (
+                upstream.link.last_elsewhere_at
+                for upstream in self.list_expected()
+            ),
+            default=-math.inf,
         )
 
     def has_silent_link(self, *, besides):
@@ -168,7 +206,7 @@
         """
         now = self.gateway.reactor.seconds()
         name = upstream.entry.name
-        if now - max(self.looked_at.values(), default=-math.inf) < LOOK_S:
+        if now - self.last_look_at < LOOK_S:
             return False
         quiet_since = max(since, self.reach.heard_at)
         if name in self.looked_at and name not in self.unreached:
@@ -177,7 +215,7 @@
         self.looked_at = {
             each: at for each, at in self.looked_at.items() if at > quiet_since
         }
-        self.looked_at[name] = now
+        self.looked_at[name] = self.last_look_at = now
         return True
 
     def ask(self, upstream):
@@ -195,16 +233,9 @@
     def describe(self):
         """Return since when upstreams are silent here, and not elsewhere."""
         now = self.gateway.reactor.seconds()
-        answered_at = max(
-            (
-                upstream.link.last_elsewhere_at
-                for upstream in self.list_expected()
-            ),
-            default=-math.inf,
-        )
         return {
             "heard_age": describe_age(self.reach.heard_at, now=now),
-            "elsewhere_age": describe_age(answered_at, now=now),
+            "elsewhere_age": describe_age(self.find_elsewhere_at(), now=now),
         }
 
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/reach.py
@@ -242,7 +242,7 @@
         that answers these is taken for busy while no other link fails.
         """
         if self.is_quiet(since=since):
-            return self.evidence.is_heard_elsewhere(since=since)
+            return self.evidence.is_silent_only_here(since=since)
         link = upstream.link
         return is_only_silent_here(
             quiet_since=max(since, link.heard_at),
