--- a/benchmarks/silences.py
+++ b/benchmarks/silences.py
@@ -42,6 +42,17 @@
 PROMPT_S = 0.1
 SLOTS = 8
 PRODUCT = ("hollyspan_core", "hollyspan_gateway", "hollyspan_policy")
+# Functions whose times are told with all that they call.
+PARTS = (
+    "table.datagramReceived",
+    "table.send_full",
+    "load_broadcast.flush",
+    "placement.build_views",
+    "stalls.may_abandon",
+    "held.release_next",
+    "worker.start_items",
+    "cut_evidence.list_expected",
+)
 PHASES = {
     "calm": (0.0, False),
     "changes": (0.0, True),
@@ -191,15 +202,20 @@
     """Return calls and own time of the product's functions for a gateway."""
     calls = collections.Counter()
     own_seconds = 0.0
-    for (path, _, name), (_, count, own, _, _) in stats.stats.items():
+    parts_seconds = {}
+    for (path, _, name), (_, count, own, whole, _) in stats.stats.items():
         parts = set(Path(path).parts)
         if parts.isdisjoint(PRODUCT):
             continue
-        calls[f"{Path(path).stem}.{name}"] += count
+        name = f"{Path(path).stem}.{name}"
+        calls[name] += count
         own_seconds += own
+        if name in PARTS:
+            parts_seconds[name] = round(whole / share, 5)
     return {
         "product_calls": round(calls.total() / share),
         "product_seconds": round(own_seconds / share, 5),
+        "parts_seconds": parts_seconds,
         "calls": {
             name: round(count / share, 1)
             for name, count in calls.most_common(24)
