Answer a read without a wait beside the open watch of another read

Cause: such a read joined the watch of another one, up to 1 s, while the gateway that had forwarded it gave it up after 0.6 s and read the record and all results itself.

Change: it joins an open watch for 0.45 s, then asks the store beside it. An empty answer is still one of the store's.

Tests: test_a_read_without_a_wait_does_not_wait_for_an_open_watch and test_a_read_beside_a_silent_watch_finds_new_results failed before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_view.py
@@ -113,6 +113,60 @@
     assert outcomes == [[None]] * 5
 
 
+# Failure: a read without a wait waited for the watch of another read, longer
+# than the peer that had forwarded it, which then read all results itself.
+def test_a_read_without_a_wait_does_not_wait_for_an_open_watch(
+    build_view, finish, wire
+):
+    view = build_view()
+    finish("b")
+    wait_for(view, 0)
+    waiting = wait_for(view, 1, seconds=1.0)
+    calls = len(wire.calls)
+    outcomes = wait_for(view, 1, seconds=0.0)
+    view.reactor.advance(0.46)
+    # The store has answered that there is none.
+    assert wire.calls[calls] == "watch"
+    view.reactor.advance(0.01)
+    assert (waiting, outcomes) == ([], [None])
+    # The open watch ends in time for this one.
+    calls = len(wire.calls)
+    outcomes = wait_for(view, 1, seconds=0.0)
+    finish("a")
+    assert waiting == outcomes == [None]
+    assert wire.calls[calls:] == ["commit", "watch_end"]
+    finish("d")
+    wait_for(view, 2)
+    assert list_names(view) == ["b", "a", "d"]
+
+
+def test_a_read_beside_a_silent_watch_finds_new_results(
+    build_view, finish, wire
+):
+    view = build_view()
+    finish("b")
+    wait_for(view, 0)
+    watch, silent = wire.watch, []
+
+    async def watch_in_silence(prefix, *, after, seconds):
+        if seconds:
+            silent.append(defer.Deferred())
+            await silent[-1]
+        return await watch(prefix, after=after, seconds=seconds)
+
+    wire.watch = watch_in_silence
+    waiting = wait_for(view, 1, seconds=1.0)
+    finish("a")
+    outcomes = wait_for(view, 1, seconds=0.0)
+    view.reactor.advance(0.46)
+    assert outcomes == [None]
+    assert list_names(view) == ["b", "a"]
+    finish("d")
+    silent[0].callback(None)
+    assert waiting == [None]
+    assert list_names(view) == ["b", "a", "d"]
+
+
 def test_wait_fails_in_an_outage(build_view, finish, wire):
     view = build_view()
     finish("b")
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -16,6 +16,10 @@
 
 __all__ = ["JobView"]
 
+# Time for which a read without a wait waits for a watch of another read: three
+# quarters of the time that a peer leaves for the answer.
+JOIN_S = 0.45
+
 
 class JobView:
     """A job and its results in the order of their creation.
@@ -37,6 +41,8 @@
         determine the order. The output of one that is not held is None.
     position : int
         That of the last read.
+    is_watching : bool
+        True while a watch is open.
     item_identifiers : frozenset of str
     held_bytes : int
         Bytes of the outputs in the results.
@@ -59,6 +65,7 @@
         "revision",
         "waiters",
         "is_reading",
+        "is_watching",
         "limit",
         "position",
         "held_bytes",
@@ -81,6 +88,7 @@
         self.revision = 0
         self.waiters = []
         self.is_reading = False
+        self.is_watching = False
         self.held_bytes = 0
         self.last_used = reactor.seconds()
 
@@ -101,11 +109,26 @@
         ------
         StoreUnavailableError
             The result at the position is not known and cannot be read now.
+
+        Notes
+        -----
+        Load pattern: several clients read one job, some without a wait. An
+        open watch proves nothing before it ends, so one that does not wait
+        asks the store beside it, unless it ends in a moment.
         """
         self.last_used = self.reactor.seconds()
         self.position = position
         if position < len(self.results) or self.is_complete:
             return
+        if seconds <= 0.0 and self.is_watching:
+            if await self.join_watch():
+                return
+            try:
+                self.add_page(await self.watch(0.0))
+                return
+            except (StoreAnswerTooLargeError, StoreHistoryLostError):
+                # The open watch meets the same, and reads all results.
+                pass
         waiter = defer.Deferred()
         self.waiters.append(waiter)
         if not self.is_reading:
@@ -115,8 +138,25 @@
             work.addBoth(self.wake_waiters)
         await waiter
 
+    async def join_watch(self):
+        """Wait a moment for the end of the open watch.
+
+        Returns
+        -------
+        bool
+            False if it goes on.
+        """
+        waiter = defer.Deferred()
+        self.waiters.append(waiter)
+        timer = self.reactor.callLater(JOIN_S, waiter.callback, False)
+        try:
+            return await waiter is not False
+        finally:
+            if timer.active():
+                timer.cancel()
+
     def wake_waiters(self, result):
-        self.is_reading = False
+        self.is_reading = self.is_watching = False
         waiters, self.waiters = self.waiters, []
         for deferred in waiters:
             if not deferred.called:
@@ -124,20 +164,26 @@
 
     async def read_new_results(self, seconds):
         """Read the results created since the last read."""
-        prefix = build_results_prefix(self.job.identifier)
         if self.revision:
+            self.is_watching = seconds > 0.0
             try:
-                page = await self.store.watch(
-                    prefix, after=self.revision, seconds=seconds
-                )
-                self.add_page(page)
+                self.add_page(await self.watch(seconds))
                 return
             except (StoreAnswerTooLargeError, StoreHistoryLostError):
                 # Read all results again below.
                 self.revision = 0
-        await self.read_all_results(prefix)
+                self.is_watching = False
+        await self.read_all_results()
+
+    def watch(self, seconds):
+        """Wait for results after those that are known."""
+        return self.store.watch(
+            build_results_prefix(self.job.identifier),
+            after=self.revision,
+            seconds=seconds,
+        )
 
-    async def read_all_results(self, prefix):
+    async def read_all_results(self):
         """Read all results, but no more outputs than are held."""
         kept, cut = 0, set()
 
@@ -157,6 +203,7 @@
                 created_revision=entry.created_revision,
             )
 
+        prefix = build_results_prefix(self.job.identifier)
         page = await self.store.list(prefix, reduce=reduce)
         self.add_page(page, without_output=cut)
 
