Test what a client gets when its last attempt is ended by a sign

A continued stream is broken off when its upstream's process may be another one, also at its last attempt. What the client gets was not tested: a cut if it has a part of the answer, a status with an unknown outcome otherwise, and no upstream beyond those allowed. It was so before; no code is changed.

--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_incarnations.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import UpstreamReplacedError
 from hollyspan_gateway.streams.notice import AMBIGUOUS_VERSION
 from hollyspan_standins.memory import LinkState
 
@@ -233,3 +235,37 @@
     fleet.tell_store()
     upstream = gateway.directory.upstreams["u1"]
     assert gateway.incarnations.find_version(upstream) is not None
+
+
+# A cut is all that is left once a part was sent; before that the client gets a
+# status, and no more upstreams than allowed are tried.
+@pytest.mark.parametrize("has_begun", [True, False])
+def test_a_sign_in_the_last_attempt_cuts_only_what_has_begun(
+    build_fleet, has_begun
+):
+    fleet = build(build_fleet, gateways=1)
+    (gateway,) = fleet.gateways
+    request = fleet.request("q", gateway=gateway)
+    fleet.advance(0.3)
+    if not has_begun:
+        request.is_open = False
+        request.on_disconnect()
+        request = fleet.request("r", gateway=gateway, resume=2, resumes="q")
+        fleet.advance(0.03)
+    (exposure,) = gateway.guard.exposures
+    exposure.abort(StreamLostError("connection closed"))
+    fleet.advance(0.03)
+    (exposure,) = gateway.guard.exposures
+    assert exposure.version == exposure.upstream.entry.version_key
+    exposure.abort(UpstreamReplacedError("another process may answer"))
+    fleet.advance(2.0)
+    written = request.written
+    if has_begun:
+        assert request.is_aborted and written.startswith(b"id: 1\n")
+    else:
+        assert not request.is_aborted and written == b"unknown"
+    name = request.identifier.encode()
+    sends = [
+        send for send in fleet.sent if send.connection.headers[b"id"] == name
+    ]
+    assert len(sends) == 2 and not gateway.guard.exposures
