Gather what peers name as live once when a worker is silent

list_workers asked all peers again for each worker that is not heard: after the loss of a region that is a walk over the fleet for each lost worker, in each round of starts. Found on reading; the tests of the peers pass.

--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/table.py
@@ -185,20 +185,15 @@
            infection-style process group membership protocol", DSN 2002.
         """
         now = self.reactor.seconds()
-        # Mostly all are live here, and what the others name is not needed.
+        workers = [peer for peer in self.peers.values() if peer.runs_batch]
+        if all(peer.is_live(now) for peer in workers):
+            # What the others name is not needed.
+            return workers
+        named = set().union(*(peer.live_workers for peer in self.list_live()))
         return [
-            peer
-            for peer in self.peers.values()
-            if peer.runs_batch
-            and (peer.is_live(now) or self.is_live_elsewhere(peer))
+            peer for peer in workers if peer.is_live(now) or peer.key in named
         ]
 
-    def is_live_elsewhere(self, peer):
-        """Return whether a live peer names another one as live."""
-        return any(
-            peer.key in other.live_workers for other in self.list_live()
-        )
-
     def broadcasts_load(self):
         """Return whether each change of load is sent to all gateways."""
         return is_small_fleet(len(self.live))
