--- a/packages/hollyspan_gateway/hollyspan_gateway/workspaces/tests/test_access.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/workspaces/tests/test_access.py
@@ -13,6 +13,7 @@
 from hollyspan_core.workspaces import WorkspaceTable
 from hollyspan_gateway.jobs.records import encode_job
 from hollyspan_gateway.online.forwarded import KEY_HEADER
+from hollyspan_gateway.online.forwarded import RAN_AT_HEADER
 from hollyspan_gateway.online.hop import Hop
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_standins.memory import build_head
@@ -194,9 +195,15 @@
         head=head,
         delivery=types.SimpleNamespace(last_event=None),
         measure_time_left=lambda: 1.0,
+        continuation=types.SimpleNamespace(list_all_run_keys=lambda: []),
     )
     headers = Hop(relay=relay, peer=None).build_headers()
-    assert headers == [(KEY_HEADER, digest_key("k1").encode())]
+    assert headers == [
+        (RAN_AT_HEADER, b"0"),
+        (KEY_HEADER, digest_key("k1").encode()),
+    ]
     # Nor on a public route.
     head.workspace = None
-    assert Hop(relay=relay, peer=None).build_headers() == []
+    assert Hop(relay=relay, peer=None).build_headers() == [
+        (RAN_AT_HEADER, b"0")
+    ]
