Leave a silent upstream only if another attempt would be allowed

What callers saw: beside a change of the configuration that withdrew a key, a stream whose upstream stood still for a second ended in the midst of a 200. The same while keys were unconfirmed, and under a block of a part of its prompt.

Cause: a stall counted attempts and room, but not what is required before the next attempt: that the key is in force and that no part is blocked. The stream was given up and then ended by its own gateway.

Change: may_break_off asks both, and a stall asks may_break_off when it ends, not only when the attempt starts.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/continuation.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/continuation.py
@@ -67,10 +67,14 @@
     def may_break_off(self):
         """Return whether the current attempt may be given up for another."""
         relay = self.relay
-        return may_break_off(
-            sends=relay.sends,
-            max_attempts=relay.max_attempts,
-            is_repeatable=relay.route.is_repeatable,
+        return (
+            may_break_off(
+                sends=relay.sends,
+                max_attempts=relay.max_attempts,
+                is_repeatable=relay.route.is_repeatable,
+            )
+            and relay.gateway.guard.block_list.may_send(relay.head.keys)
+            and relay.gateway.workspaces.is_in_force(relay)
         )
 
     def must_continue(self, error):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/stalls.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/stalls.py
@@ -67,6 +67,9 @@
         Another gateway is asked instead if links of this one are lost.
         """
         relay = self.relay
+        if not relay.continuation.may_break_off():
+            # Its key or a part of its prompt may not be sent any more.
+            return False
         reach = relay.gateway.reach
         if (relay.is_forwarded or relay.can_hop()) and reach.leaves_silence(
             relay.upstream, since=relay.sent_at
--- a/packages/hollyspan_gateway/hollyspan_gateway/workspaces/access.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/workspaces/access.py
@@ -3,6 +3,7 @@
 from hollyspan_core.errors import AuthenticationError
 from hollyspan_core.errors import BatchNotFoundError
 from hollyspan_core.errors import ConfigurationMissingError
+from hollyspan_core.errors import KeysUnconfirmedError
 from hollyspan_core.errors import Outcome
 
 __all__ = ["WorkspaceAccess"]
@@ -128,6 +129,18 @@
         if relay.head.workspace is not None and self.table is not None:
             self.require(relay.head.key_digest, outcome=relay.outcome)
 
+    def is_in_force(self, relay):
+        """Return whether the key of a request is accepted for an attempt."""
+        try:
+            self.require_in_force(relay)
+        except (
+            AuthenticationError,
+            ConfigurationMissingError,
+            KeysUnconfirmedError,
+        ):
+            return False
+        return True
+
     def drop_credentials(self, headers):
         """Return the headers of an item without those that are the gateway's.
 
