Keep a hop at its last attempt though the peer is not heard

What callers saw: a stream that another gateway ran ended in the midst of a 200 when that gateway's datagrams were lost for a second while its upstream stood still.

Cause: a silent hop was left as soon as its peer did not count as live, also when no attempt was left. Change: it is left only if another attempt may follow. A peer that has ended closes the connection; one whose machine is dark keeps the request until its deadline, as nobody could run it again.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/hop.py
@@ -137,7 +137,7 @@
                         QUIET_CHECK_S if is_repeatable else None
                     ),
                     pause_timeout=QUIET_CHECK_S if is_repeatable else None,
-                    may_abandon=self.is_peer_gone,
+                    may_abandon=self.may_abandon,
                     kind=(
                         FORWARDED_STREAM
                         if relay.route.kind is RouteKind.STREAM
@@ -198,9 +198,16 @@
             headers.append((KEY_HEADER, relay.head.key_digest.encode()))
         return headers
 
-    def is_peer_gone(self):
-        """Return whether the peer is not live any more."""
-        return not self.peer.is_live(self.relay.gateway.reactor.seconds())
+    def may_abandon(self):
+        """Return whether to leave the peer, which is silent.
+
+        It may be live although its datagrams are lost.
+        """
+        relay = self.relay
+        return (
+            not self.peer.is_live(relay.gateway.reactor.seconds())
+            and relay.continuation.may_break_off()
+        )
 
     def handle_reply(self, status, headers):
         relay = self.relay
