Go on with a begun stream at a service that has lost its weight

What callers saw: after a configuration had moved a route's weight to another service, a stream of the first one that had to go on over another gateway was refused there until its deadline, and ended in the midst of a 200.

Cause: the gateway that took the request goes on by the route under which it began, a peer by the new one. Change: for a request that is forwarded with its version, services without weight count too; a client that resumes is still sent by the new weights. A route that is dropped is still refused by peers.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/origin.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/origin.py
@@ -43,7 +43,7 @@
     return service, version
 
 
-def find_service(gateway, route, version, *, outcome):
+def find_service(gateway, route, version, *, outcome, has_begun=False):
     """Return the service of a route whose upstreams serve a version.
 
     Parameters
@@ -53,6 +53,9 @@
     version : int
     outcome : Outcome
         Whether the request may have run.
+    has_begun : bool, optional
+        True for a request that has begun elsewhere, perhaps before a
+        configuration took the weight of its service.
 
     Raises
     ------
@@ -61,7 +64,9 @@
     """
     # The version tells the service, which is drawn for each attempt.
     for service, weight in route.services:
-        if weight > 0 and gateway.placement.serves_version(service, version):
+        if (weight > 0 or has_begun) and gateway.placement.serves_version(
+            service, version
+        ):
             return service
     raise build_error("is not served any more", outcome=outcome)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -159,7 +159,11 @@
         await self.require_allowed()
         if self.version is not None:
             self.service = find_service(
-                self.gateway, self.route, self.version, outcome=self.outcome
+                self.gateway,
+                self.route,
+                self.version,
+                outcome=self.outcome,
+                has_begun=True,
             )
         elif (
             self.route.kind is RouteKind.STREAM
