Note shortages of places by service

A service whose items found no place stopped the moves of all silent runs, of other services too. The test fails before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
@@ -39,8 +39,9 @@
         Runs that have fallen silent, by key of their item.
     places : dict
         FreePlaces by service and version.
-    short_at : float
-        Time at which an item last found no place, reactor seconds.
+    short_at : dict
+        Time at which an item last found no place, reactor seconds, by
+        service.
     """
 
     __slots__ = ("gateway", "times", "runs", "places", "short_at")
@@ -50,7 +51,7 @@
         self.times = times
         self.runs = {}
         self.places = {}
-        self.short_at = -math.inf
+        self.short_at = {}
 
     @contextlib.contextmanager
     def track(self, run):
@@ -96,6 +97,10 @@
         heard_at = max(link.heard_at, link.last_elsewhere_at)
         return self.gateway.reactor.seconds() - heard_at <= HEARD_S
 
+    def note_shortage(self, service):
+        """Note that an item of a service has found no place."""
+        self.short_at[service] = self.gateway.reactor.seconds()
+
     def must_leave(self, run):
         """Return whether a silent run is broken off.
 
@@ -163,9 +168,10 @@
         None is free while items wait for one.
         """
         now = self.gateway.reactor.seconds()
-        if now - self.short_at < SHORTAGE_S:
+        service = run.upstream.entry.service
+        if now - self.short_at.get(service, -math.inf) < SHORTAGE_S:
             return False
-        key = (run.upstream.entry.service, run.state.version)
+        key = (service, run.state.version)
         places = self.places.get(key)
         if places is None or now - places.counted_at > PLACES_TTL_S:
             self.places = {
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_hanging_upstream.py
@@ -0,0 +1,130 @@
+"""Tests of items at one upstream that hangs while all others are full."""
+
+import pytest
+
+from hollyspan_gateway.jobs import item_placement
+from hollyspan_gateway.jobs.records import encode_job
+from hollyspan_gateway.jobs.worker import Worker
+from hollyspan_gateway.routes import RouteKind
+from hollyspan_standins.memory import build_job
+from hollyspan_standins.memory import build_route
+from hollyspan_standins.memory import fleet as memory_fleet
+
+BATCH = build_route(
+    name="b", host="h", prefix="/b/", kind=RouteKind.BATCH, max_attempts=3
+)
+UPSTREAMS = 6
+SLOTS = 8
+
+
+@pytest.fixture
+def build_workers(build_fleet):
+    """Return a function that starts workers and a front."""
+
+    def build(count=3):
+        fleet = build_fleet(gateways=1, upstreams=UPSTREAMS, routes=[BATCH])
+        for _ in range(count):
+            worker = fleet.add_gateway(runs_batch=True)
+            worker.worker = Worker(gateway=worker)
+            worker.worker.start()
+        fleet.advance(1.0)
+        return fleet
+
+    return build
+
+
+@pytest.fixture
+def submit(run):
+    """Return a function that submits a job and lets its items start."""
+
+    def create(fleet, count, *, name="j"):
+        job = build_job(
+            name, tokens=[1] * count, submitted=fleet.reactor.seconds()
+        )
+        run(fleet.gateways[0].store.create(encode_job(job)))
+        fleet.advance(1.0)
+
+    return create
+
+
+@pytest.mark.parametrize("opens", [True, False])
+def test_one_upstream_hangs_for_ever_while_all_others_are_full(
+    build_workers, submit, wire, monkeypatch, opens
+):
+    fleet = build_workers()
+    fleet.opens_in_silence = opens
+    monkeypatch.setattr(memory_fleet, "EVENTS_PER_ANSWER", 600)
+    discarded = []
+    discard = item_placement.discard_text
+
+    def note(state, reason):
+        discarded.append((state.item.identifier, reason, state.last_event))
+        discard(state, reason)
+
+    monkeypatch.setattr(item_placement, "discard_text", note)
+    submit(fleet, UPSTREAMS * SLOTS + 12)
+    hanging = fleet.sent[-1].upstream
+    fleet.silent_upstreams = {hanging}
+    fleet.advance(24.0)
+    assert not discarded
+
+
+# Failure: items of a service that found no place stopped the moves of all.
+def test_shortage_of_another_service_does_not_stop_moves(
+    build_workers, submit, monkeypatch
+):
+    monkeypatch.setattr(memory_fleet, "EVENTS_PER_ANSWER", 80)
+    fleet = build_workers()
+    submit(fleet, 18)
+    hanging = fleet.sent[-1].upstream
+    fleet.silent_upstreams = {hanging}
+    for _ in range(18):
+        for gateway in fleet.gateways:
+            if gateway.worker is not None:
+                gateway.worker.silences.note_shortage("other")
+        fleet.advance(0.05)
+    still_open = [
+        send
+        for send in fleet.sent
+        if send.upstream == hanging and send.is_open()
+    ]
+    assert not still_open
+
+
+# Places that become free go to items that wait, of less urgent jobs, too;
+# those at the upstream that hangs stay for the bound.
+def test_urgent_items_leave_a_hanging_upstream_before_others_start(
+    build_workers, run, monkeypatch
+):
+    monkeypatch.setattr(memory_fleet, "EVENTS_PER_ANSWER", 80)
+    fleet = build_workers()
+
+    def create(name, count, due):
+        job = build_job(
+            name, tokens=[1] * count, submitted=fleet.reactor.seconds()
+        )
+        job.due = due
+        run(fleet.gateways[0].store.create(encode_job(job)))
+
+    wall = fleet.gateways[1].wall_clock()
+    create("a", UPSTREAMS * SLOTS - 3, wall + 8.0)
+    fleet.advance(0.6)
+    create("z", 40, wall + 900.0)
+    fleet.advance(2.2)
+    hanging = fleet.sent[-1].upstream
+    fleet.silent_upstreams = {hanging}
+    before = len(fleet.sent)
+    fleet.advance(2.4)
+    started = [
+        s.connection.headers[b"id"].decode()
+        for s in fleet.sent[before:]
+        if s.upstream != hanging
+    ]
+    left = {
+        s.connection.headers[b"id"].decode()
+        for s in fleet.sent
+        if s.upstream == hanging and s.is_open()
+    }
+    assert not [n for n in left if n.startswith("a")] or not [
+        n for n in started if n.startswith("z")
+    ]
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -382,7 +382,7 @@
         For a moment it may only wait for its turn at a free one.
         """
         now = self.gateway.reactor.seconds()
-        self.silences.short_at = now
+        self.silences.note_shortage(service)
         if state.hindrance != "no_slot":
             state.hindrance = "no_slot"
             state.short_since = now
