--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/tests/test_items.py
@@ -109,9 +109,10 @@
     )
     submit(FATAL, retained=5.0)
     (job_state,) = gateway.worker.catalogue.list_incomplete()
+    state = job_state.items["j0"]
     for _ in range(60):
         reactor.advance(0.2)
-    assert job_state.items["j0"].result.is_done is False
+    assert state.result.is_done is False
     assert gateway.pool.sent == []
 
 
