Let the search tell of items that a worker has forgotten

Its checker asked a worker for the state of an item that has no result; since items of jobs that seem complete are forgotten, it failed with KeyError.

--- a/packages/hollyspan_standins/hollyspan_standins/search/reasons.py
+++ b/packages/hollyspan_standins/hollyspan_standins/search/reasons.py
@@ -47,7 +47,10 @@
     job_state = worker.catalogue.jobs[job]
     if job_state is None:
         return "job_not_read", None, False
-    state = job_state.items[item]
+    state = job_state.items.get(item)
+    if state is None:
+        # The items of a job that seems complete are forgotten.
+        return "believes_stored", None, True
     if state.has_result:
         return "believes_stored", None, True
     if state.run is not None:
