Answer no 404 for a result that a read of the store does not find again

Outputs beyond a reader's share are read anew when they are asked for. A read that is behind the result, as after the store has lost its history, found nothing, and the client of a job that is there got a 404. It gets a 503 with a time to come back; a job that has been removed is told by its record.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -4,9 +4,10 @@
 
 from twisted.internet import defer
 
-from hollyspan_core.errors import BatchNotFoundError
+from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StoreAnswerTooLargeError
 from hollyspan_core.errors import StoreHistoryLostError
+from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_core.store import Entry
 
 from .records import build_result_key
@@ -19,6 +20,8 @@
 # Time for which a read without a wait waits for a watch of another read: three
 # quarters of the time that a peer leaves for the answer.
 JOIN_S = 0.45
+# Time to come back for the client of a result that is not found again.
+RETRY_AFTER_S = 0.5
 
 
 class JobView:
@@ -265,8 +268,6 @@
 
         Raises
         ------
-        BatchNotFoundError
-            The job has been removed.
         RecordUnreadableError
         StoreUnavailableError
         """
@@ -286,5 +287,11 @@
         key = build_result_key(self.job.identifier, identifier)
         entry = await self.store.get(key)
         if entry is None:
-            raise BatchNotFoundError("the job has been removed")
+            # It was there; the job has been removed since, or the answer is
+            # older than the result.
+            raise StoreUnavailableError(
+                "the result is not there any more",
+                outcome=Outcome.NOT_RUN,
+                retry_after=RETRY_AFTER_S,
+            )
         return decode_result(key, entry.content)
