Break no item off on one refused connection

A silent run ended at once when its worker was refused a connection to the upstream: what the worker sees of its own path was taken for the upstream's end. An end of the process is what Incarnations say. The count of free places, which no test held, has tests, and the tests of an upstream that hangs share the fixtures of those of silences.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
@@ -102,11 +102,17 @@
         self.short_at[service] = self.gateway.reactor.seconds()
 
     def must_leave(self, run):
-        """Return whether a silent run is broken off.
+        """Decide whether a silent run is broken off.
+
+        One that moves takes a free place elsewhere off the count.
 
         Parameters
         ----------
         run : ItemRun
+
+        Returns
+        -------
+        bool
         """
         reach = self.gateway.reach
         now = self.gateway.reactor.seconds()
@@ -120,7 +126,7 @@
             quiet_seconds=now - quiet_since,
             is_silent_link=is_silent_link,
             has_follower=is_silent_link and self.has_follower(),
-            is_ended=self.has_ended(run),
+            is_ended=run.upstream.incarnation.is_gone,
         ):
             return True
         run.is_moving = (
@@ -146,15 +152,6 @@
         own = self.gateway.peers.identifier
         return any(each != own for each in self.gateway.list_workers())
 
-    def has_ended(self, run):
-        """Return whether the process of an upstream has certainly ended."""
-        refused_at = self.gateway.reach.evidence.refused_at
-        return (
-            run.upstream.incarnation.is_gone
-            or refused_at.get(run.upstream.entry.name, -math.inf)
-            > run.heard_at
-        )
-
     def measure_slack(self, state):
         """Return the seconds that an item has beyond its expected run."""
         left = state.job_state.job.due - self.gateway.wall_clock()
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_hanging_upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_hanging_upstream.py
@@ -4,52 +4,18 @@
 
 from hollyspan_gateway.jobs import item_placement
 from hollyspan_gateway.jobs.records import encode_job
-from hollyspan_gateway.jobs.worker import Worker
-from hollyspan_gateway.routes import RouteKind
 from hollyspan_standins.memory import build_job
-from hollyspan_standins.memory import build_route
 from hollyspan_standins.memory import fleet as memory_fleet
 
-BATCH = build_route(
-    name="b", host="h", prefix="/b/", kind=RouteKind.BATCH, max_attempts=3
-)
-UPSTREAMS = 6
-SLOTS = 8
-
-
-@pytest.fixture
-def build_workers(build_fleet):
-    """Return a function that starts workers and a front."""
-
-    def build(count=3):
-        fleet = build_fleet(gateways=1, upstreams=UPSTREAMS, routes=[BATCH])
-        for _ in range(count):
-            worker = fleet.add_gateway(runs_batch=True)
-            worker.worker = Worker(gateway=worker)
-            worker.worker.start()
-        fleet.advance(1.0)
-        return fleet
-
-    return build
-
-
-@pytest.fixture
-def submit(run):
-    """Return a function that submits a job and lets its items start."""
-
-    def create(fleet, count, *, name="j"):
-        job = build_job(
-            name, tokens=[1] * count, submitted=fleet.reactor.seconds()
-        )
-        run(fleet.gateways[0].store.create(encode_job(job)))
-        fleet.advance(1.0)
-
-    return create
+from .test_items_in_silences import build_workers  # noqa: F401
+from .test_items_in_silences import SLOTS
+from .test_items_in_silences import submit  # noqa: F401
+from .test_items_in_silences import UPSTREAMS
 
 
 @pytest.mark.parametrize("opens", [True, False])
 def test_one_upstream_hangs_for_ever_while_all_others_are_full(
-    build_workers, submit, wire, monkeypatch, opens
+    build_workers, submit, wire, monkeypatch, opens  # noqa: F811
 ):
     fleet = build_workers()
     fleet.opens_in_silence = opens
@@ -71,7 +37,7 @@
 
 # Failure: items of a service that found no place stopped the moves of all.
 def test_shortage_of_another_service_does_not_stop_moves(
-    build_workers, submit, monkeypatch
+    build_workers, submit, monkeypatch  # noqa: F811
 ):
     monkeypatch.setattr(memory_fleet, "EVENTS_PER_ANSWER", 80)
     fleet = build_workers()
@@ -94,7 +60,7 @@
 # Places that become free go to items that wait, of less urgent jobs, too;
 # those at the upstream that hangs stay for the bound.
 def test_urgent_items_leave_a_hanging_upstream_before_others_start(
-    build_workers, run, monkeypatch
+    build_workers, run, monkeypatch  # noqa: F811
 ):
     monkeypatch.setattr(memory_fleet, "EVENTS_PER_ANSWER", 80)
     fleet = build_workers()
@@ -128,3 +94,25 @@
     assert not [n for n in left if n.startswith("a")] or not [
         n for n in started if n.startswith("z")
     ]
+
+
+# Failure: runs were broken off when their worker's own link refused one
+# connection, though the upstream went on.
+def test_items_outlast_a_refused_connection_in_a_silence(
+    build_workers, submit  # noqa: F811
+):
+    fleet = build_workers()
+    submit(fleet, UPSTREAMS * SLOTS + 12)
+    silent = fleet.sent[-1].upstream
+    fleet.silent_upstreams = {silent}
+    fleet.advance(0.2)
+    for gateway in fleet.gateways:
+        evidence = gateway.reach.evidence
+        evidence.refused_at[silent] = fleet.reactor.seconds()
+    runs = [
+        send
+        for send in fleet.sent
+        if send.upstream == silent and send.is_open()
+    ]
+    fleet.advance(1.0)
+    assert runs and all(send.is_open() for send in runs)
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_silences.py
@@ -0,0 +1,62 @@
+"""Tests of the places that silent runs move to."""
+
+import types
+
+import pytest
+from twisted.internet import task
+
+from hollyspan_gateway.jobs.silences import FreePlaces
+from hollyspan_gateway.jobs.silences import Silences
+
+SERVICE = "m"
+
+
+@pytest.fixture
+def reactor():
+    clock = task.Clock()
+    clock.advance(100.0)
+    return clock
+
+
+@pytest.fixture
+def run(reactor):
+    """Return a run that has been silent for a second."""
+    return types.SimpleNamespace(
+        upstream=types.SimpleNamespace(
+            entry=types.SimpleNamespace(service=SERVICE)
+        ),
+        state=types.SimpleNamespace(version=None),
+        heard_at=reactor.seconds() - 1.0,
+    )
+
+
+@pytest.fixture
+def silences(reactor):
+    """Return silences of a gateway that has counted two free places."""
+    silences = Silences(
+        gateway=types.SimpleNamespace(reactor=reactor), times=None
+    )
+    silences.places[SERVICE, None] = FreePlaces(
+        counted_at=reactor.seconds(), count=2
+    )
+    return silences
+
+
+def test_each_free_place_is_taken_once(silences, run):
+    assert [silences.take_place(run) for _ in range(3)] == [True, True, False]
+
+
+def test_no_place_is_free_while_items_of_the_service_wait(
+    silences, run, reactor
+):
+    silences.note_shortage(SERVICE)
+    assert not silences.take_place(run)
+    reactor.advance(0.2)
+    assert silences.take_place(run)
+
+
+def test_places_counted_before_the_silence_do_not_count(
+    silences, run, reactor
+):
+    run.heard_at = reactor.seconds()
+    assert not silences.take_place(run)
