Answer the requests that wait behind an answer at a stop

Callers saw a connection end behind its first answer, without a status for a second request that had arrived whole behind it, or while it waited for its turn. At a stop, busy connections were closed behind their current request, and those whose requests waited for a turn counted as idle.

An answer now tells that the connection closes only if no bytes wait behind it when its head is written; otherwise what waits is handled in order, and the last answer tells. A connection is idle when it has no request and no byte of one.

In memory: one of three requests behind a stream was answered, now all; of 300 requests in one read 1 to 6 were answered, with the stop in the first to the sixth turn, now all.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -153,9 +153,31 @@
         )
         self.loseConnection()
 
+    @property
+    def has_later(self):
+        """Whether bytes wait behind the request that is handled, if any."""
+        return bool(
+            self.turns.pending_bytes or self._buffer or any(self._dataBuffer)
+        )
+
+    @property
+    def is_idle(self):
+        """Whether there is no request, and no byte of one."""
+        return not (self.requests or self.has_later)
+
+    def writeHeaders(self, version, code, reason, headers):
+        """Write the head of an answer; the last one in a stop says so.
+
+        One that others follow does not, since none is handled behind it.
+        """
+        if self.factory.is_closing and self.persistent and not self.has_later:
+            headers.setRawHeaders(b"Connection", [b"close"])
+            self.persistent = False
+        super().writeHeaders(version, code, reason, headers)
+
     def requestDone(self, request):
         waits = self.persistent and (
-            self._waitingForTransport or self._dataBuffer or self._buffer
+            self._waitingForTransport or self.has_later
         )
         if not waits:
             super().requestDone(request)
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -120,8 +120,6 @@
         self.clientproto = version
         factory = self.channel.factory
         self.arrived_at = factory.reactor.seconds()
-        if factory.is_closing:
-            self.close_after()
         factory.handle(self)
 
     def connectionLost(self, reason):
@@ -136,11 +134,6 @@
         """True while the client can be answered."""
         return self.channel is not None and not self.finished
 
-    def close_after(self):
-        """Close the connection after this answer, with a header saying so."""
-        self.setHeader(b"Connection", b"close")
-        self.channel.persistent = False
-
     def answer(self, status, headers, body):
         """Send a complete answer.
 
@@ -208,7 +201,7 @@
     intake : ServedIntake
     max_connections : int
     is_closing : bool
-        True once each connection is closed after its current request.
+        True once each connection is closed after its last request.
     """
 
     noisy = False
@@ -302,23 +295,17 @@
     def begin_closing(self):
         """Close each connection after its current or next answer.
 
-        Answers whose head has not been sent say so.
+        The last answer on each says so, if its head has not been sent.
         """
         self.is_closing = True
-        for channel in self.channels:
-            for request in channel.requests:
-                if not request.startedWriting:
-                    request.close_after()
 
     def close_idle(self):
-        """Close idle connections now and busy ones after their request.
+        """Close idle connections now and busy ones after their requests.
 
         A new connection is left the time to send its first request.
         """
         self.is_closing = True
         now = self.reactor.seconds()
         for channel in list(self.channels):
-            if channel.requests:
-                channel.persistent = False
-            elif now - channel.opened_at >= FIRST_REQUEST_S:
+            if channel.is_idle and now - channel.opened_at >= FIRST_REQUEST_S:
                 channel.loseConnection()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -122,6 +122,14 @@
             hold if (host, path) == ("h", "/b/") else None
         )
 
+    def take_turn(self):
+        """Run the calls that are due now, not those that they plan."""
+        now = self.clock.seconds()
+        for call in [c for c in self.clock.calls if c.getTime() <= now]:
+            self.clock.calls.remove(call)
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
     def settle(self, turns=1000):
         self.clock.pump([0.0] * turns)
 
@@ -520,3 +528,40 @@
     server.settle()
     assert server.requests[0].is_too_large
     assert server.room_bytes == BODY_LIMIT
+
+
+def answer(request):
+    request.answer(200, [], b"whole")
+
+
+# Failure: a whole request behind a streamed answer got no answer at a stop.
+def test_requests_behind_a_stream_are_answered_at_a_stop():
+    server = Server()
+    request, transport = server.open_stream()
+    request.write(b"part")
+    server.site.handle = answer
+    transport.protocol.dataReceived(REQUEST % 2 + REQUEST % 3)
+    server.site.begin_closing()
+    server.site.close_idle()
+    request.end()
+    server.clock.pump([1.0] * 9)
+    written = transport.value()
+    assert written.count(b"HTTP/1.1 200 OK\r\n") == 3
+    assert written.count(b"Connection: close\r\n") == 1
+    assert transport.disconnecting
+
+
+# Failure: requests that waited for their turn were dropped at a stop.
+@pytest.mark.parametrize("turns", range(6))
+def test_requests_that_wait_for_their_turn_are_answered_at_a_stop(turns):
+    server = Server()
+    channel, transport = server.connect()
+    server.site.handle = answer
+    server.clock.advance(1.0)
+    channel.dataReceived(b"".join(REQUEST % n for n in range(300)))
+    for _ in range(turns):
+        server.take_turn()
+    while not transport.disconnecting:
+        server.site.close_idle()
+        server.take_turn()
+    assert transport.value().count(b"HTTP/1.1 200 OK\r\n") == 300
