Read kept connections before they are closed at a stop

Callers saw a kept connection end without an answer to a whole request that had come while the gateway stood still at the end of the balancer's time to notice: the check, a timer, runs before the sockets are read, and closed all idle connections. A connection is now closed in the next turn of the loop, if it is idle still.

On sockets, a loop that stands still for 0.3 s: none of five requests on kept connections was answered, now all are.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -34,6 +34,7 @@
         self.done_request = None
         self.done_call = None
         self.arrival_call = None
+        self.idle_call = None
         self.is_broken_off = False
         # Lines may be as long as a head.
         self.MAX_LENGTH = max(self.MAX_LENGTH, self.totalHeadersSize)
@@ -165,6 +166,21 @@
         """Whether there is no request, and no byte of one."""
         return not (self.requests or self.has_later)
 
+    def close_unless_used(self):
+        """Close an idle connection, after a turn of the loop that reads it.
+
+        Timers are called before what came while the process stood still is
+        read.
+        """
+        if self.idle_call is None:
+            self.idle_call = self.callLater(0, self.close_unused)
+
+    def close_unused(self):
+        """Close the connection if it is still idle."""
+        self.idle_call = None
+        if self.is_idle:
+            self.loseConnection()
+
     def writeHeaders(self, version, code, reason, headers):
         """Write the head of an answer; the last one in a stop says so.
 
@@ -254,6 +270,9 @@
         if self.done_call is not None:
             self.done_call.cancel()
             self.done_call = None
+        if self.idle_call is not None:
+            self.idle_call.cancel()
+            self.idle_call = None
         super().connectionLost(reason)
 
     def abortConnection(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -308,4 +308,4 @@
         now = self.reactor.seconds()
         for channel in list(self.channels):
             if channel.is_idle and now - channel.opened_at >= FIRST_REQUEST_S:
-                channel.loseConnection()
+                channel.close_unless_used()
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
@@ -92,6 +92,32 @@
         for connection in connections:
             self.assertIn(b"whole", read_all(connection))
 
+    # Failure: connections were closed before what had come on them was read.
+    async def test_requests_on_kept_connections_in_that_turn_are_answered(
+        self,
+    ):
+        connections = [self.connect() for _ in range(5)]
+        await task.deferLater(reactor, 0.6)
+        self.shutdown.begin()
+        await self.stand_still(connections)
+        await self.stopped
+        for connection in connections:
+            self.assertIn(b"whole", read_all(connection))
+
+    async def stand_still(self, connections):
+        """Let requests come, and timers fall due, while data is handled."""
+
+        def handle(request):
+            self.site.handle = answer
+            for connection in connections:
+                connection.sendall(REQUEST)
+            time.sleep(DETECTION_S)
+            request.answer(200, [], b"")
+
+        answer, self.site.handle = self.site.handle, handle
+        self.connect().sendall(REQUEST)
+        await task.deferLater(reactor, DETECTION_S)
+
     async def test_a_new_connection_is_left_time_for_its_request(self):
         self.shutdown.begin()
         await task.deferLater(reactor, DETECTION_S - 0.02)
