Read idle connections before they time out

Callers saw a kept connection end without an answer to a whole request that had come while the loop was held, such as by applying a configuration: when the time of an idle connection ran out meanwhile, its timer was called before the connection was read. It is closed in the next turn, if it is idle still.

On sockets, a loop held for 0.3 s in which the time runs out: the request got no answer, now it gets one.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -166,6 +166,12 @@
         """Whether there is no request, and no byte of one."""
         return not (self.requests or self.has_later)
 
+    def timeoutConnection(self):
+        if self.is_idle:
+            self.close_unless_used()
+        else:
+            super().timeoutConnection()
+
     def close_unless_used(self):
         """Close an idle connection, after a turn of the loop that reads it.
 
