Close no connection whose requests wait for their turn for a new one

Callers that sent many requests at once could see their connection end without answers to the later ones, when a new connection came and all places were taken: one whose requests waited for their turn counted as idle.

In memory: the connection was closed behind some of 3,000 requests, now all are answered and the new connection is not accepted.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -281,7 +281,7 @@
         bool
             False if each has a request.
         """
-        idle = [channel for channel in self.channels if not channel.requests]
+        idle = [channel for channel in self.channels if channel.is_idle]
         eliot.log_message(
             "client:too_many", connections=len(self.channels), idle=len(idle)
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -565,3 +565,20 @@
         server.site.close_idle()
         server.take_turn()
     assert transport.value().count(b"HTTP/1.1 200 OK\r\n") == 300
+
+
+# Failure: requests that waited for their turn were dropped for a new client.
+def test_requests_that_wait_are_answered_beside_too_many_connections():
+    server = Server()
+    server.site.max_connections = 1
+    server.site.handle = answer
+    channel, transport = server.connect()
+    channel.dataReceived(b"".join(REQUEST % n for n in range(3000)))
+    while channel.requests:
+        server.take_turn()
+    assert server.connect() == (None, None)
+    answered = 0
+    for _ in range(20):
+        answered += transport.read().count(b"HTTP/1.1 200 OK\r\n")
+        server.clock.advance(0.1)
+    assert answered == 3000
