Refuse requests that come behind the last answer in a stop

Callers that sent a whole request behind an answer that had told that the connection closes, before they had read so, saw the connection end without a status for it. Such requests are not run, since the caller may send them again elsewhere; they are refused in order, with 503, Retry-After and Connection: close, as work that has not run.

In memory: none of two requests behind such a stream got a status, now both do.

--- a/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/daemon.py
@@ -9,6 +9,8 @@
 from twisted.internet import defer
 from twisted.web import http
 
+from hollyspan_core.errors import DrainingError
+from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StoreUnavailableError
 from hollyspan_core.loop_watch import open_loop_watch
 from hollyspan_core.signals import handle_once
@@ -30,6 +32,7 @@
 from .peers import snapshots
 from .shutdown import Shutdown
 from .store import Store
+from .work import DRAINING_RETRY_AFTER_S
 
 __all__ = ["run_gateway"]
 
@@ -107,6 +110,7 @@
         idle_seconds=IDLE_TIMEOUT_S,
         find_room=gateway.submissions.find_room,
         all_body_bytes=choose_request_limit(settings.memory_bytes),
+        refuse=lambda request: refuse_late(gateway, request),
     )
     reactor.listenTCP(
         settings.client_port,
@@ -130,6 +134,23 @@
     request.answer(status, [], b"")
 
 
+def refuse_late(gateway, request):
+    """Refuse a request that comes behind the last answer in a stop."""
+    error = DrainingError(
+        "the gateway is shutting down",
+        outcome=Outcome.NOT_RUN,
+        retry_after=DRAINING_RETRY_AFTER_S,
+    )
+    eliot.log_message(
+        "request:not_taken",
+        sender=request.getClientIP(),
+        code=error.code,
+        reason=error.message,
+    )
+    gateway.metrics.count_request(error.code)
+    request.answer(*gateway.dialect.encode_failure(error))
+
+
 def answer_internal(gateway, request):
     """Answer a request of a peer or a scrape of the metrics."""
     if request.uri == METRICS_PATH:
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -19,6 +19,9 @@
     ----------
     opened_at, used_at : float
         Times of its first and latest bytes, reactor seconds.
+    is_last_told : bool
+        True once an answer in a stop has told that the connection closes;
+        requests behind it are refused.
 
     Notes
     -----
@@ -36,6 +39,7 @@
         self.arrival_call = None
         self.idle_call = None
         self.is_broken_off = False
+        self.is_last_told = False
         # Lines may be as long as a head.
         self.MAX_LENGTH = max(self.MAX_LENGTH, self.totalHeadersSize)
         self.factory.channels.add(self)
@@ -192,12 +196,17 @@
 
         One that others follow does not, since none is handled behind it.
         """
-        if self.factory.is_closing and self.persistent and not self.has_later:
-            headers.setRawHeaders(b"Connection", [b"close"])
-            self.persistent = False
+        if self.factory.is_closing and self.persistent:
+            if self.is_last_told or not self.has_later:
+                headers.setRawHeaders(b"Connection", [b"close"])
+                self.persistent = False
+                self.is_last_told = True
         super().writeHeaders(version, code, reason, headers)
 
     def requestDone(self, request):
+        if self.is_last_told and self.has_later:
+            # Sent before the client had read that the connection closes.
+            self.persistent = True
         waits = self.persistent and (
             self._waitingForTransport or self.has_later
         )
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -120,7 +120,10 @@
         self.clientproto = version
         factory = self.channel.factory
         self.arrived_at = factory.reactor.seconds()
-        factory.handle(self)
+        if self.channel.is_last_told:
+            factory.refuse(self)
+        else:
+            factory.handle(self)
 
     def connectionLost(self, reason):
         on_disconnect, self.on_disconnect = self.on_disconnect, None
@@ -189,6 +192,9 @@
         body that counts with all others.
     all_body_bytes : int, optional
         Bytes of those bodies that are kept at once.
+    refuse : callable, optional
+        Called with each ClientRequest that comes in a stop behind the last
+        answer on its connection; answers that it has not run.
 
     Attributes
     ----------
@@ -215,9 +221,13 @@
         idle_seconds,
         find_room=lambda host, path: None,
         all_body_bytes=MAX_ALL_BODY_BYTES,
+        refuse=lambda request: request.answer(
+            http.SERVICE_UNAVAILABLE, [(b"Retry-After", b"1")], b""
+        ),
     ):
         super().__init__(reactor=reactor, timeout=idle_seconds)
         self.handle = handle
+        self.refuse = refuse
         self.find_room = find_room
         self.body_limit = body_limit
         self.header_limit = ClientChannel.totalHeadersSize
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_server.py
@@ -551,6 +551,24 @@
     assert transport.disconnecting
 
 
+# Failure: a whole request behind the answer that a stop had made the last one
+# got neither an answer nor a refusal.
+def test_requests_behind_the_last_answer_are_refused_at_a_stop():
+    server = Server()
+    server.site.begin_closing()
+    request, transport = server.open_stream()
+    request.write(b"part")
+    transport.protocol.dataReceived(REQUEST % 2 + REQUEST % 3)
+    request.end()
+    server.settle()
+    written = transport.value()
+    assert not server.requests
+    assert written.count(b"HTTP/1.1 200 OK\r\n") == 1
+    assert written.count(b"HTTP/1.1 503 ") == 2
+    assert written.count(b"\r\nRetry-After: ") == 2
+    assert transport.disconnecting
+
+
 # Failure: requests that waited for their turn were dropped at a stop.
 @pytest.mark.parametrize("turns", range(6))
 def test_requests_that_wait_for_their_turn_are_answered_at_a_stop(turns):
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stop.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_stop.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 
 from hollyspan_gateway.daemon import answer_internal
+from hollyspan_gateway.daemon import refuse_late
 from hollyspan_gateway.routes import RouteKind
 from hollyspan_gateway.shutdown import Shutdown
 from hollyspan_standins.memory import build_route
@@ -354,6 +355,13 @@
         assert is_answered(each) and each.written == b"unknown"
 
 
+def test_a_request_behind_the_last_answer_is_promised(gateway, reactor):
+    request = ServerRequest(reactor=reactor, uri=b"/")
+    request.getClientIP = lambda: "127.0.0.1"
+    refuse_late(gateway, request)
+    assert (request.status, request.written) == (503, b"not_run")
+
+
 class ServerRequest(MemoryRequest):
     """Request of a peer."""
 
