Let refusals and last answers reach clients that still send

Callers that sent on while their request was refused, or behind the last answer in a stop, saw a reset connection in place of the status: the connection was closed with bytes that had not been read, and the reset that follows drops what has not been delivered and fails the client's writes. The gateway now closes its direction first, reads on for 1 s at most and closes then; the room of the refused body is freed at once.

On sockets: a client of a body of 16 MiB, 100 bytes allowed, got no 413 but a broken pipe, and the answer of 4 MiB before a refused body in a stop was cut by a reset; both are read whole now. A stop waits for 1 s more at most for clients that do not close.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -1,6 +1,7 @@
 """Connection of a client, of the balancer or of a peer."""
 
 import eliot
+from twisted.internet import interfaces
 from twisted.web import http
 
 from hollyspan_core.errors import IntakeExceededError
@@ -11,6 +12,10 @@
 
 __all__ = ["ClientChannel"]
 
+# Time for which a client that still sends is read before its connection is
+# closed.
+LINGER_S = 1.0
+
 
 class ClientChannel(http.HTTPChannel):
     """Server connection that bounds what it reads and keeps.
@@ -40,6 +45,7 @@
         self.idle_call = None
         self.is_broken_off = False
         self.is_last_told = False
+        self.linger_call = None
         # Lines may be as long as a head.
         self.MAX_LENGTH = max(self.MAX_LENGTH, self.totalHeadersSize)
         self.factory.channels.add(self)
@@ -55,7 +61,14 @@
             on_end=lambda reason: None,
         )
 
+    @property
+    def is_ending(self):
+        """Whether nothing more is parsed, since the connection is closed."""
+        return self.linger_call is not None or self.transport.disconnecting
+
     def dataReceived(self, data):
+        if self.linger_call is not None:
+            return
         self.used_at = self.factory.reactor.seconds()
         if not self.turns.pending_bytes and self.is_within_body(len(data)):
             # Nothing is parsed in it.
@@ -82,7 +95,7 @@
         super().dataReceived(data)
         if lines and self._handlingRequest:
             lines -= sum(part.count(b"\n") for part in self._dataBuffer)
-        if self.transport.disconnecting:
+        if self.is_ending:
             self.turns.stop()
         self.watch_arrival()
         return lines
@@ -92,7 +105,7 @@
         is_partial = not self._handlingRequest and bool(
             self.requests or self._buffer
         )
-        if not is_partial or self.transport.disconnecting:
+        if not is_partial or self.is_ending:
             self.stop_watching()
         elif self.arrival_call is None:
             seconds = self.factory.header_seconds
@@ -156,7 +169,35 @@
             b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
             % (status, http.RESPONSES[status])
         )
-        self.loseConnection()
+        for request in self.requests:
+            request.drop_body()
+        self.end_gently()
+
+    def loseConnection(self):
+        if self.is_last_told:
+            self.end_gently()
+        else:
+            super().loseConnection()
+
+    def end_gently(self):
+        """Close the connection, and read what the client sends until then.
+
+        A close before all has been read resets the connection, which may
+        overtake the answer.
+        """
+        if self.is_ending:
+            return
+        if not interfaces.IHalfCloseableDescriptor.providedBy(self.transport):
+            super().loseConnection()
+            return
+        self.linger_call = self.callLater(
+            LINGER_S, self.transport.loseConnection
+        )
+        self.turns.stop()
+        self.setTimeout(None)
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self.transport.resumeProducing()
 
     @property
     def has_later(self):
@@ -288,6 +329,8 @@
         if self.idle_call is not None:
             self.idle_call.cancel()
             self.idle_call = None
+        if self.linger_call is not None and self.linger_call.active():
+            self.linger_call.cancel()
         super().connectionLost(reason)
 
     def abortConnection(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -114,6 +114,11 @@
                 raise
         self.content.write(data)
 
+    def drop_body(self):
+        """Free the room of a body that is not read any more."""
+        self.kept.close()
+        self.content = None
+
     def requestReceived(self, command, path, version):
         self.method = command
         self.uri = path
--- /dev/null
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_refusals.py
@@ -0,0 +1,56 @@
+"""Tests of refusals of requests that have not been read, on sockets."""
+
+import socket
+
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.internet import threads
+from twisted.trial import unittest
+
+from hollyspan_gateway.online.server import ClientSite
+
+MIB = 1024 * 1024
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+
+
+class RefusalTest(unittest.TestCase):
+    timeout = 20
+
+    def setUp(self):
+        self.site = ClientSite(
+            reactor=reactor,
+            handle=lambda request: request.answer(200, [], bytes(4 * MIB)),
+            body_limit=100,
+            idle_seconds=10.0,
+        )
+        self.port = reactor.listenTCP(0, self.site, interface="127.0.0.1")
+        self.address = ("127.0.0.1", self.port.getHost().port)
+        self.addCleanup(self.port.stopListening)
+
+    async def ask(self, *parts):
+        """Return what a client reads that has sent bytes before."""
+        answer = await threads.deferToThread(self.send, *parts)
+        while self.site.channels:
+            await task.deferLater(reactor, 0.01)
+        return answer
+
+    def send(self, *parts):
+        with socket.create_connection(self.address, timeout=5.0) as connection:
+            for part in parts:
+                connection.sendall(part)
+            received = b""
+            while chunk := connection.recv(65536):
+                received += chunk
+            return received
+
+    # Failure: a refusal was overtaken by a reset while its client still sent.
+    async def test_a_refusal_reaches_a_client_that_sends(self):
+        size = 16 * MIB
+        answer = await self.ask(HEAD % size, bytes(size))
+        self.assertIn(b"HTTP/1.1 413 ", answer)
+
+    async def test_the_last_answer_in_a_stop_is_read_whole(self):
+        self.site.begin_closing()
+        answer = await self.ask(REQUEST, HEAD % (3 * MIB) + bytes(2 * MIB))
+        self.assertIn(bytes(4 * MIB), answer)
