Accept the connections that wait before the entry daemon ends to listen

Callers saw their connection reset, with a whole request sent, when they connected while the loop was held at the end of the balancer's time: the end of listening is a timer, which is called before they are accepted, and the kernel resets what was not accepted.

On sockets, a loop held for 0.1 s: connections that came meanwhile were reset, now all five get their answers.

--- a/packages/hollyspan_entry/hollyspan_entry/drain.py
+++ b/packages/hollyspan_entry/hollyspan_entry/drain.py
@@ -50,6 +50,7 @@
     site.is_closing = True
     await task.deferLater(runtime.reactor, timing.drain_notice)
     await wait_until_quiet(runtime, site, seconds=timing.drain_notice)
+    await accept_waiting(runtime, site, seconds=QUIET_S)
     await port.stopListening()
     # The last connections have not brought their first request yet.
     await task.deferLater(runtime.reactor, QUIET_S)
@@ -71,6 +72,19 @@
         await task.deferLater(runtime.reactor, POLL_INTERVAL_S)
 
 
+async def accept_waiting(runtime, site, *, seconds):
+    """Accept the connections that the kernel has, at most for some seconds.
+
+    The end of listening resets them. They come while the loop is held; each
+    turn accepts some, after the timers.
+    """
+    deadline = runtime.reactor.seconds() + seconds
+    accepted = None
+    while site.accepted != accepted and runtime.reactor.seconds() < deadline:
+        accepted = site.accepted
+        await task.deferLater(runtime.reactor, 0)
+
+
 async def run_steps(runtime, steps, *, seconds):
     running = [defer.ensureDeferred(guard(step)) for step in steps]
     work = defer.DeferredList(running)
--- a/packages/hollyspan_entry/hollyspan_entry/tests/test_drain.py
+++ b/packages/hollyspan_entry/hollyspan_entry/tests/test_drain.py
@@ -17,6 +17,7 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.settings.timing import Timing
 from hollyspan_entry.drain import drain
+from hollyspan_entry.drain import QUIET_S
 from hollyspan_entry.http import AsyncResource
 from hollyspan_entry.http import DrainingSite
 from hollyspan_entry.stopping import require_finishable
@@ -81,6 +82,26 @@
         for connection in connections:
             self.assertIn(b"whole", read_all(connection))
 
+    # Failure: connections that came while the loop was held were reset.
+    async def test_connections_before_the_end_of_listening_are_answered(self):
+        callers = []
+        started = reactor.seconds()
+
+        async def stand_still(request, path):
+            callers.extend(self.connect() for _ in range(5))
+            time.sleep(0.1)
+
+        self.site.resource.putChild(b"now", AsyncResource(handle=stand_still))
+        holder = self.connect(request=b"")
+        work = self.start()
+        await task.deferLater(reactor, NOTICE_S + QUIET_S + 0.02)
+        self.assertLess(reactor.seconds() - started, NOTICE_S + QUIET_S + 0.04)
+        holder.sendall(REQUEST.replace(b"/", b"/now", 1))
+        await work
+        self.assertEqual(len(callers), 5)
+        for caller in callers:
+            self.assertIn(b"whole", read_all(caller))
+
     async def test_requests_that_come_late_one_after_the_other_are_answered(
         self,
     ):
