Accept the connections that wait before a gateway exits

Callers saw their connection reset, with a whole request sent, when they connected while the loop was held at the end of a stop: the last check, a timer, came before they were accepted. A third check follows in the next turn of the loop, after it has accepted what came.

On sockets, a loop held for 0.1 s before the last check: connections that came meanwhile were reset, now all five get their answers.

--- a/packages/hollyspan_gateway/hollyspan_gateway/shutdown.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/shutdown.py
@@ -29,6 +29,9 @@
         Time of the first request to shut down, reactor seconds.
     was_drained : bool
         Whether nothing was in flight at the last check.
+    has_waited : bool
+        Whether the next check follows in the next turn of the loop, since
+        nothing was in flight at two checks.
     has_ended_work : bool
         True once the work that was left at the end has been ended.
     """
@@ -42,6 +45,7 @@
         self.detection_seconds = detection_seconds
         self.started_at = None
         self.was_drained = False
+        self.has_waited = False
         self.has_ended_work = False
 
     def request_shutdown(self):
@@ -75,11 +79,14 @@
             self.end_work(elapsed)
         is_drained = self.is_drained(elapsed)
         # Connections that came since the last turn of the loop are accepted
-        # before the second check.
-        is_final = is_drained and self.was_drained
+        # before the next check. Timers are called before, so that what comes
+        # while the loop is held needs one more turn.
+        is_final = is_drained and self.has_waited
+        self.has_waited = is_drained and self.was_drained
         self.was_drained = is_drained
         if elapsed < limit + LAST_ANSWERS_S and not is_final:
-            self.reactor.callLater(DRAIN_CHECK_INTERVAL_S, self.check)
+            wait = 0.0 if self.has_waited else DRAIN_CHECK_INTERVAL_S
+            self.reactor.callLater(wait, self.check)
             return
         eliot.log_message("gateway:stopping", seconds=elapsed)
         if self.gateway.worker is not None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
@@ -6,6 +6,7 @@
 import types
 
 from twisted.internet import defer
+from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
 from twisted.trial import unittest
@@ -113,6 +114,29 @@
         await task.deferLater(reactor, 2 * DETECTION_S)
         self.assertIn(b"whole", read_all(connection))
 
+    # Failure: connections that came while the loop was held were reset.
+    async def test_connections_in_the_turn_of_the_exit_are_answered(self):
+        connections = []
+
+        def hold():
+            connections.extend(self.connect() for _ in range(5))
+            for connection in connections:
+                connection.sendall(REQUEST)
+            time.sleep(0.1)
+
+        holder = protocol.DatagramProtocol()
+        holder.datagramReceived = lambda data, address: hold()
+        port = reactor.listenUDP(0, holder, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        self.shutdown.begin()
+        while not self.shutdown.was_drained:
+            await task.deferLater(reactor, 0.001)
+        holder.transport.write(b"x", ("127.0.0.1", port.getHost().port))
+        await self.stopped
+        self.assertEqual(len(connections), 5)
+        for connection in connections:
+            self.assertIn(b"whole", read_all(connection))
+
     async def stand_still(self, connections):
         """Let requests come, and timers fall due, while data is handled."""
 
