Wait at a stop until peers have read their answers

Gateways that stopped cut answers to their peers that had left the work in flight but not the socket: the end of a stop looked at the clients' server only. It now waits, within the same limit, for each connection of peers that has a request whose answer has not been written.

--- a/packages/hollyspan_gateway/hollyspan_gateway/shutdown.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/shutdown.py
@@ -111,6 +111,9 @@
             return False
         if gateway.work.running:
             return False
+        peers = gateway.internal_site
+        if peers is not None and any(each.requests for each in peers.channels):
+            return False
         if self.site is None:
             return True
         if elapsed < self.detection_seconds:
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
@@ -6,9 +6,12 @@
 import types
 
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
+from twisted.internet import threads
+from twisted.python import failure
 from twisted.trial import unittest
 
 from hollyspan_core.errors import DrainingError
@@ -43,6 +46,7 @@
         self.settings = types.SimpleNamespace(work_seconds=WORK_S)
         gateway = types.SimpleNamespace(
             site=self.site,
+            internal_site=None,
             worker=None,
             forwarding=types.SimpleNamespace(running=0),
             settings=self.settings,
@@ -137,6 +141,30 @@
         for connection in connections:
             self.assertIn(b"whole", read_all(connection))
 
+    # Failure: an answer that a peer had not read yet was cut at the exit.
+    async def test_the_answers_to_peers_leave_before_the_exit(self):
+        body = bytes(8 * 1024 * 1024)
+        site = self.shutdown.gateway.internal_site = ClientSite(
+            reactor=reactor,
+            handle=lambda request: request.answer(200, [], body),
+            body_limit=100,
+            idle_seconds=10.0,
+        )
+        port = reactor.listenTCP(0, site, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        self.address = ("127.0.0.1", port.getHost().port)
+        connection = self.connect()
+        connection.sendall(REQUEST)
+        self.shutdown.begin()
+        await task.deferLater(reactor, 2 * DETECTION_S)
+        answer = threads.deferToThread(read_bytes, connection, len(body))
+        await self.stopped
+        for channel in list(site.channels):
+            channel.transport.connectionLost(
+                failure.Failure(error.ConnectionDone())
+            )
+        self.assertGreaterEqual(len(await answer), len(body))
+
     async def stand_still(self, connections):
         """Let requests come, and timers fall due, while data is handled."""
 
@@ -253,6 +281,13 @@
             self.assertEqual(read_all(connection), b"")
 
 
+def read_bytes(connection, size):
+    received = bytearray()
+    while len(received) < size and (chunk := connection.recv(65536)):
+        received += chunk
+    return received
+
+
 def read_all(connection):
     chunks = []
     while chunk := connection.recv(4096):
