Drop clients that neither read nor close behind a refusal

Found on reading the change that reads on behind refusals: it ended the idle timer, so that a connection whose client never read its answer would have stayed. It is reset 15 s after it was to be closed, as others are.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -190,9 +190,7 @@
         if not interfaces.IHalfCloseableDescriptor.providedBy(self.transport):
             super().loseConnection()
             return
-        self.linger_call = self.callLater(
-            LINGER_S, self.transport.loseConnection
-        )
+        self.linger_call = self.callLater(LINGER_S, self.end_lingering)
         self.turns.stop()
         self.setTimeout(None)
         self._networkProducer.unregisterProducer()
@@ -244,6 +242,13 @@
                 self.is_last_told = True
         super().writeHeaders(version, code, reason, headers)
 
+    def end_lingering(self):
+        """Close the connection of a client that has not closed it."""
+        self._abortingCall = self.callLater(
+            self.abortTimeout, self.forceAbortClient
+        )
+        self.transport.loseConnection()
+
     def requestDone(self, request):
         if self.is_last_told and self.has_later:
             # Sent before the client had read that the connection closes.
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_refusals.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_refusals.py
@@ -7,6 +7,7 @@
 from twisted.internet import threads
 from twisted.trial import unittest
 
+from hollyspan_gateway.online.channel import ClientChannel
 from hollyspan_gateway.online.server import ClientSite
 
 MIB = 1024 * 1024
@@ -54,3 +55,15 @@
         self.site.begin_closing()
         answer = await self.ask(REQUEST, HEAD % (3 * MIB) + bytes(2 * MIB))
         self.assertIn(bytes(4 * MIB), answer)
+
+    async def test_a_client_that_neither_reads_nor_closes_is_dropped(self):
+        self.patch(ClientChannel, "abortTimeout", 0.1)
+        self.site.begin_closing()
+        connection = socket.create_connection(self.address, timeout=5.0)
+        self.addCleanup(connection.close)
+        connection.sendall(REQUEST + HEAD % MIB)
+        await task.deferLater(reactor, 0.1)
+        (channel,) = self.site.channels
+        channel.end_slow()
+        while self.site.channels:
+            await task.deferLater(reactor, 0.01)
