--- a/packages/hollyspan_entry/hollyspan_entry/tests/test_drain.py
+++ b/packages/hollyspan_entry/hollyspan_entry/tests/test_drain.py
@@ -17,12 +17,15 @@
 from hollyspan_core.errors import Outcome
 from hollyspan_core.settings.timing import Timing
 from hollyspan_entry.drain import drain
+from hollyspan_entry.drain import QUIET_S
 from hollyspan_entry.http import AsyncResource
 from hollyspan_entry.http import DrainingSite
 from hollyspan_entry.stopping import require_finishable
 
 NOTICE_S = 0.3
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+HELD = REQUEST.replace(b"/", b"/held", 1)
+STILL = REQUEST.replace(b"/", b"/still", 1)
 
 
 class DrainTest(unittest.TestCase):
@@ -33,6 +36,10 @@
         root.putChild(b"", static.Data(b"whole", "text/plain"))
         root.putChild(b"late", AsyncResource(handle=wait_for_ever))
         root.putChild(b"begun", AsyncResource(handle=begin_and_wait))
+        root.putChild(b"held", AsyncResource(handle=self.hold))
+        root.putChild(b"still", AsyncResource(handle=self.stand_still))
+        self.released = defer.Deferred()
+        self.callers = []
         self.site = DrainingSite(root)
         self.port = reactor.listenTCP(0, self.site, interface="127.0.0.1")
         self.address = ("127.0.0.1", self.port.getHost().port)
@@ -75,6 +82,26 @@
         for connection in connections:
             self.assertIn(b"whole", read_all(connection))
 
+    # Failure: connections that came while the loop was held were reset.
+    async def test_connections_before_the_end_of_listening_are_answered(self):
+        callers = []
+        started = reactor.seconds()
+
+        async def stand_still(request, path):
+            callers.extend(self.connect() for _ in range(5))
+            time.sleep(0.1)
+
+        self.site.resource.putChild(b"now", AsyncResource(handle=stand_still))
+        holder = self.connect(request=b"")
+        work = self.start()
+        await task.deferLater(reactor, NOTICE_S + QUIET_S + 0.02)
+        self.assertLess(reactor.seconds() - started, NOTICE_S + QUIET_S + 0.04)
+        holder.sendall(REQUEST.replace(b"/", b"/now", 1))
+        await work
+        self.assertEqual(len(callers), 5)
+        for caller in callers:
+            self.assertIn(b"whole", read_all(caller))
+
     async def test_requests_that_come_late_one_after_the_other_are_answered(
         self,
     ):
@@ -100,6 +127,70 @@
         await work
         self.assertIn(b"whole", read_all(accepted[-1]))
 
+    async def hold(self, request, path):
+        """Answer in two parts."""
+        request.write(b"part")
+        await self.released
+
+    async def stand_still(self, request, path):
+        """Hold the loop, in which callers send requests."""
+        for caller in self.callers:
+            caller.sendall(REQUEST)
+        time.sleep(2 * NOTICE_S)
+
+    # Failure: a whole request behind a stream got no answer at a stop.
+    async def test_requests_behind_a_stream_are_answered_at_a_stop(self):
+        connection = self.connect(request=HELD)
+        await task.deferLater(reactor, 0.05)
+        connection.sendall(REQUEST + REQUEST)
+        work = self.start()
+        while self.port.connected:
+            await task.deferLater(reactor, 0.01)
+        await task.deferLater(reactor, 2 * NOTICE_S)
+        self.released.callback(None)
+        await work
+        answer = read_all(connection)
+        self.assertEqual(answer.count(b"HTTP/1.1 200 OK\r\n"), 3)
+        self.assertEqual(answer.lower().count(b"connection: close\r\n"), 1)
+
+    # Failure: a whole request behind the answer that a stop had made the last
+    # one got neither an answer nor a refusal.
+    async def test_requests_behind_the_last_answer_are_refused(self):
+        self.site.is_closing = True
+        connection = self.connect(request=HELD)
+        await task.deferLater(reactor, 0.05)
+        connection.sendall(REQUEST + REQUEST)
+        work = self.start()
+        reactor.callLater(NOTICE_S, self.released.callback, None)
+        await work
+        answer = read_all(connection)
+        self.assertEqual(answer.count(b"HTTP/1.1 503 "), 2)
+        self.assertEqual(answer.lower().count(b"\r\nretry-after: "), 2)
+
+    # Failure: connections were closed before what had come on them was read.
+    async def test_requests_that_come_while_the_loop_is_held_are_answered(
+        self,
+    ):
+        self.callers = [self.connect(request=b"") for _ in range(5)]
+        holder = self.connect(request=b"")
+        work = self.start()
+        while self.port.connected:
+            await task.deferLater(reactor, 0.01)
+        await task.deferLater(reactor, 0.05)
+        holder.sendall(STILL)
+        await work
+        for caller in self.callers:
+            self.assertIn(b"whole", read_all(caller))
+
+    # Failure: an idle connection timed out before its request was read.
+    async def test_a_request_on_a_connection_that_times_out_is_answered(self):
+        self.site.timeOut = NOTICE_S
+        self.callers = [self.connect(request=b"")]
+        await task.deferLater(reactor, NOTICE_S / 2)
+        self.connect(request=STILL)
+        await task.deferLater(reactor, 4 * NOTICE_S)
+        self.assertIn(b"whole", read_all(self.callers[0]))
+
     async def stop_with_request(self, path):
         """Stop while a request is answered; return what its caller reads."""
         self.runtime.settings.timing.drain_limit = 0.2
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -1,6 +1,7 @@
 """Connection of a client, of the balancer or of a peer."""
 
 import eliot
+from twisted.internet import interfaces
 from twisted.web import http
 
 from hollyspan_core.errors import IntakeExceededError
@@ -11,6 +12,10 @@
 
 __all__ = ["ClientChannel"]
 
+# Time for which a client that still sends is read before its connection is
+# closed.
+LINGER_S = 1.0
+
 
 class ClientChannel(http.HTTPChannel):
     """Server connection that bounds what it reads and keeps.
@@ -19,6 +24,9 @@
     ----------
     opened_at, used_at : float
         Times of its first and latest bytes, reactor seconds.
+    is_last_told : bool
+        True once an answer in a stop has told that the connection closes;
+        requests behind it are refused.
 
     Notes
     -----
@@ -34,7 +42,10 @@
         self.done_request = None
         self.done_call = None
         self.arrival_call = None
+        self.idle_call = None
         self.is_broken_off = False
+        self.is_last_told = False
+        self.linger_call = None
         # Lines may be as long as a head.
         self.MAX_LENGTH = max(self.MAX_LENGTH, self.totalHeadersSize)
         self.factory.channels.add(self)
@@ -50,7 +61,14 @@
             on_end=lambda reason: None,
         )
 
+    @property
+    def is_ending(self):
+        """Whether nothing more is parsed, since the connection is closed."""
+        return self.linger_call is not None or self.transport.disconnecting
+
     def dataReceived(self, data):
+        if self.linger_call is not None:
+            return
         self.used_at = self.factory.reactor.seconds()
         if not self.turns.pending_bytes and self.is_within_body(len(data)):
             # Nothing is parsed in it.
@@ -77,7 +95,7 @@
         super().dataReceived(data)
         if lines and self._handlingRequest:
             lines -= sum(part.count(b"\n") for part in self._dataBuffer)
-        if self.transport.disconnecting:
+        if self.is_ending:
             self.turns.stop()
         self.watch_arrival()
         return lines
@@ -87,7 +105,7 @@
         is_partial = not self._handlingRequest and bool(
             self.requests or self._buffer
         )
-        if not is_partial or self.transport.disconnecting:
+        if not is_partial or self.is_ending:
             self.stop_watching()
         elif self.arrival_call is None:
             seconds = self.factory.header_seconds
@@ -151,11 +169,92 @@
             b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
             % (status, http.RESPONSES[status])
         )
-        self.loseConnection()
+        for request in self.requests:
+            request.drop_body()
+        self.end_gently()
+
+    def loseConnection(self):
+        if self.is_last_told:
+            self.end_gently()
+        else:
+            super().loseConnection()
+
+    def end_gently(self):
+        """Close the connection, and read what the client sends until then.
+
+        A close before all has been read resets the connection, which may
+        overtake the answer.
+        """
+        if self.is_ending:
+            return
+        if not interfaces.IHalfCloseableDescriptor.providedBy(self.transport):
+            super().loseConnection()
+            return
+        self.linger_call = self.callLater(LINGER_S, self.end_lingering)
+        self.turns.stop()
+        self.setTimeout(None)
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self.transport.resumeProducing()
+
+    @property
+    def has_later(self):
+        """Whether bytes wait behind the request that is handled, if any."""
+        return bool(
+            self.turns.pending_bytes or self._buffer or any(self._dataBuffer)
+        )
+
+    @property
+    def is_idle(self):
+        """Whether there is no request, and no byte of one."""
+        return not (self.requests or self.has_later)
+
+    def timeoutConnection(self):
+        if self.is_idle:
+            self.close_unless_used()
+        else:
+            super().timeoutConnection()
+
+    def close_unless_used(self):
+        """Close an idle connection, after a turn of the loop that reads it.
+
+        Timers are called before what came while the process stood still is
+        read.
+        """
+        if self.idle_call is None:
+            self.idle_call = self.callLater(0, self.close_unused)
+
+    def close_unused(self):
+        """Close the connection if it is still idle."""
+        self.idle_call = None
+        if self.is_idle:
+            self.loseConnection()
+
+    def writeHeaders(self, version, code, reason, headers):
+        """Write the head of an answer; the last one in a stop says so.
+
+        One that others follow does not, since none is handled behind it.
+        """
+        if self.factory.is_closing and self.persistent:
+            if self.is_last_told or not self.has_later:
+                headers.setRawHeaders(b"Connection", [b"close"])
+                self.persistent = False
+                self.is_last_told = True
+        super().writeHeaders(version, code, reason, headers)
+
+    def end_lingering(self):
+        """Close the connection of a client that has not closed it."""
+        self._abortingCall = self.callLater(
+            self.abortTimeout, self.forceAbortClient
+        )
+        self.transport.loseConnection()
 
     def requestDone(self, request):
+        if self.is_last_told and self.has_later:
+            # Sent before the client had read that the connection closes.
+            self.persistent = True
         waits = self.persistent and (
-            self._waitingForTransport or self._dataBuffer or self._buffer
+            self._waitingForTransport or self.has_later
         )
         if not waits:
             super().requestDone(request)
@@ -232,6 +331,11 @@
         if self.done_call is not None:
             self.done_call.cancel()
             self.done_call = None
+        if self.idle_call is not None:
+            self.idle_call.cancel()
+            self.idle_call = None
+        if self.linger_call is not None and self.linger_call.active():
+            self.linger_call.cancel()
         super().connectionLost(reason)
 
     def abortConnection(self):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/server.py
@@ -114,15 +114,21 @@
                 raise
         self.content.write(data)
 
+    def drop_body(self):
+        """Free the room of a body that is not read any more."""
+        self.kept.close()
+        self.content = None
+
     def requestReceived(self, command, path, version):
         self.method = command
         self.uri = path
         self.clientproto = version
         factory = self.channel.factory
         self.arrived_at = factory.reactor.seconds()
-        if factory.is_closing:
-            self.close_after()
-        factory.handle(self)
+        if self.channel.is_last_told:
+            factory.refuse(self)
+        else:
+            factory.handle(self)
 
     def connectionLost(self, reason):
         on_disconnect, self.on_disconnect = self.on_disconnect, None
@@ -136,11 +142,6 @@
         """True while the client can be answered."""
         return self.channel is not None and not self.finished
 
-    def close_after(self):
-        """Close the connection after this answer, with a header saying so."""
-        self.setHeader(b"Connection", b"close")
-        self.channel.persistent = False
-
     def answer(self, status, headers, body):
         """Send a complete answer.
 
@@ -196,6 +197,9 @@
         body that counts with all others.
     all_body_bytes : int, optional
         Bytes of those bodies that are kept at once.
+    refuse : callable, optional
+        Called with each ClientRequest that comes in a stop behind the last
+        answer on its connection; answers that it has not run.
 
     Attributes
     ----------
@@ -208,7 +212,7 @@
     intake : ServedIntake
     max_connections : int
     is_closing : bool
-        True once each connection is closed after its current request.
+        True once each connection is closed after its last request.
     """
 
     noisy = False
@@ -222,9 +226,13 @@
         idle_seconds,
         find_room=lambda host, path: None,
         all_body_bytes=MAX_ALL_BODY_BYTES,
+        refuse=lambda request: request.answer(
+            http.SERVICE_UNAVAILABLE, [(b"Retry-After", b"1")], b""
+        ),
     ):
         super().__init__(reactor=reactor, timeout=idle_seconds)
         self.handle = handle
+        self.refuse = refuse
         self.find_room = find_room
         self.body_limit = body_limit
         self.header_limit = ClientChannel.totalHeadersSize
@@ -288,7 +296,7 @@
         bool
             False if each has a request.
         """
-        idle = [channel for channel in self.channels if not channel.requests]
+        idle = [channel for channel in self.channels if channel.is_idle]
         eliot.log_message(
             "client:too_many", connections=len(self.channels), idle=len(idle)
         )
@@ -302,23 +310,17 @@
     def begin_closing(self):
         """Close each connection after its current or next answer.
 
-        Answers whose head has not been sent say so.
+        The last answer on each says so, if its head has not been sent.
         """
         self.is_closing = True
-        for channel in self.channels:
-            for request in channel.requests:
-                if not request.startedWriting:
-                    request.close_after()
 
     def close_idle(self):
-        """Close idle connections now and busy ones after their request.
+        """Close idle connections now and busy ones after their requests.
 
         A new connection is left the time to send its first request.
         """
         self.is_closing = True
         now = self.reactor.seconds()
         for channel in list(self.channels):
-            if channel.requests:
-                channel.persistent = False
-            elif now - channel.opened_at >= FIRST_REQUEST_S:
-                channel.loseConnection()
+            if channel.is_idle and now - channel.opened_at >= FIRST_REQUEST_S:
+                channel.close_unless_used()
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_shutdown.py
@@ -6,8 +6,12 @@
 import types
 
 from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
+from twisted.internet import threads
+from twisted.python import failure
 from twisted.trial import unittest
 
 from hollyspan_core.errors import DrainingError
@@ -42,6 +46,7 @@
         self.settings = types.SimpleNamespace(work_seconds=WORK_S)
         gateway = types.SimpleNamespace(
             site=self.site,
+            internal_site=None,
             worker=None,
             forwarding=types.SimpleNamespace(running=0),
             settings=self.settings,
@@ -92,6 +97,88 @@
         for connection in connections:
             self.assertIn(b"whole", read_all(connection))
 
+    # Failure: connections were closed before what had come on them was read.
+    async def test_requests_on_kept_connections_in_that_turn_are_answered(
+        self,
+    ):
+        connections = [self.connect() for _ in range(5)]
+        await task.deferLater(reactor, 0.6)
+        self.shutdown.begin()
+        await self.stand_still(connections)
+        await self.stopped
+        for connection in connections:
+            self.assertIn(b"whole", read_all(connection))
+
+    # Failure: an idle connection timed out before its request was read.
+    async def test_a_request_on_a_connection_that_times_out_is_answered(self):
+        self.site.timeOut = 2 * DETECTION_S
+        connection = self.connect()
+        await task.deferLater(reactor, 1.5 * DETECTION_S)
+        await self.stand_still([connection])
+        await task.deferLater(reactor, 2 * DETECTION_S)
+        self.assertIn(b"whole", read_all(connection))
+
+    # Failure: connections that came while the loop was held were reset.
+    async def test_connections_in_the_turn_of_the_exit_are_answered(self):
+        connections = []
+
+        def hold():
+            connections.extend(self.connect() for _ in range(5))
+            for connection in connections:
+                connection.sendall(REQUEST)
+            time.sleep(0.1)
+
+        holder = protocol.DatagramProtocol()
+        holder.datagramReceived = lambda data, address: hold()
+        port = reactor.listenUDP(0, holder, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        self.shutdown.begin()
+        while not self.shutdown.was_drained:
+            await task.deferLater(reactor, 0.001)
+        holder.transport.write(b"x", ("127.0.0.1", port.getHost().port))
+        await self.stopped
+        self.assertEqual(len(connections), 5)
+        for connection in connections:
+            self.assertIn(b"whole", read_all(connection))
+
+    # Failure: an answer that a peer had not read yet was cut at the exit.
+    async def test_the_answers_to_peers_leave_before_the_exit(self):
+        body = bytes(8 * 1024 * 1024)
+        site = self.shutdown.gateway.internal_site = ClientSite(
+            reactor=reactor,
+            handle=lambda request: request.answer(200, [], body),
+            body_limit=100,
+            idle_seconds=10.0,
+        )
+        port = reactor.listenTCP(0, site, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        self.address = ("127.0.0.1", port.getHost().port)
+        connection = self.connect()
+        connection.sendall(REQUEST)
+        self.shutdown.begin()
+        await task.deferLater(reactor, 2 * DETECTION_S)
+        answer = threads.deferToThread(read_bytes, connection, len(body))
+        await self.stopped
+        for channel in list(site.channels):
+            channel.transport.connectionLost(
+                failure.Failure(error.ConnectionDone())
+            )
+        self.assertGreaterEqual(len(await answer), len(body))
+
+    async def stand_still(self, connections):
+        """Let requests come, and timers fall due, while data is handled."""
+
+        def handle(request):
+            self.site.handle = answer
+            for connection in connections:
+                connection.sendall(REQUEST)
+            time.sleep(DETECTION_S)
+            request.answer(200, [], b"")
+
+        answer, self.site.handle = self.site.handle, handle
+        self.connect().sendall(REQUEST)
+        await task.deferLater(reactor, 1.5 * DETECTION_S)
+
     async def test_a_new_connection_is_left_time_for_its_request(self):
         self.shutdown.begin()
         await task.deferLater(reactor, DETECTION_S - 0.02)
@@ -194,6 +281,13 @@
             self.assertEqual(read_all(connection), b"")
 
 
+def read_bytes(connection, size):
+    received = bytearray()
+    while len(received) < size and (chunk := connection.recv(65536)):
+        received += chunk
+    return received
+
+
 def read_all(connection):
     chunks = []
     while chunk := connection.recv(4096):
