Let urgent items leave a silence before others start

What callers saw: items due in 8 s stayed at an upstream that hung for the bound of 2.5 s, while items due in 900 s started on places that became free.

Such a run is broken off only when it is this gateway's turn at a place at an upstream that is heard, and its item starts there in the same round, with the body that the run holds. Other silent runs stay, as before. Places are looked for once a round for each service and version.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/body_fetches.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/body_fetches.py
@@ -66,6 +66,10 @@
             )
         return item
 
+    def keep(self, state, item):
+        """Keep an item's body for the rest of this round."""
+        self.offered[state.key] = item
+
     def start(self, state):
         """Start reading an item's body, after which it is placed anew."""
         self.reading.add(state.key)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/item_placement.py
@@ -125,6 +125,32 @@
                 discard_text(state, "its version has no place")
         return upstream
 
+    def has_place_elsewhere(self, state, service):
+        """Return whether an urgent item has a place away from its silence.
+
+        Parameters
+        ----------
+        state : ItemState
+            It runs.
+        service : str
+        """
+        key = ("elsewhere", service, state.version)
+        if key in self.known:
+            return False
+        has_place = self.gateway.batch_placement.has_turn(
+            service,
+            accepts=self.silences.is_heard,
+            key=state.item.identifier,
+            find_rank=self.find_rank,
+            version=state.version,
+        )
+        if has_place:
+            # What the run leaves is free for others.
+            self.known.clear()
+        else:
+            self.known[key] = None
+        return has_place
+
     def must_start_over(self, state):
         """Return whether an item has waited for its version long enough."""
         return state.version is not None and must_start_over(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -235,6 +235,14 @@
         """Return whether to leave the upstream, which is silent."""
         return self.silences.must_leave(self)
 
+    def move(self):
+        """Break the silent run off for a free place elsewhere."""
+        self.is_moving = True
+        waited = self.gateway.reactor.seconds() - self.heard_at
+        self.exposure.abort(
+            StreamStalledError(f"no data received for {waited:.3f} s")
+        )
+
     def handle_reply(self, status, headers):
         self.gateway.reach.note_data(
             self.upstream, opened_at=self.exposure.opened_at
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
@@ -116,7 +116,6 @@
         """
         reach = self.gateway.reach
         now = self.gateway.reactor.seconds()
-        link = run.upstream.link
         quiet_since = run.heard_at
         self.runs[run.state.key] = run
         if now - quiet_since >= STILL_S:
@@ -129,23 +128,48 @@
             is_ended=run.upstream.incarnation.is_gone,
         ):
             return True
-        run.is_moving = (
-            # Moving once more would help no more than the last time.
-            not run.state.lost_runs
-            and pays_to_move(
-                quiet_seconds=now - quiet_since,
-                is_upstream_heard=is_only_silent_here(
-                    quiet_since=quiet_since,
-                    answered_elsewhere_at=max(
-                        link.heard_at, link.last_elsewhere_at
-                    ),
+        run.is_moving = self.pays_to_move(run) and self.take_place(run)
+        return run.is_moving
+
+    def pays_to_move(self, run):
+        """Return whether a silent run should go on at a free place."""
+        # Moving once more would help no more than the last time.
+        if run.state.lost_runs:
+            return False
+        link = run.upstream.link
+        return pays_to_move(
+            quiet_seconds=self.gateway.reactor.seconds() - run.heard_at,
+            is_upstream_heard=is_only_silent_here(
+                quiet_since=run.heard_at,
+                answered_elsewhere_at=max(
+                    link.heard_at, link.last_elsewhere_at
                 ),
-                move_seconds=run.first_event_seconds or FIRST_EVENT_S,
-                slack_seconds=self.measure_slack(run.state),
-            )
-            and self.take_place(run)
+            ),
+            move_seconds=run.first_event_seconds or FIRST_EVENT_S,
+            slack_seconds=self.measure_slack(run.state),
         )
-        return run.is_moving
+
+    def list_movable(self):
+        """Return the items of silent runs that should go on elsewhere.
+
+        Returns
+        -------
+        list of ItemState
+            Those that may go to any upstream that is heard now.
+        """
+        now = self.gateway.reactor.seconds()
+        if now - self.gateway.reach.heard_at > HEARD_S:
+            return []
+        return [
+            run.state
+            for run in self.runs.values()
+            if run.exposure.abort is not None
+            and is_only_silent_here(
+                quiet_since=run.heard_at,
+                answered_elsewhere_at=now - HEARD_S,
+            )
+            and self.pays_to_move(run)
+        ]
 
     def has_follower(self):
         """Return whether another gateway can run the items of this one."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_hanging_upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_hanging_upstream.py
@@ -57,8 +57,8 @@
     assert not still_open
 
 
-# Places that become free go to items that wait, of less urgent jobs, too;
-# those at the upstream that hangs stay for the bound.
+# Failure: places that became free went to items that waited, of less urgent
+# jobs, too; those at the upstream that hung stayed for the bound.
 def test_urgent_items_leave_a_hanging_upstream_before_others_start(
     build_workers, run, monkeypatch  # noqa: F811
 ):
@@ -96,6 +96,27 @@
     ]
 
 
+# Items that are not urgent ran again for each place that became free.
+def test_items_that_are_not_urgent_stay_while_others_wait(
+    build_workers, submit  # noqa: F811
+):
+    fleet = build_workers()
+    submit(fleet, UPSTREAMS * SLOTS - 3)
+    submit(fleet, 40, name="z")
+    fleet.advance(1.0)
+    hanging = fleet.sent[-1].upstream
+    runs = [
+        send
+        for send in fleet.sent
+        if send.upstream == hanging and send.is_open()
+    ]
+    fleet.silent_upstreams = {hanging}
+    before = len(fleet.sent)
+    fleet.advance(2.2)
+    assert len(fleet.sent) > before
+    assert runs and all(send.is_open() for send in runs)
+
+
 # Failure: runs were broken off when their worker's own link refused one
 # connection, though the upstream went on.
 def test_items_outlast_a_refused_connection_in_a_silence(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -223,13 +223,28 @@
         self.fetches.begin_round()
         self.placement.begin_round()
         now = self.gateway.wall_clock()
+        if waiting:
+            waiting += self.list_urgent_silent(now)
         for state in sorted(waiting, key=lambda state: self.rank(state, now)):
             self.try_start_item(state)
 
+    def list_urgent_silent(self, now):
+        """Return the urgent items whose runs are silent.
+
+        They compete with those that wait; others that run stay in a silence
+        while items wait, since a move costs a part of the place that it takes.
+        """
+        return [
+            state
+            for state in self.silences.list_movable()
+            if is_urgent(state, now)
+        ]
+
     def try_start_item(self, state):
         """Start one item; a failure concerns this item alone."""
         try:
-            self.start_item(state)
+            if state.run is None or self.leave_silence(state):
+                self.start_item(state)
         except Exception:
             eliot.write_traceback()
             if state.run is not None and state.run.deferred is None:
@@ -240,6 +255,19 @@
                 self.gateway.reactor.seconds() + START_FAILURE_DELAY_S
             )
 
+    def leave_silence(self, state):
+        """Break a silent run off if its item has a place elsewhere now."""
+        route = self.find_batch_route(state)
+        if route is None:
+            return False
+        service = choose_service(route, state.item.identifier)
+        if not self.placement.has_place_elsewhere(state, service):
+            return False
+        run = state.run
+        self.fetches.keep(state, run.item)
+        run.move()
+        return state.run is None and state.result is None
+
     def release_ended_jobs(self, workers):
         """Release the waiting tokens of the ended jobs that are owned here."""
         for job_state, end_revision in self.catalogue.list_unreleased():
@@ -337,7 +365,7 @@
         upstream = self.placement.choose(
             state,
             service,
-            is_urgent=job.due - now < URGENT_SLACK_S,
+            is_urgent=is_urgent(state, now),
         )
         if upstream is None:
             self.note_shortage(state, service)
@@ -519,3 +547,8 @@
             )
             self.gateway.metrics.count_item("preempted")
             state.run.cancel()
+
+
+def is_urgent(state, now):
+    """Return whether an item may use the headroom of online requests."""
+    return state.job_state.job.due - now < URGENT_SLACK_S
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/batch_placement.py
@@ -1,6 +1,7 @@
 """Placement of batch items on upstreams."""
 
 import contextlib
+import functools
 import math
 
 from hollyspan_policy.batch import choose_batch_upstream
@@ -66,35 +67,10 @@
         Upstream or None
             None when batch work may use no slot.
         """
-        placement = self.placement
-
-        def count_startable(view):
-            upstream = placement.directory.upstreams[view.name]
-            rank, daemons = find_rank(upstream)
-            return upstream.turns.count_startable(
-                count_free_slots(view),
-                rank=rank,
-                daemons=daemons,
-                now=placement.reactor.seconds(),
-            )
-
-        def choose(views, headroom_fraction):
-            return choose_batch_upstream(
-                views,
-                data_centre=placement.data_centre,
-                is_same_region=placement.is_same_region,
-                has_current_remote_load=placement.has_current_remote_load(),
-                headroom_fraction=headroom_fraction,
-                count_startable=count_startable,
-                seed=key,
-            )
-
-        views = placement.build_views(
-            service,
-            version=version,
-            include_suspects=False,
-            is_repeatable=True,
+        choose = functools.partial(
+            self.choose_view, key=key, find_rank=find_rank
         )
+        views = self.build_views(service, version)
         others = [view for view in views if view.name not in avoided]
         headroom = 0.0 if is_urgent else BATCH_HEADROOM_SHARE
         # Online requests use few of the slots of a limited upstream.
@@ -105,10 +81,63 @@
         )
         if view is None:
             return None
-        upstream = placement.directory.upstreams[view.name]
+        upstream = self.placement.directory.upstreams[view.name]
         upstream.turns.record_start()
         return upstream
 
+    def has_turn(self, service, *, accepts, key, find_rank, version):
+        """Return whether a silent run may go to a free place now.
+
+        Parameters
+        ----------
+        service : str
+        accepts : callable
+            Called with an Upstream, returns whether the run may move there.
+        key, find_rank, version
+            See `choose`; the item is urgent, and this gateway's turn counts.
+        """
+        upstreams = self.placement.directory.upstreams
+        views = [
+            view
+            for view in self.build_views(service, version)
+            if accepts(upstreams[view.name])
+        ]
+        view = self.choose_view(views, 0.0, key=key, find_rank=find_rank)
+        return view is not None
+
+    def build_views(self, service, version):
+        """Return the views of the upstreams at which items may start."""
+        return self.placement.build_views(
+            service,
+            version=version,
+            include_suspects=False,
+            is_repeatable=True,
+        )
+
+    def choose_view(self, views, headroom_fraction, *, key, find_rank):
+        """Choose among the views of upstreams, None without a place."""
+        placement = self.placement
+
+        def count_startable(view):
+            upstream = placement.directory.upstreams[view.name]
+            rank, daemons = find_rank(upstream)
+            return upstream.turns.count_startable(
+                count_free_slots(view),
+                rank=rank,
+                daemons=daemons,
+                now=placement.reactor.seconds(),
+            )
+
+        return choose_batch_upstream(
+            views,
+            data_centre=placement.data_centre,
+            is_same_region=placement.is_same_region,
+            has_current_remote_load=placement.has_current_remote_load(),
+            headroom_fraction=headroom_fraction,
+            count_startable=count_startable,
+            seed=key,
+        )
+
     def has_place(self, service):
         """Return whether batch work may use a slot, whosever turn it is."""
         placement = self.placement
@@ -139,12 +168,7 @@
         placement = self.placement
         views = [
             view
-            for view in placement.build_views(
-                service,
-                version=version,
-                include_suspects=False,
-                is_repeatable=True,
-            )
+            for view in self.build_views(service, version)
             if view.serving
             and not view.waiting
             and accepts(placement.directory.upstreams[view.name])
