Keep texts that fall silent again and again at one upstream

What callers saw: items began anew, up to 20 events of a text lost each time, while one upstream hung and all others were full.

Cause: the places of an upstream that hangs are the only free ones, so items start there again; each silent run counted as a lost run, and three of them dropped the text as broken by its version.

Change: of the silences at one upstream the first one counts (`speaks_against_text`), unless the upstream was heard meanwhile, or no other one that can go on with the text is heard. A text at which upstreams hang falls silent at one after the other, and is dropped as before.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/job_state.py
@@ -27,7 +27,10 @@
         Number of runs that failed at the upstream, status 500.
     lost_runs : int
         Number of runs in a row that failed before an event, other than by a
-        refusal or a status 500.
+        refusal or a status 500. Of the silences at one upstream, the first
+        one counts; see `speaks_against_text`.
+    silent_at : frozenset of str
+        Names of the upstreams at which these runs fell silent.
     was_silent : bool
         True if the last run that failed was abandoned after a silence.
     has_moved : bool
@@ -87,6 +90,7 @@
         "has_result",
         "failures",
         "lost_runs",
+        "silent_at",
         "was_silent",
         "has_moved",
         "event_data",
@@ -120,6 +124,7 @@
         self.has_result = False
         self.failures = 0
         self.lost_runs = 0
+        self.silent_at = frozenset()
         self.was_silent = False
         self.has_moved = False
         self.event_data = []
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -345,6 +345,9 @@
         self.state.has_moved = self.is_moving
         if self.has_new_events():
             self.state.lost_runs = 0
+            self.state.silent_at = frozenset()
+        elif self.state.was_silent:
+            self.state.lost_runs += self.silences.speaks_against_text(self)
         elif is_lost_run(error):
             self.state.lost_runs += 1
         self.gateway.placement.note_failure(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.reach import is_only_silent_here
 from hollyspan_policy.retries import must_leave_silence
 from hollyspan_policy.retries import pays_to_move
+from hollyspan_policy.retries import speaks_against_text
 
 __all__ = ["Silences"]
 
@@ -136,19 +137,39 @@
         # Moving once more would help no more than the last time.
         if run.state.lost_runs:
             return False
-        link = run.upstream.link
         return pays_to_move(
             quiet_seconds=self.gateway.reactor.seconds() - run.heard_at,
-            is_upstream_heard=is_only_silent_here(
-                quiet_since=run.heard_at,
-                answered_elsewhere_at=max(
-                    link.heard_at, link.last_elsewhere_at
-                ),
-            ),
+            is_upstream_heard=is_upstream_heard(run),
             move_seconds=run.first_event_seconds or FIRST_EVENT_S,
             slack_seconds=self.measure_slack(run.state),
         )
 
+    def speaks_against_text(self, run):
+        """Return whether a run broken off without an event counts.
+
+        Notes that the item was silent at its upstream.
+        """
+        state, upstream = run.state, run.upstream
+        name = upstream.entry.name
+        is_first_there = name not in state.silent_at
+        state.silent_at |= {name}
+        return speaks_against_text(
+            is_upstream_heard=(
+                # Bytes without an event may have come.
+                self.gateway.reactor.seconds() - run.heard_at < HEARD_S
+                or is_upstream_heard(run)
+            ),
+            is_first_there=is_first_there,
+            has_other=any(
+                other is not upstream
+                and state.version in (None, other.entry.version_key)
+                and self.is_heard(other)
+                for other in self.gateway.directory.list_usable(
+                    upstream.entry.service
+                )
+            ),
+        )
+
     def list_movable(self):
         """Return the items of silent runs that should go on elsewhere.
 
@@ -233,6 +254,15 @@
         )
 
 
+def is_upstream_heard(run):
+    """Return whether an upstream was heard while a run there was silent."""
+    link = run.upstream.link
+    return is_only_silent_here(
+        quiet_since=run.heard_at,
+        answered_elsewhere_at=max(link.heard_at, link.last_elsewhere_at),
+    )
+
+
 class FreePlaces:
     """Places that items may move to.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_hanging_upstream.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_hanging_upstream.py
@@ -13,6 +13,8 @@
 from .test_items_in_silences import UPSTREAMS
 
 
+# Failure: three silent runs at an upstream that hung dropped a text that
+# others could go on with.
 @pytest.mark.parametrize("opens", [True, False])
 def test_one_upstream_hangs_for_ever_while_all_others_are_full(
     build_workers, submit, wire, monkeypatch, opens  # noqa: F811
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_silences.py
@@ -60,3 +60,34 @@
 ):
     run.heard_at = reactor.seconds()
     assert not silences.take_place(run)
+
+
+# Failure: three silent runs at an upstream that hung dropped a text that
+# others could go on with.
+@pytest.mark.parametrize(
+    ("other_version", "heard_age", "counted"),
+    [(7, 0.1, 1), (7, 1.0, 3), (8, 0.1, 3)],
+    ids=["can_go_on", "silent", "other_version"],
+)
+def test_silences_at_one_upstream_count_once_while_others_can_go_on(
+    silences, run, reactor, other_version, heard_age, counted
+):
+    def build_upstream(name, *, version, age):
+        heard_at = reactor.seconds() - age
+        return types.SimpleNamespace(
+            entry=types.SimpleNamespace(
+                name=name, service=SERVICE, version_key=version
+            ),
+            link=types.SimpleNamespace(
+                heard_at=heard_at, last_elsewhere_at=heard_at
+            ),
+        )
+
+    run.upstream = build_upstream("u", version=7, age=1.0)
+    run.state.version = 7
+    run.state.silent_at = frozenset()
+    other = build_upstream("v", version=other_version, age=heard_age)
+    silences.gateway.directory = types.SimpleNamespace(
+        list_usable=lambda service: [run.upstream, other]
+    )
+    assert sum(silences.speaks_against_text(run) for _ in range(3)) == counted
--- a/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
@@ -11,6 +11,7 @@
 from .silence import MAX_STILL_S
 from .silence import must_leave_silence
 from .silence import pays_to_move
+from .silence import speaks_against_text
 
 __all__ = [
     "AttemptFailure",
@@ -24,4 +25,5 @@
     "must_continue",
     "must_leave_silence",
     "pays_to_move",
+    "speaks_against_text",
 ]
--- a/packages/hollyspan_policy/hollyspan_policy/retries/silence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/silence.py
@@ -1,6 +1,11 @@
 """Decisions on runs whose upstream is silent."""
 
-__all__ = ["MAX_STILL_S", "must_leave_silence", "pays_to_move"]
+__all__ = [
+    "MAX_STILL_S",
+    "must_leave_silence",
+    "pays_to_move",
+    "speaks_against_text",
+]
 
 # Time after which an upstream that is not heard does not just stand still.
 MAX_STILL_S = 2.5
@@ -112,3 +117,36 @@
         quiet_seconds >= move_seconds
         or move_seconds <= slack_seconds < rest_seconds
     )
+
+
+def speaks_against_text(*, is_upstream_heard, is_first_there, has_other):
+    """Return whether a silent run without an event counts for its text.
+
+    Parameters
+    ----------
+    is_upstream_heard : bool
+        Whether the upstream has brought other bytes meanwhile.
+    is_first_there : bool
+        Whether no earlier run of the text has counted there, since its last
+        event.
+    has_other : bool
+        Whether another upstream is heard that can go on with the text.
+
+    Returns
+    -------
+    bool
+
+    Notes
+    -----
+    Load pattern: one upstream hangs for ever while all others are full, so
+    that its places are the only free ones, and items start there again and
+    again. A text at which upstreams hang falls silent at one after the other.
+
+    Examples
+    --------
+    >>> speaks_against_text(
+    ...     is_upstream_heard=False, is_first_there=False, has_other=True
+    ... )
+    False
+    """
+    return is_upstream_heard or is_first_there or not has_other
--- a/packages/hollyspan_policy/hollyspan_policy/retries/tests/test_silence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/tests/test_silence.py
@@ -5,6 +5,7 @@
 from hollyspan_policy.retries import MAX_STILL_S
 from hollyspan_policy.retries import must_leave_silence
 from hollyspan_policy.retries import pays_to_move
+from hollyspan_policy.retries import speaks_against_text
 
 STILL = {
     "quiet_seconds": 1.8,
@@ -49,3 +50,23 @@
 )
 def test_a_run_moves_when_the_rest_of_the_silence_may_cost_more(change, pays):
     assert pays_to_move(**{**MOVE, **change}) is pays
+
+
+@pytest.mark.parametrize(
+    ("change", "speaks"),
+    [
+        ({}, False),
+        ({"is_upstream_heard": True}, True),
+        ({"is_first_there": True}, True),
+        ({"has_other": False}, True),
+    ],
+)
+def test_a_silence_counts_once_for_a_text_that_others_can_go_on_with(
+    change, speaks
+):
+    again = {
+        "is_upstream_heard": False,
+        "is_first_there": False,
+        "has_other": True,
+    }
+    assert speaks_against_text(**{**again, **change}) is speaks
