--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/run.py
@@ -235,6 +235,14 @@
         """Return whether to leave the upstream, which is silent."""
         return self.silences.must_leave(self)
 
+    def move(self):
+        """Break the silent run off for a free place elsewhere."""
+        self.is_moving = True
+        waited = self.gateway.reactor.seconds() - self.heard_at
+        self.exposure.abort(
+            StreamStalledError(f"no data received for {waited:.3f} s")
+        )
+
     def handle_reply(self, status, headers):
         self.gateway.reach.note_data(
             self.upstream, opened_at=self.exposure.opened_at
@@ -337,6 +345,9 @@
         self.state.has_moved = self.is_moving
         if self.has_new_events():
             self.state.lost_runs = 0
+            self.state.silent_at = frozenset()
+        elif self.state.was_silent:
+            self.state.lost_runs += self.silences.speaks_against_text(self)
         elif is_lost_run(error):
             self.state.lost_runs += 1
         self.gateway.placement.note_failure(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/silences.py
@@ -6,6 +6,7 @@
 from hollyspan_policy.reach import is_only_silent_here
 from hollyspan_policy.retries import must_leave_silence
 from hollyspan_policy.retries import pays_to_move
+from hollyspan_policy.retries import speaks_against_text
 
 __all__ = ["Silences"]
 
@@ -116,7 +117,6 @@
         """
         reach = self.gateway.reach
         now = self.gateway.reactor.seconds()
-        link = run.upstream.link
         quiet_since = run.heard_at
         self.runs[run.state.key] = run
         if now - quiet_since >= STILL_S:
@@ -129,24 +129,69 @@
             is_ended=run.upstream.incarnation.is_gone,
         ):
             return True
-        run.is_moving = (
-            # Moving once more would help no more than the last time.
-            not run.state.lost_runs
-            and pays_to_move(
-                quiet_seconds=now - quiet_since,
-                is_upstream_heard=is_only_silent_here(
-                    quiet_since=quiet_since,
-                    answered_elsewhere_at=max(
-                        link.heard_at, link.last_elsewhere_at
-                    ),
-                ),
-                move_seconds=run.first_event_seconds or FIRST_EVENT_S,
-                slack_seconds=self.measure_slack(run.state),
-            )
-            and self.take_place(run)
-        )
+        run.is_moving = self.pays_to_move(run) and self.take_place(run)
         return run.is_moving
 
+    def pays_to_move(self, run):
+        """Return whether a silent run should go on at a free place."""
+        # Moving once more would help no more than the last time.
+        if run.state.lost_runs:
+            return False
+        return pays_to_move(
+            quiet_seconds=self.gateway.reactor.seconds() - run.heard_at,
+            is_upstream_heard=is_upstream_heard(run),
+            move_seconds=run.first_event_seconds or FIRST_EVENT_S,
+            slack_seconds=self.measure_slack(run.state),
+        )
+
+    def speaks_against_text(self, run):
+        """Return whether a run broken off without an event counts.
+
+        Notes that the item was silent at its upstream.
+        """
+        state, upstream = run.state, run.upstream
+        name = upstream.entry.name
+        is_first_there = name not in state.silent_at
+        state.silent_at |= {name}
+        return speaks_against_text(
+            is_upstream_heard=(
+                # Bytes without an event may have come.
+                self.gateway.reactor.seconds() - run.heard_at < HEARD_S
+                or is_upstream_heard(run)
+            ),
+            is_first_there=is_first_there,
+            has_other=any(
+                other is not upstream
+                and state.version in (None, other.entry.version_key)
+                and self.is_heard(other)
+                for other in self.gateway.directory.list_usable(
+                    upstream.entry.service
+                )
+            ),
+        )
+
+    def list_movable(self):
+        """Return the items of silent runs that should go on elsewhere.
+
+        Returns
+        -------
+        list of ItemState
+            Those that may go to any upstream that is heard now.
+        """
+        now = self.gateway.reactor.seconds()
+        if now - self.gateway.reach.heard_at > HEARD_S:
+            return []
+        return [
+            run.state
+            for run in self.runs.values()
+            if run.exposure.abort is not None
+            and is_only_silent_here(
+                quiet_since=run.heard_at,
+                answered_elsewhere_at=now - HEARD_S,
+            )
+            and self.pays_to_move(run)
+        ]
+
     def has_follower(self):
         """Return whether another gateway can run the items of this one."""
         own = self.gateway.peers.identifier
@@ -209,6 +254,15 @@
         )
 
 
+def is_upstream_heard(run):
+    """Return whether an upstream was heard while a run there was silent."""
+    link = run.upstream.link
+    return is_only_silent_here(
+        quiet_since=run.heard_at,
+        answered_elsewhere_at=max(link.heard_at, link.last_elsewhere_at),
+    )
+
+
 class FreePlaces:
     """Places that items may move to.
 
