Count what describes the jobs that are read

A gateway that reads jobs for clients evicts the results that were read least recently beyond a limit, but counted their outputs alone. Identifiers of items and results, 1,400 bytes for a job of one item and 280 to 590 for each item of larger ones (traced), were kept for all jobs read within 20 s.

They are counted with the outputs, in hollyspan_job_results_held_bytes, too. The test reads 40 jobs with a limit of 20,000 bytes: without the change 40 views are kept.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/reading.py
@@ -119,8 +119,11 @@
                 del self.views[identifier]
 
     def count_held_bytes(self):
-        """Return the bytes of the results that are held."""
-        return sum(view.held_bytes for view in self.views.values())
+        """Return the bytes of the jobs and results that are held."""
+        return sum(
+            view.held_bytes + view.described_bytes
+            for view in self.views.values()
+        )
 
     def evict_excess_views(self, identifier):
         """Evict the results that were read least recently, beyond a limit.
@@ -134,7 +137,7 @@
             if held <= self.gateway.bodies.limit:
                 return
             if other != identifier and not view.is_reading:
-                held -= view.held_bytes
+                held -= view.held_bytes + view.described_bytes
                 del self.views[other]
 
     async def read(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_reading.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_reading.py
@@ -199,3 +199,23 @@
     request = helpers.build_request(reactor=reactor)
     pair[0].reading.answer_peer(request, target)
     assert request.status == 503
+
+
+# Failure: a reader kept the identifiers of all results of the jobs that were
+# read, however many, since only their outputs were counted.
+def test_jobs_that_are_read_are_bounded_without_their_outputs(
+    build_gateway, submit, run
+):
+    gateway = build_gateway(memory_bytes=160_000)
+    most = 0
+    for number in range(40):
+        submit(f"j{number}")
+        run(read_locally(gateway, f"j{number}"))
+        most = max(most, len(gateway.reading.views))
+    # Some 1,500 bytes each, of 20,000.
+    assert 5 < most < 15
+
+
+async def read_locally(gateway, identifier):
+    view = await gateway.reading.find_view(identifier)
+    await view.wait_for(0, seconds=0.0)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/view.py
@@ -22,6 +22,11 @@
 JOIN_S = 0.45
 # Time to come back for the client of a result that is not found again.
 RETRY_AFTER_S = 0.5
+# Objects of a job that is read, of an item and of a result, beside texts and
+# outputs.
+VIEW_OVERHEAD_BYTES = 1_200
+ITEM_OVERHEAD_BYTES = 110
+RESULT_OVERHEAD_BYTES = 150
 
 
 class JobView:
@@ -49,6 +54,8 @@
     item_identifiers : frozenset of str
     held_bytes : int
         Bytes of the outputs in the results.
+    described_bytes : int
+        Bytes of all else.
     last_used : float
         Time of the last read, reactor seconds.
 
@@ -72,6 +79,7 @@
         "limit",
         "position",
         "held_bytes",
+        "described_bytes",
         "last_used",
     )
 
@@ -83,6 +91,10 @@
         self.item_identifiers = frozenset(
             item.identifier for item in job.items
         )
+        self.described_bytes = VIEW_OVERHEAD_BYTES + sum(
+            ITEM_OVERHEAD_BYTES + len(identifier)
+            for identifier in self.item_identifiers
+        )
         # Nothing but their identifiers is asked for.
         job.drop_items()
         self.limit = limit
@@ -228,6 +240,9 @@
             if result.identifier not in self.added and entry.revision:
                 self.added.add(result.identifier)
                 self.results.append(result)
+                self.described_bytes += RESULT_OVERHEAD_BYTES + len(
+                    result.identifier
+                )
                 if entry.key in without_output:
                     result.output = None
                 else:
