Refuse a job whose results have no key in the store

Keys of the store have 200 bytes at most. A job whose identifier and those of its items need more was answered 202; by the code, the store then refuses each write of a result, which counts as an outage, so that it is repeated each 0.3 s without end, with the results of other jobs that share the write under a limit on waiting tokens. Such a job is an invalid request now, refused before anything is stored.

The test fails without the change at 186 characters beside a job of nine; 185 are accepted before and after.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -6,6 +6,7 @@
 import eliot
 
 from hollyspan_core.errors import IdentifierTakenError
+from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StoreKeyExistsError
@@ -14,7 +15,10 @@
 from ..routes import RouteKind
 from .job import Job
 from .loading import load_job
+from .quota_records import build_quota_identifier
+from .quota_records import build_release_key
 from .records import build_end_key
+from .records import build_result_key
 from .records import encode_job
 
 __all__ = ["MAX_SUBMISSION_S", "Submissions"]
@@ -23,6 +27,8 @@
 MAX_SUBMISSION_S = 4.0
 # Used for a route that states no completion or retention time.
 DEFAULT_COMPLETION_S = 3600.0
+# Limit of the store.
+MAX_KEY_BYTES = 200
 # Usual time in which a long job is stored.
 RETRY_AFTER_S = 0.5
 
@@ -149,6 +155,7 @@
             item.headers = self.gateway.workspaces.drop_credentials(
                 item.headers
             )
+        require_short_keys(head.identifier, items)
         now = self.gateway.wall_clock()
         return Job(
             identifier=head.identifier,
@@ -203,3 +210,26 @@
         else:
             eliot.log_message("job:ended", job=identifier)
         request.answer(200, [], b"")
+
+
+def require_short_keys(identifier, items):
+    """Raise an error unless the store has keys for a job and its results.
+
+    Parameters
+    ----------
+    identifier : str
+        That of the job.
+    items : list of Item
+
+    Raises
+    ------
+    InvalidRequestError
+    """
+    keys = [build_result_key(identifier, item.identifier) for item in items]
+    keys.append(build_release_key(build_quota_identifier(""), identifier))
+    longest = max(len(key.encode()) for key in keys)
+    if longest > MAX_KEY_BYTES:
+        raise InvalidRequestError(
+            f"the identifiers need a key of {longest} bytes, "
+            f"{MAX_KEY_BYTES} at most"
+        )
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_submissions.py
@@ -8,6 +8,7 @@
 import pytest
 from twisted.internet import defer
 
+from hollyspan_core.errors import InvalidRequestError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import OverloadedError
 from hollyspan_gateway.jobs import Item
@@ -34,9 +35,9 @@
     """Return a function that submits a job; it returns how this ended."""
     route = helpers.build_route(host="h", prefix="/b/", kind=RouteKind.BATCH)
 
-    def start(name, size):
+    def start(name, size, *, item="i"):
         gateway.dialect.decode_items = lambda body: [
-            Item(identifier="i", path="/b/x", headers=[], body=body)
+            Item(identifier=item, path="/b/x", headers=[], body=body)
         ]
         request = helpers.build_request(reactor=reactor, body=b"x" * size)
         head = helpers.build_head(identifier=name)
@@ -225,3 +226,18 @@
     assert submissions.find_room("other", "/b/") is None
     gateway.routes = None
     assert submissions.find_room("h", "/b/") is None
+
+
+# Failure: a job was accepted whose results had no key in the store, and their
+# writes were repeated without end, those of other jobs with them.
+@pytest.mark.parametrize("length, is_accepted", [(185, True), (186, False)])
+def test_a_job_whose_results_have_no_key_is_refused(
+    gateway, submissions, submit, wire, length, is_accepted
+):
+    name = "j" * 9
+    request, ends = submit(name, 10, item="i" * length)
+    if is_accepted:
+        assert request.status == 202
+        return
+    assert ends[0].check(InvalidRequestError)
+    assert wire.entries == {}
