Bound what a worker keeps to describe open jobs

Callers saw nothing yet; worked out, an hour of jobs that cannot run takes 79 MB of descriptions at each worker, more than one of 180 MB has left beside bodies. It would end for its memory, read all jobs at its start and end again.

State of items (identifiers, paths, parts of prompts, runs) was kept for all open jobs of the fleet, some 770 bytes an item and all its texts. A worker counts it now, up to an eighth of its memory, 4 MiB at least. Jobs beyond it wait in the order of their creation and are read when items end; jobs that the client ends are read at once, since nothing of them stays. If nothing that is held makes progress for 10 s, one more is read beyond the limit, with a line and a counter. Workers tell what is left in heartbeats (a field that builds before pass over) once it is less than half, and fronts refuse a job that fits at none, before it is stored, with 503 and Retry-After; one accepted before is answered 202 as before, for which the store is asked at a refusal only. A worker that tells nothing, of an older build, counts as one with room.

Records and calls to the store are as before below the limit. Of several records that cannot be read now, at a start without the store, two are tried at a time instead of all.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/body_limits.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/body_limits.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "choose_body_limit",
+    "choose_description_limit",
     "choose_kept_limit",
     "choose_peer_request_limit",
     "choose_request_limit",
@@ -17,6 +18,9 @@
 MEMORY_SHARE = 8
 # Two of the longest bodies that the users' sites allow.
 MIN_REQUEST_BYTES = 8 * MIB
+# Four jobs of the most items, whose identifiers, paths and parts of prompts
+# are as long as they may be.
+MIN_DESCRIPTION_BYTES = 4 * MIB
 
 
 def choose_body_limit(memory_bytes):
@@ -41,6 +45,27 @@
     return memory_bytes // MEMORY_SHARE
 
 
+def choose_description_limit(memory_bytes):
+    """Return the limit on what a worker keeps to describe open jobs.
+
+    Parameters
+    ----------
+    memory_bytes : int or None
+
+    Returns
+    -------
+    int
+
+    Examples
+    --------
+    >>> choose_description_limit(180_000_000)
+    22500000
+    >>> choose_description_limit(8_000_000)
+    4194304
+    """
+    return max(MIN_DESCRIPTION_BYTES, choose_body_limit(memory_bytes))
+
+
 def choose_kept_limit(memory_bytes, *, runs_batch):
     """Return the limit on the bodies that are kept for a later use.
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/catalogue.py
@@ -1,5 +1,7 @@
 """State of all jobs in the store, as a worker follows them."""
 
+import functools
+
 import eliot
 from twisted.internet import defer
 
@@ -11,6 +13,9 @@
 from ..clock import wait
 from ..store import Mirror
 from .arrivals import Arrivals
+from .body_limits import choose_description_limit
+from .job_room import JobRoom
+from .job_room import measure_job
 from .job_state import ItemState
 from .job_state import JobState
 from .loading import read_record
@@ -58,6 +63,8 @@
         Identifiers of the jobs that their clients have ended.
     arrivals : Arrivals
         First parts of the records that are not read yet.
+    room : JobRoom
+        Memory that the open jobs take which have been read.
     forgotten : int
         Number of items forgotten since all of their jobs' had results.
     """
@@ -71,6 +78,11 @@
         self.unreadable = set()
         self.ended = set()
         self.arrivals = Arrivals(limit=gateway.bodies.limit)
+        self.room = JobRoom(
+            limit=choose_description_limit(gateway.settings.memory_bytes),
+            clock=gateway.reactor.seconds,
+            is_ended=self.is_ended,
+        )
         self.forgotten = 0
         self.is_first_update = True
         self.mirror = Mirror(
@@ -152,11 +164,15 @@
                 # A placeholder, so that the record is read only once.
                 self.jobs[identifier] = None
                 self.unread[identifier] = self.gateway.reactor.seconds()
-                defer.ensureDeferred(
-                    self.load_job_state(
-                        identifier, entry, has_read_results=not is_first
-                    )
-                ).addErrback(eliot.write_failure)
+                self.room.add(
+                    identifier,
+                    revision=entry.revision,
+                    start=functools.partial(
+                        self.start_loading,
+                        identifier,
+                        has_read_results=not is_first,
+                    ),
+                )
         for identifier in list(self.jobs):
             if build_job_key(identifier) not in mirror.entries:
                 job_state = self.jobs.pop(identifier)
@@ -165,7 +181,33 @@
                 self.unread.pop(identifier, None)
                 self.unreadable.discard(identifier)
                 self.ended.discard(identifier)
+                self.room.free(identifier)
         self.arrivals.drop_all_but(self.unread)
+        self.room.start_next()
+
+    def is_ended(self, identifier):
+        """Return whether the client of a job has ended it."""
+        return build_end_key(identifier) in self.mirror.entries
+
+    def start_loading(self, identifier, *, has_read_results):
+        """Start reading a job that has its turn."""
+        entry = self.mirror.entries.get(build_job_key(identifier))
+        defer.ensureDeferred(
+            self.load_job_state(
+                identifier, entry, has_read_results=has_read_results
+            )
+        ).addErrback(eliot.write_failure)
+
+    async def wait_for_turn(self, identifier, entry):
+        """Wait until a job that could not be read has its turn again."""
+        turn = defer.Deferred()
+        self.room.add(
+            identifier,
+            revision=entry.revision,
+            start=lambda: turn.callback(None),
+        )
+        self.room.start_next()
+        await turn
 
     async def read_job(self, identifier, entry):
         """Read a record, again and again until it can be read.
@@ -194,8 +236,11 @@
                 return job
             self.unreadable.add(identifier)
             eliot.log_message("job:unreadable", job=identifier, reason=reason)
+            self.room.finish(identifier)
             await wait(reactor, delay)
-            entry = self.mirror.entries.get(build_job_key(identifier))
+            if entry.key in self.mirror.entries:
+                await self.wait_for_turn(identifier, entry)
+            entry = self.mirror.entries.get(entry.key)
         return None
 
     async def read_once(self, identifier):
@@ -212,11 +257,21 @@
         ]
 
     async def load_job_state(self, identifier, entry, *, has_read_results):
+        """Read a job that has its turn and keep its state."""
+        try:
+            await self.load_in_turn(
+                identifier, entry, has_read_results=has_read_results
+            )
+        finally:
+            self.room.finish(identifier)
+
+    async def load_in_turn(self, identifier, entry, *, has_read_results):
         found = await self.read_job(identifier, entry)
         if found is None or self.jobs.get(identifier, found) is not None:
             # Removed meanwhile, and perhaps read by a later call.
             return
         job, parts = found
+        self.room.hold(identifier, measure_job(job.items, parts=parts))
         if identifier in self.unreadable:
             has_read_results = False
             self.unreadable.discard(identifier)
@@ -245,7 +300,7 @@
             items=len(job.items),
             age=age,
         )
-        if build_end_key(identifier) in self.mirror.entries:
+        if self.is_ended(identifier):
             self.mark_ended(identifier)
         self.on_change()
 
@@ -263,6 +318,7 @@
         job_state.items = {}
         if job_state.job.reservation is None:
             job_state.job.drop_items()
+        self.room.free(identifier)
 
     def forget_complete(self):
         """Forget the items of all complete jobs."""
@@ -281,6 +337,7 @@
         self.gateway.bodies.discard(identifier, job_state.items)
         job_state.forget_items()
         self.forgotten += len(job_state.forgotten_keys)
+        self.room.free(identifier)
 
     def reread_results(self):
         """Mark results as unread, since items may have changed owners."""
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/open_items.py
@@ -105,11 +105,7 @@
             eliot.log_message(
                 "items:open",
                 job=identifier,
-                reason=(
-                    "record_unreadable"
-                    if identifier in catalogue.unreadable
-                    else "record_not_read"
-                ),
+                reason=find_unread_reason(catalogue, identifier),
                 age=round(age, 1),
             )
 
@@ -190,6 +186,15 @@
         return "no_slot"
 
 
+def find_unread_reason(catalogue, identifier):
+    """Return why the record of a job is not known."""
+    if identifier in catalogue.unreadable:
+        return "record_unreadable"
+    if catalogue.room.is_short and identifier in catalogue.room.waiting:
+        return "no_room"
+    return "record_not_read"
+
+
 def find_last_progress(state):
     """Return the time of an item's last event, or when it was first seen."""
     last = max(state.advanced_at, state.job_state.seen_at)
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/result_storage.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/result_storage.py
@@ -46,6 +46,7 @@
             )
             await wait(gateway.reactor, STORE_RETRY_DELAY_S)
     state.has_result = True
+    gateway.worker.catalogue.room.note_progress()
     is_done = state.result.is_done
     state.discard_output()
     state.result = ItemResult(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/submissions.py
@@ -11,13 +11,16 @@
 from hollyspan_core.errors import OverloadedError
 from hollyspan_core.errors import StoreKeyExistsError
 from hollyspan_core.errors import StoreUnavailableError
+from hollyspan_policy.batch import fits_anywhere
 
 from ..routes import RouteKind
 from .job import Job
+from .job_room import measure_job
 from .loading import load_job
 from .quota_records import build_quota_identifier
 from .quota_records import build_release_key
 from .records import build_end_key
+from .records import build_job_key
 from .records import build_result_key
 from .records import encode_job
 
@@ -31,6 +34,8 @@
 MAX_KEY_BYTES = 200
 # Usual time in which a long job is stored.
 RETRY_AFTER_S = 0.5
+# Time within which workers that are full end some items and tell so.
+ROOM_RETRY_AFTER_S = 2.0
 
 
 class Submissions:
@@ -48,6 +53,8 @@
         Bytes of those that arrive or are being accepted now.
     refused : int
         Number of jobs that were refused since there was no room.
+    without_room : int
+        Number of those refused since no worker had room for them.
     """
 
     def __init__(self, *, gateway, limit):
@@ -55,6 +62,7 @@
         self.limit = limit
         self.held_bytes = 0
         self.refused = 0
+        self.without_room = 0
 
     def find_room(self, host, path):
         """Find what bounds the body of a request that arrives.
@@ -116,7 +124,8 @@
         InvalidRequestError
             The body is not a valid job.
         OverloadedError
-            Too many bytes of jobs are being accepted.
+            Too many bytes of jobs are being accepted, or no worker has room
+            for the job.
         QuotaExceededError
             The job's tokens do not fit under the route's limit now.
         StoreUnavailableError
@@ -132,6 +141,7 @@
         job = self.build_job(request, head, route)
         # Freed before the job is encoded.
         request.content = io.BytesIO()
+        await self.require_room(job)
         is_new = await self.create_record(job, route)
         if not is_new:
             await self.require_same_workspace(job)
@@ -169,6 +179,35 @@
             workspace=head.workspace,
         )
 
+    async def require_room(self, job):
+        """Raise an error if no worker has room for a new job.
+
+        One that was accepted before is answered as before: its client may
+        have lost the answer.
+        """
+        if fits_anywhere(measure_job(job.items), self.list_rooms()):
+            return
+        key = build_job_key(job.identifier)
+        if await self.gateway.store.get(key) is not None:
+            return
+        self.without_room += 1
+        raise OverloadedError(
+            "no gateway that runs items has room for the job",
+            outcome=Outcome.NOT_RUN,
+            retry_after=ROOM_RETRY_AFTER_S,
+        )
+
+    def list_rooms(self):
+        """Return the bytes left at the gateways that run items."""
+        rooms = [
+            peer.job_room
+            for peer in self.gateway.peers.list_live()
+            if peer.runs_batch and peer.reaches_store
+        ]
+        if self.gateway.can_run_items:
+            rooms.append(self.gateway.worker.catalogue.room.describe())
+        return rooms
+
     async def create_record(self, job, route):
         """Create the record of a job; return False if it exists already."""
         if route.max_waiting_tokens:
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_succession.py
@@ -102,6 +102,10 @@
     gateway.worker.catalogue.load_job_state = load
 
 
+def have_no_room(fleet, gateway):
+    gateway.worker.catalogue.room.limit = 0
+
+
 def never_read_results(fleet, gateway):
     async def read(job_state):
         job_state.is_reading_results = True
@@ -186,6 +190,7 @@
 BROKEN = (
     miss_new_jobs,
     keep_placeholders,
+    have_no_room,
     never_read_results,
     start_nothing,
     know_no_configuration,
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/worker.py
@@ -142,6 +142,7 @@
             "finished": self.claims.list_finished(),
             "crowded_jobs": self.claims.list_crowded(),
             "jobs": self.catalogue.mirror.changed_revision,
+            "job_room": self.catalogue.room.describe(),
         }
 
     def schedule(self, seconds):
@@ -189,6 +190,7 @@
         self.schedule_call = None
         self.schedule(SCHEDULING_INTERVAL_S)
         self.open_items.log_if_due()
+        self.catalogue.room.start_if_idle()
         if not self.gateway.can_run_items:
             return
         if not self.gateway.upstreams_mirror.is_connected:
--- a/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/metrics/instruments.py
@@ -197,9 +197,15 @@
     add("job_results_held_bytes", gateway.reading.count_held_bytes)
     add("submissions_held_bytes", lambda: submissions.held_bytes)
     add("submissions_refused", lambda: submissions.refused)
+    add("submissions_without_room", lambda: submissions.without_room)
     if gateway.worker is not None:
         catalogue = gateway.worker.catalogue
         add("job_arrivals_bytes", lambda: catalogue.arrivals.held_bytes)
+        room = catalogue.room
+        add("job_descriptions_limit", lambda: room.limit)
+        add("job_descriptions_bytes", lambda: room.held_bytes)
+        add("jobs_waiting_for_room", lambda: len(room.waiting))
+        add("jobs_beyond_room", lambda: room.beyond)
         add("jobs_known", lambda: len(catalogue.jobs))
         add("items_known", catalogue.count_items)
         add("items_forgotten", lambda: catalogue.forgotten)
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/codec.py
@@ -28,6 +28,8 @@
 __all__ = ["decode_message", "encode_message"]
 
 MAX_AGE_MS = 2**32 - 1
+KIB = 1024
+MAX_ROOM_KIB = 2**32 - 2
 MAX_LOAD_COUNT = 2**16 - 1
 MAX_COUNT = 2**32 - 1
 MAX_RECENT = 2**16 - 1
@@ -76,6 +78,7 @@
         configurationSeenMs=encode_store_age(message.configuration_age),
         upstreamsSeenMs=encode_store_age(message.upstreams_age),
         jobsSeenMs=encode_store_age(message.jobs_age),
+        jobRoomKib=encode_room(message.job_room),
     )
     if message.loads:
         loads = wire.init("loads", len(message.loads))
@@ -217,6 +220,7 @@
     message.tells_waiting = wire.tellsWaiting
     message.finished = list(wire.finished)
     message.crowded_jobs = list(wire.crowdedJobs)
+    message.job_room = read_room(wire.jobRoomKib)
     message.wants_reply = wire.wantsReply
     message.live_workers = list(wire.heard)
     message.region = wire.region
@@ -463,6 +467,16 @@
     return milliseconds / 1000 if milliseconds else None
 
 
+def encode_room(size):
+    """Return the room for jobs in KiB and 1, 0 if it is not told."""
+    return 0 if size is None else min(MAX_ROOM_KIB, size // KIB) + 1
+
+
+def read_room(kibibytes):
+    """Return the room for jobs in bytes, None if it is not told."""
+    return (kibibytes - 1) * KIB if kibibytes else None
+
+
 def encode_reported(wire, report):
     """Encode the load that an upstream has told."""
     if report is None:
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/fleet.capnp
@@ -150,4 +150,6 @@
   upstreamsSeenMs @36 :UInt32;
   jobsSeenMs @37 :UInt32;
   unproven @38 :List(Unproven); # upstreams whose processes may have ended
+  # In full messages only.
+  jobRoomKib @39 :UInt32;   # room for descriptions of jobs, and 1; 0: not told
 }
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/message.py
@@ -147,6 +147,9 @@
     jobs : int, optional
         Store revision of the last change of jobs at the sender, 0 if it does
         not follow them.
+    job_room : int or None, optional
+        Bytes that descriptions of further jobs may take at the sender; None
+        if it does not tell, or holds no job.
     wants_reply : bool, optional
         True when the receiver is to send a full message back.
     live_workers : list of int, optional
@@ -205,6 +208,7 @@
         "finished",
         "crowded_jobs",
         "jobs",
+        "job_room",
         "wants_reply",
         "live_workers",
         "region",
@@ -248,6 +252,7 @@
         finished=(),
         crowded_jobs=(),
         jobs=0,
+        job_room=None,
         wants_reply=False,
         live_workers=(),
         region=0,
@@ -287,6 +292,7 @@
         self.finished = finished
         self.crowded_jobs = crowded_jobs
         self.jobs = jobs
+        self.job_room = job_room
         self.wants_reply = wants_reply
         self.live_workers = live_workers
         self.region = region
--- a/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/peers/peer.py
@@ -78,6 +78,9 @@
     crowded_jobs : frozenset of int
         Hashes of jobs of which more items wait there, between two runs, than
         it names; 0 stands for any job.
+    job_room : int or None
+        Bytes that descriptions of further jobs may take there; None if it
+        does not tell.
     live_workers : frozenset of int
         Keys of the gateways that run items and are live at the peer.
     region : int
@@ -111,6 +114,7 @@
         "tells_waiting",
         "finished",
         "crowded_jobs",
+        "job_room",
         "live_workers",
         "region",
         "heartbeat_seconds",
@@ -138,6 +142,7 @@
         self.tells_waiting = False
         self.finished = frozenset()
         self.crowded_jobs = frozenset()
+        self.job_room = None
         self.live_workers = frozenset()
         self.region = 0
         self.heartbeat_seconds = INITIAL_HEARTBEAT_INTERVAL_S
@@ -181,6 +186,7 @@
             self.tells_waiting = message.tells_waiting
             self.finished = frozenset(message.finished)
             self.crowded_jobs = frozenset(message.crowded_jobs)
+            self.job_room = message.job_room
             self.live_workers = frozenset(message.live_workers)
             self.region = message.region
             self.heartbeat_seconds = message.heartbeat_seconds
--- a/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/batch/__init__.py
@@ -9,6 +9,8 @@
 from .grace import choose_preemption_grace
 from .headroom import compute_quantile_level
 from .headroom import split_reserve
+from .job_room import fits_anywhere
+from .job_room import may_read_job
 from .online_load import OnlineLoad
 from .orphaned import choose_orphaned_streams
 from .policy import count_batch_slots
@@ -48,7 +50,9 @@
     "count_turn_slots",
     "count_excess",
     "count_free_slots",
+    "fits_anywhere",
     "has_route_ended",
+    "may_read_job",
     "may_succeed",
     "rank_item",
     "split_reserve",
