Count ends in doubt once another process has the upstream's name

An end counts once another gateway is refused, too, or the entry is dropped. Where a whole service ends, all gateways take their own links for lost and tell nothing, and an upstream that is back under its name within the expiry of its entry never loses it: all ends stayed in doubt for good.

An end in doubt counts now, too, once the upstream's entry or its own report names another process, within 5 s and unless it had announced its shutdown, as for a dropped entry. Ends in doubt whose process is not proven to live excuse others for 5 s in place of 1 s: those that are back first would convict sound parts.

test_ends_of_a_whole_service_count_once_others_have_its_names fails before, both cases; test_a_part_is_not_blocked_by_those_that_are_back_first fails with the first form.

Directory has a callback more, so that the fixture of its tests and the model pass one.

--- a/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/crashes/guard.py
@@ -197,7 +197,10 @@
 
     def list_beside(self):
         """Return the ends that may share a cause with those that count."""
-        return self.evidence.list_beside(now=self.gateway.reactor.seconds())
+        return self.evidence.list_beside(
+            now=self.gateway.reactor.seconds(),
+            list_unproven=self.gateway.incarnations.list_unproven,
+        )
 
     def note_closed(self, address):
         """Note an idle connection that was closed at the other end."""
@@ -402,7 +405,13 @@
         self.news.tell_confirmation(key)
 
     def confirm_recent_end(self, upstream):
-        """Count an end that was seen shortly before its entry was dropped."""
+        """Count an end seen shortly before the upstream was known to be gone.
+
+        Its entry was dropped, or another process has its name: the fault of a
+        link does neither. One that has announced its shutdown tells nothing.
+        """
+        if not upstream.accepts_work:
+            return
         key = upstream.entry.incarnation_key
         record = self.evidence.ends.get(key)
         record = record or self.evidence.other_ends.get(key)
--- a/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/gateway.py
@@ -119,6 +119,9 @@
             reactor=reactor,
             find_region=settings.find_region,
             on_leaving=self.handle_leaving_upstream,
+            on_replaced=lambda upstream: self.guard.confirm_recent_end(
+                upstream
+            ),
             on_change=lambda upstream: self.handle_load_change(
                 upstream, is_batch_only=False
             ),
@@ -353,8 +356,7 @@
     def handle_leaving_upstream(self, upstream):
         """Close the idle connections to an upstream that leaves or is gone."""
         self.pool.drop_address(upstream.entry.address)
-        is_gone = upstream.entry.name not in self.directory.upstreams
-        if is_gone and upstream.accepts_work:
+        if upstream.entry.name not in self.directory.upstreams:
             # The store has not heard of it for some time either.
             self.guard.confirm_recent_end(upstream)
 
--- a/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/incarnations/incarnations.py
@@ -105,6 +105,14 @@
             self.note_proven(upstream, by="store")
         return record.is_unproven
 
+    def list_unproven(self):
+        """Return the set of keys of the unproven incarnations."""
+        return {
+            upstream.entry.incarnation_key
+            for upstream in self.gateway.directory.upstreams.values()
+            if self.is_unproven(upstream)
+        }
+
     def note_open_connections(self, upstream):
         """Take an idle connection that has outlasted the sign for a proof.
 
@@ -425,6 +433,7 @@
                 eliot.log_message(
                     "upstream:replaced", upstream=upstream.entry.name
                 )
+                self.gateway.guard.confirm_recent_end(upstream)
                 self.tell(upstream)
             else:
                 self.prove_by(upstream, at=now, by="report")
--- a/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/tests/test_ended_upstreams.py
@@ -2,8 +2,11 @@
 
 import pytest
 
+from hollyspan_standins.memory import LinkState
+
 COMMON = 1
 FATAL = 2
+SOUND = 3
 # Time after the fifth end from which the gateways know the part, and the sends
 # with it that are allowed later.
 CONTACT_S = 3.0
@@ -374,3 +377,88 @@
             fleet.advance(STEP_S)
     assert all(gateway.guard.blocks for gateway in fleet.gateways)
     assert len(find_late_sends(fleet)) <= MAX_LATE_SENDS
+
+
+def end_all_upstreams(fleet, *, part=FATAL, other_delay=1.5):
+    """End a whole service, whose upstreams come back under their names.
+
+    Those with a part in flight after 1.5 s, the others after their delay.
+    """
+    for number in range(3):
+        fleet.request(f"p{number}", (part,))
+    for number in range(20):
+        for gateway in fleet.gateways:
+            fleet.request(f"q{number}", (100 + number,), gateway=gateway)
+    fleet.advance(0.04)
+    with_part = {send.upstream for send in fleet.list_sends(part)}
+    for name in list(fleet.upstreams):
+        delay = 1.5 if name in with_part else other_delay
+        fleet.replace_upstream(name, version="v1", delay=delay)
+    return with_part
+
+
+# Failure: each gateway took its own links for lost when all upstreams of a
+# service ended at once; none counted the ends, and the part was sent on.
+@pytest.mark.parametrize("has_reports", [True, False])
+def test_ends_of_a_whole_service_count_once_others_have_its_names(
+    build_fleet, has_reports
+):
+    fleet = build_fleet(upstreams=4, tells_start=True)
+    fleet.has_reports = has_reports
+    end_all_upstreams(fleet)
+    fleet.advance(1.5)
+    evidence = [gateway.guard.evidence for gateway in fleet.gateways]
+    now = fleet.reactor.seconds()
+    assert not any(each.list_ends(now=now) for each in evidence)
+    fleet.advance(0.5)
+    if not has_reports:
+        fleet.tell_store()
+    fleet.advance(0.1)
+    now = fleet.reactor.seconds()
+    assert [len(each.list_ends(now=now)) for each in evidence] == [4] * 4
+
+
+# Failure: upstreams that were replaced after a cut had ended in it.
+@pytest.mark.parametrize("announces", [True, False])
+def test_upstreams_that_are_replaced_after_a_cut_have_not_ended(
+    build_fleet, announces
+):
+    fleet = build_fleet(upstreams=4, tells_start=True)
+    gateway = fleet.gateways[0]
+    for number in range(12):
+        fleet.request(f"q{number}", (COMMON,), gateway=gateway)
+    fleet.set_links(gateway, LinkState.REFUSES)
+    fleet.advance(1.0)
+    assert gateway.guard.evidence.ends
+    fleet.restore_links(gateway)
+    fleet.advance(1.0 if announces else 6.0)
+    for each in fleet.gateways:
+        for upstream in each.directory.upstreams.values():
+            upstream.has_departed = announces
+    for name in list(fleet.upstreams):
+        fleet.replace_upstream(name, version="v1", delay=0.5)
+    fleet.advance(1.0)
+    fleet.tell_store()
+    fleet.advance(0.1)
+    now = fleet.reactor.seconds()
+    for each in fleet.gateways:
+        assert not each.guard.evidence.list_ends(now=now)
+
+
+# Failure: the first upstreams that were back after a loss of all confirmed
+# their ends, and a sound part that only these had in flight was blocked.
+def test_a_part_is_not_blocked_by_those_that_are_back_first(build_fleet):
+    fleet = build_fleet(upstreams=8, tells_start=True)
+    with_part = end_all_upstreams(fleet, part=SOUND, other_delay=3.5)
+    assert len(with_part) == 3
+    fleet.advance(2.0)
+    for name in with_part:
+        del fleet.listed[name]
+        entry = fleet.build_listed(name, fleet.upstreams[name])
+        for gateway in fleet.gateways:
+            gateway.directory.update_entry(name, entry)
+    fleet.advance(0.5)
+    now = fleet.reactor.seconds()
+    for gateway in fleet.gateways:
+        assert len(gateway.guard.evidence.list_ends(now=now)) == 3
+        assert not gateway.guard.blocks
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/directory.py
@@ -41,6 +41,8 @@
         Returns the region of a data centre.
     on_leaving : callable
         Called with an Upstream that no longer accepts new work.
+    on_replaced : callable
+        Called with an Upstream whose name another process has taken.
     on_change : callable
         Called with an Upstream of which the peers are to be told.
 
@@ -60,6 +62,7 @@
         "reactor",
         "find_region",
         "on_leaving",
+        "on_replaced",
         "on_change",
         "upstreams",
         "by_key",
@@ -68,10 +71,13 @@
         "departures",
     )
 
-    def __init__(self, *, reactor, find_region, on_leaving, on_change):
+    def __init__(
+        self, *, reactor, find_region, on_leaving, on_replaced, on_change
+    ):
         self.reactor = reactor
         self.find_region = find_region
         self.on_leaving = on_leaving
+        self.on_replaced = on_replaced
         self.on_change = on_change
         self.upstreams = {}
         self.by_key = {}
@@ -142,6 +148,8 @@
             self.by_key[entry.key] = upstream
             self.indexed_count = None
             log_change("upstream:listed", entry)
+            if existing is not None:
+                self.on_replaced(existing)
             return
         was_ready = existing.entry.is_ready
         if entry.is_ready and not was_ready:
--- a/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/upstreams/tests/test_directory.py
@@ -16,6 +16,7 @@
         reactor=reactor,
         find_region=lambda data_centre: data_centre,
         on_leaving=lambda upstream: departed.append(upstream.entry.name),
+        on_replaced=lambda upstream: None,
         on_change=lambda upstream: None,
     )
 
--- a/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
+++ b/packages/hollyspan_policy/hollyspan_policy/crashes/evidence.py
@@ -17,6 +17,9 @@
 MAX_OTHER_ENDS = 64
 # Time in which other gateways answer whether they see an end, too.
 CONFIRMATION_S = 1.0
+# Time in which the store may tell of an end that no other gateway has seen: it
+# drops the entry, or another process has the name.
+SETTLEMENT_S = 5.0
 # Time within which several gateways see one end.
 SAME_END_S = 1.0
 
@@ -185,22 +188,37 @@
                 del self.ends[key]
         return [each for each in self.ends.values() if each.is_confirmed]
 
-    def list_beside(self, *, now):
+    def list_beside(self, *, now, list_unproven=frozenset):
         """Return the ends that count against no key, see `choose_blocks`.
 
+        Parameters
+        ----------
+        now : float
+        list_unproven : callable, optional
+            Returns the set of keys of incarnations whose processes may have
+            ended for all that is known since.
+
+        Notes
+        -----
         One that is not confirmed soon may be the fault of a link, which would
-        hide the ends that requests cause as long as it lasts.
+        hide the ends that requests cause as long as it lasts. Where many
+        upstreams are lost, the first ones that are back confirm their ends,
+        and those that are not back yet are what excuses them.
         """
-        unconfirmed = [
-            each for each in self.ends.values() if not each.is_confirmed
-        ]
-        others = [
+        listed = {**self.other_ends, **self.ends}
+        in_doubt = {
+            key
+            for key, each in listed.items()
+            if not each.is_confirmed
+            and CONFIRMATION_S < now - each.at <= SETTLEMENT_S
+        }
+        if in_doubt:
+            in_doubt &= list_unproven()
+        beside = [
             each
-            for key, each in self.other_ends.items()
-            if key not in self.ends
+            for key, each in listed.items()
+            if key in in_doubt
+            or (key not in self.ends and each.is_confirmed)
+            or (not each.is_confirmed and now - each.at <= CONFIRMATION_S)
         ]
-        return [
-            each
-            for each in unconfirmed + others
-            if each.is_confirmed or now - each.at <= CONFIRMATION_S
-        ] + self.list_unattributed()
+        return beside + self.list_unattributed()
--- a/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
+++ b/packages/hollyspan_standins/hollyspan_standins/model/gateway.py
@@ -65,6 +65,7 @@
             reactor=fleet.clock,
             find_region=fleet.find_region,
             on_leaving=lambda upstream: None,
+            on_replaced=lambda upstream: None,
             on_change=lambda upstream: None,
         )
         self.placement = Placement(
