Go on when the link to the only upstream breaks

Callers saw streams end in the midst of a 200, and requests that may run again end with 503, when the connection to the only upstream of their service or version was reset or refused on one gateway's own link.

Cause: the upstream counted as tried, and no other one was left. Neither was another gateway asked, nor the upstream over a new connection.

Change: when only upstreams are left whose connections have failed under the request, another gateway is asked, while the link counts as broken (must_ask_again). Without one, the upstream is asked once more over a new connection, and once a pause while an answer that has begun goes on. Attempts are counted as before. What has certainly not run is not forwarded while a peer does not reach the upstream either.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/continuation.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/continuation.py
@@ -2,11 +2,14 @@
 
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import OverloadedError
+from hollyspan_core.errors import StreamLostError
 from hollyspan_core.errors import StreamStalledError
+from hollyspan_core.errors import UpstreamUnreachableError
 from hollyspan_policy.hashing import hash_parts
 from hollyspan_policy.retries import compute_backoff
 from hollyspan_policy.retries import list_passed_over
 from hollyspan_policy.retries import may_break_off
+from hollyspan_policy.retries import must_ask_again
 from hollyspan_policy.retries import must_continue
 
 from ..clock import wait
@@ -30,6 +33,11 @@
     ----------
     ran_at : set of str
         Names of the upstreams that may have run the request for this gateway.
+    lost : dict
+        Upstreams to which a connection of this gateway for the request broke
+        off, or could not be opened, by name.
+    broken_off : set of str
+        Names of those that may have run it and were not asked again since.
     current : str or None
         Name of the upstream of the attempt in flight.
     ran_elsewhere : dict
@@ -50,6 +58,8 @@
     __slots__ = (
         "relay",
         "ran_at",
+        "lost",
+        "broken_off",
         "current",
         "ran_elsewhere",
         "has_given_up",
@@ -59,6 +69,8 @@
     def __init__(self, *, relay):
         self.relay = relay
         self.ran_at = set()
+        self.lost = {}
+        self.broken_off = set()
         self.current = None
         self.ran_elsewhere = {}
         self.has_given_up = False
@@ -104,11 +116,52 @@
         )
 
     def note_failure(self, error):
-        """Note an attempt that may have run the request."""
-        self.ran_at.add(self.relay.upstream.entry.name)
+        """Note an attempt of this gateway that has failed."""
+        upstream = self.relay.upstream
+        name = upstream.entry.name
+        if isinstance(error, (StreamLostError, UpstreamUnreachableError)):
+            self.lost[name] = upstream
+        self.broken_off.discard(name)
+        if error.outcome is Outcome.NOT_RUN:
+            return
+        self.ran_at.add(name)
+        if isinstance(error, StreamLostError):
+            self.broken_off.add(name)
         if isinstance(error, StreamStalledError):
             self.has_given_up = True
 
+    def must_ask_others(self):
+        """Return whether only other gateways may reach what can go on.
+
+        Notes
+        -----
+        What has certainly not run is worth no hop to an upstream that another
+        gateway does not reach either.
+        """
+        relay = self.relay
+        now = relay.gateway.reactor.seconds()
+        lost = {
+            name
+            for name, upstream in self.lost.items()
+            if upstream.link.is_broken
+            and (relay.sends or not upstream.link.is_doubted(now=now))
+        }
+        return bool(lost) and self.must_ask_again(lost) and relay.can_hop()
+
+    def must_ask_again(self, lost):
+        """Return whether only those whose connections failed are left."""
+        relay = self.relay
+        return must_ask_again(
+            lost=lost,
+            ran=self.ran_at | self.list_names_elsewhere(),
+            usable=[
+                each.entry.name
+                for each in relay.gateway.directory.list_usable(relay.service)
+                if not each.incarnation.is_gone
+                and relay.version in (None, each.entry.version_key)
+            ],
+        )
+
     def note_run_elsewhere(self, keys):
         """Note upstreams that may have run the request for other gateways."""
         self.ran_elsewhere.update(dict.fromkeys(keys))
@@ -130,14 +183,12 @@
     def list_excluded(self):
         """Return the names of the upstreams that are not to be sent to."""
         relay = self.relay
+        tried = relay.tried
+        if self.broken_off and self.must_ask_again(self.broken_off):
+            tried = tried - self.broken_off
         if not self.ran_elsewhere:
-            return relay.tried
+            return tried
         directory = relay.gateway.directory
-        elsewhere = {
-            directory.by_key[key].entry.name
-            for key in self.ran_elsewhere
-            if key in directory.by_key
-        }
         usable = {
             each.entry.name
             for each in directory.list_usable(relay.service)
@@ -145,10 +196,21 @@
             and relay.version
             in (None, relay.gateway.placement.find_version(each))
         }
-        return relay.tried | list_passed_over(
-            ran_here=self.ran_at, ran_elsewhere=elsewhere, usable=usable
+        return tried | list_passed_over(
+            ran_here=self.ran_at,
+            ran_elsewhere=self.list_names_elsewhere(),
+            usable=usable,
         )
 
+    def list_names_elsewhere(self):
+        """Return the names of those that may have run it for others."""
+        by_key = self.relay.gateway.directory.by_key
+        return {
+            by_key[key].entry.name
+            for key in self.ran_elsewhere
+            if key in by_key
+        }
+
     def find_pause(self):
         """Return the seconds until the next round of attempts."""
         return compute_backoff(
@@ -166,4 +228,5 @@
         await wait(relay.gateway.reactor, seconds)
         relay.refusals = 0
         relay.tried = set(self.ran_at)
+        self.broken_off = self.ran_at.intersection(self.lost)
         relay.asked_peers.clear()
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/relay.py
@@ -195,7 +195,7 @@
 
     async def attempt(self):
         """Let an upstream or another gateway run the request once."""
-        if not self.must_hop():
+        if not (self.must_hop() or self.continuation.must_ask_others()):
             await self.require_origin()
             self.upstream = self.choose()
             is_lost = self.gateway.reach.is_lost(self.upstream) or (
@@ -491,8 +491,7 @@
         if error.outcome is Outcome.NOT_RUN:
             self.sends -= 1
             self.refusals += not is_lost
-        else:
-            self.continuation.note_failure(error)
+        self.continuation.note_failure(error)
 
     def finish(self):
         """End the answer."""
--- a/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
+++ b/packages/hollyspan_policy/hollyspan_policy/retries/__init__.py
@@ -8,6 +8,7 @@
 from .decision import is_safe_to_retry
 from .failure import AttemptFailure
 from .hops import list_passed_over
+from .hops import must_ask_again
 from .silence import MAX_STILL_S
 from .silence import must_leave_silence
 from .silence import pays_to_move
@@ -21,6 +22,7 @@
     "is_safe_to_retry",
     "list_passed_over",
     "may_break_off",
+    "must_ask_again",
     "must_continue",
     "must_leave_silence",
     "pays_to_move",
