Let an entry daemon ask its only upstream again

Callers of an entry daemon got 502 with an unknown outcome when the connection to the only upstream of a service was reset before the answer, though the request may run again and retries were left.

Cause: run_attempts ended as soon as no upstream was left that it had not tried.

An answer of the upstream is final as before. Attempts are numbered by sends, so that a second one at an upstream has a stream of its own.

--- a/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
+++ b/packages/hollyspan_entry/hollyspan_entry/online/attempts.py
@@ -2,11 +2,16 @@
 
 import time
 
+from twisted.internet import task
+
 from hollyspan_core.configuration import Scope
 from hollyspan_core.errors import HollyspanError
 from hollyspan_core.errors import Outcome
 from hollyspan_core.errors import StreamLostError
+from hollyspan_core.errors import UpstreamLeavingError
 from hollyspan_core.errors import UpstreamUnavailableError
+from hollyspan_policy.retries import compute_backoff
+from hollyspan_policy.retries import must_continue
 
 from ..streams import run_stream
 from ..streams import send_cancel
@@ -20,6 +25,10 @@
 # An idempotent request that has received no event is soon retried on another
 # upstream.
 MAX_INITIAL_RESUMES = 1
+# Longest pause before those whose connections broke off are asked again, at
+# first and later.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 0.4
 
 
 async def run_attempts(
@@ -52,21 +61,42 @@
     HollyspanError
         The outcome is ``not_run`` only when no attempt can have reached an
         upstream.
+
+    Notes
+    -----
+    A request that may have run, and has no answer yet, is sent again to those
+    whose connections broke off when no other upstream takes it.
     """
     choose_upstream = choose_upstream or choose_with_fallback
     attempt = attempt or run_attempt
     tried = set()
+    lost = set()
     last_error = None
     may_have_run = False
-    attempts_left = get_max_retries(state, request)
+    sends = rounds = 0
+    max_retries = attempts_left = get_max_retries(state, request)
     state.budget.deposit()
     while True:
         upstream, decision = choose_upstream(state, request, tried=tried)
         if upstream is None:
+            rounds += 1
+            pause = find_pause(request, rounds)
+            if must_continue(
+                sends=sends,
+                max_attempts=1 + max_retries,
+                is_repeatable=request.idempotent,
+                is_owed=may_have_run and is_broken_off(last_error),
+                seconds_left=request.deadline - time.monotonic(),
+                pause_seconds=pause,
+            ):
+                tried -= lost
+                await task.deferLater(state.runtime.reactor, pause)
+                continue
             raise (
                 last_error if may_have_run else build_overload_error(decision)
             )
-        stream_id = f"{request.identifier}-{len(tried)}"
+        stream_id = f"{request.identifier}-{sends}"
+        sends += 1
         tried.add(upstream.name)
         if record_attempt is not None:
             await record_attempt(upstream, stream_id)
@@ -88,6 +118,8 @@
         ):
             raise last_error
         attempts_left -= 1
+        if is_broken_off(last_error):
+            lost.add(upstream.name)
         receiver.reset()
         cancel_lost_stream(state.runtime, upstream, stream_id, last_error)
 
@@ -118,6 +150,23 @@
     state.observe_service_time(request.service, time.monotonic() - started)
 
 
+def is_broken_off(error):
+    """Return whether an attempt failed on its way to the upstream or back."""
+    return isinstance(
+        error, (StreamLostError, UpstreamUnavailableError)
+    ) and not isinstance(error, UpstreamLeavingError)
+
+
+def find_pause(request, rounds):
+    """Return the seconds until those that broke off are asked again."""
+    return compute_backoff(
+        rounds,
+        seed=request.identifier,
+        base=FIRST_PAUSE_S,
+        limit=MAX_PAUSE_S,
+    )
+
+
 def build_resume_limits(request):
     """Return the arguments of `run_stream` that limit initial resumes."""
     return (
