Test second moves of items and followers in a cut

No test failed when an item was let move from one silent upstream to the next without a new event, nor when a confirmed cut broke off all of a worker's runs, or none. Three runs with the guards taken out, one each: one of the new tests fails in each.

--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_items_in_silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_items_in_silences.py
@@ -111,6 +111,21 @@
     assert count_results(wire) == 12
 
 
+# Failure: a confirmed cut broke off the runs of the only worker, or left those
+# that another one could go on with.
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_confirmed_cut_breaks_off_runs_that_another_worker_can_follow(
+    build_workers, submit, count
+):
+    fleet = build_workers(count)
+    submit(fleet, 12)
+    worker = fleet.gateways[1]
+    begun = [send for send in fleet.sent if send.gateway is worker]
+    worker.reach.move_attempts()
+    assert begun
+    assert {send.is_open() for send in begun} == {count == 1}
+
+
 # Failure: items waited a second at an upstream that hung, although others had
 # places for them.
 def test_items_leave_an_upstream_that_hangs_for_places_elsewhere(
--- a/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_silences.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/jobs/tests/test_silences.py
@@ -60,3 +60,22 @@
 ):
     run.heard_at = reactor.seconds()
     assert not silences.take_place(run)
+
+
+# Failure: an item moved from one silent upstream to the next, on and on.
+@pytest.mark.parametrize("lost_runs", [0, 1])
+def test_an_item_moves_once_without_a_new_event(
+    silences, run, monkeypatch, lost_runs
+):
+    silences.gateway.reach = types.SimpleNamespace(
+        note_silence=lambda upstream: None,
+        leaves_silence=lambda upstream, since: False,
+    )
+    monkeypatch.setattr(Silences, "measure_slack", lambda *_: 60.0)
+    run.state.key, run.state.lost_runs = "k", lost_runs
+    run.first_event_seconds = 0.3
+    run.upstream.incarnation = types.SimpleNamespace(is_gone=False)
+    run.upstream.link = types.SimpleNamespace(
+        heard_at=run.heard_at, last_elsewhere_at=run.heard_at
+    )
+    assert silences.must_leave(run) is (lost_runs == 0)
