Send refusals and last answers to clients that have ended their direction

A slow client lost the rest of its last answer after 16 s.

Cause: the end of the client's direction counted as a lost connection, and the abort of a client that does not close also counted for last answers, whose time the stop bounds.

Change: in the linger the end of the client's direction only ends the reading, and only refusals are aborted. Elsewhere it is a client that has gone, as before.

Both new tests fail before: no byte of the 413, the answer of 4 MiB cut.

--- a/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/channel.py
@@ -1,8 +1,11 @@
 """Connection of a client, of the balancer or of a peer."""
 
 import eliot
+from twisted.internet import error
 from twisted.internet import interfaces
+from twisted.python import failure
 from twisted.web import http
+from zope.interface import implementer
 
 from hollyspan_core.errors import IntakeExceededError
 from hollyspan_core.intake import TurnReader
@@ -17,6 +20,7 @@
 LINGER_S = 1.0
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class ClientChannel(http.HTTPChannel):
     """Server connection that bounds what it reads and keeps.
 
@@ -242,11 +246,27 @@
                 self.is_last_told = True
         super().writeHeaders(version, code, reason, headers)
 
+    def readConnectionLost(self):
+        """Send what is left to a client that has ended its direction."""
+        if self.linger_call is not None:
+            self.transport.stopReading()
+        else:
+            self.transport.connectionLost(
+                failure.Failure(error.ConnectionDone())
+            )
+
+    def writeConnectionLost(self):
+        """Read on until the client closes, or until `end_lingering`."""
+
     def end_lingering(self):
-        """Close the connection of a client that has not closed it."""
-        self._abortingCall = self.callLater(
-            self.abortTimeout, self.forceAbortClient
-        )
+        """Close the connection of a client that has not closed it.
+
+        The last answer in a stop may take its time, which the stop bounds.
+        """
+        if not self.is_last_told:
+            self._abortingCall = self.callLater(
+                self.abortTimeout, self.forceAbortClient
+            )
         self.transport.loseConnection()
 
     def requestDone(self, request):
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_refusals.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_refusals.py
@@ -1,6 +1,7 @@
 """Tests of refusals of requests that have not been read, on sockets."""
 
 import socket
+import time
 
 from twisted.internet import reactor
 from twisted.internet import task
@@ -30,7 +31,11 @@
         self.addCleanup(self.port.stopListening)
 
     async def ask(self, *parts):
-        """Return what a client reads that has sent bytes before."""
+        """Return what a client reads that has sent bytes before.
+
+        A number among the parts is a pause in seconds, None the end of what
+        it sends.
+        """
         answer = await threads.deferToThread(self.send, *parts)
         while self.site.channels:
             await task.deferLater(reactor, 0.01)
@@ -39,7 +44,12 @@
     def send(self, *parts):
         with socket.create_connection(self.address, timeout=5.0) as connection:
             for part in parts:
-                connection.sendall(part)
+                if part is None:
+                    connection.shutdown(socket.SHUT_WR)
+                elif isinstance(part, float):
+                    time.sleep(part)
+                else:
+                    connection.sendall(part)
             received = b""
             while chunk := connection.recv(65536):
                 received += chunk
@@ -51,6 +61,18 @@
         answer = await self.ask(HEAD % size, bytes(size))
         self.assertIn(b"HTTP/1.1 413 ", answer)
 
+    # Failure: a refusal or a last answer was dropped when its client had ended
+    # its direction.
+    async def test_a_refusal_reaches_a_client_that_has_sent_all(self):
+        size = MIB + 1_000
+        answer = await self.ask(HEAD % size, bytes(size), None)
+        self.assertIn(b"HTTP/1.1 413 ", answer)
+
+    async def test_the_last_answer_reaches_a_client_that_has_sent_all(self):
+        self.site.begin_closing()
+        answer = await self.ask(REQUEST, 0.1, None, 0.1)
+        self.assertIn(bytes(4 * MIB), answer)
+
     async def test_the_last_answer_in_a_stop_is_read_whole(self):
         self.site.begin_closing()
         answer = await self.ask(REQUEST, HEAD % (3 * MIB) + bytes(2 * MIB))
