Drop idle clients that do not read, and parts of requests at the time-out

Cause: the connection was closed without the abort that follows a time-out, and nothing set the timer again.

Change: after the turn that reads it, an idle connection is closed as any that times out; one that is not idle any more gets its time again, unless a request is handled on it.

The new tests fail before: both connections were still open at the end.

--- a/packages/hollyspan_entry/hollyspan_entry/http/channel.py
+++ b/packages/hollyspan_entry/hollyspan_entry/http/channel.py
@@ -59,24 +59,34 @@
 
     def timeoutConnection(self):
         if self.is_idle:
-            self.close_unless_used()
+            self.close_unless_used(close=super().timeoutConnection)
         else:
             super().timeoutConnection()
 
-    def close_unless_used(self):
+    def close_unless_used(self, *, close=None):
         """Close an idle connection, after a turn of the loop that reads it.
 
         Timers are called before what came while the process stood still is
         read.
+
+        Parameters
+        ----------
+        close : callable, optional
+            Closes it; without one, what is unsent may take its time.
         """
         if self.idle_call is None:
-            self.idle_call = self.callLater(0, self.close_unused)
+            self.idle_call = self.callLater(
+                0, self.close_unused, close or self.loseConnection
+            )
 
-    def close_unused(self):
+    def close_unused(self, close):
         """Close the connection if it is still idle."""
         self.idle_call = None
         if self.is_idle:
-            self.loseConnection()
+            close()
+        elif not self._handlingRequest:
+            # The rest of the request is waited for.
+            self.setTimeout(self.timeOut)
 
     def connectionLost(self, reason):
         if self.idle_call is not None:
--- a/packages/hollyspan_entry/hollyspan_entry/tests/test_drain.py
+++ b/packages/hollyspan_entry/hollyspan_entry/tests/test_drain.py
@@ -40,6 +40,7 @@
         root.putChild(b"still", AsyncResource(handle=self.stand_still))
         self.released = defer.Deferred()
         self.callers = []
+        self.sent_in_turn = REQUEST
         self.site = DrainingSite(root)
         self.port = reactor.listenTCP(0, self.site, interface="127.0.0.1")
         self.address = ("127.0.0.1", self.port.getHost().port)
@@ -135,7 +136,7 @@
     async def stand_still(self, request, path):
         """Hold the loop, in which callers send requests."""
         for caller in self.callers:
-            caller.sendall(REQUEST)
+            caller.sendall(self.sent_in_turn)
         time.sleep(2 * NOTICE_S)
 
     # Failure: a whole request behind a stream got no answer at a stop.
@@ -191,6 +192,17 @@
         await task.deferLater(reactor, 4 * NOTICE_S)
         self.assertIn(b"whole", read_all(self.callers[0]))
 
+    # Failure: a connection was kept for ever whose time had run out beside a
+    # part of a request.
+    async def test_a_part_of_a_request_at_the_time_out_is_not_kept(self):
+        self.sent_in_turn = b"GET / HT"
+        self.site.timeOut = NOTICE_S
+        self.callers = [self.connect(request=b"")]
+        await task.deferLater(reactor, NOTICE_S / 2)
+        self.connect(request=STILL)
+        await task.deferLater(reactor, 6 * NOTICE_S)
+        self.assertEqual(read_all(self.callers[0]), b"")
+
     async def stop_with_request(self, path):
         """Stop while a request is answered; return what its caller reads."""
         self.runtime.settings.timing.drain_limit = 0.2
--- a/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_refusals.py
+++ b/packages/hollyspan_gateway/hollyspan_gateway/online/tests/test_refusals.py
@@ -73,6 +73,23 @@
         answer = await self.ask(REQUEST, 0.1, None, 0.1)
         self.assertIn(bytes(4 * MIB), answer)
 
+    # Failure: idle connections whose clients did not read were kept for ever.
+    async def test_an_idle_client_that_does_not_read_is_dropped(self):
+        self.patch(ClientChannel, "abortTimeout", 0.1)
+        self.site.timeOut = 0.1
+        self.site.handle = lambda request: request.answer(
+            200, [], bytes(50_000)
+        )
+        self.port.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.addCleanup(connection.close)
+        connection.connect(self.address)
+        connection.sendall(REQUEST)
+        await task.deferLater(reactor, 0.1)
+        while self.site.channels:
+            await task.deferLater(reactor, 0.01)
+
     async def test_the_last_answer_in_a_stop_is_read_whole(self):
         self.site.begin_closing()
         answer = await self.ask(REQUEST, HEAD % (3 * MIB) + bytes(2 * MIB))
